--- /dev/null
+++ b/include/dogwoodpaddle/settings.h
@@ -0,0 +1,19 @@
+/* Settings of one process, read from a JSON file at start. */
+#pragma once
+
+#include <glib.h>
+
+typedef struct _DpSettings DpSettings;
+
+typedef enum
+{
+  DP_SETTINGS_BALANCER,
+  DP_SETTINGS_COMPANION,
+  DP_N_SETTINGS_KINDS
+} DpSettingsKind;
+
+/* Error: DP_ERROR_INVALID with file, key and reason. */
+DpSettings *dp_settings_load (const char *path, DpSettingsKind kind, GError **error);
+void dp_settings_free (DpSettings *settings);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpSettings, dp_settings_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/candidates.h
@@ -0,0 +1,33 @@
+/* For each flow, the members of a view in rendezvous order. */
+#pragma once
+
+#include <glib.h>
+
+#include "protected/view.h"
+
+#define DP_CANDIDATES_CACHED 4 /* ranked members kept for each bucket */
+
+typedef struct _DpCandidates DpCandidates;
+
+/* Which members a packet may visit. */
+typedef enum
+{
+  DP_CANDIDATES_NEW_FLOW, /* active members only */
+  DP_CANDIDATES_ANY_FLOW, /* all members present */
+  DP_N_CANDIDATE_KINDS
+} DpCandidateKind;
+
+DpCandidates *dp_candidates_new (DpView *view);
+void dp_candidates_free (DpCandidates *candidates);
+DpView *dp_candidates_view (const DpCandidates *candidates);
+const DpMember *dp_candidates_first (const DpCandidates *candidates,
+                                     guint64 flow_hash,
+                                     DpCandidateKind kind);
+const DpMember *dp_candidates_next (const DpCandidates *candidates,
+                                    guint64 flow_hash,
+                                    DpCandidateKind kind,
+                                    const guint32 *visited,
+                                    guint n_visited);
+gsize dp_candidates_bytes (const DpCandidates *candidates);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpCandidates, dp_candidates_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/fleet.h
@@ -0,0 +1,43 @@
+/* The operators' settings of the fleet: defaults, services and exceptions. */
+#pragma once
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+
+#include "protected/acceptance.h"
+#include "protected/replica.h"
+
+/* Effective settings of one host. */
+typedef struct
+{
+  guint32 wait_limit_ms;
+  guint32 visits;
+  guint32 slots;
+  guint32 connections;
+  guint32 idle_timeout_s;
+  guint32 progress_timeout_s;
+  guint32 drain_deadline_s; /* 0: none */
+  guint32 trace_sample;     /* one flow in so many, 0: none */
+  guint32 heartbeat_ms;
+  guint32 suspect_ms;
+} DpFleetSettings;
+
+/* One fault of a fleet file. */
+typedef struct
+{
+  char *path; /* JSON path, as $.exceptions.slow-host.reason */
+  char *text;
+} DpFault;
+
+void dp_fault_free (DpFault *fault);
+
+void dp_fleet_settings_init (DpFleetSettings *settings);
+/* service and host may be NULL. Records that are missing or invalid count as absent. */
+void dp_fleet_effective (const DpReplica *replica,
+                         const char *service,
+                         const char *host,
+                         DpFleetSettings *settings);
+/* The addresses of a service with class and wait limit; array of DpServiceAddress. */
+GArray *dp_fleet_addresses (const DpReplica *replica, const char *service);
+/* Checks a whole fleet file; array of DpFault, empty if it is right. */
+GPtrArray *dp_fleet_check (JsonNode *file);
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/packetport.h
@@ -0,0 +1,42 @@
+/* Where datagrams come from and go to; the first implementation is a UDP socket. */
+#pragma once
+
+#include <glib.h>
+
+#include "protected/address.h"
+
+typedef struct _DpPacketPort DpPacketPort;
+
+typedef void (*DpPacketFunc) (const DpAddress *source,
+                              guint8 *data,
+                              gsize length,
+                              gpointer user_data);
+
+typedef struct
+{
+  gboolean (*send) (DpPacketPort *port,
+                    const DpAddress *destination,
+                    const guint8 *data,
+                    gsize length);
+  void (*flush) (DpPacketPort *port);
+  void (*free) (DpPacketPort *port);
+} DpPacketPortVtable;
+
+struct _DpPacketPort
+{
+  const DpPacketPortVtable *vtable;
+};
+
+DpPacketPort *dp_udp_port_new (const DpAddress *address,
+                               DpPacketFunc received,
+                               gpointer user_data,
+                               GError **error);
+DpAddress dp_udp_port_address (DpPacketPort *port);
+gboolean dp_packet_port_send (DpPacketPort *port,
+                              const DpAddress *destination,
+                              const guint8 *data,
+                              gsize length);
+void dp_packet_port_flush (DpPacketPort *port);
+void dp_packet_port_free (DpPacketPort *port);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpPacketPort, dp_packet_port_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/platform.h
@@ -0,0 +1,60 @@
+/* Client of the platform's object API over HTTP and JSON. */
+#pragma once
+
+#include <gio/gio.h>
+
+#include "protected/replica.h"
+
+typedef struct _DpPlatform DpPlatform;
+
+typedef enum
+{
+  DP_WRITE_DONE,     /* the write took effect */
+  DP_WRITE_CONFLICT, /* another writer was first; the present record is given */
+  DP_WRITE_UNKNOWN,  /* no answer: it may have taken effect or may yet do so */
+  DP_WRITE_REFUSED,  /* the platform answered with an error; it did not take effect */
+  DP_N_WRITE_RESULTS
+} DpWriteResult;
+
+/* record: the object as the platform now holds it, NULL if it does not exist or is
+ * unknown. */
+typedef void (*DpPlatformWriteFunc) (DpWriteResult result,
+                                     DpRecord *record,
+                                     const GError *error,
+                                     gpointer user_data);
+/* records: DpRecord; revision: everything up to it is contained. error: set on failure.
+ */
+typedef void (*DpPlatformReadFunc) (GPtrArray *records,
+                                    guint64 revision,
+                                    const GError *error,
+                                    gpointer user_data);
+
+DpPlatform *dp_platform_new (const char *base_url);
+void dp_platform_free (DpPlatform *platform);
+void dp_platform_set_timeout (DpPlatform *platform, guint timeout_ms);
+const char *dp_write_result_string (DpWriteResult result);
+
+void dp_platform_list (DpPlatform *platform, DpPlatformReadFunc done, gpointer user_data);
+void dp_platform_get (DpPlatform *platform,
+                      DpKind kind,
+                      const char *name,
+                      DpPlatformReadFunc done,
+                      gpointer user_data);
+/* Held open until something is newer than since or timeout_ms passed. */
+void dp_platform_watch (DpPlatform *platform,
+                        guint64 since,
+                        guint timeout_ms,
+                        DpPlatformReadFunc done,
+                        gpointer user_data);
+/* Conditional on the object's version; 0: must not exist. value NULL: delete. A lost
+ * answer is read back once; DP_WRITE_UNKNOWN only if that fails too. */
+void dp_platform_write (DpPlatform *platform,
+                        DpKind kind,
+                        const char *name,
+                        guint64 version,
+                        JsonNode *value,
+                        DpPlatformWriteFunc done,
+                        gpointer user_data);
+guint64 dp_platform_calls (const DpPlatform *platform);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpPlatform, dp_platform_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/registration.h
@@ -0,0 +1,44 @@
+/* Keeps a companion's entry in members/SERVICE as it should be, by conditional updates.
+ */
+#pragma once
+
+#include <glib.h>
+
+#include "protected/clock.h"
+#include "protected/platform.h"
+#include "protected/view.h"
+
+typedef struct _DpRegistration DpRegistration;
+
+typedef enum
+{
+  DP_REGISTRATION_ABSENT,
+  DP_REGISTRATION_JOINING,
+  DP_REGISTRATION_ACTIVE,
+  DP_REGISTRATION_LEAVING,
+  DP_N_REGISTRATION_STATES
+} DpRegistrationState;
+
+/* Called when the wanted state has been written, and when the platform's entry is held by
+ * an operator's drain or released from it. */
+typedef void (*DpRegistrationFunc) (DpRegistration *registration, gpointer user_data);
+
+DpRegistration *dp_registration_new (const char *service,
+                                     const DpMember *self,
+                                     DpReplica *replica,
+                                     DpPlatform *platform,
+                                     DpClock *clock);
+void dp_registration_free (DpRegistration *registration);
+void dp_registration_set_listener (DpRegistration *registration,
+                                   DpRegistrationFunc changed,
+                                   gpointer user_data);
+void dp_registration_set_capacity (DpRegistration *registration,
+                                   guint32 slots,
+                                   guint32 connections);
+void dp_registration_want (DpRegistration *registration, DpRegistrationState state);
+DpRegistrationState dp_registration_wanted (const DpRegistration *registration);
+DpRegistrationState dp_registration_written (const DpRegistration *registration);
+gboolean dp_registration_held (const DpRegistration *registration);
+const char *dp_registration_state_string (DpRegistrationState state);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpRegistration, dp_registration_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/replica.h
@@ -0,0 +1,67 @@
+/* A process's copy of the platform's objects; it only ever moves to higher revisions. */
+#pragma once
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+
+typedef enum
+{
+  DP_KIND_FLEET,     /* fleet/defaults */
+  DP_KIND_SERVICE,   /* service/NAME */
+  DP_KIND_EXCEPTION, /* exception/NAME */
+  DP_KIND_MEMBERS,   /* members/SERVICE */
+  DP_KIND_BALANCER,  /* balancer/NAME */
+  DP_N_KINDS
+} DpKind;
+
+const char *dp_kind_string (DpKind kind);
+gboolean dp_kind_parse (const char *text, DpKind *kind);
+
+/* One object at one revision. Immutable. */
+typedef struct
+{
+  grefcount refs;
+  DpKind kind;
+  char *name;
+  guint64 revision;
+  gboolean deleted;
+  char *json;      /* the value's text, "" if deleted */
+  JsonNode *value; /* NULL if deleted */
+} DpRecord;
+
+DpRecord *dp_record_new (DpKind kind,
+                         const char *name,
+                         guint64 revision,
+                         gboolean deleted,
+                         const char *json,
+                         GError **error);
+DpRecord *dp_record_ref (DpRecord *record);
+void dp_record_unref (DpRecord *record);
+
+typedef struct _DpReplica DpReplica;
+
+/* Called for each record that the replica takes over, after it did. */
+typedef void (*DpReplicaFunc) (const DpRecord *record, gpointer user_data);
+
+DpReplica *dp_replica_new (void);
+void dp_replica_free (DpReplica *replica);
+guint
+dp_replica_add_listener (DpReplica *replica, DpReplicaFunc changed, gpointer user_data);
+void dp_replica_remove_listener (DpReplica *replica, guint id);
+
+/* Returns whether the record was newer than the one held. */
+gboolean dp_replica_apply (DpReplica *replica, DpRecord *record);
+/* All records up to the revision have been applied. Never moves back. */
+void dp_replica_set_revision (DpReplica *replica, guint64 revision);
+guint64 dp_replica_revision (const DpReplica *replica);
+
+const DpRecord *dp_replica_get (const DpReplica *replica, DpKind kind, const char *name);
+GPtrArray *dp_replica_list (const DpReplica *replica, DpKind kind);
+/* Records with a revision above since that a subscriber for the service wants ("": all).
+ */
+GPtrArray *
+dp_replica_since (const DpReplica *replica, guint64 since, const char *service);
+gboolean dp_record_wanted (const DpRecord *record, const char *service);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpRecord, dp_record_unref)
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpReplica, dp_replica_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/settings_fields.h
@@ -0,0 +1,22 @@
+/* The fields of DpSettings, for the daemons' objects. */
+#pragma once
+
+#include "dogwoodpaddle/settings.h"
+#include "protected/address.h"
+
+struct _DpSettings
+{
+  DpSettingsKind kind;
+  char *name;
+  char *zone;
+  char *region;
+  DpAddress data;
+  DpAddress control; /* balancer only */
+  DpAddress http;
+  char *platform_url;
+  GArray *peers;            /* DpAddress */
+  GArray *trusted_networks; /* DpNetwork */
+  char *log_level;
+  char *service;     /* companion only */
+  guint32 server_ip; /* companion only */
+};
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/view.h
@@ -0,0 +1,57 @@
+/* The members of one service at one revision. A view is immutable once made. */
+#pragma once
+
+#include <glib.h>
+#include <json-glib/json-glib.h>
+
+#include "protected/address.h"
+
+typedef enum
+{
+  DP_MEMBER_JOINING, /* announced, its server does not accept connections yet */
+  DP_MEMBER_ACTIVE,  /* takes new flows */
+  DP_MEMBER_LEAVING, /* keeps its flows, takes no new ones */
+  DP_N_MEMBER_STATES
+} DpMemberState;
+
+typedef struct
+{
+  guint32 id; /* dp_member_id (name) */
+  char *name;
+  char *zone;
+  DpAddress address; /* of the companion's packet port */
+  guint32 slots;
+  guint32 connections; /* limit */
+  DpMemberState state;
+  gboolean held; /* an operator drained it; it stays out until it is released */
+  guint64 incarnation;
+} DpMember;
+
+typedef struct
+{
+  grefcount refs;
+  char *service;
+  guint64 service_id; /* dp_service_id (service) */
+  guint64 revision;
+  guint n_members;
+  DpMember *members; /* ascending by id */
+} DpView;
+
+guint32 dp_member_id (const char *name);
+guint64 dp_service_id (const char *name);
+const char *dp_member_state_string (DpMemberState state);
+
+DpView *dp_view_new (const char *service,
+                     guint64 revision,
+                     const DpMember *members,
+                     guint n_members);
+DpView *dp_view_new_from_json (const char *service,
+                               guint64 revision,
+                               JsonNode *value,
+                               GError **error);
+JsonNode *dp_view_to_json (const DpView *view);
+DpView *dp_view_ref (DpView *view);
+void dp_view_unref (DpView *view);
+const DpMember *dp_view_find (const DpView *view, guint32 id);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpView, dp_view_unref)
