Add process settings, logging, trace spans and the status server

The daemons need them to start: settings are refused with file, JSON path and reason, all faults in one message; logs are JSON lines on standard error; a span is one log line at level info.

Files are read by the new module document, which the fleet file will share. It refuses what json-glib would silently accept (comments, a second value, keys given twice) and deep nesting, since json-glib's parser recurses. DpFault moves there from fleet.h.

The status server limits bodies to 64 KiB and refuses a body of undeclared length. Its checks run on "got-headers" rather than in an early handler, which libsoup does not call for paths that have a handler of their own. dp_httpd_set_trusted () is new: it refuses requests from outside the trusted networks.

--- /dev/null
+++ b/src/libdogwoodpaddle/httpd.c
@@ -0,0 +1,255 @@
+#include "protected/httpd.h"
+
+#include <string.h>
+
+#include "protected/error.h"
+
+/* The longest request is a server's registration, about 100 bytes. */
+#define MAX_REQUEST_BYTES 65536
+
+struct _DpHttpd
+{
+  SoupServer *server;
+  DpMetrics *metrics;
+  DpHttpdStatusFunc status;
+  gpointer status_data;
+  DpHttpdReadyFunc ready;
+  gpointer ready_data;
+  GArray *trusted; /* DpNetwork; NULL: everyone */
+};
+
+static void
+on_request_started_ (SoupServer *server, SoupServerMessage *message, DpHttpd *httpd);
+static void on_headers_ (SoupServerMessage *message, DpHttpd *httpd);
+static void on_metrics_ (SoupServer *server,
+                         SoupServerMessage *message,
+                         const char *path,
+                         GHashTable *query,
+                         gpointer user_data);
+static void on_status_ (SoupServer *server,
+                        SoupServerMessage *message,
+                        const char *path,
+                        GHashTable *query,
+                        gpointer user_data);
+static void on_ready_ (SoupServer *server,
+                       SoupServerMessage *message,
+                       const char *path,
+                       GHashTable *query,
+                       gpointer user_data);
+static gboolean is_trusted_ (const DpHttpd *httpd, SoupServerMessage *message);
+static gboolean is_too_large_ (SoupServerMessage *message);
+static gboolean is_read_ (SoupServerMessage *message);
+static void refuse_ (SoupServerMessage *message, guint status);
+static void
+answer_ (SoupServerMessage *message, guint status, const char *type, char *text);
+
+/* Listens at the address. metrics is borrowed and must outlive the server.
+ * DP_ERROR_UNAVAILABLE if the address can't be used. */
+DpHttpd *
+dp_httpd_new (const DpAddress *address, DpMetrics *metrics, GError **error)
+{
+  char text[DP_ADDRESS_STRLEN];
+  char ip[DP_ADDRESS_STRLEN];
+  DpHttpd *httpd = g_new0 (DpHttpd, 1);
+  g_autoptr (GSocketAddress) socket_address = NULL;
+  g_autoptr (GError) cause = NULL;
+
+  dp_address_format (address, text);
+  g_strlcpy (ip, text, sizeof ip);
+  *strchr (ip, ':') = '\0';
+  httpd->metrics = metrics;
+  httpd->server = soup_server_new ("server-header", "dogwoodpaddle", NULL);
+  socket_address = g_inet_socket_address_new_from_string (ip, address->port);
+  if (!soup_server_listen (httpd->server, socket_address, 0, &cause))
+    {
+      dp_error_set (error, DP_ERROR_UNAVAILABLE, "listen for HTTP", text, "%s",
+                    cause->message);
+      dp_httpd_free (httpd);
+      return NULL;
+    }
+  g_signal_connect (httpd->server, "request-started", G_CALLBACK (on_request_started_),
+                    httpd);
+  soup_server_add_handler (httpd->server, "/metrics", on_metrics_, httpd, NULL);
+  soup_server_add_handler (httpd->server, "/status", on_status_, httpd, NULL);
+  soup_server_add_handler (httpd->server, "/ready", on_ready_, httpd, NULL);
+  return httpd;
+}
+
+/* Closes all connections and frees the server. */
+void
+dp_httpd_free (DpHttpd *httpd)
+{
+  if (httpd == NULL)
+    return;
+  if (httpd->server != NULL)
+    soup_server_disconnect (httpd->server);
+  g_clear_object (&httpd->server);
+  g_clear_pointer (&httpd->trusted, g_array_unref);
+  g_free (httpd);
+}
+
+/* Sets the function that makes the document of /status. */
+void
+dp_httpd_set_status (DpHttpd *httpd, DpHttpdStatusFunc status, gpointer user_data)
+{
+  httpd->status = status;
+  httpd->status_data = user_data;
+}
+
+/* Sets the function that decides whether /ready answers 200 or 503. */
+void
+dp_httpd_set_ready (DpHttpd *httpd, DpHttpdReadyFunc ready, gpointer user_data)
+{
+  httpd->ready = ready;
+  httpd->ready_data = user_data;
+}
+
+/* Refuses requests from outside these networks (DpNetwork) with 403. */
+void
+dp_httpd_set_trusted (DpHttpd *httpd, GArray *networks)
+{
+  g_clear_pointer (&httpd->trusted, g_array_unref);
+  httpd->trusted = g_array_ref (networks);
+}
+
+/* Returns libsoup's server, owned by httpd. */
+SoupServer *
+dp_httpd_server (DpHttpd *httpd)
+{
+  return httpd->server;
+}
+
+/* An early handler of libsoup would not do: it is not called for paths that have a
+ * handler of their own. */
+static void
+on_request_started_ (SoupServer *server, SoupServerMessage *message, DpHttpd *httpd)
+{
+  g_signal_connect (message, "got-headers", G_CALLBACK (on_headers_), httpd);
+}
+
+/* Runs before any of the body is read. libsoup calls no handler once a status is set. */
+static void
+on_headers_ (SoupServerMessage *message, DpHttpd *httpd)
+{
+  if (!is_trusted_ (httpd, message))
+    refuse_ (message, SOUP_STATUS_FORBIDDEN);
+  else if (is_too_large_ (message))
+    refuse_ (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE);
+}
+
+static void
+on_metrics_ (SoupServer *server,
+             SoupServerMessage *message,
+             const char *path,
+             GHashTable *query,
+             gpointer user_data)
+{
+  const DpHttpd *httpd = user_data;
+
+  if (!is_read_ (message))
+    return;
+  answer_ (message, SOUP_STATUS_OK, "text/plain; version=0.0.4",
+           dp_metrics_format (httpd->metrics));
+}
+
+static void
+on_status_ (SoupServer *server,
+            SoupServerMessage *message,
+            const char *path,
+            GHashTable *query,
+            gpointer user_data)
+{
+  const DpHttpd *httpd = user_data;
+  g_autoptr (JsonNode) document = NULL;
+
+  if (!is_read_ (message))
+    return;
+  if (httpd->status == NULL)
+    {
+      refuse_ (message, SOUP_STATUS_NOT_FOUND);
+      return;
+    }
+  document = httpd->status (httpd->status_data);
+  answer_ (message, SOUP_STATUS_OK, "application/json", json_to_string (document, FALSE));
+}
+
+static void
+on_ready_ (SoupServer *server,
+           SoupServerMessage *message,
+           const char *path,
+           GHashTable *query,
+           gpointer user_data)
+{
+  const DpHttpd *httpd = user_data;
+  gboolean ready = httpd->ready == NULL || httpd->ready (httpd->ready_data);
+
+  if (!is_read_ (message))
+    return;
+  answer_ (message, ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
+           "text/plain", g_strdup (ready ? "ready\n" : "not ready\n"));
+}
+
+static gboolean
+is_trusted_ (const DpHttpd *httpd, SoupServerMessage *message)
+{
+  GSocketAddress *remote = soup_server_message_get_remote_address (message);
+  g_autofree char *text = NULL;
+  guint32 ip;
+
+  if (httpd->trusted == NULL)
+    return TRUE;
+  if (!G_IS_INET_SOCKET_ADDRESS (remote))
+    return FALSE;
+  text = g_inet_address_to_string (
+      g_inet_socket_address_get_address (G_INET_SOCKET_ADDRESS (remote)));
+  if (!dp_ip_parse (text, &ip, NULL))
+    return FALSE;
+  for (guint i = 0; i < httpd->trusted->len; i++)
+    if (dp_network_contains (&g_array_index (httpd->trusted, DpNetwork, i), ip))
+      return TRUE;
+  return FALSE;
+}
+
+/* A body of undeclared length can't be bounded before it is read, so it counts as too
+ * large. */
+static gboolean
+is_too_large_ (SoupServerMessage *message)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
+  SoupEncoding encoding = soup_message_headers_get_encoding (headers);
+
+  if (encoding == SOUP_ENCODING_NONE)
+    return FALSE;
+  if (encoding != SOUP_ENCODING_CONTENT_LENGTH)
+    return TRUE;
+  return soup_message_headers_get_content_length (headers) > MAX_REQUEST_BYTES;
+}
+
+static gboolean
+is_read_ (SoupServerMessage *message)
+{
+  const char *method = soup_server_message_get_method (message);
+
+  if (g_str_equal (method, "GET") || g_str_equal (method, "HEAD"))
+    return TRUE;
+  refuse_ (message, SOUP_STATUS_METHOD_NOT_ALLOWED);
+  return FALSE;
+}
+
+/* Answers without reading further bytes into memory. */
+static void
+refuse_ (SoupServerMessage *message, guint status)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+
+  soup_message_body_set_accumulate (body, FALSE);
+  soup_server_message_set_status (message, status, NULL);
+}
+
+/* Takes over text. */
+static void
+answer_ (SoupServerMessage *message, guint status, const char *type, char *text)
+{
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, type, SOUP_MEMORY_TAKE, text, strlen (text));
+}
--- a/src/libdogwoodpaddle/include/protected/fleet.h
+++ b/src/libdogwoodpaddle/include/protected/fleet.h
@@ -5,6 +5,7 @@
 #include <json-glib/json-glib.h>
 
 #include "protected/acceptance.h"
+#include "protected/document.h"
 #include "protected/replica.h"
 
 /* Effective settings of one host. */
@@ -22,15 +23,6 @@
   guint32 suspect_ms;
 } DpFleetSettings;
 
-/* One fault of a fleet file. */
-typedef struct
-{
-  char *path; /* JSON path, as $.exceptions.slow-host.reason */
-  char *text;
-} DpFault;
-
-void dp_fault_free (DpFault *fault);
-
 void dp_fleet_settings_init (DpFleetSettings *settings);
 /* service and host may be NULL. Records that are missing or invalid count as absent. */
 void dp_fleet_effective (const DpReplica *replica,
--- a/src/libdogwoodpaddle/include/protected/httpd.h
+++ b/src/libdogwoodpaddle/include/protected/httpd.h
@@ -17,6 +17,8 @@
 void dp_httpd_free (DpHttpd *httpd);
 void dp_httpd_set_status (DpHttpd *httpd, DpHttpdStatusFunc status, gpointer user_data);
 void dp_httpd_set_ready (DpHttpd *httpd, DpHttpdReadyFunc ready, gpointer user_data);
+/* networks: DpNetwork; requests from elsewhere are answered with 403. */
+void dp_httpd_set_trusted (DpHttpd *httpd, GArray *networks);
 /* For further paths, with libsoup's own handlers. */
 SoupServer *dp_httpd_server (DpHttpd *httpd);
 
--- /dev/null
+++ b/src/libdogwoodpaddle/logging.c
@@ -0,0 +1,174 @@
+#include "dogwoodpaddle/logging.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "protected/error.h"
+
+/* Longer values are cut, so that one line never fills the reader's buffer. */
+#define MAX_VALUE_BYTES 4096
+
+typedef struct
+{
+  const char *name;
+  GLogLevelFlags mask;
+} Level;
+
+static const Level levels_[] = {
+  { "error", G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL },
+  { "warning", G_LOG_LEVEL_WARNING },
+  { "info", G_LOG_LEVEL_MESSAGE | G_LOG_LEVEL_INFO },
+  { "debug", G_LOG_LEVEL_DEBUG },
+};
+
+/* GLib's fields that are written otherwise or say nothing to an operator. */
+static const char *const skipped_[] = {
+  "MESSAGE",   "PRIORITY",  "GLIB_DOMAIN", "GLIB_OLD_LOG_API",
+  "CODE_FILE", "CODE_LINE", "CODE_FUNC",   NULL,
+};
+
+/* GLib allows one log writer per process, so its state is the process's. */
+static char *process_;
+static gint threshold_ = 2;
+
+static GLogWriterOutput write_ (GLogLevelFlags flags,
+                                const GLogField *fields,
+                                gsize n_fields,
+                                gpointer user_data);
+static guint level_index_ (GLogLevelFlags flags);
+static const GLogField *
+find_field_ (const GLogField *fields, gsize n_fields, const char *key);
+static void append_field_ (GString *line, const GLogField *field);
+static void
+append_pair_ (GString *line, const char *key, const char *value, gssize length);
+static void append_text_ (GString *line, const char *text, gssize length);
+static void write_line_ (const GString *line);
+
+/* Sends all log messages of the process as JSON lines to standard error. process is the
+ * name in each line; level as in dp_logging_set_level (). May be called again. */
+gboolean
+dp_logging_init (const char *process, const char *level, GError **error)
+{
+  static gsize installed = 0;
+
+  if (!dp_logging_set_level (level, error))
+    return FALSE;
+  g_free (process_);
+  process_ = g_strdup (process);
+  if (g_once_init_enter (&installed))
+    {
+      g_log_set_writer_func (write_, NULL, NULL);
+      g_once_init_leave (&installed, 1);
+    }
+  return TRUE;
+}
+
+/* Sets the least important level that is written; DP_ERROR_INVALID if it is none. */
+gboolean
+dp_logging_set_level (const char *level, GError **error)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (levels_); i++)
+    if (g_str_equal (level, levels_[i].name))
+      {
+        g_atomic_int_set (&threshold_, (gint) i);
+        return TRUE;
+      }
+  dp_error_set (error, DP_ERROR_INVALID, "log level", NULL,
+                "must be error, warning, info or debug, not \"%s\"", level);
+  return FALSE;
+}
+
+static GLogWriterOutput
+write_ (GLogLevelFlags flags, const GLogField *fields, gsize n_fields, gpointer user_data)
+{
+  guint level = level_index_ (flags);
+  g_autoptr (GDateTime) now = NULL;
+  g_autoptr (GString) line = NULL;
+  g_autofree char *time = NULL;
+  const GLogField *message;
+
+  if (level > (guint) g_atomic_int_get (&threshold_))
+    return G_LOG_WRITER_HANDLED;
+  now = g_date_time_new_now_utc ();
+  time = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S.%fZ");
+  line = g_string_new ("{");
+  append_pair_ (line, "time", time, -1);
+  append_pair_ (line, "level", levels_[level].name, -1);
+  if (process_ != NULL && find_field_ (fields, n_fields, "PROCESS") == NULL)
+    append_pair_ (line, "process", process_, -1);
+  message = find_field_ (fields, n_fields, "MESSAGE");
+  if (message != NULL)
+    append_pair_ (line, "message", message->value, message->length);
+  for (gsize i = 0; i < n_fields; i++)
+    if (!g_strv_contains (skipped_, fields[i].key))
+      append_field_ (line, &fields[i]);
+  g_string_append (line, "}\n");
+  write_line_ (line);
+  return G_LOG_WRITER_HANDLED;
+}
+
+static guint
+level_index_ (GLogLevelFlags flags)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (levels_); i++)
+    if ((flags & levels_[i].mask) != 0)
+      return i;
+  return G_N_ELEMENTS (levels_) - 1;
+}
+
+static const GLogField *
+find_field_ (const GLogField *fields, gsize n_fields, const char *key)
+{
+  for (gsize i = 0; i < n_fields; i++)
+    if (g_str_equal (fields[i].key, key))
+      return &fields[i];
+  return NULL;
+}
+
+static void
+append_field_ (GString *line, const GLogField *field)
+{
+  g_autofree char *key = g_ascii_strdown (field->key, -1);
+
+  append_pair_ (line, key, field->value, field->length);
+}
+
+static void
+append_pair_ (GString *line, const char *key, const char *value, gssize length)
+{
+  if (line->len > 1)
+    g_string_append_c (line, ',');
+  append_text_ (line, key, -1);
+  g_string_append_c (line, ':');
+  append_text_ (line, value, length);
+}
+
+/* Appends a JSON string. Bytes that are not UTF-8 are replaced. */
+static void
+append_text_ (GString *line, const char *text, gssize length)
+{
+  gsize bytes = length < 0 ? strlen (text) : (gsize) length;
+  g_autofree char *valid = g_utf8_make_valid (text,
+                                              (gssize) MIN (bytes, MAX_VALUE_BYTES));
+
+  g_string_append_c (line, '"');
+  for (const char *c = valid; *c != '\0'; c++)
+    {
+      if (*c == '"' || *c == '\\')
+        g_string_append_printf (line, "\\%c", *c);
+      else if ((guchar) *c < 0x20 || *c == 0x7f)
+        g_string_append_printf (line, "\\u%04x", (guint) *c);
+      else
+        g_string_append_c (line, *c);
+    }
+  g_string_append_c (line, '"');
+}
+
+/* One call per line keeps the lines of several threads apart. A line that standard error
+ * does not take is lost; there is nowhere to report it. */
+static void
+write_line_ (const GString *line)
+{
+  if (write (STDERR_FILENO, line->str, line->len) < 0)
+    return;
+}
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_logging.c
@@ -0,0 +1,144 @@
+/* Guards against log lines that a collector can't parse, and against traces without the
+ * flow that they belong to. */
+#include <glib/gstdio.h>
+#include <json-glib/json-glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "dogwoodpaddle/logging.h"
+#include "protected/trace.h"
+#include "runner.h"
+
+typedef void (*Emit) (void);
+
+/* Returns the lines that emit () writes to standard error. */
+static char **
+capture (Emit emit)
+{
+  g_autofree char *path = NULL;
+  g_autofree char *text = NULL;
+  int file = g_file_open_tmp ("log-XXXXXX", &path, NULL);
+  int saved = dup (STDERR_FILENO);
+  char **lines;
+
+  g_assert (file >= 0 && saved >= 0);
+  dup2 (file, STDERR_FILENO);
+  emit ();
+  dup2 (saved, STDERR_FILENO);
+  close (saved);
+  close (file);
+  g_assert (g_file_get_contents (path, &text, NULL, NULL));
+  g_unlink (path);
+  CU_ASSERT_TRUE (text[0] == '\0' || g_str_has_suffix (text, "\n"));
+  lines = g_strsplit (g_strchomp (text), "\n", -1);
+  return lines;
+}
+
+static const char *
+field (JsonNode *node, const char *key)
+{
+  JsonObject *object = json_node_get_object (node);
+
+  return json_object_get_string_member_with_default (object, key, "");
+}
+
+static void
+emit_awkward (void)
+{
+  g_message ("a \"quote\", a \\, a\nnew line, \x01 and \xff");
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "PEER", "127.0.0.1:80", "MESSAGE",
+                    "refused %d", 7);
+}
+
+static void
+emit_levels (void)
+{
+  g_debug ("one");
+  g_info ("two");
+  g_warning ("three");
+}
+
+static void
+emit_spans (void)
+{
+  DpSegment segment = {
+    .key = { { 0x0a000009, 40000 }, { 0x0a4d0001, 80 } },
+    .flags = DP_TCP_SYN | DP_TCP_ACK,
+  };
+
+  dp_trace_span (0xabcdef, "accept", "darbnica-1", &segment, "rank 2");
+  dp_trace_span (0, "accept", "darbnica-1", &segment, "not sampled");
+}
+
+static void
+test_json (void)
+{
+  g_auto (GStrv) lines = NULL;
+  g_autoptr (JsonNode) first = NULL;
+  g_autoptr (JsonNode) second = NULL;
+
+  CU_ASSERT_TRUE (dp_logging_init ("balancer-1", "info", NULL));
+  lines = capture (emit_awkward);
+  CU_ASSERT_EQUAL_FATAL (g_strv_length (lines), 2);
+  first = json_from_string (lines[0], NULL);
+  second = json_from_string (lines[1], NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (first);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (second);
+  CU_ASSERT_STRING_EQUAL (field (first, "message"),
+                          "a \"quote\", a \\, a\nnew line, \x01 and \xef\xbf\xbd");
+  CU_ASSERT_STRING_EQUAL (field (first, "level"), "info");
+  CU_ASSERT_STRING_EQUAL (field (first, "process"), "balancer-1");
+  CU_ASSERT_STRING_EQUAL (field (second, "message"), "refused 7");
+  CU_ASSERT_STRING_EQUAL (field (second, "peer"), "127.0.0.1:80");
+  CU_ASSERT_STRING_EQUAL (field (second, "level"), "warning");
+}
+
+static void
+test_levels (void)
+{
+  static const struct
+  {
+    const char *level;
+    guint lines;
+  } cases[] = { { "debug", 3 }, { "info", 2 }, { "warning", 1 }, { "error", 0 } };
+  g_autoptr (GError) error = NULL;
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_auto (GStrv) lines = NULL;
+
+      CU_ASSERT_TRUE (dp_logging_init ("p", cases[i].level, NULL));
+      lines = capture (emit_levels);
+      CU_ASSERT_EQUAL (g_strv_length (lines), cases[i].lines);
+    }
+  CU_ASSERT_FALSE (dp_logging_set_level ("loud", &error));
+  CU_ASSERT_PTR_NOT_NULL (error);
+}
+
+static void
+test_span (void)
+{
+  g_auto (GStrv) lines = NULL;
+  g_autoptr (JsonNode) span = NULL;
+
+  CU_ASSERT_TRUE (dp_logging_init ("p", "info", NULL));
+  lines = capture (emit_spans);
+  CU_ASSERT_EQUAL_FATAL (g_strv_length (lines), 1);
+  span = json_from_string (lines[0], NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (span);
+  CU_ASSERT_STRING_EQUAL (field (span, "message"), "span");
+  CU_ASSERT_STRING_EQUAL (field (span, "trace_id"), "0000000000abcdef");
+  CU_ASSERT_STRING_EQUAL (field (span, "hop"), "accept");
+  CU_ASSERT_STRING_EQUAL (field (span, "process"), "darbnica-1");
+  CU_ASSERT_STRING_EQUAL (field (span, "flow"), "10.0.0.9:40000>10.77.0.1:80");
+  CU_ASSERT_STRING_EQUAL (field (span, "flags"), "SA");
+  CU_ASSERT_STRING_EQUAL (field (span, "detail"), "rank 2");
+}
+
+static const DpTestCase cases_[] = {
+  { "awkward text stays one JSON line", test_json },
+  { "levels below the threshold are not written", test_levels },
+  { "a span has its flow; flows that are not sampled have none", test_span },
+};
+
+DP_TEST_MAIN ("logging", cases_)
