Add member views, candidate order, data header and router

The candidate order is that of points on a ring, their number proportional to a member's slots: a member's rank for a flow depends on its first point at or after the flow's hash, so two members' order depends on these two alone. Ranking members per bucket of flows, with a number of buckets that follows the number of members, was ruled out: the list that doubles the number of buckets would reorder every flow at once, and with more than 32 members the walk would end at the hop bound before it reaches the owners. A fixed number of buckets needs 4 MiB for each service.

The data header's array heads are read without msgpack-c, since it allocates what a head announces before it looks for the elements.

microbench/bench_router.c measures the router's decision.

--- /dev/null
+++ b/src/libdogwoodpaddle/view.c
@@ -0,0 +1,318 @@
+#include "protected/view.h"
+
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "protected/error.h"
+
+#define NAME_MAX_BYTES 63
+#define SLOTS_MAX 1024
+#define CONNECTIONS_MAX 100000
+#define PORT_MAX 65535
+
+static const char *const state_strings_[] = { "joining", "active", "leaving" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (state_strings_) == DP_N_MEMBER_STATES);
+
+static int compare_members_ (gconstpointer a, gconstpointer b);
+static int compare_id_ (gconstpointer key, gconstpointer member);
+static void clear_member_ (gpointer data);
+static GArray *new_members_ (void);
+static const char *get_text_ (JsonObject *object, const char *key);
+static gboolean
+get_number_ (JsonObject *object, const char *key, gint64 min, gint64 max, gint64 *value);
+static const char *parse_member_ (JsonNode *node, DpMember *member);
+static gboolean check_distinct_ (GArray *members, const char *service, GError **error);
+
+/* Returns the id of a member: the low 32 bits of XXH64 of its name. */
+guint32
+dp_member_id (const char *name)
+{
+  return (guint32) XXH64 (name, strlen (name), 0);
+}
+
+/* Returns the id of a service: XXH64 of its name. */
+guint64
+dp_service_id (const char *name)
+{
+  return XXH64 (name, strlen (name), 0);
+}
+
+/* Returns the state's name as in the member list. */
+const char *
+dp_member_state_string (DpMemberState state)
+{
+  g_assert (state < DP_N_MEMBER_STATES);
+  return state_strings_[state];
+}
+
+/* Creates a view of copies of the members, which may be in any order; their ids are set
+ * from their names, which differ. */
+DpView *
+dp_view_new (const char *service,
+             guint64 revision,
+             const DpMember *members,
+             guint n_members)
+{
+  DpView *view = g_new0 (DpView, 1);
+
+  g_ref_count_init (&view->refs);
+  view->service = g_strdup (service);
+  view->service_id = dp_service_id (service);
+  view->revision = revision;
+  view->n_members = n_members;
+  view->members = g_new0 (DpMember, n_members + 1);
+  for (guint i = 0; i < n_members; i++)
+    {
+      DpMember *m = &view->members[i];
+
+      *m = members[i];
+      m->id = dp_member_id (members[i].name);
+      m->name = g_strdup (members[i].name);
+      m->zone = g_strdup (members[i].zone != NULL ? members[i].zone : "");
+    }
+  qsort (view->members, n_members, sizeof (DpMember), compare_members_);
+  for (guint i = 1; i < n_members; i++)
+    g_assert (view->members[i - 1].id != view->members[i].id);
+  return view;
+}
+
+/* Creates a view from the value of members/SERVICE. DP_ERROR_INVALID names the first
+ * member that is malformed, out of range or listed twice; two names with the same id
+ * count as listed twice. Unknown keys are ignored, so that members of a later version can
+ * add some. */
+DpView *
+dp_view_new_from_json (const char *service,
+                       guint64 revision,
+                       JsonNode *value,
+                       GError **error)
+{
+  g_autoptr (GArray) members = new_members_ ();
+  JsonNode *list = NULL;
+  JsonArray *array;
+
+  if (value != NULL && JSON_NODE_HOLDS_OBJECT (value))
+    list = json_object_get_member (json_node_get_object (value), "members");
+  if (list == NULL || !JSON_NODE_HOLDS_ARRAY (list))
+    {
+      dp_error_set (error, DP_ERROR_INVALID, "member list", service,
+                    "\"members\" is not an array");
+      return NULL;
+    }
+  array = json_node_get_array (list);
+  for (guint i = 0; i < json_array_get_length (array); i++)
+    {
+      DpMember member = { 0 };
+      const char *fault = parse_member_ (json_array_get_element (array, i), &member);
+
+      if (fault != NULL)
+        {
+          dp_error_set (error, DP_ERROR_INVALID, "member list", service,
+                        "$.members[%u]: %s", i, fault);
+          return NULL;
+        }
+      member.name = g_strdup (member.name);
+      member.zone = g_strdup (member.zone);
+      g_array_append_val (members, member);
+    }
+  if (!check_distinct_ (members, service, error))
+    return NULL;
+  return dp_view_new (service, revision, (const DpMember *) (void *) members->data,
+                      members->len);
+}
+
+/* Returns the view as the value of members/SERVICE. */
+JsonNode *
+dp_view_to_json (const DpView *view)
+{
+  JsonObject *object = json_object_new ();
+  JsonArray *array = json_array_new ();
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+
+  for (guint i = 0; i < view->n_members; i++)
+    {
+      const DpMember *m = &view->members[i];
+      JsonObject *item = json_object_new ();
+      DpAddress address = m->address;
+      char text[DP_ADDRESS_STRLEN];
+
+      dp_address_format (&address, text);
+      *strchr (text, ':') = '\0';
+      json_object_set_string_member (item, "name", m->name);
+      json_object_set_string_member (item, "zone", m->zone);
+      json_object_set_string_member (item, "ip", text);
+      json_object_set_int_member (item, "port", m->address.port);
+      json_object_set_int_member (item, "slots", m->slots);
+      json_object_set_int_member (item, "connections", m->connections);
+      json_object_set_string_member (item, "state", dp_member_state_string (m->state));
+      if (m->held)
+        json_object_set_boolean_member (item, "held", TRUE);
+      json_object_set_int_member (item, "incarnation", (gint64) m->incarnation);
+      json_array_add_object_element (array, item);
+    }
+  json_object_set_array_member (object, "members", array);
+  json_node_take_object (node, object);
+  return node;
+}
+
+/* Adds a reference. */
+DpView *
+dp_view_ref (DpView *view)
+{
+  g_ref_count_inc (&view->refs);
+  return view;
+}
+
+/* Drops a reference; the last one frees the view. */
+void
+dp_view_unref (DpView *view)
+{
+  if (view == NULL || !g_ref_count_dec (&view->refs))
+    return;
+  for (guint i = 0; i < view->n_members; i++)
+    clear_member_ (&view->members[i]);
+  g_free (view->members);
+  g_free (view->service);
+  g_free (view);
+}
+
+/* Returns the member with the id, or NULL. */
+const DpMember *
+dp_view_find (const DpView *view, guint32 id)
+{
+  return bsearch (&id, view->members, view->n_members, sizeof (DpMember), compare_id_);
+}
+
+static int
+compare_members_ (gconstpointer a, gconstpointer b)
+{
+  guint32 x = ((const DpMember *) a)->id;
+  guint32 y = ((const DpMember *) b)->id;
+
+  return (x > y) - (x < y);
+}
+
+static int
+compare_id_ (gconstpointer key, gconstpointer member)
+{
+  guint32 x = *(const guint32 *) key;
+  guint32 y = ((const DpMember *) member)->id;
+
+  return (x > y) - (x < y);
+}
+
+static void
+clear_member_ (gpointer data)
+{
+  DpMember *member = data;
+
+  g_free (member->name);
+  g_free (member->zone);
+}
+
+static GArray *
+new_members_ (void)
+{
+  GArray *members = g_array_new (FALSE, TRUE, sizeof (DpMember));
+
+  g_array_set_clear_func (members, clear_member_);
+  return members;
+}
+
+/* Returns the member's text, or NULL if it is missing, empty, too long or not a text. */
+static const char *
+get_text_ (JsonObject *object, const char *key)
+{
+  JsonNode *node = json_object_get_member (object, key);
+  const char *text;
+
+  if (node == NULL || json_node_get_value_type (node) != G_TYPE_STRING)
+    return NULL;
+  text = json_node_get_string (node);
+  return *text == '\0' || strlen (text) > NAME_MAX_BYTES ? NULL : text;
+}
+
+static gboolean
+get_number_ (JsonObject *object, const char *key, gint64 min, gint64 max, gint64 *value)
+{
+  JsonNode *node = json_object_get_member (object, key);
+
+  if (node == NULL || json_node_get_value_type (node) != G_TYPE_INT64)
+    return FALSE;
+  *value = json_node_get_int (node);
+  return *value >= min && *value <= max;
+}
+
+/* Fills the member with texts that the node owns. Returns what is wrong, or NULL. */
+static const char *
+parse_member_ (JsonNode *node, DpMember *member)
+{
+  JsonObject *object;
+  const char *text;
+  gint64 number;
+  guint state;
+
+  if (!JSON_NODE_HOLDS_OBJECT (node))
+    return "not an object";
+  object = json_node_get_object (node);
+  member->name = (char *) get_text_ (object, "name");
+  if (member->name == NULL)
+    return "\"name\" is not a text of 1 to 63 bytes";
+  member->zone = (char *) get_text_ (object, "zone");
+  if (member->zone == NULL)
+    return "\"zone\" is not a text of 1 to 63 bytes";
+  text = get_text_ (object, "ip");
+  if (text == NULL || !dp_ip_parse (text, &member->address.ip, NULL))
+    return "\"ip\" is not an IPv4 address";
+  if (!get_number_ (object, "port", 1, PORT_MAX, &number))
+    return "\"port\" is not in 1..65535";
+  member->address.port = (guint16) number;
+  if (!get_number_ (object, "slots", 1, SLOTS_MAX, &number))
+    return "\"slots\" is not in 1..1024";
+  member->slots = (guint32) number;
+  if (!get_number_ (object, "connections", 1, CONNECTIONS_MAX, &number))
+    return "\"connections\" is not in 1..100000";
+  member->connections = (guint32) number;
+  if (!get_number_ (object, "incarnation", 0, G_MAXINT64, &number))
+    return "\"incarnation\" is not a number of at least 0";
+  member->incarnation = (guint64) number;
+  text = get_text_ (object, "state");
+  for (state = 0; text != NULL && state < DP_N_MEMBER_STATES; state++)
+    {
+      if (strcmp (text, state_strings_[state]) == 0)
+        break;
+    }
+  if (text == NULL || state == DP_N_MEMBER_STATES)
+    return "\"state\" is not joining, active or leaving";
+  member->state = (DpMemberState) state;
+  node = json_object_get_member (object, "held");
+  if (node != NULL && json_node_get_value_type (node) != G_TYPE_BOOLEAN)
+    return "\"held\" is not true or false";
+  member->held = node != NULL && json_node_get_boolean (node);
+  return NULL;
+}
+
+static gboolean
+check_distinct_ (GArray *members, const char *service, GError **error)
+{
+  g_autoptr (GHashTable) seen = g_hash_table_new (NULL, NULL);
+
+  for (guint i = 0; i < members->len; i++)
+    {
+      const DpMember *m = &g_array_index (members, DpMember, i);
+      gpointer key = GUINT_TO_POINTER (dp_member_id (m->name));
+      const DpMember *other = g_hash_table_lookup (seen, key);
+
+      if (other != NULL)
+        {
+          dp_error_set (error, DP_ERROR_INVALID, "member list", service,
+                        "$.members[%u]: \"%s\" has the same id as \"%s\"", i, m->name,
+                        other->name);
+          return FALSE;
+        }
+      g_hash_table_insert (seen, key, (gpointer) m);
+    }
+  return TRUE;
+}
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_router.c
@@ -0,0 +1,185 @@
+/* Guards against packets that reach a member of another service, and new flows that reach
+ * one that is joining or leaving. */
+#include "protected/router.h"
+#include "runner.h"
+
+#define N_PER_SERVICE 4
+
+static const DpAddress reports_ = { 0x0a4d0001, 80 };
+static const DpAddress manuals_ = { 0x0a4d0001, 8080 };
+static const DpAddress other_ = { 0x0a4d0002, 80 };
+
+static DpView *
+make_view (const char *service, guint64 revision, guint32 ip, DpMemberState first_state)
+{
+  DpMember members[N_PER_SERVICE] = { 0 };
+  char names[N_PER_SERVICE][32];
+
+  for (guint i = 0; i < N_PER_SERVICE; i++)
+    {
+      g_snprintf (names[i], sizeof names[i], "%s-%u", service, i);
+      members[i].name = names[i];
+      members[i].address = (DpAddress){ ip + i, 7000 };
+      members[i].slots = 4;
+      members[i].state = i == 0 ? first_state : DP_MEMBER_ACTIVE;
+    }
+  return dp_view_new (service, revision, members, N_PER_SERVICE);
+}
+
+static DpRouter *
+make_router (void)
+{
+  DpRouter *router = dp_router_new ();
+  g_autoptr (DpView) a = make_view ("darbnica", 5, 0x7f010100, DP_MEMBER_LEAVING);
+  g_autoptr (DpView) b = make_view ("rokasgramata", 6, 0x7f020100, DP_MEMBER_ACTIVE);
+
+  dp_router_set_addresses (router, "darbnica", &reports_, 1);
+  dp_router_set_addresses (router, "rokasgramata", &manuals_, 1);
+  dp_router_set_view (router, a);
+  dp_router_set_view (router, b);
+  return router;
+}
+
+static DpSegment
+make_segment (guint i, const DpAddress *service, guint8 flags)
+{
+  DpSegment s = { .key = { { 0x0a000000 + i, 40000 }, *service }, .flags = flags };
+
+  s.hash = dp_flow_key_hash (&s.key);
+  return s;
+}
+
+static void
+test_service (void)
+{
+  g_autoptr (DpRouter) router = make_router ();
+  guint leaving = 0;
+
+  for (guint i = 0; i < 1000; i++)
+    {
+      DpSegment ack = make_segment (i, &reports_, DP_TCP_ACK);
+      DpSegment syn = make_segment (i, &reports_, DP_TCP_SYN);
+      DpSegment manual = make_segment (i, &manuals_, DP_TCP_ACK);
+      DpRoute route;
+
+      CU_ASSERT_EQUAL_FATAL (dp_router_route (router, &ack, &route), DP_ROUTE_FORWARD);
+      CU_ASSERT_EQUAL (route.member_address.ip & 0xffffff00, 0x7f010100);
+      CU_ASSERT_EQUAL (route.header.service_id, dp_service_id ("darbnica"));
+      CU_ASSERT_EQUAL (route.header.revision, 5);
+      CU_ASSERT_EQUAL (route.header.n_visited, 1);
+      leaving += route.member_address.ip == 0x7f010100;
+      CU_ASSERT_EQUAL_FATAL (dp_router_route (router, &syn, &route), DP_ROUTE_FORWARD);
+      CU_ASSERT_NOT_EQUAL (route.member_address.ip, 0x7f010100);
+      CU_ASSERT_EQUAL_FATAL (dp_router_route (router, &manual, &route), DP_ROUTE_FORWARD);
+      CU_ASSERT_EQUAL (route.member_address.ip & 0xffffff00, 0x7f020100);
+      CU_ASSERT_EQUAL (route.header.service_id, dp_service_id ("rokasgramata"));
+    }
+  CU_ASSERT_TRUE (leaving > 0);
+}
+
+static void
+test_unknown (void)
+{
+  g_autoptr (DpRouter) router = make_router ();
+  g_autoptr (DpView) empty = dp_view_new ("tuksa", 7, NULL, 0);
+  DpSegment segment = make_segment (1, &other_, DP_TCP_SYN);
+  DpSegment report = make_segment (1, &reports_, DP_TCP_SYN);
+  DpRoute route;
+
+  CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_UNKNOWN_ADDRESS);
+  dp_router_set_addresses (router, "tuksa", &other_, 1);
+  CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_NO_MEMBER);
+  dp_router_set_view (router, empty);
+  CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_NO_MEMBER);
+  dp_router_remove_service (router, "darbnica");
+  CU_ASSERT_EQUAL (dp_router_route (router, &report, &route), DP_ROUTE_UNKNOWN_ADDRESS);
+}
+
+static void
+test_older_view (void)
+{
+  g_autoptr (DpRouter) router = make_router ();
+  g_autoptr (DpView) older = make_view ("darbnica", 4, 0x7f030100, DP_MEMBER_ACTIVE);
+  g_autoptr (DpView) newer = make_view ("darbnica", 8, 0x7f040100, DP_MEMBER_ACTIVE);
+  DpSegment segment = make_segment (1, &reports_, DP_TCP_ACK);
+  DpRoute route;
+
+  dp_router_set_view (router, older);
+  CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_FORWARD);
+  CU_ASSERT_EQUAL (route.header.revision, 5);
+  dp_router_set_view (router, newer);
+  CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_FORWARD);
+  CU_ASSERT_EQUAL (route.header.revision, 8);
+  CU_ASSERT_EQUAL (route.member_address.ip & 0xffffff00, 0x7f040100);
+}
+
+/* Two services that claim one address: the same one wins whatever came first. */
+static void
+test_claimed_twice (void)
+{
+  for (guint order = 0; order < 2; order++)
+    {
+      g_autoptr (DpRouter) router = make_router ();
+      DpSegment segment = make_segment (1, &other_, DP_TCP_ACK);
+      DpRoute route;
+
+      dp_router_set_addresses (router, order == 0 ? "darbnica" : "rokasgramata", &other_,
+                               1);
+      dp_router_set_addresses (router, order == 0 ? "rokasgramata" : "darbnica", &other_,
+                               1);
+      CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_FORWARD);
+      CU_ASSERT_EQUAL (route.header.service_id, dp_service_id ("darbnica"));
+    }
+}
+
+static void
+test_many_addresses (void)
+{
+  g_autoptr (DpRouter) router = make_router ();
+  DpAddress addresses[3100];
+  DpRoute route;
+
+  for (guint i = 0; i < G_N_ELEMENTS (addresses); i++)
+    addresses[i] = (DpAddress){ 0x0a500000 + i / 2, (guint16) (80 + i % 2) };
+  dp_router_set_addresses (router, "darbnica", addresses, G_N_ELEMENTS (addresses));
+  for (guint i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      DpSegment segment = make_segment (i, &addresses[i], DP_TCP_ACK);
+
+      CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_FORWARD);
+    }
+}
+
+static void
+test_trace_sample (void)
+{
+  g_autoptr (DpRouter) router = make_router ();
+  guint traced = 0;
+
+  dp_router_set_trace_sample (router, 10);
+  for (guint i = 0; i < 10000; i++)
+    {
+      DpSegment syn = make_segment (i, &manuals_, DP_TCP_SYN);
+      DpSegment ack = make_segment (i, &manuals_, DP_TCP_ACK);
+      guint64 trace_id;
+      DpRoute route;
+
+      CU_ASSERT_EQUAL_FATAL (dp_router_route (router, &syn, &route), DP_ROUTE_FORWARD);
+      trace_id = route.header.trace_id;
+      CU_ASSERT_EQUAL_FATAL (dp_router_route (router, &ack, &route), DP_ROUTE_FORWARD);
+      CU_ASSERT_EQUAL (route.header.trace_id, trace_id);
+      traced += trace_id != 0;
+    }
+  CU_ASSERT_TRUE (traced > 800 && traced < 1200);
+}
+
+static const DpTestCase cases_[] = {
+  { "packets go to members of their own service", test_service },
+  { "unknown addresses and empty services have no route", test_unknown },
+  { "an older view is ignored", test_older_view },
+  { "an address claimed twice goes to one service", test_claimed_twice },
+  { "every one of many addresses is found", test_many_addresses },
+  { "one flow in so many is traced, with all its packets", test_trace_sample },
+};
+
+DP_TEST_MAIN ("router", cases_)
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_view.c
@@ -0,0 +1,130 @@
+/* Guards against member lists that name a member twice or carry values out of range. */
+#include <string.h>
+
+#include "protected/view.h"
+#include "runner.h"
+
+#define MEMBER(name)                                                                     \
+  "{\"name\":\"" name "\",\"zone\":\"riga-a\",\"ip\":\"127.1.1.11\",\"port\":7000,"      \
+  "\"slots\":4,\"connections\":2000,\"state\":\"active\",\"incarnation\":123}"
+
+typedef struct
+{
+  const char *name;
+  const char *from; /* text of the right list to replace */
+  const char *to;
+} BadList;
+
+static DpView *
+parse (const char *text, GError **error)
+{
+  g_autoptr (JsonNode) node = json_from_string (text, NULL);
+
+  g_assert_nonnull (node);
+  return dp_view_new_from_json ("darbnica", 17, node, error);
+}
+
+static void
+test_round_trip (void)
+{
+  g_autoptr (DpView) view = parse (
+      "{\"members\":[" MEMBER ("b") "," MEMBER ("a") "," MEMBER ("c") "]}", NULL);
+  g_autoptr (JsonNode) node = NULL;
+  g_autofree char *text = NULL;
+  g_autoptr (DpView) again = NULL;
+
+  g_assert_nonnull (view);
+  CU_ASSERT_EQUAL (view->n_members, 3);
+  CU_ASSERT_EQUAL (view->revision, 17);
+  CU_ASSERT_EQUAL (view->service_id, dp_service_id ("darbnica"));
+  for (guint i = 1; i < view->n_members; i++)
+    CU_ASSERT_TRUE (view->members[i - 1].id < view->members[i].id);
+  node = dp_view_to_json (view);
+  text = json_to_string (node, FALSE);
+  again = parse (text, NULL);
+  g_assert_nonnull (again);
+  for (guint i = 0; i < view->n_members; i++)
+    {
+      const DpMember *m = &again->members[i];
+
+      CU_ASSERT_EQUAL (m->id, view->members[i].id);
+      CU_ASSERT_STRING_EQUAL (m->zone, "riga-a");
+      CU_ASSERT_EQUAL (m->address.ip, 0x7f01010b);
+      CU_ASSERT_EQUAL (m->address.port, 7000);
+      CU_ASSERT_EQUAL (m->slots, 4);
+      CU_ASSERT_EQUAL (m->connections, 2000);
+      CU_ASSERT_EQUAL (m->state, DP_MEMBER_ACTIVE);
+      CU_ASSERT_EQUAL (m->incarnation, 123);
+      CU_ASSERT_FALSE (m->held);
+    }
+}
+
+static void
+test_find (void)
+{
+  g_autoptr (DpView)
+      view = parse ("{\"members\":[" MEMBER ("b") "," MEMBER ("a") "]}", NULL);
+
+  g_assert_nonnull (view);
+  CU_ASSERT_STRING_EQUAL (dp_view_find (view, dp_member_id ("a"))->name, "a");
+  CU_ASSERT_STRING_EQUAL (dp_view_find (view, dp_member_id ("b"))->name, "b");
+  CU_ASSERT_PTR_NULL (dp_view_find (view, dp_member_id ("c")));
+}
+
+static void
+test_malformed (void)
+{
+  static const BadList cases[] = {
+    { "no name", "\"name\":\"a\",", "" },
+    { "empty name", "\"name\":\"a\"", "\"name\":\"\"" },
+    { "name is a number", "\"name\":\"a\"", "\"name\":1" },
+    { "name is an object", "\"name\":\"a\"", "\"name\":{}" },
+    { "no zone", "\"zone\":\"riga-a\",", "" },
+    { "bad address", "127.1.1.11", "127.1.1.256" },
+    { "port 0", "7000", "0" },
+    { "port over", "7000", "65536" },
+    { "port is a text", "7000", "\"7000\"" },
+    { "no slots", "\"slots\":4", "\"slots\":0" },
+    { "slots over", "\"slots\":4", "\"slots\":1025" },
+    { "slots not whole", "\"slots\":4", "\"slots\":4.5" },
+    { "connections over", "2000", "100001" },
+    { "unknown state", "active", "asleep" },
+    { "state is null", "\"active\"", "null" },
+    { "negative incarnation", "123", "-1" },
+    { "held is a number", "\"slots\"", "\"held\":1,\"slots\"" },
+    { "members is an object", "{\"members\":[", "{\"members\":{},\"x\":[" },
+    { "member is a number", "[{", "[1,{" },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autoptr (GString) text = g_string_new ("{\"members\":[" MEMBER ("a") "]}");
+
+      CU_ASSERT_EQUAL (g_string_replace (text, cases[i].from, cases[i].to, 1), 1);
+      CU_ASSERT_PTR_NULL (parse (text->str, &error));
+      CU_ASSERT_PTR_NOT_NULL (error);
+    }
+  CU_ASSERT_PTR_NULL (parse ("[]", NULL));
+  CU_ASSERT_PTR_NULL (dp_view_new_from_json ("darbnica", 1, NULL, NULL));
+}
+
+static void
+test_listed_twice (void)
+{
+  g_autoptr (GError) error = NULL;
+
+  CU_ASSERT_PTR_NULL (parse (
+      "{\"members\":[" MEMBER ("a") "," MEMBER ("b") "," MEMBER ("a") "]}", &error));
+  g_assert_nonnull (error);
+  CU_ASSERT_PTR_NOT_NULL (strstr (error->message, "$.members[2]"));
+}
+
+static const DpTestCase cases_[] = {
+  { "a list keeps its content through JSON", test_round_trip },
+  { "members are found by id", test_find },
+  { "malformed members are refused", test_malformed },
+  { "a member that is listed twice is refused", test_listed_twice },
+};
+
+DP_TEST_MAIN ("view", cases_)
