--- /dev/null
+++ b/src/libdogwoodpaddle/packetport.c
@@ -0,0 +1,307 @@
+#include "protected/packetport.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "protected/error.h"
+
+#define BATCH 64              /* datagrams of one system call */
+#define BATCHES_PER_TURN 4    /* then other sources of the main loop have their turn */
+#define SOCKET_BUFFER 4194304 /* bytes; the kernel caps it at its own limit */
+
+/* Datagrams of one system call. */
+typedef struct
+{
+  struct mmsghdr messages[BATCH];
+  struct iovec vectors[BATCH];
+  struct sockaddr_in addresses[BATCH];
+  guint8 data[BATCH][DP_DATAGRAM_MAX];
+} Batch;
+
+typedef struct
+{
+  DpPacketPort base;
+  int fd;
+  GSource *source;
+  gpointer tag; /* of the socket in the source */
+  DpPacketFunc received;
+  gpointer user_data;
+  guint n_pending; /* datagrams in out */
+  DpPacketPortStats stats;
+  Batch in;
+  Batch out;
+} UdpPort;
+
+typedef struct
+{
+  GSource base;
+  UdpPort *port;
+} UdpSource;
+
+static gboolean udp_send_ (DpPacketPort *base,
+                           const DpAddress *destination,
+                           const guint8 *data,
+                           gsize length);
+static void udp_flush_ (DpPacketPort *base);
+static void udp_free_ (DpPacketPort *base);
+static gboolean prepare_ (GSource *source, gint *timeout_ms);
+static gboolean check_ (GSource *source);
+static gboolean dispatch_ (GSource *source, GSourceFunc callback, gpointer data);
+static int bind_ (const DpAddress *address, GError **error);
+static void prepare_batch_ (Batch *batch);
+static guint receive_batch_ (UdpPort *port);
+
+static const DpPacketPortVtable udp_vtable_ = {
+  .send = udp_send_,
+  .flush = udp_flush_,
+  .free = udp_free_,
+};
+
+static GSourceFuncs source_funcs_ = {
+  .prepare = prepare_,
+  .check = check_,
+  .dispatch = dispatch_,
+};
+
+/* Binds a UDP socket to the address and calls received for each datagram on the default
+ * main context. NULL with the address and the system's reason if it can't be bound. */
+DpPacketPort *
+dp_udp_port_new (const DpAddress *address,
+                 DpPacketFunc received,
+                 gpointer user_data,
+                 GError **error)
+{
+  int fd = bind_ (address, error);
+  UdpPort *port;
+
+  if (fd < 0)
+    return NULL;
+  port = g_new0 (UdpPort, 1);
+  port->base.vtable = &udp_vtable_;
+  port->fd = fd;
+  port->received = received;
+  port->user_data = user_data;
+  prepare_batch_ (&port->in);
+  prepare_batch_ (&port->out);
+  port->source = g_source_new (&source_funcs_, sizeof (UdpSource));
+  ((UdpSource *) port->source)->port = port;
+  port->tag = g_source_add_unix_fd (port->source, fd, G_IO_IN);
+  g_source_set_name (port->source, "packet port");
+  g_source_attach (port->source, NULL);
+  return &port->base;
+}
+
+/* Returns the address that a UDP port is bound to. */
+DpAddress
+dp_udp_port_address (DpPacketPort *base)
+{
+  UdpPort *port = (UdpPort *) base;
+  struct sockaddr_in name = { 0 };
+  socklen_t length = sizeof name;
+  DpAddress address = { 0 };
+
+  if (getsockname (port->fd, (struct sockaddr *) &name, &length) == 0)
+    {
+      address.ip = ntohl (name.sin_addr.s_addr);
+      address.port = ntohs (name.sin_port);
+    }
+  return address;
+}
+
+/* Returns the counts of a UDP port; valid as long as the port. */
+const DpPacketPortStats *
+dp_udp_port_stats (DpPacketPort *base)
+{
+  return &((UdpPort *) base)->stats;
+}
+
+/* Queues a copy of the datagram; it leaves at the latest before the main loop waits.
+ * Returns FALSE if it is too long. */
+gboolean
+dp_packet_port_send (DpPacketPort *port,
+                     const DpAddress *destination,
+                     const guint8 *data,
+                     gsize length)
+{
+  return port->vtable->send (port, destination, data, length);
+}
+
+/* Sends what is queued now. */
+void
+dp_packet_port_flush (DpPacketPort *port)
+{
+  port->vtable->flush (port);
+}
+
+/* Sends what is queued and frees the port. */
+void
+dp_packet_port_free (DpPacketPort *port)
+{
+  if (port != NULL)
+    port->vtable->free (port);
+}
+
+static gboolean
+udp_send_ (DpPacketPort *base,
+           const DpAddress *destination,
+           const guint8 *data,
+           gsize length)
+{
+  UdpPort *port = (UdpPort *) base;
+  guint i;
+
+  if (length > DP_DATAGRAM_MAX)
+    return FALSE;
+  if (port->n_pending == BATCH)
+    udp_flush_ (base);
+  i = port->n_pending++;
+  memcpy (port->out.data[i], data, length);
+  port->out.vectors[i].iov_len = length;
+  port->out.addresses[i].sin_addr.s_addr = htonl (destination->ip);
+  port->out.addresses[i].sin_port = htons (destination->port);
+  return TRUE;
+}
+
+/* A datagram that the socket doesn't take is dropped, as a network would; TCP sends its
+ * content again. */
+static void
+udp_flush_ (DpPacketPort *base)
+{
+  UdpPort *port = (UdpPort *) base;
+  guint done = 0;
+
+  while (done < port->n_pending)
+    {
+      int n = sendmmsg (port->fd, port->out.messages + done, port->n_pending - done,
+                        MSG_DONTWAIT | MSG_NOSIGNAL);
+
+      if (n > 0)
+        {
+          done += (guint) n;
+          port->stats.sent += (guint) n;
+          continue;
+        }
+      if (errno == EINTR)
+        continue;
+      /* The error belongs to the call's first datagram; the rest is tried without it. */
+      done++;
+      port->stats.unsent++;
+    }
+  port->n_pending = 0;
+}
+
+static void
+udp_free_ (DpPacketPort *base)
+{
+  UdpPort *port = (UdpPort *) base;
+
+  udp_flush_ (base);
+  g_source_destroy (port->source);
+  g_source_unref (port->source);
+  close (port->fd);
+  g_free (port);
+}
+
+/* Runs before the main loop waits: sends what the other sources queued. */
+static gboolean
+prepare_ (GSource *source, gint *timeout_ms)
+{
+  UdpPort *port = ((UdpSource *) source)->port;
+
+  if (port->n_pending > 0)
+    udp_flush_ (&port->base);
+  *timeout_ms = -1;
+  return FALSE;
+}
+
+static gboolean
+check_ (GSource *source)
+{
+  UdpPort *port = ((UdpSource *) source)->port;
+
+  return g_source_query_unix_fd (source, port->tag) != 0;
+}
+
+static gboolean
+dispatch_ (GSource *source, GSourceFunc callback, gpointer data)
+{
+  UdpPort *port = ((UdpSource *) source)->port;
+
+  for (guint i = 0; i < BATCHES_PER_TURN; i++)
+    {
+      if (receive_batch_ (port) < BATCH)
+        break;
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static int
+bind_ (const DpAddress *address, GError **error)
+{
+  const int buffer = SOCKET_BUFFER;
+  struct sockaddr_in name = {
+    .sin_family = AF_INET,
+    .sin_addr.s_addr = htonl (address->ip),
+    .sin_port = htons (address->port),
+  };
+  char text[DP_ADDRESS_STRLEN];
+  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd >= 0 && bind (fd, (struct sockaddr *) &name, sizeof name) == 0)
+    {
+      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+      setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
+      return fd;
+    }
+  dp_error_set (error, DP_ERROR_UNAVAILABLE, "packet port",
+                dp_address_format (address, text), "%s", g_strerror (errno));
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+static void
+prepare_batch_ (Batch *batch)
+{
+  for (guint i = 0; i < BATCH; i++)
+    {
+      struct msghdr *header = &batch->messages[i].msg_hdr;
+
+      batch->vectors[i].iov_base = batch->data[i];
+      batch->vectors[i].iov_len = DP_DATAGRAM_MAX;
+      batch->addresses[i].sin_family = AF_INET;
+      header->msg_iov = &batch->vectors[i];
+      header->msg_iovlen = 1;
+      header->msg_name = &batch->addresses[i];
+      header->msg_namelen = sizeof batch->addresses[i];
+    }
+}
+
+/* Returns the number of datagrams that were waiting, at most BATCH. */
+static guint
+receive_batch_ (UdpPort *port)
+{
+  int n = recvmmsg (port->fd, port->in.messages, BATCH, MSG_DONTWAIT, NULL);
+
+  for (int i = 0; i < n; i++)
+    {
+      const struct mmsghdr *message = &port->in.messages[i];
+      DpAddress source = {
+        .ip = ntohl (port->in.addresses[i].sin_addr.s_addr),
+        .port = ntohs (port->in.addresses[i].sin_port),
+      };
+
+      if ((message->msg_hdr.msg_flags & MSG_TRUNC) != 0)
+        {
+          port->stats.too_long++;
+          continue;
+        }
+      port->stats.received++;
+      port->received (&source, port->in.data[i], message->msg_len, port->user_data);
+    }
+  return n > 0 ? (guint) n : 0;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/splice.c
@@ -0,0 +1,500 @@
+#include "protected/splice.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CHUNK (16 * 1024)   /* bytes of one read from the socket */
+#define EVENTS 64           /* socket events taken by one system call */
+#define SPLICES_PER_TURN 32 /* then the main loop receives packets again */
+
+struct _DpSpliceSet
+{
+  GSource *source;
+  gpointer tag; /* of epoll_fd in the source */
+  int epoll_fd; /* polling each socket in the main loop would cost time for all of them */
+  GQueue ready[DP_SPLICE_PRIORITIES]; /* DpSplice with work to do, by link */
+  guint round[DP_SPLICE_PRIORITIES];  /* how many of them this round still has to serve */
+};
+
+struct _DpSplice
+{
+  DpSpliceSet *set;
+  DpConn *conn;
+  int fd;
+  guint priority;
+  const DpSpliceListener *listener;
+  gpointer user_data;
+  GList link; /* in set->ready */
+  gboolean queued;
+  gboolean socket_readable;
+  gboolean socket_writable;
+  gboolean socket_ended;  /* nothing more comes from the socket */
+  gboolean socket_reset;  /* and its peer has reset it */
+  gboolean socket_shut;   /* nothing more goes to the socket */
+  gboolean waiting;       /* for dp_splice_grant () */
+  gboolean client_socket; /* the socket's peer is the client, else the server */
+  guint64 acknowledged;   /* as far as the listener knows */
+};
+
+typedef struct
+{
+  GSource base;
+  DpSpliceSet *set;
+} SpliceSource;
+
+static gboolean prepare_ (GSource *source, gint *timeout_ms);
+static gboolean check_ (GSource *source);
+static gboolean dispatch_ (GSource *source, GSourceFunc callback, gpointer data);
+static gboolean has_work_ (const DpSpliceSet *set);
+static void take_events_ (DpSpliceSet *set);
+static DpSplice *next_ (DpSpliceSet *set);
+static void conn_changed_ (DpConn *conn, gpointer user_data);
+static void queue_ (DpSplice *splice);
+static void unlink_ (DpSplice *splice);
+static void run_ (DpSplice *splice);
+static gsize copy_to_socket_ (DpSplice *splice, gsize budget);
+static gsize copy_to_conn_ (DpSplice *splice, gsize budget);
+static void write_failed_ (DpSplice *splice);
+static void report_progress_ (DpSplice *splice);
+static gboolean end_ (DpSplice *splice);
+static void finish_ (DpSplice *splice, DpSpliceEnd end);
+static void close_socket_ (DpSplice *splice, gboolean reset);
+static void free_ (DpSplice *splice);
+
+static const char *const end_strings_[] = {
+  "closed",
+  "reset by the client",
+  "client stopped answering",
+  "reset by the server",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (end_strings_) == DP_N_SPLICE_ENDS);
+
+static GSourceFuncs source_funcs_ = {
+  .prepare = prepare_,
+  .check = check_,
+  .dispatch = dispatch_,
+};
+
+/* Creates a set that is served on the default main context. */
+DpSpliceSet *
+dp_splice_set_new (void)
+{
+  DpSpliceSet *set = g_new0 (DpSpliceSet, 1);
+
+  set->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+  if (set->epoll_fd < 0)
+    g_error ("epoll_create1: %s", g_strerror (errno));
+  for (guint i = 0; i < DP_SPLICE_PRIORITIES; i++)
+    g_queue_init (&set->ready[i]);
+  set->source = g_source_new (&source_funcs_, sizeof (SpliceSource));
+  ((SpliceSource *) set->source)->set = set;
+  set->tag = g_source_add_unix_fd (set->source, set->epoll_fd, G_IO_IN);
+  g_source_set_name (set->source, "splices");
+  g_source_attach (set->source, NULL);
+  return set;
+}
+
+/* Frees the set; its splices must have ended. */
+void
+dp_splice_set_free (DpSpliceSet *set)
+{
+  if (set == NULL)
+    return;
+  g_source_destroy (set->source);
+  g_source_unref (set->source);
+  close (set->epoll_fd);
+  g_free (set);
+}
+
+/* Joins an open connection to a connected, non-blocking socket and owns both from now on.
+ * Priority 0 is served first. The listener's data must outlive the splice. */
+DpSplice *
+dp_splice_new (DpSpliceSet *set,
+               DpConn *conn,
+               int fd,
+               guint priority,
+               const DpSpliceListener *listener,
+               gpointer user_data)
+{
+  struct epoll_event event = { .events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET };
+  DpSplice *splice = g_new0 (DpSplice, 1);
+
+  g_assert (priority < DP_SPLICE_PRIORITIES);
+  splice->set = set;
+  splice->conn = conn;
+  splice->fd = fd;
+  splice->priority = priority;
+  splice->listener = listener;
+  splice->user_data = user_data;
+  splice->link.data = splice;
+  splice->socket_readable = TRUE;
+  splice->socket_writable = TRUE;
+  splice->acknowledged = dp_conn_acknowledged (conn);
+  event.data.ptr = splice;
+  if (epoll_ctl (set->epoll_fd, EPOLL_CTL_ADD, fd, &event) < 0)
+    g_error ("epoll_ctl: %s", g_strerror (errno));
+  dp_conn_set_listener (conn, conn_changed_, splice);
+  queue_ (splice);
+  return splice;
+}
+
+/* Says that the socket's peer is the client, not the server. A client's reset is passed
+ * on at once, a server's reset after the bytes that it sent before. */
+void
+dp_splice_set_client_socket (DpSplice *splice)
+{
+  splice->client_socket = TRUE;
+}
+
+/* The connection's bytes may go to the socket now. */
+void
+dp_splice_grant (DpSplice *splice)
+{
+  splice->waiting = FALSE;
+  queue_ (splice);
+}
+
+/* Resets both sides and frees the splice; ended () is not called. */
+void
+dp_splice_abort (DpSplice *splice)
+{
+  close_socket_ (splice, TRUE);
+  dp_conn_abort (splice->conn);
+  free_ (splice);
+}
+
+/* Resets the socket, drops the connection without a word to its peer and frees the
+ * splice; ended () is not called. */
+void
+dp_splice_forget (DpSplice *splice)
+{
+  close_socket_ (splice, TRUE);
+  dp_conn_forget (splice->conn);
+  free_ (splice);
+}
+
+/* Returns a short description of how a splice ended. */
+const char *
+dp_splice_end_string (DpSpliceEnd end)
+{
+  g_assert (end < DP_N_SPLICE_ENDS);
+  return end_strings_[end];
+}
+
+static gboolean
+prepare_ (GSource *source, gint *timeout_ms)
+{
+  *timeout_ms = -1;
+  return has_work_ (((SpliceSource *) source)->set);
+}
+
+static gboolean
+check_ (GSource *source)
+{
+  DpSpliceSet *set = ((SpliceSource *) source)->set;
+
+  return g_source_query_unix_fd (source, set->tag) != 0 || has_work_ (set);
+}
+
+static gboolean
+dispatch_ (GSource *source, GSourceFunc callback, gpointer data)
+{
+  DpSpliceSet *set = ((SpliceSource *) source)->set;
+
+  take_events_ (set);
+  for (guint i = 0; i < SPLICES_PER_TURN; i++)
+    {
+      DpSplice *splice = next_ (set);
+
+      if (splice == NULL)
+        break;
+      run_ (splice);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+has_work_ (const DpSpliceSet *set)
+{
+  for (guint i = 0; i < DP_SPLICE_PRIORITIES; i++)
+    {
+      if (set->ready[i].length > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+take_events_ (DpSpliceSet *set)
+{
+  struct epoll_event events[EVENTS];
+  int n = epoll_wait (set->epoll_fd, events, EVENTS, 0);
+
+  for (int i = 0; i < n; i++)
+    {
+      const guint32 ended = EPOLLHUP | EPOLLERR | EPOLLRDHUP;
+      DpSplice *splice = events[i].data.ptr;
+
+      if ((events[i].events & (EPOLLIN | ended)) != 0)
+        splice->socket_readable = TRUE;
+      if ((events[i].events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) != 0)
+        splice->socket_writable = TRUE;
+      queue_ (splice);
+    }
+}
+
+/* Returns the next splice of the round in the order of priorities. A round serves each
+ * ready splice once, so a lower priority waits for a turn of the higher ones, not for
+ * their end. */
+static DpSplice *
+next_ (DpSpliceSet *set)
+{
+  for (guint attempt = 0; attempt < 2; attempt++)
+    {
+      for (guint i = 0; i < DP_SPLICE_PRIORITIES; i++)
+        {
+          GList *link;
+
+          if (set->round[i] == 0 || set->ready[i].length == 0)
+            {
+              set->round[i] = 0;
+              continue;
+            }
+          set->round[i]--;
+          link = g_queue_pop_head_link (&set->ready[i]);
+          ((DpSplice *) link->data)->queued = FALSE;
+          return link->data;
+        }
+      for (guint i = 0; i < DP_SPLICE_PRIORITIES; i++)
+        set->round[i] = set->ready[i].length;
+    }
+  return NULL;
+}
+
+static void
+conn_changed_ (DpConn *conn, gpointer user_data)
+{
+  queue_ (user_data);
+}
+
+static void
+queue_ (DpSplice *splice)
+{
+  if (splice->queued)
+    return;
+  splice->queued = TRUE;
+  g_queue_push_tail_link (&splice->set->ready[splice->priority], &splice->link);
+}
+
+static void
+unlink_ (DpSplice *splice)
+{
+  if (!splice->queued)
+    return;
+  splice->queued = FALSE;
+  g_queue_unlink (&splice->set->ready[splice->priority], &splice->link);
+}
+
+/* Copies what is possible, at most DP_SPLICE_TURN bytes, then ends the splice if both
+ * sides have ended. */
+static void
+run_ (DpSplice *splice)
+{
+  gsize budget = DP_SPLICE_TURN;
+
+  if (dp_conn_state (splice->conn) == DP_CONN_OPENING)
+    return;
+  budget -= copy_to_socket_ (splice, budget);
+  budget -= copy_to_conn_ (splice, budget);
+  report_progress_ (splice);
+  if (end_ (splice))
+    return;
+  if (budget == 0)
+    queue_ (splice);
+}
+
+/* Writes the connection's bytes to the socket and passes its end on. */
+static gsize
+copy_to_socket_ (DpSplice *splice, gsize budget)
+{
+  const gsize before = budget;
+  const guint8 *data;
+  gsize length;
+
+  while (budget > 0 && (length = dp_conn_readable (splice->conn, &data)) > 0)
+    {
+      ssize_t n;
+
+      if (splice->socket_shut)
+        {
+          dp_conn_consume (splice->conn, length);
+          continue;
+        }
+      length = MIN (length, budget);
+      if (splice->waiting || !splice->socket_writable)
+        break;
+      if (splice->listener->request != NULL
+          && !splice->listener->request (splice, length, splice->user_data))
+        {
+          splice->waiting = TRUE;
+          break;
+        }
+      n = send (splice->fd, data, length, MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (n >= 0)
+        {
+          dp_conn_consume (splice->conn, (gsize) n);
+          budget -= (gsize) n;
+        }
+      else if (errno == EAGAIN)
+        splice->socket_writable = FALSE;
+      else if (errno != EINTR)
+        write_failed_ (splice);
+    }
+  if (dp_conn_read_ended (splice->conn) && dp_conn_readable (splice->conn, NULL) == 0
+      && !splice->socket_shut)
+    {
+      splice->socket_shut = TRUE;
+      shutdown (splice->fd, SHUT_WR);
+    }
+  return before - budget;
+}
+
+/* Writes the socket's bytes to the connection and passes its end on. A reset is passed on
+ * by end_ (). */
+static gsize
+copy_to_conn_ (DpSplice *splice, gsize budget)
+{
+  const gsize before = budget;
+  guint8 chunk[CHUNK];
+  gsize space;
+
+  while (budget > 0 && splice->socket_readable && !splice->socket_ended
+         && (space = dp_conn_space (splice->conn)) > 0)
+    {
+      ssize_t n = recv (splice->fd, chunk, MIN (MIN (space, budget), sizeof chunk),
+                        MSG_DONTWAIT);
+
+      if (n > 0)
+        {
+          if (!dp_conn_write (splice->conn, chunk, (gsize) n))
+            {
+              splice->socket_ended = TRUE;
+              splice->socket_reset = TRUE;
+              break;
+            }
+          budget -= (gsize) n;
+          if (splice->listener->response != NULL)
+            splice->listener->response (splice, (gsize) n,
+                                        dp_conn_unacknowledged (splice->conn),
+                                        splice->user_data);
+        }
+      else if (n < 0 && errno == EAGAIN)
+        splice->socket_readable = FALSE;
+      else if (n == 0 || errno != EINTR)
+        {
+          splice->socket_ended = TRUE;
+          splice->socket_reset = splice->socket_reset || n < 0;
+        }
+    }
+  if (splice->socket_ended && !splice->socket_reset)
+    dp_conn_shutdown (splice->conn);
+  return before - budget;
+}
+
+/* The socket's peer takes no more bytes. Its own bytes may still be there to read, but
+ * the write has taken the error that a read would otherwise see after them. If the peer
+ * had ended in order before, the connection ends in order too, and bytes for it are
+ * dropped. */
+static void
+write_failed_ (DpSplice *splice)
+{
+  splice->socket_shut = TRUE;
+  splice->socket_readable = TRUE;
+  if (!splice->socket_ended)
+    splice->socket_reset = TRUE;
+}
+
+static void
+report_progress_ (DpSplice *splice)
+{
+  guint64 acknowledged = dp_conn_acknowledged (splice->conn);
+  guint64 bytes = acknowledged - splice->acknowledged;
+
+  splice->acknowledged = acknowledged;
+  if (bytes > 0 && splice->listener->progress != NULL)
+    splice->listener->progress (splice, (gsize) bytes, splice->user_data);
+}
+
+/* Ends the splice if it is time to; returns whether it did. */
+static gboolean
+end_ (DpSplice *splice)
+{
+  gboolean left = splice->client_socket && !splice->socket_shut
+                  && dp_conn_readable (splice->conn, NULL) > 0;
+
+  switch (dp_conn_state (splice->conn))
+    {
+    case DP_CONN_CLOSED:
+      /* The last bytes of the connection may still wait for the socket. */
+      if (!splice->socket_shut)
+        return FALSE;
+      finish_ (splice, DP_SPLICE_CLOSED);
+      return TRUE;
+    case DP_CONN_RESET:
+      if (left)
+        return FALSE;
+      finish_ (splice, DP_SPLICE_CONN_RESET);
+      return TRUE;
+    case DP_CONN_TIMED_OUT:
+      if (left)
+        return FALSE;
+      finish_ (splice, DP_SPLICE_CONN_TIMEOUT);
+      return TRUE;
+    case DP_CONN_OPENING:
+    case DP_CONN_OPEN:
+    case DP_N_CONN_STATES:
+      break;
+    }
+  if (!splice->socket_reset || !splice->socket_ended)
+    return FALSE;
+  if (!splice->client_socket && dp_conn_unacknowledged (splice->conn) > 0)
+    return FALSE;
+  finish_ (splice, DP_SPLICE_SOCKET_RESET);
+  return TRUE;
+}
+
+static void
+finish_ (DpSplice *splice, DpSpliceEnd end)
+{
+  close_socket_ (splice, end != DP_SPLICE_CLOSED);
+  if (end == DP_SPLICE_SOCKET_RESET)
+    dp_conn_abort (splice->conn);
+  else
+    dp_conn_free (splice->conn);
+  splice->conn = NULL;
+  if (splice->listener->ended != NULL)
+    splice->listener->ended (splice, end, splice->user_data);
+  free_ (splice);
+}
+
+/* With reset, the peer learns that the connection did not end in order. */
+static void
+close_socket_ (DpSplice *splice, gboolean reset)
+{
+  const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  if (reset)
+    setsockopt (splice->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (splice->fd);
+}
+
+static void
+free_ (DpSplice *splice)
+{
+  unlink_ (splice);
+  g_free (splice);
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/stack.c
@@ -0,0 +1,794 @@
+#include "protected/stack.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/random.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <lwip/init.h>
+#include <lwip/ip4.h>
+#include <lwip/netif.h>
+#include <lwip/priv/tcp_priv.h>
+#include <lwip/sys.h>
+#include <lwip/tcp.h>
+#include <lwip/timeouts.h>
+
+#include "protected/error.h"
+
+#define READ_BUFFER_FIRST 2048 /* bytes */
+/* The netif's address outside dp_stack_input (): of class E, which no host has. */
+#define NETIF_ADDRESS 0xf0000001u
+#define TIMER_WAIT_MAX_MS 1000 /* lwIP has no timer that needs a longer wait */
+
+struct _DpStack
+{
+  DpClock *clock;
+  const DpStackListener *listener;
+  gpointer user_data;
+  struct netif netif;
+  GSource *source;
+  GPtrArray *listening; /* struct tcp_pcb */
+  GPtrArray *changed;   /* DpConn, NULL for one that was freed meanwhile */
+  GPtrArray *closing;   /* DpConn whose end lwIP doesn't report */
+  gboolean dispatching;
+  guint8 secret[XXH3_SECRET_SIZE_MIN]; /* of the sequence numbers' offsets */
+};
+
+struct _DpConn
+{
+  DpStack *stack;
+  struct tcp_pcb *pcb; /* NULL once lwIP has freed it or keeps it in TIME_WAIT */
+  DpConnState state;
+  DpAddress local;
+  DpAddress remote;
+  DpConnFunc notify;
+  gpointer user_data;
+  gboolean accepted; /* the owner knows of it */
+  gboolean queued;   /* is in stack->changed */
+  gboolean closing;  /* is in stack->closing */
+  gboolean read_ended;
+  gboolean shut_down;
+  guint8 *buffer; /* received bytes from start to end, NULL if there are none */
+  gsize capacity;
+  gsize start;
+  gsize end;
+  guint64 written;
+  guint64 acknowledged;
+};
+
+typedef struct
+{
+  GSource base;
+  DpStack *stack;
+} TimerSource;
+
+static gboolean timer_prepare_ (GSource *source, gint *timeout_ms);
+static gboolean timer_check_ (GSource *source);
+static gboolean timer_dispatch_ (GSource *source, GSourceFunc callback, gpointer data);
+static err_t init_netif_ (struct netif *netif);
+static err_t output_ (struct netif *netif, struct pbuf *p, const ip4_addr_t *address);
+static guint32 sequence_offset_ (const DpStack *stack, const DpFlowKey *key);
+static err_t accepted_ (void *arg, struct tcp_pcb *pcb, err_t err);
+static err_t connected_ (void *arg, struct tcp_pcb *pcb, err_t err);
+static err_t received_ (void *arg, struct tcp_pcb *pcb, struct pbuf *p, err_t err);
+static err_t sent_ (void *arg, struct tcp_pcb *pcb, u16_t length);
+static void failed_ (void *arg, err_t err);
+static DpConn *conn_new_ (DpStack *stack, struct tcp_pcb *pcb, DpConnState state);
+static void append_ (DpConn *conn, const struct pbuf *p);
+static void changed_ (DpConn *conn);
+static void check_closing_ (DpStack *stack);
+static void detach_ (DpConn *conn);
+static void dispatch_ (DpStack *stack);
+static gboolean usable_peer_ (guint32 peer, guint32 own);
+static DpAddress address_of_ (const ip_addr_t *ip, guint16 port);
+static void set_ip_ (ip_addr_t *to, guint32 ip);
+static gboolean
+failed_with_ (GError **error, const char *step, const DpAddress *peer, err_t err);
+
+static const char *const state_strings_[] = {
+  "opening", "open", "closed", "reset", "timed out",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (state_strings_) == DP_N_CONN_STATES);
+
+static GSourceFuncs timer_funcs_ = {
+  .prepare = timer_prepare_,
+  .check = timer_check_,
+  .dispatch = timer_dispatch_,
+};
+
+/* lwIP's state is global, so there is at most one stack, and sys_now () reads its clock.
+ */
+static DpStack *the_stack_;
+
+/* Replaces lwIP's own clock; milliseconds. */
+u32_t
+sys_now (void)
+{
+  DpClock *clock = the_stack_ != NULL ? the_stack_->clock : dp_clock_system ();
+
+  return (u32_t) (dp_clock_now (clock) / DP_US_PER_MS);
+}
+
+/* Creates the process's only stack and runs its timers on the default main context. */
+DpStack *
+dp_stack_new (DpClock *clock, const DpStackListener *listener, gpointer user_data)
+{
+  static gboolean initialized;
+  DpStack *stack = g_new0 (DpStack, 1);
+  ip4_addr_t ip;
+  ip4_addr_t none;
+
+  g_assert (the_stack_ == NULL);
+  the_stack_ = stack;
+  stack->clock = clock;
+  stack->listener = listener;
+  stack->user_data = user_data;
+  stack->listening = g_ptr_array_new ();
+  stack->changed = g_ptr_array_new ();
+  stack->closing = g_ptr_array_new ();
+  if (getrandom (stack->secret, sizeof stack->secret, 0) != sizeof stack->secret)
+    g_error ("the kernel gave no random bytes: %s", g_strerror (errno));
+  if (!initialized)
+    lwip_init ();
+  initialized = TRUE;
+
+  ip4_addr_set_u32 (&ip, lwip_htonl (NETIF_ADDRESS));
+  ip4_addr_set_zero (&none);
+  /* With an empty netmask every destination, 127.0.0.0/8 too, is routed to the netif. */
+  netif_add (&stack->netif, &ip, &none, &none, stack, init_netif_, ip_input);
+  netif_set_default (&stack->netif);
+  netif_set_up (&stack->netif);
+  netif_set_link_up (&stack->netif);
+
+  stack->source = g_source_new (&timer_funcs_, sizeof (TimerSource));
+  ((TimerSource *) stack->source)->stack = stack;
+  g_source_set_name (stack->source, "stack timers");
+  g_source_attach (stack->source, NULL);
+  return stack;
+}
+
+/* Silently forgets all connections. The owners must have freed theirs. */
+void
+dp_stack_free (DpStack *stack)
+{
+  if (stack == NULL)
+    return;
+  g_source_destroy (stack->source);
+  g_source_unref (stack->source);
+  for (guint i = 0; i < stack->listening->len; i++)
+    tcp_close (stack->listening->pdata[i]);
+  while (tcp_active_pcbs != NULL)
+    tcp_abandon (tcp_active_pcbs, 0);
+  while (tcp_tw_pcbs != NULL)
+    tcp_abandon (tcp_tw_pcbs, 0);
+  netif_remove (&stack->netif);
+  g_ptr_array_unref (stack->listening);
+  g_ptr_array_unref (stack->changed);
+  g_ptr_array_unref (stack->closing);
+  g_free (stack);
+  the_stack_ = NULL;
+}
+
+/* Accepts connections to the address; an IP of 0 stands for every IP. */
+gboolean
+dp_stack_listen (DpStack *stack, const DpAddress *address, GError **error)
+{
+  struct tcp_pcb *pcb = tcp_new_ip_type (IPADDR_TYPE_V4);
+  struct tcp_pcb *listening = NULL;
+  ip_addr_t ip;
+  err_t err = ERR_MEM;
+
+  set_ip_ (&ip, address->ip);
+  if (pcb != NULL)
+    {
+      ip_set_option (pcb, SOF_REUSEADDR);
+      err = tcp_bind (pcb, &ip, address->port);
+    }
+  if (err == ERR_OK)
+    listening = tcp_listen_with_backlog_and_err (pcb, TCP_DEFAULT_LISTEN_BACKLOG, &err);
+  if (listening == NULL)
+    {
+      if (pcb != NULL)
+        tcp_close (pcb);
+      return failed_with_ (error, "listen", address, err);
+    }
+  tcp_arg (listening, stack);
+  tcp_accept (listening, accepted_);
+  g_ptr_array_add (stack->listening, listening);
+  return TRUE;
+}
+
+/* Accepts no further connections to the address; those that exist stay. */
+void
+dp_stack_unlisten (DpStack *stack, const DpAddress *address)
+{
+  for (guint i = 0; i < stack->listening->len; i++)
+    {
+      struct tcp_pcb *pcb = stack->listening->pdata[i];
+      DpAddress local = address_of_ (&pcb->local_ip, pcb->local_port);
+
+      if (!dp_address_equal (&local, address))
+        continue;
+      tcp_close (pcb);
+      g_ptr_array_remove_index_fast (stack->listening, i);
+      return;
+    }
+}
+
+/* Hands a packet from outside to lwIP. segment is the result of dp_segment_parse (). A
+ * packet whose answer lwIP would send to itself is dropped. */
+void
+dp_stack_input (DpStack *stack,
+                const guint8 *packet,
+                gsize length,
+                const DpSegment *segment)
+{
+  struct pbuf *p;
+
+  g_assert (length <= DP_PACKET_MAX);
+  if (!usable_peer_ (segment->key.client.ip, segment->key.service.ip))
+    return;
+  p = pbuf_alloc (PBUF_RAW, (u16_t) length, PBUF_RAM);
+  if (p == NULL)
+    return;
+  memcpy (p->payload, packet, length);
+  if ((segment->flags & DP_TCP_ACK) != 0)
+    {
+      DpFlowKey key = { .client = segment->key.service, .service = segment->key.client };
+
+      dp_segment_shift_ack (p->payload, segment, 0u - sequence_offset_ (stack, &key));
+    }
+  /* The netif accepts packets to its own address only. netif_set_ipaddr () would end the
+   * connections of the address before, hence the plain assignment. */
+  set_ip_ (&stack->netif.ip_addr, segment->key.service.ip);
+  ip4_input (p, &stack->netif);
+  set_ip_ (&stack->netif.ip_addr, NETIF_ADDRESS);
+  check_closing_ (stack);
+  dispatch_ (stack);
+}
+
+/* Runs lwIP's timers that are due; the main loop does so on its own, tests with a paused
+ * clock call it after they advanced the clock. */
+void
+dp_stack_run_timers (DpStack *stack)
+{
+  sys_check_timeouts ();
+  check_closing_ (stack);
+  dispatch_ (stack);
+}
+
+/* Silently removes a connection that was not accepted yet, or one in TIME_WAIT. Returns
+ * whether there was one. */
+gboolean
+dp_stack_forget (DpStack *stack, const DpAddress *local, const DpAddress *remote)
+{
+  struct tcp_pcb *lists[] = { tcp_active_pcbs, tcp_tw_pcbs };
+
+  for (guint i = 0; i < G_N_ELEMENTS (lists); i++)
+    {
+      for (struct tcp_pcb *pcb = lists[i]; pcb != NULL; pcb = pcb->next)
+        {
+          DpAddress pcb_local = address_of_ (&pcb->local_ip, pcb->local_port);
+          DpAddress pcb_remote = address_of_ (&pcb->remote_ip, pcb->remote_port);
+
+          if (!dp_address_equal (&pcb_local, local)
+              || !dp_address_equal (&pcb_remote, remote))
+            continue;
+          tcp_abandon (pcb, 0);
+          dispatch_ (stack);
+          return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+/* Opens a connection from local (port 0: chosen by the stack) to remote. The caller owns
+ * it and learns by its listener when it is open. NULL if the address is in use, or if one
+ * of both is in 127.0.0.0/8, which lwIP doesn't route. */
+DpConn *
+dp_stack_connect (DpStack *stack,
+                  const DpAddress *local,
+                  const DpAddress *remote,
+                  GError **error)
+{
+  struct tcp_pcb *pcb = tcp_new_ip_type (IPADDR_TYPE_V4);
+  DpConn *conn;
+  ip_addr_t local_ip;
+  ip_addr_t remote_ip;
+  err_t err;
+
+  if (pcb == NULL || !usable_peer_ (remote->ip, local->ip)
+      || !usable_peer_ (local->ip, remote->ip))
+    {
+      if (pcb != NULL)
+        tcp_close (pcb);
+      failed_with_ (error, "connect", remote, ERR_VAL);
+      return NULL;
+    }
+  set_ip_ (&local_ip, local->ip);
+  set_ip_ (&remote_ip, remote->ip);
+  ip_set_option (pcb, SOF_REUSEADDR);
+  conn = conn_new_ (stack, pcb, DP_CONN_OPENING);
+  conn->accepted = TRUE;
+  err = tcp_bind (pcb, &local_ip, local->port);
+  if (err == ERR_OK)
+    err = tcp_connect (pcb, &remote_ip, remote->port, connected_);
+  if (err != ERR_OK)
+    {
+      conn->pcb = NULL;
+      tcp_arg (pcb, NULL);
+      tcp_err (pcb, NULL);
+      tcp_abandon (pcb, 0);
+      dp_conn_free (conn);
+      failed_with_ (error, "connect", remote, err);
+      return NULL;
+    }
+  conn->local = address_of_ (&pcb->local_ip, pcb->local_port);
+  conn->remote = *remote;
+  return conn;
+}
+
+/* Sets the function that is called after each change; NULL: none. */
+void
+dp_conn_set_listener (DpConn *conn, DpConnFunc changed, gpointer user_data)
+{
+  conn->notify = changed;
+  conn->user_data = user_data;
+}
+
+/* Returns the connection's state. Bytes received before its end stay readable. */
+DpConnState
+dp_conn_state (const DpConn *conn)
+{
+  return conn->state;
+}
+
+/* Returns a short name of the state. */
+const char *
+dp_conn_state_string (DpConnState state)
+{
+  g_assert (state < DP_N_CONN_STATES);
+  return state_strings_[state];
+}
+
+/* Returns this end's address; of an accepted connection the one the client called. */
+DpAddress
+dp_conn_local (const DpConn *conn)
+{
+  return conn->local;
+}
+
+/* Returns the other end's address. */
+DpAddress
+dp_conn_remote (const DpConn *conn)
+{
+  return conn->remote;
+}
+
+/* Returns the number of received bytes that were not consumed; data is valid until the
+ * next call into the stack. */
+gsize
+dp_conn_readable (const DpConn *conn, const guint8 **data)
+{
+  if (data != NULL)
+    *data = conn->buffer + conn->start;
+  return conn->end - conn->start;
+}
+
+/* Returns whether the peer sends nothing after the readable bytes. */
+gboolean
+dp_conn_read_ended (const DpConn *conn)
+{
+  return conn->read_ended;
+}
+
+/* Drops readable bytes and opens the receive window by as much. */
+void
+dp_conn_consume (DpConn *conn, gsize length)
+{
+  g_assert (length <= conn->end - conn->start);
+  conn->start += length;
+  if (conn->start == conn->end)
+    {
+      g_clear_pointer (&conn->buffer, g_free);
+      conn->capacity = 0;
+      conn->start = 0;
+      conn->end = 0;
+    }
+  if (conn->pcb == NULL)
+    return;
+  tcp_recved (conn->pcb, (u16_t) length);
+}
+
+/* Returns how many bytes can be written now. */
+gsize
+dp_conn_space (const DpConn *conn)
+{
+  gsize n_buffers;
+
+  if (conn->pcb == NULL || conn->state != DP_CONN_OPEN || conn->shut_down)
+    return 0;
+  if (tcp_sndqueuelen (conn->pcb) + 2 >= TCP_SND_QUEUELEN)
+    return 0;
+  /* A write takes at most one buffer for each segment and one for a partial segment. */
+  n_buffers = TCP_SND_QUEUELEN - tcp_sndqueuelen (conn->pcb) - 2;
+  return MIN (tcp_sndbuf (conn->pcb), n_buffers * tcp_mss (conn->pcb));
+}
+
+/* Sends a copy of the bytes, at most dp_conn_space () of them. FALSE: out of memory. */
+gboolean
+dp_conn_write (DpConn *conn, const guint8 *data, gsize length)
+{
+  err_t err;
+
+  g_assert (length <= dp_conn_space (conn));
+  err = tcp_write (conn->pcb, data, (u16_t) length, TCP_WRITE_FLAG_COPY);
+  if (err != ERR_OK)
+    return FALSE;
+  conn->written += length;
+  tcp_output (conn->pcb);
+  return TRUE;
+}
+
+/* Returns how many written bytes the peer did not acknowledge yet. */
+gsize
+dp_conn_unacknowledged (const DpConn *conn)
+{
+  return conn->written - conn->acknowledged;
+}
+
+/* Returns how many bytes the peer acknowledged in all. */
+guint64
+dp_conn_acknowledged (const DpConn *conn)
+{
+  return conn->acknowledged;
+}
+
+/* Ends this direction after the bytes already written. */
+void
+dp_conn_shutdown (DpConn *conn)
+{
+  if (conn->shut_down || conn->pcb == NULL)
+    return;
+  g_assert (conn->state == DP_CONN_OPEN);
+  conn->shut_down = TRUE;
+  tcp_shutdown (conn->pcb, 0, 1);
+}
+
+/* Resets the connection if it is still open, and frees it. */
+void
+dp_conn_abort (DpConn *conn)
+{
+  struct tcp_pcb *pcb = conn->pcb;
+
+  detach_ (conn);
+  if (pcb != NULL)
+    tcp_abort (pcb);
+  dp_conn_free (conn);
+}
+
+/* Frees the connection without a word to the peer. */
+void
+dp_conn_forget (DpConn *conn)
+{
+  struct tcp_pcb *pcb = conn->pcb;
+
+  detach_ (conn);
+  if (pcb != NULL)
+    tcp_abandon (pcb, 0);
+  dp_conn_free (conn);
+}
+
+/* Frees the connection. What is still open is closed in order by lwIP on its own, or
+ * reset if received bytes were not consumed. */
+void
+dp_conn_free (DpConn *conn)
+{
+  struct tcp_pcb *pcb;
+
+  if (conn == NULL)
+    return;
+  pcb = conn->pcb;
+  detach_ (conn);
+  if (pcb != NULL)
+    tcp_close (pcb);
+  if (conn->queued)
+    {
+      for (guint i = 0; i < conn->stack->changed->len; i++)
+        {
+          if (conn->stack->changed->pdata[i] == conn)
+            conn->stack->changed->pdata[i] = NULL;
+        }
+    }
+  if (conn->closing)
+    g_ptr_array_remove_fast (conn->stack->closing, conn);
+  g_free (conn->buffer);
+  g_free (conn);
+}
+
+static gboolean
+timer_prepare_ (GSource *source, gint *timeout_ms)
+{
+  u32_t wait = sys_timeouts_sleeptime ();
+
+  *timeout_ms = (gint) MIN (wait, TIMER_WAIT_MAX_MS);
+  return wait == 0;
+}
+
+static gboolean
+timer_check_ (GSource *source)
+{
+  return sys_timeouts_sleeptime () == 0;
+}
+
+static gboolean
+timer_dispatch_ (GSource *source, GSourceFunc callback, gpointer data)
+{
+  dp_stack_run_timers (((TimerSource *) source)->stack);
+  return G_SOURCE_CONTINUE;
+}
+
+static err_t
+init_netif_ (struct netif *netif)
+{
+  netif->name[0] = 'd';
+  netif->name[1] = 'p';
+  netif->mtu = DP_PACKET_MAX;
+  netif->output = output_;
+  return ERR_OK;
+}
+
+static err_t
+output_ (struct netif *netif, struct pbuf *p, const ip4_addr_t *address)
+{
+  DpStack *stack = netif->state;
+  guint8 packet[DP_PACKET_MAX];
+  DpSegment segment;
+  guint32 offset;
+
+  if (p->tot_len > sizeof packet)
+    return ERR_BUF;
+  /* lwIP keeps the segment for retransmission, so its numbers change in a copy. */
+  pbuf_copy_partial (p, packet, p->tot_len, 0);
+  if (!dp_segment_parse (packet, p->tot_len, &segment, NULL))
+    return ERR_VAL;
+  offset = sequence_offset_ (stack, &segment.key);
+  dp_segment_shift_seq (packet, &segment, offset);
+  segment.seq += offset;
+  stack->listener->output (packet, p->tot_len, &segment, stack->user_data);
+  return ERR_OK;
+}
+
+/* lwIP's initial sequence numbers can be predicted and be the same in two processes. As
+ * in RFC 6528 a keyed hash of the flow is added; key has this end as client. */
+static guint32
+sequence_offset_ (const DpStack *stack, const DpFlowKey *key)
+{
+  guint64 input[2] = {
+    (guint64) key->client.ip << 16 | key->client.port,
+    (guint64) key->service.ip << 16 | key->service.port,
+  };
+
+  return (guint32) XXH3_64bits_withSecret (input, sizeof input, stack->secret,
+                                           sizeof stack->secret);
+}
+
+static err_t
+accepted_ (void *arg, struct tcp_pcb *pcb, err_t err)
+{
+  DpStack *stack = arg;
+  DpConn *conn;
+
+  if (err != ERR_OK || pcb == NULL)
+    return ERR_VAL;
+  conn = conn_new_ (stack, pcb, DP_CONN_OPEN);
+  conn->local = address_of_ (&pcb->local_ip, pcb->local_port);
+  conn->remote = address_of_ (&pcb->remote_ip, pcb->remote_port);
+  changed_ (conn);
+  return ERR_OK;
+}
+
+static err_t
+connected_ (void *arg, struct tcp_pcb *pcb, err_t err)
+{
+  DpConn *conn = arg;
+
+  conn->state = DP_CONN_OPEN;
+  changed_ (conn);
+  return ERR_OK;
+}
+
+static err_t
+received_ (void *arg, struct tcp_pcb *pcb, struct pbuf *p, err_t err)
+{
+  DpConn *conn = arg;
+
+  if (p != NULL)
+    {
+      append_ (conn, p);
+      pbuf_free (p);
+    }
+  else
+    {
+      conn->read_ended = TRUE;
+      if (!conn->closing)
+        g_ptr_array_add (conn->stack->closing, conn);
+      conn->closing = TRUE;
+    }
+  changed_ (conn);
+  return ERR_OK;
+}
+
+static err_t
+sent_ (void *arg, struct tcp_pcb *pcb, u16_t length)
+{
+  DpConn *conn = arg;
+
+  conn->acknowledged += length;
+  changed_ (conn);
+  return ERR_OK;
+}
+
+/* lwIP has freed the pcb. */
+static void
+failed_ (void *arg, err_t err)
+{
+  DpConn *conn = arg;
+
+  conn->pcb = NULL;
+  if (err == ERR_CLSD)
+    {
+      conn->state = DP_CONN_CLOSED;
+      conn->acknowledged = conn->written;
+    }
+  else
+    conn->state = err == ERR_RST ? DP_CONN_RESET : DP_CONN_TIMED_OUT;
+  changed_ (conn);
+}
+
+static DpConn *
+conn_new_ (DpStack *stack, struct tcp_pcb *pcb, DpConnState state)
+{
+  DpConn *conn = g_new0 (DpConn, 1);
+
+  conn->stack = stack;
+  conn->pcb = pcb;
+  conn->state = state;
+  tcp_arg (pcb, conn);
+  tcp_recv (pcb, received_);
+  tcp_sent (pcb, sent_);
+  tcp_err (pcb, failed_);
+  /* The splice hands over what the other side sent at once, as one piece. */
+  tcp_nagle_disable (pcb);
+  return conn;
+}
+
+/* Copies received bytes into one block: many small segments would otherwise keep a buffer
+ * of some hundred bytes each. */
+static void
+append_ (DpConn *conn, const struct pbuf *p)
+{
+  gsize used = conn->end - conn->start;
+
+  if (conn->end + p->tot_len > conn->capacity && conn->start > 0)
+    {
+      memmove (conn->buffer, conn->buffer + conn->start, used);
+      conn->start = 0;
+      conn->end = used;
+    }
+  if (conn->end + p->tot_len > conn->capacity)
+    {
+      conn->capacity = MAX (conn->capacity * 2, READ_BUFFER_FIRST);
+      conn->capacity = MAX (conn->capacity, conn->end + p->tot_len);
+      conn->buffer = g_realloc (conn->buffer, conn->capacity);
+    }
+  pbuf_copy_partial (p, conn->buffer + conn->end, p->tot_len, 0);
+  conn->end += p->tot_len;
+}
+
+static void
+changed_ (DpConn *conn)
+{
+  if (conn->queued)
+    return;
+  conn->queued = TRUE;
+  g_ptr_array_add (conn->stack->changed, conn);
+}
+
+/* lwIP doesn't tell when a connection that was closed by both ends enters TIME_WAIT, and
+ * frees its pcb later without a word: the pcb must not be used from here on. */
+static void
+check_closing_ (DpStack *stack)
+{
+  for (guint i = stack->closing->len; i > 0; i--)
+    {
+      DpConn *conn = stack->closing->pdata[i - 1];
+
+      if (conn->pcb != NULL && conn->pcb->state != TIME_WAIT)
+        continue;
+      if (conn->pcb != NULL)
+        {
+          detach_ (conn);
+          conn->state = DP_CONN_CLOSED;
+          conn->acknowledged = conn->written;
+          changed_ (conn);
+        }
+      conn->closing = FALSE;
+      g_ptr_array_remove_index_fast (stack->closing, i - 1);
+    }
+}
+
+/* Leaves the pcb to lwIP. */
+static void
+detach_ (DpConn *conn)
+{
+  if (conn->pcb == NULL)
+    return;
+  tcp_arg (conn->pcb, NULL);
+  tcp_recv (conn->pcb, NULL);
+  tcp_sent (conn->pcb, NULL);
+  tcp_err (conn->pcb, NULL);
+  conn->pcb = NULL;
+}
+
+/* Calls the owners, now that lwIP is not in the middle of a segment. */
+static void
+dispatch_ (DpStack *stack)
+{
+  if (stack->dispatching)
+    return;
+  stack->dispatching = TRUE;
+  for (guint i = 0; i < stack->changed->len; i++)
+    {
+      DpConn *conn = stack->changed->pdata[i];
+
+      if (conn == NULL)
+        continue;
+      conn->queued = FALSE;
+      if (!conn->accepted)
+        {
+          conn->accepted = TRUE;
+          stack->listener->accepted (conn, stack->user_data);
+        }
+      else if (conn->notify != NULL)
+        conn->notify (conn, conn->user_data);
+    }
+  g_ptr_array_set_size (stack->changed, 0);
+  stack->dispatching = FALSE;
+}
+
+/* lwIP hands packets to 127.0.0.0/8 and to its netif's own address to a thread of its
+ * own, which doesn't exist here, and ends the process with an assertion. */
+static gboolean
+usable_peer_ (guint32 peer, guint32 own)
+{
+  return peer != own && peer != NETIF_ADDRESS && peer != 0
+         && peer >> 24 != IP_LOOPBACKNET;
+}
+
+static DpAddress
+address_of_ (const ip_addr_t *ip, guint16 port)
+{
+  DpAddress address = { .ip = lwip_ntohl (ip_addr_get_ip4_u32 (ip)), .port = port };
+
+  return address;
+}
+
+static void
+set_ip_ (ip_addr_t *to, guint32 ip)
+{
+  ip_addr_set_ip4_u32 (to, lwip_htonl (ip));
+}
+
+static gboolean
+failed_with_ (GError **error, const char *step, const DpAddress *peer, err_t err)
+{
+  char text[DP_ADDRESS_STRLEN];
+
+  dp_error_set (error, err == ERR_USE ? DP_ERROR_CONFLICT : DP_ERROR_LIMIT, step,
+                dp_address_format (peer, text), "lwIP error %d", err);
+  return FALSE;
+}
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_splice.c
@@ -0,0 +1,302 @@
+/* Guards against lost, doubled or misordered bytes, unbounded buffers, and ends of a
+ * connection that don't reach the other side. */
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "runner.h"
+#include "wire.h"
+
+#define TRANSFER (1024 * 1024)   /* bytes; many times the window */
+#define BOUND (12 * 1024 * 1024) /* over what the kernel buffers of four sockets hold */
+
+/* Byte i of a transfer; the period is no multiple of a segment's or chunk's length. */
+static guint8
+pattern (gsize i)
+{
+  return (guint8) (i % 251);
+}
+
+/* Sends as much as the socket takes; returns how much. */
+static gsize
+push (int fd, gsize from, gsize until)
+{
+  guint8 data[4096];
+  gsize sent = 0;
+
+  while (from + sent < until)
+    {
+      gsize length = MIN (sizeof data, until - from - sent);
+      ssize_t n;
+
+      for (gsize i = 0; i < length; i++)
+        data[i] = pattern (from + sent + i);
+      n = send (fd, data, length, MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (n <= 0)
+        break;
+      sent += (gsize) n;
+    }
+  return sent;
+}
+
+/* Reads and checks what is there; returns how much, and the last result of recv. */
+static gsize
+pull (int fd, gsize from, ssize_t *last)
+{
+  guint8 data[4096];
+  gsize received = 0;
+  ssize_t n;
+
+  while ((n = recv (fd, data, sizeof data, MSG_DONTWAIT)) > 0)
+    {
+      gsize wrong = 0;
+
+      for (gsize i = 0; i < (gsize) n; i++)
+        wrong += data[i] != pattern (from + received + i);
+      CU_ASSERT_EQUAL (wrong, 0);
+      received += (gsize) n;
+    }
+  if (last != NULL)
+    *last = n;
+  return received;
+}
+
+/* Transfers TRANSFER bytes both ways at the same time. */
+static void
+exchange (DpWire *wire)
+{
+  gsize up[2] = { 0 };
+  gsize down[2] = { 0 };
+
+  for (guint i = 0; i < 100000 && (up[1] < TRANSFER || down[1] < TRANSFER); i++)
+    {
+      gsize before = up[0] + up[1] + down[0] + down[1];
+
+      up[0] += push (wire->near_fd, up[0], TRANSFER);
+      down[0] += push (wire->far_fd, down[0], TRANSFER);
+      dp_wire_settle (wire);
+      up[1] += pull (wire->far_fd, up[1], NULL);
+      down[1] += pull (wire->near_fd, down[1], NULL);
+      if (up[0] + up[1] + down[0] + down[1] == before)
+        dp_wire_advance (wire, 50 * DP_US_PER_MS);
+    }
+  CU_ASSERT_EQUAL (up[1], TRANSFER);
+  CU_ASSERT_EQUAL (down[1], TRANSFER);
+}
+
+static void
+test_exchange (void)
+{
+  DpWire wire;
+
+  dp_wire_init (&wire);
+  dp_wire_open (&wire);
+  exchange (&wire);
+  CU_ASSERT_EQUAL (wire.responses, TRANSFER);
+  dp_wire_advance (&wire, DP_US_PER_S);
+  CU_ASSERT_EQUAL (wire.progress, TRANSFER);
+  dp_wire_finish (&wire);
+}
+
+static void
+test_loss (void)
+{
+  static const guint rates[] = { 5, 17, 101 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rates); i++)
+    {
+      DpWire wire;
+
+      dp_wire_init (&wire);
+      dp_wire_open (&wire);
+      wire.lose_each = rates[i];
+      wire.delay = DP_US_PER_MS;
+      exchange (&wire);
+      dp_wire_finish (&wire);
+    }
+}
+
+static void
+test_half_close (void)
+{
+  DpWire wire;
+  ssize_t last;
+
+  dp_wire_init (&wire);
+  dp_wire_open (&wire);
+  CU_ASSERT_EQUAL (push (wire.near_fd, 0, 1000), 1000);
+  shutdown (wire.near_fd, SHUT_WR);
+  dp_wire_settle (&wire);
+  CU_ASSERT_EQUAL (pull (wire.far_fd, 0, &last), 1000);
+  CU_ASSERT_EQUAL (last, 0);
+  CU_ASSERT_FALSE (wire.far_ended);
+
+  CU_ASSERT_EQUAL (push (wire.far_fd, 0, 5000), 5000);
+  dp_wire_settle (&wire);
+  CU_ASSERT_EQUAL (pull (wire.near_fd, 0, &last), 5000);
+  CU_ASSERT_TRUE (last < 0 && errno == EAGAIN);
+  shutdown (wire.far_fd, SHUT_WR);
+  dp_wire_advance (&wire, DP_US_PER_S);
+  pull (wire.near_fd, 0, &last);
+  CU_ASSERT_EQUAL (last, 0);
+  CU_ASSERT_TRUE (wire.far_ended && wire.far_end == DP_SPLICE_CLOSED);
+  CU_ASSERT_TRUE (wire.near_ended && wire.near_end == DP_SPLICE_CLOSED);
+  CU_ASSERT_EQUAL (wire.n_resets, 0);
+  dp_wire_finish (&wire);
+}
+
+static void
+reset_socket (int *fd)
+{
+  const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (*fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (*fd);
+  *fd = -1;
+}
+
+static void
+test_client_reset (void)
+{
+  DpWire wire;
+  ssize_t last;
+
+  dp_wire_init (&wire);
+  dp_wire_open (&wire);
+  push (wire.near_fd, 0, 100);
+  dp_wire_settle (&wire);
+  reset_socket (&wire.near_fd);
+  dp_wire_settle (&wire);
+  CU_ASSERT_TRUE (wire.far_ended && wire.far_end == DP_SPLICE_CONN_RESET);
+  pull (wire.far_fd, 0, &last);
+  CU_ASSERT_TRUE (last < 0 && errno == ECONNRESET);
+  dp_wire_finish (&wire);
+}
+
+static void
+test_server_reset (void)
+{
+  DpWire wire;
+  ssize_t last;
+
+  dp_wire_init (&wire);
+  dp_wire_open (&wire);
+  push (wire.far_fd, 0, 30000);
+  dp_wire_settle (&wire);
+  reset_socket (&wire.far_fd);
+  dp_wire_advance (&wire, DP_US_PER_S);
+  CU_ASSERT_TRUE (wire.far_ended && wire.far_end == DP_SPLICE_SOCKET_RESET);
+  CU_ASSERT_TRUE (wire.near_ended && wire.near_end == DP_SPLICE_CONN_RESET);
+  CU_ASSERT_EQUAL (pull (wire.near_fd, 0, &last), 30000);
+  CU_ASSERT_TRUE (last < 0 && errno == ECONNRESET);
+  dp_wire_finish (&wire);
+}
+
+/* A server that closes while its answer is still on its way to a distant client. With
+ * more, the client sends bytes that nobody reads any more. */
+static void
+close_early (gsize length, gsize more)
+{
+  DpWire wire;
+  gsize sent;
+  gsize received = 0;
+  ssize_t last = -1;
+
+  dp_wire_init (&wire);
+  wire.delay = 40 * DP_US_PER_MS;
+  dp_wire_open (&wire);
+  sent = push (wire.far_fd, 0, length);
+  close (wire.far_fd);
+  wire.far_fd = -1;
+  for (guint i = 0; i < 1000 && last != 0; i++)
+    {
+      dp_wire_advance (&wire, 50 * DP_US_PER_MS);
+      push (wire.near_fd, 0, more);
+      received += pull (wire.near_fd, received, &last);
+    }
+  CU_ASSERT_EQUAL (last, 0);
+  CU_ASSERT_EQUAL (received, sent);
+  dp_wire_finish (&wire);
+}
+
+static void
+test_early_close (void)
+{
+  close_early (TRANSFER, 0);
+  close_early (60000, 10);
+}
+
+static void
+test_flow_control (void)
+{
+  DpWire wire;
+  gsize sent = 0;
+  gsize received = 0;
+
+  dp_wire_init (&wire);
+  dp_wire_open (&wire);
+  for (guint i = 0; i < 2000; i++)
+    {
+      gsize n = push (wire.near_fd, sent, BOUND);
+
+      sent += n;
+      dp_wire_settle (&wire);
+      if (n == 0)
+        dp_wire_advance (&wire, 300 * DP_US_PER_MS);
+      if (n == 0 && i > 100)
+        break;
+    }
+  CU_ASSERT_TRUE (sent < BOUND);
+  for (guint i = 0; i < 20000 && received < sent; i++)
+    {
+      gsize n = pull (wire.far_fd, received, NULL);
+
+      received += n;
+      dp_wire_settle (&wire);
+      if (n == 0)
+        dp_wire_advance (&wire, 500 * DP_US_PER_MS);
+    }
+  CU_ASSERT_EQUAL (received, sent);
+  dp_wire_finish (&wire);
+}
+
+static void
+test_grant (void)
+{
+  DpWire wire;
+  ssize_t last;
+
+  dp_wire_init (&wire);
+  wire.refuse_requests = TRUE;
+  dp_wire_open (&wire);
+  push (wire.near_fd, 0, 200000);
+  shutdown (wire.near_fd, SHUT_WR);
+  dp_wire_advance (&wire, 2 * DP_US_PER_S);
+  CU_ASSERT_EQUAL (pull (wire.far_fd, 0, &last), 0);
+  CU_ASSERT_TRUE (last < 0 && errno == EAGAIN);
+  /* Answers still pass while a request waits. */
+  push (wire.far_fd, 0, 500);
+  dp_wire_settle (&wire);
+  CU_ASSERT_EQUAL (pull (wire.near_fd, 0, NULL), 500);
+
+  wire.refuse_requests = FALSE;
+  dp_splice_grant (wire.far);
+  dp_wire_advance (&wire, 2 * DP_US_PER_S);
+  CU_ASSERT_EQUAL (pull (wire.far_fd, 0, &last), 200000);
+  CU_ASSERT_EQUAL (last, 0);
+  dp_wire_finish (&wire);
+}
+
+static const DpTestCase cases_[] = {
+  { "bytes pass both ways unchanged", test_exchange },
+  { "bytes survive loss of packets", test_loss },
+  { "each direction ends on its own", test_half_close },
+  { "a client's reset reaches the server", test_client_reset },
+  { "a server's reset reaches the client after its bytes", test_server_reset },
+  { "an answer is whole though the server closed early", test_early_close },
+  { "a receiver that doesn't read stops the sender", test_flow_control },
+  { "requests wait in the window until they are granted", test_grant },
+};
+
+DP_TEST_MAIN ("splice", cases_)
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_stack.c
@@ -0,0 +1,244 @@
+/* Guards against sequence numbers that two companions share, resets or crashes provoked
+ * by stray packets, and late packets of a closed connection that get no answer. */
+#include <string.h>
+#include <unistd.h>
+
+#include "runner.h"
+#include "wire.h"
+
+typedef struct
+{
+  DpTestClock clock;
+  DpStack *stack;
+  guint n_packets;
+  DpSegment last;
+  DpConn *accepted;
+} Bench;
+
+/* 10.0.0.9:40000 to 10.77.0.1:80, sequence number 1000, window 65535. */
+static const guint8 syn_[] = {
+  0x45, 0,    0, 40, 0, 1, 0x40, 0,    64, 6, 0, 0, 10,   0, 0,    9,    10, 77, 0, 1,
+  0x9c, 0x40, 0, 80, 0, 0, 0x03, 0xe8, 0,  0, 0, 0, 0x50, 2, 0xff, 0xff, 0,  0,  0, 0,
+};
+
+static const DpAddress service_ = { .ip = 0x0a4d0001, .port = 80 };
+static const DpAddress client_ = { .ip = 0x0a000009, .port = 40000 };
+
+static void
+output (const guint8 *packet, gsize length, const DpSegment *segment, gpointer user_data)
+{
+  Bench *bench = user_data;
+
+  bench->n_packets++;
+  bench->last = *segment;
+}
+
+static void
+accepted (DpConn *conn, gpointer user_data)
+{
+  ((Bench *) user_data)->accepted = conn;
+}
+
+static const DpStackListener listener_ = { .output = output, .accepted = accepted };
+
+static void
+bench_init (Bench *bench)
+{
+  static const DpAddress any = { .ip = 0, .port = 80 };
+
+  memset (bench, 0, sizeof *bench);
+  dp_test_clock_init (&bench->clock, g_get_monotonic_time ());
+  bench->stack = dp_stack_new (&bench->clock.base, &listener_, bench);
+  CU_ASSERT_TRUE_FATAL (dp_stack_listen (bench->stack, &any, NULL));
+}
+
+static guint16
+checksum (const guint8 *data, gsize length, guint32 sum)
+{
+  for (gsize i = 0; i < length; i += 2)
+    sum += (guint32) (data[i] << 8 | data[i + 1]);
+  while (sum >> 16 != 0)
+    sum = (sum & 0xffff) + (sum >> 16);
+  return (guint16) ~sum;
+}
+
+static void
+put32 (guint8 *data, guint32 value)
+{
+  for (guint i = 0; i < 4; i++)
+    data[i] = (guint8) (value >> (24 - 8 * i));
+}
+
+/* Hands a segment without payload to the stack. */
+static void
+inject (Bench *bench, guint32 source, guint8 flags, guint32 seq, guint32 ack)
+{
+  guint8 packet[sizeof syn_];
+  DpSegment segment;
+  guint16 sum;
+
+  memcpy (packet, syn_, sizeof packet);
+  put32 (packet + 12, source);
+  put32 (packet + 24, seq);
+  put32 (packet + 28, ack);
+  packet[33] = flags;
+  sum = checksum (packet, 20, 0);
+  packet[10] = (guint8) (sum >> 8);
+  packet[11] = (guint8) sum;
+  sum = checksum (packet + 12, 28, 6 + 20);
+  packet[36] = (guint8) (sum >> 8);
+  packet[37] = (guint8) sum;
+  CU_ASSERT_TRUE_FATAL (dp_segment_parse (packet, sizeof packet, &segment, NULL));
+  dp_stack_input (bench->stack, packet, sizeof packet, &segment);
+}
+
+/* Completes a handshake; returns the stack's initial sequence number. */
+static guint32
+open_conn (Bench *bench)
+{
+  guint32 initial;
+
+  inject (bench, client_.ip, DP_TCP_SYN, 1000, 0);
+  CU_ASSERT_EQUAL (bench->last.flags, DP_TCP_SYN | DP_TCP_ACK);
+  CU_ASSERT_EQUAL (bench->last.ack, 1001);
+  initial = bench->last.seq;
+  inject (bench, client_.ip, DP_TCP_ACK, 1001, initial + 1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (bench->accepted);
+  return initial;
+}
+
+static void
+test_sequence (void)
+{
+  guint32 numbers[8];
+
+  for (guint i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      Bench bench;
+      DpAddress address;
+
+      bench_init (&bench);
+      numbers[i] = open_conn (&bench);
+      address = dp_conn_local (bench.accepted);
+      CU_ASSERT_TRUE (dp_address_equal (&address, &service_));
+      address = dp_conn_remote (bench.accepted);
+      CU_ASSERT_TRUE (dp_address_equal (&address, &client_));
+      CU_ASSERT_EQUAL (dp_conn_state (bench.accepted), DP_CONN_OPEN);
+      dp_conn_abort (bench.accepted);
+      CU_ASSERT_EQUAL (bench.last.flags & DP_TCP_RST, DP_TCP_RST);
+      CU_ASSERT_EQUAL (bench.last.seq, numbers[i] + 1);
+      dp_stack_free (bench.stack);
+    }
+  /* lwIP alone counts up from the same number in each process. */
+  for (guint i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      for (guint j = i + 1; j < G_N_ELEMENTS (numbers); j++)
+        CU_ASSERT_TRUE (MIN (numbers[i] - numbers[j], numbers[j] - numbers[i]) > 1000);
+    }
+}
+
+static void
+test_stray (void)
+{
+  static const guint32 sources[] = { 0x0a4d0001, 0x7f000001, 0xf0000001, 0 };
+  Bench bench;
+
+  bench_init (&bench);
+  for (guint i = 0; i < G_N_ELEMENTS (sources); i++)
+    inject (&bench, sources[i], DP_TCP_SYN, 1000, 0);
+  CU_ASSERT_EQUAL (bench.n_packets, 0);
+  open_conn (&bench);
+  dp_conn_abort (bench.accepted);
+  dp_stack_free (bench.stack);
+}
+
+static void
+test_forget (void)
+{
+  Bench bench;
+
+  bench_init (&bench);
+  inject (&bench, client_.ip, DP_TCP_SYN, 1000, 0);
+  CU_ASSERT_EQUAL (bench.n_packets, 1);
+  CU_ASSERT_TRUE (dp_stack_forget (bench.stack, &service_, &client_));
+  CU_ASSERT_FALSE (dp_stack_forget (bench.stack, &service_, &client_));
+  for (guint i = 0; i < 100; i++)
+    {
+      dp_test_clock_advance (&bench.clock, DP_US_PER_S);
+      dp_stack_run_timers (bench.stack);
+    }
+  CU_ASSERT_EQUAL (bench.n_packets, 1);
+  dp_stack_free (bench.stack);
+}
+
+static void
+test_late_packet (void)
+{
+  Bench bench;
+  guint32 initial;
+  guint before;
+
+  bench_init (&bench);
+  initial = open_conn (&bench);
+  dp_conn_shutdown (bench.accepted);
+  CU_ASSERT_EQUAL (bench.last.flags & DP_TCP_FIN, DP_TCP_FIN);
+  inject (&bench, client_.ip, DP_TCP_FIN | DP_TCP_ACK, 1001, initial + 1);
+  CU_ASSERT_EQUAL (dp_conn_state (bench.accepted), DP_CONN_OPEN);
+  inject (&bench, client_.ip, DP_TCP_ACK, 1002, initial + 2);
+  CU_ASSERT_EQUAL (dp_conn_state (bench.accepted), DP_CONN_CLOSED);
+  dp_conn_free (bench.accepted);
+
+  before = bench.n_packets;
+  inject (&bench, client_.ip, DP_TCP_FIN | DP_TCP_ACK, 1001, initial + 2);
+  CU_ASSERT_EQUAL (bench.n_packets, before + 1);
+  CU_ASSERT_EQUAL (bench.last.flags, DP_TCP_ACK);
+  CU_ASSERT_EQUAL (bench.last.seq, initial + 2);
+  CU_ASSERT_EQUAL (bench.last.ack, 1002);
+  dp_stack_free (bench.stack);
+}
+
+static void
+test_connect (void)
+{
+  static const DpAddress loopback = { .ip = 0x7f000001, .port = 80 };
+  DpWire wire;
+  DpConn *conn;
+  DpAddress local;
+  g_autoptr (GError) error = NULL;
+
+  dp_wire_init (&wire);
+  conn = dp_stack_connect (wire.stack, &client_, &service_, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (conn);
+  local = dp_conn_local (conn);
+  CU_ASSERT_TRUE (dp_address_equal (&local, &client_));
+  CU_ASSERT_PTR_NULL (dp_stack_connect (wire.stack, &client_, &service_, &error));
+  CU_ASSERT_PTR_NOT_NULL (error);
+  CU_ASSERT_PTR_NULL (dp_stack_connect (wire.stack, &client_, &loopback, NULL));
+  CU_ASSERT_PTR_NULL (dp_stack_connect (wire.stack, &loopback, &service_, NULL));
+  dp_wire_settle (&wire);
+  CU_ASSERT_EQUAL (dp_conn_state (conn), DP_CONN_OPEN);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (wire.accepted);
+  dp_conn_abort (conn);
+  dp_wire_settle (&wire);
+  CU_ASSERT_EQUAL (dp_conn_state (wire.accepted), DP_CONN_RESET);
+  dp_conn_free (wire.accepted);
+
+  /* A service address that no longer listens answers with a reset. */
+  dp_stack_unlisten (wire.stack, &service_);
+  conn = dp_stack_connect (wire.stack, &client_, &service_, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (conn);
+  dp_wire_settle (&wire);
+  CU_ASSERT_EQUAL (dp_conn_state (conn), DP_CONN_RESET);
+  dp_conn_free (conn);
+  dp_wire_finish (&wire);
+}
+
+static const DpTestCase cases_[] = {
+  { "each stack has its own sequence numbers", test_sequence },
+  { "packets that lwIP would loop back are dropped", test_stray },
+  { "a half-open connection is forgotten silently", test_forget },
+  { "a late packet of a closed connection is answered", test_late_packet },
+  { "connections are opened from a chosen address", test_connect },
+};
+
+DP_TEST_MAIN ("stack", cases_)
