--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/json.h
@@ -0,0 +1,16 @@
+/* JSON text from outside: parsed with a bound on its nesting, printed compactly. */
+#pragma once
+
+#include <json-glib/json-glib.h>
+
+#define DP_JSON_DEPTH_MAX 32
+
+JsonNode *dp_json_parse (const char *text, gsize length, GError **error);
+char *dp_json_format (JsonNode *node);
+
+/* Members of an object; FALSE or NULL if the member is missing or of another type. */
+const char *dp_json_get_string (JsonObject *object, const char *key);
+gboolean dp_json_get_uint (JsonObject *object, const char *key, guint64 *value);
+gboolean dp_json_get_boolean (JsonObject *object, const char *key, gboolean fallback);
+JsonArray *dp_json_get_array (JsonObject *object, const char *key);
+JsonObject *dp_json_get_object (JsonNode *node);
--- a/src/libdogwoodpaddle/include/protected/platform.h
+++ b/src/libdogwoodpaddle/include/protected/platform.h
@@ -17,13 +17,14 @@
 } DpWriteResult;
 
 /* record: the object as the platform now holds it, NULL if it does not exist or is
- * unknown. */
+ * unknown; after an answered delete the tombstone. Valid during the call. */
 typedef void (*DpPlatformWriteFunc) (DpWriteResult result,
                                      DpRecord *record,
                                      const GError *error,
                                      gpointer user_data);
-/* records: DpRecord; revision: everything up to it is contained. error: set on failure.
- */
+/* records: DpRecord, valid during the call; revision: everything up to it is contained
+ * (for one object: its version). error: set on failure; DP_ERROR_LIMIT from a watch: the
+ * history since then is gone and the objects are to be listed again. */
 typedef void (*DpPlatformReadFunc) (GPtrArray *records,
                                     guint64 revision,
                                     const GError *error,
@@ -47,7 +48,8 @@
                         DpPlatformReadFunc done,
                         gpointer user_data);
 /* Conditional on the object's version; 0: must not exist. value NULL: delete. A lost
- * answer is read back once; DP_WRITE_UNKNOWN only if that fails too. */
+ * answer is read back; the write is repeated on the same version only if the object is
+ * unchanged. DP_WRITE_UNKNOWN only if reading back fails too. */
 void dp_platform_write (DpPlatform *platform,
                         DpKind kind,
                         const char *name,
@@ -57,4 +59,8 @@
                         gpointer user_data);
 guint64 dp_platform_calls (const DpPlatform *platform);
 
+/* Only for tests that must fail: repeats a write without an answer on whatever version
+ * the object has by then. */
+void dp_platform_set_test_blind_repeat (DpPlatform *platform, gboolean blind);
+
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpPlatform, dp_platform_free)
--- a/src/libdogwoodpaddle/include/protected/replica.h
+++ b/src/libdogwoodpaddle/include/protected/replica.h
@@ -4,6 +4,9 @@
 #include <glib.h>
 #include <json-glib/json-glib.h>
 
+#define DP_RECORD_NAME_MAX 255            /* bytes */
+#define DP_RECORD_VALUE_MAX (1024 * 1024) /* bytes of JSON text */
+
 typedef enum
 {
   DP_KIND_FLEET,     /* fleet/defaults */
@@ -51,17 +54,24 @@
 
 /* Returns whether the record was newer than the one held. */
 gboolean dp_replica_apply (DpReplica *replica, DpRecord *record);
+/* Takes a complete list at a revision: what it lacks was deleted up to that revision. */
+void dp_replica_apply_list (DpReplica *replica, GPtrArray *records, guint64 revision);
 /* All records up to the revision have been applied. Never moves back. */
 void dp_replica_set_revision (DpReplica *replica, guint64 revision);
 guint64 dp_replica_revision (const DpReplica *replica);
 
+/* NULL if the object does not exist or was deleted. */
 const DpRecord *dp_replica_get (const DpReplica *replica, DpKind kind, const char *name);
+/* The objects of a kind that exist, in order of name; array of DpRecord. */
 GPtrArray *dp_replica_list (const DpReplica *replica, DpKind kind);
-/* Records with a revision above since that a subscriber for the service wants ("": all).
- */
+/* Records with a revision above since that a subscriber for the service wants ("": all),
+ * in order of revision; array of DpRecord. */
 GPtrArray *
 dp_replica_since (const DpReplica *replica, guint64 since, const char *service);
 gboolean dp_record_wanted (const DpRecord *record, const char *service);
 
+/* Only for tests that must fail: takes records over regardless of their revision. */
+void dp_replica_set_test_any_revision (DpReplica *replica, gboolean any_revision);
+
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpRecord, dp_record_unref)
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpReplica, dp_replica_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/platform.c
@@ -0,0 +1,682 @@
+#include "protected/platform.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#include "protected/backoff.h"
+#include "protected/error.h"
+#include "protected/json.h"
+
+#define DEFAULT_TIMEOUT_MS 5000
+#define MAX_ATTEMPTS 4 /* of one read or write */
+#define RETRY_FIRST_MS 100
+#define RETRY_MAX_MS 2000
+#define MAX_CONNECTIONS 8
+#define READ_STEP "platform read"
+#define WRITE_STEP "platform write"
+#define STATUS_TOO_MANY_REQUESTS 429
+
+typedef enum
+{
+  REQUEST_LIST,
+  REQUEST_GET,
+  REQUEST_WATCH,
+  REQUEST_WRITE,
+  N_REQUEST_TYPES
+} RequestType;
+
+struct _DpPlatform
+{
+  char *base_url;
+  SoupSession *session;
+  GPtrArray *requests; /* Request, in progress */
+  guint timeout_ms;
+  guint64 calls;
+  gboolean blind_repeat; /* deliberately wrong variant for tests */
+};
+
+typedef struct
+{
+  DpPlatform *platform; /* NULL once the client is freed or the caller was told */
+  RequestType type;
+  DpKind kind;
+  char *name;
+  char *url;
+  guint64 version;       /* of the object before the write; watch: since */
+  JsonNode *value;       /* NULL: delete */
+  gboolean reading_back; /* of a write: the present call reads the object */
+  gboolean unanswered;   /* of a write: some attempt may have taken effect */
+  guint attempts;
+  guint wait_ms; /* that the platform may hold the call open */
+  DpBackoff backoff;
+  DpPlatformReadFunc read_done;
+  DpPlatformWriteFunc write_done;
+  gpointer user_data;
+  /* Present call. */
+  SoupMessage *message;
+  GCancellable *cancellable;
+  guint timer;   /* bounds the call, or delays the next attempt */
+  gboolean sent; /* a call is in progress */
+} Request;
+
+static const char *const write_result_strings_[] = {
+  "done",
+  "conflict",
+  "unknown",
+  "refused",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (write_result_strings_) == DP_N_WRITE_RESULTS);
+
+static Request *request_new_ (DpPlatform *platform, RequestType type);
+static void request_free_ (Request *request);
+static void request_end_ (Request *request);
+static char *object_url_ (DpPlatform *platform, DpKind kind, const char *name);
+static void send_ (Request *request);
+static SoupMessage *make_message_ (Request *request);
+static gboolean timed_out_ (gpointer user_data);
+static gboolean retry_now_ (gpointer user_data);
+static gboolean retry_ (Request *request);
+static void answered_ (GObject *source, GAsyncResult *result, gpointer user_data);
+static void read_answered_ (Request *request, guint status, GBytes *body, GError *cause);
+static void write_answered_ (Request *request, guint status, GBytes *body);
+static void read_back_answered_ (Request *request, guint status, GBytes *body);
+static void read_back_ (Request *request);
+static void repeat_blindly_ (Request *request, guint64 version);
+static gboolean is_intended_ (const Request *request, const DpRecord *record);
+static void finish_read_ (Request *request,
+                          GPtrArray *records,
+                          guint64 revision,
+                          const GError *error);
+static void finish_write_ (Request *request,
+                           DpWriteResult result,
+                           DpRecord *record,
+                           const char *reason);
+static JsonNode *parse_body_ (GBytes *body, GError **error);
+static DpRecord *parse_record_ (JsonNode *node, GError **error);
+static DpRecord *parse_object_ (GBytes *body, GError **error);
+static gboolean
+parse_items_ (GBytes *body, GPtrArray *records, guint64 *revision, GError **error);
+
+/* Creates a client for the object API below the URL, as http://127.0.0.1:7100. */
+DpPlatform *
+dp_platform_new (const char *base_url)
+{
+  DpPlatform *platform = g_new0 (DpPlatform, 1);
+
+  platform->base_url = g_strdup (base_url);
+  platform->session = soup_session_new_with_options (
+      "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS, "user-agent",
+      "dogwoodpaddle/" DP_VERSION, NULL);
+  soup_session_set_proxy_resolver (platform->session, NULL);
+  platform->requests = g_ptr_array_new ();
+  platform->timeout_ms = DEFAULT_TIMEOUT_MS;
+  return platform;
+}
+
+/* Frees the client. Requests in progress are abandoned and their callbacks not called; a
+ * write among them may still take effect. */
+void
+dp_platform_free (DpPlatform *platform)
+{
+  if (platform == NULL)
+    return;
+  while (platform->requests->len > 0)
+    request_end_ (g_ptr_array_index (platform->requests, 0));
+  g_ptr_array_unref (platform->requests);
+  soup_session_abort (platform->session);
+  g_object_unref (platform->session);
+  g_free (platform->base_url);
+  g_free (platform);
+}
+
+/* Sets the time after which a call counts as unanswered; a watch adds its own time. */
+void
+dp_platform_set_timeout (DpPlatform *platform, guint timeout_ms)
+{
+  g_assert (timeout_ms > 0);
+  platform->timeout_ms = timeout_ms;
+}
+
+/* Returns a short name of the result. */
+const char *
+dp_write_result_string (DpWriteResult result)
+{
+  g_assert (result < DP_N_WRITE_RESULTS);
+  return write_result_strings_[result];
+}
+
+/* Reads all objects. Tried again a bounded number of times before an error is given. */
+void
+dp_platform_list (DpPlatform *platform, DpPlatformReadFunc done, gpointer user_data)
+{
+  Request *request = request_new_ (platform, REQUEST_LIST);
+
+  request->url = g_strdup_printf ("%s/v1/objects", platform->base_url);
+  request->read_done = done;
+  request->user_data = user_data;
+  send_ (request);
+}
+
+/* Reads one object; no record if it does not exist. Tried again as a list is. */
+void
+dp_platform_get (DpPlatform *platform,
+                 DpKind kind,
+                 const char *name,
+                 DpPlatformReadFunc done,
+                 gpointer user_data)
+{
+  Request *request = request_new_ (platform, REQUEST_GET);
+
+  request->url = object_url_ (platform, kind, name);
+  request->read_done = done;
+  request->user_data = user_data;
+  send_ (request);
+}
+
+/* Waits for records above a revision; answered without any after timeout_ms. Not tried
+ * again on failure. */
+void
+dp_platform_watch (DpPlatform *platform,
+                   guint64 since,
+                   guint timeout_ms,
+                   DpPlatformReadFunc done,
+                   gpointer user_data)
+{
+  Request *request = request_new_ (platform, REQUEST_WATCH);
+
+  request->url = g_strdup_printf ("%s/v1/watch?since=%" G_GUINT64_FORMAT "&timeout_ms=%u",
+                                  platform->base_url, since, timeout_ms);
+  request->version = since;
+  request->wait_ms = timeout_ms;
+  request->read_done = done;
+  request->user_data = user_data;
+  send_ (request);
+}
+
+/* Writes the value, or deletes the object if it is NULL, on condition that the object is
+ * still at the version (0: does not exist). A rate limit and an unchanged object after a
+ * lost answer are tried again a bounded number of times. */
+void
+dp_platform_write (DpPlatform *platform,
+                   DpKind kind,
+                   const char *name,
+                   guint64 version,
+                   JsonNode *value,
+                   DpPlatformWriteFunc done,
+                   gpointer user_data)
+{
+  Request *request = request_new_ (platform, REQUEST_WRITE);
+
+  request->kind = kind;
+  request->name = g_strdup (name);
+  request->url = object_url_ (platform, kind, name);
+  request->version = version;
+  request->value = value == NULL ? NULL : json_node_copy (value);
+  request->write_done = done;
+  request->user_data = user_data;
+  send_ (request);
+}
+
+/* Returns the number of HTTP calls made since the start. */
+guint64
+dp_platform_calls (const DpPlatform *platform)
+{
+  return platform->calls;
+}
+
+/* Makes a lost answer be followed by the same write on any version. Only for tests that
+ * check that they notice it. */
+void
+dp_platform_set_test_blind_repeat (DpPlatform *platform, gboolean blind)
+{
+  platform->blind_repeat = blind;
+}
+
+static Request *
+request_new_ (DpPlatform *platform, RequestType type)
+{
+  Request *request = g_new0 (Request, 1);
+
+  request->platform = platform;
+  request->type = type;
+  dp_backoff_init (&request->backoff, RETRY_FIRST_MS, RETRY_MAX_MS);
+  g_ptr_array_add (platform->requests, request);
+  return request;
+}
+
+static void
+request_free_ (Request *request)
+{
+  g_clear_object (&request->message);
+  g_clear_object (&request->cancellable);
+  g_clear_pointer (&request->value, json_node_unref);
+  g_free (request->name);
+  g_free (request->url);
+  g_free (request);
+}
+
+/* Detaches the request from its client; a call in progress frees it when it returns. */
+static void
+request_end_ (Request *request)
+{
+  g_assert (request->platform != NULL);
+  g_ptr_array_remove_fast (request->platform->requests, request);
+  request->platform = NULL;
+  g_clear_handle_id (&request->timer, g_source_remove);
+  if (request->sent)
+    g_cancellable_cancel (request->cancellable);
+  else
+    request_free_ (request);
+}
+
+static char *
+object_url_ (DpPlatform *platform, DpKind kind, const char *name)
+{
+  g_autofree char *escaped = g_uri_escape_string (name, NULL, FALSE);
+
+  return g_strdup_printf ("%s/v1/objects/%s/%s", platform->base_url,
+                          dp_kind_string (kind), escaped);
+}
+
+static void
+send_ (Request *request)
+{
+  request->attempts++;
+  request->platform->calls++;
+  g_clear_object (&request->message);
+  g_clear_object (&request->cancellable);
+  request->message = make_message_ (request);
+  if (request->message == NULL)
+    {
+      /* The settings check the URL; a program that doesn't gets the failure late. */
+      request->timer = g_timeout_add (0, timed_out_, request);
+      return;
+    }
+  request->cancellable = g_cancellable_new ();
+  request->sent = TRUE;
+  request->timer = g_timeout_add (request->platform->timeout_ms + request->wait_ms,
+                                  timed_out_, request);
+  soup_session_send_and_read_async (request->platform->session, request->message,
+                                    G_PRIORITY_DEFAULT, request->cancellable, answered_,
+                                    request);
+}
+
+static SoupMessage *
+make_message_ (Request *request)
+{
+  gboolean writes = request->type == REQUEST_WRITE && !request->reading_back;
+  const char *method = SOUP_METHOD_GET;
+  SoupMessage *message;
+  char condition[32];
+
+  if (writes)
+    method = request->value == NULL ? SOUP_METHOD_DELETE : SOUP_METHOD_PUT;
+  message = soup_message_new (method, request->url);
+  if (message == NULL)
+    return NULL;
+  /* libsoup itself repeats a request whose kept-alive connection was closed; a write must
+   * not be repeated unseen, so it gets a connection of its own. */
+  if (writes)
+    soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION
+                                         | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE);
+  soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
+  if (writes)
+    {
+      g_snprintf (condition, sizeof condition, "\"%" G_GUINT64_FORMAT "\"",
+                  request->version);
+      soup_message_headers_replace (soup_message_get_request_headers (message),
+                                    "If-Match", condition);
+    }
+  if (writes && request->value != NULL)
+    {
+      char *text = dp_json_format (request->value);
+      g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
+
+      soup_message_set_request_body_from_bytes (message, "application/json", body);
+    }
+  return message;
+}
+
+static gboolean
+timed_out_ (gpointer user_data)
+{
+  Request *request = user_data;
+
+  request->timer = 0;
+  if (request->sent)
+    {
+      g_cancellable_cancel (request->cancellable);
+      return G_SOURCE_REMOVE;
+    }
+  if (request->type == REQUEST_WRITE)
+    {
+      finish_write_ (request, DP_WRITE_REFUSED, NULL, "the URL is malformed");
+      return G_SOURCE_REMOVE;
+    }
+  read_answered_ (request, 0, NULL, NULL);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+retry_now_ (gpointer user_data)
+{
+  Request *request = user_data;
+
+  request->timer = 0;
+  send_ (request);
+  return G_SOURCE_REMOVE;
+}
+
+/* Plans another attempt after a growing delay; FALSE once there were MAX_ATTEMPTS. */
+static gboolean
+retry_ (Request *request)
+{
+  if (request->attempts >= MAX_ATTEMPTS)
+    return FALSE;
+  request->timer = g_timeout_add (dp_backoff_next (&request->backoff), retry_now_,
+                                  request);
+  return TRUE;
+}
+
+static void
+answered_ (GObject *source, GAsyncResult *result, gpointer user_data)
+{
+  Request *request = user_data;
+  g_autoptr (GError) cause = NULL;
+  g_autoptr (GBytes)
+      body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, &cause);
+  guint status = body == NULL ? 0 : soup_message_get_status (request->message);
+
+  request->sent = FALSE;
+  if (request->platform == NULL)
+    {
+      request_free_ (request);
+      return;
+    }
+  g_clear_handle_id (&request->timer, g_source_remove);
+  if (request->type != REQUEST_WRITE)
+    read_answered_ (request, status, body, cause);
+  else if (request->reading_back)
+    read_back_answered_ (request, status, body);
+  else
+    write_answered_ (request, status, body);
+}
+
+static void
+read_answered_ (Request *request, guint status, GBytes *body, GError *cause)
+{
+  g_autoptr (GPtrArray)
+      records = g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
+  g_autoptr (GError) error = NULL;
+  guint64 revision = 0;
+
+  if (request->type == REQUEST_GET && status == SOUP_STATUS_OK)
+    {
+      DpRecord *record = parse_object_ (body, &error);
+
+      if (record != NULL)
+        {
+          revision = record->revision;
+          g_ptr_array_add (records, record);
+        }
+    }
+  else if (status == SOUP_STATUS_OK)
+    parse_items_ (body, records, &revision, &error);
+  else if (request->type == REQUEST_WATCH && status == SOUP_STATUS_GONE)
+    dp_error_set (&error, DP_ERROR_LIMIT, READ_STEP, request->platform->base_url,
+                  "the history since revision %" G_GUINT64_FORMAT " is gone",
+                  request->version);
+  else if (request->type != REQUEST_GET || status != SOUP_STATUS_NOT_FOUND)
+    {
+      if (request->type != REQUEST_WATCH && retry_ (request))
+        return;
+      if (status != 0)
+        dp_error_set (&error, DP_ERROR_UNAVAILABLE, READ_STEP,
+                      request->platform->base_url, "HTTP status %u", status);
+      else
+        dp_error_set (&error, DP_ERROR_UNAVAILABLE, READ_STEP,
+                      request->platform->base_url, "%s",
+                      cause == NULL ? "no answer" : cause->message);
+    }
+  finish_read_ (request, records, revision, error);
+}
+
+static void
+write_answered_ (Request *request, guint status, GBytes *body)
+{
+  g_autoptr (DpRecord) record = NULL;
+  g_autoptr (JsonNode) answer = NULL;
+  g_autofree char *text = NULL;
+  guint64 version;
+
+  switch (status)
+    {
+    case SOUP_STATUS_OK:
+    case SOUP_STATUS_CREATED:
+      answer = parse_body_ (body, NULL);
+      if (!dp_json_get_uint (dp_json_get_object (answer), "version", &version))
+        break;
+      text = request->value == NULL ? g_strdup ("") : dp_json_format (request->value);
+      record = dp_record_new (request->kind, request->name, version,
+                              request->value == NULL, text, NULL);
+      finish_write_ (request, DP_WRITE_DONE, record, NULL);
+      return;
+    case SOUP_STATUS_PRECONDITION_FAILED:
+      record = parse_object_ (body, NULL);
+      /* An earlier attempt without an answer may be the one that was first. */
+      if (request->unanswered && is_intended_ (request, record))
+        finish_write_ (request, DP_WRITE_DONE, record, NULL);
+      else
+        finish_write_ (request, DP_WRITE_CONFLICT, record,
+                       "the object is at another version");
+      return;
+    case STATUS_TOO_MANY_REQUESTS:
+      if (!retry_ (request))
+        finish_write_ (request, request->unanswered ? DP_WRITE_UNKNOWN : DP_WRITE_REFUSED,
+                       NULL, "the platform's rate limit was reached");
+      return;
+    default:
+      break;
+    }
+  if (status >= 400 && status < 500)
+    {
+      finish_write_ (request, DP_WRITE_REFUSED, NULL, soup_status_get_phrase (status));
+      return;
+    }
+  request->unanswered = TRUE;
+  read_back_ (request);
+}
+
+static void
+read_back_answered_ (Request *request, guint status, GBytes *body)
+{
+  g_autoptr (DpRecord) record = NULL;
+  g_autoptr (GError) error = NULL;
+  guint64 version;
+
+  if (status != SOUP_STATUS_OK && status != SOUP_STATUS_NOT_FOUND)
+    {
+      if (!retry_ (request))
+        finish_write_ (request, DP_WRITE_UNKNOWN, NULL, "no answer");
+      return;
+    }
+  if (status == SOUP_STATUS_OK)
+    {
+      record = parse_object_ (body, &error);
+      if (error != NULL)
+        {
+          finish_write_ (request, DP_WRITE_UNKNOWN, NULL, error->message);
+          return;
+        }
+    }
+  version = record == NULL ? 0 : record->revision;
+  request->reading_back = FALSE;
+  if (request->platform->blind_repeat)
+    repeat_blindly_ (request, version);
+  else if (version == request->version)
+    {
+      if (!retry_ (request))
+        finish_write_ (request, DP_WRITE_UNKNOWN, record, "no answer");
+    }
+  else if (is_intended_ (request, record))
+    finish_write_ (request, DP_WRITE_DONE, record, NULL);
+  else
+    finish_write_ (request, DP_WRITE_CONFLICT, record,
+                   "the object is at another version");
+}
+
+/* Finds out by a read whether the write took effect. */
+static void
+read_back_ (Request *request)
+{
+  request->reading_back = TRUE;
+  request->attempts = 0;
+  if (!retry_ (request))
+    g_assert_not_reached ();
+}
+
+static void
+repeat_blindly_ (Request *request, guint64 version)
+{
+  request->version = version;
+  send_ (request);
+}
+
+/* Returns whether the platform's object is what the write wanted to leave behind. */
+static gboolean
+is_intended_ (const Request *request, const DpRecord *record)
+{
+  if (record == NULL)
+    return request->value == NULL;
+  return request->value != NULL && record->value != NULL
+         && json_node_equal (request->value, record->value);
+}
+
+static void
+finish_read_ (Request *request, GPtrArray *records, guint64 revision, const GError *error)
+{
+  DpPlatformReadFunc done = request->read_done;
+  gpointer user_data = request->user_data;
+
+  request_end_ (request);
+  done (records, revision, error, user_data);
+}
+
+static void
+finish_write_ (Request *request,
+               DpWriteResult result,
+               DpRecord *record,
+               const char *reason)
+{
+  static const DpErrorCode codes[] = {
+    DP_ERROR_INVALID,
+    DP_ERROR_CONFLICT,
+    DP_ERROR_UNKNOWN,
+    DP_ERROR_UNAVAILABLE,
+  };
+  DpPlatformWriteFunc done = request->write_done;
+  gpointer user_data = request->user_data;
+  g_autoptr (GError) error = NULL;
+
+  G_STATIC_ASSERT (G_N_ELEMENTS (codes) == DP_N_WRITE_RESULTS);
+  if (result != DP_WRITE_DONE)
+    dp_error_set (&error, codes[result], WRITE_STEP, request->platform->base_url,
+                  "%s/%s: %s", dp_kind_string (request->kind), request->name, reason);
+  request_end_ (request);
+  done (result, record, error, user_data);
+}
+
+static JsonNode *
+parse_body_ (GBytes *body, GError **error)
+{
+  gsize length;
+  const char *text = g_bytes_get_data (body, &length);
+
+  if (text == NULL)
+    {
+      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL, "the answer is empty");
+      return NULL;
+    }
+  return dp_json_parse (text, length, error);
+}
+
+/* Parses {"kind","name","version","value"} or a tombstone; DP_ERROR_INVALID otherwise. */
+static DpRecord *
+parse_record_ (JsonNode *node, GError **error)
+{
+  JsonObject *object = dp_json_get_object (node);
+  const char *name = dp_json_get_string (object, "name");
+  gboolean deleted = dp_json_get_boolean (object, "deleted", FALSE);
+  g_autofree char *text = NULL;
+  g_autoptr (GError) fault = NULL;
+  DpRecord *record;
+  JsonNode *value;
+  guint64 version;
+  DpKind kind;
+
+  if (name == NULL || !dp_kind_parse (dp_json_get_string (object, "kind"), &kind)
+      || !dp_json_get_uint (object, "version", &version))
+    {
+      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL,
+                    "an object lacks a known kind, a name or a version");
+      return NULL;
+    }
+  value = json_object_get_member (object, "value");
+  if (value == NULL && !deleted)
+    {
+      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, name, "the object has no value");
+      return NULL;
+    }
+  text = deleted ? g_strdup ("") : dp_json_format (value);
+  record = dp_record_new (kind, name, version, deleted, text, &fault);
+  if (record != NULL)
+    return record;
+  /* The object exists: without a record a list would say that it was deleted. */
+  g_warning ("value of %s/%s replaced by null: %s", dp_kind_string (kind), name,
+             fault->message);
+  return dp_record_new (kind, name, version, FALSE, "null", error);
+}
+
+/* Returns the answer's object; NULL without an error if it does not exist. */
+static DpRecord *
+parse_object_ (GBytes *body, GError **error)
+{
+  g_autoptr (JsonNode) node = parse_body_ (body, error);
+  DpRecord *record = node == NULL ? NULL : parse_record_ (node, error);
+
+  if (record != NULL && record->deleted)
+    g_clear_pointer (&record, dp_record_unref);
+  return record;
+}
+
+/* Parses {"revision","items"}. Items of an unknown kind or without a proper name are
+ * skipped with a warning: one bad object must not keep the others from being distributed.
+ */
+static gboolean
+parse_items_ (GBytes *body, GPtrArray *records, guint64 *revision, GError **error)
+{
+  g_autoptr (JsonNode) node = parse_body_ (body, error);
+  JsonObject *object = dp_json_get_object (node);
+  JsonArray *items = dp_json_get_array (object, "items");
+
+  if (node == NULL)
+    return FALSE;
+  if (items == NULL || !dp_json_get_uint (object, "revision", revision))
+    {
+      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL,
+                    "the answer lacks revision or items");
+      return FALSE;
+    }
+  for (guint i = 0; i < json_array_get_length (items); i++)
+    {
+      g_autoptr (GError) fault = NULL;
+      DpRecord *record = parse_record_ (json_array_get_element (items, i), &fault);
+
+      if (record != NULL)
+        g_ptr_array_add (records, record);
+      else
+        g_warning ("object skipped: %s", fault->message);
+    }
+  return TRUE;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/replica.c
@@ -0,0 +1,428 @@
+#include "protected/replica.h"
+
+#include <string.h>
+
+#include "protected/error.h"
+#include "protected/json.h"
+
+typedef struct
+{
+  guint id;
+  DpReplicaFunc changed;
+  gpointer user_data;
+} Listener;
+
+struct _DpReplica
+{
+  GHashTable *by_name[DP_N_KINDS]; /* name to GSequenceIter */
+  GSequence *by_revision;          /* DpRecord, tombstones included */
+  guint64 revision;
+  GArray *listeners; /* Listener */
+  guint last_listener;
+  gboolean any_revision; /* deliberately wrong variant for tests */
+};
+
+static const char *const kind_strings_[] = {
+  "fleet", "service", "exception", "members", "balancer",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (kind_strings_) == DP_N_KINDS);
+
+static gboolean name_is_valid_ (const char *name);
+static void unref_record_ (gpointer data);
+static gint compare_revisions_ (gconstpointer a, gconstpointer b, gpointer user_data);
+static gint compare_names_ (gconstpointer a, gconstpointer b);
+static const DpRecord *held_ (const DpReplica *replica, DpKind kind, const char *name);
+static void notify_ (DpReplica *replica, const DpRecord *record);
+static void delete_absent_ (DpReplica *replica, GPtrArray *records, guint64 revision);
+static DpRecord *project_ (DpRecord *record, const char *service);
+
+/* Returns the kind as in the platform's keys. */
+const char *
+dp_kind_string (DpKind kind)
+{
+  g_assert (kind < DP_N_KINDS);
+  return kind_strings_[kind];
+}
+
+/* Parses a kind; FALSE if there is none of that name. */
+gboolean
+dp_kind_parse (const char *text, DpKind *kind)
+{
+  for (guint i = 0; i < DP_N_KINDS; i++)
+    {
+      if (g_strcmp0 (text, kind_strings_[i]) == 0)
+        {
+          *kind = (DpKind) i;
+          return TRUE;
+        }
+    }
+  return FALSE;
+}
+
+/* Creates a record from a value's JSON text, which is ignored for a deleted object.
+ * DP_ERROR_INVALID if name or value are malformed or too long. */
+DpRecord *
+dp_record_new (DpKind kind,
+               const char *name,
+               guint64 revision,
+               gboolean deleted,
+               const char *json,
+               GError **error)
+{
+  g_autoptr (JsonNode) value = NULL;
+  DpRecord *record;
+  gsize length;
+
+  g_assert (kind < DP_N_KINDS);
+  if (!name_is_valid_ (name))
+    {
+      dp_error_set (error, DP_ERROR_INVALID, "record", kind_strings_[kind],
+                    "the object's name is malformed");
+      return NULL;
+    }
+  if (!deleted)
+    {
+      length = strlen (json);
+      if (length > DP_RECORD_VALUE_MAX)
+        {
+          dp_error_set (error, DP_ERROR_INVALID, "record", name,
+                        "the value is longer than %d bytes", DP_RECORD_VALUE_MAX);
+          return NULL;
+        }
+      value = dp_json_parse (json, length, error);
+      if (value == NULL)
+        return NULL;
+    }
+  record = g_new0 (DpRecord, 1);
+  g_ref_count_init (&record->refs);
+  record->kind = kind;
+  record->name = g_strdup (name);
+  record->revision = revision;
+  record->deleted = deleted;
+  record->json = g_strdup (deleted ? "" : json);
+  record->value = g_steal_pointer (&value);
+  return record;
+}
+
+/* Adds a reference. */
+DpRecord *
+dp_record_ref (DpRecord *record)
+{
+  g_ref_count_inc (&record->refs);
+  return record;
+}
+
+/* Drops a reference; the last one frees the record. */
+void
+dp_record_unref (DpRecord *record)
+{
+  if (record == NULL || !g_ref_count_dec (&record->refs))
+    return;
+  g_free (record->name);
+  g_free (record->json);
+  if (record->value != NULL)
+    json_node_unref (record->value);
+  g_free (record);
+}
+
+/* Creates an empty replica at revision 0. */
+DpReplica *
+dp_replica_new (void)
+{
+  DpReplica *replica = g_new0 (DpReplica, 1);
+
+  for (guint i = 0; i < DP_N_KINDS; i++)
+    replica->by_name[i] = g_hash_table_new (g_str_hash, g_str_equal);
+  replica->by_revision = g_sequence_new (unref_record_);
+  replica->listeners = g_array_new (FALSE, FALSE, sizeof (Listener));
+  return replica;
+}
+
+/* Frees the replica and drops its records. */
+void
+dp_replica_free (DpReplica *replica)
+{
+  if (replica == NULL)
+    return;
+  for (guint i = 0; i < DP_N_KINDS; i++)
+    g_hash_table_unref (replica->by_name[i]);
+  g_sequence_free (replica->by_revision);
+  g_array_unref (replica->listeners);
+  g_free (replica);
+}
+
+/* Calls changed for each record that is taken over from now on; returns an id. */
+guint
+dp_replica_add_listener (DpReplica *replica, DpReplicaFunc changed, gpointer user_data)
+{
+  Listener listener = { ++replica->last_listener, changed, user_data };
+
+  g_array_append_val (replica->listeners, listener);
+  return listener.id;
+}
+
+/* Ends the calls for the id; an unknown id is ignored. */
+void
+dp_replica_remove_listener (DpReplica *replica, guint id)
+{
+  for (guint i = 0; i < replica->listeners->len; i++)
+    {
+      if (g_array_index (replica->listeners, Listener, i).id == id)
+        {
+          g_array_remove_index (replica->listeners, i);
+          return;
+        }
+    }
+}
+
+/* Takes the record over if it is newer than the one held; returns whether it did. The
+ * replica's revision stays, as records below the new one may still be missing. */
+gboolean
+dp_replica_apply (DpReplica *replica, DpRecord *record)
+{
+  GHashTable *names = replica->by_name[record->kind];
+  GSequenceIter *old = g_hash_table_lookup (names, record->name);
+  GSequenceIter *iter;
+
+  if (old != NULL && !replica->any_revision
+      && ((const DpRecord *) g_sequence_get (old))->revision >= record->revision)
+    return FALSE;
+  if (old != NULL)
+    {
+      g_hash_table_remove (names, record->name);
+      g_sequence_remove (old);
+    }
+  iter = g_sequence_insert_sorted (replica->by_revision, dp_record_ref (record),
+                                   compare_revisions_, NULL);
+  g_hash_table_insert (names, record->name, iter);
+  notify_ (replica, record);
+  return TRUE;
+}
+
+/* Takes over a complete list of the objects at a revision. An object that is held at a
+ * lower revision and is not in the list was deleted meanwhile: it becomes a tombstone at
+ * the list's revision. A list from before the replica's own revision deletes nothing. */
+void
+dp_replica_apply_list (DpReplica *replica, GPtrArray *records, guint64 revision)
+{
+  for (guint i = 0; i < records->len; i++)
+    dp_replica_apply (replica, g_ptr_array_index (records, i));
+  if (revision >= replica->revision)
+    delete_absent_ (replica, records, revision);
+  dp_replica_set_revision (replica, revision);
+}
+
+/* Notes that all records up to the revision have been applied; a lower one than the
+ * present one is ignored. */
+void
+dp_replica_set_revision (DpReplica *replica, guint64 revision)
+{
+  replica->revision = MAX (replica->revision, revision);
+}
+
+/* Returns the revision up to which the replica is complete. */
+guint64
+dp_replica_revision (const DpReplica *replica)
+{
+  return replica->revision;
+}
+
+/* Returns the object's record, NULL if it does not exist or was deleted. Valid until the
+ * next change of the replica. */
+const DpRecord *
+dp_replica_get (const DpReplica *replica, DpKind kind, const char *name)
+{
+  const DpRecord *record = held_ (replica, kind, name);
+
+  return record == NULL || record->deleted ? NULL : record;
+}
+
+/* Returns the objects of the kind that exist, in order of name; array of DpRecord. */
+GPtrArray *
+dp_replica_list (const DpReplica *replica, DpKind kind)
+{
+  GPtrArray *records = g_ptr_array_new_with_free_func (unref_record_);
+  GHashTableIter iter;
+  gpointer position;
+
+  g_hash_table_iter_init (&iter, replica->by_name[kind]);
+  while (g_hash_table_iter_next (&iter, NULL, &position))
+    {
+      DpRecord *record = g_sequence_get (position);
+
+      if (!record->deleted)
+        g_ptr_array_add (records, dp_record_ref (record));
+    }
+  g_ptr_array_sort (records, compare_names_);
+  return records;
+}
+
+/* Returns the records above the revision that a subscriber for the service wants ("": all
+ * of them), in order of revision; array of DpRecord. An exception of another service is
+ * given as a tombstone, since the subscriber may hold it from when it was of its own. */
+GPtrArray *
+dp_replica_since (const DpReplica *replica, guint64 since, const char *service)
+{
+  GPtrArray *records = g_ptr_array_new_with_free_func (unref_record_);
+  GSequenceIter *iter = g_sequence_get_end_iter (replica->by_revision);
+
+  while (!g_sequence_iter_is_begin (iter))
+    {
+      GSequenceIter *previous = g_sequence_iter_prev (iter);
+
+      if (((const DpRecord *) g_sequence_get (previous))->revision <= since)
+        break;
+      iter = previous;
+    }
+  for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
+    {
+      DpRecord *record = project_ (g_sequence_get (iter), service);
+
+      if (record != NULL)
+        g_ptr_array_add (records, record);
+    }
+  return records;
+}
+
+/* Returns whether a subscriber for the service wants the record as it is ("": all). */
+gboolean
+dp_record_wanted (const DpRecord *record, const char *service)
+{
+  const char *scope;
+
+  if (service[0] == '\0')
+    return TRUE;
+  switch (record->kind)
+    {
+    case DP_KIND_SERVICE:
+    case DP_KIND_MEMBERS:
+      return g_str_equal (record->name, service);
+    case DP_KIND_EXCEPTION:
+      if (record->deleted)
+        return TRUE;
+      scope = dp_json_get_string (dp_json_get_object (record->value), "service");
+      return g_strcmp0 (scope, service) == 0;
+    case DP_KIND_FLEET:
+    case DP_KIND_BALANCER:
+    case DP_N_KINDS:
+    default:
+      return TRUE;
+    }
+}
+
+/* Makes the replica take records over regardless of their revision. Only for tests that
+ * check that they notice it. */
+void
+dp_replica_set_test_any_revision (DpReplica *replica, gboolean any_revision)
+{
+  replica->any_revision = any_revision;
+}
+
+static gboolean
+name_is_valid_ (const char *name)
+{
+  gsize length = strlen (name);
+
+  if (length == 0 || length > DP_RECORD_NAME_MAX || !g_utf8_validate (name, -1, NULL))
+    return FALSE;
+  for (gsize i = 0; i < length; i++)
+    {
+      if (g_ascii_iscntrl (name[i]) || name[i] == '/')
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+unref_record_ (gpointer data)
+{
+  dp_record_unref (data);
+}
+
+static gint
+compare_revisions_ (gconstpointer a, gconstpointer b, gpointer user_data)
+{
+  const DpRecord *x = a;
+  const DpRecord *y = b;
+
+  return (x->revision > y->revision) - (x->revision < y->revision);
+}
+
+static gint
+compare_names_ (gconstpointer a, gconstpointer b)
+{
+  const DpRecord *x = *(const DpRecord *const *) a;
+  const DpRecord *y = *(const DpRecord *const *) b;
+
+  return strcmp (x->name, y->name);
+}
+
+static const DpRecord *
+held_ (const DpReplica *replica, DpKind kind, const char *name)
+{
+  GSequenceIter *iter = g_hash_table_lookup (replica->by_name[kind], name);
+
+  return iter == NULL ? NULL : g_sequence_get (iter);
+}
+
+static void
+notify_ (DpReplica *replica, const DpRecord *record)
+{
+  g_autoptr (GArray) listeners = g_array_copy (replica->listeners);
+
+  for (guint i = 0; i < listeners->len; i++)
+    {
+      const Listener *listener = &g_array_index (listeners, Listener, i);
+
+      listener->changed (record, listener->user_data);
+    }
+}
+
+static void
+delete_absent_ (DpReplica *replica, GPtrArray *records, guint64 revision)
+{
+  g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GPtrArray) absent = g_ptr_array_new_with_free_func (unref_record_);
+
+  for (guint kind = 0; kind < DP_N_KINDS; kind++)
+    {
+      g_autoptr (GPtrArray) held = dp_replica_list (replica, (DpKind) kind);
+
+      g_hash_table_remove_all (listed);
+      for (guint i = 0; i < records->len; i++)
+        {
+          const DpRecord *record = g_ptr_array_index (records, i);
+
+          if (record->kind == (DpKind) kind)
+            g_hash_table_add (listed, record->name);
+        }
+      for (guint i = 0; i < held->len; i++)
+        {
+          DpRecord *record = g_ptr_array_index (held, i);
+
+          if (record->revision < revision
+              && !g_hash_table_contains (listed, record->name))
+            g_ptr_array_add (absent, dp_record_ref (record));
+        }
+    }
+  for (guint i = 0; i < absent->len; i++)
+    {
+      const DpRecord *record = g_ptr_array_index (absent, i);
+      DpRecord *tombstone = dp_record_new (record->kind, record->name, revision, TRUE, "",
+                                           NULL);
+
+      dp_replica_apply (replica, tombstone);
+      dp_record_unref (tombstone);
+    }
+}
+
+static DpRecord *
+project_ (DpRecord *record, const char *service)
+{
+  if (dp_record_wanted (record, service))
+    return dp_record_ref (record);
+  if (record->kind != DP_KIND_EXCEPTION)
+    return NULL;
+  return dp_record_new (record->kind, record->name, record->revision, TRUE, "", NULL);
+}
