Add state charts with the charts of a member and of a watched member

The code interprets them from JSON files that are compiled in as a GResource; scripts/charts regenerates the committed C file and a test compares both. Loading refuses unknown names, two transitions for the same event, states that can't be reached, and names that differ from the enums in chart.h.

The member's chart has the event "announced" besides "server_up": a server announces itself before it accepts connections, and the entry is written as joining at that time.

--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/chart.h
@@ -0,0 +1,104 @@
+/* State charts that the code interprets. The charts are JSON files, compiled in. */
+#pragma once
+
+#include <glib.h>
+
+typedef struct _DpChart DpChart;
+
+/* One thing that is in a state of a chart. The chart must outlive it. */
+typedef struct
+{
+  const DpChart *chart;
+  guint state;
+} DpChartInstance;
+
+/* Action 0 of every chart. An event without a transition in the present state has it,
+ * too, and does not change the state. */
+#define DP_CHART_NONE 0
+
+/* The chart "member": a companion's registration. Order as in charts/member.json. */
+typedef enum
+{
+  DP_MEMBER_CHART_ABSENT,
+  DP_MEMBER_CHART_JOINING,
+  DP_MEMBER_CHART_ACTIVE,
+  DP_MEMBER_CHART_LEAVING,
+  DP_N_MEMBER_CHART_STATES
+} DpMemberChartState;
+
+typedef enum
+{
+  DP_MEMBER_EVENT_ANNOUNCED, /* the server announced itself */
+  DP_MEMBER_EVENT_SERVER_UP, /* it accepts connections */
+  DP_MEMBER_EVENT_SERVER_DOWN,
+  DP_MEMBER_EVENT_STOP,    /* SIGTERM, the server's DELETE or an operator's drain */
+  DP_MEMBER_EVENT_UNDRAIN, /* an operator's drain was released */
+  DP_MEMBER_EVENT_REMOVED_BY_WATCHER,
+  DP_MEMBER_EVENT_LAST_FLOW_ENDED,
+  DP_N_MEMBER_EVENTS
+} DpMemberEvent;
+
+typedef enum
+{
+  DP_MEMBER_ACTION_NONE,
+  DP_MEMBER_ACTION_JOIN,       /* write the entry, joining */
+  DP_MEMBER_ACTION_ACTIVATE,   /* write active */
+  DP_MEMBER_ACTION_DEACTIVATE, /* write joining: the server takes no connections */
+  DP_MEMBER_ACTION_LEAVE,      /* take no new flow, write leaving */
+  DP_MEMBER_ACTION_REJOIN,     /* write the entry with a new incarnation, same state */
+  DP_MEMBER_ACTION_REMOVE,     /* remove the entry */
+  DP_MEMBER_ACTION_ABORT,      /* end the remaining flows, remove the entry */
+  DP_N_MEMBER_ACTIONS
+} DpMemberAction;
+
+/* The chart "watched": a member as one of its watchers sees it. */
+typedef enum
+{
+  DP_WATCHED_OBSERVING, /* no heartbeat since the observation started */
+  DP_WATCHED_ALIVE,
+  DP_WATCHED_SUSPECTED,
+  DP_WATCHED_REMOVING,
+  DP_N_WATCHED_STATES
+} DpWatchedState;
+
+typedef enum
+{
+  DP_WATCHED_EVENT_HEARTBEAT,
+  DP_WATCHED_EVENT_SILENT, /* no heartbeat for suspect_ms */
+  DP_WATCHED_EVENT_AGREED, /* a watcher in another availability zone suspects it, too */
+  DP_WATCHED_EVENT_PAUSED, /* this watcher was paused, started or reconnected */
+  DP_WATCHED_EVENT_GONE,   /* the member is no longer in the list */
+  DP_N_WATCHED_EVENTS
+} DpWatchedEvent;
+
+typedef enum
+{
+  DP_WATCHED_ACTION_NONE,
+  DP_WATCHED_ACTION_SUSPECT, /* tell the other watchers */
+  DP_WATCHED_ACTION_CLEAR,   /* forget the suspicion, cancel a removal */
+  DP_WATCHED_ACTION_REMOVE,  /* remove it by conditional update */
+  DP_WATCHED_ACTION_RESTART, /* start the observation from zero */
+  DP_WATCHED_ACTION_FORGET,  /* stop observing it */
+  DP_N_WATCHED_ACTIONS
+} DpWatchedAction;
+
+/* name: "member" or "watched". DP_ERROR_INVALID names the fault. */
+DpChart *dp_chart_load (const char *name, GError **error);
+/* Parses a chart from JSON text. */
+DpChart *
+dp_chart_parse (const char *name, const char *text, gsize length, GError **error);
+void dp_chart_free (DpChart *chart);
+
+guint dp_chart_n_states (const DpChart *chart);
+guint dp_chart_n_events (const DpChart *chart);
+guint dp_chart_n_actions (const DpChart *chart);
+const char *dp_chart_state_name (const DpChart *chart, guint state);
+const char *dp_chart_event_name (const DpChart *chart, guint event);
+const char *dp_chart_action_name (const DpChart *chart, guint action);
+
+/* Puts the instance into the chart's initial state. */
+void dp_chart_start (DpChartInstance *instance, const DpChart *chart);
+/* Makes the event's transition and returns the action's index. */
+guint dp_chart_step (DpChartInstance *instance, guint event);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpChart, dp_chart_free)
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_chart.c
@@ -0,0 +1,214 @@
+/* Guards against state charts that the code would follow into a state nobody drew, and
+ * against a compiled-in chart that is older than its JSON file. */
+#include <gio/gio.h>
+#include <string.h>
+
+#include "private/charts_resources.h"
+#include "protected/chart.h"
+#include "runner.h"
+
+#define CHART(states, initial, transitions)                                              \
+  "{\"name\":\"x\",\"states\":" states ",\"initial\":\"" initial                         \
+  "\",\"events\":[\"go\","                                                               \
+  "\"back\"],\"actions\":[\"none\",\"act\"],\"transitions\":[" transitions "]}"
+#define GO "{\"from\":\"a\",\"event\":\"go\",\"to\":\"b\",\"action\":\"act\"}"
+
+typedef struct
+{
+  const char *guards;
+  const char *text;
+  const char *expected; /* part of the message, NULL: valid */
+} ChartCase;
+
+typedef struct
+{
+  guint event;
+  guint state; /* after it */
+  guint action;
+} Step;
+
+static const char *const charts_[] = { "member", "watched" };
+
+static void
+test_faults (void)
+{
+  static const ChartCase cases[] = {
+    { "valid chart refused", CHART ("[\"a\",\"b\"]", "a", GO), NULL },
+    { "unknown initial state", CHART ("[\"a\",\"b\"]", "c", GO), "$.initial: \"c\"" },
+    { "unknown source state",
+      CHART ("[\"a\",\"b\"]", "a",
+             GO ",{\"from\":\"c\",\"event\":\"go\",\"to\":\"b\",\"action\":\"act\"}"),
+      "$.transitions[1].from: \"c\" is unknown" },
+    { "unknown target state", CHART ("[\"a\"]", "a", GO),
+      "$.transitions[0].to: \"b\" is unknown" },
+    { "unknown event",
+      CHART ("[\"a\",\"b\"]", "a",
+             "{\"from\":\"a\",\"event\":\"up\",\"to\":\"b\",\"action\":\"act\"}"),
+      "$.transitions[0].event: \"up\" is unknown" },
+    { "unknown action",
+      CHART ("[\"a\",\"b\"]", "a",
+             "{\"from\":\"a\",\"event\":\"go\",\"to\":\"b\",\"action\":\"run\"}"),
+      "$.transitions[0].action: \"run\" is unknown" },
+    { "second transition of the same event wins silently",
+      CHART ("[\"a\",\"b\"]", "a", GO "," GO), "\"a\" already has a transition" },
+    { "state without a way to it", CHART ("[\"a\",\"b\",\"c\"]", "a", GO),
+      "$.states[2]: \"c\" can't be reached" },
+    { "state given twice", CHART ("[\"a\",\"b\",\"a\"]", "a", GO),
+      "$.states[2]: \"a\" is given more than once" },
+    { "no states", CHART ("[]", "a", ""), "$.states: must have" },
+    { "misspelt key",
+      CHART ("[\"a\",\"b\"]", "a",
+             "{\"from\":\"a\",\"event\":\"go\",\"to\":\"b\",\"act\":\"act\"}"),
+      "$.transitions[0].act: unknown key" },
+    { "no JSON", "{", "$: " },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autoptr (DpChart)
+          chart = dp_chart_parse ("x", cases[i].text, strlen (cases[i].text), &error);
+      const char *message = error == NULL ? "" : error->message;
+
+      CU_ASSERT_EQUAL (chart != NULL, cases[i].expected == NULL);
+      if (cases[i].expected == NULL || strstr (message, cases[i].expected) != NULL)
+        continue;
+      g_printerr ("%s: %s\n", cases[i].guards, message);
+      CU_FAIL ("the fault is not named");
+    }
+}
+
+static void
+test_compiled_in (void)
+{
+  const char *source = g_getenv ("DP_SOURCE_DIR");
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (source);
+  for (guint i = 0; i < G_N_ELEMENTS (charts_); i++)
+    {
+      g_autofree char *file = g_strdup_printf ("%s/src/libdogwoodpaddle/charts/%s.json",
+                                               source, charts_[i]);
+      g_autofree char *path = g_strdup_printf ("/dogwoodpaddle/charts/%s.json",
+                                               charts_[i]);
+      g_autofree char *text = NULL;
+      g_autoptr (GBytes) bytes = g_resource_lookup_data (
+          dp_charts_get_resource (), path, G_RESOURCE_LOOKUP_FLAGS_NONE, NULL);
+      g_autoptr (GBytes) expected = NULL;
+      gsize length;
+
+      CU_ASSERT_TRUE_FATAL (g_file_get_contents (file, &text, &length, NULL));
+      CU_ASSERT_PTR_NOT_NULL_FATAL (bytes);
+      expected = g_bytes_new (text, length);
+      /* On failure: run scripts/charts and commit the result. */
+      CU_ASSERT_TRUE (g_bytes_equal (bytes, expected));
+    }
+}
+
+static void
+test_load (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (charts_); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autoptr (DpChart) chart = dp_chart_load (charts_[i], &error);
+
+      if (error != NULL)
+        g_printerr ("%s\n", error->message);
+      CU_ASSERT_PTR_NOT_NULL (chart);
+    }
+  CU_ASSERT_PTR_NULL (dp_chart_load ("nothing", NULL));
+}
+
+static void
+run (const char *name, const Step *steps, guint n_steps)
+{
+  g_autoptr (DpChart) chart = dp_chart_load (name, NULL);
+  DpChartInstance instance;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (chart);
+  if (chart == NULL)
+    return;
+  dp_chart_start (&instance, chart);
+  for (guint i = 0; i < n_steps; i++)
+    {
+      guint action = dp_chart_step (&instance, steps[i].event);
+
+      if (action == steps[i].action && instance.state == steps[i].state)
+        continue;
+      g_printerr ("%s, step %u, %s: now %s, action %s\n", name, i,
+                  dp_chart_event_name (chart, steps[i].event),
+                  dp_chart_state_name (chart, instance.state),
+                  dp_chart_action_name (chart, action));
+      CU_FAIL ("wrong step");
+    }
+}
+
+static void
+test_member (void)
+{
+  static const Step steps[] = {
+    /* Nothing happens to a companion without a server. */
+    { DP_MEMBER_EVENT_SERVER_DOWN, DP_MEMBER_CHART_ABSENT, DP_CHART_NONE },
+    { DP_MEMBER_EVENT_STOP, DP_MEMBER_CHART_ABSENT, DP_CHART_NONE },
+    { DP_MEMBER_EVENT_ANNOUNCED, DP_MEMBER_CHART_JOINING, DP_MEMBER_ACTION_JOIN },
+    { DP_MEMBER_EVENT_SERVER_UP, DP_MEMBER_CHART_ACTIVE, DP_MEMBER_ACTION_ACTIVATE },
+    { DP_MEMBER_EVENT_SERVER_UP, DP_MEMBER_CHART_ACTIVE, DP_CHART_NONE },
+    { DP_MEMBER_EVENT_SERVER_DOWN, DP_MEMBER_CHART_JOINING, DP_MEMBER_ACTION_DEACTIVATE },
+    { DP_MEMBER_EVENT_SERVER_UP, DP_MEMBER_CHART_ACTIVE, DP_MEMBER_ACTION_ACTIVATE },
+    { DP_MEMBER_EVENT_REMOVED_BY_WATCHER, DP_MEMBER_CHART_JOINING,
+      DP_MEMBER_ACTION_REJOIN },
+    { DP_MEMBER_EVENT_SERVER_UP, DP_MEMBER_CHART_ACTIVE, DP_MEMBER_ACTION_ACTIVATE },
+    /* A flow's end while the member is active must not remove it. */
+    { DP_MEMBER_EVENT_LAST_FLOW_ENDED, DP_MEMBER_CHART_ACTIVE, DP_CHART_NONE },
+    { DP_MEMBER_EVENT_STOP, DP_MEMBER_CHART_LEAVING, DP_MEMBER_ACTION_LEAVE },
+    /* Its flows still need it in the list. */
+    { DP_MEMBER_EVENT_REMOVED_BY_WATCHER, DP_MEMBER_CHART_LEAVING,
+      DP_MEMBER_ACTION_REJOIN },
+    { DP_MEMBER_EVENT_SERVER_UP, DP_MEMBER_CHART_LEAVING, DP_CHART_NONE },
+    { DP_MEMBER_EVENT_LAST_FLOW_ENDED, DP_MEMBER_CHART_ABSENT, DP_MEMBER_ACTION_REMOVE },
+    { DP_MEMBER_EVENT_UNDRAIN, DP_MEMBER_CHART_JOINING, DP_MEMBER_ACTION_JOIN },
+    { DP_MEMBER_EVENT_STOP, DP_MEMBER_CHART_LEAVING, DP_MEMBER_ACTION_LEAVE },
+    { DP_MEMBER_EVENT_UNDRAIN, DP_MEMBER_CHART_JOINING, DP_MEMBER_ACTION_JOIN },
+    { DP_MEMBER_EVENT_STOP, DP_MEMBER_CHART_LEAVING, DP_MEMBER_ACTION_LEAVE },
+    { DP_MEMBER_EVENT_STOP, DP_MEMBER_CHART_ABSENT, DP_MEMBER_ACTION_ABORT },
+  };
+
+  run ("member", steps, G_N_ELEMENTS (steps));
+}
+
+static void
+test_watched (void)
+{
+  static const Step steps[] = {
+    /* Another watcher's suspicion alone removes nobody. */
+    { DP_WATCHED_EVENT_AGREED, DP_WATCHED_OBSERVING, DP_CHART_NONE },
+    { DP_WATCHED_EVENT_HEARTBEAT, DP_WATCHED_ALIVE, DP_CHART_NONE },
+    { DP_WATCHED_EVENT_AGREED, DP_WATCHED_ALIVE, DP_CHART_NONE },
+    { DP_WATCHED_EVENT_SILENT, DP_WATCHED_SUSPECTED, DP_WATCHED_ACTION_SUSPECT },
+    { DP_WATCHED_EVENT_HEARTBEAT, DP_WATCHED_ALIVE, DP_WATCHED_ACTION_CLEAR },
+    { DP_WATCHED_EVENT_SILENT, DP_WATCHED_SUSPECTED, DP_WATCHED_ACTION_SUSPECT },
+    /* A paused watcher does not trust its own silence. */
+    { DP_WATCHED_EVENT_PAUSED, DP_WATCHED_OBSERVING, DP_WATCHED_ACTION_RESTART },
+    { DP_WATCHED_EVENT_AGREED, DP_WATCHED_OBSERVING, DP_CHART_NONE },
+    { DP_WATCHED_EVENT_SILENT, DP_WATCHED_SUSPECTED, DP_WATCHED_ACTION_SUSPECT },
+    { DP_WATCHED_EVENT_AGREED, DP_WATCHED_REMOVING, DP_WATCHED_ACTION_REMOVE },
+    { DP_WATCHED_EVENT_AGREED, DP_WATCHED_REMOVING, DP_CHART_NONE },
+    { DP_WATCHED_EVENT_PAUSED, DP_WATCHED_OBSERVING, DP_WATCHED_ACTION_RESTART },
+    { DP_WATCHED_EVENT_SILENT, DP_WATCHED_SUSPECTED, DP_WATCHED_ACTION_SUSPECT },
+    { DP_WATCHED_EVENT_AGREED, DP_WATCHED_REMOVING, DP_WATCHED_ACTION_REMOVE },
+    { DP_WATCHED_EVENT_HEARTBEAT, DP_WATCHED_ALIVE, DP_WATCHED_ACTION_CLEAR },
+    { DP_WATCHED_EVENT_GONE, DP_WATCHED_OBSERVING, DP_WATCHED_ACTION_FORGET },
+  };
+
+  run ("watched", steps, G_N_ELEMENTS (steps));
+}
+
+static const DpTestCase cases_[] = {
+  { "faulty charts are refused", test_faults },
+  { "the compiled-in charts match the JSON files", test_compiled_in },
+  { "the compiled-in charts match the enums", test_load },
+  { "a member's registration", test_member },
+  { "a watched member", test_watched },
+};
+
+DP_TEST_MAIN ("chart", cases_)
