--- /dev/null
+++ b/src/libdogwoodpaddle/fleet.c
@@ -0,0 +1,257 @@
+#include "protected/fleet.h"
+
+#include "private/fleet_keys.h"
+#include "protected/clock.h"
+
+/* Multicast and reserved addresses start here; no client connects to them. */
+#define FIRST_MULTICAST_IP 0xe0000000u
+
+#define KEY(name, min, max, initial)                                                     \
+  {                                                                                      \
+#name, min, max, initial, G_STRUCT_OFFSET(DpFleetSettings, name)                     \
+  }
+
+const DpFleetKey dp_fleet_keys_[] = {
+  KEY (wait_limit_ms, 0, 60000, 2000),
+  KEY (visits, 1, 8, 4),
+  KEY (slots, 1, 1024, 4),
+  KEY (connections, 1, 100000, 2000),
+  KEY (idle_timeout_s, 10, 86400, 7200),
+  KEY (progress_timeout_s, 5, 3600, 60),
+  KEY (drain_deadline_s, 0, 86400, 3600),
+  KEY (trace_sample, 0, 1000000, 1000),
+  KEY (heartbeat_ms, 100, 10000, 1000),
+  KEY (suspect_ms, 500, 60000, 4000),
+};
+const guint dp_n_fleet_keys_ = G_N_ELEMENTS (dp_fleet_keys_);
+
+G_STATIC_ASSERT (G_N_ELEMENTS (dp_fleet_keys_)
+                 == sizeof (DpFleetSettings) / sizeof (guint32));
+
+/* NULL for the kinds that the system's own processes write. */
+static const char *const sections_[] = { "defaults", "services", "exceptions", NULL,
+                                         NULL };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (sections_) == DP_N_KINDS);
+
+static gboolean
+exception_applies_ (const DpRecord *record, const char *service, const char *host);
+static void merge_exceptions_ (GPtrArray *exceptions,
+                               const char *service,
+                               const char *host,
+                               DpFleetSettings *settings);
+static gint compare_names_ (gconstpointer a, gconstpointer b);
+static JsonNode *member_of_ (JsonNode *node, const char *key);
+static const char *text_of_ (JsonNode *node, const char *key);
+
+/* Sets the values that hold where operators set nothing. */
+void
+dp_fleet_settings_init (DpFleetSettings *settings)
+{
+  for (guint i = 0; i < dp_n_fleet_keys_; i++)
+    *dp_fleet_key_field_ (&dp_fleet_keys_[i], settings) = dp_fleet_keys_[i].initial;
+}
+
+/* Computes the settings of a host: defaults, then the exceptions of its service, then
+ * those of its service and host. service NULL: defaults only; host NULL: without
+ * exceptions of a single host. Two exceptions of the same scope and key, which a check
+ * refuses, are taken in order of their names, so that all processes agree. */
+void
+dp_fleet_effective (const DpReplica *replica,
+                    const char *service,
+                    const char *host,
+                    DpFleetSettings *settings)
+{
+  const DpRecord *defaults = dp_replica_get (replica, DP_KIND_FLEET, DP_FLEET_DEFAULTS);
+  g_autoptr (GPtrArray) exceptions = NULL;
+
+  dp_fleet_settings_init (settings);
+  if (defaults != NULL && !defaults->deleted)
+    dp_fleet_settings_merge_ (settings, defaults->value);
+  if (service == NULL)
+    return;
+  exceptions = dp_replica_list (replica, DP_KIND_EXCEPTION);
+  g_ptr_array_sort (exceptions, compare_names_);
+  merge_exceptions_ (exceptions, service, "", settings);
+  if (host != NULL && host[0] != '\0')
+    merge_exceptions_ (exceptions, service, host, settings);
+}
+
+/* Returns the valid addresses of a service. Their wait limit is the service's; a host
+ * with an exception of its own takes wait_limit_ms from dp_fleet_effective (). */
+GArray *
+dp_fleet_addresses (const DpReplica *replica, const char *service)
+{
+  GArray *addresses = g_array_new (FALSE, TRUE, sizeof (DpServiceAddress));
+  const DpRecord *record = dp_replica_get (replica, DP_KIND_SERVICE, service);
+  g_autoptr (GPtrArray) faults = dp_faults_new ();
+  DpFleetSettings settings;
+  JsonNode *list;
+
+  if (record == NULL || record->deleted)
+    return addresses;
+  list = member_of_ (record->value, "addresses");
+  if (list == NULL || !JSON_NODE_HOLDS_ARRAY (list))
+    return addresses;
+  dp_fleet_effective (replica, service, NULL, &settings);
+  for (guint i = 0; i < json_array_get_length (json_node_get_array (list)); i++)
+    {
+      JsonNode *node = json_array_get_element (json_node_get_array (list), i);
+      DpServiceAddress address = { 0 };
+
+      if (!dp_fleet_address_parse_ (node, "$", &address, faults))
+        continue;
+      address.wait_limit = settings.wait_limit_ms * DP_US_PER_MS;
+      g_array_append_val (addresses, address);
+    }
+  return addresses;
+}
+
+/* Returns the member of a fleet file that holds the objects of a kind; NULL for the kinds
+ * that the system's own processes write. */
+const char *
+dp_fleet_section (DpKind kind)
+{
+  g_assert (kind < DP_N_KINDS);
+  return sections_[kind];
+}
+
+/* Returns the key's entry, NULL if there is no such setting. */
+const DpFleetKey *
+dp_fleet_key_find_ (const char *key)
+{
+  for (guint i = 0; i < dp_n_fleet_keys_; i++)
+    if (g_str_equal (dp_fleet_keys_[i].key, key))
+      return &dp_fleet_keys_[i];
+  return NULL;
+}
+
+/* Returns the field of settings that holds the key's value. */
+guint32 *
+dp_fleet_key_field_ (const DpFleetKey *key, DpFleetSettings *settings)
+{
+  return (guint32 *) G_STRUCT_MEMBER_P (settings, key->offset);
+}
+
+/* Takes over the valid values of an object of settings. */
+void
+dp_fleet_settings_merge_ (DpFleetSettings *settings, JsonNode *set)
+{
+  g_autoptr (GPtrArray) faults = dp_faults_new ();
+
+  for (guint i = 0; i < dp_n_fleet_keys_; i++)
+    {
+      const DpFleetKey *key = &dp_fleet_keys_[i];
+      JsonNode *node = member_of_ (set, key->key);
+      gint64 value;
+
+      if (node != NULL
+          && dp_document_integer (node, "$", key->min, key->max, &value, faults))
+        *dp_fleet_key_field_ (key, settings) = (guint32) value;
+    }
+}
+
+/* Reads one entry of a service's addresses; a fault for everything wrong in it. */
+gboolean
+dp_fleet_address_parse_ (JsonNode *node,
+                         const char *path,
+                         DpServiceAddress *address,
+                         GPtrArray *faults)
+{
+  static const char *const keys[] = { "ip", "port", "class", NULL };
+  guint n_faults = faults->len;
+  JsonObject *object = dp_document_object (node, path, faults);
+  const char *texts[G_N_ELEMENTS (keys)] = { NULL };
+  gint64 port = 0;
+
+  if (object == NULL)
+    return FALSE;
+  dp_document_known_keys (object, keys, path, faults);
+  for (guint i = 0; keys[i] != NULL; i++)
+    {
+      JsonNode *member = json_object_get_member (object, keys[i]);
+      g_autofree char *at = dp_json_path (path, keys[i]);
+
+      if (member == NULL)
+        dp_faults_add (faults, at, "is missing");
+      else if (g_str_equal (keys[i], "port"))
+        dp_document_integer (member, at, 1, G_MAXUINT16, &port, faults);
+      else
+        texts[i] = dp_document_text (member, at, faults);
+    }
+  address->address.port = (guint16) port;
+  if (texts[0] != NULL
+      && (!dp_ip_parse (texts[0], &address->address.ip, NULL) || address->address.ip == 0
+          || address->address.ip >= FIRST_MULTICAST_IP))
+    {
+      g_autofree char *at = dp_json_path (path, keys[0]);
+
+      dp_faults_add (faults, at, "\"%s\" is not the IPv4 address of a service", texts[0]);
+    }
+  if (texts[2] != NULL && !dp_class_parse (texts[2], &address->class))
+    {
+      g_autofree char *at = dp_json_path (path, keys[2]);
+
+      dp_faults_add (faults, at, "must be urgent, interactive or bulk, not \"%s\"",
+                     texts[2]);
+    }
+  return faults->len == n_faults;
+}
+
+static void
+merge_exceptions_ (GPtrArray *exceptions,
+                   const char *service,
+                   const char *host,
+                   DpFleetSettings *settings)
+{
+  for (guint i = 0; i < exceptions->len; i++)
+    {
+      const DpRecord *record = g_ptr_array_index (exceptions, i);
+      JsonNode *set;
+
+      if (!exception_applies_ (record, service, host))
+        continue;
+      set = member_of_ (record->value, "set");
+      if (set != NULL)
+        dp_fleet_settings_merge_ (settings, set);
+    }
+}
+
+static gboolean
+exception_applies_ (const DpRecord *record, const char *service, const char *host)
+{
+  const char *its_host;
+
+  if (record->deleted || g_strcmp0 (text_of_ (record->value, "service"), service) != 0)
+    return FALSE;
+  its_host = text_of_ (record->value, "host");
+  return g_str_equal (its_host == NULL ? "" : its_host, host);
+}
+
+static gint
+compare_names_ (gconstpointer a, gconstpointer b)
+{
+  const DpRecord *x = *(const DpRecord *const *) a;
+  const DpRecord *y = *(const DpRecord *const *) b;
+
+  return g_strcmp0 (x->name, y->name);
+}
+
+static JsonNode *
+member_of_ (JsonNode *node, const char *key)
+{
+  if (node == NULL || !JSON_NODE_HOLDS_OBJECT (node))
+    return NULL;
+  return json_object_get_member (json_node_get_object (node), key);
+}
+
+static const char *
+text_of_ (JsonNode *node, const char *key)
+{
+  JsonNode *member = member_of_ (node, key);
+
+  if (member == NULL || !JSON_NODE_HOLDS_VALUE (member)
+      || json_node_get_value_type (member) != G_TYPE_STRING)
+    return NULL;
+  return json_node_get_string (member);
+}
--- a/src/libdogwoodpaddle/include/protected/fleet.h
+++ b/src/libdogwoodpaddle/include/protected/fleet.h
@@ -8,6 +8,8 @@
 #include "protected/document.h"
 #include "protected/replica.h"
 
+#define DP_FLEET_DEFAULTS "defaults" /* name of the only object of DP_KIND_FLEET */
+
 /* Effective settings of one host. */
 typedef struct
 {
@@ -33,3 +35,6 @@
 GArray *dp_fleet_addresses (const DpReplica *replica, const char *service);
 /* Checks a whole fleet file; array of DpFault, empty if it is right. */
 GPtrArray *dp_fleet_check (JsonNode *file);
+/* The member of a fleet file that holds the objects of a kind, NULL for the kinds that
+ * operators don't write. */
+const char *dp_fleet_section (DpKind kind);
