--- /dev/null
+++ b/src/libdogwoodpaddle/acceptance.c
@@ -0,0 +1,451 @@
+#include "protected/acceptance.h"
+
+#include "private/admission.h"
+#include "private/expiry.h"
+#include "protected/clock.h"
+
+/* More than the highest connection limit that settings allow. */
+#define FLOWS_MAX (1u << 17)
+
+static int compare_addresses_ (gconstpointer a, gconstpointer b);
+static const DpServiceAddress *find_address_ (const DpAcceptance *acceptance,
+                                              const DpAddress *address);
+static void update_capacity_ (DpAcceptance *acceptance);
+static gboolean same_members_ (const DpView *a, const DpView *b);
+static gboolean is_active_ (const DpAcceptance *acceptance, const DpView *view);
+static gboolean deliver_ (DpAcceptance *acceptance,
+                          DpHandle handle,
+                          const DpSegment *segment,
+                          gint64 now,
+                          DpActions *actions);
+
+/* Creates the decisions of one member of a service. It accepts flows once addresses are
+ * set and its server is up. */
+DpAcceptance *
+dp_acceptance_new (const char *service, guint32 member_id)
+{
+  DpAcceptance *acceptance = g_new0 (DpAcceptance, 1);
+
+  acceptance->service_id = dp_service_id (service);
+  acceptance->member_id = member_id;
+  acceptance->limits = (DpAcceptanceLimits){ .slots = 4,
+                                             .connections = 2000,
+                                             .visits = 4,
+                                             .idle_timeout = 7200 * DP_US_PER_S,
+                                             .progress_timeout = 60 * DP_US_PER_S,
+                                             .slow_start = 10 * DP_US_PER_S,
+                                             .settle_time = 5 * DP_US_PER_S };
+  acceptance->addresses = g_array_new (FALSE, FALSE, sizeof (DpServiceAddress));
+  acceptance->flows = dp_flows_new (FLOWS_MAX);
+  acceptance->slots = dp_slots_new (FLOWS_MAX);
+  acceptance->decisions = dp_decisions_new ();
+  update_capacity_ (acceptance);
+  return acceptance;
+}
+
+/* Frees the decisions with all flows. */
+void
+dp_acceptance_free (DpAcceptance *acceptance)
+{
+  if (acceptance == NULL)
+    return;
+  g_array_unref (acceptance->addresses);
+  dp_candidates_free (acceptance->candidates);
+  dp_flows_free (acceptance->flows);
+  dp_slots_free (acceptance->slots);
+  dp_decisions_free (acceptance->decisions);
+  g_free (acceptance);
+}
+
+/* Sets the limits; flows beyond a lower limit are kept. */
+void
+dp_acceptance_set_limits (DpAcceptance *acceptance, const DpAcceptanceLimits *limits)
+{
+  acceptance->limits = *limits;
+  update_capacity_ (acceptance);
+}
+
+/* Replaces the service's addresses. A flow of an address that is gone goes on. */
+void
+dp_acceptance_set_addresses (DpAcceptance *acceptance,
+                             const DpServiceAddress *addresses,
+                             guint n_addresses)
+{
+  g_array_set_size (acceptance->addresses, 0);
+  g_array_append_vals (acceptance->addresses, addresses, n_addresses);
+  g_array_sort (acceptance->addresses, compare_addresses_);
+  acceptance->mixed = FALSE;
+  for (guint i = 0; i < n_addresses; i++)
+    acceptance->mixed = acceptance->mixed || addresses[i].class != DP_CLASS_BULK;
+  update_capacity_ (acceptance);
+}
+
+/* Takes over a view of the service; one that is older than the present one is ignored. */
+void
+dp_acceptance_set_view (DpAcceptance *acceptance, DpView *view, gint64 now)
+{
+  const DpView *old = NULL;
+
+  g_assert (view->service_id == acceptance->service_id);
+  if (acceptance->candidates != NULL)
+    old = dp_candidates_view (acceptance->candidates);
+  if (old != NULL && old->revision > view->revision)
+    return;
+  if (old == NULL || !same_members_ (old, view))
+    acceptance->changed_at = now;
+  if (is_active_ (acceptance, view) && (old == NULL || !is_active_ (acceptance, old)))
+    acceptance->active_since = now;
+  dp_candidates_free (acceptance->candidates);
+  acceptance->candidates = dp_candidates_new (view);
+}
+
+/* Says whether updates of the view arrive. */
+void
+dp_acceptance_set_connected (DpAcceptance *acceptance, gboolean connected, gint64 now)
+{
+  if (connected && !acceptance->connected)
+    acceptance->connected_at = now;
+  acceptance->connected = connected;
+}
+
+/* Says whether the backend server accepts connections. */
+void
+dp_acceptance_set_server_up (DpAcceptance *acceptance, gboolean up, gint64 now)
+{
+  if (up && !acceptance->server_up)
+    acceptance->active_since = now;
+  acceptance->server_up = up;
+}
+
+/* Says whether this member is leaving. New flows are passed on from now on, and so are
+ * waiting SYNs by the next tick. */
+void
+dp_acceptance_set_leaving (DpAcceptance *acceptance, gboolean leaving, gint64 now)
+{
+  acceptance->leaving = leaving;
+}
+
+/* Only tests use it: makes the decisions wrong in one way. */
+void
+dp_acceptance_set_variant (DpAcceptance *acceptance, DpVariant variant)
+{
+  acceptance->variant = variant;
+}
+
+/* Decides on a packet: exactly one action for the packet, perhaps some for flows. */
+void
+dp_acceptance_packet (DpAcceptance *acceptance,
+                      const DpHeader *header,
+                      const DpSegment *segment,
+                      gint64 now,
+                      DpActions *actions)
+{
+  static const DpServiceAddress foreign = { .class = DP_CLASS_INTERACTIVE };
+  gboolean any_service = acceptance->variant == DP_VARIANT_FOREIGN_SERVICE;
+  DpHandle handle = dp_flows_find (acceptance->flows, &segment->key, segment->hash);
+  const DpServiceAddress *address;
+
+  if (header->service_id != acceptance->service_id && !any_service)
+    {
+      dp_actions_add (actions, DP_ACTION_DROP, DP_REASON_WRONG_SERVICE);
+      return;
+    }
+  if (handle != DP_HANDLE_NONE && deliver_ (acceptance, handle, segment, now, actions))
+    return;
+  address = find_address_ (acceptance, &segment->key.service);
+  if (address == NULL && any_service)
+    address = &foreign;
+  if (address == NULL)
+    dp_actions_add (actions, DP_ACTION_DROP, DP_REASON_WRONG_SERVICE);
+  else if (dp_segment_opens_flow (segment))
+    dp_admission_syn (acceptance, address, header, segment, now, actions);
+  else
+    dp_admission_walk (acceptance, header, segment, now, actions);
+}
+
+/* The connection to the server that DP_ACTION_CONNECT asked for is established. */
+void
+dp_acceptance_server_connected (DpAcceptance *acceptance,
+                                DpHandle handle,
+                                gint64 now,
+                                DpActions *actions)
+{
+  DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+
+  if (flow == NULL || flow->state != DP_FLOW_CONNECTING)
+    return;
+  g_clear_pointer (&flow->held, g_free);
+  dp_admission_set_state (acceptance, flow, DP_FLOW_HALF_OPEN);
+  dp_flows_start (acceptance->flows, handle, DP_TIMER_HALF_OPEN, now);
+  dp_actions_add (actions, DP_ACTION_DELIVER_HELD, DP_REASON_NONE)->flow = handle;
+}
+
+/* The server can't be reached or has ended the connection in failure. A SYN that is still
+ * kept goes on to the next candidate, since no byte was handed over. */
+void
+dp_acceptance_server_failed (DpAcceptance *acceptance,
+                             DpHandle handle,
+                             gint64 now,
+                             DpActions *actions)
+{
+  const DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+
+  if (flow == NULL)
+    return;
+  if (flow->held != NULL)
+    dp_admission_pass_held (acceptance, handle, DP_REASON_NO_SERVER, now, actions);
+  else
+    dp_expiry_end (acceptance, handle, DP_REASON_NO_SERVER, now, actions);
+  dp_expiry_dispatch (acceptance, now, actions);
+}
+
+/* The TCP stack answered the SYN with this sequence number. */
+void
+dp_acceptance_syn_answered (DpAcceptance *acceptance,
+                            DpHandle handle,
+                            guint32 initial_seq,
+                            gint64 now)
+{
+  DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+
+  if (flow == NULL)
+    return;
+  flow->initial_seq = initial_seq;
+  flow->answered = TRUE;
+}
+
+/* The client completed the handshake. */
+void
+dp_acceptance_established (DpAcceptance *acceptance, DpHandle handle, gint64 now)
+{
+  DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+
+  if (flow == NULL || flow->state != DP_FLOW_HALF_OPEN)
+    return;
+  dp_admission_set_state (acceptance, flow, DP_FLOW_ESTABLISHED);
+  dp_flows_start (acceptance->flows, handle, DP_TIMER_IDLE, now);
+}
+
+/* The client sent request bytes. Returns whether they may be handed to the server;
+ * otherwise they wait for DP_ACTION_GRANT. A client that goes on to its next request has
+ * its turn after those that are waiting. */
+gboolean
+dp_acceptance_request (DpAcceptance *acceptance, DpHandle handle, gsize bytes, gint64 now)
+{
+  DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+  DpClass class;
+
+  if (flow == NULL || flow->state != DP_FLOW_ESTABLISHED)
+    return FALSE;
+  class = (DpClass) flow->class;
+  dp_flows_start (acceptance->flows, handle, DP_TIMER_IDLE, now);
+  if (flow->slot == DP_SLOT_ANSWERING && dp_slots_contended (acceptance->slots, class))
+    dp_admission_release_slot (acceptance, handle, now);
+  if (flow->slot == DP_SLOT_WAITING)
+    return FALSE;
+  if (flow->slot == DP_SLOT_NONE && !dp_slots_take (acceptance->slots, class))
+    {
+      flow->slot = DP_SLOT_WAITING;
+      flow->ticket = dp_slots_wait (acceptance->slots, handle, class);
+      return FALSE;
+    }
+  if (flow->slot == DP_SLOT_NONE || flow->slot == DP_SLOT_RESERVED)
+    flow->busy_since = now;
+  flow->slot = DP_SLOT_BUSY;
+  flow->handed = TRUE;
+  dp_flows_start (acceptance->flows, handle, DP_TIMER_SILENT, now);
+  return TRUE;
+}
+
+/* The server sent bytes of its answer (0: none), and unsent bytes have not been
+ * acknowledged by the client yet. */
+void
+dp_acceptance_response (DpAcceptance *acceptance,
+                        DpHandle handle,
+                        gsize bytes,
+                        gsize unsent,
+                        gint64 now)
+{
+  DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+  gint64 since;
+
+  if (flow == NULL || flow->state != DP_FLOW_ESTABLISHED)
+    return;
+  dp_flows_start (acceptance->flows, handle, DP_TIMER_IDLE, now);
+  if (bytes > 0 && (flow->slot == DP_SLOT_BUSY || flow->slot == DP_SLOT_ANSWERING))
+    {
+      flow->slot = DP_SLOT_ANSWERING;
+      dp_flows_start (acceptance->flows, handle, DP_TIMER_RESPONSE, now);
+    }
+  if (unsent == 0)
+    dp_flows_stop (acceptance->flows, handle, DP_TIMER_GROUP_PROGRESS);
+  else if (!dp_flows_running (acceptance->flows, handle, DP_TIMER_PROGRESS, &since))
+    dp_flows_start (acceptance->flows, handle, DP_TIMER_PROGRESS, now);
+}
+
+/* The client acknowledged part of the answer. */
+void
+dp_acceptance_progress (DpAcceptance *acceptance, DpHandle handle, gint64 now)
+{
+  const DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+  gint64 since;
+
+  if (flow == NULL || flow->state != DP_FLOW_ESTABLISHED)
+    return;
+  dp_flows_start (acceptance->flows, handle, DP_TIMER_IDLE, now);
+  if (dp_flows_running (acceptance->flows, handle, DP_TIMER_PROGRESS, &since))
+    dp_flows_start (acceptance->flows, handle, DP_TIMER_PROGRESS, now);
+}
+
+/* Both sides of the flow are closed. */
+void
+dp_acceptance_closed (DpAcceptance *acceptance,
+                      DpHandle handle,
+                      gint64 now,
+                      DpActions *actions)
+{
+  dp_admission_remove (acceptance, handle, now);
+  dp_expiry_dispatch (acceptance, now, actions);
+}
+
+/* Ends all flows: kept SYNs are refused, half-open flows forgotten, others reset. */
+void
+dp_acceptance_abort_all (DpAcceptance *acceptance, DpReason reason, DpActions *actions)
+{
+  DpHandle handle = DP_HANDLE_NONE;
+
+  while ((handle = dp_flows_next (acceptance->flows, handle)) != DP_HANDLE_NONE)
+    dp_expiry_end (acceptance, handle, reason, 0, actions);
+}
+
+/* Returns the flow with the key, or DP_HANDLE_NONE. */
+DpHandle
+dp_acceptance_find (DpAcceptance *acceptance, const DpFlowKey *key)
+{
+  return dp_flows_find (acceptance->flows, key, dp_flow_key_hash (key));
+}
+
+/* Sets the flow's key; FALSE if the handle is stale. */
+gboolean
+dp_acceptance_flow_key (DpAcceptance *acceptance, DpHandle handle, DpFlowKey *key)
+{
+  const DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+
+  if (flow == NULL)
+    return FALSE;
+  *key = flow->key;
+  return TRUE;
+}
+
+/* Returns the flow's class; the lowest one if the handle is stale. */
+DpClass
+dp_acceptance_flow_class (DpAcceptance *acceptance, DpHandle handle)
+{
+  const DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+
+  return flow == NULL ? DP_CLASS_BULK : (DpClass) flow->class;
+}
+
+/* Returns how loaded this member is. */
+DpAcceptanceLoad
+dp_acceptance_load (DpAcceptance *acceptance)
+{
+  DpAcceptanceLoad load = { .flows = dp_flows_count (acceptance->flows),
+                            .half_open = acceptance->n_state[DP_FLOW_HALF_OPEN],
+                            .slots_busy = dp_slots_busy (acceptance->slots) };
+
+  for (guint i = 0; i < DP_N_CLASSES; i++)
+    load.waiting[i] = dp_slots_waiting (acceptance->slots, (DpClass) i);
+  return load;
+}
+
+static int
+compare_addresses_ (gconstpointer a, gconstpointer b)
+{
+  const DpAddress *x = &((const DpServiceAddress *) a)->address;
+  const DpAddress *y = &((const DpServiceAddress *) b)->address;
+  guint64 x_key = (guint64) x->ip << 16 | x->port;
+  guint64 y_key = (guint64) y->ip << 16 | y->port;
+
+  return (x_key > y_key) - (x_key < y_key);
+}
+
+static const DpServiceAddress *
+find_address_ (const DpAcceptance *acceptance, const DpAddress *address)
+{
+  const DpServiceAddress key = { .address = *address };
+
+  if (acceptance->addresses->len == 0)
+    return NULL;
+  return bsearch (&key, acceptance->addresses->data, acceptance->addresses->len,
+                  sizeof (DpServiceAddress), compare_addresses_);
+}
+
+static void
+update_capacity_ (DpAcceptance *acceptance)
+{
+  dp_slots_set_capacity (acceptance->slots, acceptance->limits.slots, acceptance->mixed);
+  acceptance->dispatch_due = TRUE;
+}
+
+/* Returns whether the views differ in nothing that flows depend on. */
+static gboolean
+same_members_ (const DpView *a, const DpView *b)
+{
+  if (a->n_members != b->n_members)
+    return FALSE;
+  for (guint i = 0; i < a->n_members; i++)
+    {
+      const DpMember *x = &a->members[i];
+      const DpMember *y = &b->members[i];
+
+      if (x->id != y->id || x->incarnation != y->incarnation || x->slots != y->slots
+          || x->state != y->state || !dp_address_equal (&x->address, &y->address))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+is_active_ (const DpAcceptance *acceptance, const DpView *view)
+{
+  const DpMember *member = dp_view_find (view, acceptance->member_id);
+
+  return member != NULL && member->state == DP_MEMBER_ACTIVE;
+}
+
+/* Decides on a packet whose key is that of a flow here. FALSE if it belongs to another
+ * companion's flow: the client may have answered the SYN-ACK of another one. */
+static gboolean
+deliver_ (DpAcceptance *acceptance,
+          DpHandle handle,
+          const DpSegment *segment,
+          gint64 now,
+          DpActions *actions)
+{
+  const DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+  gboolean syn = dp_segment_opens_flow (segment);
+  gboolean fits = flow->answered && (segment->flags & DP_TCP_ACK) != 0
+                  && segment->ack == flow->initial_seq + 1;
+
+  if (flow->state == DP_FLOW_ESTABLISHED)
+    dp_flows_start (acceptance->flows, handle, DP_TIMER_IDLE, now);
+  else if (syn && flow->held != NULL)
+    {
+      dp_actions_add (actions, DP_ACTION_DROP, DP_REASON_ALREADY_HELD)->flow = handle;
+      return TRUE;
+    }
+  else if (!syn && !fits
+           && (acceptance->variant != DP_VARIANT_ANY_ACK || flow->held != NULL))
+    {
+      /* A client that gives up ends this flow and that of another companion. */
+      if ((segment->flags & DP_TCP_RST) != 0 && segment->seq == flow->client_seq + 1)
+        {
+          dp_actions_add (actions, DP_ACTION_FORGET, DP_REASON_HALF_OPEN)->flow = handle;
+          dp_admission_remove (acceptance, handle, now);
+        }
+      return FALSE;
+    }
+  dp_actions_add (actions, DP_ACTION_DELIVER, DP_REASON_NONE)->flow = handle;
+  return TRUE;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/admission.c
@@ -0,0 +1,468 @@
+#include "private/admission.h"
+
+#include "protected/clock.h"
+
+/* One SYN on its way through the decision. */
+typedef struct
+{
+  DpAcceptance *acceptance;
+  const DpServiceAddress *address;
+  const DpSegment *segment;
+  DpHeader header; /* with this member among the visited ones */
+  gint64 now;
+  DpActions *actions;
+} Syn;
+
+static gboolean has_visited_ (const DpHeader *header, guint32 member);
+static gboolean add_self_ (const DpAcceptance *acceptance, DpHeader *header);
+static gboolean was_returned_ (const DpAcceptance *acceptance, const DpHeader *header);
+static const DpMember *find_member_ (const DpAcceptance *acceptance, guint32 id);
+static const DpMember *next_member_ (const DpAcceptance *acceptance,
+                                     const DpHeader *header,
+                                     guint64 hash,
+                                     DpCandidateKind kind);
+static void set_target_ (const DpAcceptance *acceptance,
+                         DpAction *action,
+                         const DpHeader *header,
+                         const DpMember *member);
+static gboolean settled_ (const DpAcceptance *acceptance, guint64 revision, gint64 now);
+static gboolean takes_flows_ (const DpAcceptance *acceptance);
+static DpReason hard_limit_ (const DpAcceptance *acceptance,
+                             const DpServiceAddress *address);
+static gboolean in_slow_start_ (const DpAcceptance *acceptance, guint64 hash, gint64 now);
+static gboolean repeat_ (Syn *syn);
+static void remember_ (DpAcceptance *acceptance,
+                       const DpSegment *segment,
+                       const DpDecision *decision,
+                       gint64 now);
+static void accept_ (Syn *syn);
+static void forward_ (Syn *syn, const DpMember *member);
+static void refuse_ (Syn *syn, DpReason reason);
+static void offer_ (Syn *syn);
+
+/* Decides on a SYN of a flow that this companion doesn't have. */
+void
+dp_admission_syn (DpAcceptance *acceptance,
+                  const DpServiceAddress *address,
+                  const DpHeader *header,
+                  const DpSegment *segment,
+                  gint64 now,
+                  DpActions *actions)
+{
+  Syn syn = { acceptance, address, segment, *header, now, actions };
+  DpReason reason = hard_limit_ (acceptance, address);
+  const DpMember *next = NULL;
+  const DpMember *best;
+
+  if (was_returned_ (acceptance, header))
+    {
+      if (reason == DP_REASON_NONE)
+        accept_ (&syn);
+      else
+        refuse_ (&syn, reason);
+      return;
+    }
+  if (!add_self_ (acceptance, &syn.header))
+    {
+      dp_actions_add (actions, DP_ACTION_DROP, DP_REASON_HOP_LIMIT);
+      return;
+    }
+  if (repeat_ (&syn))
+    return;
+  /* A member that takes no flows at all doesn't use up a visit. */
+  if (syn.header.n_visited < acceptance->limits.visits || !takes_flows_ (acceptance))
+    next = next_member_ (acceptance, &syn.header, segment->hash, DP_CANDIDATES_NEW_FLOW);
+  if (reason == DP_REASON_NONE && dp_slots_can_take (acceptance->slots, address->class)
+      && (next == NULL || !in_slow_start_ (acceptance, segment->hash, now)))
+    {
+      accept_ (&syn);
+      return;
+    }
+  if (reason == DP_REASON_NONE)
+    offer_ (&syn);
+  if (next != NULL)
+    {
+      forward_ (&syn, next);
+      return;
+    }
+  best = find_member_ (acceptance, syn.header.best_member);
+  if (best != NULL && best->id != acceptance->member_id)
+    forward_ (&syn, best);
+  else if (reason == DP_REASON_NONE)
+    accept_ (&syn);
+  else
+    refuse_ (&syn, reason);
+}
+
+/* Sends a packet of a flow that this companion doesn't have along the list of members. */
+void
+dp_admission_walk (DpAcceptance *acceptance,
+                   const DpHeader *header,
+                   const DpSegment *segment,
+                   gint64 now,
+                   DpActions *actions)
+{
+  DpHeader visited = *header;
+  const DpMember *next;
+  DpAction *action;
+
+  if (!add_self_ (acceptance, &visited))
+    {
+      dp_actions_add (actions, DP_ACTION_DROP, DP_REASON_HOP_LIMIT);
+      return;
+    }
+  next = next_member_ (acceptance, &visited, segment->hash, DP_CANDIDATES_ANY_FLOW);
+  if (next != NULL && visited.n_visited == DP_VISITED_MAX)
+    dp_actions_add (actions, DP_ACTION_DROP, DP_REASON_HOP_LIMIT);
+  else if (next != NULL)
+    {
+      action = dp_actions_add (actions, DP_ACTION_FORWARD, DP_REASON_NONE);
+      set_target_ (acceptance, action, &visited, next);
+    }
+  else if (!settled_ (acceptance, header->revision, now))
+    dp_actions_add (actions, DP_ACTION_DROP, DP_REASON_UNSETTLED);
+  else if ((segment->flags & DP_TCP_RST) != 0)
+    dp_actions_add (actions, DP_ACTION_DROP, DP_REASON_UNKNOWN_FLOW);
+  else
+    dp_actions_add (actions, DP_ACTION_RESET, DP_REASON_UNKNOWN_FLOW);
+}
+
+/* Sends a kept SYN on, of which no byte was handed to the server, or refuses it with the
+ * reason; removes the flow. A SYN that another member returned is not sent on again. */
+void
+dp_admission_pass_held (DpAcceptance *acceptance,
+                        DpHandle handle,
+                        DpReason reason,
+                        gint64 now,
+                        DpActions *actions)
+{
+  const DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+  DpSegment syn = { .key = flow->key, .seq = flow->client_seq, .flags = DP_TCP_SYN };
+  DpHeader header = *flow->held;
+  const DpMember *next = NULL;
+  DpAction *action;
+
+  syn.hash = dp_flow_key_hash (&syn.key);
+  if (!was_returned_ (acceptance, &header) && add_self_ (acceptance, &header))
+    {
+      if (header.n_visited < DP_VISITED_MAX)
+        next = next_member_ (acceptance, &header, syn.hash, DP_CANDIDATES_NEW_FLOW);
+      if (next == NULL && header.best_member != acceptance->member_id)
+        next = find_member_ (acceptance, header.best_member);
+    }
+  if (next != NULL)
+    {
+      action = dp_actions_add (actions, DP_ACTION_FORWARD_HELD, reason);
+      set_target_ (acceptance, action, &header, next);
+      remember_ (acceptance, &syn,
+                 &(DpDecision){ .type = DP_DECISION_FORWARD, .member = next->id }, now);
+    }
+  else
+    {
+      action = dp_actions_add (actions, DP_ACTION_REFUSE, reason);
+      remember_ (acceptance, &syn,
+                 &(DpDecision){ .type = DP_DECISION_REFUSE, .reason = reason }, now);
+    }
+  action->flow = handle;
+  dp_admission_remove (acceptance, handle, now);
+}
+
+/* Changes the flow's state and the counts. */
+void
+dp_admission_set_state (DpAcceptance *acceptance, DpFlow *flow, DpFlowState state)
+{
+  acceptance->n_state[flow->state]--;
+  flow->state = (guint8) state;
+  acceptance->n_state[state]++;
+}
+
+/* Removes a flow and releases its slot. */
+void
+dp_admission_remove (DpAcceptance *acceptance, DpHandle handle, gint64 now)
+{
+  const DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+
+  if (flow == NULL)
+    return;
+  dp_admission_release_slot (acceptance, handle, now);
+  acceptance->n_state[flow->state]--;
+  acceptance->n_class[flow->class]--;
+  dp_flows_remove (acceptance->flows, handle);
+}
+
+/* Gives the flow's slot back or removes it from the queue for one. */
+void
+dp_admission_release_slot (DpAcceptance *acceptance, DpHandle handle, gint64 now)
+{
+  DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+  DpClass class = (DpClass) flow->class;
+  gint64 end = now;
+
+  if (flow->slot == DP_SLOT_WAITING)
+    dp_slots_cancel (acceptance->slots, flow->ticket);
+  else if (flow->slot != DP_SLOT_NONE)
+    {
+      dp_slots_give_back (acceptance->slots, class);
+      acceptance->dispatch_due = TRUE;
+    }
+  if (flow->slot == DP_SLOT_ANSWERING)
+    dp_flows_running (acceptance->flows, handle, DP_TIMER_RESPONSE, &end);
+  if ((flow->slot == DP_SLOT_ANSWERING || flow->slot == DP_SLOT_BUSY)
+      && end > flow->busy_since)
+    dp_slots_record (acceptance->slots, class, end - flow->busy_since);
+  dp_flows_stop (acceptance->flows, handle, DP_TIMER_GROUP_SLOT);
+  flow->slot = DP_SLOT_NONE;
+}
+
+static gboolean
+has_visited_ (const DpHeader *header, guint32 member)
+{
+  for (guint i = 0; i < header->n_visited; i++)
+    {
+      if (header->visited[i] == member)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Puts this member into the list of visited ones if it isn't there, as when the sender
+ * knew its address under the name of a former member. FALSE if the list is full. */
+static gboolean
+add_self_ (const DpAcceptance *acceptance, DpHeader *header)
+{
+  if (has_visited_ (header, acceptance->member_id))
+    return TRUE;
+  if (header->n_visited == DP_VISITED_MAX)
+    return FALSE;
+  header->visited[header->n_visited++] = acceptance->member_id;
+  return TRUE;
+}
+
+/* A SYN that passed through here and was returned still has another member at the end of
+ * its list. */
+static gboolean
+was_returned_ (const DpAcceptance *acceptance, const DpHeader *header)
+{
+  return header->n_visited > 0 && header->best_member == acceptance->member_id
+         && header->visited[header->n_visited - 1] != acceptance->member_id
+         && has_visited_ (header, acceptance->member_id);
+}
+
+static const DpMember *
+find_member_ (const DpAcceptance *acceptance, guint32 id)
+{
+  if (id == 0 || acceptance->candidates == NULL)
+    return NULL;
+  return dp_view_find (dp_candidates_view (acceptance->candidates), id);
+}
+
+static const DpMember *
+next_member_ (const DpAcceptance *acceptance,
+              const DpHeader *header,
+              guint64 hash,
+              DpCandidateKind kind)
+{
+  if (acceptance->candidates == NULL || acceptance->variant == DP_VARIANT_NO_WALK)
+    return NULL;
+  return dp_candidates_next (acceptance->candidates, hash, kind, header->visited,
+                             header->n_visited);
+}
+
+/* Sets the address and header for sending to a member, which joins the visited ones if it
+ * isn't one of them. */
+static void
+set_target_ (const DpAcceptance *acceptance,
+             DpAction *action,
+             const DpHeader *header,
+             const DpMember *member)
+{
+  guint64 revision = dp_candidates_view (acceptance->candidates)->revision;
+
+  action->address = member->address;
+  action->header = *header;
+  action->header.revision = MAX (header->revision, revision);
+  if (!has_visited_ (header, member->id))
+    {
+      g_assert (header->n_visited < DP_VISITED_MAX);
+      action->header.visited[action->header.n_visited++] = member->id;
+    }
+}
+
+/* Returns whether every member that may have a flow is in this companion's view: it
+ * receives updates, none of the packet's views was newer, and the members have not
+ * changed for a while. */
+static gboolean
+settled_ (const DpAcceptance *acceptance, guint64 revision, gint64 now)
+{
+  gint64 since = MAX (acceptance->changed_at, acceptance->connected_at);
+
+  if (acceptance->variant == DP_VARIANT_RESET_UNSETTLED)
+    return TRUE;
+  return acceptance->connected && acceptance->candidates != NULL
+         && revision <= dp_candidates_view (acceptance->candidates)->revision
+         && now - since >= acceptance->limits.settle_time;
+}
+
+static gboolean
+takes_flows_ (const DpAcceptance *acceptance)
+{
+  gboolean leaving = acceptance->leaving;
+
+  if (acceptance->variant == DP_VARIANT_ACCEPT_LEAVING)
+    leaving = FALSE;
+  return !leaving && acceptance->server_up;
+}
+
+/* Returns why a new flow of the address can't be accepted, not even to wait. */
+static DpReason
+hard_limit_ (const DpAcceptance *acceptance, const DpServiceAddress *address)
+{
+  guint limit = acceptance->limits.connections;
+
+  if (!acceptance->server_up)
+    return DP_REASON_NO_SERVER;
+  if (!takes_flows_ (acceptance))
+    return DP_REASON_LEAVING;
+  if (dp_flows_count (acceptance->flows) >= limit)
+    return DP_REASON_CONNECTIONS;
+  if (address->class == DP_CLASS_BULK && acceptance->mixed
+      && acceptance->n_class[DP_CLASS_BULK] >= limit / 2)
+    return DP_REASON_CONNECTIONS;
+  if (dp_slots_expected_wait (acceptance->slots, address->class) > address->wait_limit)
+    return DP_REASON_WAIT_LIMIT;
+  return DP_REASON_NONE;
+}
+
+/* Returns whether a flow belongs to the share that is passed on during slow start; the
+ * share falls from all flows to none. Members choose different flows. */
+static gboolean
+in_slow_start_ (const DpAcceptance *acceptance, guint64 hash, gint64 now)
+{
+  gint64 left = acceptance->limits.slow_start - (now - acceptance->active_since);
+  guint64 mixed = (hash ^ acceptance->member_id)
+                  * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15);
+
+  if (left <= 0)
+    return FALSE;
+  return (gint64) (mixed >> 32) * acceptance->limits.slow_start
+         < left * ((gint64) G_MAXUINT32 + 1);
+}
+
+/* Repeats what was decided for the same SYN before. A member that went away since, or
+ * that the SYN has visited on its way here, can't be its target again. */
+static gboolean
+repeat_ (Syn *syn)
+{
+  DpAcceptance *acceptance = syn->acceptance;
+  DpDecision decision = dp_decisions_get (acceptance->decisions, syn->segment, syn->now);
+  const DpMember *member;
+  DpAction *action;
+
+  if (decision.type == DP_DECISION_NONE
+      || acceptance->variant == DP_VARIANT_FORGET_DECISIONS)
+    return FALSE;
+  if (decision.type == DP_DECISION_REFUSE)
+    {
+      dp_actions_add (syn->actions, DP_ACTION_RESET, (DpReason) decision.reason);
+      return TRUE;
+    }
+  member = find_member_ (acceptance, decision.member);
+  if (member == NULL
+      || (has_visited_ (&syn->header, member->id)
+          && syn->header.best_member != member->id))
+    return FALSE;
+  if (!has_visited_ (&syn->header, member->id) && syn->header.n_visited == DP_VISITED_MAX)
+    {
+      dp_actions_add (syn->actions, DP_ACTION_DROP, DP_REASON_HOP_LIMIT);
+      return TRUE;
+    }
+  action = dp_actions_add (syn->actions, DP_ACTION_FORWARD, DP_REASON_NONE);
+  set_target_ (acceptance, action, &syn->header, member);
+  return TRUE;
+}
+
+static void
+remember_ (DpAcceptance *acceptance,
+           const DpSegment *segment,
+           const DpDecision *decision,
+           gint64 now)
+{
+  dp_decisions_set (acceptance->decisions, segment, decision, now);
+}
+
+/* Accepts the SYN: connects to the server if a slot is free, otherwise waits for one. */
+static void
+accept_ (Syn *syn)
+{
+  DpAcceptance *acceptance = syn->acceptance;
+  DpClass class = syn->address->class;
+  DpHandle handle = dp_flows_add (acceptance->flows, &syn->segment->key,
+                                  syn->segment->hash);
+  DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+
+  if (flow == NULL)
+    {
+      refuse_ (syn, DP_REASON_TABLE_FULL);
+      return;
+    }
+  flow->client_seq = syn->segment->seq;
+  flow->class = (guint8) class;
+  flow->held = g_memdup2 (&syn->header, sizeof syn->header);
+  acceptance->n_class[class]++;
+  acceptance->n_state[flow->state]++;
+  remember_ (acceptance, syn->segment, &(DpDecision){ .type = DP_DECISION_NONE },
+             syn->now);
+  dp_actions_add (syn->actions, DP_ACTION_HOLD, DP_REASON_NONE)->flow = handle;
+  if (dp_slots_take (acceptance->slots, class))
+    {
+      flow->slot = DP_SLOT_RESERVED;
+      dp_admission_set_state (acceptance, flow, DP_FLOW_CONNECTING);
+      dp_flows_start (acceptance->flows, handle, DP_TIMER_CONNECT, syn->now);
+      dp_flows_start (acceptance->flows, handle, DP_TIMER_RESERVATION, syn->now);
+      dp_actions_add (syn->actions, DP_ACTION_CONNECT, DP_REASON_NONE)->flow = handle;
+      return;
+    }
+  flow->slot = DP_SLOT_WAITING;
+  flow->ticket = dp_slots_wait (acceptance->slots, handle, class);
+  g_assert (flow->ticket != DP_HANDLE_NONE);
+  dp_flows_start (acceptance->flows, handle, DP_TIMER_WAITING, syn->now);
+}
+
+static void
+forward_ (Syn *syn, const DpMember *member)
+{
+  DpDecision decision = { .type = DP_DECISION_FORWARD, .member = member->id };
+  DpAction *action;
+
+  if (!has_visited_ (&syn->header, member->id) && syn->header.n_visited == DP_VISITED_MAX)
+    {
+      dp_actions_add (syn->actions, DP_ACTION_DROP, DP_REASON_HOP_LIMIT);
+      return;
+    }
+  remember_ (syn->acceptance, syn->segment, &decision, syn->now);
+  action = dp_actions_add (syn->actions, DP_ACTION_FORWARD, DP_REASON_NONE);
+  set_target_ (syn->acceptance, action, &syn->header, member);
+}
+
+static void
+refuse_ (Syn *syn, DpReason reason)
+{
+  DpDecision decision = { .type = DP_DECISION_REFUSE, .reason = reason };
+
+  remember_ (syn->acceptance, syn->segment, &decision, syn->now);
+  dp_actions_add (syn->actions, DP_ACTION_RESET, reason);
+}
+
+/* Names this member as the one to return the SYN to, if no better one was visited. */
+static void
+offer_ (Syn *syn)
+{
+  gint64 wait = dp_slots_expected_wait (syn->acceptance->slots, syn->address->class)
+                / DP_US_PER_MS;
+  guint32 wait_ms = (guint32) MIN (wait, G_MAXUINT32);
+
+  if (syn->header.best_member != 0 && syn->header.best_wait_ms <= wait_ms)
+    return;
+  syn->header.best_member = syn->acceptance->member_id;
+  syn->header.best_wait_ms = wait_ms;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/decisions.c
@@ -0,0 +1,131 @@
+#include "private/decisions.h"
+
+#include "protected/clock.h"
+
+#define LIFETIME (60 * DP_US_PER_S)
+#define N_BUCKETS DP_DECISIONS_MAX
+
+typedef struct
+{
+  DpFlowKey key;
+  guint32 seq;
+  gint64 time; /* us */
+  DpDecision decision;
+  guint32 next; /* index + 1 of the next entry of the bucket, 0: none */
+} Entry;
+
+/* The entries are a ring: when it is full, the oldest one is overwritten. */
+struct _DpDecisions
+{
+  GArray *entries; /* Entry, grows to DP_DECISIONS_MAX */
+  guint oldest;
+  guint32 buckets[N_BUCKETS]; /* index + 1, 0: none */
+};
+
+static Entry *find_ (const DpDecisions *decisions, const DpSegment *syn);
+static guint32 *bucket_ (const DpDecisions *decisions, const DpFlowKey *key);
+static void unlink_ (DpDecisions *decisions, guint index);
+
+/* Creates an empty memory. */
+DpDecisions *
+dp_decisions_new (void)
+{
+  DpDecisions *decisions = g_new0 (DpDecisions, 1);
+
+  decisions->entries = g_array_new (FALSE, FALSE, sizeof (Entry));
+  return decisions;
+}
+
+/* Frees the memory. */
+void
+dp_decisions_free (DpDecisions *decisions)
+{
+  if (decisions == NULL)
+    return;
+  g_array_unref (decisions->entries);
+  g_free (decisions);
+}
+
+/* Remembers the decision for a SYN in place of an earlier one; DP_DECISION_NONE forgets
+ * it. When DP_DECISIONS_MAX are remembered, the oldest one goes. */
+void
+dp_decisions_set (DpDecisions *decisions,
+                  const DpSegment *syn,
+                  const DpDecision *decision,
+                  gint64 now)
+{
+  Entry *entry = find_ (decisions, syn);
+  guint32 *bucket;
+  guint index;
+
+  if (entry != NULL)
+    {
+      entry->decision = *decision;
+      entry->time = now;
+      return;
+    }
+  if (decision->type == DP_DECISION_NONE)
+    return;
+  if (decisions->entries->len < DP_DECISIONS_MAX)
+    {
+      index = decisions->entries->len;
+      g_array_set_size (decisions->entries, index + 1);
+    }
+  else
+    {
+      index = decisions->oldest;
+      decisions->oldest = (index + 1) % DP_DECISIONS_MAX;
+      unlink_ (decisions, index);
+    }
+  entry = &g_array_index (decisions->entries, Entry, index);
+  bucket = bucket_ (decisions, &syn->key);
+  *entry = (Entry){
+    .key = syn->key, .seq = syn->seq, .time = now, .decision = *decision, .next = *bucket
+  };
+  *bucket = index + 1;
+}
+
+/* Returns the decision for a SYN with the same key and sequence number that was made in
+ * the last 60 s. */
+DpDecision
+dp_decisions_get (const DpDecisions *decisions, const DpSegment *syn, gint64 now)
+{
+  const Entry *entry = find_ (decisions, syn);
+
+  if (entry == NULL || now - entry->time >= LIFETIME)
+    return (DpDecision){ .type = DP_DECISION_NONE };
+  return entry->decision;
+}
+
+static Entry *
+find_ (const DpDecisions *decisions, const DpSegment *syn)
+{
+  guint32 i = *bucket_ (decisions, &syn->key);
+
+  while (i != 0)
+    {
+      Entry *entry = &g_array_index (decisions->entries, Entry, i - 1);
+
+      if (entry->seq == syn->seq && dp_flow_key_equal (&entry->key, &syn->key))
+        return entry;
+      i = entry->next;
+    }
+  return NULL;
+}
+
+static guint32 *
+bucket_ (const DpDecisions *decisions, const DpFlowKey *key)
+{
+  return (guint32 *) &decisions->buckets[dp_flow_key_hash (key) % N_BUCKETS];
+}
+
+static void
+unlink_ (DpDecisions *decisions, guint index)
+{
+  Entry *entry = &g_array_index (decisions->entries, Entry, index);
+  guint32 *at = bucket_ (decisions, &entry->key);
+
+  while (*at != index + 1)
+    at = &g_array_index (decisions->entries, Entry, *at - 1).next;
+  *at = entry->next;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/expiry.c
@@ -0,0 +1,191 @@
+#include "private/expiry.h"
+
+#include "protected/clock.h"
+
+#define CONNECT_TIMEOUT (3 * DP_US_PER_S)
+/* lwIP gives up on a half-open connection after this time, too. */
+#define HALF_OPEN_TIMEOUT (20 * DP_US_PER_S)
+/* Bounds the wait for a slot of a server that ends no request; a client sends its SYN for
+ * about this long. */
+#define WAITING_TIMEOUT (60 * DP_US_PER_S)
+#define RESERVATION_TIME (1 * DP_US_PER_S)
+/* An answer that pauses this long has ended. */
+#define RESPONSE_IDLE_TIME (100 * DP_US_PER_MS)
+
+static gint64 timeout_ (const DpAcceptance *acceptance, DpTimer timer);
+static void expire_ (DpAcceptance *acceptance,
+                     DpHandle handle,
+                     DpTimer timer,
+                     gint64 now,
+                     DpActions *actions);
+static gboolean must_pass_waiting_ (const DpAcceptance *acceptance);
+
+/* Carries out what is due by now. */
+void
+dp_acceptance_tick (DpAcceptance *acceptance, gint64 now, DpActions *actions)
+{
+  for (guint i = 0; i < DP_N_TIMERS; i++)
+    {
+      DpTimer timer = (DpTimer) i;
+      DpHandle handle;
+      gint64 since = 0;
+
+      while ((handle = dp_flows_oldest (acceptance->flows, timer, &since))
+             != DP_HANDLE_NONE)
+        {
+          gboolean pass = timer == DP_TIMER_WAITING && must_pass_waiting_ (acceptance);
+
+          if (!pass && now - since < timeout_ (acceptance, timer))
+            break;
+          expire_ (acceptance, handle, timer, now, actions);
+        }
+    }
+  dp_expiry_dispatch (acceptance, now, actions);
+}
+
+/* Returns when dp_acceptance_tick () is due, in us; in the past if it is due at once,
+ * G_MAXINT64 if nothing is. Any other call may bring it forward. */
+gint64
+dp_acceptance_next_deadline (DpAcceptance *acceptance)
+{
+  gint64 deadline = G_MAXINT64;
+
+  if (acceptance->dispatch_due
+      && dp_slots_contended (acceptance->slots, DP_N_CLASSES - 1))
+    return 0;
+  for (guint i = 0; i < DP_N_TIMERS; i++)
+    {
+      DpTimer timer = (DpTimer) i;
+      gint64 since;
+
+      if (dp_flows_oldest (acceptance->flows, timer, &since) == DP_HANDLE_NONE)
+        continue;
+      if (timer == DP_TIMER_WAITING && must_pass_waiting_ (acceptance))
+        return 0;
+      deadline = MIN (deadline, since + timeout_ (acceptance, timer));
+    }
+  return deadline;
+}
+
+/* Ends a flow from this side, in the way that its state asks for. */
+void
+dp_expiry_end (DpAcceptance *acceptance,
+               DpHandle handle,
+               DpReason reason,
+               gint64 now,
+               DpActions *actions)
+{
+  const DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+  DpActionType type = DP_ACTION_ABORT;
+
+  if (flow->held != NULL
+      || (flow->handed && acceptance->variant == DP_VARIANT_REFUSE_DELIVERED))
+    type = DP_ACTION_REFUSE;
+  else if (flow->state == DP_FLOW_HALF_OPEN)
+    type = DP_ACTION_FORGET;
+  dp_actions_add (actions, type, reason)->flow = handle;
+  dp_admission_remove (acceptance, handle, now);
+}
+
+/* Gives free slots to the waiting flows. */
+void
+dp_expiry_dispatch (DpAcceptance *acceptance, gint64 now, DpActions *actions)
+{
+  DpHandle handle;
+
+  acceptance->dispatch_due = FALSE;
+  while ((handle = dp_slots_next (acceptance->slots)) != DP_HANDLE_NONE)
+    {
+      DpFlow *flow = dp_flows_get (acceptance->flows, handle);
+
+      if (flow->state == DP_FLOW_ESTABLISHED)
+        {
+          flow->slot = DP_SLOT_BUSY;
+          flow->busy_since = now;
+          flow->handed = TRUE;
+          dp_flows_start (acceptance->flows, handle, DP_TIMER_SILENT, now);
+          dp_actions_add (actions, DP_ACTION_GRANT, DP_REASON_NONE)->flow = handle;
+          continue;
+        }
+      flow->slot = DP_SLOT_RESERVED;
+      dp_admission_set_state (acceptance, flow, DP_FLOW_CONNECTING);
+      dp_flows_start (acceptance->flows, handle, DP_TIMER_CONNECT, now);
+      dp_flows_start (acceptance->flows, handle, DP_TIMER_RESERVATION, now);
+      dp_actions_add (actions, DP_ACTION_CONNECT, DP_REASON_NONE)->flow = handle;
+    }
+}
+
+static gint64
+timeout_ (const DpAcceptance *acceptance, DpTimer timer)
+{
+  switch (timer)
+    {
+    case DP_TIMER_WAITING:
+      return WAITING_TIMEOUT;
+    case DP_TIMER_CONNECT:
+      return CONNECT_TIMEOUT;
+    case DP_TIMER_HALF_OPEN:
+      return HALF_OPEN_TIMEOUT;
+    case DP_TIMER_IDLE:
+      return acceptance->limits.idle_timeout;
+    case DP_TIMER_RESERVATION:
+      return RESERVATION_TIME;
+    case DP_TIMER_RESPONSE:
+      return RESPONSE_IDLE_TIME;
+    case DP_TIMER_SILENT:
+    case DP_TIMER_PROGRESS:
+      return acceptance->limits.progress_timeout;
+    case DP_N_TIMERS:
+    default:
+      g_assert_not_reached ();
+    }
+}
+
+/* Takes the flow off the timer's list. */
+static void
+expire_ (DpAcceptance *acceptance,
+         DpHandle handle,
+         DpTimer timer,
+         gint64 now,
+         DpActions *actions)
+{
+  switch (timer)
+    {
+    case DP_TIMER_WAITING:
+      dp_admission_pass_held (acceptance, handle,
+                              acceptance->leaving     ? DP_REASON_LEAVING
+                              : acceptance->server_up ? DP_REASON_WAIT_LIMIT
+                                                      : DP_REASON_NO_SERVER,
+                              now, actions);
+      break;
+    case DP_TIMER_CONNECT:
+      dp_admission_pass_held (acceptance, handle, DP_REASON_NO_SERVER, now, actions);
+      break;
+    case DP_TIMER_HALF_OPEN:
+      dp_expiry_end (acceptance, handle, DP_REASON_HALF_OPEN, now, actions);
+      break;
+    case DP_TIMER_IDLE:
+      dp_expiry_end (acceptance, handle, DP_REASON_IDLE_TIMEOUT, now, actions);
+      break;
+    case DP_TIMER_PROGRESS:
+      dp_expiry_end (acceptance, handle, DP_REASON_PROGRESS_TIMEOUT, now, actions);
+      break;
+    case DP_TIMER_RESERVATION:
+    case DP_TIMER_RESPONSE:
+    case DP_TIMER_SILENT:
+      dp_admission_release_slot (acceptance, handle, now);
+      break;
+    case DP_N_TIMERS:
+    default:
+      g_assert_not_reached ();
+    }
+}
+
+/* Returns whether waiting SYNs are to be passed on, since this member takes no flows. */
+static gboolean
+must_pass_waiting_ (const DpAcceptance *acceptance)
+{
+  if (acceptance->variant == DP_VARIANT_ACCEPT_LEAVING)
+    return !acceptance->server_up;
+  return acceptance->leaving || !acceptance->server_up;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/flows.c
@@ -0,0 +1,247 @@
+#include "private/flows.h"
+
+#include <string.h>
+
+#define FIRST_SIZE 64 /* entries of the index, a power of two */
+
+struct _DpFlows
+{
+  DpHandleTable *rows;
+  DpHandle *index; /* by key, linear probing, at most half full */
+  guint size;      /* a power of two */
+  struct
+  {
+    DpHandle oldest;
+    DpHandle newest;
+  } timers[DP_N_TIMERS];
+};
+
+static const DpTimerGroup groups_[] = {
+  DP_TIMER_GROUP_LIFE, DP_TIMER_GROUP_LIFE, DP_TIMER_GROUP_LIFE, DP_TIMER_GROUP_LIFE,
+  DP_TIMER_GROUP_SLOT, DP_TIMER_GROUP_SLOT, DP_TIMER_GROUP_SLOT, DP_TIMER_GROUP_PROGRESS,
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (groups_) == DP_N_TIMERS);
+
+static void grow_ (DpFlows *flows);
+static guint position_ (const DpFlows *flows, const DpFlowKey *key, guint64 hash);
+static guint home_ (const DpFlows *flows, guint position);
+
+/* Creates a table of at most max_flows flows. */
+DpFlows *
+dp_flows_new (guint max_flows)
+{
+  DpFlows *flows = g_new0 (DpFlows, 1);
+
+  flows->rows = dp_handle_table_new (sizeof (DpFlow), max_flows);
+  flows->size = FIRST_SIZE;
+  flows->index = g_new0 (DpHandle, flows->size);
+  return flows;
+}
+
+/* Frees the table with its flows. */
+void
+dp_flows_free (DpFlows *flows)
+{
+  DpHandle handle = DP_HANDLE_NONE;
+
+  if (flows == NULL)
+    return;
+  while ((handle = dp_flows_next (flows, handle)) != DP_HANDLE_NONE)
+    g_free (dp_flows_get (flows, handle)->held);
+  dp_handle_table_free (flows->rows);
+  g_free (flows->index);
+  g_free (flows);
+}
+
+/* Adds a flow that is not in the table; DP_HANDLE_NONE if it is full. Flow pointers
+ * become invalid. */
+DpHandle
+dp_flows_add (DpFlows *flows, const DpFlowKey *key, guint64 hash)
+{
+  DpHandle handle = dp_handle_table_add (flows->rows);
+  DpFlow *flow = dp_handle_table_get (flows->rows, handle);
+
+  if (flow == NULL)
+    return DP_HANDLE_NONE;
+  flow->key = *key;
+  if (dp_flows_count (flows) * 2 > flows->size)
+    grow_ (flows);
+  flows->index[position_ (flows, key, hash)] = handle;
+  return handle;
+}
+
+/* Returns the flow, or NULL if the handle is stale. Valid until the next add. */
+DpFlow *
+dp_flows_get (DpFlows *flows, DpHandle handle)
+{
+  return dp_handle_table_get (flows->rows, handle);
+}
+
+/* Returns the flow's handle, or DP_HANDLE_NONE. hash: dp_flow_key_hash (key). */
+DpHandle
+dp_flows_find (DpFlows *flows, const DpFlowKey *key, guint64 hash)
+{
+  return flows->index[position_ (flows, key, hash)];
+}
+
+/* Removes a flow; a stale handle is ignored. */
+void
+dp_flows_remove (DpFlows *flows, DpHandle handle)
+{
+  DpFlow *flow = dp_flows_get (flows, handle);
+  guint mask = flows->size - 1;
+  guint hole;
+
+  if (flow == NULL)
+    return;
+  for (guint group = 0; group < DP_N_TIMER_GROUPS; group++)
+    dp_flows_stop (flows, handle, (DpTimerGroup) group);
+  hole = position_ (flows, &flow->key, dp_flow_key_hash (&flow->key));
+  flows->index[hole] = DP_HANDLE_NONE;
+  /* Moves later entries of the run back, so that no probe ends at the hole too early. */
+  for (guint i = (hole + 1) & mask; flows->index[i] != DP_HANDLE_NONE; i = (i + 1) & mask)
+    {
+      if (((i - home_ (flows, i)) & mask) < ((i - hole) & mask))
+        continue;
+      flows->index[hole] = flows->index[i];
+      flows->index[i] = DP_HANDLE_NONE;
+      hole = i;
+    }
+  g_free (flow->held);
+  dp_handle_table_remove (flows->rows, handle);
+}
+
+/* Returns the flow after the given one (DP_HANDLE_NONE: the first), which may have been
+ * removed. */
+DpHandle
+dp_flows_next (DpFlows *flows, DpHandle after)
+{
+  return dp_handle_table_next (flows->rows, after);
+}
+
+/* Returns the number of flows. */
+guint
+dp_flows_count (const DpFlows *flows)
+{
+  return dp_handle_table_count (flows->rows);
+}
+
+/* Starts a timer of the flow in place of any other of its group. */
+void
+dp_flows_start (DpFlows *flows, DpHandle handle, DpTimer timer, gint64 now)
+{
+  DpTimerGroup group = groups_[timer];
+  DpFlow *flow = dp_flows_get (flows, handle);
+  DpFlow *newest;
+
+  g_assert (flow != NULL);
+  dp_flows_stop (flows, handle, group);
+  flow->timers[group] = (guint8) (timer + 1);
+  flow->links[group].since = now;
+  flow->links[group].next = DP_HANDLE_NONE;
+  flow->links[group].previous = flows->timers[timer].newest;
+  newest = dp_flows_get (flows, flows->timers[timer].newest);
+  if (newest != NULL)
+    newest->links[group].next = handle;
+  else
+    flows->timers[timer].oldest = handle;
+  flows->timers[timer].newest = handle;
+}
+
+/* Stops the flow's timer of the group, if one runs. */
+void
+dp_flows_stop (DpFlows *flows, DpHandle handle, DpTimerGroup group)
+{
+  DpFlow *flow = dp_flows_get (flows, handle);
+  DpTimerLink *link;
+  DpFlow *previous;
+  DpFlow *next;
+  guint timer;
+
+  if (flow == NULL || flow->timers[group] == 0)
+    return;
+  timer = flow->timers[group] - 1u;
+  link = &flow->links[group];
+  previous = dp_flows_get (flows, link->previous);
+  next = dp_flows_get (flows, link->next);
+  if (previous != NULL)
+    previous->links[group].next = link->next;
+  else
+    flows->timers[timer].oldest = link->next;
+  if (next != NULL)
+    next->links[group].previous = link->previous;
+  else
+    flows->timers[timer].newest = link->previous;
+  flow->timers[group] = 0;
+}
+
+/* Returns whether the flow's timer runs, and since when. */
+gboolean
+dp_flows_running (DpFlows *flows, DpHandle handle, DpTimer timer, gint64 *since)
+{
+  DpTimerGroup group = groups_[timer];
+  DpFlow *flow = dp_flows_get (flows, handle);
+
+  if (flow == NULL || flow->timers[group] != timer + 1)
+    return FALSE;
+  *since = flow->links[group].since;
+  return TRUE;
+}
+
+/* Returns the flow whose timer has run longest, and since when; or DP_HANDLE_NONE. */
+DpHandle
+dp_flows_oldest (DpFlows *flows, DpTimer timer, gint64 *since)
+{
+  DpHandle handle = flows->timers[timer].oldest;
+  DpFlow *flow = dp_flows_get (flows, handle);
+
+  if (flow == NULL)
+    return DP_HANDLE_NONE;
+  *since = flow->links[groups_[timer]].since;
+  return handle;
+}
+
+static void
+grow_ (DpFlows *flows)
+{
+  g_autofree DpHandle *old = g_steal_pointer (&flows->index);
+  guint old_size = flows->size;
+
+  flows->size *= 2;
+  flows->index = g_new0 (DpHandle, flows->size);
+  for (guint i = 0; i < old_size; i++)
+    {
+      const DpFlow *flow = dp_flows_get (flows, old[i]);
+
+      if (flow == NULL)
+        continue;
+      flows->index[position_ (flows, &flow->key, dp_flow_key_hash (&flow->key))] = old[i];
+    }
+}
+
+/* Returns where the key's handle is in the index, or the free entry where it belongs. */
+static guint
+position_ (const DpFlows *flows, const DpFlowKey *key, guint64 hash)
+{
+  guint i = (guint) hash & (flows->size - 1);
+
+  while (flows->index[i] != DP_HANDLE_NONE)
+    {
+      const DpFlow *flow = dp_handle_table_get (flows->rows, flows->index[i]);
+
+      if (dp_flow_key_equal (&flow->key, key))
+        break;
+      i = (i + 1) & (flows->size - 1);
+    }
+  return i;
+}
+
+/* Returns where the search for an entry's key begins. */
+static guint
+home_ (const DpFlows *flows, guint position)
+{
+  const DpFlow *flow = dp_handle_table_get (flows->rows, flows->index[position]);
+
+  return (guint) dp_flow_key_hash (&flow->key) & (flows->size - 1);
+}
--- a/src/libdogwoodpaddle/include/protected/acceptance.h
+++ b/src/libdogwoodpaddle/include/protected/acceptance.h
@@ -48,6 +48,7 @@
   DP_REASON_PROGRESS_TIMEOUT,
   DP_REASON_DRAIN_DEADLINE,
   DP_REASON_ALREADY_HELD, /* retransmission of a SYN that is kept */
+  DP_REASON_LEAVING,      /* this member takes no new flows */
   DP_N_REASONS
 } DpReason;
 
--- a/src/libdogwoodpaddle/include/protected/slots.h
+++ b/src/libdogwoodpaddle/include/protected/slots.h
@@ -15,3 +15,25 @@
 
 const char *dp_class_string (DpClass class);
 gboolean dp_class_parse (const char *text, DpClass *class);
+
+typedef struct _DpSlots DpSlots;
+
+DpSlots *dp_slots_new (guint max_waiting);
+void dp_slots_free (DpSlots *slots);
+void dp_slots_set_capacity (DpSlots *slots, guint capacity, gboolean mixed);
+
+gboolean dp_slots_take (DpSlots *slots, DpClass class);
+gboolean dp_slots_can_take (const DpSlots *slots, DpClass class);
+void dp_slots_give_back (DpSlots *slots, DpClass class);
+void dp_slots_record (DpSlots *slots, DpClass class, gint64 service_time);
+
+DpHandle dp_slots_wait (DpSlots *slots, DpHandle flow, DpClass class);
+void dp_slots_cancel (DpSlots *slots, DpHandle ticket);
+DpHandle dp_slots_next (DpSlots *slots);
+
+gint64 dp_slots_expected_wait (const DpSlots *slots, DpClass class);
+gboolean dp_slots_contended (const DpSlots *slots, DpClass class);
+guint dp_slots_busy (const DpSlots *slots);
+guint dp_slots_waiting (const DpSlots *slots, DpClass class);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpSlots, dp_slots_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/slots.c
@@ -0,0 +1,268 @@
+#include "protected/slots.h"
+
+#include <string.h>
+
+#include "protected/clock.h"
+
+/* Assumed for a class until the first request of it has ended. */
+#define FIRST_SERVICE_TIME (100 * DP_US_PER_MS)
+/* Weight of the newest service time in the moving mean: 1/8. */
+#define MEAN_SHIFT 3
+
+typedef struct
+{
+  DpHandle flow;
+  DpHandle previous;
+  DpHandle next;
+  DpClass class;
+} Waiter;
+
+typedef struct
+{
+  DpHandle first;
+  DpHandle last;
+  guint n_waiting;
+  guint n_busy;
+  gint64 service_time; /* us, moving mean */
+} Queue;
+
+struct _DpSlots
+{
+  DpHandleTable *waiters;
+  Queue queues[DP_N_CLASSES];
+  guint capacity;
+  gboolean mixed;
+  gint64 service_time; /* us, moving mean over all classes */
+};
+
+static guint class_limit_ (const DpSlots *slots, DpClass class);
+static void update_mean_ (gint64 *mean, gint64 value);
+
+static const char *const class_strings_[] = { "urgent", "interactive", "bulk" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (class_strings_) == DP_N_CLASSES);
+
+/* Returns the class's name. */
+const char *
+dp_class_string (DpClass class)
+{
+  g_assert (class < DP_N_CLASSES);
+  return class_strings_[class];
+}
+
+/* Finds a class by its name. */
+gboolean
+dp_class_parse (const char *text, DpClass *class)
+{
+  for (guint i = 0; i < DP_N_CLASSES; i++)
+    {
+      if (strcmp (text, class_strings_[i]) != 0)
+        continue;
+      *class = (DpClass) i;
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* Creates a scheduler without slots, for at most max_waiting waiting flows. */
+DpSlots *
+dp_slots_new (guint max_waiting)
+{
+  DpSlots *slots = g_new0 (DpSlots, 1);
+
+  slots->waiters = dp_handle_table_new (sizeof (Waiter), max_waiting);
+  slots->service_time = FIRST_SERVICE_TIME;
+  for (guint i = 0; i < DP_N_CLASSES; i++)
+    slots->queues[i].service_time = FIRST_SERVICE_TIME;
+  return slots;
+}
+
+/* Frees the scheduler. */
+void
+dp_slots_free (DpSlots *slots)
+{
+  if (slots == NULL)
+    return;
+  dp_handle_table_free (slots->waiters);
+  g_free (slots);
+}
+
+/* Sets the number of slots. mixed: the service has other classes than bulk, for which
+ * one of two or more slots is kept from bulk. Slots in use beyond a lower number are not
+ * taken away. */
+void
+dp_slots_set_capacity (DpSlots *slots, guint capacity, gboolean mixed)
+{
+  slots->capacity = capacity;
+  slots->mixed = mixed;
+}
+
+/* Takes a slot if one is free for the class. */
+gboolean
+dp_slots_take (DpSlots *slots, DpClass class)
+{
+  if (!dp_slots_can_take (slots, class))
+    return FALSE;
+  slots->queues[class].n_busy++;
+  return TRUE;
+}
+
+/* Returns whether a slot is free for a newcomer of the class. A waiting flow of the same
+ * or a better class goes first. */
+gboolean
+dp_slots_can_take (const DpSlots *slots, DpClass class)
+{
+  return dp_slots_busy (slots) < slots->capacity
+         && slots->queues[class].n_busy < class_limit_ (slots, class)
+         && !dp_slots_contended (slots, class);
+}
+
+/* Gives a slot back that a flow of the class had. */
+void
+dp_slots_give_back (DpSlots *slots, DpClass class)
+{
+  g_assert (slots->queues[class].n_busy > 0);
+  slots->queues[class].n_busy--;
+}
+
+/* Takes account of how long a request of the class occupied its slot, in us. */
+void
+dp_slots_record (DpSlots *slots, DpClass class, gint64 service_time)
+{
+  update_mean_ (&slots->queues[class].service_time, service_time);
+  update_mean_ (&slots->service_time, service_time);
+}
+
+/* Queues a flow behind those of its class; DP_HANDLE_NONE if too many are waiting. The
+ * ticket is valid until the flow is returned by dp_slots_next (). */
+DpHandle
+dp_slots_wait (DpSlots *slots, DpHandle flow, DpClass class)
+{
+  Queue *queue = &slots->queues[class];
+  DpHandle ticket = dp_handle_table_add (slots->waiters);
+  Waiter *waiter = dp_handle_table_get (slots->waiters, ticket);
+  Waiter *last = dp_handle_table_get (slots->waiters, queue->last);
+
+  if (waiter == NULL)
+    return DP_HANDLE_NONE;
+  waiter->flow = flow;
+  waiter->class = class;
+  waiter->previous = queue->last;
+  waiter->next = DP_HANDLE_NONE;
+  if (last != NULL)
+    last->next = ticket;
+  else
+    queue->first = ticket;
+  queue->last = ticket;
+  queue->n_waiting++;
+  return ticket;
+}
+
+/* Removes a flow from its queue; a stale ticket is ignored. */
+void
+dp_slots_cancel (DpSlots *slots, DpHandle ticket)
+{
+  Waiter *waiter = dp_handle_table_get (slots->waiters, ticket);
+  Waiter *previous;
+  Waiter *next;
+  Queue *queue;
+
+  if (waiter == NULL)
+    return;
+  queue = &slots->queues[waiter->class];
+  previous = dp_handle_table_get (slots->waiters, waiter->previous);
+  next = dp_handle_table_get (slots->waiters, waiter->next);
+  if (previous != NULL)
+    previous->next = waiter->next;
+  else
+    queue->first = waiter->next;
+  if (next != NULL)
+    next->previous = waiter->previous;
+  else
+    queue->last = waiter->previous;
+  queue->n_waiting--;
+  dp_handle_table_remove (slots->waiters, ticket);
+}
+
+/* Takes a slot for the flow whose turn it is, by class and then by arrival, and returns
+ * the flow; DP_HANDLE_NONE if none may have a slot. */
+DpHandle
+dp_slots_next (DpSlots *slots)
+{
+  for (guint class = 0; class < DP_N_CLASSES; class ++)
+    {
+      Queue *queue = &slots->queues[class];
+      const Waiter *waiter = dp_handle_table_get (slots->waiters, queue->first);
+      DpHandle flow;
+
+      if (dp_slots_busy (slots) >= slots->capacity)
+        return DP_HANDLE_NONE;
+      if (waiter == NULL || queue->n_busy >= class_limit_ (slots, (DpClass) class))
+        continue;
+      flow = waiter->flow;
+      dp_slots_cancel (slots, queue->first);
+      queue->n_busy++;
+      return flow;
+    }
+  return DP_HANDLE_NONE;
+}
+
+/* Returns how long a newcomer of the class is expected to wait, in us: until a slot is
+ * free and those before it are served. */
+gint64
+dp_slots_expected_wait (const DpSlots *slots, DpClass class)
+{
+  gint64 work = slots->service_time;
+
+  if (dp_slots_can_take (slots, class))
+    return 0;
+  for (guint i = 0; i <= class; i++)
+    work += slots->queues[i].n_waiting * slots->queues[i].service_time;
+  return work / MAX (class_limit_ (slots, class), 1);
+}
+
+/* Returns whether a flow of the same or a better class is waiting. */
+gboolean
+dp_slots_contended (const DpSlots *slots, DpClass class)
+{
+  for (guint i = 0; i <= class; i++)
+    {
+      if (slots->queues[i].n_waiting > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Returns the number of slots in use. */
+guint
+dp_slots_busy (const DpSlots *slots)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < DP_N_CLASSES; i++)
+    n += slots->queues[i].n_busy;
+  return n;
+}
+
+/* Returns the number of flows of the class that are waiting. */
+guint
+dp_slots_waiting (const DpSlots *slots, DpClass class)
+{
+  return slots->queues[class].n_waiting;
+}
+
+/* Bulk never holds the last slot of a mixed service, so that short work never waits for
+ * long work alone. */
+static guint
+class_limit_ (const DpSlots *slots, DpClass class)
+{
+  if (class == DP_CLASS_BULK && slots->mixed && slots->capacity >= 2)
+    return slots->capacity - 1;
+  return slots->capacity;
+}
+
+static void
+update_mean_ (gint64 *mean, gint64 value)
+{
+  *mean += (value - *mean) / (1 << MEAN_SHIFT);
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/variant.c
@@ -0,0 +1,32 @@
+#include "protected/variant.h"
+
+#include <string.h>
+
+static const char *const variant_strings_[] = {
+  "none",    "no-walk",         "forget-decisions", "reset-unsettled",
+  "any-ack", "foreign-service", "accept-leaving",   "refuse-delivered",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (variant_strings_) == DP_N_VARIANTS);
+
+/* Returns the variant's name. */
+const char *
+dp_variant_string (DpVariant variant)
+{
+  g_assert (variant < DP_N_VARIANTS);
+  return variant_strings_[variant];
+}
+
+/* Finds a variant by its name. */
+gboolean
+dp_variant_parse (const char *text, DpVariant *variant)
+{
+  for (guint i = 0; i < DP_N_VARIANTS; i++)
+    {
+      if (strcmp (text, variant_strings_[i]) != 0)
+        continue;
+      *variant = (DpVariant) i;
+      return TRUE;
+    }
+  return FALSE;
+}
--- /dev/null
+++ b/src/test_libdogwoodpaddle/members.h
@@ -0,0 +1,248 @@
+/* A few members of one service whose forwarded packets reach each other at once. */
+#pragma once
+
+#include "protected/acceptance.h"
+#include "protected/clock.h"
+#include "protected/variant.h"
+#include "runner.h"
+
+#define MEMBERS_MAX 40
+#define SERVICE "darbnica"
+#define START (1000 * DP_US_PER_S)
+
+typedef struct
+{
+  guint n;
+  gint64 now; /* us */
+  char names[MEMBERS_MAX][16];
+  DpMember list[MEMBERS_MAX];
+  DpAcceptance *acceptances[MEMBERS_MAX]; /* in the order of names */
+  DpActions actions;                      /* of the last call */
+  DpAction last; /* the packet's action where it was not forwarded */
+  guint at;      /* member that decided it */
+  guint n_hops;  /* members that the packet visited */
+} Members;
+
+static const DpAddress reports_ = { 0x0a4d0001, 80 };
+static const DpAddress status_ = { 0x0a4d0001, 81 };
+static const DpAddress manuals_ = { 0x0a4d0001, 82 };
+
+static inline DpAcceptanceLimits
+members_limits (void)
+{
+  return (DpAcceptanceLimits){ .slots = 2,
+                               .connections = 100,
+                               .visits = 4,
+                               .idle_timeout = 600 * DP_US_PER_S,
+                               .progress_timeout = 60 * DP_US_PER_S,
+                               .slow_start = 0,
+                               .settle_time = 5 * DP_US_PER_S };
+}
+
+static inline DpView *
+members_view (const Members *m, guint64 revision, guint n)
+{
+  return dp_view_new (SERVICE, revision, m->list, n);
+}
+
+static inline void
+members_set_view (Members *m, guint member, guint64 revision, guint n)
+{
+  g_autoptr (DpView) view = members_view (m, revision, n);
+
+  dp_acceptance_set_view (m->acceptances[member], view, m->now);
+}
+
+static inline void
+members_set_limits (Members *m, const DpAcceptanceLimits *limits)
+{
+  for (guint i = 0; i < m->n; i++)
+    dp_acceptance_set_limits (m->acceptances[i], limits);
+}
+
+/* All are active with the same view, their servers are up, and the views are settled. */
+static inline void
+members_init (Members *m, guint n)
+{
+  const DpServiceAddress addresses[] = {
+    { reports_, DP_CLASS_URGENT, 2 * DP_US_PER_S },
+    { status_, DP_CLASS_INTERACTIVE, 2 * DP_US_PER_S },
+    { manuals_, DP_CLASS_BULK, 2 * DP_US_PER_S },
+  };
+  DpAcceptanceLimits limits = members_limits ();
+
+  *m = (Members){ .n = n, .now = START };
+  dp_actions_init (&m->actions);
+  for (guint i = 0; i < n; i++)
+    {
+      g_snprintf (m->names[i], sizeof m->names[i], "host-%u", i);
+      m->list[i] = (DpMember){ .name = m->names[i],
+                               .address = { 0x7f010000 + i, 7000 },
+                               .slots = 4,
+                               .connections = 100,
+                               .state = DP_MEMBER_ACTIVE };
+    }
+  for (guint i = 0; i < n; i++)
+    {
+      DpAcceptance *a = dp_acceptance_new (SERVICE, dp_member_id (m->names[i]));
+
+      m->acceptances[i] = a;
+      dp_acceptance_set_addresses (a, addresses, G_N_ELEMENTS (addresses));
+      dp_acceptance_set_connected (a, TRUE, m->now);
+      dp_acceptance_set_server_up (a, TRUE, m->now);
+      members_set_view (m, i, 1, n);
+    }
+  members_set_limits (m, &limits);
+  m->now += 10 * DP_US_PER_S;
+}
+
+static inline void
+members_finish (Members *m)
+{
+  for (guint i = 0; i < m->n; i++)
+    dp_acceptance_free (m->acceptances[i]);
+  dp_actions_finish (&m->actions);
+}
+
+static inline DpSegment
+members_segment (guint client, const DpAddress *service, guint8 flags)
+{
+  DpSegment s = { .key = { { 0x0a000000 + client, 40000 }, *service },
+                  .seq = 1000,
+                  .flags = flags };
+
+  s.hash = dp_flow_key_hash (&s.key);
+  if (flags != DP_TCP_SYN)
+    s.seq++;
+  return s;
+}
+
+static inline guint
+members_index (const Members *m, const DpAddress *address)
+{
+  g_assert (address->ip >= 0x7f010000 && address->ip < 0x7f010000 + m->n);
+  return address->ip - 0x7f010000;
+}
+
+/* Returns the first action for the packet of the last call. */
+static inline DpAction
+members_packet_action (const Members *m)
+{
+  for (guint i = 0; i < m->actions.items->len; i++)
+    {
+      DpAction action = g_array_index (m->actions.items, DpAction, i);
+
+      if (action.type <= DP_ACTION_RESET)
+        return action;
+    }
+  g_assert_not_reached ();
+}
+
+/* Returns the number of actions of a type in the last call, and the last one's flow. */
+static inline guint
+members_count (const Members *m, DpActionType type, DpHandle *flow)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < m->actions.items->len; i++)
+    {
+      DpAction action = g_array_index (m->actions.items, DpAction, i);
+
+      if (action.type != type)
+        continue;
+      n++;
+      if (flow != NULL)
+        *flow = action.flow;
+    }
+  return n;
+}
+
+/* Follows a packet with its header until a member doesn't forward it. No member may be
+ * visited twice, but for a SYN that is returned. */
+static inline void
+members_follow (Members *m, guint first, DpHeader header, const DpSegment *segment)
+{
+  guint visits[MEMBERS_MAX] = { 0 };
+
+  m->at = first;
+  for (m->n_hops = 1;; m->n_hops++)
+    {
+      gboolean returned;
+
+      visits[m->at]++;
+      dp_actions_clear (&m->actions);
+      dp_acceptance_packet (m->acceptances[m->at], &header, segment, m->now, &m->actions);
+      m->last = members_packet_action (m);
+      if (m->last.type != DP_ACTION_FORWARD)
+        return;
+      returned = m->last.header.n_visited == header.n_visited;
+      header = m->last.header;
+      m->at = members_index (m, &m->last.address);
+      CU_ASSERT_EQUAL (visits[m->at], returned ? 1 : 0);
+      CU_ASSERT_TRUE_FATAL (m->n_hops <= DP_VISITED_MAX + 1);
+    }
+}
+
+static inline DpHeader
+members_header (const Members *m, guint first)
+{
+  return (DpHeader){ .service_id = dp_service_id (SERVICE),
+                     .revision = 1,
+                     .reply_to = { 0x7f000001, 9 },
+                     .n_visited = 1,
+                     .visited = { dp_member_id (m->names[first]) } };
+}
+
+/* Sends a packet to a first member and follows it. */
+static inline void
+members_send (Members *m, guint first, const DpSegment *segment)
+{
+  members_follow (m, first, members_header (m, first), segment);
+}
+
+/* Returns the first candidate of a view with all members. */
+static inline guint
+members_first (const Members *m, const DpSegment *segment)
+{
+  g_autoptr (DpView) view = members_view (m, 1, m->n);
+  g_autoptr (DpCandidates) candidates = dp_candidates_new (view);
+
+  return members_index (
+      m,
+      &dp_candidates_first (candidates, segment->hash, DP_CANDIDATES_NEW_FLOW)->address);
+}
+
+/* Opens a flow at its first candidate, which must accept it; returns its handle. */
+static inline DpHandle
+members_open (Members *m, const DpSegment *syn, guint32 initial_seq)
+{
+  DpHandle flow = DP_HANDLE_NONE;
+  DpAcceptance *a;
+
+  members_send (m, members_first (m, syn), syn);
+  CU_ASSERT_EQUAL (m->last.type, DP_ACTION_HOLD);
+  CU_ASSERT_EQUAL (members_count (m, DP_ACTION_CONNECT, &flow), 1);
+  a = m->acceptances[m->at];
+  dp_actions_clear (&m->actions);
+  dp_acceptance_server_connected (a, flow, m->now, &m->actions);
+  CU_ASSERT_EQUAL (members_count (m, DP_ACTION_DELIVER_HELD, NULL), 1);
+  dp_acceptance_syn_answered (a, flow, initial_seq, m->now);
+  return flow;
+}
+
+/* Opens a flow and completes its handshake. */
+static inline DpHandle
+members_establish (Members *m, const DpSegment *syn, guint32 initial_seq)
+{
+  DpHandle flow = members_open (m, syn, initial_seq);
+
+  dp_acceptance_established (m->acceptances[m->at], flow, m->now);
+  return flow;
+}
+
+static inline void
+members_tick (Members *m, guint member)
+{
+  dp_actions_clear (&m->actions);
+  dp_acceptance_tick (m->acceptances[member], m->now, &m->actions);
+}
