--- /dev/null
+++ b/src/libdogwoodpaddle/conn.c
@@ -0,0 +1,287 @@
+#include "private/conn.h"
+
+#include <string.h>
+
+#include <lwip/priv/tcp_priv.h>
+
+#define READ_BUFFER_FIRST 2048 /* bytes */
+
+static err_t received_ (void *arg, struct tcp_pcb *pcb, struct pbuf *p, err_t err);
+static err_t sent_ (void *arg, struct tcp_pcb *pcb, u16_t length);
+static void failed_ (void *arg, err_t err);
+static void append_ (DpConn *conn, const struct pbuf *p);
+
+static const char *const state_strings_[] = {
+  "opening", "open", "closed", "reset", "timed out",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (state_strings_) == DP_N_CONN_STATES);
+
+/* Creates the connection for a pcb and becomes its listener. */
+DpConn *
+dp_conn_new (DpStack *stack, struct tcp_pcb *pcb, DpConnState state)
+{
+  DpConn *conn = g_new0 (DpConn, 1);
+
+  conn->stack = stack;
+  conn->pcb = pcb;
+  conn->state = state;
+  tcp_arg (pcb, conn);
+  tcp_recv (pcb, received_);
+  tcp_sent (pcb, sent_);
+  tcp_err (pcb, failed_);
+  /* The splice hands over what the other side sent at once, as one piece. */
+  tcp_nagle_disable (pcb);
+  return conn;
+}
+
+/* Sets the function that is called after each change; NULL: none. */
+void
+dp_conn_set_listener (DpConn *conn, DpConnFunc changed, gpointer user_data)
+{
+  conn->notify = changed;
+  conn->user_data = user_data;
+}
+
+/* Returns the connection's state. Bytes received before its end stay readable. */
+DpConnState
+dp_conn_state (const DpConn *conn)
+{
+  return conn->state;
+}
+
+/* Returns a short name of the state. */
+const char *
+dp_conn_state_string (DpConnState state)
+{
+  g_assert (state < DP_N_CONN_STATES);
+  return state_strings_[state];
+}
+
+/* Returns this end's address; of an accepted connection the one the client called. */
+DpAddress
+dp_conn_local (const DpConn *conn)
+{
+  return conn->local;
+}
+
+/* Returns the other end's address. */
+DpAddress
+dp_conn_remote (const DpConn *conn)
+{
+  return conn->remote;
+}
+
+/* Returns the number of received bytes that were not consumed; data is valid until the
+ * next call into the stack. */
+gsize
+dp_conn_readable (const DpConn *conn, const guint8 **data)
+{
+  if (data != NULL)
+    *data = conn->buffer + conn->start;
+  return conn->end - conn->start;
+}
+
+/* Returns whether the peer sends nothing after the readable bytes. */
+gboolean
+dp_conn_read_ended (const DpConn *conn)
+{
+  return conn->read_ended;
+}
+
+/* Drops readable bytes and opens the receive window by as much. */
+void
+dp_conn_consume (DpConn *conn, gsize length)
+{
+  g_assert (length <= conn->end - conn->start);
+  conn->start += length;
+  if (conn->start == conn->end)
+    {
+      g_clear_pointer (&conn->buffer, g_free);
+      conn->capacity = 0;
+      conn->start = 0;
+      conn->end = 0;
+    }
+  if (conn->pcb == NULL)
+    return;
+  tcp_recved (conn->pcb, (u16_t) length);
+}
+
+/* Returns how many bytes can be written now. */
+gsize
+dp_conn_space (const DpConn *conn)
+{
+  gsize n_buffers;
+
+  if (conn->pcb == NULL || conn->state != DP_CONN_OPEN || conn->shut_down)
+    return 0;
+  if (tcp_sndqueuelen (conn->pcb) + 2 >= TCP_SND_QUEUELEN)
+    return 0;
+  /* A write takes at most one buffer for each segment and one for a partial segment. */
+  n_buffers = TCP_SND_QUEUELEN - tcp_sndqueuelen (conn->pcb) - 2;
+  return MIN (tcp_sndbuf (conn->pcb), n_buffers * tcp_mss (conn->pcb));
+}
+
+/* Sends a copy of the bytes, at most dp_conn_space () of them. FALSE: out of memory. */
+gboolean
+dp_conn_write (DpConn *conn, const guint8 *data, gsize length)
+{
+  err_t err;
+
+  g_assert (length <= dp_conn_space (conn));
+  err = tcp_write (conn->pcb, data, (u16_t) length, TCP_WRITE_FLAG_COPY);
+  if (err != ERR_OK)
+    return FALSE;
+  conn->written += length;
+  tcp_output (conn->pcb);
+  return TRUE;
+}
+
+/* Returns how many written bytes the peer did not acknowledge yet. */
+gsize
+dp_conn_unacknowledged (const DpConn *conn)
+{
+  return conn->written - conn->acknowledged;
+}
+
+/* Returns how many bytes the peer acknowledged in all. */
+guint64
+dp_conn_acknowledged (const DpConn *conn)
+{
+  return conn->acknowledged;
+}
+
+/* Ends this direction after the bytes already written. */
+void
+dp_conn_shutdown (DpConn *conn)
+{
+  if (conn->shut_down || conn->pcb == NULL)
+    return;
+  g_assert (conn->state == DP_CONN_OPEN);
+  conn->shut_down = TRUE;
+  tcp_shutdown (conn->pcb, 0, 1);
+}
+
+/* Resets the connection if it is still open, and frees it. */
+void
+dp_conn_abort (DpConn *conn)
+{
+  struct tcp_pcb *pcb = conn->pcb;
+
+  dp_conn_detach (conn);
+  if (pcb != NULL)
+    tcp_abort (pcb);
+  dp_conn_free (conn);
+}
+
+/* Frees the connection without a word to the peer. */
+void
+dp_conn_forget (DpConn *conn)
+{
+  struct tcp_pcb *pcb = conn->pcb;
+
+  dp_conn_detach (conn);
+  if (pcb != NULL)
+    tcp_abandon (pcb, 0);
+  dp_conn_free (conn);
+}
+
+/* Frees the connection. What is still open is closed in order by lwIP on its own, or
+ * reset if received bytes were not consumed. */
+void
+dp_conn_free (DpConn *conn)
+{
+  struct tcp_pcb *pcb;
+
+  if (conn == NULL)
+    return;
+  pcb = conn->pcb;
+  dp_conn_detach (conn);
+  if (pcb != NULL)
+    tcp_close (pcb);
+  dp_stack_remove_conn (conn->stack, conn);
+  g_free (conn->buffer);
+  g_free (conn);
+}
+
+/* Leaves the pcb to lwIP. */
+void
+dp_conn_detach (DpConn *conn)
+{
+  if (conn->pcb == NULL)
+    return;
+  tcp_arg (conn->pcb, NULL);
+  tcp_recv (conn->pcb, NULL);
+  tcp_sent (conn->pcb, NULL);
+  tcp_err (conn->pcb, NULL);
+  conn->pcb = NULL;
+}
+
+static err_t
+received_ (void *arg, struct tcp_pcb *pcb, struct pbuf *p, err_t err)
+{
+  DpConn *conn = arg;
+
+  if (p != NULL)
+    {
+      append_ (conn, p);
+      pbuf_free (p);
+    }
+  else
+    {
+      conn->read_ended = TRUE;
+      dp_stack_add_closing (conn->stack, conn);
+    }
+  dp_stack_add_changed (conn->stack, conn);
+  return ERR_OK;
+}
+
+static err_t
+sent_ (void *arg, struct tcp_pcb *pcb, u16_t length)
+{
+  DpConn *conn = arg;
+
+  conn->acknowledged += length;
+  dp_stack_add_changed (conn->stack, conn);
+  return ERR_OK;
+}
+
+/* lwIP has freed the pcb. */
+static void
+failed_ (void *arg, err_t err)
+{
+  DpConn *conn = arg;
+
+  conn->pcb = NULL;
+  if (err == ERR_CLSD)
+    {
+      conn->state = DP_CONN_CLOSED;
+      conn->acknowledged = conn->written;
+    }
+  else
+    conn->state = err == ERR_RST ? DP_CONN_RESET : DP_CONN_TIMED_OUT;
+  dp_stack_add_changed (conn->stack, conn);
+}
+
+/* Copies received bytes into one block: many small segments would otherwise keep a buffer
+ * of some hundred bytes each. */
+static void
+append_ (DpConn *conn, const struct pbuf *p)
+{
+  gsize used = conn->end - conn->start;
+
+  if (conn->end + p->tot_len > conn->capacity && conn->start > 0)
+    {
+      memmove (conn->buffer, conn->buffer + conn->start, used);
+      conn->start = 0;
+      conn->end = used;
+    }
+  if (conn->end + p->tot_len > conn->capacity)
+    {
+      conn->capacity = MAX (conn->capacity * 2, READ_BUFFER_FIRST);
+      conn->capacity = MAX (conn->capacity, conn->end + p->tot_len);
+      conn->buffer = g_realloc (conn->buffer, conn->capacity);
+    }
+  pbuf_copy_partial (p, conn->buffer + conn->end, p->tot_len, 0);
+  conn->end += p->tot_len;
+}
--- a/src/libdogwoodpaddle/include/protected/stack.h
+++ b/src/libdogwoodpaddle/include/protected/stack.h
@@ -53,6 +53,7 @@
 void dp_stack_run_timers (DpStack *stack);
 gboolean
 dp_stack_forget (DpStack *stack, const DpAddress *local, const DpAddress *remote);
+gboolean dp_stack_abort (DpStack *stack, const DpAddress *local, const DpAddress *remote);
 
 DpConn *dp_stack_connect (DpStack *stack,
                           const DpAddress *local,
--- /dev/null
+++ b/src/libdogwoodpaddle/server.c
@@ -0,0 +1,265 @@
+#include "protected/server.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "private/connecting.h"
+#include "protected/document.h"
+
+#define PATH "/v1/server"
+#define CHECK_INTERVAL_MS 1000
+#define CHECK_TIMEOUT_MS 900 /* a check ends before the next one starts */
+/* One check can fail because the server's queue of new connections is full. */
+#define CHECKS_UNTIL_DOWN 2
+#define SLOTS_MAX 1024
+#define CONNECTIONS_MAX 100000
+
+struct _DpServer
+{
+  SoupServer *http;
+  guint32 ip;
+  DpServerFunc changed;
+  gpointer user_data;
+  DpServerState state;
+  guint timer;
+  DpConnecting *check; /* under way, or NULL */
+  guint failures;      /* checks that failed since the last success */
+  gboolean answers;    /* as the checks see it */
+};
+
+static void request_ (SoupServer *http,
+                      SoupServerMessage *message,
+                      const char *path,
+                      GHashTable *query,
+                      gpointer user_data);
+static void put_ (DpServer *server, SoupServerMessage *message);
+static void delete_ (DpServer *server, SoupServerMessage *message);
+static gboolean
+read_body_ (SoupMessageBody *body, DpServerState *state, GPtrArray *faults);
+static gint64
+read_number_ (JsonObject *object, const char *key, gint64 max, GPtrArray *faults);
+static gboolean read_ready_ (JsonObject *object, GPtrArray *faults);
+static void answer_ (SoupServerMessage *message, guint status, const char *text);
+static gboolean check_ (gpointer user_data);
+static void checked_ (int fd, int error_number, gpointer user_data);
+static void update_ (DpServer *server, const DpServerState *next);
+
+static const char *const keys_[] = { "port", "slots", "connections", "state", NULL };
+
+/* Creates the server's side; http must outlive it. */
+DpServer *
+dp_server_new (SoupServer *http, guint32 ip, DpServerFunc changed, gpointer user_data)
+{
+  DpServer *server = g_new0 (DpServer, 1);
+
+  server->http = g_object_ref (http);
+  server->ip = ip;
+  server->changed = changed;
+  server->user_data = user_data;
+  soup_server_add_handler (http, PATH, request_, server, NULL);
+  server->timer = g_timeout_add (CHECK_INTERVAL_MS, check_, server);
+  return server;
+}
+
+/* Ends the health checks and frees the server's side. */
+void
+dp_server_free (DpServer *server)
+{
+  if (server == NULL)
+    return;
+  soup_server_remove_handler (server->http, PATH);
+  g_clear_handle_id (&server->timer, g_source_remove);
+  g_clear_pointer (&server->check, dp_connecting_cancel);
+  g_object_unref (server->http);
+  g_free (server);
+}
+
+/* Returns what is known now; valid until the next change. */
+const DpServerState *
+dp_server_state (const DpServer *server)
+{
+  return &server->state;
+}
+
+static void
+request_ (SoupServer *http,
+          SoupServerMessage *message,
+          const char *path,
+          GHashTable *query,
+          gpointer user_data)
+{
+  DpServer *server = user_data;
+  const char *method = soup_server_message_get_method (message);
+
+  if (!g_str_equal (path, PATH))
+    answer_ (message, SOUP_STATUS_NOT_FOUND, "no such path");
+  else if (g_str_equal (method, "PUT"))
+    put_ (server, message);
+  else if (g_str_equal (method, "DELETE"))
+    delete_ (server, message);
+  else
+    answer_ (message, SOUP_STATUS_METHOD_NOT_ALLOWED, "use PUT or DELETE");
+}
+
+static void
+put_ (DpServer *server, SoupServerMessage *message)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  DpServerState next = server->state;
+  g_autoptr (GPtrArray) faults = dp_faults_new ();
+
+  if (!read_body_ (body, &next, faults))
+    {
+      g_autofree char *text = dp_faults_join (faults);
+
+      g_warning ("registration of the server refused: %s", text);
+      answer_ (message, SOUP_STATUS_BAD_REQUEST, text);
+      return;
+    }
+  next.registered = TRUE;
+  next.leaving = FALSE;
+  if (next.port != server->state.port)
+    {
+      g_clear_pointer (&server->check, dp_connecting_cancel);
+      server->answers = FALSE;
+    }
+  next.up = next.ready && server->answers;
+  answer_ (message, SOUP_STATUS_OK, "registered");
+  update_ (server, &next);
+  if (!server->answers)
+    check_ (server);
+}
+
+static void
+delete_ (DpServer *server, SoupServerMessage *message)
+{
+  DpServerState next = server->state;
+
+  if (!next.registered)
+    {
+      answer_ (message, SOUP_STATUS_NOT_FOUND, "no server is registered");
+      return;
+    }
+  next.leaving = TRUE;
+  answer_ (message, SOUP_STATUS_OK, "leaving");
+  update_ (server, &next);
+}
+
+static gboolean
+read_body_ (SoupMessageBody *body, DpServerState *state, GPtrArray *faults)
+{
+  g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
+  gsize length;
+  const char *text = g_bytes_get_data (bytes, &length);
+  g_autoptr (JsonNode) node = NULL;
+  JsonObject *object = NULL;
+
+  node = dp_document_parse (text != NULL ? text : "", length, faults);
+  if (node != NULL)
+    object = dp_document_object (node, "$", faults);
+  if (object == NULL)
+    return FALSE;
+  dp_document_known_keys (object, keys_, "$", faults);
+  state->port = (guint32) read_number_ (object, "port", G_MAXUINT16, faults);
+  state->slots = (guint32) read_number_ (object, "slots", SLOTS_MAX, faults);
+  state->connections = (guint32) read_number_ (object, "connections", CONNECTIONS_MAX,
+                                               faults);
+  state->ready = read_ready_ (object, faults);
+  return faults->len == 0;
+}
+
+/* Reads a number from 1 to max. */
+static gint64
+read_number_ (JsonObject *object, const char *key, gint64 max, GPtrArray *faults)
+{
+  JsonNode *node = json_object_get_member (object, key);
+  g_autofree char *path = dp_json_path ("$", key);
+  gint64 value = 0;
+
+  if (node == NULL)
+    dp_faults_add (faults, path, "is missing");
+  else
+    dp_document_integer (node, path, 1, max, &value, faults);
+  return value;
+}
+
+static gboolean
+read_ready_ (JsonObject *object, GPtrArray *faults)
+{
+  JsonNode *node = json_object_get_member (object, "state");
+  const char *text;
+
+  if (node == NULL)
+    {
+      dp_faults_add (faults, "$.state", "is missing");
+      return FALSE;
+    }
+  text = dp_document_text (node, "$.state", faults);
+  if (text != NULL && !g_str_equal (text, "starting") && !g_str_equal (text, "ready"))
+    dp_faults_add (faults, "$.state", "must be starting or ready, not \"%s\"", text);
+  return g_strcmp0 (text, "ready") == 0;
+}
+
+/* Answers with {"message": text}. */
+static void
+answer_ (SoupServerMessage *message, guint status, const char *text)
+{
+  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_OBJECT);
+  JsonObject *object = json_object_new ();
+  char *json;
+
+  json_object_set_string_member (object, "message", text);
+  json_node_take_object (node, object);
+  json = json_to_string (node, FALSE);
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, "application/json", SOUP_MEMORY_TAKE, json,
+                                    strlen (json));
+}
+
+/* Opens a connection to the server and closes it again. */
+static gboolean
+check_ (gpointer user_data)
+{
+  DpServer *server = user_data;
+  DpAddress address = { .ip = server->ip, .port = (guint16) server->state.port };
+
+  if (server->state.registered && server->check == NULL)
+    server->check = dp_connecting_new (&address, CHECK_TIMEOUT_MS, checked_, server);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+checked_ (int fd, int error_number, gpointer user_data)
+{
+  DpServer *server = user_data;
+  DpServerState next = server->state;
+
+  server->check = NULL;
+  if (fd >= 0)
+    close (fd);
+  server->failures = fd >= 0 ? 0 : server->failures + 1;
+  if (fd >= 0)
+    server->answers = TRUE;
+  else if (server->failures >= CHECKS_UNTIL_DOWN && server->answers)
+    {
+      server->answers = FALSE;
+      g_warning ("health check of the server on port %u: %s", next.port,
+                 g_strerror (error_number));
+    }
+  next.up = next.ready && server->answers;
+  update_ (server, &next);
+}
+
+static void
+update_ (DpServer *server, const DpServerState *next)
+{
+  if (memcmp (next, &server->state, sizeof *next) == 0)
+    return;
+  server->state = *next;
+  g_message ("server on port %u: %s, %s, %u slots, %u connections", next->port,
+             next->leaving ? "leaving"
+             : next->ready ? "ready"
+                           : "starting",
+             next->up ? "up" : "down", next->slots, next->connections);
+  server->changed (&server->state, server->user_data);
+}
--- a/src/libdogwoodpaddle/splice.c
+++ b/src/libdogwoodpaddle/splice.c
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "private/connecting.h"
+
 #define CHUNK (16 * 1024)   /* bytes of one read from the socket */
 #define EVENTS 64           /* socket events taken by one system call */
 #define SPLICES_PER_TURN 32 /* then the main loop receives packets again */
@@ -485,11 +487,10 @@
 static void
 close_socket_ (DpSplice *splice, gboolean reset)
 {
-  const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
-
   if (reset)
-    setsockopt (splice->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-  close (splice->fd);
+    dp_close_with_reset (splice->fd);
+  else
+    close (splice->fd);
 }
 
 static void
--- a/src/libdogwoodpaddle/stack.c
+++ b/src/libdogwoodpaddle/stack.c
@@ -12,12 +12,11 @@
 #include <lwip/netif.h>
 #include <lwip/priv/tcp_priv.h>
 #include <lwip/sys.h>
-#include <lwip/tcp.h>
 #include <lwip/timeouts.h>
 
+#include "private/conn.h"
 #include "protected/error.h"
 
-#define READ_BUFFER_FIRST 2048 /* bytes */
 /* The netif's address outside dp_stack_input (): of class E, which no host has. */
 #define NETIF_ADDRESS 0xf0000001u
 #define TIMER_WAIT_MAX_MS 1000 /* lwIP has no timer that needs a longer wait */
@@ -36,28 +35,6 @@
   guint8 secret[XXH3_SECRET_SIZE_MIN]; /* of the sequence numbers' offsets */
 };
 
-struct _DpConn
-{
-  DpStack *stack;
-  struct tcp_pcb *pcb; /* NULL once lwIP has freed it or keeps it in TIME_WAIT */
-  DpConnState state;
-  DpAddress local;
-  DpAddress remote;
-  DpConnFunc notify;
-  gpointer user_data;
-  gboolean accepted; /* the owner knows of it */
-  gboolean queued;   /* is in stack->changed */
-  gboolean closing;  /* is in stack->closing */
-  gboolean read_ended;
-  gboolean shut_down;
-  guint8 *buffer; /* received bytes from start to end, NULL if there are none */
-  gsize capacity;
-  gsize start;
-  gsize end;
-  guint64 written;
-  guint64 acknowledged;
-};
-
 typedef struct
 {
   GSource base;
@@ -72,14 +49,9 @@
 static guint32 sequence_offset_ (const DpStack *stack, const DpFlowKey *key);
 static err_t accepted_ (void *arg, struct tcp_pcb *pcb, err_t err);
 static err_t connected_ (void *arg, struct tcp_pcb *pcb, err_t err);
-static err_t received_ (void *arg, struct tcp_pcb *pcb, struct pbuf *p, err_t err);
-static err_t sent_ (void *arg, struct tcp_pcb *pcb, u16_t length);
-static void failed_ (void *arg, err_t err);
-static DpConn *conn_new_ (DpStack *stack, struct tcp_pcb *pcb, DpConnState state);
-static void append_ (DpConn *conn, const struct pbuf *p);
-static void changed_ (DpConn *conn);
 static void check_closing_ (DpStack *stack);
-static void detach_ (DpConn *conn);
+static gboolean
+remove_ (DpStack *stack, const DpAddress *local, const DpAddress *remote, gboolean reset);
 static void dispatch_ (DpStack *stack);
 static gboolean usable_peer_ (guint32 peer, guint32 own);
 static DpAddress address_of_ (const ip_addr_t *ip, guint16 port);
@@ -87,12 +59,6 @@
 static gboolean
 failed_with_ (GError **error, const char *step, const DpAddress *peer, err_t err);
 
-static const char *const state_strings_[] = {
-  "opening", "open", "closed", "reset", "timed out",
-};
-
-G_STATIC_ASSERT (G_N_ELEMENTS (state_strings_) == DP_N_CONN_STATES);
-
 static GSourceFuncs timer_funcs_ = {
   .prepare = timer_prepare_,
   .check = timer_check_,
@@ -265,24 +231,14 @@
 gboolean
 dp_stack_forget (DpStack *stack, const DpAddress *local, const DpAddress *remote)
 {
-  struct tcp_pcb *lists[] = { tcp_active_pcbs, tcp_tw_pcbs };
-
-  for (guint i = 0; i < G_N_ELEMENTS (lists); i++)
-    {
-      for (struct tcp_pcb *pcb = lists[i]; pcb != NULL; pcb = pcb->next)
-        {
-          DpAddress pcb_local = address_of_ (&pcb->local_ip, pcb->local_port);
-          DpAddress pcb_remote = address_of_ (&pcb->remote_ip, pcb->remote_port);
+  return remove_ (stack, local, remote, FALSE);
+}
 
-          if (!dp_address_equal (&pcb_local, local)
-              || !dp_address_equal (&pcb_remote, remote))
-            continue;
-          tcp_abandon (pcb, 0);
-          dispatch_ (stack);
-          return TRUE;
-        }
-    }
-  return FALSE;
+/* Resets a connection that was not accepted yet. Returns whether there was one. */
+gboolean
+dp_stack_abort (DpStack *stack, const DpAddress *local, const DpAddress *remote)
+{
+  return remove_ (stack, local, remote, TRUE);
 }
 
 /* Opens a connection from local (port 0: chosen by the stack) to remote. The caller owns
@@ -311,7 +267,7 @@
   set_ip_ (&local_ip, local->ip);
   set_ip_ (&remote_ip, remote->ip);
   ip_set_option (pcb, SOF_REUSEADDR);
-  conn = conn_new_ (stack, pcb, DP_CONN_OPENING);
+  conn = dp_conn_new (stack, pcb, DP_CONN_OPENING);
   conn->accepted = TRUE;
   err = tcp_bind (pcb, &local_ip, local->port);
   if (err == ERR_OK)
@@ -331,182 +287,38 @@
   return conn;
 }
 
-/* Sets the function that is called after each change; NULL: none. */
+/* Remembers that the connection's owner is to be called. */
 void
-dp_conn_set_listener (DpConn *conn, DpConnFunc changed, gpointer user_data)
-{
-  conn->notify = changed;
-  conn->user_data = user_data;
-}
-
-/* Returns the connection's state. Bytes received before its end stay readable. */
-DpConnState
-dp_conn_state (const DpConn *conn)
-{
-  return conn->state;
-}
-
-/* Returns a short name of the state. */
-const char *
-dp_conn_state_string (DpConnState state)
-{
-  g_assert (state < DP_N_CONN_STATES);
-  return state_strings_[state];
-}
-
-/* Returns this end's address; of an accepted connection the one the client called. */
-DpAddress
-dp_conn_local (const DpConn *conn)
-{
-  return conn->local;
-}
-
-/* Returns the other end's address. */
-DpAddress
-dp_conn_remote (const DpConn *conn)
+dp_stack_add_changed (DpStack *stack, DpConn *conn)
 {
-  return conn->remote;
-}
-
-/* Returns the number of received bytes that were not consumed; data is valid until the
- * next call into the stack. */
-gsize
-dp_conn_readable (const DpConn *conn, const guint8 **data)
-{
-  if (data != NULL)
-    *data = conn->buffer + conn->start;
-  return conn->end - conn->start;
-}
-
-/* Returns whether the peer sends nothing after the readable bytes. */
-gboolean
-dp_conn_read_ended (const DpConn *conn)
-{
-  return conn->read_ended;
-}
-
-/* Drops readable bytes and opens the receive window by as much. */
-void
-dp_conn_consume (DpConn *conn, gsize length)
-{
-  g_assert (length <= conn->end - conn->start);
-  conn->start += length;
-  if (conn->start == conn->end)
-    {
-      g_clear_pointer (&conn->buffer, g_free);
-      conn->capacity = 0;
-      conn->start = 0;
-      conn->end = 0;
-    }
-  if (conn->pcb == NULL)
+  if (conn->queued)
     return;
-  tcp_recved (conn->pcb, (u16_t) length);
-}
-
-/* Returns how many bytes can be written now. */
-gsize
-dp_conn_space (const DpConn *conn)
-{
-  gsize n_buffers;
-
-  if (conn->pcb == NULL || conn->state != DP_CONN_OPEN || conn->shut_down)
-    return 0;
-  if (tcp_sndqueuelen (conn->pcb) + 2 >= TCP_SND_QUEUELEN)
-    return 0;
-  /* A write takes at most one buffer for each segment and one for a partial segment. */
-  n_buffers = TCP_SND_QUEUELEN - tcp_sndqueuelen (conn->pcb) - 2;
-  return MIN (tcp_sndbuf (conn->pcb), n_buffers * tcp_mss (conn->pcb));
-}
-
-/* Sends a copy of the bytes, at most dp_conn_space () of them. FALSE: out of memory. */
-gboolean
-dp_conn_write (DpConn *conn, const guint8 *data, gsize length)
-{
-  err_t err;
-
-  g_assert (length <= dp_conn_space (conn));
-  err = tcp_write (conn->pcb, data, (u16_t) length, TCP_WRITE_FLAG_COPY);
-  if (err != ERR_OK)
-    return FALSE;
-  conn->written += length;
-  tcp_output (conn->pcb);
-  return TRUE;
-}
-
-/* Returns how many written bytes the peer did not acknowledge yet. */
-gsize
-dp_conn_unacknowledged (const DpConn *conn)
-{
-  return conn->written - conn->acknowledged;
-}
-
-/* Returns how many bytes the peer acknowledged in all. */
-guint64
-dp_conn_acknowledged (const DpConn *conn)
-{
-  return conn->acknowledged;
+  conn->queued = TRUE;
+  g_ptr_array_add (stack->changed, conn);
 }
 
-/* Ends this direction after the bytes already written. */
+/* Watches a connection whose peer has ended, see check_closing_ (). */
 void
-dp_conn_shutdown (DpConn *conn)
+dp_stack_add_closing (DpStack *stack, DpConn *conn)
 {
-  if (conn->shut_down || conn->pcb == NULL)
+  if (conn->closing)
     return;
-  g_assert (conn->state == DP_CONN_OPEN);
-  conn->shut_down = TRUE;
-  tcp_shutdown (conn->pcb, 0, 1);
-}
-
-/* Resets the connection if it is still open, and frees it. */
-void
-dp_conn_abort (DpConn *conn)
-{
-  struct tcp_pcb *pcb = conn->pcb;
-
-  detach_ (conn);
-  if (pcb != NULL)
-    tcp_abort (pcb);
-  dp_conn_free (conn);
+  conn->closing = TRUE;
+  g_ptr_array_add (stack->closing, conn);
 }
 
-/* Frees the connection without a word to the peer. */
+/* Takes a connection that is being freed off the stack's lists. */
 void
-dp_conn_forget (DpConn *conn)
+dp_stack_remove_conn (DpStack *stack, DpConn *conn)
 {
-  struct tcp_pcb *pcb = conn->pcb;
-
-  detach_ (conn);
-  if (pcb != NULL)
-    tcp_abandon (pcb, 0);
-  dp_conn_free (conn);
-}
-
-/* Frees the connection. What is still open is closed in order by lwIP on its own, or
- * reset if received bytes were not consumed. */
-void
-dp_conn_free (DpConn *conn)
-{
-  struct tcp_pcb *pcb;
-
-  if (conn == NULL)
-    return;
-  pcb = conn->pcb;
-  detach_ (conn);
-  if (pcb != NULL)
-    tcp_close (pcb);
-  if (conn->queued)
+  for (guint i = 0; conn->queued && i < stack->changed->len; i++)
     {
-      for (guint i = 0; i < conn->stack->changed->len; i++)
-        {
-          if (conn->stack->changed->pdata[i] == conn)
-            conn->stack->changed->pdata[i] = NULL;
-        }
+      /* dispatch_ () may be going through the list. */
+      if (stack->changed->pdata[i] == conn)
+        stack->changed->pdata[i] = NULL;
     }
   if (conn->closing)
-    g_ptr_array_remove_fast (conn->stack->closing, conn);
-  g_free (conn->buffer);
-  g_free (conn);
+    g_ptr_array_remove_fast (stack->closing, conn);
 }
 
 static gboolean
@@ -584,10 +396,10 @@
 
   if (err != ERR_OK || pcb == NULL)
     return ERR_VAL;
-  conn = conn_new_ (stack, pcb, DP_CONN_OPEN);
+  conn = dp_conn_new (stack, pcb, DP_CONN_OPEN);
   conn->local = address_of_ (&pcb->local_ip, pcb->local_port);
   conn->remote = address_of_ (&pcb->remote_ip, pcb->remote_port);
-  changed_ (conn);
+  dp_stack_add_changed (conn->stack, conn);
   return ERR_OK;
 }
 
@@ -597,107 +409,10 @@
   DpConn *conn = arg;
 
   conn->state = DP_CONN_OPEN;
-  changed_ (conn);
+  dp_stack_add_changed (conn->stack, conn);
   return ERR_OK;
 }
 
-static err_t
-received_ (void *arg, struct tcp_pcb *pcb, struct pbuf *p, err_t err)
-{
-  DpConn *conn = arg;
-
-  if (p != NULL)
-    {
-      append_ (conn, p);
-      pbuf_free (p);
-    }
-  else
-    {
-      conn->read_ended = TRUE;
-      if (!conn->closing)
-        g_ptr_array_add (conn->stack->closing, conn);
-      conn->closing = TRUE;
-    }
-  changed_ (conn);
-  return ERR_OK;
-}
-
-static err_t
-sent_ (void *arg, struct tcp_pcb *pcb, u16_t length)
-{
-  DpConn *conn = arg;
-
-  conn->acknowledged += length;
-  changed_ (conn);
-  return ERR_OK;
-}
-
-/* lwIP has freed the pcb. */
-static void
-failed_ (void *arg, err_t err)
-{
-  DpConn *conn = arg;
-
-  conn->pcb = NULL;
-  if (err == ERR_CLSD)
-    {
-      conn->state = DP_CONN_CLOSED;
-      conn->acknowledged = conn->written;
-    }
-  else
-    conn->state = err == ERR_RST ? DP_CONN_RESET : DP_CONN_TIMED_OUT;
-  changed_ (conn);
-}
-
-static DpConn *
-conn_new_ (DpStack *stack, struct tcp_pcb *pcb, DpConnState state)
-{
-  DpConn *conn = g_new0 (DpConn, 1);
-
-  conn->stack = stack;
-  conn->pcb = pcb;
-  conn->state = state;
-  tcp_arg (pcb, conn);
-  tcp_recv (pcb, received_);
-  tcp_sent (pcb, sent_);
-  tcp_err (pcb, failed_);
-  /* The splice hands over what the other side sent at once, as one piece. */
-  tcp_nagle_disable (pcb);
-  return conn;
-}
-
-/* Copies received bytes into one block: many small segments would otherwise keep a buffer
- * of some hundred bytes each. */
-static void
-append_ (DpConn *conn, const struct pbuf *p)
-{
-  gsize used = conn->end - conn->start;
-
-  if (conn->end + p->tot_len > conn->capacity && conn->start > 0)
-    {
-      memmove (conn->buffer, conn->buffer + conn->start, used);
-      conn->start = 0;
-      conn->end = used;
-    }
-  if (conn->end + p->tot_len > conn->capacity)
-    {
-      conn->capacity = MAX (conn->capacity * 2, READ_BUFFER_FIRST);
-      conn->capacity = MAX (conn->capacity, conn->end + p->tot_len);
-      conn->buffer = g_realloc (conn->buffer, conn->capacity);
-    }
-  pbuf_copy_partial (p, conn->buffer + conn->end, p->tot_len, 0);
-  conn->end += p->tot_len;
-}
-
-static void
-changed_ (DpConn *conn)
-{
-  if (conn->queued)
-    return;
-  conn->queued = TRUE;
-  g_ptr_array_add (conn->stack->changed, conn);
-}
-
 /* lwIP doesn't tell when a connection that was closed by both ends enters TIME_WAIT, and
  * frees its pcb later without a word: the pcb must not be used from here on. */
 static void
@@ -711,27 +426,37 @@
         continue;
       if (conn->pcb != NULL)
         {
-          detach_ (conn);
+          dp_conn_detach (conn);
           conn->state = DP_CONN_CLOSED;
           conn->acknowledged = conn->written;
-          changed_ (conn);
+          dp_stack_add_changed (conn->stack, conn);
         }
       conn->closing = FALSE;
       g_ptr_array_remove_index_fast (stack->closing, i - 1);
     }
 }
 
-/* Leaves the pcb to lwIP. */
-static void
-detach_ (DpConn *conn)
+static gboolean
+remove_ (DpStack *stack, const DpAddress *local, const DpAddress *remote, gboolean reset)
 {
-  if (conn->pcb == NULL)
-    return;
-  tcp_arg (conn->pcb, NULL);
-  tcp_recv (conn->pcb, NULL);
-  tcp_sent (conn->pcb, NULL);
-  tcp_err (conn->pcb, NULL);
-  conn->pcb = NULL;
+  struct tcp_pcb *lists[] = { tcp_active_pcbs, tcp_tw_pcbs };
+
+  for (guint i = 0; i < G_N_ELEMENTS (lists); i++)
+    {
+      for (struct tcp_pcb *pcb = lists[i]; pcb != NULL; pcb = pcb->next)
+        {
+          DpAddress pcb_local = address_of_ (&pcb->local_ip, pcb->local_port);
+          DpAddress pcb_remote = address_of_ (&pcb->remote_ip, pcb->remote_port);
+
+          if (!dp_address_equal (&pcb_local, local)
+              || !dp_address_equal (&pcb_remote, remote))
+            continue;
+          tcp_abandon (pcb, reset);
+          dispatch_ (stack);
+          return TRUE;
+        }
+    }
+  return FALSE;
 }
 
 /* Calls the owners, now that lwIP is not in the middle of a segment. */
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_server.c
@@ -0,0 +1,211 @@
+/* Guards against bad registrations being taken over and against a server that is used
+ * while it does not accept connections. */
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "protected/server.h"
+#include "runner.h"
+
+#define LOOPBACK 0x7f000001u
+#define WAIT_MAX (10 * G_USEC_PER_SEC) /* several health checks */
+
+typedef struct
+{
+  SoupServer *http;
+  SoupSession *session;
+  char *url;
+  DpServer *server;
+  guint changes;
+} Bench;
+
+typedef struct
+{
+  const char *name;
+  const char *body;
+  const char *reason;
+} BadBody;
+
+static void
+changed (const DpServerState *state, gpointer user_data)
+{
+  ((Bench *) user_data)->changes++;
+}
+
+static void
+bench_init (Bench *bench)
+{
+  GSList *uris;
+
+  memset (bench, 0, sizeof *bench);
+  bench->http = soup_server_new (NULL, NULL);
+  CU_ASSERT_TRUE_FATAL (
+      soup_server_listen_local (bench->http, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+  uris = soup_server_get_uris (bench->http);
+  bench->url = g_strdup_printf ("http://127.0.0.1:%d/v1/server",
+                                g_uri_get_port (uris->data));
+  g_slist_free_full (uris, (GDestroyNotify) g_uri_unref);
+  bench->session = soup_session_new ();
+  bench->server = dp_server_new (bench->http, LOOPBACK, changed, bench);
+}
+
+static void
+bench_finish (Bench *bench)
+{
+  dp_server_free (bench->server);
+  soup_session_abort (bench->session);
+  g_object_unref (bench->session);
+  soup_server_disconnect (bench->http);
+  g_object_unref (bench->http);
+  g_free (bench->url);
+}
+
+static void
+answered (GObject *source, GAsyncResult *result, gpointer user_data)
+{
+  *(GBytes **) user_data = soup_session_send_and_read_finish (SOUP_SESSION (source),
+                                                              result, NULL);
+}
+
+/* Returns the status; text receives the body if it is not NULL. */
+static guint
+ask (Bench *bench, const char *method, const char *body, char **text)
+{
+  g_autoptr (SoupMessage) message = soup_message_new (method, bench->url);
+  g_autoptr (GBytes) request = g_bytes_new (body, strlen (body));
+  GBytes *answer = NULL;
+
+  soup_message_set_request_body_from_bytes (message, "application/json", request);
+  soup_session_send_and_read_async (bench->session, message, G_PRIORITY_DEFAULT, NULL,
+                                    answered, &answer);
+  while (answer == NULL)
+    g_main_context_iteration (NULL, TRUE);
+  if (text != NULL)
+    *text = g_strndup (g_bytes_get_data (answer, NULL), g_bytes_get_size (answer));
+  g_bytes_unref (answer);
+  return soup_message_get_status (message);
+}
+
+/* Listens on port (0: any free one) and returns the socket. */
+static int
+listen_on (guint16 *port)
+{
+  const int one = 1;
+  struct sockaddr_in name = {
+    .sin_family = AF_INET,
+    .sin_port = htons (*port),
+    .sin_addr.s_addr = htonl (LOOPBACK),
+  };
+  socklen_t length = sizeof name;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *) &name, sizeof name), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (fd, 16), 0);
+  getsockname (fd, (struct sockaddr *) &name, &length);
+  *port = ntohs (name.sin_port);
+  return fd;
+}
+
+/* Runs the main loop until the health checks say up or down. */
+static void
+await_up (Bench *bench, gboolean up)
+{
+  gint64 end = g_get_monotonic_time () + WAIT_MAX;
+
+  while (dp_server_state (bench->server)->up != up && g_get_monotonic_time () < end)
+    {
+      g_main_context_iteration (NULL, FALSE);
+      g_usleep (1000);
+    }
+  CU_ASSERT_EQUAL (dp_server_state (bench->server)->up, up);
+}
+
+static guint
+put (Bench *bench, guint16 port, const char *state)
+{
+  g_autofree char *body = g_strdup_printf (
+      "{\"port\":%u,\"slots\":4,\"connections\":2000,\"state\":\"%s\"}", port, state);
+
+  return ask (bench, "PUT", body, NULL);
+}
+
+static void
+test_bad_bodies (void)
+{
+  static const BadBody cases[] = {
+    { "empty", "", "" },
+    { "not JSON", "{", "" },
+    { "no object", "[]", "$" },
+    { "unknown key",
+      "{\"port\":80,\"slots\":4,\"connections\":9,\"state\":\"ready\",\"x\":1}", "x" },
+    { "port missing", "{\"slots\":4,\"connections\":9,\"state\":\"ready\"}", "$.port" },
+    { "port 0", "{\"port\":0,\"slots\":4,\"connections\":9,\"state\":\"ready\"}",
+      "$.port" },
+    { "port over", "{\"port\":65536,\"slots\":4,\"connections\":9,\"state\":\"ready\"}",
+      "$.port" },
+    { "slots text", "{\"port\":80,\"slots\":\"4\",\"connections\":9,\"state\":\"ready\"}",
+      "$.slots" },
+    { "slots over", "{\"port\":80,\"slots\":1025,\"connections\":9,\"state\":\"ready\"}",
+      "$.slots" },
+    { "connections negative",
+      "{\"port\":80,\"slots\":4,\"connections\":-1,\"state\":\"ready\"}",
+      "$.connections" },
+    { "state missing", "{\"port\":80,\"slots\":4,\"connections\":9}", "$.state" },
+    { "state unknown", "{\"port\":80,\"slots\":4,\"connections\":9,\"state\":\"up\"}",
+      "$.state" },
+  };
+  Bench bench;
+
+  bench_init (&bench);
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *text = NULL;
+
+      CU_ASSERT_EQUAL (ask (&bench, "PUT", cases[i].body, &text),
+                       SOUP_STATUS_BAD_REQUEST);
+      CU_ASSERT_PTR_NOT_NULL (strstr (text, cases[i].reason));
+    }
+  CU_ASSERT_EQUAL (bench.changes, 0);
+  CU_ASSERT_EQUAL (ask (&bench, "DELETE", "", NULL), SOUP_STATUS_NOT_FOUND);
+  CU_ASSERT_EQUAL (ask (&bench, "POST", "", NULL), SOUP_STATUS_METHOD_NOT_ALLOWED);
+  bench_finish (&bench);
+}
+
+static void
+test_life (void)
+{
+  const DpServerState *state;
+  Bench bench;
+  guint16 port = 0;
+  int fd = listen_on (&port);
+
+  bench_init (&bench);
+  state = dp_server_state (bench.server);
+  CU_ASSERT_EQUAL (put (&bench, port, "starting"), SOUP_STATUS_OK);
+  CU_ASSERT_TRUE (state->registered && !state->ready && !state->up);
+  CU_ASSERT_EQUAL (put (&bench, port, "ready"), SOUP_STATUS_OK);
+  await_up (&bench, TRUE);
+  CU_ASSERT_EQUAL (state->slots, 4);
+  CU_ASSERT_EQUAL (state->connections, 2000);
+
+  close (fd);
+  await_up (&bench, FALSE);
+  fd = listen_on (&port);
+  await_up (&bench, TRUE);
+
+  CU_ASSERT_EQUAL (ask (&bench, "DELETE", "", NULL), SOUP_STATUS_OK);
+  CU_ASSERT_TRUE (state->registered && state->leaving);
+  CU_ASSERT_EQUAL (put (&bench, port, "ready"), SOUP_STATUS_OK);
+  CU_ASSERT_FALSE (state->leaving);
+  close (fd);
+  bench_finish (&bench);
+}
+
+static const DpTestCase cases_[] = {
+  { "bad registrations get 400 with the reason", test_bad_bodies },
+  { "a server is up only while it accepts connections", test_life },
+};
+
+DP_TEST_MAIN ("server", cases_)
