--- a/src/libdogwoodpaddle/document.c
+++ b/src/libdogwoodpaddle/document.c
@@ -8,7 +8,8 @@
 /* 16 MiB holds the fleet file of the later size (3,100 services, about 300 bytes each)
  * many times over. */
 #define MAX_FILE_BYTES (16 * 1024 * 1024)
-#define MAX_NAME_LENGTH 64
+/* As in a member list. */
+#define MAX_NAME_LENGTH 63
 
 typedef struct
 {
--- a/src/libdogwoodpaddle/fleet_check.c
+++ b/src/libdogwoodpaddle/fleet_check.c
@@ -53,6 +53,10 @@
                           const char *service,
                           const char *host,
                           DpFleetSettings *settings);
+static void merge_exceptions_ (JsonObject *exceptions,
+                               const char *service,
+                               const char *host,
+                               DpFleetSettings *settings);
 static const char *plain_text_ (JsonObject *object, const char *key);
 
 /* Checks a whole fleet file and returns every fault (DpFault) with its JSON path; an
@@ -331,13 +335,14 @@
 {
   JsonObjectIter iter;
   const char *key;
+  JsonNode *node;
   gboolean sets_liveness = FALSE;
 
   if (service == NULL)
     return;
   host = host == NULL ? "" : host;
   json_object_iter_init_ordered (&iter, set);
-  while (json_object_iter_next_ordered (&iter, &key, NULL))
+  while (json_object_iter_next_ordered (&iter, &key, &node))
     {
       char *scope = g_strdup_printf ("%s %s %s", service, host, key);
       g_autofree char *at = dp_json_path (path, key);
@@ -380,8 +385,6 @@
               const char *host,
               DpFleetSettings *settings)
 {
-  const char *const hosts[] = { "", host };
-
   if (check->defaults != NULL)
     {
       g_autoptr (JsonNode)
@@ -391,29 +394,35 @@
     }
   if (service == NULL || check->exceptions == NULL)
     return;
-  for (guint i = 0; i < G_N_ELEMENTS (hosts); i++)
-    {
-      JsonObjectIter iter;
-      JsonNode *node;
+  merge_exceptions_ (check->exceptions, service, "", settings);
+  if (host[0] != '\0')
+    merge_exceptions_ (check->exceptions, service, host, settings);
+}
 
-      if (i > 0 && host[0] == '\0')
-        return;
-      json_object_iter_init_ordered (&iter, check->exceptions);
-      while (json_object_iter_next_ordered (&iter, NULL, &node))
-        {
-          JsonObject *exception;
-          const char *its_host;
-
-          if (!JSON_NODE_HOLDS_OBJECT (node))
-            continue;
-          exception = json_node_get_object (node);
-          its_host = plain_text_ (exception, "host");
-          if (g_strcmp0 (plain_text_ (exception, "service"), service) != 0
-              || !g_str_equal (its_host == NULL ? "" : its_host, hosts[i])
-              || !json_object_has_member (exception, "set"))
-            continue;
-          dp_fleet_settings_merge_ (settings, json_object_get_member (exception, "set"));
-        }
+static void
+merge_exceptions_ (JsonObject *exceptions,
+                   const char *service,
+                   const char *host,
+                   DpFleetSettings *settings)
+{
+  JsonObjectIter iter;
+  const char *name;
+  JsonNode *node;
+
+  json_object_iter_init_ordered (&iter, exceptions);
+  while (json_object_iter_next_ordered (&iter, &name, &node))
+    {
+      JsonObject *exception;
+      const char *its_host;
+
+      if (!JSON_NODE_HOLDS_OBJECT (node))
+        continue;
+      exception = json_node_get_object (node);
+      its_host = plain_text_ (exception, "host");
+      if (g_strcmp0 (plain_text_ (exception, "service"), service) == 0
+          && g_str_equal (its_host == NULL ? "" : its_host, host)
+          && json_object_has_member (exception, "set"))
+        dp_fleet_settings_merge_ (settings, json_object_get_member (exception, "set"));
     }
 }
 
--- a/src/libdogwoodpaddle/include/protected/document.h
+++ b/src/libdogwoodpaddle/include/protected/document.h
@@ -30,7 +30,7 @@
                               gint64 max,
                               gint64 *value,
                               GPtrArray *faults);
-/* Names of processes, services and hosts: 1 to 64 letters, digits, ".", "_" and "-". */
+/* Names of processes, services and hosts: 1 to 63 letters, digits, ".", "_" and "-". */
 gboolean dp_document_name (const char *name, const char *path, GPtrArray *faults);
 /* keys ends with NULL. */
 void dp_document_known_keys (JsonObject *object,
