--- a/src/libdogwoodpaddle/acceptance.c
+++ b/src/libdogwoodpaddle/acceptance.c
@@ -6,12 +6,16 @@
 
 /* More than the highest connection limit that settings allow. */
 #define FLOWS_MAX (1u << 17)
+/* Shorter than the time after which watchers remove a member that they don't hear. */
+#define DISCONNECTED_MAX (2 * DP_US_PER_S)
 
 static int compare_addresses_ (gconstpointer a, gconstpointer b);
 static const DpServiceAddress *find_address_ (const DpAcceptance *acceptance,
                                               const DpAddress *address);
 static void update_capacity_ (DpAcceptance *acceptance);
 static gboolean same_members_ (const DpView *a, const DpView *b);
+static gboolean
+same_incarnation_ (const DpAcceptance *acceptance, const DpView *a, const DpView *b);
 static gboolean is_active_ (const DpAcceptance *acceptance, const DpView *view);
 static gboolean deliver_ (DpAcceptance *acceptance,
                           DpHandle handle,
@@ -39,6 +43,7 @@
   acceptance->flows = dp_flows_new (FLOWS_MAX);
   acceptance->slots = dp_slots_new (FLOWS_MAX);
   acceptance->decisions = dp_decisions_new ();
+  acceptance->present_since = -1;
   update_capacity_ (acceptance);
   return acceptance;
 }
@@ -93,21 +98,50 @@
     return;
   if (old == NULL || !same_members_ (old, view))
     acceptance->changed_at = now;
+  if (dp_view_find (view, acceptance->member_id) == NULL)
+    acceptance->present_since = -1;
+  else if (old == NULL || !same_incarnation_ (acceptance, old, view))
+    acceptance->present_since = now;
   if (is_active_ (acceptance, view) && (old == NULL || !is_active_ (acceptance, old)))
     acceptance->active_since = now;
   dp_candidates_free (acceptance->candidates);
   acceptance->candidates = dp_candidates_new (view);
 }
 
-/* Says whether updates of the view arrive. */
+/* Says whether updates of the view arrive. After a long gap this member may have been
+ * removed meanwhile without knowing it. */
 void
 dp_acceptance_set_connected (DpAcceptance *acceptance, gboolean connected, gint64 now)
 {
+  if (!connected && acceptance->connected)
+    acceptance->disconnected_at = now;
   if (connected && !acceptance->connected)
-    acceptance->connected_at = now;
+    {
+      acceptance->connected_at = now;
+      if (now - acceptance->disconnected_at >= DISCONNECTED_MAX)
+        dp_acceptance_resumed (acceptance, now);
+    }
   acceptance->connected = connected;
 }
 
+/* The process did not run for a while, or got no updates: its view may be older than
+ * settle_time, and other members may have removed it. */
+void
+dp_acceptance_resumed (DpAcceptance *acceptance, gint64 now)
+{
+  acceptance->changed_at = now;
+  if (acceptance->present_since >= 0)
+    acceptance->present_since = now;
+}
+
+/* Returns whether this member has been cut off from updates for so long that its watchers
+ * may be about to remove it. */
+gboolean
+dp_admission_isolated (const DpAcceptance *acceptance, gint64 now)
+{
+  return !acceptance->connected && now - acceptance->disconnected_at >= DISCONNECTED_MAX;
+}
+
 /* Says whether the backend server accepts connections. */
 void
 dp_acceptance_set_server_up (DpAcceptance *acceptance, gboolean up, gint64 now)
@@ -406,6 +440,16 @@
   return TRUE;
 }
 
+/* Returns whether both views have this member, and it did not join again in between. */
+static gboolean
+same_incarnation_ (const DpAcceptance *acceptance, const DpView *a, const DpView *b)
+{
+  const DpMember *x = dp_view_find (a, acceptance->member_id);
+  const DpMember *y = dp_view_find (b, acceptance->member_id);
+
+  return x != NULL && y != NULL && x->incarnation == y->incarnation;
+}
+
 static gboolean
 is_active_ (const DpAcceptance *acceptance, const DpView *view)
 {
--- a/src/libdogwoodpaddle/admission.c
+++ b/src/libdogwoodpaddle/admission.c
@@ -26,9 +26,11 @@
                          const DpHeader *header,
                          const DpMember *member);
 static gboolean settled_ (const DpAcceptance *acceptance, guint64 revision, gint64 now);
-static gboolean takes_flows_ (const DpAcceptance *acceptance);
-static DpReason hard_limit_ (const DpAcceptance *acceptance,
-                             const DpServiceAddress *address);
+static gboolean takes_flows_ (const DpAcceptance *acceptance, gint64 now);
+static gboolean known_everywhere_ (const DpAcceptance *acceptance, gint64 now);
+static DpReason
+hard_limit_ (const DpAcceptance *acceptance, const DpServiceAddress *address, gint64 now);
+static guint visits_ (const DpAcceptance *acceptance, DpClass class);
 static gboolean in_slow_start_ (const DpAcceptance *acceptance, guint64 hash, gint64 now);
 static gboolean repeat_ (Syn *syn);
 static void remember_ (DpAcceptance *acceptance,
@@ -50,7 +52,7 @@
                   DpActions *actions)
 {
   Syn syn = { acceptance, address, segment, *header, now, actions };
-  DpReason reason = hard_limit_ (acceptance, address);
+  DpReason reason = hard_limit_ (acceptance, address, now);
   const DpMember *next = NULL;
   const DpMember *best;
 
@@ -70,10 +72,13 @@
   if (repeat_ (&syn))
     return;
   /* A member that takes no flows at all doesn't use up a visit. */
-  if (syn.header.n_visited < acceptance->limits.visits || !takes_flows_ (acceptance))
+  if (syn.header.n_visited < visits_ (acceptance, address->class)
+      || !takes_flows_ (acceptance, now))
     next = next_member_ (acceptance, &syn.header, segment->hash, DP_CANDIDATES_NEW_FLOW);
   if (reason == DP_REASON_NONE && dp_slots_can_take (acceptance->slots, address->class)
-      && (next == NULL || !in_slow_start_ (acceptance, segment->hash, now)))
+      && (next == NULL
+          || (!in_slow_start_ (acceptance, segment->hash, now)
+              && !dp_admission_isolated (acceptance, now))))
     {
       accept_ (&syn);
       return;
@@ -304,25 +309,39 @@
 }
 
 static gboolean
-takes_flows_ (const DpAcceptance *acceptance)
+takes_flows_ (const DpAcceptance *acceptance, gint64 now)
 {
   gboolean leaving = acceptance->leaving;
 
   if (acceptance->variant == DP_VARIANT_ACCEPT_LEAVING)
     leaving = FALSE;
-  return !leaving && acceptance->server_up;
+  return !leaving && acceptance->server_up && known_everywhere_ (acceptance, now);
+}
+
+/* Returns whether every process has had the time to learn of this member. A flow that it
+ * takes earlier would be unknown to members that find their own views settled, and they
+ * would reset it. */
+static gboolean
+known_everywhere_ (const DpAcceptance *acceptance, gint64 now)
+{
+  if (acceptance->variant == DP_VARIANT_ACCEPT_UNKNOWN)
+    return TRUE;
+  return acceptance->present_since >= 0
+         && now - acceptance->present_since >= acceptance->limits.settle_time;
 }
 
 /* Returns why a new flow of the address can't be accepted, not even to wait. */
 static DpReason
-hard_limit_ (const DpAcceptance *acceptance, const DpServiceAddress *address)
+hard_limit_ (const DpAcceptance *acceptance, const DpServiceAddress *address, gint64 now)
 {
   guint limit = acceptance->limits.connections;
 
   if (!acceptance->server_up)
     return DP_REASON_NO_SERVER;
-  if (!takes_flows_ (acceptance))
+  if (acceptance->leaving && acceptance->variant != DP_VARIANT_ACCEPT_LEAVING)
     return DP_REASON_LEAVING;
+  if (!known_everywhere_ (acceptance, now))
+    return DP_REASON_UNSETTLED;
   if (dp_flows_count (acceptance->flows) >= limit)
     return DP_REASON_CONNECTIONS;
   if (address->class == DP_CLASS_BULK && acceptance->mixed
@@ -333,6 +352,15 @@
   return DP_REASON_NONE;
 }
 
+/* Urgent flows look at twice as many members for a free slot: behind a busy one they
+ * would wait for work in progress, which nothing shortens. */
+static guint
+visits_ (const DpAcceptance *acceptance, DpClass class)
+{
+  return class == DP_CLASS_URGENT ? 2 * acceptance->limits.visits
+                                  : acceptance->limits.visits;
+}
+
 /* Returns whether a flow belongs to the share that is passed on during slow start; the
  * share falls from all flows to none. Members choose different flows. */
 static gboolean
@@ -444,11 +472,17 @@
   set_target_ (syn->acceptance, action, &syn->header, member);
 }
 
+/* A member that may take flows in a moment drops the SYN: the client sends it again. */
 static void
 refuse_ (Syn *syn, DpReason reason)
 {
   DpDecision decision = { .type = DP_DECISION_REFUSE, .reason = reason };
 
+  if (reason == DP_REASON_UNSETTLED)
+    {
+      dp_actions_add (syn->actions, DP_ACTION_DROP, reason);
+      return;
+    }
   remember_ (syn->acceptance, syn->segment, &decision, syn->now);
   dp_actions_add (syn->actions, DP_ACTION_RESET, reason);
 }
--- a/src/libdogwoodpaddle/expiry.c
+++ b/src/libdogwoodpaddle/expiry.c
@@ -33,9 +33,7 @@
       while ((handle = dp_flows_oldest (acceptance->flows, timer, &since))
              != DP_HANDLE_NONE)
         {
-          gboolean pass = timer == DP_TIMER_WAITING && must_pass_waiting_ (acceptance);
-
-          if (!pass && now - since < timeout_ (acceptance, timer))
+          if (now - since < timeout_ (acceptance, timer))
             break;
           expire_ (acceptance, handle, timer, now, actions);
         }
@@ -87,13 +85,19 @@
   dp_admission_remove (acceptance, handle, now);
 }
 
-/* Gives free slots to the waiting flows. */
+/* Gives free slots to the waiting flows; a member that takes no new flows passes the
+ * waiting SYNs on first. */
 void
 dp_expiry_dispatch (DpAcceptance *acceptance, gint64 now, DpActions *actions)
 {
   DpHandle handle;
+  gint64 since;
 
   acceptance->dispatch_due = FALSE;
+  while (must_pass_waiting_ (acceptance)
+         && (handle = dp_flows_oldest (acceptance->flows, DP_TIMER_WAITING, &since))
+                != DP_HANDLE_NONE)
+    expire_ (acceptance, handle, DP_TIMER_WAITING, now, actions);
   while ((handle = dp_slots_next (acceptance->slots)) != DP_HANDLE_NONE)
     {
       DpFlow *flow = dp_flows_get (acceptance->flows, handle);
--- a/src/libdogwoodpaddle/include/private/admission.h
+++ b/src/libdogwoodpaddle/include/private/admission.h
@@ -23,10 +23,12 @@
   gboolean connected;
   gboolean server_up;
   gboolean leaving;
-  gboolean dispatch_due; /* a slot may be free for a waiting flow */
-  gint64 connected_at;   /* us */
-  gint64 changed_at;     /* us, last change of the members */
-  gint64 active_since;   /* us, start of the slow start */
+  gboolean dispatch_due;  /* a slot may be free for a waiting flow */
+  gint64 connected_at;    /* us */
+  gint64 disconnected_at; /* us */
+  gint64 present_since;   /* us, since when the view has this member; -1: it doesn't */
+  gint64 changed_at;      /* us, last change of the members */
+  gint64 active_since;    /* us, start of the slow start */
 };
 
 void dp_admission_syn (DpAcceptance *acceptance,
@@ -48,4 +50,5 @@
 void dp_admission_set_state (DpAcceptance *acceptance, DpFlow *flow, DpFlowState state);
 void dp_admission_remove (DpAcceptance *acceptance, DpHandle handle, gint64 now);
 void dp_admission_release_slot (DpAcceptance *acceptance, DpHandle handle, gint64 now);
+gboolean dp_admission_isolated (const DpAcceptance *acceptance, gint64 now);
 DpAction *dp_actions_add (DpActions *actions, DpActionType type, DpReason reason);
--- a/src/libdogwoodpaddle/include/protected/acceptance.h
+++ b/src/libdogwoodpaddle/include/protected/acceptance.h
@@ -76,7 +76,7 @@
   gint64 idle_timeout;     /* us */
   gint64 progress_timeout; /* us */
   gint64 slow_start;       /* us */
-  gint64 settle_time;      /* us without member changes after which views agree */
+  gint64 settle_time;      /* us after which a member change is in force everywhere */
 } DpAcceptanceLimits;
 
 typedef struct
@@ -112,6 +112,7 @@
 void dp_acceptance_set_view (DpAcceptance *acceptance, DpView *view, gint64 now);
 void
 dp_acceptance_set_connected (DpAcceptance *acceptance, gboolean connected, gint64 now);
+void dp_acceptance_resumed (DpAcceptance *acceptance, gint64 now);
 void dp_acceptance_set_server_up (DpAcceptance *acceptance, gboolean up, gint64 now);
 void dp_acceptance_set_leaving (DpAcceptance *acceptance, gboolean leaving, gint64 now);
 
--- a/src/libdogwoodpaddle/include/protected/variant.h
+++ b/src/libdogwoodpaddle/include/protected/variant.h
@@ -14,6 +14,7 @@
   DP_VARIANT_ANY_ACK,          /* takes an ACK of another companion's SYN-ACK */
   DP_VARIANT_FOREIGN_SERVICE,  /* takes packets of other services */
   DP_VARIANT_ACCEPT_LEAVING,   /* accepts new flows while leaving */
+  DP_VARIANT_ACCEPT_UNKNOWN,   /* accepts new flows before every process knows it */
   DP_VARIANT_REFUSE_DELIVERED, /* reports a flow as refused that its server has read */
   DP_N_VARIANTS
 } DpVariant;
--- a/src/libdogwoodpaddle/variant.c
+++ b/src/libdogwoodpaddle/variant.c
@@ -3,8 +3,15 @@
 #include <string.h>
 
 static const char *const variant_strings_[] = {
-  "none",    "no-walk",         "forget-decisions", "reset-unsettled",
-  "any-ack", "foreign-service", "accept-leaving",   "refuse-delivered",
+  "none",
+  "no-walk",
+  "forget-decisions",
+  "reset-unsettled",
+  "any-ack",
+  "foreign-service",
+  "accept-leaving",
+  "accept-unknown",
+  "refuse-delivered",
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (variant_strings_) == DP_N_VARIANTS);
--- /dev/null
+++ b/src/test_libdogwoodpaddle/driver.c
@@ -0,0 +1,910 @@
+#include "driver.h"
+
+#include <string.h>
+
+#define SERVICE_IP 0x0a4d0001u /* 10.77.0.1 */
+#define SERVICE_PORT 80
+#define CLIENT_NET 0xc6336400u /* 198.51.100.0, RFC 5737 */
+#define HOST_NET 0x7f010000u
+#define HOST_PORT 7000
+#define LEAVE_GRACE                                                                      \
+  (3 * G_USEC_PER_SEC) /* after which a leaving host gets no new flow                    \
+                        */
+#define DECISION_TIME (59 * G_USEC_PER_SEC) /* for which a SYN's decision holds */
+#define SYN_ACK_INTERVAL G_USEC_PER_SEC     /* between retransmissions by a TCP stack */
+#define PACKETS_PER_RUN_MAX 100000          /* more is a forwarding loop */
+
+typedef struct
+{
+  guint flow;
+  guint host;
+  DpSegment segment;
+  DpHeader header;
+} Packet;
+
+/* What a host's TCP stack and server connection know of a flow. */
+typedef struct
+{
+  guint flow;
+  guint32 isn;
+  gboolean answered;
+  gboolean established;
+  guint waiting; /* request bytes without a grant */
+  DpSegment segment;
+  DpHeader header;
+} Record;
+
+static const char *const flow_state_strings_[] = { "syn-sent", "established", "closed",
+                                                   "refused", "broken" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (flow_state_strings_) == N_FLOW_STATES);
+
+static void trace_ (Driver *driver, const char *format, ...) G_GNUC_PRINTF (2, 3);
+static void violate_ (Driver *driver, guint flow, const char *rule);
+static void send_ (Driver *driver, guint flow, guint8 flags, guint16 payload);
+static void push_ (Driver *driver, const Packet *packet);
+static void
+check_decision_ (Driver *driver, const Packet *packet, const DpAction *action);
+static void forward_ (Driver *driver, const Packet *packet, const DpAction *action);
+static void process_ (Driver *driver, const Packet *packet);
+static void
+carry_out_ (Driver *driver, guint host, const Packet *packet, DpActions *list);
+static void carry_out_flow_ (Driver *driver, guint host, const DpAction *action);
+static void
+deliver_ (Driver *driver, guint host, DpHandle handle, const DpSegment *segment);
+static void connect_ (Driver *driver, guint host, DpHandle handle);
+static void answer_syn_ (Driver *driver, guint host, DpHandle handle, Record *record);
+static void hand_over_ (Driver *driver, guint host, Record *record);
+static void client_syn_ack_ (Driver *driver, guint flow, guint host, guint32 isn);
+static void client_reset_ (Driver *driver, guint flow, gboolean answers_syn);
+static void lose_flows_ (Driver *driver, guint host, gboolean established);
+static void resend_syn_acks_ (Driver *driver);
+static Record *record_ (Host *host, DpHandle handle);
+static guint host_at_ (const Driver *driver, const DpAddress *address);
+static guint alive_balancer_ (Driver *driver);
+
+/* Creates an empty model whose random choices follow the seed. */
+Driver *
+driver_new (guint64 seed, const char *service)
+{
+  Driver *driver = g_new0 (Driver, 1);
+  const guint32 words[2] = { (guint32) seed, (guint32) (seed >> 32) };
+
+  driver->random = g_rand_new_with_seed_array (words, G_N_ELEMENTS (words));
+  driver->now = G_USEC_PER_SEC;
+  driver->service = g_strdup (service);
+  for (guint i = 0; i < DP_N_CLASSES; i++)
+    {
+      driver->addresses[i].address = (DpAddress){ SERVICE_IP,
+                                                  (guint16) (SERVICE_PORT + i) };
+      driver->addresses[i].class = (DpClass) i;
+      driver->addresses[i].wait_limit = 2 * G_USEC_PER_SEC;
+    }
+  driver->limits.slots = 4;
+  driver->limits.connections = 2000;
+  driver->limits.visits = 4;
+  driver->limits.idle_timeout = 7200 * (gint64) G_USEC_PER_SEC;
+  driver->limits.progress_timeout = 60 * (gint64) G_USEC_PER_SEC;
+  driver->limits.settle_time = 5 * (gint64) G_USEC_PER_SEC;
+  driver->revision = 1;
+  driver->flows = g_array_new (FALSE, TRUE, sizeof (Flow));
+  driver->packets = g_queue_new ();
+  driver->violation = g_string_new (NULL);
+  driver->view = dp_view_new (service, driver->revision, NULL, 0);
+  return driver;
+}
+
+/* Frees the model. */
+void
+driver_free (Driver *driver)
+{
+  for (guint i = 0; i < driver->n_hosts; i++)
+    {
+      Host *host = &driver->hosts[i];
+
+      dp_acceptance_free (host->acceptance);
+      g_hash_table_unref (host->records);
+      g_hash_table_unref (host->passed);
+      dp_view_unref (host->view);
+      g_free (host->member.name);
+      g_free (host->member.zone);
+    }
+  for (guint i = 0; i < driver->n_balancers; i++)
+    {
+      dp_router_free (driver->balancers[i].router);
+      dp_view_unref (driver->balancers[i].view);
+    }
+  dp_view_unref (driver->view);
+  g_array_unref (driver->flows);
+  g_queue_free_full (driver->packets, g_free);
+  g_string_free (driver->violation, TRUE);
+  g_rand_free (driver->random);
+  g_free (driver->service);
+  g_free (driver);
+}
+
+/* Adds a host with a backend server; its state is in force after driver_publish (). */
+guint
+driver_add_host (Driver *driver, guint slots, DpMemberState state)
+{
+  guint index = driver->n_hosts++;
+  Host *host = &driver->hosts[index];
+  DpAcceptanceLimits limits = driver->limits;
+
+  g_assert (index < DRIVER_HOSTS_MAX);
+  limits.slots = slots;
+  host->member.name = g_strdup_printf ("%s-%u", driver->service, index + 1);
+  host->member.zone = g_strdup_printf ("zone-%c", 'a' + (char) (index % 3));
+  host->member.id = dp_member_id (host->member.name);
+  host->member.address = (DpAddress){ HOST_NET + index + 1, HOST_PORT };
+  host->member.slots = slots;
+  host->member.connections = limits.connections;
+  host->member.state = state;
+  host->member.incarnation = 1;
+  host->alive = TRUE;
+  host->server_up = TRUE;
+  host->records = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  host->passed = g_hash_table_new (NULL, NULL);
+  host->acceptance = dp_acceptance_new (driver->service, host->member.id);
+  dp_acceptance_set_variant (host->acceptance, driver->variant);
+  dp_acceptance_set_limits (host->acceptance, &limits);
+  dp_acceptance_set_addresses (host->acceptance, driver->addresses, DP_N_CLASSES);
+  dp_acceptance_set_server_up (host->acceptance, TRUE, driver->now);
+  dp_acceptance_set_connected (host->acceptance, TRUE, driver->now);
+  host->view = dp_view_ref (driver->view);
+  return index;
+}
+
+/* Sets the state that the next published view gives the host. */
+void
+driver_set_state (Driver *driver, guint host, DpMemberState state)
+{
+  driver->hosts[host].member.state = state;
+}
+
+/* Begins a graceful shutdown of the host. */
+void
+driver_leave (Driver *driver, guint host)
+{
+  driver->hosts[host].member.state = DP_MEMBER_LEAVING;
+  if (driver->hosts[host].left_at == 0)
+    driver->hosts[host].left_at = driver->now;
+  dp_acceptance_set_leaving (driver->hosts[host].acceptance, TRUE, driver->now);
+  trace_ (driver, "%s leaves", driver->hosts[host].member.name);
+}
+
+/* Ends a host that has no flows left, as the end of its shutdown does. */
+void
+driver_remove (Driver *driver, guint host)
+{
+  driver->hosts[host].alive = FALSE;
+  trace_ (driver, "%s ends", driver->hosts[host].member.name);
+}
+
+/* Fails a host without warning; its flows are lost. */
+void
+driver_kill (Driver *driver, guint host)
+{
+  driver->hosts[host].alive = FALSE;
+  driver->failed_at = driver->now;
+  lose_flows_ (driver, host, TRUE);
+  trace_ (driver, "%s fails", driver->hosts[host].member.name);
+}
+
+/* Stops a host for a while. Flows that it has answered but not yet established may time
+ * out meanwhile, since nothing sends their SYN-ACK again. */
+void
+driver_pause (Driver *driver, guint host)
+{
+  driver->hosts[host].paused = TRUE;
+  if (driver->hosts[host].silent_at == 0)
+    driver->hosts[host].silent_at = driver->now;
+  lose_flows_ (driver, host, FALSE);
+  trace_ (driver, "%s pauses", driver->hosts[host].member.name);
+}
+
+/* Takes a host out of the next view, as its watchers do when they hear nothing. */
+void
+driver_remove_silent (Driver *driver, guint host)
+{
+  driver->hosts[host].removed = TRUE;
+  driver->failed_at = driver->now;
+  lose_flows_ (driver, host, TRUE);
+  trace_ (driver, "%s is removed by its watchers", driver->hosts[host].member.name);
+}
+
+/* Lets a paused host go on; it is in the next view again. */
+void
+driver_resume (Driver *driver, guint host)
+{
+  driver->hosts[host].paused = FALSE;
+  driver->failed_at = driver->now;
+  dp_acceptance_resumed (driver->hosts[host].acceptance, driver->now);
+  trace_ (driver, "%s resumes", driver->hosts[host].member.name);
+}
+
+/* Adds a balancer that knows the newest view. */
+guint
+driver_add_balancer (Driver *driver)
+{
+  guint index = driver->n_balancers++;
+
+  g_assert (index < DRIVER_BALANCERS_MAX);
+  driver_replace_balancer (driver, index);
+  return index;
+}
+
+/* Replaces a balancer by a new one that knows the newest view. */
+void
+driver_replace_balancer (Driver *driver, guint balancer)
+{
+  Balancer *b = &driver->balancers[balancer];
+  DpAddress addresses[DP_N_CLASSES];
+
+  for (guint i = 0; i < DP_N_CLASSES; i++)
+    addresses[i] = driver->addresses[i].address;
+  g_clear_pointer (&b->router, dp_router_free);
+  b->router = dp_router_new ();
+  b->alive = TRUE;
+  dp_router_set_addresses (b->router, driver->service, addresses, DP_N_CLASSES);
+  driver_update_balancer (driver, balancer);
+  trace_ (driver, "balancer-%u starts", balancer + 1);
+}
+
+/* Makes a new view of all hosts alive; nobody has it yet. */
+void
+driver_publish (Driver *driver)
+{
+  DpMember members[DRIVER_HOSTS_MAX];
+  guint n = 0;
+
+  for (guint i = 0; i < driver->n_hosts; i++)
+    {
+      if (driver->hosts[i].alive && !driver->hosts[i].removed)
+        members[n++] = driver->hosts[i].member;
+    }
+  dp_view_unref (driver->view);
+  driver->view = dp_view_new (driver->service, ++driver->revision, members, n);
+}
+
+/* Gives a host the newest view. */
+void
+driver_update_host (Driver *driver, guint host)
+{
+  Host *h = &driver->hosts[host];
+
+  if (!h->alive || h->paused)
+    return;
+  dp_view_unref (h->view);
+  h->view = dp_view_ref (driver->view);
+  dp_acceptance_set_view (h->acceptance, h->view, driver->now);
+}
+
+/* Gives a balancer the newest view. */
+void
+driver_update_balancer (Driver *driver, guint balancer)
+{
+  Balancer *b = &driver->balancers[balancer];
+
+  g_clear_pointer (&b->view, dp_view_unref);
+  b->view = dp_view_ref (driver->view);
+  dp_router_set_view (b->router, b->view);
+}
+
+/* Publishes a view and gives it to every process. */
+void
+driver_update_all (Driver *driver)
+{
+  driver_publish (driver);
+  for (guint i = 0; i < driver->n_hosts; i++)
+    driver_update_host (driver, i);
+  for (guint i = 0; i < driver->n_balancers; i++)
+    driver_update_balancer (driver, i);
+}
+
+/* Opens a flow from a new client port by sending its SYN to the class's address; returns
+ * the flow's index. */
+guint
+driver_open (Driver *driver, DpClass class)
+{
+  Flow flow = { 0 };
+  guint index = driver->flows->len;
+
+  flow.key.client.ip = CLIENT_NET + (index / 50000) % 254 + 1;
+  flow.key.client.port = (guint16) (10000 + index % 50000);
+  flow.key.service = driver->addresses[class].address;
+  flow.class = class;
+  flow.hash = dp_flow_key_hash (&flow.key);
+  flow.seq = g_rand_int (driver->random);
+  flow.opened_at = driver->now;
+  flow.sent_at = driver->now;
+  g_array_append_val (driver->flows, flow);
+  trace_ (driver, "flow-%u SYN", index + 1);
+  send_ (driver, index, DP_TCP_SYN, 0);
+  return index;
+}
+
+/* Sends the flow's SYN again, as a client does that got no answer or a duplicate network.
+ */
+void
+driver_resend_syn (Driver *driver, guint flow)
+{
+  send_ (driver, flow, DP_TCP_SYN, 0);
+}
+
+/* Sends request bytes on an established flow. */
+void
+driver_send (Driver *driver, guint flow, guint bytes)
+{
+  Flow *f = driver_flow (driver, flow);
+
+  if (f->state != FLOW_ESTABLISHED)
+    return;
+  f->sent_at = driver->now;
+  f->answered = FALSE;
+  trace_ (driver, "flow-%u request of %u bytes", flow + 1, bytes);
+  send_ (driver, flow, DP_TCP_ACK | DP_TCP_PSH, (guint16) bytes);
+}
+
+/* Lets the server that holds the flow answer with bytes. */
+void
+driver_respond (Driver *driver, guint flow, guint bytes)
+{
+  Flow *f = driver_flow (driver, flow);
+  Host *host = &driver->hosts[f->host];
+  DpHandle handle = dp_acceptance_find (host->acceptance, &f->key);
+
+  if (!host->alive || host->paused || handle == DP_HANDLE_NONE)
+    return;
+  f->answered = TRUE;
+  dp_acceptance_response (host->acceptance, handle, bytes, 0, driver->now);
+  trace_ (driver, "flow-%u answer from %s", flow + 1, host->member.name);
+}
+
+/* Ends the flow in order, as if both sides had sent their FIN. */
+void
+driver_close (Driver *driver, guint flow)
+{
+  Flow *f = driver_flow (driver, flow);
+  Host *host = &driver->hosts[f->host];
+  DpHandle handle = dp_acceptance_find (host->acceptance, &f->key);
+  DpActions actions;
+
+  if (f->state == FLOW_ESTABLISHED)
+    f->state = FLOW_CLOSED;
+  if (!host->alive || host->paused || handle == DP_HANDLE_NONE)
+    return;
+  trace_ (driver, "flow-%u closed", flow + 1);
+  g_hash_table_remove (host->records, GUINT_TO_POINTER (handle));
+  dp_actions_init (&actions);
+  dp_acceptance_closed (host->acceptance, handle, driver->now, &actions);
+  carry_out_ (driver, f->host, NULL, &actions);
+  dp_actions_finish (&actions);
+}
+
+/* The connection between a flow's host and the backend server fails. */
+void
+driver_fail_server (Driver *driver, guint flow)
+{
+  Flow *f = driver_flow (driver, flow);
+  Host *host = &driver->hosts[f->host];
+  DpHandle handle = dp_acceptance_find (host->acceptance, &f->key);
+  DpActions actions;
+
+  if (!host->alive || host->paused || handle == DP_HANDLE_NONE)
+    return;
+  f->lost_host = TRUE;
+  dp_actions_init (&actions);
+  dp_acceptance_server_failed (host->acceptance, handle, driver->now, &actions);
+  carry_out_ (driver, f->host, NULL, &actions);
+  dp_actions_finish (&actions);
+}
+
+/* Passes packets on until none is under way. */
+void
+driver_run (Driver *driver)
+{
+  for (guint n = 0; !g_queue_is_empty (driver->packets); n++)
+    {
+      guint at = 0;
+      g_autofree Packet *packet = NULL;
+
+      if (n == PACKETS_PER_RUN_MAX)
+        {
+          violate_ (driver, 0, "packets are forwarded without end");
+          return;
+        }
+      if (driver->reorder)
+        at = (guint) g_rand_int_range (driver->random, 0,
+                                       (gint32) g_queue_get_length (driver->packets));
+      packet = g_queue_pop_nth (driver->packets, at);
+      process_ (driver, packet);
+    }
+}
+
+/* Advances the paused clock by delta us, with every acceptance's timeouts on the way. */
+void
+driver_advance (Driver *driver, gint64 delta)
+{
+  gint64 end = driver->now + delta;
+
+  while (driver->now < end)
+    {
+      gint64 next = MIN (end, driver->syn_acks_at);
+
+      for (guint i = 0; i < driver->n_hosts; i++)
+        {
+          if (driver->hosts[i].alive && !driver->hosts[i].paused)
+            next = MIN (next, dp_acceptance_next_deadline (driver->hosts[i].acceptance));
+        }
+      driver->now = MAX (next, driver->now + 1);
+      for (guint i = 0; i < driver->n_hosts; i++)
+        {
+          DpActions actions;
+
+          if (!driver->hosts[i].alive || driver->hosts[i].paused)
+            continue;
+          if (dp_acceptance_next_deadline (driver->hosts[i].acceptance) > driver->now)
+            continue;
+          dp_actions_init (&actions);
+          dp_acceptance_tick (driver->hosts[i].acceptance, driver->now, &actions);
+          carry_out_ (driver, i, NULL, &actions);
+          dp_actions_finish (&actions);
+        }
+      if (driver->now >= driver->syn_acks_at)
+        resend_syn_acks_ (driver);
+      driver_run (driver);
+    }
+}
+
+/* Returns the flow's row; valid until the next driver_open (). */
+Flow *
+driver_flow (Driver *driver, guint flow)
+{
+  return &g_array_index (driver->flows, Flow, flow);
+}
+
+/* Returns the state's name. */
+const char *
+driver_flow_state_string (FlowState state)
+{
+  g_assert (state < N_FLOW_STATES);
+  return flow_state_strings_[state];
+}
+
+static void
+trace_ (Driver *driver, const char *format, ...)
+{
+  va_list args;
+  g_autofree char *text = NULL;
+  g_autofree char *line = NULL;
+
+  if (driver->trace == NULL)
+    return;
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  line = g_strdup_printf ("%9.3f %s",
+                          (double) (driver->now - G_USEC_PER_SEC) / G_USEC_PER_SEC, text);
+  driver->trace (line, driver->user_data);
+}
+
+static void
+violate_ (Driver *driver, guint flow, const char *rule)
+{
+  if (driver->violation->len == 0)
+    g_string_printf (driver->violation, "flow-%u at %.3f s: %s", flow + 1,
+                     (double) driver->now / G_USEC_PER_SEC, rule);
+  trace_ (driver, "flow-%u VIOLATION %s", flow + 1, rule);
+}
+
+/* Sends a segment of the flow's client to a random balancer. */
+static void
+send_ (Driver *driver, guint flow, guint8 flags, guint16 payload)
+{
+  Flow *f = driver_flow (driver, flow);
+  Packet packet = { .flow = flow };
+  guint balancer = alive_balancer_ (driver);
+  DpRoute route;
+  DpRouteResult result;
+
+  packet.segment.key = f->key;
+  packet.segment.hash = f->hash;
+  packet.segment.flags = flags;
+  packet.segment.seq = f->seq;
+  packet.segment.ack = (flags & DP_TCP_ACK) != 0 ? f->server_isn + 1 : 0;
+  packet.segment.payload_length = payload;
+  packet.segment.ip_header_length = 20;
+  if (balancer == driver->n_balancers)
+    return;
+  result = dp_router_route (driver->balancers[balancer].router, &packet.segment, &route);
+  if (result != DP_ROUTE_FORWARD)
+    {
+      trace_ (driver, "flow-%u balancer-%u %s", flow + 1, balancer + 1,
+              dp_route_result_string (result));
+      return;
+    }
+  packet.header = route.header;
+  packet.host = host_at_ (driver, &route.member_address);
+  trace_ (driver, "flow-%u balancer-%u to %s", flow + 1, balancer + 1,
+          driver->hosts[packet.host].member.name);
+  push_ (driver, &packet);
+}
+
+static void
+push_ (Driver *driver, const Packet *packet)
+{
+  if (g_rand_double (driver->random) < driver->loss)
+    return;
+  g_queue_push_tail (driver->packets, g_memdup2 (packet, sizeof *packet));
+  if (g_rand_double (driver->random) < driver->duplicate)
+    g_queue_push_tail (driver->packets, g_memdup2 (packet, sizeof *packet));
+}
+
+static gboolean
+has_visited_ (const DpHeader *header, guint32 member)
+{
+  for (guint i = 0; i < header->n_visited; i++)
+    {
+      if (header->visited[i] == member)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* A host that has passed a SYN on does not take a copy of it, unless it is returned. */
+static void
+check_decision_ (Driver *driver, const Packet *packet, const DpAction *action)
+{
+  Host *host = &driver->hosts[packet->host];
+  gpointer key = GUINT_TO_POINTER (packet->flow + 1);
+  guint32 target = GPOINTER_TO_UINT (g_hash_table_lookup (host->passed, key));
+
+  if (!dp_segment_opens_flow (&packet->segment))
+    return;
+  if (action->type == DP_ACTION_FORWARD)
+    g_hash_table_insert (
+        host->passed, key,
+        GUINT_TO_POINTER (action->header.visited[action->header.n_visited - 1]));
+  else if (action->type == DP_ACTION_HOLD)
+    {
+      /* A target that went away, or that this copy has visited before, is replaced by
+       * another one: of two SYN-ACKs the client acknowledges only one. */
+      if (target != 0 && dp_view_find (host->view, target) != NULL
+          && !has_visited_ (&packet->header, target)
+          && driver->now < driver_flow (driver, packet->flow)->opened_at + DECISION_TIME
+          && packet->header.best_member != host->member.id)
+        violate_ (driver, packet->flow, "the decision for a SYN was not repeated");
+      g_hash_table_remove (host->passed, key);
+    }
+}
+
+static void
+forward_ (Driver *driver, const Packet *packet, const DpAction *action)
+{
+  Packet next = *packet;
+
+  next.header = action->header;
+  next.host = host_at_ (driver, &action->address);
+  driver->hops++;
+  driver->hops_max = MAX (driver->hops_max, next.header.n_visited);
+  push_ (driver, &next);
+}
+
+static void
+process_ (Driver *driver, const Packet *packet)
+{
+  Host *host = &driver->hosts[packet->host];
+  DpActions actions;
+
+  /* A paused host's packets are lost once its socket buffer is full; clients send again.
+   */
+  if (!host->alive || host->paused)
+    return;
+  driver->delivered++;
+  dp_actions_init (&actions);
+  dp_acceptance_packet (host->acceptance, &packet->header, &packet->segment, driver->now,
+                        &actions);
+  carry_out_ (driver, packet->host, packet, &actions);
+  dp_actions_finish (&actions);
+}
+
+/* Carries out the actions in their order; packet is NULL where no packet caused them. */
+static void
+carry_out_ (Driver *driver, guint host, const Packet *packet, DpActions *list)
+{
+  for (guint i = 0; i < list->items->len; i++)
+    {
+      const DpAction *action = &g_array_index (list->items, DpAction, i);
+      Record *record;
+
+      if (packet != NULL)
+        trace_ (driver, "flow-%u %s %s%s%s", packet->flow + 1,
+                driver->hosts[host].member.name, dp_action_type_string (action->type),
+                action->reason != DP_REASON_NONE ? " " : "",
+                action->reason != DP_REASON_NONE ? dp_reason_string (action->reason)
+                                                 : "");
+      if (packet != NULL)
+        check_decision_ (driver, packet, action);
+      switch (action->type)
+        {
+        case DP_ACTION_DELIVER:
+          deliver_ (driver, host, action->flow, &packet->segment);
+          break;
+        case DP_ACTION_FORWARD:
+          forward_ (driver, packet, action);
+          break;
+        case DP_ACTION_HOLD:
+          record = g_new0 (Record, 1);
+          record->flow = packet->flow;
+          record->segment = packet->segment;
+          record->header = packet->header;
+          g_hash_table_insert (driver->hosts[host].records,
+                               GUINT_TO_POINTER (action->flow), record);
+          break;
+        case DP_ACTION_DROP:
+          driver->dropped[action->reason]++;
+          break;
+        case DP_ACTION_RESET:
+          client_reset_ (driver, packet->flow, (packet->segment.flags & DP_TCP_SYN) != 0);
+          break;
+        default:
+          carry_out_flow_ (driver, host, action);
+          break;
+        }
+    }
+}
+
+static void
+carry_out_flow_ (Driver *driver, guint host, const DpAction *action)
+{
+  Host *h = &driver->hosts[host];
+  Record *record = record_ (h, action->flow);
+  Packet held;
+
+  if (record == NULL)
+    return;
+  switch (action->type)
+    {
+    case DP_ACTION_CONNECT:
+      connect_ (driver, host, action->flow);
+      return;
+    case DP_ACTION_DELIVER_HELD:
+      answer_syn_ (driver, host, action->flow, record);
+      return;
+    case DP_ACTION_GRANT:
+      hand_over_ (driver, host, record);
+      return;
+    case DP_ACTION_FORWARD_HELD:
+      held = (Packet){ record->flow, host, record->segment, record->header };
+      forward_ (driver, &held, action);
+      break;
+    case DP_ACTION_REFUSE:
+      if (driver_flow (driver, record->flow)->server_bytes[host] != 0)
+        violate_ (driver, record->flow, "a refused request was run");
+      client_reset_ (driver, record->flow, TRUE);
+      break;
+    case DP_ACTION_ABORT:
+      if (record->established || !record->answered)
+        client_reset_ (driver, record->flow, !record->established);
+      break;
+    case DP_ACTION_FORGET:
+      /* Its ACK may have gone through a member that failed, for the whole of the timeout.
+       */
+      if (driver->failed_at >= driver_flow (driver, record->flow)->opened_at)
+        driver_flow (driver, record->flow)->lost_host = TRUE;
+      break;
+    default:
+      break;
+    }
+  g_hash_table_remove (h->records, GUINT_TO_POINTER (action->flow));
+}
+
+/* What a TCP stack does with a segment of a flow that is its own. */
+static void
+deliver_ (Driver *driver, guint host, DpHandle handle, const DpSegment *segment)
+{
+  Host *h = &driver->hosts[host];
+  Record *record = record_ (h, handle);
+
+  if (record == NULL || !record->answered)
+    return;
+  if ((segment->flags & DP_TCP_SYN) != 0)
+    {
+      if (!record->established)
+        client_syn_ack_ (driver, record->flow, host, record->isn);
+      return;
+    }
+  if (!record->established)
+    {
+      /* A half-open TCP stack answers any other acknowledgement with a reset. */
+      if (segment->ack != record->isn + 1)
+        {
+          if (driver->variant == DP_VARIANT_NONE)
+            violate_ (driver, record->flow,
+                      "a foreign acknowledgement reached a TCP stack");
+          /* The wrong variant models a stack that takes it for its own. */
+        }
+      record->established = TRUE;
+      dp_acceptance_established (h->acceptance, handle, driver->now);
+    }
+  if (segment->payload_length == 0)
+    return;
+  record->waiting += segment->payload_length;
+  if (dp_acceptance_request (h->acceptance, handle, record->waiting, driver->now))
+    hand_over_ (driver, host, record);
+}
+
+static void
+connect_ (Driver *driver, guint host, DpHandle handle)
+{
+  Host *h = &driver->hosts[host];
+  DpActions actions;
+
+  dp_actions_init (&actions);
+  if (h->server_up)
+    dp_acceptance_server_connected (h->acceptance, handle, driver->now, &actions);
+  else
+    dp_acceptance_server_failed (h->acceptance, handle, driver->now, &actions);
+  carry_out_ (driver, host, NULL, &actions);
+  dp_actions_finish (&actions);
+}
+
+static void
+answer_syn_ (Driver *driver, guint host, DpHandle handle, Record *record)
+{
+  Host *h = &driver->hosts[host];
+
+  if (record->answered)
+    return;
+  record->answered = TRUE;
+  record->isn = g_rand_int (driver->random);
+  h->flows_started++;
+  /* The removal is not in force everywhere yet. */
+  if (h->removed)
+    driver_flow (driver, record->flow)->lost_host = TRUE;
+  if (h->left_at != 0 && driver->now > h->left_at + LEAVE_GRACE)
+    violate_ (driver, record->flow, "a leaving host took a new flow");
+  dp_acceptance_syn_answered (h->acceptance, handle, record->isn, driver->now);
+  trace_ (driver, "flow-%u SYN-ACK from %s", record->flow + 1, h->member.name);
+  client_syn_ack_ (driver, record->flow, host, record->isn);
+}
+
+static void
+hand_over_ (Driver *driver, guint host, Record *record)
+{
+  Flow *flow = driver_flow (driver, record->flow);
+
+  if (record->waiting == 0)
+    return;
+  flow->server_bytes[host] += record->waiting;
+  record->waiting = 0;
+  flow->started_at = driver->now;
+  if (flow->state == FLOW_REFUSED)
+    violate_ (driver, record->flow, "a refused request was run");
+  for (guint i = 0; i < driver->n_hosts; i++)
+    {
+      if (i != host && flow->server_bytes[i] != 0)
+        violate_ (driver, record->flow, "two servers got bytes of one flow");
+    }
+  trace_ (driver, "flow-%u request runs at %s", record->flow + 1,
+          driver->hosts[host].member.name);
+  if (driver->served != NULL)
+    driver->served (driver, record->flow, host, driver->user_data);
+}
+
+static void
+client_syn_ack_ (Driver *driver, guint flow, guint host, guint32 isn)
+{
+  Flow *f = driver_flow (driver, flow);
+
+  if (g_rand_double (driver->random) < driver->loss)
+    return;
+  if (f->state == FLOW_SYN_SENT)
+    {
+      f->state = FLOW_ESTABLISHED;
+      f->host = host;
+      f->server_isn = isn;
+      f->seq++;
+    }
+  if (f->state == FLOW_ESTABLISHED)
+    send_ (driver, flow, DP_TCP_ACK, 0);
+}
+
+/* A client takes a reset in answer to its SYN only until its handshake is done: later the
+ * reset's sequence number is outside its window (RFC 5961, section 3.2). */
+static void
+client_reset_ (Driver *driver, guint flow, gboolean answers_syn)
+{
+  Flow *f = driver_flow (driver, flow);
+
+  if (f->state == FLOW_SYN_SENT)
+    {
+      f->state = FLOW_REFUSED;
+      for (guint i = 0; i < driver->n_hosts; i++)
+        {
+          if (f->server_bytes[i] != 0)
+            violate_ (driver, flow, "a refused request was run");
+        }
+    }
+  else if (f->state == FLOW_ESTABLISHED && !answers_syn)
+    {
+      f->state = FLOW_BROKEN;
+      if (!f->lost_host)
+        violate_ (driver, flow, "an established flow was reset");
+    }
+  trace_ (driver, "flow-%u client sees a reset: %s", flow + 1,
+          driver_flow_state_string (f->state));
+}
+
+/* No promise covers the host's flows any more: all of them, or those not yet established.
+ */
+static void
+lose_flows_ (Driver *driver, guint host, gboolean established)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, driver->hosts[host].records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Record *record = value;
+
+      if (established || !record->established)
+        driver_flow (driver, record->flow)->lost_host = TRUE;
+    }
+}
+
+/* The TCP stacks send the SYN-ACKs again that no ACK has answered yet. */
+static void
+resend_syn_acks_ (Driver *driver)
+{
+  driver->syn_acks_at = driver->now + SYN_ACK_INTERVAL;
+  for (guint i = 0; i < driver->n_hosts; i++)
+    {
+      GHashTableIter iter;
+      gpointer value;
+
+      if (!driver->hosts[i].alive || driver->hosts[i].paused)
+        continue;
+      g_hash_table_iter_init (&iter, driver->hosts[i].records);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          const Record *record = value;
+
+          if (record->answered && !record->established)
+            client_syn_ack_ (driver, record->flow, i, record->isn);
+        }
+    }
+}
+
+static Record *
+record_ (Host *host, DpHandle handle)
+{
+  return g_hash_table_lookup (host->records, GUINT_TO_POINTER (handle));
+}
+
+static guint
+host_at_ (const Driver *driver, const DpAddress *address)
+{
+  guint index = address->ip - HOST_NET - 1;
+
+  g_assert (index < driver->n_hosts);
+  return index;
+}
+
+static guint
+alive_balancer_ (Driver *driver)
+{
+  guint first = (guint) g_rand_int_range (driver->random, 0,
+                                          (gint32) driver->n_balancers);
+
+  for (guint i = 0; i < driver->n_balancers; i++)
+    {
+      guint index = (first + i) % driver->n_balancers;
+
+      if (driver->balancers[index].alive)
+        return index;
+    }
+  return driver->n_balancers;
+}
--- /dev/null
+++ b/src/test_libdogwoodpaddle/driver.h
@@ -0,0 +1,132 @@
+/* Runs several routers and acceptances against each other under a paused clock: packets
+ * are passed by direct calls, TCP stacks and backend servers are reduced to what
+ * acceptance sees. Used by the stateful tests, the golden sessions and the measurements.
+ */
+#pragma once
+
+#include <glib.h>
+
+#include "protected/acceptance.h"
+#include "protected/router.h"
+#include "protected/variant.h"
+
+#define DRIVER_HOSTS_MAX 64
+#define DRIVER_BALANCERS_MAX 16
+
+typedef enum
+{
+  FLOW_SYN_SENT,
+  FLOW_ESTABLISHED,
+  FLOW_CLOSED,  /* ended by its client */
+  FLOW_REFUSED, /* reset in answer to the SYN */
+  FLOW_BROKEN,  /* reset after the handshake */
+  N_FLOW_STATES
+} FlowState;
+
+/* A technician's connection, as its client sees it. */
+typedef struct
+{
+  DpFlowKey key;
+  guint64 hash;
+  DpClass class;
+  FlowState state;
+  guint host;                             /* that answered the SYN */
+  guint32 seq;                            /* next to send */
+  guint32 server_isn;                     /* of the answer that was taken */
+  guint32 server_bytes[DRIVER_HOSTS_MAX]; /* handed to each host's server */
+  gint64 opened_at;                       /* us */
+  gint64 sent_at;                         /* us, of the last request */
+  gint64 started_at;                      /* us, when a server got its first byte */
+  gboolean answered;
+  gboolean lost_host; /* its host failed, which no promise covers */
+} Flow;
+
+typedef struct
+{
+  DpMember member;
+  DpAcceptance *acceptance;
+  GHashTable *records; /* DpHandle to Record */
+  GHashTable *passed;  /* flow index + 1 to the member that its SYN went on to */
+  DpView *view;
+  gboolean alive;
+  gboolean paused;  /* its packets are lost */
+  gboolean removed; /* by its watchers, while paused or disconnected */
+  gint64 silent_at; /* us, since when its watchers hear nothing; 0: they do */
+  gboolean server_up;
+  gint64 left_at; /* us, when it began to leave; 0: it has not */
+  guint64 flows_started;
+} Host;
+
+typedef struct
+{
+  DpRouter *router;
+  DpView *view;
+  gboolean alive;
+} Balancer;
+
+typedef struct _Driver Driver;
+
+/* Called for each decision, in order, for golden sessions; may be NULL. */
+typedef void (*DriverTrace) (const char *line, gpointer user_data);
+/* Called when request bytes reach a server; may be NULL. */
+typedef void (*DriverServed) (Driver *driver, guint flow, guint host, gpointer user_data);
+
+struct _Driver
+{
+  GRand *random;
+  gint64 now;         /* us */
+  gint64 syn_acks_at; /* us, when unanswered SYN-ACKs are sent again */
+  char *service;
+  DpServiceAddress addresses[DP_N_CLASSES]; /* one for each class */
+  DpAcceptanceLimits limits;
+  DpVariant variant;
+  Host hosts[DRIVER_HOSTS_MAX];
+  guint n_hosts;
+  Balancer balancers[DRIVER_BALANCERS_MAX];
+  guint n_balancers;
+  gint64 failed_at; /* us, when a host last failed or was found silent */
+  DpView *view;     /* the newest */
+  guint64 revision;
+  GArray *flows;   /* Flow */
+  GQueue *packets; /* Packet, on their way */
+  double loss;     /* share of packets that are lost */
+  double duplicate;
+  gboolean reorder;
+  guint64 hops;
+  guint64 hops_max;
+  guint64 delivered;
+  guint64 dropped[DP_N_REASONS];
+  GString *violation; /* first broken rule, empty if none */
+  DriverTrace trace;
+  DriverServed served;
+  gpointer user_data;
+};
+
+Driver *driver_new (guint64 seed, const char *service);
+void driver_free (Driver *driver);
+
+guint driver_add_host (Driver *driver, guint slots, DpMemberState state);
+void driver_set_state (Driver *driver, guint host, DpMemberState state);
+void driver_leave (Driver *driver, guint host);
+void driver_remove (Driver *driver, guint host);
+void driver_kill (Driver *driver, guint host);
+void driver_pause (Driver *driver, guint host);
+void driver_resume (Driver *driver, guint host);
+void driver_remove_silent (Driver *driver, guint host);
+guint driver_add_balancer (Driver *driver);
+void driver_replace_balancer (Driver *driver, guint balancer);
+void driver_publish (Driver *driver);
+void driver_update_host (Driver *driver, guint host);
+void driver_update_balancer (Driver *driver, guint balancer);
+void driver_update_all (Driver *driver);
+
+guint driver_open (Driver *driver, DpClass class);
+void driver_resend_syn (Driver *driver, guint flow);
+void driver_send (Driver *driver, guint flow, guint bytes);
+void driver_respond (Driver *driver, guint flow, guint bytes);
+void driver_close (Driver *driver, guint flow);
+void driver_fail_server (Driver *driver, guint flow);
+void driver_run (Driver *driver);
+void driver_advance (Driver *driver, gint64 delta);
+Flow *driver_flow (Driver *driver, guint flow);
+const char *driver_flow_state_string (FlowState state);
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_sessions.c
@@ -0,0 +1,165 @@
+/* Guards against unnoticed changes of decisions: whole sessions are compared with golden
+ * files, hop by hop. scripts/golden writes them anew and shows the difference. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "driver.h"
+#include "runner.h"
+
+#define SECOND ((gint64) G_USEC_PER_SEC)
+#define MS (SECOND / 1000)
+
+typedef struct
+{
+  const char *name;
+  guint64 seed;
+  const char *service;
+  guint hosts;
+  guint slots;
+  void (*play) (Driver *driver);
+} Session;
+
+static void
+record_line (const char *line, gpointer user_data)
+{
+  g_string_append_printf (user_data, "%s\n", line);
+}
+
+static guint
+request (Driver *driver, DpClass class)
+{
+  guint flow = driver_open (driver, class);
+
+  driver_run (driver);
+  driver_send (driver, flow, 200);
+  driver_run (driver);
+  return flow;
+}
+
+static void
+answer_and_close (Driver *driver, guint flow)
+{
+  driver_respond (driver, flow, 1000);
+  driver_advance (driver, 200 * MS);
+  driver_close (driver, flow);
+  driver_run (driver);
+}
+
+/* Job sheets and a report; a long manual download goes on while its host leaves, another
+ * joins and a balancer is replaced. */
+static void
+play_morning (Driver *driver)
+{
+  guint sheet = request (driver, DP_CLASS_INTERACTIVE);
+  guint manual = request (driver, DP_CLASS_BULK);
+  guint report;
+
+  answer_and_close (driver, sheet);
+  driver_respond (driver, manual, 60000);
+  driver_leave (driver, driver_flow (driver, manual)->host);
+  driver_publish (driver);
+  driver_update_balancer (driver, 0);
+  driver_send (driver, manual, 10);
+  driver_run (driver);
+  driver_add_host (driver, 4, DP_MEMBER_ACTIVE);
+  driver_update_all (driver);
+  driver_replace_balancer (driver, 1);
+  driver_advance (driver, 10 * SECOND);
+  report = request (driver, DP_CLASS_URGENT);
+  answer_and_close (driver, report);
+  for (guint i = 0; i < 3; i++)
+    {
+      driver_send (driver, manual, 10);
+      driver_run (driver);
+      driver_respond (driver, manual, 60000);
+    }
+  driver_advance (driver, SECOND);
+  answer_and_close (driver, manual);
+}
+
+/* A dry spell: wiring diagrams fill the bulk share, status requests the rest, then fault
+ * reports arrive; one host fails and its flow is reset. */
+static void
+play_dispatch_burst (Driver *driver)
+{
+  guint diagrams[3];
+  guint status[4];
+  guint faults[2];
+
+  for (guint i = 0; i < G_N_ELEMENTS (diagrams); i++)
+    diagrams[i] = request (driver, DP_CLASS_BULK);
+  for (guint i = 0; i < G_N_ELEMENTS (status); i++)
+    status[i] = request (driver, DP_CLASS_INTERACTIVE);
+  for (guint i = 0; i < G_N_ELEMENTS (faults); i++)
+    faults[i] = request (driver, DP_CLASS_URGENT);
+  for (guint i = 0; i < G_N_ELEMENTS (status); i++)
+    {
+      driver_advance (driver, 20 * MS);
+      answer_and_close (driver, status[i]);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      if (driver_flow (driver, faults[i])->started_at == 0)
+        driver_send (driver, faults[i], 200);
+      driver_run (driver);
+      answer_and_close (driver, faults[i]);
+    }
+  driver_kill (driver, driver_flow (driver, diagrams[0])->host);
+  driver_update_all (driver);
+  driver_advance (driver, 10 * SECOND);
+  driver_send (driver, diagrams[0], 10);
+  driver_run (driver);
+}
+
+static const Session sessions_[] = {
+  { "association-morning", 1, "darbnica", 4, 4, play_morning },
+  { "vrtina-dispatch-burst", 2, "dispatch", 2, 2, play_dispatch_burst },
+};
+
+static char *
+play (const Session *session)
+{
+  Driver *driver = driver_new (session->seed, session->service);
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < session->hosts; i++)
+    driver_add_host (driver, session->slots, DP_MEMBER_ACTIVE);
+  for (guint i = 0; i < 3; i++)
+    driver_add_balancer (driver);
+  driver_update_all (driver);
+  driver_advance (driver, 30 * SECOND);
+  driver->trace = record_line;
+  driver->user_data = text;
+  session->play (driver);
+  CU_ASSERT_EQUAL (driver->violation->len, 0);
+  driver_free (driver);
+  return g_string_free (text, FALSE);
+}
+
+static void
+test_sessions (void)
+{
+  const char *source = g_getenv ("DP_SOURCE_DIR");
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (source);
+  for (guint i = 0; i < G_N_ELEMENTS (sessions_); i++)
+    {
+      g_autofree char *file = g_strdup_printf ("%s.txt", sessions_[i].name);
+      g_autofree char *path = g_build_filename (source, "test", "golden", file, NULL);
+      g_autofree char *text = play (&sessions_[i]);
+      g_autofree char *golden = NULL;
+
+      if (g_getenv ("DP_GOLDEN_WRITE") != NULL)
+        CU_ASSERT_TRUE (g_file_set_contents (path, text, -1, NULL));
+      CU_ASSERT_TRUE (g_file_get_contents (path, &golden, NULL, NULL));
+      CU_ASSERT_EQUAL (g_strcmp0 (text, golden), 0);
+      if (g_strcmp0 (text, golden) != 0)
+        printf ("%s differs; now:\n%s", path, text);
+    }
+}
+
+static const DpTestCase cases_[] = {
+  { "sessions match their golden files", test_sessions },
+};
+
+DP_TEST_MAIN ("sessions", cases_)
