--- a/src/libdogwoodpaddle/admission.c
+++ b/src/libdogwoodpaddle/admission.c
@@ -147,7 +147,10 @@
     {
       if (header.n_visited < DP_VISITED_MAX)
         next = next_member_ (acceptance, &header, syn.hash, DP_CANDIDATES_NEW_FLOW);
-      if (next == NULL && header.best_member != acceptance->member_id)
+      /* This member's own offer to take the SYN is void. */
+      if (header.best_member == acceptance->member_id)
+        header.best_member = 0;
+      if (next == NULL)
         next = find_member_ (acceptance, header.best_member);
     }
   if (next != NULL)
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_admission.c
@@ -0,0 +1,406 @@
+/* Guards against work that is refused while a slot or a wait is possible, that waits
+ * behind lower classes, or that reaches a member beyond its limits. */
+#include "members.h"
+
+#define ISN 5000
+
+/* Fills both slots of every member with requests of flows 1000 and above. */
+static void
+fill_slots (Members *m)
+{
+  DpAcceptanceLimits limits = members_limits ();
+
+  limits.visits = 1;
+  members_set_limits (m, &limits);
+  for (guint i = 0; i < 2 * m->n; i++)
+    {
+      DpSegment syn = members_segment (1000 + i, &status_, DP_TCP_SYN);
+      DpAcceptance *a = m->acceptances[i / 2];
+      DpHandle flow;
+
+      members_send (m, i / 2, &syn);
+      flow = m->last.flow;
+      dp_acceptance_server_connected (a, flow, m->now, &m->actions);
+      dp_acceptance_established (a, flow, m->now);
+      CU_ASSERT_TRUE (dp_acceptance_request (a, flow, 100, m->now));
+    }
+  limits.visits = 4;
+  members_set_limits (m, &limits);
+}
+
+/* Ends one of the flows of fill_slots (). */
+static void
+end_request (Members *m, guint member)
+{
+  DpSegment syn = members_segment (1000 + 2 * member, &status_, DP_TCP_SYN);
+  DpHandle flow = dp_acceptance_find (m->acceptances[member], &syn.key);
+
+  dp_actions_clear (&m->actions);
+  dp_acceptance_closed (m->acceptances[member], flow, m->now, &m->actions);
+}
+
+static void
+test_free_slot_is_found (void)
+{
+  Members m;
+  DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+
+  members_init (&m, 4);
+  fill_slots (&m);
+  end_request (&m, 2);
+  members_send (&m, 0, &syn);
+  CU_ASSERT_EQUAL (m.at, 2);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, NULL), 1);
+  members_finish (&m);
+}
+
+static void
+test_least_loaded_takes_it (void)
+{
+  Members m;
+  DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+  guint least;
+
+  members_init (&m, 4);
+  fill_slots (&m);
+  /* All but the one after the first member have another SYN waiting. */
+  members_send (&m, members_first (&m, &syn), &syn);
+  least = m.at;
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+  CU_ASSERT_EQUAL (m.n_hops, 5);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, NULL), 0);
+  for (guint i = 0; i < 7; i++)
+    {
+      guint waiting_before[4];
+      guint smallest = G_MAXUINT;
+
+      for (guint j = 0; j < 4; j++)
+        {
+          DpAcceptanceLoad load = dp_acceptance_load (m.acceptances[j]);
+
+          waiting_before[j] = load.waiting[DP_CLASS_INTERACTIVE];
+          smallest = MIN (smallest, waiting_before[j]);
+        }
+      syn = members_segment (2 + i, &status_, DP_TCP_SYN);
+      members_send (&m, members_first (&m, &syn), &syn);
+      CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+      CU_ASSERT_EQUAL (waiting_before[m.at], smallest);
+    }
+  /* The kept SYN is connected once a slot is free. */
+  end_request (&m, least);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, NULL), 1);
+  members_finish (&m);
+}
+
+static void
+test_returned_syn (void)
+{
+  Members m;
+  DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+  DpAcceptanceLimits limits = members_limits ();
+  DpHeader header;
+
+  members_init (&m, 6);
+  fill_slots (&m);
+  header = members_header (&m, 0);
+  header.n_visited = 4;
+  for (guint i = 0; i < 4; i++)
+    header.visited[i] = dp_member_id (m.names[i]);
+  header.best_member = dp_member_id (m.names[0]);
+  header.best_wait_ms = 50;
+  members_follow (&m, 0, header, &syn);
+  CU_ASSERT_EQUAL (m.n_hops, 1);
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+
+  limits.connections = 3;
+  members_set_limits (&m, &limits);
+  syn.seq++;
+  syn.key.client.port++;
+  syn.hash = dp_flow_key_hash (&syn.key);
+  members_follow (&m, 0, header, &syn);
+  CU_ASSERT_EQUAL (m.n_hops, 1);
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_RESET);
+  CU_ASSERT_EQUAL (m.last.reason, DP_REASON_CONNECTIONS);
+  members_finish (&m);
+}
+
+/* A returned SYN whose server fails is refused, since all others were visited. */
+static void
+test_returned_syn_fails (void)
+{
+  Members m;
+  DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+  DpHeader header;
+  DpHandle flow = DP_HANDLE_NONE;
+
+  members_init (&m, 6);
+  header = members_header (&m, 0);
+  header.n_visited = 2;
+  header.visited[1] = dp_member_id (m.names[1]);
+  header.best_member = dp_member_id (m.names[0]);
+  members_follow (&m, 0, header, &syn);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, &flow), 1);
+  dp_actions_clear (&m.actions);
+  dp_acceptance_server_failed (m.acceptances[0], flow, m.now, &m.actions);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_REFUSE, NULL), 1);
+  members_finish (&m);
+}
+
+static void
+test_wait_limit (void)
+{
+  Members m;
+  DpSegment syn;
+  guint n = 0;
+
+  members_init (&m, 2);
+  fill_slots (&m);
+  do
+    {
+      syn = members_segment (n++, &status_, DP_TCP_SYN);
+      members_send (&m, members_first (&m, &syn), &syn);
+    }
+  while (m.last.type == DP_ACTION_HOLD);
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_RESET);
+  CU_ASSERT_EQUAL (m.last.reason, DP_REASON_WAIT_LIMIT);
+  /* 2 s of wait at 100 ms a request and 2 slots: 40 for each of 2 members. */
+  CU_ASSERT_TRUE (n > 70 && n <= 82);
+  members_send (&m, members_first (&m, &syn), &syn);
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_RESET);
+  /* Reports wait for reports only. */
+  syn = members_segment (n, &reports_, DP_TCP_SYN);
+  members_send (&m, members_first (&m, &syn), &syn);
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+  members_finish (&m);
+}
+
+static void
+test_urgent_first (void)
+{
+  Members m;
+  DpSegment bulk = members_segment (1, &manuals_, DP_TCP_SYN);
+  DpSegment status = members_segment (2, &status_, DP_TCP_SYN);
+  DpSegment urgent = members_segment (3, &reports_, DP_TCP_SYN);
+  DpHandle flow = DP_HANDLE_NONE;
+
+  members_init (&m, 1);
+  fill_slots (&m);
+  members_send (&m, 0, &bulk);
+  members_send (&m, 0, &status);
+  members_send (&m, 0, &urgent);
+  end_request (&m, 0);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, &flow), 1);
+  CU_ASSERT_EQUAL (flow, dp_acceptance_find (m.acceptances[0], &urgent.key));
+  CU_ASSERT_EQUAL (dp_acceptance_flow_class (m.acceptances[0], flow), DP_CLASS_URGENT);
+  /* It sends no request: the slot goes to the next one after 1 s. */
+  dp_acceptance_server_connected (m.acceptances[0], flow, m.now, &m.actions);
+  m.now += DP_US_PER_S;
+  members_tick (&m, 0);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, &flow), 1);
+  CU_ASSERT_EQUAL (flow, dp_acceptance_find (m.acceptances[0], &status.key));
+  members_finish (&m);
+}
+
+static void
+test_request_waits (void)
+{
+  Members m;
+  DpSegment syns[3];
+  DpHandle flows[3];
+  DpAcceptance *a;
+  DpHandle granted = DP_HANDLE_NONE;
+
+  members_init (&m, 1);
+  a = m.acceptances[0];
+  for (guint i = 0; i < 3; i++)
+    {
+      syns[i] = members_segment (i, &status_, DP_TCP_SYN);
+      flows[i] = members_establish (&m, &syns[i], ISN);
+      CU_ASSERT_TRUE (dp_acceptance_request (a, flows[i], 10, m.now));
+      dp_acceptance_response (a, flows[i], 10, 0, m.now);
+      m.now += 100 * DP_US_PER_MS;
+      CU_ASSERT_EQUAL (dp_acceptance_next_deadline (a), m.now);
+      members_tick (&m, 0);
+      CU_ASSERT_EQUAL (dp_acceptance_load (a).slots_busy, 0);
+    }
+  CU_ASSERT_TRUE (dp_acceptance_request (a, flows[0], 10, m.now));
+  CU_ASSERT_TRUE (dp_acceptance_request (a, flows[1], 10, m.now));
+  CU_ASSERT_TRUE (dp_acceptance_request (a, flows[1], 10, m.now));
+  CU_ASSERT_FALSE (dp_acceptance_request (a, flows[2], 10, m.now));
+  CU_ASSERT_FALSE (dp_acceptance_request (a, flows[2], 10, m.now));
+  CU_ASSERT_EQUAL (dp_acceptance_load (a).waiting[DP_CLASS_INTERACTIVE], 1);
+  m.now += 10 * DP_US_PER_S;
+  members_tick (&m, 0);
+  CU_ASSERT_EQUAL (m.actions.items->len, 0);
+  dp_acceptance_response (a, flows[0], 10, 0, m.now);
+  /* The next request of the same client has its turn behind the waiting one. */
+  CU_ASSERT_FALSE (dp_acceptance_request (a, flows[0], 10, m.now));
+  CU_ASSERT_TRUE (dp_acceptance_next_deadline (a) <= m.now);
+  members_tick (&m, 0);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_GRANT, &granted), 1);
+  CU_ASSERT_EQUAL (granted, flows[2]);
+  dp_actions_clear (&m.actions);
+  dp_acceptance_closed (a, flows[1], m.now, &m.actions);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_GRANT, &granted), 1);
+  CU_ASSERT_EQUAL (granted, flows[0]);
+  members_finish (&m);
+}
+
+/* A server that never answers keeps its slot only for a while; the flow stays. */
+static void
+test_silent_request (void)
+{
+  Members m;
+  DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+  DpHandle flow;
+
+  members_init (&m, 1);
+  flow = members_establish (&m, &syn, ISN);
+  CU_ASSERT_TRUE (dp_acceptance_request (m.acceptances[0], flow, 10, m.now));
+  m.now += 59 * DP_US_PER_S;
+  members_tick (&m, 0);
+  CU_ASSERT_EQUAL (dp_acceptance_load (m.acceptances[0]).slots_busy, 1);
+  m.now += DP_US_PER_S;
+  members_tick (&m, 0);
+  CU_ASSERT_EQUAL (dp_acceptance_load (m.acceptances[0]).slots_busy, 0);
+  CU_ASSERT_EQUAL (dp_acceptance_load (m.acceptances[0]).flows, 1);
+  CU_ASSERT_EQUAL (m.actions.items->len, 0);
+  members_finish (&m);
+}
+
+static void
+test_bulk_limits (void)
+{
+  Members m;
+  DpAcceptanceLimits limits = members_limits ();
+  DpServiceAddress only = { manuals_, DP_CLASS_BULK, G_MAXINT64 };
+  guint n = 0;
+
+  members_init (&m, 1);
+  limits.connections = 20;
+  members_set_limits (&m, &limits);
+  do
+    {
+      DpSegment syn = members_segment (n++, &manuals_, DP_TCP_SYN);
+
+      members_send (&m, 0, &syn);
+    }
+  while (m.last.type == DP_ACTION_HOLD);
+  CU_ASSERT_EQUAL (n, 11);
+  CU_ASSERT_EQUAL (m.last.reason, DP_REASON_CONNECTIONS);
+  CU_ASSERT_EQUAL (dp_acceptance_load (m.acceptances[0]).slots_busy, 1);
+  /* Where nothing else runs, nothing is kept from bulk. */
+  dp_acceptance_set_addresses (m.acceptances[0], &only, 1);
+  CU_ASSERT_TRUE (dp_acceptance_next_deadline (m.acceptances[0]) <= m.now);
+  members_tick (&m, 0);
+  CU_ASSERT_EQUAL (dp_acceptance_load (m.acceptances[0]).slots_busy, 2);
+  do
+    {
+      DpSegment syn = members_segment (n++, &manuals_, DP_TCP_SYN);
+
+      members_send (&m, 0, &syn);
+    }
+  while (m.last.type == DP_ACTION_HOLD);
+  CU_ASSERT_EQUAL (dp_acceptance_load (m.acceptances[0]).flows, 20);
+  members_finish (&m);
+}
+
+/* SYNs that wait at a member when it begins to leave go on to others. */
+static void
+test_waiting_syns_leave (void)
+{
+  Members m;
+  DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+  DpAcceptanceLimits limits = members_limits ();
+  guint kept;
+  DpAction action;
+
+  members_init (&m, 6);
+  fill_slots (&m);
+  limits.visits = 1;
+  members_set_limits (&m, &limits);
+  members_send (&m, 0, &syn);
+  kept = m.at;
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+  dp_acceptance_set_leaving (m.acceptances[kept], TRUE, m.now);
+  CU_ASSERT_TRUE (dp_acceptance_next_deadline (m.acceptances[kept]) <= m.now);
+  members_tick (&m, kept);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_FORWARD_HELD, NULL), 1);
+  action = g_array_index (m.actions.items, DpAction, 0);
+  CU_ASSERT_NOT_EQUAL (members_index (&m, &action.address), kept);
+  members_follow (&m, members_index (&m, &action.address), action.header, &syn);
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+  members_send (&m, kept, &syn);
+  CU_ASSERT_EQUAL (m.last.reason, DP_REASON_ALREADY_HELD);
+  members_finish (&m);
+}
+
+/* A server that ends no request doesn't keep SYNs forever. */
+static void
+test_waiting_timeout (void)
+{
+  Members m;
+  DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+  DpAcceptanceLimits limits = members_limits ();
+
+  members_init (&m, 1);
+  limits.progress_timeout = 600 * DP_US_PER_S;
+  fill_slots (&m);
+  members_set_limits (&m, &limits);
+  members_send (&m, 0, &syn);
+  m.now += 60 * DP_US_PER_S;
+  members_tick (&m, 0);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_REFUSE, NULL), 1);
+  CU_ASSERT_EQUAL (dp_acceptance_load (m.acceptances[0]).waiting[DP_CLASS_INTERACTIVE],
+                   0);
+  members_finish (&m);
+}
+
+static void
+test_slow_start (void)
+{
+  Members m;
+  DpAcceptanceLimits limits = members_limits ();
+  guint kept[3] = { 0 };
+
+  members_init (&m, 2);
+  limits.slow_start = 10 * DP_US_PER_S;
+  limits.slots = 1000;
+  limits.connections = 100000;
+  members_set_limits (&m, &limits);
+  dp_acceptance_set_server_up (m.acceptances[0], FALSE, m.now);
+  dp_acceptance_set_server_up (m.acceptances[0], TRUE, m.now);
+  for (guint phase = 0; phase < 3; phase++)
+    {
+      for (guint i = 0; i < 300; i++)
+        {
+          DpSegment syn = members_segment (phase * 300 + i, &status_, DP_TCP_SYN);
+
+          members_send (&m, 0, &syn);
+          CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+          kept[phase] += m.at == 0;
+        }
+      m.now += 5 * DP_US_PER_S;
+    }
+  CU_ASSERT_EQUAL (kept[0], 0);
+  CU_ASSERT_TRUE (kept[1] > 110 && kept[1] < 190);
+  CU_ASSERT_EQUAL (kept[2], 300);
+  members_finish (&m);
+}
+
+static const DpTestCase cases_[] = {
+  { "a visited member with a free slot takes the SYN", test_free_slot_is_found },
+  { "the least loaded visited member takes a SYN to wait", test_least_loaded_takes_it },
+  { "a returned SYN is accepted or refused, never sent on", test_returned_syn },
+  { "a returned SYN whose server fails is refused", test_returned_syn_fails },
+  { "a SYN that would wait too long is refused at once", test_wait_limit },
+  { "urgent work gets the next slot", test_urgent_first },
+  { "a request waits for a slot and is granted one", test_request_waits },
+  { "a request without an answer gives its slot up", test_silent_request },
+  { "bulk never takes all slots or connections", test_bulk_limits },
+  { "waiting SYNs go on when their member leaves", test_waiting_syns_leave },
+  { "the wait for a slot is bounded", test_waiting_timeout },
+  { "a member that starts takes a growing share", test_slow_start },
+};
+
+DP_TEST_MAIN ("admission", cases_)
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_slots.c
@@ -0,0 +1,169 @@
+/* Guards against urgent work that waits behind longer work and against slots that are
+ * lost or given out twice. */
+#include "protected/clock.h"
+#include "protected/slots.h"
+#include "runner.h"
+
+#define N_STEPS 20000
+
+static void
+test_order (void)
+{
+  g_autoptr (DpSlots) slots = dp_slots_new (10);
+  DpHandle ticket;
+
+  dp_slots_set_capacity (slots, 1, FALSE);
+  CU_ASSERT_TRUE (dp_slots_take (slots, DP_CLASS_BULK));
+  CU_ASSERT_FALSE (dp_slots_take (slots, DP_CLASS_URGENT));
+  dp_slots_wait (slots, 1, DP_CLASS_BULK);
+  dp_slots_wait (slots, 2, DP_CLASS_INTERACTIVE);
+  ticket = dp_slots_wait (slots, 3, DP_CLASS_INTERACTIVE);
+  dp_slots_wait (slots, 4, DP_CLASS_INTERACTIVE);
+  dp_slots_wait (slots, 5, DP_CLASS_URGENT);
+  CU_ASSERT_EQUAL (dp_slots_next (slots), DP_HANDLE_NONE);
+  dp_slots_cancel (slots, ticket);
+  dp_slots_cancel (slots, ticket);
+  CU_ASSERT_EQUAL (dp_slots_waiting (slots, DP_CLASS_INTERACTIVE), 2);
+  dp_slots_give_back (slots, DP_CLASS_BULK);
+  CU_ASSERT_EQUAL (dp_slots_next (slots), 5);
+  CU_ASSERT_EQUAL (dp_slots_next (slots), DP_HANDLE_NONE);
+  dp_slots_give_back (slots, DP_CLASS_URGENT);
+  CU_ASSERT_EQUAL (dp_slots_next (slots), 2);
+  dp_slots_give_back (slots, DP_CLASS_INTERACTIVE);
+  CU_ASSERT_EQUAL (dp_slots_next (slots), 4);
+  dp_slots_give_back (slots, DP_CLASS_INTERACTIVE);
+  CU_ASSERT_EQUAL (dp_slots_next (slots), 1);
+  dp_slots_give_back (slots, DP_CLASS_BULK);
+  CU_ASSERT_EQUAL (dp_slots_next (slots), DP_HANDLE_NONE);
+  CU_ASSERT_EQUAL (dp_slots_busy (slots), 0);
+}
+
+/* A newcomer doesn't overtake those of its class that are waiting. */
+static void
+test_no_overtaking (void)
+{
+  g_autoptr (DpSlots) slots = dp_slots_new (10);
+
+  dp_slots_set_capacity (slots, 1, FALSE);
+  CU_ASSERT_TRUE (dp_slots_take (slots, DP_CLASS_INTERACTIVE));
+  dp_slots_wait (slots, 1, DP_CLASS_INTERACTIVE);
+  dp_slots_give_back (slots, DP_CLASS_INTERACTIVE);
+  CU_ASSERT_FALSE (dp_slots_take (slots, DP_CLASS_INTERACTIVE));
+  CU_ASSERT_FALSE (dp_slots_take (slots, DP_CLASS_BULK));
+  CU_ASSERT_TRUE (dp_slots_take (slots, DP_CLASS_URGENT));
+}
+
+static void
+test_bulk_leaves_a_slot (void)
+{
+  static const guint capacities[] = { 1, 2, 4 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (capacities); i++)
+    {
+      g_autoptr (DpSlots) mixed = dp_slots_new (10);
+      g_autoptr (DpSlots) bulk_only = dp_slots_new (10);
+      guint n = 0;
+
+      dp_slots_set_capacity (mixed, capacities[i], TRUE);
+      while (dp_slots_take (mixed, DP_CLASS_BULK))
+        n++;
+      CU_ASSERT_EQUAL (n, MAX (capacities[i] - 1, 1));
+      dp_slots_wait (mixed, 1, DP_CLASS_BULK);
+      CU_ASSERT_EQUAL (dp_slots_next (mixed), DP_HANDLE_NONE);
+      CU_ASSERT_EQUAL (dp_slots_take (mixed, DP_CLASS_URGENT), capacities[i] > 1);
+      dp_slots_set_capacity (bulk_only, capacities[i], FALSE);
+      for (n = 0; dp_slots_take (bulk_only, DP_CLASS_BULK); n++)
+        ;
+      CU_ASSERT_EQUAL (n, capacities[i]);
+    }
+}
+
+static void
+test_expected_wait (void)
+{
+  g_autoptr (DpSlots) slots = dp_slots_new (100);
+  gint64 interactive;
+
+  dp_slots_set_capacity (slots, 2, FALSE);
+  for (guint i = 0; i < 100; i++)
+    dp_slots_record (slots, DP_CLASS_INTERACTIVE, 200 * DP_US_PER_MS);
+  CU_ASSERT_EQUAL (dp_slots_expected_wait (slots, DP_CLASS_BULK), 0);
+  dp_slots_take (slots, DP_CLASS_INTERACTIVE);
+  dp_slots_take (slots, DP_CLASS_INTERACTIVE);
+  interactive = dp_slots_expected_wait (slots, DP_CLASS_INTERACTIVE);
+  CU_ASSERT_TRUE (interactive > 99 * DP_US_PER_MS && interactive <= 100 * DP_US_PER_MS);
+  for (guint i = 0; i < 9; i++)
+    dp_slots_wait (slots, i + 1, DP_CLASS_INTERACTIVE);
+  interactive = dp_slots_expected_wait (slots, DP_CLASS_INTERACTIVE);
+  CU_ASSERT_TRUE (interactive > 990 * DP_US_PER_MS && interactive <= DP_US_PER_S);
+  CU_ASSERT_TRUE (dp_slots_expected_wait (slots, DP_CLASS_URGENT) <= 100 * DP_US_PER_MS);
+  CU_ASSERT_TRUE (dp_slots_expected_wait (slots, DP_CLASS_BULK) >= interactive);
+}
+
+static void
+test_bound (void)
+{
+  g_autoptr (DpSlots) slots = dp_slots_new (3);
+
+  for (guint i = 0; i < 3; i++)
+    CU_ASSERT_NOT_EQUAL (dp_slots_wait (slots, i + 1, DP_CLASS_URGENT), DP_HANDLE_NONE);
+  CU_ASSERT_EQUAL (dp_slots_wait (slots, 4, DP_CLASS_URGENT), DP_HANDLE_NONE);
+  CU_ASSERT_EQUAL (dp_slots_waiting (slots, DP_CLASS_URGENT), 3);
+}
+
+/* Random steps: the number in use stays within the capacity and bulk's share. */
+static void
+test_random (void)
+{
+  g_autoptr (DpSlots) slots = dp_slots_new (50);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+  DpClass classes[51] = { 0 };
+  guint busy[DP_N_CLASSES] = { 0 };
+  guint n_waiting = 0;
+
+  dp_slots_set_capacity (slots, 4, TRUE);
+  for (guint i = 0; i < N_STEPS; i++)
+    {
+      DpClass class = (DpClass) g_rand_int_range (rand, 0, DP_N_CLASSES);
+      DpHandle flow;
+
+      switch (g_rand_int_range (rand, 0, 3))
+        {
+        case 0:
+          busy[class] += dp_slots_take (slots, class) ? 1 : 0;
+          break;
+        case 1:
+          if (busy[class] == 0)
+            break;
+          dp_slots_give_back (slots, class);
+          busy[class]--;
+          break;
+        default:
+          if (n_waiting == 50)
+            break;
+          /* The handle only has to name the class. */
+          classes[class + 1] = class;
+          dp_slots_wait (slots, class + 1, class);
+          n_waiting++;
+        }
+      while (g_rand_boolean (rand) && (flow = dp_slots_next (slots)) != DP_HANDLE_NONE)
+        {
+          busy[classes[flow]]++;
+          n_waiting--;
+        }
+      CU_ASSERT_EQUAL (dp_slots_busy (slots), busy[0] + busy[1] + busy[2]);
+      CU_ASSERT_TRUE (dp_slots_busy (slots) <= 4);
+      CU_ASSERT_TRUE (busy[DP_CLASS_BULK] <= 3);
+    }
+}
+
+static const DpTestCase cases_[] = {
+  { "slots go by class, then by arrival", test_order },
+  { "a newcomer doesn't overtake its class", test_no_overtaking },
+  { "bulk leaves one of several slots", test_bulk_leaves_a_slot },
+  { "the expected wait follows the queue", test_expected_wait },
+  { "the queue is bounded", test_bound },
+  { "random steps keep the counts right", test_random },
+};
+
+DP_TEST_MAIN ("slots", cases_)
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_variant.c
@@ -0,0 +1,172 @@
+/* Guards against a variant that changes nothing, with which an oracle's test would show
+ * nothing. Each case runs the correct decisions and the variant's. */
+#include "members.h"
+
+#define ISN 5000
+
+static void
+set_variant (Members *m, DpVariant variant)
+{
+  for (guint i = 0; i < m->n; i++)
+    dp_acceptance_set_variant (m->acceptances[i], variant);
+}
+
+static void
+test_names (void)
+{
+  DpVariant variant;
+
+  for (guint i = 0; i < DP_N_VARIANTS; i++)
+    {
+      CU_ASSERT_TRUE (dp_variant_parse (dp_variant_string ((DpVariant) i), &variant));
+      CU_ASSERT_EQUAL (variant, i);
+    }
+  CU_ASSERT_FALSE (dp_variant_parse ("unknown", &variant));
+}
+
+static void
+test_no_walk (void)
+{
+  for (guint wrong = 0; wrong < 2; wrong++)
+    {
+      Members m;
+      DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+      DpSegment ack = members_segment (1, &status_, DP_TCP_ACK);
+      guint owner;
+
+      members_init (&m, 4);
+      set_variant (&m, wrong ? DP_VARIANT_NO_WALK : DP_VARIANT_NONE);
+      members_establish (&m, &syn, ISN);
+      owner = m.at;
+      members_send (&m, (owner + 1) % 4, &ack);
+      CU_ASSERT_EQUAL (m.last.type, wrong ? DP_ACTION_RESET : DP_ACTION_DELIVER);
+      members_finish (&m);
+    }
+}
+
+static void
+test_forget_decisions (void)
+{
+  for (guint wrong = 0; wrong < 2; wrong++)
+    {
+      Members m;
+      DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+
+      members_init (&m, 4);
+      set_variant (&m, wrong ? DP_VARIANT_FORGET_DECISIONS : DP_VARIANT_NONE);
+      dp_acceptance_set_leaving (m.acceptances[0], TRUE, m.now);
+      members_send (&m, 0, &syn);
+      CU_ASSERT_NOT_EQUAL (m.at, 0);
+      dp_acceptance_set_leaving (m.acceptances[0], FALSE, m.now);
+      members_send (&m, 0, &syn);
+      CU_ASSERT_EQUAL (m.at == 0, wrong);
+      members_finish (&m);
+    }
+}
+
+static void
+test_reset_unsettled (void)
+{
+  for (guint wrong = 0; wrong < 2; wrong++)
+    {
+      Members m;
+      DpSegment ack = members_segment (1, &status_, DP_TCP_ACK);
+
+      members_init (&m, 4);
+      set_variant (&m, wrong ? DP_VARIANT_RESET_UNSETTLED : DP_VARIANT_NONE);
+      for (guint i = 0; i < m.n; i++)
+        dp_acceptance_set_connected (m.acceptances[i], FALSE, m.now);
+      members_send (&m, 0, &ack);
+      CU_ASSERT_EQUAL (m.last.type, wrong ? DP_ACTION_RESET : DP_ACTION_DROP);
+      members_finish (&m);
+    }
+}
+
+static void
+test_any_ack (void)
+{
+  for (guint wrong = 0; wrong < 2; wrong++)
+    {
+      Members m;
+      DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+      DpSegment ack = members_segment (1, &status_, DP_TCP_ACK);
+
+      members_init (&m, 4);
+      set_variant (&m, wrong ? DP_VARIANT_ANY_ACK : DP_VARIANT_NONE);
+      members_open (&m, &syn, ISN);
+      ack.ack = ISN + 2;
+      members_send (&m, m.at, &ack);
+      CU_ASSERT_EQUAL (m.last.type, wrong ? DP_ACTION_DELIVER : DP_ACTION_RESET);
+      members_finish (&m);
+    }
+}
+
+static void
+test_foreign_service (void)
+{
+  for (guint wrong = 0; wrong < 2; wrong++)
+    {
+      Members m;
+      DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+      DpHeader header;
+
+      members_init (&m, 1);
+      set_variant (&m, wrong ? DP_VARIANT_FOREIGN_SERVICE : DP_VARIANT_NONE);
+      header = members_header (&m, 0);
+      header.service_id++;
+      members_follow (&m, 0, header, &syn);
+      CU_ASSERT_EQUAL (m.last.type, wrong ? DP_ACTION_HOLD : DP_ACTION_DROP);
+      members_finish (&m);
+    }
+}
+
+static void
+test_accept_leaving (void)
+{
+  for (guint wrong = 0; wrong < 2; wrong++)
+    {
+      Members m;
+      DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+
+      members_init (&m, 1);
+      set_variant (&m, wrong ? DP_VARIANT_ACCEPT_LEAVING : DP_VARIANT_NONE);
+      dp_acceptance_set_leaving (m.acceptances[0], TRUE, m.now);
+      members_send (&m, 0, &syn);
+      CU_ASSERT_EQUAL (m.last.type, wrong ? DP_ACTION_HOLD : DP_ACTION_RESET);
+      members_finish (&m);
+    }
+}
+
+static void
+test_refuse_delivered (void)
+{
+  for (guint wrong = 0; wrong < 2; wrong++)
+    {
+      Members m;
+      DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+      DpHandle flow;
+
+      members_init (&m, 1);
+      set_variant (&m, wrong ? DP_VARIANT_REFUSE_DELIVERED : DP_VARIANT_NONE);
+      flow = members_establish (&m, &syn, ISN);
+      CU_ASSERT_TRUE (dp_acceptance_request (m.acceptances[0], flow, 1, m.now));
+      dp_actions_clear (&m.actions);
+      dp_acceptance_server_failed (m.acceptances[0], flow, m.now, &m.actions);
+      CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_REFUSE, NULL), wrong);
+      CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_ABORT, NULL), 1 - wrong);
+      members_finish (&m);
+    }
+}
+
+static const DpTestCase cases_[] = {
+  { "variants have names", test_names },
+  { "no walk loses a flow of another member", test_no_walk },
+  { "forgotten decisions change", test_forget_decisions },
+  { "unsettled views reset", test_reset_unsettled },
+  { "any ACK is delivered", test_any_ack },
+  { "foreign packets are taken", test_foreign_service },
+  { "a leaving member accepts", test_accept_leaving },
+  { "a flow that was read is refused", test_refuse_delivered },
+};
+
+DP_TEST_MAIN ("variant", cases_)
