Add the companion daemon's object

companion ties the data path, the server's registration and the system's control modules together: it takes over views and settings as they come into force, asks for the entry that fits, sends heartbeats and shuts down gracefully. inforce keeps the last valid version of each of the operators' objects, because the replica holds the newest one whether it is valid or not.

Slots and connections in force are the lower of the operators' setting and the server's own registration, so that neither is exceeded.

The data path hands late packets of a flow that ended here first to lwIP for 125 s, and removes lwIP's TIME_WAIT entry when the client uses its port again: lwIP would answer the new SYN from TIME_WAIT. 4,096 flows are kept, since lwIP searches them one by one.

--- /dev/null
+++ b/src/libdogwoodpaddle/companion.c
@@ -0,0 +1,492 @@
+#include "dogwoodpaddle/companion.h"
+
+#include "dogwoodpaddle/logging.h"
+#include "private/inforce.h"
+#include "protected/datapath.h"
+#include "protected/error.h"
+#include "protected/httpd.h"
+#include "protected/registration.h"
+#include "protected/relay.h"
+#include "protected/server.h"
+#include "protected/settings_fields.h"
+
+/* Balancers send new flows to a removed member until they know of the removal. */
+#define REMOVED_WAIT (2 * DP_US_PER_S)
+/* How long a shutdown waits for a platform that doesn't answer. */
+#define REMOVAL_WAIT_MAX (5 * DP_US_PER_S)
+#define STOP_POLL_MS 50
+#define SLOW_START (10 * DP_US_PER_S)
+#define SETTLE_TIME (5 * DP_US_PER_S)
+
+typedef enum
+{
+  STATE_RUNNING,
+  STATE_DRAINING, /* takes no new flows, waits for those it has */
+  STATE_REMOVING, /* no flow is left, the entry is to be removed */
+  STATE_REMOVED,  /* still passes packets on for a moment */
+  STATE_ENDED,
+  N_STATES
+} State;
+
+struct _DpCompanion
+{
+  DpSettings *settings;
+  DpClock *clock;
+  DpMetrics *metrics;
+  GMainLoop *loop;
+  DpMember self;
+  DpReplica *replica;
+  DpInForce *in_force;
+  DpPlatform *platform;
+  DpRelay *relay;
+  DpRegistration *registration;
+  DpAcceptance *acceptance;
+  DpDataPath *path;
+  DpHttpd *httpd;
+  DpServer *server;
+  guint heartbeat_timer;
+  guint heartbeat_ms;
+  guint stop_timer;
+  State state;
+  gint64 state_since; /* us */
+  gboolean aborted;
+};
+
+static gboolean start_http_ (DpCompanion *companion, GError **error);
+static gboolean start_data_path_ (DpCompanion *companion, GError **error);
+static gboolean start_control_ (DpCompanion *companion, GError **error);
+static void configure_ (DpCompanion *companion);
+static void in_force_changed_ (DpInForceChange change, gpointer user_data);
+static void take_view_ (DpCompanion *companion);
+static void server_changed_ (const DpServerState *state, gpointer user_data);
+static void connected_ (gboolean connected, gpointer user_data);
+static void registered_ (DpRegistration *registration, gpointer user_data);
+static void update_wanted_ (DpCompanion *companion);
+static DpRegistrationState wanted_ (const DpCompanion *companion);
+static gboolean is_leaving_ (const DpCompanion *companion);
+static gboolean heartbeat_ (gpointer user_data);
+static void set_state_ (DpCompanion *companion, State state);
+static gboolean stop_step_ (gpointer user_data);
+static void check_drain_ (DpCompanion *companion, gint64 waited);
+static void abort_flows_ (DpCompanion *companion);
+static JsonNode *status_ (gpointer user_data);
+static gboolean ready_ (gpointer user_data);
+
+static const char *const state_strings_[] = {
+  "running", "draining", "removing", "removed", "ended",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (state_strings_) == N_STATES);
+
+static const DpRelayListener relay_listener_ = { .connected = connected_ };
+
+/* Creates a companion and sets logging up as the settings say; nothing is opened yet.
+ * Takes the settings over. */
+DpCompanion *
+dp_companion_new (DpSettings *settings)
+{
+  DpCompanion *companion = g_new0 (DpCompanion, 1);
+
+  g_assert (settings->kind == DP_SETTINGS_COMPANION);
+  companion->settings = settings;
+  /* The settings' level was checked when they were read. */
+  dp_logging_init (settings->name, settings->log_level, NULL);
+  companion->clock = dp_clock_system ();
+  companion->metrics = dp_metrics_new ();
+  companion->loop = g_main_loop_new (NULL, FALSE);
+  companion->replica = dp_replica_new ();
+  companion->acceptance = dp_acceptance_new (settings->service,
+                                             dp_member_id (settings->name));
+  companion->self.id = dp_member_id (settings->name);
+  companion->self.name = settings->name;
+  companion->self.zone = settings->zone;
+  companion->self.address = settings->data;
+  /* Differs from that of an earlier process with the same name. */
+  companion->self.incarnation = (guint64) g_get_real_time ();
+  return companion;
+}
+
+/* Opens the packet port and the HTTP server and connects to the system. On failure the
+ * error names the address that can't be used, and the companion can only be freed. */
+gboolean
+dp_companion_start (DpCompanion *companion, GError **error)
+{
+  if (!start_data_path_ (companion, error) || !start_http_ (companion, error)
+      || !start_control_ (companion, error))
+    return FALSE;
+  configure_ (companion);
+  g_message ("companion %s of service %s started", companion->settings->name,
+             companion->settings->service);
+  return TRUE;
+}
+
+/* Begins a graceful shutdown: new flows are passed on at once, and the companion ends
+ * when its last flow has ended and its entry is removed. Called again, it resets the
+ * flows that are left; called a third time, it doesn't wait for the removal either. */
+void
+dp_companion_stop (DpCompanion *companion)
+{
+  if (companion->state == STATE_RUNNING)
+    {
+      g_message ("shutting down, %u flows left", dp_data_path_n_flows (companion->path));
+      set_state_ (companion, STATE_DRAINING);
+      companion->stop_timer = g_timeout_add (STOP_POLL_MS, stop_step_, companion);
+      update_wanted_ (companion);
+    }
+  else if (!companion->aborted)
+    abort_flows_ (companion);
+  else
+    set_state_ (companion, STATE_ENDED);
+}
+
+/* Runs until the shutdown has ended. */
+void
+dp_companion_run (DpCompanion *companion)
+{
+  if (companion->state != STATE_ENDED)
+    g_main_loop_run (companion->loop);
+}
+
+/* Frees the companion with its settings. */
+void
+dp_companion_free (DpCompanion *companion)
+{
+  if (companion == NULL)
+    return;
+  g_clear_handle_id (&companion->heartbeat_timer, g_source_remove);
+  g_clear_handle_id (&companion->stop_timer, g_source_remove);
+  dp_server_free (companion->server);
+  dp_httpd_free (companion->httpd);
+  dp_registration_free (companion->registration);
+  dp_relay_free (companion->relay);
+  dp_platform_free (companion->platform);
+  dp_in_force_free (companion->in_force);
+  dp_data_path_free (companion->path);
+  dp_acceptance_free (companion->acceptance);
+  dp_replica_free (companion->replica);
+  dp_metrics_free (companion->metrics);
+  g_main_loop_unref (companion->loop);
+  dp_settings_free (companion->settings);
+  g_free (companion);
+}
+
+static gboolean
+start_data_path_ (DpCompanion *companion, GError **error)
+{
+  const DpSettings *settings = companion->settings;
+  DpDataPathOptions options = {
+    .process = settings->name,
+    .acceptance = companion->acceptance,
+    .trusted_networks = settings->trusted_networks,
+    .clock = companion->clock,
+    .metrics = companion->metrics,
+  };
+  DpPacketPort *port;
+
+  companion->path = dp_data_path_new (&options);
+  port = dp_udp_port_new (&settings->data, dp_data_path_datagram, companion->path, error);
+  if (port == NULL)
+    return FALSE;
+  dp_data_path_set_port (companion->path, port);
+  return TRUE;
+}
+
+static gboolean
+start_http_ (DpCompanion *companion, GError **error)
+{
+  const DpSettings *settings = companion->settings;
+
+  companion->httpd = dp_httpd_new (&settings->http, companion->metrics, error);
+  if (companion->httpd == NULL)
+    return FALSE;
+  dp_httpd_set_trusted (companion->httpd, settings->trusted_networks);
+  dp_httpd_set_status (companion->httpd, status_, companion);
+  dp_httpd_set_ready (companion->httpd, ready_, companion);
+  companion->server = dp_server_new (dp_httpd_server (companion->httpd),
+                                     settings->server_ip, server_changed_, companion);
+  return TRUE;
+}
+
+static gboolean
+start_control_ (DpCompanion *companion, GError **error)
+{
+  const DpSettings *settings = companion->settings;
+  DpRelayOptions options = {
+    .role = DP_ROLE_COMPANION,
+    .name = settings->name,
+    .zone = settings->zone,
+    .service = settings->service,
+    .peers = (const DpAddress *) (void *) settings->peers->data,
+    .n_peers = settings->peers->len,
+  };
+
+  companion->in_force = dp_in_force_new (companion->replica, settings->service,
+                                         settings->name, in_force_changed_, companion);
+  companion->platform = dp_platform_new (settings->platform_url);
+  companion->registration = dp_registration_new (settings->service, &companion->self,
+                                                 companion->replica, companion->platform,
+                                                 companion->clock);
+  dp_registration_set_listener (companion->registration, registered_, companion);
+  companion->relay = dp_relay_new (&options, companion->replica, companion->platform,
+                                   companion->clock, companion->metrics);
+  dp_relay_set_listener (companion->relay, &relay_listener_, companion);
+  return dp_relay_start (companion->relay, error);
+}
+
+/* Takes the settings over that are in force, within what the server said of itself. */
+static void
+configure_ (DpCompanion *companion)
+{
+  const DpFleetSettings *settings = dp_in_force_settings (companion->in_force);
+  const GArray *addresses = dp_in_force_addresses (companion->in_force);
+  const DpServerState *server = dp_server_state (companion->server);
+  DpAcceptanceLimits limits = {
+    .slots = settings->slots,
+    .connections = settings->connections,
+    .visits = settings->visits,
+    .idle_timeout = settings->idle_timeout_s * DP_US_PER_S,
+    .progress_timeout = settings->progress_timeout_s * DP_US_PER_S,
+    .slow_start = SLOW_START,
+    .settle_time = SETTLE_TIME,
+  };
+
+  if (server->registered)
+    {
+      limits.slots = MIN (limits.slots, server->slots);
+      limits.connections = MIN (limits.connections, server->connections);
+    }
+  dp_acceptance_set_limits (companion->acceptance, &limits);
+  dp_acceptance_set_addresses (companion->acceptance,
+                               (const DpServiceAddress *) (void *) addresses->data,
+                               addresses->len);
+  dp_data_path_set_addresses (companion->path,
+                              (const DpServiceAddress *) (void *) addresses->data,
+                              addresses->len);
+  dp_registration_set_capacity (companion->registration, limits.slots,
+                                limits.connections);
+  if (settings->heartbeat_ms != companion->heartbeat_ms)
+    {
+      g_clear_handle_id (&companion->heartbeat_timer, g_source_remove);
+      companion->heartbeat_ms = settings->heartbeat_ms;
+      companion->heartbeat_timer = g_timeout_add (companion->heartbeat_ms, heartbeat_,
+                                                  companion);
+    }
+  dp_data_path_update (companion->path);
+}
+
+static void
+in_force_changed_ (DpInForceChange change, gpointer user_data)
+{
+  DpCompanion *companion = user_data;
+
+  if (change == DP_IN_FORCE_MEMBERS)
+    take_view_ (companion);
+  else
+    configure_ (companion);
+}
+
+static void
+take_view_ (DpCompanion *companion)
+{
+  dp_acceptance_set_view (companion->acceptance, dp_in_force_view (companion->in_force),
+                          dp_clock_now (companion->clock));
+  dp_data_path_update (companion->path);
+}
+
+static void
+server_changed_ (const DpServerState *state, gpointer user_data)
+{
+  DpCompanion *companion = user_data;
+  DpAddress address = {
+    .ip = companion->settings->server_ip,
+    .port = (guint16) state->port,
+  };
+
+  dp_data_path_set_server (companion->path, &address);
+  dp_acceptance_set_server_up (companion->acceptance, state->up,
+                               dp_clock_now (companion->clock));
+  configure_ (companion);
+  update_wanted_ (companion);
+}
+
+static void
+connected_ (gboolean connected, gpointer user_data)
+{
+  DpCompanion *companion = user_data;
+
+  dp_acceptance_set_connected (companion->acceptance, connected,
+                               dp_clock_now (companion->clock));
+  g_message ("%s a balancer", connected ? "connected to" : "not connected to");
+}
+
+static void
+registered_ (DpRegistration *registration, gpointer user_data)
+{
+  update_wanted_ (user_data);
+}
+
+/* Passes new flows on while leaving, and asks for the entry that fits. The entry follows
+ * later, since the platform may be down. */
+static void
+update_wanted_ (DpCompanion *companion)
+{
+  DpRegistrationState wanted = wanted_ (companion);
+
+  dp_acceptance_set_leaving (companion->acceptance, is_leaving_ (companion),
+                             dp_clock_now (companion->clock));
+  if (wanted != dp_registration_wanted (companion->registration))
+    dp_registration_want (companion->registration, wanted);
+  dp_data_path_update (companion->path);
+}
+
+static DpRegistrationState
+wanted_ (const DpCompanion *companion)
+{
+  const DpServerState *server = dp_server_state (companion->server);
+  gboolean flows = dp_data_path_n_flows (companion->path) > 0;
+
+  if (!server->registered || companion->state >= STATE_REMOVING)
+    return DP_REGISTRATION_ABSENT;
+  if (companion->state == STATE_DRAINING)
+    return DP_REGISTRATION_LEAVING;
+  if (server->leaving)
+    return flows ? DP_REGISTRATION_LEAVING : DP_REGISTRATION_ABSENT;
+  /* An operator's drain stays in the entry until it is undone. */
+  if (dp_registration_held (companion->registration))
+    return DP_REGISTRATION_LEAVING;
+  return server->up ? DP_REGISTRATION_ACTIVE : DP_REGISTRATION_JOINING;
+}
+
+static gboolean
+is_leaving_ (const DpCompanion *companion)
+{
+  return companion->state != STATE_RUNNING || dp_server_state (companion->server)->leaving
+         || dp_registration_held (companion->registration);
+}
+
+static gboolean
+heartbeat_ (gpointer user_data)
+{
+  DpCompanion *companion = user_data;
+  DpAcceptanceLoad load = dp_acceptance_load (companion->acceptance);
+  const DpView *view = dp_in_force_view (companion->in_force);
+  const DpMember *entry = view != NULL ? dp_view_find (view, companion->self.id) : NULL;
+  DpHeartbeat heartbeat = {
+    .service = companion->settings->service,
+    .member = companion->settings->name,
+    .incarnation = entry != NULL ? entry->incarnation : companion->self.incarnation,
+    .revision = dp_replica_revision (companion->replica),
+    .busy = load.slots_busy,
+    .connections = load.flows,
+  };
+
+  dp_relay_send_heartbeat (companion->relay, &heartbeat);
+  update_wanted_ (companion);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+set_state_ (DpCompanion *companion, State state)
+{
+  if (state == companion->state)
+    return;
+  companion->state = state;
+  companion->state_since = dp_clock_now (companion->clock);
+  g_message ("shutdown: %s", state_strings_[state]);
+  if (state == STATE_ENDED)
+    g_main_loop_quit (companion->loop);
+}
+
+/* Takes the shutdown further. */
+static gboolean
+stop_step_ (gpointer user_data)
+{
+  DpCompanion *companion = user_data;
+  gint64 waited = dp_clock_now (companion->clock) - companion->state_since;
+  gboolean absent = dp_registration_written (companion->registration)
+                    == DP_REGISTRATION_ABSENT;
+
+  switch (companion->state)
+    {
+    case STATE_DRAINING:
+      check_drain_ (companion, waited);
+      break;
+    case STATE_REMOVING:
+      if (!absent && waited >= REMOVAL_WAIT_MAX)
+        g_warning ("the platform did not confirm the removal of members/%s: %s",
+                   companion->settings->service, companion->settings->name);
+      if (absent || waited >= REMOVAL_WAIT_MAX)
+        set_state_ (companion, STATE_REMOVED);
+      break;
+    case STATE_REMOVED:
+      if (waited >= REMOVED_WAIT)
+        set_state_ (companion, STATE_ENDED);
+      break;
+    case STATE_RUNNING:
+    case STATE_ENDED:
+    case N_STATES:
+      break;
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+check_drain_ (DpCompanion *companion, gint64 waited)
+{
+  guint deadline_s = dp_in_force_settings (companion->in_force)->drain_deadline_s;
+
+  if (deadline_s > 0 && waited >= deadline_s * DP_US_PER_S && !companion->aborted)
+    abort_flows_ (companion);
+  if (dp_data_path_n_flows (companion->path) > 0)
+    return;
+  set_state_ (companion, STATE_REMOVING);
+  update_wanted_ (companion);
+}
+
+static void
+abort_flows_ (DpCompanion *companion)
+{
+  companion->aborted = TRUE;
+  dp_data_path_abort_all (companion->path, DP_REASON_DRAIN_DEADLINE);
+}
+
+static JsonNode *
+status_ (gpointer user_data)
+{
+  DpCompanion *companion = user_data;
+  const DpServerState *server = dp_server_state (companion->server);
+  DpAcceptanceLoad load = dp_acceptance_load (companion->acceptance);
+  DpRegistrationState state = dp_registration_written (companion->registration);
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+  JsonObject *object = json_object_new ();
+  JsonObject *waiting = json_object_new ();
+
+  json_node_take_object (node, object);
+  json_object_set_string_member (object, "name", companion->settings->name);
+  json_object_set_string_member (object, "service", companion->settings->service);
+  json_object_set_string_member (object, "zone", companion->settings->zone);
+  json_object_set_string_member (object, "state", dp_registration_state_string (state));
+  json_object_set_boolean_member (object, "leaving", is_leaving_ (companion));
+  json_object_set_boolean_member (object, "server_up", server->up);
+  json_object_set_int_member (object, "flows", load.flows);
+  json_object_set_int_member (object, "half_open", load.half_open);
+  json_object_set_int_member (object, "slots_busy", load.slots_busy);
+  for (guint i = 0; i < DP_N_CLASSES; i++)
+    json_object_set_int_member (waiting, dp_class_string (i), load.waiting[i]);
+  json_object_set_object_member (object, "waiting", waiting);
+  json_object_set_int_member (object, "revision",
+                              (gint64) dp_replica_revision (companion->replica));
+  json_object_set_boolean_member (object, "connected",
+                                  dp_relay_connected (companion->relay));
+  return node;
+}
+
+/* Ready: takes new flows. */
+static gboolean
+ready_ (gpointer user_data)
+{
+  DpCompanion *companion = user_data;
+
+  return !is_leaving_ (companion) && dp_server_state (companion->server)->up
+         && dp_registration_written (companion->registration) == DP_REGISTRATION_ACTIVE;
+}
--- a/src/libdogwoodpaddle/conn.c
+++ b/src/libdogwoodpaddle/conn.c
@@ -50,6 +50,13 @@
   return conn->state;
 }
 
+/* Returns whether the connection is closed and lwIP answers its late packets. */
+gboolean
+dp_conn_time_wait (const DpConn *conn)
+{
+  return conn->time_wait;
+}
+
 /* Returns a short name of the state. */
 const char *
 dp_conn_state_string (DpConnState state)
--- a/src/libdogwoodpaddle/datapath.c
+++ b/src/libdogwoodpaddle/datapath.c
@@ -2,13 +2,18 @@
 
 #include <string.h>
 
-#include "private/flow.h"
+#include "private/pathflow.h"
+#include "private/linger.h"
 #include "private/pathcounters.h"
 #include "protected/error.h"
 #include "protected/trace.h"
 
 #define HOP_COMPANION "companion"
 #define HOP_SERVER "server"
+/* lwIP keeps a connection for 120 s in TIME_WAIT and searches them one by one for each
+ * packet that belongs to no open one, which bounds how many of them are useful. */
+#define TIME_WAIT_KEPT (125 * DP_US_PER_S)
+#define TIME_WAIT_MAX 4096
 #define INTERRUPTED_LOGGED_MAX 20u /* flows that are named when all are aborted */
 
 /* The packet that acceptance was asked about. */
@@ -30,9 +35,10 @@
   DpStack *stack;
   DpSpliceSet *splices;
   GSource *timer;
-  GHashTable *flows;  /* DpHandle to DpFlow, which it owns */
-  GHashTable *by_key; /* DpFlowKey within a DpFlow to that DpFlow */
-  GArray *ports;      /* guint16 on which the stack listens */
+  GHashTable *flows;   /* DpHandle to DpPathFlow, which it owns */
+  GHashTable *by_key;  /* DpFlowKey within a DpPathFlow to that DpPathFlow */
+  DpLinger *time_wait; /* flows that lwIP keeps in TIME_WAIT */
+  GArray *ports;       /* guint16 on which the stack listens */
   DpAddress server;
   DpActions actions;
   gboolean carrying_out; /* actions that follow are appended and done in turn */
@@ -49,24 +55,26 @@
 static gboolean timer_prepare_ (GSource *source, gint *timeout_ms);
 static gboolean timer_check_ (GSource *source);
 static gboolean timer_dispatch_ (GSource *source, GSourceFunc callback, gpointer data);
+static gboolean answered_late_ (DpDataPath *path);
 static gboolean trusted_ (const DpDataPath *path, guint32 ip);
 static void
 fault_ (DpDataPath *path, DpFaultKind fault, const DpAddress *peer, const char *text);
 static void carry_out_ (DpDataPath *path);
 static void carry_out_one_ (DpDataPath *path, const DpAction *action);
 static void carry_out_for_packet_ (DpDataPath *path, const DpAction *action);
-static void carry_out_for_flow_ (DpDataPath *path, const DpAction *action, DpFlow *flow);
+static void
+carry_out_for_flow_ (DpDataPath *path, const DpAction *action, DpPathFlow *flow);
 static void deliver_ (DpDataPath *path);
 static void hold_ (DpDataPath *path, const DpAction *action);
-static void deliver_held_ (DpDataPath *path, DpFlow *flow);
+static void deliver_held_ (DpDataPath *path, DpPathFlow *flow);
 static void
 forward_ (DpDataPath *path, const DpAction *action, const guint8 *packet, gsize length);
 static void
 reset_ (DpDataPath *path, const DpSegment *segment, const DpAddress *reply_to);
-static void forget_ (DpDataPath *path, DpFlow *flow);
-static void abort_ (DpDataPath *path, DpFlow *flow);
-static void remove_ (DpDataPath *path, DpFlow *flow);
-static void server_connected_ (DpFlow *flow, gboolean connected, gpointer user_data);
+static void forget_ (DpDataPath *path, DpPathFlow *flow);
+static void abort_ (DpDataPath *path, DpPathFlow *flow);
+static void remove_ (DpDataPath *path, DpPathFlow *flow);
+static void server_connected_ (DpPathFlow *flow, gboolean connected, gpointer user_data);
 static void output_ (const guint8 *packet,
                      gsize length,
                      const DpSegment *segment,
@@ -74,11 +82,9 @@
 static void accepted_ (DpConn *conn, gpointer user_data);
 static gboolean request_ (DpSplice *splice, gsize bytes, gpointer user_data);
 static void response_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data);
-static void progress_ (DpSplice *splice, gsize bytes, gpointer user_data);
+static void progress_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data);
 static void ended_ (DpSplice *splice, DpSpliceEnd end, gpointer user_data);
-static void span_ (DpDataPath *path, const DpFlow *flow, const char *detail);
-static guint key_hash_ (gconstpointer key);
-static gboolean key_equal_ (gconstpointer a, gconstpointer b);
+static void span_ (DpDataPath *path, const DpPathFlow *flow, const char *detail);
 
 static GSourceFuncs timer_funcs_ = {
   .prepare = timer_prepare_,
@@ -110,7 +116,8 @@
   path->stack = dp_stack_new (options->clock, &stack_listener_, path);
   path->splices = dp_splice_set_new ();
   path->flows = g_hash_table_new (NULL, NULL);
-  path->by_key = g_hash_table_new (key_hash_, key_equal_);
+  path->by_key = g_hash_table_new (dp_flow_key_table_hash, dp_flow_key_table_equal);
+  path->time_wait = dp_linger_new (TIME_WAIT_MAX, TIME_WAIT_KEPT);
   path->ports = g_array_new (FALSE, FALSE, sizeof (guint16));
   dp_actions_init (&path->actions);
   dp_path_counters_init (&path->counters, options->metrics);
@@ -144,6 +151,7 @@
   dp_actions_finish (&path->actions);
   g_hash_table_unref (path->flows);
   g_hash_table_unref (path->by_key);
+  dp_linger_free (path->time_wait);
   g_array_unref (path->ports);
   g_array_unref (path->trusted);
   g_free (path->process);
@@ -190,6 +198,11 @@
       return;
     }
   path->packet = &packet;
+  if (answered_late_ (path))
+    {
+      path->packet = NULL;
+      return;
+    }
   dp_acceptance_packet (path->acceptance, &header, &segment, dp_clock_now (path->clock),
                         &path->actions);
   carry_out_ (path);
@@ -247,7 +260,7 @@
   g_hash_table_iter_init (&iter, path->flows);
   while (logged < INTERRUPTED_LOGGED_MAX && g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const DpFlow *flow = value;
+      const DpPathFlow *flow = value;
       char client[DP_ADDRESS_STRLEN];
       char service[DP_ADDRESS_STRLEN];
 
@@ -303,6 +316,25 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Hands a late packet of a flow that ended here to lwIP, which answers from TIME_WAIT;
+ * acceptance knows the flow no more. Returns whether the packet was one. */
+static gboolean
+answered_late_ (DpDataPath *path)
+{
+  const Packet *packet = path->packet;
+  const DpFlowKey *key = &packet->segment->key;
+
+  if (dp_segment_opens_flow (packet->segment)
+      || !dp_linger_has (path->time_wait, key, dp_clock_now (path->clock))
+      || g_hash_table_contains (path->by_key, key))
+    return FALSE;
+  dp_metric_increment (path->counters.n_late);
+  dp_trace_span (packet->header->trace_id, HOP_COMPANION, path->process, packet->segment,
+                 "late packet");
+  dp_stack_input (path->stack, packet->data, packet->length, packet->segment);
+  return TRUE;
+}
+
 static gboolean
 trusted_ (const DpDataPath *path, guint32 ip)
 {
@@ -342,7 +374,7 @@
 static void
 carry_out_one_ (DpDataPath *path, const DpAction *action)
 {
-  DpFlow *flow;
+  DpPathFlow *flow;
 
   if (action->type < DP_ACTION_CONNECT)
     {
@@ -389,7 +421,7 @@
 }
 
 static void
-carry_out_for_flow_ (DpDataPath *path, const DpAction *action, DpFlow *flow)
+carry_out_for_flow_ (DpDataPath *path, const DpAction *action, DpPathFlow *flow)
 {
   const char *name = dp_action_type_string (action->type);
 
@@ -398,7 +430,7 @@
   switch (action->type)
     {
     case DP_ACTION_CONNECT:
-      dp_flow_connect (flow, &path->server, server_connected_, path);
+      dp_path_flow_connect (flow, &path->server, server_connected_, path);
       break;
     case DP_ACTION_DELIVER_HELD:
       deliver_held_ (path, flow);
@@ -433,7 +465,7 @@
 deliver_ (DpDataPath *path)
 {
   const Packet *packet = path->packet;
-  DpFlow *flow = g_hash_table_lookup (path->by_key, &packet->segment->key);
+  DpPathFlow *flow = g_hash_table_lookup (path->by_key, &packet->segment->key);
 
   if (flow != NULL)
     flow->reply_to = packet->header->reply_to;
@@ -444,24 +476,27 @@
 hold_ (DpDataPath *path, const DpAction *action)
 {
   const Packet *packet = path->packet;
-  DpFlow *flow = g_hash_table_lookup (path->by_key, &packet->segment->key);
+  DpPathFlow *flow = g_hash_table_lookup (path->by_key, &packet->segment->key);
 
   /* Acceptance has forgotten an earlier flow between the same addresses. */
   if (flow != NULL)
     forget_ (path, flow);
-  flow = dp_flow_new (action->flow, packet->header, packet->segment, packet->data,
-                      packet->length);
+  flow = dp_path_flow_new (action->flow, packet->header, packet->segment, packet->data,
+                           packet->length);
   g_hash_table_insert (path->flows, GUINT_TO_POINTER (flow->handle), flow);
   g_hash_table_insert (path->by_key, &flow->key, flow);
 }
 
 static void
-deliver_held_ (DpDataPath *path, DpFlow *flow)
+deliver_held_ (DpDataPath *path, DpPathFlow *flow)
 {
   if (flow->held == NULL)
     return;
+  /* The client uses its port again; lwIP would answer the SYN from TIME_WAIT. */
+  if (dp_linger_remove (path->time_wait, &flow->key))
+    dp_stack_forget (path->stack, &flow->key.service, &flow->key.client);
   dp_stack_input (path->stack, flow->held, flow->held_length, &flow->syn);
-  dp_flow_release_held (flow);
+  dp_path_flow_release_held (flow);
 }
 
 static void
@@ -489,7 +524,7 @@
 
 /* Drops the flow; its client hears nothing, its server a reset. */
 static void
-forget_ (DpDataPath *path, DpFlow *flow)
+forget_ (DpDataPath *path, DpPathFlow *flow)
 {
   if (flow->splice != NULL)
     dp_splice_forget (flow->splice);
@@ -500,7 +535,7 @@
 
 /* Resets both sides of the flow. */
 static void
-abort_ (DpDataPath *path, DpFlow *flow)
+abort_ (DpDataPath *path, DpPathFlow *flow)
 {
   if (flow->splice != NULL)
     dp_splice_abort (flow->splice);
@@ -512,15 +547,15 @@
 }
 
 static void
-remove_ (DpDataPath *path, DpFlow *flow)
+remove_ (DpDataPath *path, DpPathFlow *flow)
 {
   g_hash_table_remove (path->by_key, &flow->key);
   g_hash_table_remove (path->flows, GUINT_TO_POINTER (flow->handle));
-  dp_flow_free (flow);
+  dp_path_flow_free (flow);
 }
 
 static void
-server_connected_ (DpFlow *flow, gboolean connected, gpointer user_data)
+server_connected_ (DpPathFlow *flow, gboolean connected, gpointer user_data)
 {
   DpDataPath *path = user_data;
   gint64 now = dp_clock_now (path->clock);
@@ -541,7 +576,7 @@
   DpDataPath *path = user_data;
   const guint8 answer = DP_TCP_SYN | DP_TCP_ACK;
   DpFlowKey key = { .client = segment->key.service, .service = segment->key.client };
-  DpFlow *flow = g_hash_table_lookup (path->by_key, &key);
+  DpPathFlow *flow = g_hash_table_lookup (path->by_key, &key);
   const DpAddress *reply_to = NULL;
 
   if (flow != NULL)
@@ -566,8 +601,8 @@
 {
   DpDataPath *path = user_data;
   DpFlowKey key = { .client = dp_conn_remote (conn), .service = dp_conn_local (conn) };
-  DpFlow *flow = g_hash_table_lookup (path->by_key, &key);
-  int fd = flow != NULL ? dp_flow_take_server (flow) : -1;
+  DpPathFlow *flow = g_hash_table_lookup (path->by_key, &key);
+  int fd = flow != NULL ? dp_path_flow_take_server (flow) : -1;
 
   if (fd < 0)
     {
@@ -585,7 +620,7 @@
 static gboolean
 request_ (DpSplice *splice, gsize bytes, gpointer user_data)
 {
-  DpFlow *flow = user_data;
+  DpPathFlow *flow = user_data;
   DpDataPath *path = flow->owner;
 
   return dp_acceptance_request (path->acceptance, flow->handle, bytes,
@@ -595,7 +630,7 @@
 static void
 response_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data)
 {
-  DpFlow *flow = user_data;
+  DpPathFlow *flow = user_data;
   DpDataPath *path = flow->owner;
 
   dp_acceptance_response (path->acceptance, flow->handle, bytes, unsent,
@@ -603,44 +638,40 @@
 }
 
 static void
-progress_ (DpSplice *splice, gsize bytes, gpointer user_data)
+progress_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data)
 {
-  DpFlow *flow = user_data;
+  DpPathFlow *flow = user_data;
   DpDataPath *path = flow->owner;
+  gint64 now = dp_clock_now (path->clock);
 
-  dp_acceptance_progress (path->acceptance, flow->handle, dp_clock_now (path->clock));
+  dp_acceptance_progress (path->acceptance, flow->handle, now);
+  if (unsent == 0)
+    dp_acceptance_response (path->acceptance, flow->handle, 0, 0, now);
 }
 
 static void
 ended_ (DpSplice *splice, DpSpliceEnd end, gpointer user_data)
 {
-  DpFlow *flow = user_data;
+  DpPathFlow *flow = user_data;
   DpDataPath *path = flow->owner;
   DpHandle handle = flow->handle;
 
+  gint64 now = dp_clock_now (path->clock);
+  DpFlowKey evicted;
+
   span_ (path, flow, dp_splice_end_string (end));
   flow->splice = NULL;
+  if (dp_splice_time_wait (splice)
+      && dp_linger_add (path->time_wait, &flow->key, now, &evicted))
+    dp_stack_forget (path->stack, &evicted.service, &evicted.client);
   remove_ (path, flow);
-  dp_acceptance_closed (path->acceptance, handle, dp_clock_now (path->clock),
-                        &path->actions);
+  dp_acceptance_closed (path->acceptance, handle, now, &path->actions);
   carry_out_ (path);
 }
 
 /* Logs a span for a flow rather than for one of its packets. */
 static void
-span_ (DpDataPath *path, const DpFlow *flow, const char *detail)
+span_ (DpDataPath *path, const DpPathFlow *flow, const char *detail)
 {
   dp_trace_span (flow->header.trace_id, HOP_COMPANION, path->process, &flow->syn, detail);
 }
-
-static guint
-key_hash_ (gconstpointer key)
-{
-  return (guint) dp_flow_key_hash (key);
-}
-
-static gboolean
-key_equal_ (gconstpointer a, gconstpointer b)
-{
-  return dp_flow_key_equal (a, b);
-}
--- a/src/libdogwoodpaddle/include/private/conn.h
+++ b/src/libdogwoodpaddle/include/private/conn.h
@@ -14,9 +14,10 @@
   DpAddress remote;
   DpConnFunc notify;
   gpointer user_data;
-  gboolean accepted; /* the owner knows of it */
-  gboolean queued;   /* is in stack->changed */
-  gboolean closing;  /* is in stack->closing */
+  gboolean accepted;  /* the owner knows of it */
+  gboolean queued;    /* is in stack->changed */
+  gboolean closing;   /* is in stack->closing */
+  gboolean time_wait; /* lwIP keeps the pcb to answer late packets */
   gboolean read_ended;
   gboolean shut_down;
   guint8 *buffer; /* received bytes from start to end, NULL if there are none */
--- a/src/libdogwoodpaddle/include/private/pathcounters.h
+++ b/src/libdogwoodpaddle/include/private/pathcounters.h
@@ -24,6 +24,7 @@
   gint64 logged_at[DP_N_FAULTS]; /* us, 0: never */
   DpMetric *n_actions[DP_N_ACTIONS];
   DpMetric *n_reasons[DP_N_REASONS];
+  DpMetric *n_late;
   DpMetric *n_replies;
 } DpPathCounters;
 
--- a/src/libdogwoodpaddle/include/protected/splice.h
+++ b/src/libdogwoodpaddle/include/protected/splice.h
@@ -29,8 +29,8 @@
   gboolean (*request) (DpSplice *splice, gsize bytes, gpointer user_data);
   /* The socket gave bytes; unsent bytes are not acknowledged by the stack's peer yet. */
   void (*response) (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data);
-  /* The stack's peer acknowledged bytes. */
-  void (*progress) (DpSplice *splice, gsize bytes, gpointer user_data);
+  /* The stack's peer acknowledged bytes; unsent ones are left. */
+  void (*progress) (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data);
   /* Both sides are closed or reset; the splice is freed after the call. */
   void (*ended) (DpSplice *splice, DpSpliceEnd end, gpointer user_data);
 } DpSpliceListener;
@@ -48,6 +48,8 @@
 void dp_splice_grant (DpSplice *splice);
 void dp_splice_abort (DpSplice *splice);
 void dp_splice_forget (DpSplice *splice);
+/* In ended (): whether the stack keeps the connection in TIME_WAIT. */
+gboolean dp_splice_time_wait (const DpSplice *splice);
 const char *dp_splice_end_string (DpSpliceEnd end);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpSpliceSet, dp_splice_set_free)
--- a/src/libdogwoodpaddle/include/protected/stack.h
+++ b/src/libdogwoodpaddle/include/protected/stack.h
@@ -61,6 +61,7 @@
                           GError **error);
 void dp_conn_set_listener (DpConn *conn, DpConnFunc changed, gpointer user_data);
 DpConnState dp_conn_state (const DpConn *conn);
+gboolean dp_conn_time_wait (const DpConn *conn);
 const char *dp_conn_state_string (DpConnState state);
 DpAddress dp_conn_local (const DpConn *conn);
 DpAddress dp_conn_remote (const DpConn *conn);
--- /dev/null
+++ b/src/libdogwoodpaddle/inforce.c
@@ -0,0 +1,210 @@
+#include "private/inforce.h"
+
+#include "protected/clock.h"
+#include "protected/document.h"
+
+/* Stands for the service of an exception, which dp_fleet_check () looks up in the file.
+ */
+#define EXAMPLE_SERVICE                                                                  \
+  "{\"addresses\":[{\"ip\":\"10.0.0.1\",\"port\":80,\"class\":\"bulk\"}]}"
+
+struct _DpInForce
+{
+  DpReplica *replica;
+  DpReplica *valid; /* the operators' objects, each as last valid */
+  guint listener;
+  char *service;
+  char *host;
+  DpInForceFunc changed;
+  gpointer user_data;
+  DpView *view;
+  DpFleetSettings settings;
+  GArray *addresses;
+};
+
+static void record_changed_ (const DpRecord *record, gpointer user_data);
+static gboolean take_members_ (DpInForce *in_force, const DpRecord *record);
+static gboolean take_settings_ (DpInForce *in_force, const DpRecord *record);
+static GPtrArray *check_ (const DpRecord *record);
+static JsonNode *file_of_ (const DpRecord *record);
+static void update_settings_ (DpInForce *in_force);
+
+DpInForce *
+dp_in_force_new (DpReplica *replica,
+                 const char *service,
+                 const char *host,
+                 DpInForceFunc changed,
+                 gpointer user_data)
+{
+  DpInForce *in_force = g_new0 (DpInForce, 1);
+
+  in_force->replica = replica;
+  in_force->valid = dp_replica_new ();
+  in_force->service = g_strdup (service);
+  in_force->host = g_strdup (host);
+  in_force->changed = changed;
+  in_force->user_data = user_data;
+  for (guint kind = 0; kind < DP_N_KINDS; kind++)
+    {
+      g_autoptr (GPtrArray) records = dp_replica_list (replica, kind);
+
+      for (guint i = 0; i < records->len; i++)
+        {
+          const DpRecord *record = g_ptr_array_index (records, i);
+
+          if (!take_members_ (in_force, record))
+            take_settings_ (in_force, record);
+        }
+    }
+  update_settings_ (in_force);
+  in_force->listener = dp_replica_add_listener (replica, record_changed_, in_force);
+  return in_force;
+}
+
+/* Frees the configuration; the replica stays. */
+void
+dp_in_force_free (DpInForce *in_force)
+{
+  if (in_force == NULL)
+    return;
+  dp_replica_remove_listener (in_force->replica, in_force->listener);
+  dp_replica_free (in_force->valid);
+  g_clear_pointer (&in_force->view, dp_view_unref);
+  g_array_unref (in_force->addresses);
+  g_free (in_force->service);
+  g_free (in_force->host);
+  g_free (in_force);
+}
+
+/* Returns the view of the service, owned by in_force. */
+DpView *
+dp_in_force_view (const DpInForce *in_force)
+{
+  return in_force->view;
+}
+
+/* Returns the settings of this host. */
+const DpFleetSettings *
+dp_in_force_settings (const DpInForce *in_force)
+{
+  return &in_force->settings;
+}
+
+/* Returns the service's addresses, valid until the next change. */
+const GArray *
+dp_in_force_addresses (const DpInForce *in_force)
+{
+  return in_force->addresses;
+}
+
+static void
+record_changed_ (const DpRecord *record, gpointer user_data)
+{
+  DpInForce *in_force = user_data;
+
+  if (take_members_ (in_force, record))
+    in_force->changed (DP_IN_FORCE_MEMBERS, in_force->user_data);
+  else if (take_settings_ (in_force, record))
+    {
+      update_settings_ (in_force);
+      in_force->changed (DP_IN_FORCE_SETTINGS, in_force->user_data);
+    }
+}
+
+/* Returns whether the record changed the view. */
+static gboolean
+take_members_ (DpInForce *in_force, const DpRecord *record)
+{
+  DpView *view;
+  g_autoptr (GError) error = NULL;
+
+  if (record->kind != DP_KIND_MEMBERS || !g_str_equal (record->name, in_force->service))
+    return FALSE;
+  if (record->deleted)
+    view = dp_view_new (in_force->service, record->revision, NULL, 0);
+  else
+    view = dp_view_new_from_json (in_force->service, record->revision, record->value,
+                                  &error);
+  if (error != NULL)
+    {
+      g_warning ("members/%s at revision %" G_GUINT64_FORMAT " is ignored: %s",
+                 record->name, record->revision, error->message);
+      return FALSE;
+    }
+  g_clear_pointer (&in_force->view, dp_view_unref);
+  in_force->view = view;
+  return TRUE;
+}
+
+/* Returns whether the record is one of the operators' objects and valid. */
+static gboolean
+take_settings_ (DpInForce *in_force, const DpRecord *record)
+{
+  if (dp_fleet_section (record->kind) == NULL)
+    return FALSE;
+  if (!record->deleted)
+    {
+      g_autoptr (GPtrArray) faults = check_ (record);
+
+      if (faults->len > 0)
+        {
+          g_autofree char *text = dp_faults_join (faults);
+
+          g_warning ("%s/%s at revision %" G_GUINT64_FORMAT " is ignored: %s",
+                     dp_kind_string (record->kind), record->name, record->revision, text);
+          return FALSE;
+        }
+    }
+  /* A record is immutable, so both replicas can refer to it. */
+  return dp_replica_apply (in_force->valid, (DpRecord *) record);
+}
+
+/* Checks one object as if it were a file of its own; array of DpFault. */
+static GPtrArray *
+check_ (const DpRecord *record)
+{
+  g_autoptr (JsonNode) file = file_of_ (record);
+
+  return dp_fleet_check (file);
+}
+
+static JsonNode *
+file_of_ (const DpRecord *record)
+{
+  JsonNode *file = json_node_new (JSON_NODE_OBJECT);
+  JsonObject *root = json_object_new ();
+  const char *section = dp_fleet_section (record->kind);
+
+  json_node_take_object (file, root);
+  if (record->kind == DP_KIND_FLEET)
+    {
+      json_object_set_member (root, section, json_node_copy (record->value));
+      return file;
+    }
+  json_object_set_object_member (root, section, json_object_new ());
+  json_object_set_member (json_object_get_object_member (root, section), record->name,
+                          json_node_copy (record->value));
+  if (record->kind == DP_KIND_EXCEPTION && JSON_NODE_HOLDS_OBJECT (record->value))
+    {
+      const char *service = json_object_get_string_member_with_default (
+          json_node_get_object (record->value), "service", "");
+      JsonObject *services = json_object_new ();
+
+      json_object_set_member (services, service,
+                              json_from_string (EXAMPLE_SERVICE, NULL));
+      json_object_set_object_member (root, dp_fleet_section (DP_KIND_SERVICE), services);
+    }
+  return file;
+}
+
+static void
+update_settings_ (DpInForce *in_force)
+{
+  g_clear_pointer (&in_force->addresses, g_array_unref);
+  in_force->addresses = dp_fleet_addresses (in_force->valid, in_force->service);
+  dp_fleet_effective (in_force->valid, in_force->service, in_force->host,
+                      &in_force->settings);
+  for (guint i = 0; i < in_force->addresses->len; i++)
+    g_array_index (in_force->addresses, DpServiceAddress, i).wait_limit =
+        in_force->settings.wait_limit_ms * DP_US_PER_MS;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/pathflow.c
@@ -0,0 +1,91 @@
+#include "private/pathflow.h"
+
+/* The server is on the same host, so a connection that takes longer is not coming. */
+#define SERVER_CONNECT_MS 3000
+
+static void connected_ (int fd, int error_number, gpointer user_data);
+
+/* Creates the record of a new flow with a copy of its SYN. */
+DpPathFlow *
+dp_path_flow_new (DpHandle handle,
+                  const DpHeader *header,
+                  const DpSegment *segment,
+                  const guint8 *packet,
+                  gsize length)
+{
+  DpPathFlow *flow = g_new0 (DpPathFlow, 1);
+
+  flow->handle = handle;
+  flow->key = segment->key;
+  flow->reply_to = header->reply_to;
+  flow->syn = *segment;
+  flow->header = *header;
+  flow->held = g_memdup2 (packet, length);
+  flow->held_length = length;
+  flow->server_fd = -1;
+  return flow;
+}
+
+/* Frees the record; a connection to the server that no splice owns is reset. */
+void
+dp_path_flow_free (DpPathFlow *flow)
+{
+  if (flow == NULL)
+    return;
+  dp_path_flow_disconnect (flow);
+  dp_path_flow_release_held (flow);
+  g_free (flow);
+}
+
+/* Frees the copy of the SYN. */
+void
+dp_path_flow_release_held (DpPathFlow *flow)
+{
+  g_clear_pointer (&flow->held, g_free);
+  flow->held_length = 0;
+}
+
+/* Opens a connection to the server. connected is called later from the main loop, once,
+ * unless dp_path_flow_disconnect () comes first; it may free the flow. */
+void
+dp_path_flow_connect (DpPathFlow *flow,
+                      const DpAddress *server,
+                      DpPathFlowConnectFunc connected,
+                      gpointer user_data)
+{
+  dp_path_flow_disconnect (flow);
+  flow->connected = connected;
+  flow->user_data = user_data;
+  flow->connecting = dp_connecting_new (server, SERVER_CONNECT_MS, connected_, flow);
+}
+
+/* Resets the connection to the server, whether it is open or being opened. */
+void
+dp_path_flow_disconnect (DpPathFlow *flow)
+{
+  g_clear_pointer (&flow->connecting, dp_connecting_cancel);
+  if (flow->server_fd >= 0)
+    dp_close_with_reset (flow->server_fd);
+  flow->server_fd = -1;
+}
+
+/* Returns the open connection to the server, which then belongs to the caller; -1: there
+ * is none. */
+int
+dp_path_flow_take_server (DpPathFlow *flow)
+{
+  int fd = flow->server_fd;
+
+  flow->server_fd = -1;
+  return fd;
+}
+
+static void
+connected_ (int fd, int error_number, gpointer user_data)
+{
+  DpPathFlow *flow = user_data;
+
+  flow->connecting = NULL;
+  flow->server_fd = fd;
+  flow->connected (flow, fd >= 0, flow->user_data);
+}
--- a/src/libdogwoodpaddle/splice.c
+++ b/src/libdogwoodpaddle/splice.c
@@ -38,6 +38,7 @@
   gboolean socket_shut;   /* nothing more goes to the socket */
   gboolean waiting;       /* for dp_splice_grant () */
   gboolean client_socket; /* the socket's peer is the client, else the server */
+  gboolean time_wait;     /* see dp_splice_time_wait () */
   guint64 acknowledged;   /* as far as the listener knows */
 };
 
@@ -179,6 +180,14 @@
   free_ (splice);
 }
 
+/* Returns whether the connection ended in order and from this side first, so that the
+ * stack still answers its peer. For ended () only. */
+gboolean
+dp_splice_time_wait (const DpSplice *splice)
+{
+  return splice->time_wait;
+}
+
 /* Returns a short description of how a splice ended. */
 const char *
 dp_splice_end_string (DpSpliceEnd end)
@@ -428,7 +437,8 @@
 
   splice->acknowledged = acknowledged;
   if (bytes > 0 && splice->listener->progress != NULL)
-    splice->listener->progress (splice, (gsize) bytes, splice->user_data);
+    splice->listener->progress (splice, (gsize) bytes,
+                                dp_conn_unacknowledged (splice->conn), splice->user_data);
 }
 
 /* Ends the splice if it is time to; returns whether it did. */
@@ -473,6 +483,7 @@
 finish_ (DpSplice *splice, DpSpliceEnd end)
 {
   close_socket_ (splice, end != DP_SPLICE_CLOSED);
+  splice->time_wait = dp_conn_time_wait (splice->conn);
   if (end == DP_SPLICE_SOCKET_RESET)
     dp_conn_abort (splice->conn);
   else
--- a/src/libdogwoodpaddle/stack.c
+++ b/src/libdogwoodpaddle/stack.c
@@ -428,6 +428,7 @@
         {
           dp_conn_detach (conn);
           conn->state = DP_CONN_CLOSED;
+          conn->time_wait = TRUE;
           conn->acknowledged = conn->written;
           dp_stack_add_changed (conn->stack, conn);
         }
--- a/src/test_libdogwoodpaddle/wire.c
+++ b/src/test_libdogwoodpaddle/wire.c
@@ -23,7 +23,7 @@
 static void accepted_ (DpConn *conn, gpointer user_data);
 static gboolean request_ (DpSplice *splice, gsize bytes, gpointer user_data);
 static void response_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data);
-static void progress_ (DpSplice *splice, gsize bytes, gpointer user_data);
+static void progress_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data);
 static void near_ended_ (DpSplice *splice, DpSpliceEnd end, gpointer user_data);
 static void far_ended_ (DpSplice *splice, DpSpliceEnd end, gpointer user_data);
 static gboolean carry_ (DpWire *wire);
@@ -179,7 +179,7 @@
 }
 
 static void
-progress_ (DpSplice *splice, gsize bytes, gpointer user_data)
+progress_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data)
 {
   ((DpWire *) user_data)->progress += bytes;
 }
