Test the data path with acceptance, split it in two files

The test's client is made of raw packets and its server is a real socket: late packets and a reused port, ends in both directions, a SYN without a server, foreign and malformed datagrams, an acknowledgement of another companion's SYN-ACK, the wait for a slot, and leaving.

The counter of late packets was not registered, so the first late packet ended the process; the test found it.

--- /dev/null
+++ b/src/libdogwoodpaddle/include/private/pathactions.h
@@ -0,0 +1,52 @@
+/* The state of a data path, and what its two parts need of each other: datapath takes
+ * datagrams and asks acceptance, pathactions carries its actions out. */
+#pragma once
+
+#include "private/linger.h"
+#include "private/pathcounters.h"
+#include "private/pathflow.h"
+#include "protected/datapath.h"
+
+/* The packet that acceptance was asked about. */
+typedef struct
+{
+  const DpHeader *header;
+  const DpSegment *segment;
+  guint8 *data;
+  gsize length;
+} DpPathPacket;
+
+struct _DpDataPath
+{
+  char *process;
+  DpAcceptance *acceptance;
+  GArray *trusted;
+  DpClock *clock;
+  DpPacketPort *port;
+  DpStack *stack;
+  DpSpliceSet *splices;
+  GSource *timer;
+  GHashTable *flows;   /* DpHandle to DpPathFlow, which it owns */
+  GHashTable *by_key;  /* DpFlowKey within a DpPathFlow to that DpPathFlow */
+  DpLinger *time_wait; /* flows that lwIP keeps in TIME_WAIT */
+  GArray *ports;       /* guint16 on which the stack listens */
+  DpAddress server;
+  DpActions actions;
+  gboolean carrying_out;      /* actions that follow are appended and done in turn */
+  const DpPathPacket *packet; /* NULL outside dp_data_path_datagram () */
+  DpPathCounters counters;
+};
+
+/* Of pathactions. */
+extern const DpStackListener dp_path_stack_listener;
+gboolean dp_path_answer_late (DpDataPath *path);
+void dp_path_act_on_packet (DpDataPath *path, const DpAction *action);
+void dp_path_act_on_flow (DpDataPath *path, const DpAction *action, DpPathFlow *flow);
+void dp_path_forget (DpDataPath *path, DpPathFlow *flow);
+
+/* Of datapath. */
+void dp_path_carry_out (DpDataPath *path);
+void dp_path_fault (DpDataPath *path,
+                    DpFaultKind fault,
+                    const DpAddress *peer,
+                    const char *text);
--- /dev/null
+++ b/src/libdogwoodpaddle/pathactions.c
@@ -0,0 +1,351 @@
+#include "private/pathactions.h"
+
+#include <string.h>
+
+#include "protected/trace.h"
+
+#define HOP_COMPANION "companion"
+#define HOP_SERVER "server"
+
+static void deliver_ (DpDataPath *path);
+static void hold_ (DpDataPath *path, const DpAction *action);
+static void deliver_held_ (DpDataPath *path, DpPathFlow *flow);
+static void
+forward_ (DpDataPath *path, const DpAction *action, const guint8 *packet, gsize length);
+static void
+reset_ (DpDataPath *path, const DpSegment *segment, const DpAddress *reply_to);
+static void abort_ (DpDataPath *path, DpPathFlow *flow);
+static void remove_ (DpDataPath *path, DpPathFlow *flow);
+static void server_connected_ (DpPathFlow *flow, gboolean connected, gpointer user_data);
+static void output_ (const guint8 *packet,
+                     gsize length,
+                     const DpSegment *segment,
+                     gpointer user_data);
+static void accepted_ (DpConn *conn, gpointer user_data);
+static gboolean request_ (DpSplice *splice, gsize bytes, gpointer user_data);
+static void response_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data);
+static void progress_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data);
+static void ended_ (DpSplice *splice, DpSpliceEnd end, gpointer user_data);
+static void span_ (DpDataPath *path, const DpPathFlow *flow, const char *detail);
+
+const DpStackListener dp_path_stack_listener = {
+  .output = output_,
+  .accepted = accepted_,
+};
+static const DpSpliceListener splice_listener_ = {
+  .request = request_,
+  .response = response_,
+  .progress = progress_,
+  .ended = ended_,
+};
+
+/* Hands a late packet of a flow that ended here to lwIP, which answers from TIME_WAIT;
+ * acceptance knows the flow no more. Returns whether the packet was one. */
+gboolean
+dp_path_answer_late (DpDataPath *path)
+{
+  const DpPathPacket *packet = path->packet;
+  const DpFlowKey *key = &packet->segment->key;
+
+  if (dp_segment_opens_flow (packet->segment)
+      || !dp_linger_has (path->time_wait, key, dp_clock_now (path->clock))
+      || g_hash_table_contains (path->by_key, key))
+    return FALSE;
+  dp_metric_increment (path->counters.n_late);
+  dp_trace_span (packet->header->trace_id, HOP_COMPANION, path->process, packet->segment,
+                 "late packet");
+  dp_stack_input (path->stack, packet->data, packet->length, packet->segment);
+  return TRUE;
+}
+
+/* Carries out an action for the packet that acceptance was asked about. */
+void
+dp_path_act_on_packet (DpDataPath *path, const DpAction *action)
+{
+  const DpPathPacket *packet = path->packet;
+  const char *name = dp_action_type_string (action->type);
+
+  g_assert (packet != NULL);
+  dp_trace_span (packet->header->trace_id, HOP_COMPANION, path->process, packet->segment,
+                 action->reason == DP_REASON_NONE ? name
+                                                  : dp_reason_string (action->reason));
+  switch (action->type)
+    {
+    case DP_ACTION_DELIVER:
+      deliver_ (path);
+      break;
+    case DP_ACTION_FORWARD:
+      forward_ (path, action, packet->data, packet->length);
+      break;
+    case DP_ACTION_HOLD:
+      hold_ (path, action);
+      break;
+    case DP_ACTION_RESET:
+      reset_ (path, packet->segment, &packet->header->reply_to);
+      break;
+    case DP_ACTION_DROP:
+      if (action->reason == DP_REASON_WRONG_SERVICE)
+        dp_path_fault (path, DP_FAULT_WRONG_SERVICE, &packet->segment->key.service,
+                       "not an address of this companion's service");
+      break;
+    default:
+      g_assert_not_reached ();
+    }
+}
+
+/* Carries out an action for a flow, which may free it. */
+void
+dp_path_act_on_flow (DpDataPath *path, const DpAction *action, DpPathFlow *flow)
+{
+  const char *name = dp_action_type_string (action->type);
+
+  span_ (path, flow,
+         action->reason == DP_REASON_NONE ? name : dp_reason_string (action->reason));
+  switch (action->type)
+    {
+    case DP_ACTION_CONNECT:
+      dp_path_flow_connect (flow, &path->server, server_connected_, path);
+      break;
+    case DP_ACTION_DELIVER_HELD:
+      deliver_held_ (path, flow);
+      break;
+    case DP_ACTION_FORWARD_HELD:
+      if (flow->held != NULL)
+        forward_ (path, action, flow->held, flow->held_length);
+      remove_ (path, flow);
+      break;
+    case DP_ACTION_REFUSE:
+      reset_ (path, &flow->syn, &flow->reply_to);
+      remove_ (path, flow);
+      break;
+    case DP_ACTION_FORGET:
+      dp_path_forget (path, flow);
+      break;
+    case DP_ACTION_GRANT:
+      if (flow->splice != NULL)
+        dp_splice_grant (flow->splice);
+      break;
+    case DP_ACTION_ABORT:
+      abort_ (path, flow);
+      break;
+    default:
+      g_assert_not_reached ();
+    }
+}
+
+/* Drops the flow; its client hears nothing, its server a reset. */
+void
+dp_path_forget (DpDataPath *path, DpPathFlow *flow)
+{
+  if (flow->splice != NULL)
+    dp_splice_forget (flow->splice);
+  else
+    dp_stack_forget (path->stack, &flow->key.service, &flow->key.client);
+  remove_ (path, flow);
+}
+
+/* A flow that has ended is not in the table any more, but lwIP still answers its late
+ * packets. */
+static void
+deliver_ (DpDataPath *path)
+{
+  const DpPathPacket *packet = path->packet;
+  DpPathFlow *flow = g_hash_table_lookup (path->by_key, &packet->segment->key);
+
+  if (flow != NULL)
+    flow->reply_to = packet->header->reply_to;
+  dp_stack_input (path->stack, packet->data, packet->length, packet->segment);
+}
+
+static void
+hold_ (DpDataPath *path, const DpAction *action)
+{
+  const DpPathPacket *packet = path->packet;
+  DpPathFlow *flow = g_hash_table_lookup (path->by_key, &packet->segment->key);
+
+  /* Acceptance has forgotten an earlier flow between the same addresses. */
+  if (flow != NULL)
+    dp_path_forget (path, flow);
+  flow = dp_path_flow_new (action->flow, packet->header, packet->segment, packet->data,
+                           packet->length);
+  g_hash_table_insert (path->flows, GUINT_TO_POINTER (flow->handle), flow);
+  g_hash_table_insert (path->by_key, &flow->key, flow);
+}
+
+static void
+deliver_held_ (DpDataPath *path, DpPathFlow *flow)
+{
+  if (flow->held == NULL)
+    return;
+  /* The client uses its port again; lwIP would answer the SYN from TIME_WAIT. */
+  if (dp_linger_remove (path->time_wait, &flow->key))
+    dp_stack_forget (path->stack, &flow->key.service, &flow->key.client);
+  dp_stack_input (path->stack, flow->held, flow->held_length, &flow->syn);
+  dp_path_flow_release_held (flow);
+}
+
+static void
+forward_ (DpDataPath *path, const DpAction *action, const guint8 *packet, gsize length)
+{
+  guint8 datagram[DP_HEADER_MAX + DP_PACKET_MAX];
+  gsize header_length = dp_header_encode (&action->header, datagram, DP_HEADER_MAX);
+
+  g_assert (header_length > 0);
+  memcpy (datagram + header_length, packet, length);
+  dp_packet_port_send (path->port, &action->address, datagram, header_length + length);
+}
+
+static void
+reset_ (DpDataPath *path, const DpSegment *segment, const DpAddress *reply_to)
+{
+  guint8 packet[DP_PACKET_MAX];
+  gsize length = dp_segment_make_reset (segment, packet);
+
+  if (length == 0)
+    return;
+  dp_metric_increment (path->counters.n_replies);
+  dp_packet_port_send (path->port, reply_to, packet, length);
+}
+
+/* Resets both sides of the flow. */
+static void
+abort_ (DpDataPath *path, DpPathFlow *flow)
+{
+  if (flow->splice != NULL)
+    dp_splice_abort (flow->splice);
+  else if (flow->held != NULL)
+    reset_ (path, &flow->syn, &flow->reply_to);
+  else
+    dp_stack_abort (path->stack, &flow->key.service, &flow->key.client);
+  remove_ (path, flow);
+}
+
+static void
+remove_ (DpDataPath *path, DpPathFlow *flow)
+{
+  g_hash_table_remove (path->by_key, &flow->key);
+  g_hash_table_remove (path->flows, GUINT_TO_POINTER (flow->handle));
+  dp_path_flow_free (flow);
+}
+
+static void
+server_connected_ (DpPathFlow *flow, gboolean connected, gpointer user_data)
+{
+  DpDataPath *path = user_data;
+  gint64 now = dp_clock_now (path->clock);
+
+  dp_trace_span (flow->header.trace_id, HOP_SERVER, path->process, &flow->syn,
+                 connected ? "connected" : "connection failed");
+  if (connected)
+    dp_acceptance_server_connected (path->acceptance, flow->handle, now, &path->actions);
+  else
+    dp_acceptance_server_failed (path->acceptance, flow->handle, now, &path->actions);
+  dp_path_carry_out (path);
+}
+
+/* A packet from the stack goes to where the flow's latest packet came from. */
+static void
+output_ (const guint8 *packet, gsize length, const DpSegment *segment, gpointer user_data)
+{
+  DpDataPath *path = user_data;
+  const guint8 answer = DP_TCP_SYN | DP_TCP_ACK;
+  DpFlowKey key = { .client = segment->key.service, .service = segment->key.client };
+  DpPathFlow *flow = g_hash_table_lookup (path->by_key, &key);
+  const DpAddress *reply_to = NULL;
+
+  if (flow != NULL)
+    reply_to = &flow->reply_to;
+  else if (path->packet != NULL && dp_flow_key_equal (&path->packet->segment->key, &key))
+    reply_to = &path->packet->header->reply_to;
+  if (flow != NULL && (segment->flags & answer) == answer)
+    dp_acceptance_syn_answered (path->acceptance, flow->handle, segment->seq,
+                                dp_clock_now (path->clock));
+  if (reply_to == NULL)
+    {
+      dp_path_fault (path, DP_FAULT_NO_REPLY_ADDRESS, &key.client, "the flow has ended");
+      return;
+    }
+  dp_metric_increment (path->counters.n_replies);
+  dp_packet_port_send (path->port, reply_to, packet, length);
+}
+
+/* The client completed the handshake. */
+static void
+accepted_ (DpConn *conn, gpointer user_data)
+{
+  DpDataPath *path = user_data;
+  DpFlowKey key = { .client = dp_conn_remote (conn), .service = dp_conn_local (conn) };
+  DpPathFlow *flow = g_hash_table_lookup (path->by_key, &key);
+  int fd = flow != NULL ? dp_path_flow_take_server (flow) : -1;
+
+  if (fd < 0)
+    {
+      dp_conn_abort (conn);
+      return;
+    }
+  flow->owner = path;
+  flow->splice = dp_splice_new (path->splices, conn, fd,
+                                dp_acceptance_flow_class (path->acceptance, flow->handle),
+                                &splice_listener_, flow);
+  dp_acceptance_established (path->acceptance, flow->handle, dp_clock_now (path->clock));
+  span_ (path, flow, "established");
+}
+
+static gboolean
+request_ (DpSplice *splice, gsize bytes, gpointer user_data)
+{
+  DpPathFlow *flow = user_data;
+  DpDataPath *path = flow->owner;
+
+  return dp_acceptance_request (path->acceptance, flow->handle, bytes,
+                                dp_clock_now (path->clock));
+}
+
+static void
+response_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data)
+{
+  DpPathFlow *flow = user_data;
+  DpDataPath *path = flow->owner;
+
+  dp_acceptance_response (path->acceptance, flow->handle, bytes, unsent,
+                          dp_clock_now (path->clock));
+}
+
+static void
+progress_ (DpSplice *splice, gsize bytes, gsize unsent, gpointer user_data)
+{
+  DpPathFlow *flow = user_data;
+  DpDataPath *path = flow->owner;
+  gint64 now = dp_clock_now (path->clock);
+
+  dp_acceptance_progress (path->acceptance, flow->handle, now);
+  if (unsent == 0)
+    dp_acceptance_response (path->acceptance, flow->handle, 0, 0, now);
+}
+
+static void
+ended_ (DpSplice *splice, DpSpliceEnd end, gpointer user_data)
+{
+  DpPathFlow *flow = user_data;
+  DpDataPath *path = flow->owner;
+  DpHandle handle = flow->handle;
+
+  gint64 now = dp_clock_now (path->clock);
+  DpFlowKey evicted;
+
+  span_ (path, flow, dp_splice_end_string (end));
+  flow->splice = NULL;
+  if (dp_splice_time_wait (splice)
+      && dp_linger_add (path->time_wait, &flow->key, now, &evicted))
+    dp_stack_forget (path->stack, &evicted.service, &evicted.client);
+  remove_ (path, flow);
+  dp_acceptance_closed (path->acceptance, handle, now, &path->actions);
+  dp_path_carry_out (path);
+}
+
+/* Logs a span for a flow rather than for one of its packets. */
+static void
+span_ (DpDataPath *path, const DpPathFlow *flow, const char *detail)
+{
+  dp_trace_span (flow->header.trace_id, HOP_COMPANION, path->process, &flow->syn, detail);
+}
--- a/src/libdogwoodpaddle/pathcounters.c
+++ b/src/libdogwoodpaddle/pathcounters.c
@@ -34,6 +34,9 @@
     counters->n_faults[i] = counter_ (metrics, "dogwoodpaddle_faults_total", "kind",
                                       fault_strings_[i],
                                       "Packets that were not valid for this companion.");
+  counters->n_late = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                     "dogwoodpaddle_late_packets_total", "",
+                                     "Packets of flows that had ended here.");
   counters->n_replies = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                         "dogwoodpaddle_replies_total", "",
                                         "Packets sent towards clients.");
--- a/src/test_libdogwoodpaddle/test_stack.c
+++ b/src/test_libdogwoodpaddle/test_stack.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "packets.h"
 #include "runner.h"
 #include "wire.h"
 
@@ -15,12 +16,6 @@
   DpConn *accepted;
 } Bench;
 
-/* 10.0.0.9:40000 to 10.77.0.1:80, sequence number 1000, window 65535. */
-static const guint8 syn_[] = {
-  0x45, 0,    0, 40, 0, 1, 0x40, 0,    64, 6, 0, 0, 10,   0, 0,    9,    10, 77, 0, 1,
-  0x9c, 0x40, 0, 80, 0, 0, 0x03, 0xe8, 0,  0, 0, 0, 0x50, 2, 0xff, 0xff, 0,  0,  0, 0,
-};
-
 static const DpAddress service_ = { .ip = 0x0a4d0001, .port = 80 };
 static const DpAddress client_ = { .ip = 0x0a000009, .port = 40000 };
 
@@ -52,44 +47,19 @@
   CU_ASSERT_TRUE_FATAL (dp_stack_listen (bench->stack, &any, NULL));
 }
 
-static guint16
-checksum (const guint8 *data, gsize length, guint32 sum)
-{
-  for (gsize i = 0; i < length; i += 2)
-    sum += (guint32) (data[i] << 8 | data[i + 1]);
-  while (sum >> 16 != 0)
-    sum = (sum & 0xffff) + (sum >> 16);
-  return (guint16) ~sum;
-}
-
-static void
-put32 (guint8 *data, guint32 value)
-{
-  for (guint i = 0; i < 4; i++)
-    data[i] = (guint8) (value >> (24 - 8 * i));
-}
-
 /* Hands a segment without payload to the stack. */
 static void
 inject (Bench *bench, guint32 source, guint8 flags, guint32 seq, guint32 ack)
 {
-  guint8 packet[sizeof syn_];
+  DpFlowKey key = { .client = client_, .service = service_ };
+  guint8 packet[DP_PACKET_MAX];
   DpSegment segment;
-  guint16 sum;
-
-  memcpy (packet, syn_, sizeof packet);
-  put32 (packet + 12, source);
-  put32 (packet + 24, seq);
-  put32 (packet + 28, ack);
-  packet[33] = flags;
-  sum = checksum (packet, 20, 0);
-  packet[10] = (guint8) (sum >> 8);
-  packet[11] = (guint8) sum;
-  sum = checksum (packet + 12, 28, 6 + 20);
-  packet[36] = (guint8) (sum >> 8);
-  packet[37] = (guint8) sum;
-  CU_ASSERT_TRUE_FATAL (dp_segment_parse (packet, sizeof packet, &segment, NULL));
-  dp_stack_input (bench->stack, packet, sizeof packet, &segment);
+  gsize length;
+
+  key.client.ip = source;
+  length = dp_test_packet (packet, &key, flags, seq, ack, NULL, 0);
+  CU_ASSERT_TRUE_FATAL (dp_segment_parse (packet, length, &segment, NULL));
+  dp_stack_input (bench->stack, packet, length, &segment);
 }
 
 /* Completes a handshake; returns the stack's initial sequence number. */
