--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_inforce.c
@@ -0,0 +1,140 @@
+/* Guards against an invalid record taking the last valid one out of force, and against
+ * settings of another service or host. */
+#include "private/inforce.h"
+#include "protected/clock.h"
+#include "runner.h"
+
+#define SERVICE "darbnica"
+#define HOST "darbnica-1"
+#define MEMBERS                                                                          \
+  "{\"members\":[{\"name\":\"darbnica-1\",\"zone\":\"riga-a\",\"ip\":\"127.1.1.11\","    \
+  "\"port\":7000,\"slots\":4,\"connections\":2000,\"state\":\"active\","                 \
+  "\"incarnation\":123}]}"
+#define ADDRESSES                                                                        \
+  "{\"addresses\":[{\"ip\":\"10.77.0.1\",\"port\":80,\"class\":\"interactive\"}]}"
+#define EXCEPTION(service, host, set)                                                    \
+  "{\"service\":\"" service "\",\"host\":\"" host "\",\"set\":" set                      \
+  ",\"reason\":\"slow disk\"}"
+
+typedef struct
+{
+  DpReplica *replica;
+  DpInForce *in_force;
+  guint changes[DP_N_IN_FORCE_CHANGES];
+  guint64 revision;
+} Bench;
+
+static void
+changed (DpInForceChange change, gpointer user_data)
+{
+  ((Bench *) user_data)->changes[change]++;
+}
+
+static void
+bench_init (Bench *bench)
+{
+  *bench = (Bench){ 0 };
+  bench->replica = dp_replica_new ();
+  bench->in_force = dp_in_force_new (bench->replica, SERVICE, HOST, changed, bench);
+}
+
+static void
+bench_finish (Bench *bench)
+{
+  dp_in_force_free (bench->in_force);
+  dp_replica_free (bench->replica);
+}
+
+/* json NULL: the object is deleted. */
+static void
+apply (Bench *bench, DpKind kind, const char *name, const char *json)
+{
+  g_autoptr (DpRecord) record = dp_record_new (
+      kind, name, ++bench->revision, json == NULL, json != NULL ? json : "", NULL);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (record);
+  CU_ASSERT_TRUE (dp_replica_apply (bench->replica, record));
+}
+
+static void
+test_members (void)
+{
+  Bench bench;
+
+  bench_init (&bench);
+  CU_ASSERT_PTR_NULL (dp_in_force_view (bench.in_force));
+  apply (&bench, DP_KIND_MEMBERS, "rokasgramata", MEMBERS);
+  CU_ASSERT_PTR_NULL (dp_in_force_view (bench.in_force));
+  apply (&bench, DP_KIND_MEMBERS, SERVICE, MEMBERS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (dp_in_force_view (bench.in_force));
+  CU_ASSERT_EQUAL (dp_in_force_view (bench.in_force)->n_members, 1);
+  apply (&bench, DP_KIND_MEMBERS, SERVICE, "{\"members\":[{\"name\":1}]}");
+  CU_ASSERT_EQUAL (dp_in_force_view (bench.in_force)->n_members, 1);
+  CU_ASSERT_EQUAL (dp_in_force_view (bench.in_force)->revision, 2);
+  CU_ASSERT_EQUAL (bench.changes[DP_IN_FORCE_MEMBERS], 1);
+  apply (&bench, DP_KIND_MEMBERS, SERVICE, NULL);
+  CU_ASSERT_EQUAL (dp_in_force_view (bench.in_force)->n_members, 0);
+  bench_finish (&bench);
+}
+
+static void
+test_settings (void)
+{
+  const DpFleetSettings *settings;
+  const GArray *addresses;
+  Bench bench;
+
+  bench_init (&bench);
+  settings = dp_in_force_settings (bench.in_force);
+  CU_ASSERT_EQUAL (settings->slots, 4);
+  CU_ASSERT_EQUAL (dp_in_force_addresses (bench.in_force)->len, 0);
+  apply (&bench, DP_KIND_SERVICE, SERVICE, ADDRESSES);
+  apply (&bench, DP_KIND_FLEET, "defaults", "{\"slots\":3,\"wait_limit_ms\":1500}");
+  CU_ASSERT_EQUAL (settings->slots, 3);
+  apply (&bench, DP_KIND_EXCEPTION, "e1",
+         EXCEPTION (SERVICE, HOST, "{\"slots\":2,\"wait_limit_ms\":700}"));
+  CU_ASSERT_EQUAL (settings->slots, 2);
+  apply (&bench, DP_KIND_EXCEPTION, "e2",
+         EXCEPTION (SERVICE, "darbnica-2", "{\"slots\":1}"));
+  CU_ASSERT_EQUAL (settings->slots, 2);
+  addresses = dp_in_force_addresses (bench.in_force);
+  CU_ASSERT_EQUAL_FATAL (addresses->len, 1);
+  /* The wait limit of this host, not only of its service. */
+  CU_ASSERT_EQUAL (g_array_index (addresses, DpServiceAddress, 0).wait_limit,
+                   700 * DP_US_PER_MS);
+
+  /* None of these is valid, so everything stays. */
+  apply (&bench, DP_KIND_FLEET, "defaults", "{\"slots\":0}");
+  apply (&bench, DP_KIND_EXCEPTION, "e1", EXCEPTION (SERVICE, HOST, "{\"slot\":9}"));
+  apply (&bench, DP_KIND_SERVICE, SERVICE, "{\"addresses\":[{\"ip\":\"x\"}]}");
+  CU_ASSERT_EQUAL (settings->slots, 2);
+  CU_ASSERT_EQUAL (dp_in_force_addresses (bench.in_force)->len, 1);
+  CU_ASSERT_EQUAL (bench.changes[DP_IN_FORCE_SETTINGS], 4);
+
+  apply (&bench, DP_KIND_EXCEPTION, "e1", NULL);
+  CU_ASSERT_EQUAL (settings->slots, 3);
+  bench_finish (&bench);
+}
+
+/* A process that restarts finds records in its replica before it looks at them. */
+static void
+test_present (void)
+{
+  Bench bench = { 0 };
+
+  bench.replica = dp_replica_new ();
+  apply (&bench, DP_KIND_MEMBERS, SERVICE, MEMBERS);
+  apply (&bench, DP_KIND_FLEET, "defaults", "{\"slots\":3}");
+  bench.in_force = dp_in_force_new (bench.replica, SERVICE, HOST, changed, &bench);
+  CU_ASSERT_PTR_NOT_NULL (dp_in_force_view (bench.in_force));
+  CU_ASSERT_EQUAL (dp_in_force_settings (bench.in_force)->slots, 3);
+  bench_finish (&bench);
+}
+
+static const DpTestCase cases_[] = {
+  { "an invalid list of members leaves the last one in force", test_members },
+  { "invalid settings leave the last ones in force", test_settings },
+  { "records that are there already are taken over", test_present },
+};
+
+DP_TEST_MAIN ("inforce", cases_)
