--- a/src/libdogwoodpaddle/flow.c
+++ b/src/libdogwoodpaddle/pathflow.c
@@ -1,4 +1,4 @@
-#include "private/flow.h"
+#include "private/pathflow.h"
 
 /* The server is on the same host, so a connection that takes longer is not coming. */
 #define SERVER_CONNECT_MS 3000
@@ -6,14 +6,14 @@
 static void connected_ (int fd, int error_number, gpointer user_data);
 
 /* Creates the record of a new flow with a copy of its SYN. */
-DpFlow *
-dp_flow_new (DpHandle handle,
-             const DpHeader *header,
-             const DpSegment *segment,
-             const guint8 *packet,
-             gsize length)
+DpPathFlow *
+dp_path_flow_new (DpHandle handle,
+                  const DpHeader *header,
+                  const DpSegment *segment,
+                  const guint8 *packet,
+                  gsize length)
 {
-  DpFlow *flow = g_new0 (DpFlow, 1);
+  DpPathFlow *flow = g_new0 (DpPathFlow, 1);
 
   flow->handle = handle;
   flow->key = segment->key;
@@ -28,32 +28,32 @@
 
 /* Frees the record; a connection to the server that no splice owns is reset. */
 void
-dp_flow_free (DpFlow *flow)
+dp_path_flow_free (DpPathFlow *flow)
 {
   if (flow == NULL)
     return;
-  dp_flow_disconnect (flow);
-  dp_flow_release_held (flow);
+  dp_path_flow_disconnect (flow);
+  dp_path_flow_release_held (flow);
   g_free (flow);
 }
 
 /* Frees the copy of the SYN. */
 void
-dp_flow_release_held (DpFlow *flow)
+dp_path_flow_release_held (DpPathFlow *flow)
 {
   g_clear_pointer (&flow->held, g_free);
   flow->held_length = 0;
 }
 
 /* Opens a connection to the server. connected is called later from the main loop, once,
- * unless dp_flow_disconnect () comes first; it may free the flow. */
+ * unless dp_path_flow_disconnect () comes first; it may free the flow. */
 void
-dp_flow_connect (DpFlow *flow,
-                 const DpAddress *server,
-                 DpFlowConnectFunc connected,
-                 gpointer user_data)
+dp_path_flow_connect (DpPathFlow *flow,
+                      const DpAddress *server,
+                      DpPathFlowConnectFunc connected,
+                      gpointer user_data)
 {
-  dp_flow_disconnect (flow);
+  dp_path_flow_disconnect (flow);
   flow->connected = connected;
   flow->user_data = user_data;
   flow->connecting = dp_connecting_new (server, SERVER_CONNECT_MS, connected_, flow);
@@ -61,7 +61,7 @@
 
 /* Resets the connection to the server, whether it is open or being opened. */
 void
-dp_flow_disconnect (DpFlow *flow)
+dp_path_flow_disconnect (DpPathFlow *flow)
 {
   g_clear_pointer (&flow->connecting, dp_connecting_cancel);
   if (flow->server_fd >= 0)
@@ -72,7 +72,7 @@
 /* Returns the open connection to the server, which then belongs to the caller; -1: there
  * is none. */
 int
-dp_flow_take_server (DpFlow *flow)
+dp_path_flow_take_server (DpPathFlow *flow)
 {
   int fd = flow->server_fd;
 
@@ -83,7 +83,7 @@
 static void
 connected_ (int fd, int error_number, gpointer user_data)
 {
-  DpFlow *flow = user_data;
+  DpPathFlow *flow = user_data;
 
   flow->connecting = NULL;
   flow->server_fd = fd;
