Distribute records by control channels and the relay tree

Adds the codec of control messages, the framed channel, the tree of balancers per availability zone with the watchers of a member, and the relay that ties them to the platform's watch.

A value of up to 1 MB does not fit a frame of 64 KiB: the top bit of a frame's length says that the message goes on in the next frame. The decoder checks the counts of msgpack containers against the bytes that follow before the library allocates them.

Roots watch the platform and get an upstream only while it fails; the others watch it only while no upstream works. At start a balancer asks up to three peers as well as the platform, which keeps it from an older state of a restored platform. A balancer that hears a later revision in a heartbeat for 10 s goes on to its next upstream.

--- /dev/null
+++ b/src/libdogwoodpaddle/include/private/feed.h
@@ -0,0 +1,37 @@
+/* Serves a replica's records to subscribers and hears their heartbeats. */
+#pragma once
+
+#include "protected/address.h"
+#include "protected/channel.h"
+#include "protected/replica.h"
+
+#define DP_FEED_MAX_CONNECTIONS 1024
+
+typedef struct _DpFeed DpFeed;
+
+typedef struct
+{
+  const char *name;
+  const char *zone;
+  const DpAddress *address;
+  const DpNetwork *trusted;
+  guint n_trusted;
+  DpReplica *replica;
+  const DpChannelMetrics *metrics;
+} DpFeedOptions;
+
+typedef struct
+{
+  void (*heartbeat) (const DpHeartbeat *heartbeat, gpointer user_data);
+  void (*suspicion) (const DpSuspicion *suspicion, gpointer user_data);
+} DpFeedListener;
+
+DpFeed *dp_feed_new (const DpFeedOptions *options,
+                     const DpFeedListener *listener,
+                     gpointer user_data,
+                     GError **error);
+void dp_feed_free (DpFeed *feed);
+DpAddress dp_feed_address (const DpFeed *feed);
+guint dp_feed_subscribers (const DpFeed *feed);
+/* Sends new records and the replica's revision soon. */
+void dp_feed_flush (DpFeed *feed);
--- /dev/null
+++ b/src/libdogwoodpaddle/include/private/upstream.h
@@ -0,0 +1,39 @@
+/* Keeps one outgoing control connection to the first of several peers that works. */
+#pragma once
+
+#include "protected/address.h"
+#include "protected/channel.h"
+#include "protected/replica.h"
+
+typedef struct _DpUpstream DpUpstream;
+
+typedef struct
+{
+  DpRole role;
+  const char *name;
+  const char *zone;
+  const char *service;
+  gboolean subscribe; /* FALSE: only to send heartbeats and suspicions */
+  DpReplica *replica;
+  const DpChannelMetrics *metrics;
+} DpUpstreamOptions;
+
+typedef struct
+{
+  /* The peer's answer is complete, or the connection was lost. */
+  void (*changed) (DpUpstream *upstream, gpointer user_data);
+  /* Records or a revision were taken over. */
+  void (*progressed) (DpUpstream *upstream, gpointer user_data);
+} DpUpstreamListener;
+
+DpUpstream *dp_upstream_new (const DpUpstreamOptions *options,
+                             const DpUpstreamListener *listener,
+                             gpointer user_data);
+void dp_upstream_free (DpUpstream *upstream);
+/* Peers in order of preference; a connection to the first one is kept. */
+void dp_upstream_set_peers (DpUpstream *upstream, const DpAddress *peers, guint n_peers);
+/* Gives the present peer up for the next one. */
+void dp_upstream_skip (DpUpstream *upstream);
+gboolean dp_upstream_connected (const DpUpstream *upstream);
+gboolean dp_upstream_synced (const DpUpstream *upstream);
+void dp_upstream_send (DpUpstream *upstream, const DpMessage *message);
--- /dev/null
+++ b/src/libdogwoodpaddle/include/private/watch.h
@@ -0,0 +1,26 @@
+/* Keeps a replica up to date from the platform's watch. */
+#pragma once
+
+#include "protected/metrics.h"
+#include "protected/platform.h"
+#include "protected/replica.h"
+
+typedef struct _DpWatch DpWatch;
+
+typedef struct
+{
+  void (*reachable) (gboolean reachable, gpointer user_data);
+  void (*progressed) (gpointer user_data);
+} DpWatchListener;
+
+DpWatch *dp_watch_new (DpPlatform *platform,
+                       DpReplica *replica,
+                       DpMetrics *metrics,
+                       const DpWatchListener *listener,
+                       gpointer user_data);
+void dp_watch_free (DpWatch *watch);
+void dp_watch_set_active (DpWatch *watch, gboolean active);
+gboolean dp_watch_active (const DpWatch *watch);
+gboolean dp_watch_reachable (const DpWatch *watch);
+gboolean dp_watch_failed (const DpWatch *watch);
+gboolean dp_watch_platform_is_behind (const DpWatch *watch);
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/message.h
@@ -0,0 +1,97 @@
+/* Control messages between balancers and companions, as msgpack arrays. */
+#pragma once
+
+#include <glib.h>
+
+#include "protected/replica.h"
+
+#define DP_MESSAGE_VERSION 1
+#define DP_MESSAGE_MAX (1280 * 1024) /* encoded bytes: a value of 1 MB and its frame */
+#define DP_MESSAGE_STRING_MAX 255    /* bytes of a name */
+#define DP_MESSAGE_RECORDS_MAX 4096  /* records in one message */
+
+typedef enum
+{
+  DP_ROLE_BALANCER,
+  DP_ROLE_COMPANION,
+  DP_N_ROLES
+} DpRole;
+
+/* Values as on the wire. */
+typedef enum
+{
+  DP_MESSAGE_NONE,
+  DP_MESSAGE_HELLO,
+  DP_MESSAGE_SUBSCRIBE,
+  DP_MESSAGE_RECORDS,
+  DP_MESSAGE_HEARTBEAT,
+  DP_MESSAGE_SUSPECT,
+  DP_MESSAGE_PING,
+  DP_N_MESSAGES
+} DpMessageType;
+
+typedef struct
+{
+  guint32 version;
+  DpRole role;
+  const char *name;
+  const char *zone;
+  guint64 revision;
+} DpHello;
+
+typedef struct
+{
+  guint64 since;
+  const char *service; /* "": everything */
+} DpSubscribe;
+
+typedef struct
+{
+  guint64 through;  /* revision up to which this completes the answer, 0: more follow */
+  GPtrArray *items; /* DpRecord */
+} DpRecords;
+
+/* One heartbeat as sent by a companion (or a balancer, whose service is "") or heard by a
+ * balancer. */
+typedef struct
+{
+  const char *service;
+  const char *member;
+  guint64 incarnation;
+  guint64 revision; /* in force */
+  guint32 busy;     /* slots */
+  guint32 connections;
+} DpHeartbeat;
+
+typedef struct
+{
+  const char *service;
+  const char *member;
+  guint64 incarnation;
+  const char *watcher;
+  const char *zone; /* of the watcher */
+} DpSuspicion;
+
+typedef struct
+{
+  DpMessageType type;
+  union
+  {
+    DpHello hello;
+    DpSubscribe subscribe;
+    DpRecords records;
+    DpHeartbeat heartbeat;
+    DpSuspicion suspicion;
+  };
+  GStringChunk *strings; /* owns a decoded message's strings; NULL otherwise */
+} DpMessage;
+
+const char *dp_message_type_string (DpMessageType type);
+const char *dp_role_string (DpRole role);
+GBytes *dp_message_encode (const DpMessage *message);
+gboolean
+dp_message_decode (DpMessage *message, const guint8 *data, gsize length, GError **error);
+/* Frees what a decoded message owns. */
+void dp_message_clear (DpMessage *message);
+
+G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (DpMessage, dp_message_clear)
--- a/src/libdogwoodpaddle/include/protected/platform.h
+++ b/src/libdogwoodpaddle/include/protected/platform.h
@@ -57,6 +57,9 @@
                         JsonNode *value,
                         DpPlatformWriteFunc done,
                         gpointer user_data);
+/* Abandons all requests with this user data: their callbacks are not called. A write
+ * among them may still take effect. */
+void dp_platform_cancel (DpPlatform *platform, gpointer user_data);
 guint64 dp_platform_calls (const DpPlatform *platform);
 
 /* Only for tests that must fail: repeats a write without an answer on whatever version
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -218,6 +218,19 @@
   send_ (request);
 }
 
+/* Abandons all requests with this user data; a write among them may still take effect. */
+void
+dp_platform_cancel (DpPlatform *platform, gpointer user_data)
+{
+  for (guint i = platform->requests->len; i > 0; i--)
+    {
+      Request *request = g_ptr_array_index (platform->requests, i - 1);
+
+      if (request->user_data == user_data)
+        request_end_ (request);
+    }
+}
+
 /* Returns the number of HTTP calls made since the start. */
 guint64
 dp_platform_calls (const DpPlatform *platform)
--- /dev/null
+++ b/src/libdogwoodpaddle/topology.c
@@ -0,0 +1,299 @@
+#include "protected/topology.h"
+
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "protected/json.h"
+
+struct _DpTopology
+{
+  GPtrArray *balancers; /* DpTopologyBalancer, in order of zone, then rank */
+};
+
+static DpTopologyBalancer *parse_ (const DpRecord *record);
+static gboolean
+parse_address_ (JsonObject *object, guint32 ip, const char *key, DpAddress *address);
+static void balancer_free_ (gpointer data);
+static gint compare_ranks_ (gconstpointer a, gconstpointer b);
+static gint compare_names_by_rank_ (const char *a, const char *b);
+static guint64 hash_ (const char *text, guint64 seed);
+static const DpTopologyBalancer *
+at_rank_ (const DpTopology *topology, const char *zone, guint rank);
+static void
+add_once_ (GPtrArray *list, const DpTopologyBalancer *balancer, const char *self);
+static const DpTopologyBalancer *best_watcher_ (const DpTopology *topology,
+                                                guint64 seed,
+                                                const char *excluded,
+                                                const DpTopologyBalancer *const *watchers,
+                                                guint n,
+                                                gboolean new_zone);
+static gboolean is_chosen_ (const DpTopologyBalancer *const *watchers,
+                            guint n,
+                            const DpTopologyBalancer *balancer,
+                            gboolean zones);
+
+/* Reads the registered balancers. */
+DpTopology *
+dp_topology_new (const DpReplica *replica)
+{
+  DpTopology *topology = g_new0 (DpTopology, 1);
+  g_autoptr (GPtrArray) records = dp_replica_list (replica, DP_KIND_BALANCER);
+
+  topology->balancers = g_ptr_array_new_with_free_func (balancer_free_);
+  for (guint i = 0; i < records->len; i++)
+    {
+      DpTopologyBalancer *balancer = parse_ (g_ptr_array_index (records, i));
+
+      if (balancer != NULL)
+        g_ptr_array_add (topology->balancers, balancer);
+    }
+  g_ptr_array_sort (topology->balancers, compare_ranks_);
+  return topology;
+}
+
+/* Frees the topology. */
+void
+dp_topology_free (DpTopology *topology)
+{
+  if (topology == NULL)
+    return;
+  g_ptr_array_unref (topology->balancers);
+  g_free (topology);
+}
+
+/* Returns the number of registered balancers. */
+guint
+dp_topology_size (const DpTopology *topology)
+{
+  return topology->balancers->len;
+}
+
+/* Returns a registered balancer by its position from 0 to the size. */
+const DpTopologyBalancer *
+dp_topology_at (const DpTopology *topology, guint i)
+{
+  return g_ptr_array_index (topology->balancers, i);
+}
+
+/* Returns the registered balancer of that name, or NULL. */
+const DpTopologyBalancer *
+dp_topology_find (const DpTopology *topology, const char *name)
+{
+  for (guint i = 0; i < topology->balancers->len; i++)
+    {
+      const DpTopologyBalancer *balancer = dp_topology_at (topology, i);
+
+      if (g_str_equal (balancer->name, name))
+        return balancer;
+    }
+  return NULL;
+}
+
+/* Returns the number of registered balancers of the zone that rank before the name. */
+guint
+dp_topology_rank (const DpTopology *topology, const char *name, const char *zone)
+{
+  guint rank = 0;
+
+  for (guint i = 0; i < topology->balancers->len; i++)
+    {
+      const DpTopologyBalancer *balancer = dp_topology_at (topology, i);
+
+      if (g_str_equal (balancer->zone, zone)
+          && compare_names_by_rank_ (balancer->name, name) < 0)
+        rank++;
+    }
+  return rank;
+}
+
+/* Returns the balancers to subscribe to in order of preference: the parent, its parents
+ * up to a root, the zone's roots, then the roots of the other zones. A root's list begins
+ * with the zone's other root. The balancer itself is left out. */
+GPtrArray *
+dp_topology_upstreams (const DpTopology *topology, const char *name, const char *zone)
+{
+  GPtrArray *list = g_ptr_array_new ();
+  guint rank = dp_topology_rank (topology, name, zone);
+  const char *previous_zone = NULL;
+
+  while (rank >= DP_TOPOLOGY_ROOTS)
+    {
+      rank = (rank - DP_TOPOLOGY_ROOTS) / DP_TOPOLOGY_FAN_OUT;
+      add_once_ (list, at_rank_ (topology, zone, rank), name);
+    }
+  for (guint i = 0; i < DP_TOPOLOGY_ROOTS; i++)
+    add_once_ (list, at_rank_ (topology, zone, i), name);
+  for (guint i = 0; i < topology->balancers->len; i++)
+    {
+      const DpTopologyBalancer *balancer = dp_topology_at (topology, i);
+
+      rank = g_strcmp0 (previous_zone, balancer->zone) == 0 ? rank + 1 : 0;
+      previous_zone = balancer->zone;
+      if (rank < DP_TOPOLOGY_ROOTS)
+        add_once_ (list, balancer, name);
+    }
+  return list;
+}
+
+/* Chooses the watchers by rendezvous hashing, first one of each zone, then the rest. A
+ * balancer does not watch itself. Fewer than DP_TOPOLOGY_WATCHERS if there are not more.
+ */
+guint
+dp_topology_watchers (const DpTopology *topology,
+                      const char *service,
+                      const char *member,
+                      const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS])
+{
+  guint64 seed = hash_ (member, hash_ (service, 0));
+  guint n = 0;
+
+  for (guint pass = 0; pass < 2; pass++)
+    {
+      const DpTopologyBalancer *best;
+
+      while (n < DP_TOPOLOGY_WATCHERS
+             && (best = best_watcher_ (topology, seed, service[0] == '\0' ? member : "",
+                                       watchers, n, pass == 0))
+                    != NULL)
+        watchers[n++] = best;
+    }
+  return n;
+}
+
+static DpTopologyBalancer *
+parse_ (const DpRecord *record)
+{
+  JsonObject *object = dp_json_get_object (record->value);
+  const char *zone = dp_json_get_string (object, "zone");
+  const char *ip_text = dp_json_get_string (object, "ip");
+  DpTopologyBalancer parsed = { 0 };
+  guint32 ip;
+
+  if (zone == NULL || ip_text == NULL || !dp_ip_parse (ip_text, &ip, NULL)
+      || !parse_address_ (object, ip, "data_port", &parsed.data)
+      || !parse_address_ (object, ip, "control_port", &parsed.control)
+      || !parse_address_ (object, ip, "http_port", &parsed.http)
+      || !dp_json_get_uint (object, "incarnation", &parsed.incarnation))
+    return NULL;
+  parsed.name = g_strdup (record->name);
+  parsed.zone = g_strdup (zone);
+  return g_memdup2 (&parsed, sizeof parsed);
+}
+
+static gboolean
+parse_address_ (JsonObject *object, guint32 ip, const char *key, DpAddress *address)
+{
+  guint64 port;
+
+  if (!dp_json_get_uint (object, key, &port) || port == 0 || port > G_MAXUINT16)
+    return FALSE;
+  address->ip = ip;
+  address->port = (guint16) port;
+  return TRUE;
+}
+
+static void
+balancer_free_ (gpointer data)
+{
+  DpTopologyBalancer *balancer = data;
+
+  g_free (balancer->name);
+  g_free (balancer->zone);
+  g_free (balancer);
+}
+
+static gint
+compare_ranks_ (gconstpointer a, gconstpointer b)
+{
+  const DpTopologyBalancer *x = *(const DpTopologyBalancer *const *) a;
+  const DpTopologyBalancer *y = *(const DpTopologyBalancer *const *) b;
+  gint order = strcmp (x->zone, y->zone);
+
+  return order != 0 ? order : compare_names_by_rank_ (x->name, y->name);
+}
+
+static gint
+compare_names_by_rank_ (const char *a, const char *b)
+{
+  guint64 x = hash_ (a, 0);
+  guint64 y = hash_ (b, 0);
+
+  return x == y ? strcmp (a, b) : (x > y) - (x < y);
+}
+
+static guint64
+hash_ (const char *text, guint64 seed)
+{
+  return XXH64 (text, strlen (text), seed);
+}
+
+static const DpTopologyBalancer *
+at_rank_ (const DpTopology *topology, const char *zone, guint rank)
+{
+  for (guint i = 0; i < topology->balancers->len; i++)
+    {
+      const DpTopologyBalancer *balancer = dp_topology_at (topology, i);
+
+      if (!g_str_equal (balancer->zone, zone))
+        continue;
+      if (rank == 0)
+        return balancer;
+      rank--;
+    }
+  return NULL;
+}
+
+static void
+add_once_ (GPtrArray *list, const DpTopologyBalancer *balancer, const char *self)
+{
+  if (balancer == NULL || g_str_equal (balancer->name, self)
+      || g_ptr_array_find (list, balancer, NULL))
+    return;
+  g_ptr_array_add (list, (gpointer) balancer);
+}
+
+/* Returns the balancer of the highest weight that is not chosen yet nor is the excluded
+ * one; with new_zone only of a zone that is not chosen yet. NULL if there is none. */
+static const DpTopologyBalancer *
+best_watcher_ (const DpTopology *topology,
+               guint64 seed,
+               const char *excluded,
+               const DpTopologyBalancer *const *watchers,
+               guint n,
+               gboolean new_zone)
+{
+  const DpTopologyBalancer *best = NULL;
+  guint64 best_weight = 0;
+
+  for (guint i = 0; i < topology->balancers->len; i++)
+    {
+      const DpTopologyBalancer *balancer = dp_topology_at (topology, i);
+      guint64 weight = hash_ (balancer->name, seed);
+
+      if ((best != NULL && weight <= best_weight)
+          || g_str_equal (balancer->name, excluded)
+          || is_chosen_ (watchers, n, balancer, new_zone))
+        continue;
+      best = balancer;
+      best_weight = weight;
+    }
+  return best;
+}
+
+/* Returns whether the balancer, or with zones its zone, is among the watchers. */
+static gboolean
+is_chosen_ (const DpTopologyBalancer *const *watchers,
+            guint n,
+            const DpTopologyBalancer *balancer,
+            gboolean zones)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      if (watchers[i] == balancer
+          || (zones && g_str_equal (watchers[i]->zone, balancer->zone)))
+        return TRUE;
+    }
+  return FALSE;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/watch.c
@@ -0,0 +1,220 @@
+#include "private/watch.h"
+
+#include "protected/backoff.h"
+#include "protected/error.h"
+
+#define WATCH_MS 30000 /* that the platform may hold a watch open */
+#define SPACING_MS 100 /* between two watches: bounds the calls at many writes */
+#define RETRY_FIRST_MS 200
+#define RETRY_MAX_MS 5000
+
+struct _DpWatch
+{
+  DpPlatform *platform;
+  DpReplica *replica;
+  DpWatchListener listener;
+  gpointer user_data;
+  gboolean active;
+  gboolean reachable; /* the last call was answered */
+  gboolean failed;    /* the last call was not answered */
+  gboolean listing;   /* the call in progress is a list */
+  gboolean listed;    /* watches may go on from since */
+  gboolean behind;    /* the platform is at a lower revision than the replica */
+  guint64 since;      /* the platform's own revision at its last answer */
+  DpBackoff backoff;
+  guint timer; /* source id */
+  DpMetric *failures;
+  DpMetric *behind_gauge;
+};
+
+static gboolean call_now_ (gpointer user_data);
+static void
+answered_ (GPtrArray *records, guint64 revision, const GError *error, gpointer user_data);
+static void take_failure_ (DpWatch *watch, const GError *error);
+static void take_answer_ (DpWatch *watch, GPtrArray *records, guint64 revision);
+static void note_revision_ (DpWatch *watch, guint64 revision);
+static void set_reachable_ (DpWatch *watch, gboolean reachable);
+
+/* Creates a watch that is not active. */
+DpWatch *
+dp_watch_new (DpPlatform *platform,
+              DpReplica *replica,
+              DpMetrics *metrics,
+              const DpWatchListener *listener,
+              gpointer user_data)
+{
+  DpWatch *watch = g_new0 (DpWatch, 1);
+
+  watch->platform = platform;
+  watch->replica = replica;
+  watch->listener = *listener;
+  watch->user_data = user_data;
+  dp_backoff_init (&watch->backoff, RETRY_FIRST_MS, RETRY_MAX_MS);
+  watch->failures = dp_metrics_add (metrics, DP_METRIC_COUNTER, "dp_platform_failures",
+                                    "", "Watches of the platform that failed");
+  watch->behind_gauge = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dp_platform_behind", "",
+      "1 while the platform is at a lower revision than this process");
+  return watch;
+}
+
+/* Stops the watch and frees it. */
+void
+dp_watch_free (DpWatch *watch)
+{
+  if (watch == NULL)
+    return;
+  dp_watch_set_active (watch, FALSE);
+  g_free (watch);
+}
+
+/* Starts or stops the watch. It starts with a list unless it was active before. */
+void
+dp_watch_set_active (DpWatch *watch, gboolean active)
+{
+  if (watch->active == active)
+    return;
+  watch->active = active;
+  if (active)
+    {
+      watch->timer = g_timeout_add (0, call_now_, watch);
+      return;
+    }
+  dp_platform_cancel (watch->platform, watch);
+  g_clear_handle_id (&watch->timer, g_source_remove);
+  dp_backoff_reset (&watch->backoff);
+  watch->reachable = FALSE;
+  watch->failed = FALSE;
+}
+
+/* Returns whether the watch is to be kept. */
+gboolean
+dp_watch_active (const DpWatch *watch)
+{
+  return watch->active;
+}
+
+/* Returns whether the platform answered the last call. */
+gboolean
+dp_watch_reachable (const DpWatch *watch)
+{
+  return watch->reachable;
+}
+
+/* Returns whether the last call failed. */
+gboolean
+dp_watch_failed (const DpWatch *watch)
+{
+  return watch->failed;
+}
+
+/* Returns whether the platform is at a lower revision than the replica, as after a
+ * restore from an older state. */
+gboolean
+dp_watch_platform_is_behind (const DpWatch *watch)
+{
+  return watch->behind;
+}
+
+static gboolean
+call_now_ (gpointer user_data)
+{
+  DpWatch *watch = user_data;
+
+  watch->timer = 0;
+  watch->listing = !watch->listed;
+  if (watch->listing)
+    dp_platform_list (watch->platform, answered_, watch);
+  else
+    dp_platform_watch (watch->platform, watch->since, WATCH_MS, answered_, watch);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+answered_ (GPtrArray *records, guint64 revision, const GError *error, gpointer user_data)
+{
+  DpWatch *watch = user_data;
+  guint delay = SPACING_MS;
+
+  if (error != NULL && g_error_matches (error, DP_ERROR, DP_ERROR_LIMIT))
+    {
+      g_message ("%s", error->message);
+      watch->listed = FALSE;
+    }
+  else if (error != NULL)
+    {
+      delay = dp_backoff_next (&watch->backoff);
+      take_failure_ (watch, error);
+    }
+  else
+    {
+      dp_backoff_reset (&watch->backoff);
+      take_answer_ (watch, records, revision);
+    }
+  if (watch->active)
+    watch->timer = g_timeout_add (delay, call_now_, watch);
+}
+
+static void
+take_failure_ (DpWatch *watch, const GError *error)
+{
+  dp_metric_increment (watch->failures);
+  if (!watch->failed)
+    g_warning ("%s", error->message);
+  watch->failed = TRUE;
+  set_reachable_ (watch, FALSE);
+}
+
+static void
+take_answer_ (DpWatch *watch, GPtrArray *records, guint64 revision)
+{
+  note_revision_ (watch, revision);
+  /* A platform that went back has to be listed: what it wrote before its present revision
+   * isn't known from its watch. */
+  if (!watch->listing && revision < watch->since)
+    watch->listed = FALSE;
+  else
+    watch->listed = TRUE;
+  watch->since = revision;
+  if (watch->listing)
+    dp_replica_apply_list (watch->replica, records, revision);
+  else
+    {
+      for (guint i = 0; i < records->len; i++)
+        dp_replica_apply (watch->replica, g_ptr_array_index (records, i));
+      dp_replica_set_revision (watch->replica, revision);
+    }
+  watch->failed = FALSE;
+  set_reachable_ (watch, TRUE);
+  watch->listener.progressed (watch->user_data);
+}
+
+/* Reports once that the platform is at a lower revision, and once that it no longer is.
+ */
+static void
+note_revision_ (DpWatch *watch, guint64 revision)
+{
+  guint64 held = dp_replica_revision (watch->replica);
+  gboolean behind = revision < held;
+
+  if (behind && !watch->behind)
+    g_critical ("platform: revision %" G_GUINT64_FORMAT
+                " is lower than the held revision %" G_GUINT64_FORMAT
+                "; the held records stay in force",
+                revision, held);
+  else if (!behind && watch->behind)
+    g_message ("platform: revision %" G_GUINT64_FORMAT
+               " is no longer lower than the held one",
+               revision);
+  watch->behind = behind;
+  watch->behind_gauge->value = behind ? 1 : 0;
+}
+
+static void
+set_reachable_ (DpWatch *watch, gboolean reachable)
+{
+  if (watch->reachable == reachable)
+    return;
+  watch->reachable = reachable;
+  watch->listener.reachable (reachable, watch->user_data);
+}
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_relay.c
@@ -0,0 +1,451 @@
+/* Guards against processes that miss a change, go back, or stay cut off while the
+ * platform or some of their peers fail. */
+#include "protected/relay.h"
+
+#include <string.h>
+
+#include "protected/json.h"
+#include "protected/topology.h"
+#include "runner.h"
+#include "standin_platform.h"
+
+#define LOCALHOST 0x7f000001
+#define TIMEOUT_MS 300
+#define WAIT_S 20
+
+typedef struct
+{
+  char *name;
+  char *zone;
+  DpReplica *replica;
+  DpPlatform *platform;
+  DpMetrics *metrics;
+  DpRelay *relay;
+  guint heartbeats;
+  guint64 heard_revision;
+  guint suspicions;
+} Node;
+
+typedef struct
+{
+  StandinPlatform *standin;
+  DpPlatform *writer;
+  gboolean written;
+  DpWriteResult result;
+} World;
+
+static void
+written (DpWriteResult result, DpRecord *record, const GError *error, gpointer user_data)
+{
+  World *world = user_data;
+
+  world->written = TRUE;
+  world->result = result;
+}
+
+static void
+put (World *world, DpKind kind, const char *name, guint64 version, const char *text)
+{
+  g_autoptr (JsonNode) value = text == NULL ? NULL
+                                            : dp_json_parse (text, strlen (text), NULL);
+
+  world->written = FALSE;
+  dp_platform_write (world->writer, kind, name, version, value, written, world);
+  while (!world->written)
+    g_main_context_iteration (NULL, TRUE);
+  CU_ASSERT_EQUAL_FATAL (world->result, DP_WRITE_DONE);
+}
+
+static void
+world_init (World *world)
+{
+  DpAddress address = { LOCALHOST, 0 };
+
+  memset (world, 0, sizeof *world);
+  world->standin = standin_platform_new (&address, 1, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (world->standin);
+  world->writer = dp_platform_new (standin_platform_url (world->standin));
+}
+
+static void
+world_finish (World *world)
+{
+  dp_platform_free (world->writer);
+  standin_platform_free (world->standin);
+}
+
+static void
+heard_heartbeat (const DpHeartbeat *heartbeat, gpointer user_data)
+{
+  Node *node = user_data;
+
+  node->heartbeats++;
+  node->heard_revision = heartbeat->revision;
+}
+
+static void
+heard_suspicion (const DpSuspicion *suspicion, gpointer user_data)
+{
+  ((Node *) user_data)->suspicions++;
+}
+
+static Node *
+node_new (World *world,
+          DpRole role,
+          const char *name,
+          const char *zone,
+          const DpAddress *peers,
+          guint n_peers)
+{
+  static const DpRelayListener listener = { .heartbeat = heard_heartbeat,
+                                            .suspicion = heard_suspicion };
+  static const DpAddress any = { LOCALHOST, 0 };
+  Node *node = g_new0 (Node, 1);
+  DpRelayOptions options = {
+    .role = role,
+    .name = name,
+    .zone = zone,
+    .service = role == DP_ROLE_BALANCER ? "" : "darbnica",
+    .control = role == DP_ROLE_BALANCER ? &any : NULL,
+    .peers = peers,
+    .n_peers = n_peers,
+  };
+
+  node->name = g_strdup (name);
+  node->zone = g_strdup (zone);
+  node->replica = dp_replica_new ();
+  node->metrics = dp_metrics_new ();
+  node->platform = dp_platform_new (standin_platform_url (world->standin));
+  dp_platform_set_timeout (node->platform, TIMEOUT_MS);
+  node->relay = dp_relay_new (&options, node->replica, node->platform, dp_clock_system (),
+                              node->metrics);
+  dp_relay_set_listener (node->relay, &listener, node);
+  CU_ASSERT_TRUE_FATAL (dp_relay_start (node->relay, NULL));
+  return node;
+}
+
+static void
+node_free (Node *node)
+{
+  if (node == NULL)
+    return;
+  dp_relay_free (node->relay);
+  dp_platform_free (node->platform);
+  dp_metrics_free (node->metrics);
+  dp_replica_free (node->replica);
+  g_free (node->name);
+  g_free (node->zone);
+  g_free (node);
+}
+
+static void
+register_node (World *world, Node *node)
+{
+  DpAddress address = dp_relay_address (node->relay);
+  g_autofree char *text = g_strdup_printf (
+      "{\"zone\":\"%s\",\"ip\":\"127.0.0.1\",\"data_port\":1,\"control_port\":%u,"
+      "\"http_port\":1,\"incarnation\":1}",
+      node->zone, address.port);
+
+  put (world, DP_KIND_BALANCER, node->name, 0, text);
+}
+
+static gboolean
+wake (gpointer user_data)
+{
+  return G_SOURCE_CONTINUE;
+}
+
+/* Runs the loop until the replica has the revision; FALSE after WAIT_S. */
+static gboolean
+wait_revision (Node *node, guint64 revision)
+{
+  gint64 end = g_get_monotonic_time () + WAIT_S * DP_US_PER_S;
+  guint timer = g_timeout_add (50, wake, NULL);
+
+  while (dp_replica_revision (node->replica) < revision && g_get_monotonic_time () < end)
+    g_main_context_iteration (NULL, TRUE);
+  g_source_remove (timer);
+  return dp_replica_revision (node->replica) >= revision;
+}
+
+static gboolean
+wait_count (const guint *count, guint least)
+{
+  gint64 end = g_get_monotonic_time () + WAIT_S * DP_US_PER_S;
+  guint timer = g_timeout_add (50, wake, NULL);
+
+  while (*count < least && g_get_monotonic_time () < end)
+    g_main_context_iteration (NULL, TRUE);
+  g_source_remove (timer);
+  return *count >= least;
+}
+
+static void
+run_for (guint ms)
+{
+  gint64 end = g_get_monotonic_time () + ms * DP_US_PER_MS;
+  guint timer = g_timeout_add (10, wake, NULL);
+
+  while (g_get_monotonic_time () < end)
+    g_main_context_iteration (NULL, TRUE);
+  g_source_remove (timer);
+}
+
+static void
+test_tree (void)
+{
+  enum
+  {
+    N = 5
+  };
+  World world;
+  Node *nodes[N];
+  Node *companion;
+  StandinCalls before;
+  StandinCalls after;
+  DpAddress peer;
+
+  world_init (&world);
+  for (guint i = 0; i < N; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("b%u", i);
+
+      nodes[i] = node_new (&world, DP_ROLE_BALANCER, name, "z", NULL, 0);
+      register_node (&world, nodes[i]);
+    }
+  peer = dp_relay_address (nodes[0]->relay);
+  companion = node_new (&world, DP_ROLE_COMPANION, "c1", "z", &peer, 1);
+  put (&world, DP_KIND_SERVICE, "darbnica", 0, "{}");
+  put (&world, DP_KIND_SERVICE, "other", 0, "{}");
+  for (guint i = 0; i < N; i++)
+    CU_ASSERT_TRUE (wait_revision (nodes[i], N + 2));
+  CU_ASSERT_TRUE (wait_revision (companion, N + 2));
+  CU_ASSERT_PTR_NOT_NULL (
+      dp_replica_get (companion->replica, DP_KIND_SERVICE, "darbnica"));
+  CU_ASSERT_PTR_NULL (dp_replica_get (companion->replica, DP_KIND_SERVICE, "other"));
+  /* Only the roots watch the platform, so calls don't grow with the processes. */
+  run_for (1500);
+  before = standin_platform_calls (world.standin);
+  put (&world, DP_KIND_SERVICE, "other", N + 2, "{\"a\":1}");
+  for (guint i = 0; i < N; i++)
+    CU_ASSERT_TRUE (wait_revision (nodes[i], N + 3));
+  run_for (300);
+  after = standin_platform_calls (world.standin);
+  CU_ASSERT_EQUAL (after.watches - before.watches, DP_TOPOLOGY_ROOTS);
+  CU_ASSERT_EQUAL (after.reads, before.reads);
+  for (guint i = 0; i < N; i++)
+    node_free (nodes[i]);
+  node_free (companion);
+  world_finish (&world);
+}
+
+/* A process that starts while the platform is down has its records from a peer, and one
+ * whose upstream ends goes on with another. */
+static void
+test_platform_down (void)
+{
+  const StandinFaults down = { .down = TRUE };
+  const StandinFaults none = { 0 };
+  World world;
+  Node *first;
+  Node *second;
+  Node *third;
+  DpAddress peers[2];
+
+  world_init (&world);
+  first = node_new (&world, DP_ROLE_BALANCER, "b1", "z1", NULL, 0);
+  second = node_new (&world, DP_ROLE_BALANCER, "b2", "z2", NULL, 0);
+  put (&world, DP_KIND_FLEET, "defaults", 0, "{}");
+  CU_ASSERT_TRUE (wait_revision (first, 1));
+  CU_ASSERT_TRUE (wait_revision (second, 1));
+  standin_platform_set_faults (world.standin, &down);
+  peers[0] = dp_relay_address (first->relay);
+  peers[1] = dp_relay_address (second->relay);
+  third = node_new (&world, DP_ROLE_BALANCER, "b3", "z3", peers, 2);
+  CU_ASSERT_TRUE (wait_revision (third, 1));
+  CU_ASSERT_PTR_NOT_NULL (dp_replica_get (third->replica, DP_KIND_FLEET, "defaults"));
+  node_free (first);
+  standin_platform_set_faults (world.standin, &none);
+  put (&world, DP_KIND_FLEET, "defaults", 1, "{\"visits\":2}");
+  CU_ASSERT_TRUE (wait_revision (third, 2));
+  CU_ASSERT_TRUE (wait_revision (second, 2));
+  node_free (second);
+  node_free (third);
+  world_finish (&world);
+}
+
+static GLogWriterOutput
+quiet (GLogLevelFlags level, const GLogField *fields, gsize n_fields, gpointer user_data)
+{
+  if ((level & G_LOG_LEVEL_CRITICAL) != 0 && user_data != NULL)
+    ++*(guint *) user_data;
+  return G_LOG_WRITER_HANDLED;
+}
+
+static guint criticals_;
+
+/* A restarted process takes the highest revision among its peers and a platform that was
+ * restored from an older state, and reports the latter. */
+static void
+test_platform_behind (void)
+{
+  World world;
+  Node *first;
+  Node *second;
+  DpAddress peer;
+  guint64 version = 0;
+
+  world_init (&world);
+  first = node_new (&world, DP_ROLE_BALANCER, "b1", "z1", NULL, 0);
+  for (guint i = 0; i < 5; i++)
+    {
+      put (&world, DP_KIND_FLEET, "defaults", version, "{\"visits\":2}");
+      version++;
+    }
+  CU_ASSERT_TRUE (wait_revision (first, 5));
+  criticals_ = 0;
+  standin_platform_restore (world.standin, 0);
+  put (&world, DP_KIND_FLEET, "defaults", 0, "{\"visits\":8}");
+  peer = dp_relay_address (first->relay);
+  second = node_new (&world, DP_ROLE_BALANCER, "b2", "z2", &peer, 1);
+  CU_ASSERT_TRUE (wait_revision (second, 5));
+  run_for (1000);
+  CU_ASSERT_EQUAL (dp_replica_revision (first->replica), 5);
+  CU_ASSERT_STRING_EQUAL (
+      dp_replica_get (first->replica, DP_KIND_FLEET, "defaults")->json, "{\"visits\":2}");
+  CU_ASSERT_STRING_EQUAL (
+      dp_replica_get (second->replica, DP_KIND_FLEET, "defaults")->json,
+      "{\"visits\":2}");
+  CU_ASSERT_TRUE (dp_relay_platform_is_behind (first->relay));
+  CU_ASSERT_EQUAL (dp_metrics_value (first->metrics, "dp_platform_behind", ""), 1);
+  CU_ASSERT_TRUE (criticals_ >= 1);
+  CU_ASSERT_TRUE (standin_platform_calls (world.standin).watches < 30);
+  node_free (first);
+  node_free (second);
+  world_finish (&world);
+}
+
+/* Deletions that a cut watch missed are noticed from the list. */
+static void
+test_deleted_meanwhile (void)
+{
+  const StandinFaults down = { .down = TRUE };
+  const StandinFaults none = { 0 };
+  World world;
+  Node *node;
+
+  world_init (&world);
+  standin_platform_set_history (world.standin, 0);
+  node = node_new (&world, DP_ROLE_BALANCER, "b1", "z1", NULL, 0);
+  put (&world, DP_KIND_EXCEPTION, "slow", 0, "{}");
+  CU_ASSERT_TRUE (wait_revision (node, 1));
+  standin_platform_set_faults (world.standin, &down);
+  run_for (200);
+  standin_platform_set_faults (world.standin, &none);
+  put (&world, DP_KIND_EXCEPTION, "slow", 1, NULL);
+  CU_ASSERT_TRUE (wait_revision (node, 2));
+  CU_ASSERT_PTR_NULL (dp_replica_get (node->replica, DP_KIND_EXCEPTION, "slow"));
+  node_free (node);
+  world_finish (&world);
+}
+
+/* Heartbeats reach the watchers and suspicions the other balancer; values larger than a
+ * frame arrive; the bytes are counted. */
+static void
+test_messages (void)
+{
+  const DpHeartbeat heartbeat = { "darbnica", "c1", 1, 1, 0, 0 };
+  const DpSuspicion suspicion = { "darbnica", "c1", 1, "b1", "z1" };
+  g_autofree char *large = g_strnfill (500000, 'x');
+  World world;
+  Node *first;
+  Node *second;
+  Node *companion;
+  DpAddress peer;
+  gint64 end;
+
+  world_init (&world);
+  first = node_new (&world, DP_ROLE_BALANCER, "b1", "z1", NULL, 0);
+  second = node_new (&world, DP_ROLE_BALANCER, "b2", "z2", NULL, 0);
+  register_node (&world, first);
+  register_node (&world, second);
+  large[0] = '"';
+  large[499999] = '"';
+  put (&world, DP_KIND_SERVICE, "darbnica", 0, large);
+  peer = dp_relay_address (first->relay);
+  companion = node_new (&world, DP_ROLE_COMPANION, "c1", "z1", &peer, 1);
+  CU_ASSERT_TRUE (wait_revision (companion, 3));
+  CU_ASSERT_EQUAL (
+      strlen (dp_replica_get (companion->replica, DP_KIND_SERVICE, "darbnica")->json),
+      500000);
+  end = g_get_monotonic_time () + WAIT_S * DP_US_PER_S;
+  while ((first->heartbeats == 0 || second->heartbeats == 0 || second->suspicions == 0)
+         && g_get_monotonic_time () < end)
+    {
+      dp_relay_send_heartbeat (companion->relay, &heartbeat);
+      dp_relay_send_suspicion (first->relay, "b2", &suspicion);
+      run_for (50);
+    }
+  CU_ASSERT_TRUE (first->heartbeats > 0);
+  CU_ASSERT_TRUE (second->heartbeats > 0);
+  CU_ASSERT_TRUE (second->suspicions > 0);
+  CU_ASSERT_TRUE (dp_metrics_value (companion->metrics, "dp_control_received_bytes", "")
+                  > 500000);
+  CU_ASSERT_TRUE (dp_metrics_value (companion->metrics, "dp_control_sent_bytes", "") > 0);
+  CU_ASSERT_TRUE (wait_count (&first->heartbeats, 1));
+  node_free (first);
+  node_free (second);
+  node_free (companion);
+  world_finish (&world);
+}
+
+/* Bytes that are no control message end their connection only. */
+static void
+test_garbage (void)
+{
+  static const char *const garbage[] = {
+    "GET / HTTP/1.1\r\n\r\n",
+    "\xff\xff\xff\xff\xff\xff\xff\xff",
+  };
+  World world;
+  Node *node;
+
+  world_init (&world);
+  node = node_new (&world, DP_ROLE_BALANCER, "b1", "z1", NULL, 0);
+  for (guint i = 0; i < G_N_ELEMENTS (garbage); i++)
+    {
+      g_autoptr (GSocketClient) client = g_socket_client_new ();
+      g_autoptr (GSocketConnection) connection = g_socket_client_connect_to_host (
+          client, "127.0.0.1", dp_relay_address (node->relay).port, NULL, NULL);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (connection);
+      g_output_stream_write_all (g_io_stream_get_output_stream (G_IO_STREAM (connection)),
+                                 garbage[i], strlen (garbage[i]), NULL, NULL, NULL);
+      run_for (100);
+      CU_ASSERT_EQUAL (dp_metrics_value (node->metrics, "dp_control_malformed", ""),
+                       i + 1);
+    }
+  put (&world, DP_KIND_FLEET, "defaults", 0, "{}");
+  CU_ASSERT_TRUE (wait_revision (node, 1));
+  node_free (node);
+  world_finish (&world);
+}
+
+static void
+test_quiet_start (void)
+{
+  g_log_set_writer_func (quiet, &criticals_, NULL);
+}
+
+static const DpTestCase cases_[] = {
+  { "expected log lines are not printed", test_quiet_start },
+  { "changes reach everyone through the tree", test_tree },
+  { "a peer gives records while the platform is down", test_platform_down },
+  { "a platform that went back is reported", test_platform_behind },
+  { "deletions during an outage are noticed", test_deleted_meanwhile },
+  { "heartbeats, suspicions and large values arrive", test_messages },
+  { "garbage ends its connection only", test_garbage },
+};
+
+DP_TEST_MAIN ("relay", cases_)
