Add a member's registration

The companion's entry in members/SERVICE is kept as wanted: every change is computed from the platform's newest content and written on that version, so that members that join at the same time don't undo one another. A write whose answer is lost and that others have followed shows up in the next read by its incarnation; taking it for an earlier process's entry cost a second write for each of ten members joining with lost answers, which the test now rules out.

Keeping the entry of a process that has ended would send it packets of other members' flows.

--- a/src/libdogwoodpaddle/include/protected/registration.h
+++ b/src/libdogwoodpaddle/include/protected/registration.h
@@ -20,7 +20,8 @@
 } DpRegistrationState;
 
 /* Called when the wanted state has been written, and when the platform's entry is held by
- * an operator's drain or released from it. */
+ * an operator's drain or released from it. A held member is to want LEAVING; wanting
+ * ABSENT, as before the process ends, removes the entry and keeps the hold. */
 typedef void (*DpRegistrationFunc) (DpRegistration *registration, gpointer user_data);
 
 DpRegistration *dp_registration_new (const char *service,
@@ -38,6 +39,10 @@
 void dp_registration_want (DpRegistration *registration, DpRegistrationState state);
 DpRegistrationState dp_registration_wanted (const DpRegistration *registration);
 DpRegistrationState dp_registration_written (const DpRegistration *registration);
+/* Changes whenever the member joins again after a removal that it did not ask for. */
+guint64 dp_registration_incarnation (const DpRegistration *registration);
+/* Whether another process has taken the member's name over; this one no longer writes. */
+gboolean dp_registration_superseded (const DpRegistration *registration);
 gboolean dp_registration_held (const DpRegistration *registration);
 const char *dp_registration_state_string (DpRegistrationState state);
 
--- /dev/null
+++ b/src/libdogwoodpaddle/registration.c
@@ -0,0 +1,423 @@
+#include "protected/registration.h"
+
+#include "protected/backoff.h"
+#include "protected/chart.h"
+#include "protected/error.h"
+#include "protected/membership.h"
+
+#define RETRY_FIRST_MS 50
+#define RETRY_MAX_MS 5000
+
+struct _DpRegistration
+{
+  char *service;
+  DpMember self; /* owns its texts; state is set for each write */
+  DpReplica *replica;
+  DpPlatform *platform;
+  guint replica_listener;
+  DpRegistrationFunc changed;
+  gpointer user_data;
+  DpChart *chart;
+  DpChartInstance member; /* the state that the entry is to have */
+  DpRegistrationState wanted;
+  DpRegistrationState written; /* as last known to be in the platform */
+  guint64 version;             /* of the object at our last write or read */
+  gboolean attempted;          /* a write with our incarnation was sent */
+  gboolean joined;             /* the entry was written with our incarnation */
+  gboolean held;               /* as last seen */
+  gboolean superseded;
+  gboolean busy;  /* a read or write is in progress */
+  gboolean again; /* something changed meanwhile */
+  DpRegistrationState writing;
+  DpBackoff backoff;
+  guint timer; /* source id */
+};
+
+static const char *const state_strings_[] = { "absent", "joining", "active", "leaving" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (state_strings_) == DP_N_REGISTRATION_STATES);
+G_STATIC_ASSERT (DP_N_REGISTRATION_STATES == (guint) DP_N_MEMBER_CHART_STATES);
+
+/* The event that leads from a chart state (row) towards a wanted one (column). */
+static const DpMemberEvent events_[DP_N_MEMBER_CHART_STATES][DP_N_REGISTRATION_STATES] = {
+  { DP_N_MEMBER_EVENTS, DP_MEMBER_EVENT_ANNOUNCED, DP_MEMBER_EVENT_ANNOUNCED,
+    DP_MEMBER_EVENT_ANNOUNCED },
+  { DP_MEMBER_EVENT_STOP, DP_N_MEMBER_EVENTS, DP_MEMBER_EVENT_SERVER_UP,
+    DP_MEMBER_EVENT_STOP },
+  { DP_MEMBER_EVENT_STOP, DP_MEMBER_EVENT_SERVER_DOWN, DP_N_MEMBER_EVENTS,
+    DP_MEMBER_EVENT_STOP },
+  { DP_MEMBER_EVENT_LAST_FLOW_ENDED, DP_MEMBER_EVENT_UNDRAIN, DP_MEMBER_EVENT_UNDRAIN,
+    DP_N_MEMBER_EVENTS },
+};
+
+static void follow_wanted_ (DpRegistration *registration);
+static void replica_changed_ (const DpRecord *record, gpointer user_data);
+static gboolean is_settled_ (DpRegistration *registration, JsonNode *value);
+static void start_ (DpRegistration *registration);
+static gboolean start_now_ (gpointer user_data);
+static void start_later_ (DpRegistration *registration);
+static void
+was_read_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data);
+static void compare_ (DpRegistration *registration, JsonNode *value, guint64 version);
+static gboolean take_entry_ (DpRegistration *registration,
+                             const DpMembershipEntry *entry);
+static JsonNode *make_value_ (DpRegistration *registration, JsonNode *value);
+static void was_written_ (DpWriteResult result,
+                          DpRecord *record,
+                          const GError *error,
+                          gpointer user_data);
+static void settle_ (DpRegistration *registration, DpRegistrationState written);
+static void set_held_ (DpRegistration *registration, gboolean held);
+
+/* Creates a registration that wants to be absent and writes nothing. Copies self, whose
+ * incarnation has to be later than any of the same member before. */
+DpRegistration *
+dp_registration_new (const char *service,
+                     const DpMember *self,
+                     DpReplica *replica,
+                     DpPlatform *platform,
+                     DpClock *clock)
+{
+  DpRegistration *registration = g_new0 (DpRegistration, 1);
+  g_autoptr (GError) error = NULL;
+
+  registration->service = g_strdup (service);
+  registration->self = *self;
+  registration->self.name = g_strdup (self->name);
+  registration->self.zone = g_strdup (self->zone);
+  registration->replica = replica;
+  registration->platform = platform;
+  registration->chart = dp_chart_load ("member", &error);
+  if (registration->chart == NULL)
+    g_error ("compiled-in chart: %s", error->message);
+  dp_chart_start (&registration->member, registration->chart);
+  dp_backoff_init (&registration->backoff, RETRY_FIRST_MS, RETRY_MAX_MS);
+  registration->replica_listener = dp_replica_add_listener (replica, replica_changed_,
+                                                            registration);
+  return registration;
+}
+
+/* Frees the registration; the entry stays as it is. To be freed before its platform
+ * client and replica. */
+void
+dp_registration_free (DpRegistration *registration)
+{
+  if (registration == NULL)
+    return;
+  dp_replica_remove_listener (registration->replica, registration->replica_listener);
+  dp_platform_cancel (registration->platform, registration);
+  g_clear_handle_id (&registration->timer, g_source_remove);
+  dp_chart_free (registration->chart);
+  g_free (registration->service);
+  g_free (registration->self.name);
+  g_free (registration->self.zone);
+  g_free (registration);
+}
+
+/* Sets who is told; changed may be NULL. */
+void
+dp_registration_set_listener (DpRegistration *registration,
+                              DpRegistrationFunc changed,
+                              gpointer user_data)
+{
+  registration->changed = changed;
+  registration->user_data = user_data;
+}
+
+/* Sets the limits that the entry announces, and writes them if it exists. */
+void
+dp_registration_set_capacity (DpRegistration *registration,
+                              guint32 slots,
+                              guint32 connections)
+{
+  if (registration->self.slots == slots && registration->self.connections == connections)
+    return;
+  registration->self.slots = slots;
+  registration->self.connections = connections;
+  if (registration->wanted != DP_REGISTRATION_ABSENT)
+    start_ (registration);
+}
+
+/* Makes the entry have the state, as soon as the platform allows. */
+void
+dp_registration_want (DpRegistration *registration, DpRegistrationState state)
+{
+  g_assert (state < DP_N_REGISTRATION_STATES);
+  if (registration->wanted == state)
+    return;
+  registration->wanted = state;
+  follow_wanted_ (registration);
+  start_ (registration);
+}
+
+/* Returns the state last asked for. */
+DpRegistrationState
+dp_registration_wanted (const DpRegistration *registration)
+{
+  return registration->wanted;
+}
+
+/* Returns the state that was last written, or found to be in the platform already. */
+DpRegistrationState
+dp_registration_written (const DpRegistration *registration)
+{
+  return registration->written;
+}
+
+/* Returns the incarnation of the entry. */
+guint64
+dp_registration_incarnation (const DpRegistration *registration)
+{
+  return registration->self.incarnation;
+}
+
+/* Returns whether another process has taken the member's name over. */
+gboolean
+dp_registration_superseded (const DpRegistration *registration)
+{
+  return registration->superseded;
+}
+
+/* Returns whether an operator's drain holds the member out of service. */
+gboolean
+dp_registration_held (const DpRegistration *registration)
+{
+  return registration->held;
+}
+
+/* Returns a short name of the state. */
+const char *
+dp_registration_state_string (DpRegistrationState state)
+{
+  g_assert (state < DP_N_REGISTRATION_STATES);
+  return state_strings_[state];
+}
+
+/* Takes the chart through the events that lead to the wanted state. */
+static void
+follow_wanted_ (DpRegistration *registration)
+{
+  while (registration->member.state != registration->wanted)
+    {
+      DpMemberEvent event = events_[registration->member.state][registration->wanted];
+      guint before = registration->member.state;
+
+      dp_chart_step (&registration->member, event);
+      g_assert (registration->member.state != before);
+    }
+}
+
+static void
+replica_changed_ (const DpRecord *record, gpointer user_data)
+{
+  DpRegistration *registration = user_data;
+
+  if (record->kind != DP_KIND_MEMBERS
+      || !g_str_equal (record->name, registration->service)
+      || record->revision <= registration->version || registration->superseded
+      || (registration->wanted == DP_REGISTRATION_ABSENT && !registration->joined))
+    return;
+  if (!is_settled_ (registration, record->value))
+    start_ (registration);
+}
+
+/* Returns whether the value holds the entry as it is to be. */
+static gboolean
+is_settled_ (DpRegistration *registration, JsonNode *value)
+{
+  DpMembershipEntry entry;
+
+  if (!dp_membership_find (value, registration->self.name, &entry)
+      || entry.held != registration->held)
+    return FALSE;
+  if (registration->wanted == DP_REGISTRATION_ABSENT)
+    return !entry.present;
+  return entry.present && entry.incarnation == registration->self.incarnation
+         && (entry.held || entry.state + 1 == (DpMemberState) registration->member.state);
+}
+
+/* Begins to compare the platform's newest content with the wanted one. */
+static void
+start_ (DpRegistration *registration)
+{
+  if (registration->superseded)
+    return;
+  if (registration->busy)
+    {
+      registration->again = TRUE;
+      return;
+    }
+  g_clear_handle_id (&registration->timer, g_source_remove);
+  registration->busy = TRUE;
+  registration->again = FALSE;
+  dp_platform_get (registration->platform, DP_KIND_MEMBERS, registration->service,
+                   was_read_, registration);
+}
+
+static gboolean
+start_now_ (gpointer user_data)
+{
+  DpRegistration *registration = user_data;
+
+  registration->timer = 0;
+  start_ (registration);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+start_later_ (DpRegistration *registration)
+{
+  registration->busy = FALSE;
+  if (registration->timer == 0)
+    registration->timer = g_timeout_add (dp_backoff_next (&registration->backoff),
+                                         start_now_, registration);
+}
+
+static void
+was_read_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data)
+{
+  DpRegistration *registration = user_data;
+  const DpRecord *record = records->len == 0 ? NULL : g_ptr_array_index (records, 0);
+
+  if (error != NULL)
+    {
+      if (registration->backoff.attempts == 0)
+        g_warning ("registration: %s", error->message);
+      start_later_ (registration);
+      return;
+    }
+  compare_ (registration, record == NULL ? NULL : record->value, version);
+}
+
+/* Writes the value with the entry as it is to be, if it is not so yet. */
+static void
+compare_ (DpRegistration *registration, JsonNode *value, guint64 version)
+{
+  g_autoptr (JsonNode) changed = NULL;
+  DpMembershipEntry entry;
+
+  if (!dp_membership_find (value, registration->self.name, &entry))
+    {
+      g_warning ("registration: members/%s is malformed", registration->service);
+      start_later_ (registration);
+      return;
+    }
+  registration->version = MAX (registration->version, version);
+  if (!take_entry_ (registration, &entry))
+    {
+      registration->busy = FALSE;
+      settle_ (registration, registration->written);
+      return;
+    }
+  registration->writing = (DpRegistrationState) registration->member.state;
+  changed = make_value_ (registration, value);
+  if (changed == NULL || (value != NULL && json_node_equal (changed, value)))
+    {
+      registration->joined = entry.present;
+      settle_ (registration, registration->writing);
+      return;
+    }
+  registration->attempted = TRUE;
+  dp_platform_write (registration->platform, DP_KIND_MEMBERS, registration->service,
+                     version, changed, was_written_, registration);
+}
+
+/* Notes what the platform says about the entry; FALSE if it is another process's. */
+static gboolean
+take_entry_ (DpRegistration *registration, const DpMembershipEntry *entry)
+{
+  DpMember *self = &registration->self;
+
+  set_held_ (registration, entry->held);
+  if (registration->attempted && entry->present && entry->incarnation > self->incarnation)
+    {
+      g_critical ("registration: another process has taken over the name %s of service "
+                  "%s with incarnation %" G_GUINT64_FORMAT,
+                  self->name, registration->service, entry->incarnation);
+      registration->superseded = TRUE;
+      return FALSE;
+    }
+  if (!registration->attempted && entry->present
+      && entry->incarnation >= self->incarnation)
+    self->incarnation = entry->incarnation + 1; /* left by an earlier process */
+  /* A write that was taken for lost, since others wrote after it, took effect. */
+  if (registration->attempted && entry->present
+      && entry->incarnation == self->incarnation)
+    registration->joined = TRUE;
+  if (registration->joined && !entry->present
+      && registration->writing != DP_REGISTRATION_ABSENT
+      && registration->wanted != DP_REGISTRATION_ABSENT)
+    {
+      self->incarnation++;
+      registration->joined = FALSE;
+      g_warning ("registration: %s was removed from service %s by another process, "
+                 "joining again with incarnation %" G_GUINT64_FORMAT,
+                 self->name, registration->service, self->incarnation);
+      dp_chart_step (&registration->member, DP_MEMBER_EVENT_REMOVED_BY_WATCHER);
+      follow_wanted_ (registration);
+    }
+  return TRUE;
+}
+
+static JsonNode *
+make_value_ (DpRegistration *registration, JsonNode *value)
+{
+  static const DpMemberState states[DP_N_REGISTRATION_STATES] = {
+    DP_MEMBER_JOINING,
+    DP_MEMBER_JOINING,
+    DP_MEMBER_ACTIVE,
+    DP_MEMBER_LEAVING,
+  };
+
+  if (registration->writing == DP_REGISTRATION_ABSENT)
+    return dp_membership_remove (value, registration->self.name,
+                                 registration->self.incarnation);
+  registration->self.state = states[registration->writing];
+  return dp_membership_put (value, &registration->self);
+}
+
+static void
+was_written_ (DpWriteResult result,
+              DpRecord *record,
+              const GError *error,
+              gpointer user_data)
+{
+  DpRegistration *registration = user_data;
+
+  if (result == DP_WRITE_DONE)
+    {
+      registration->joined = registration->writing != DP_REGISTRATION_ABSENT;
+      registration->version = record->revision;
+      dp_replica_apply (registration->replica, record);
+      settle_ (registration, registration->writing);
+      return;
+    }
+  if (result != DP_WRITE_CONFLICT && registration->backoff.attempts == 0)
+    g_warning ("registration: %s", error->message);
+  start_later_ (registration);
+}
+
+/* The platform holds the state; goes on if something else is wanted by now. */
+static void
+settle_ (DpRegistration *registration, DpRegistrationState written)
+{
+  gboolean again = registration->again || (guint) written != registration->member.state;
+
+  registration->busy = FALSE;
+  registration->written = written;
+  dp_backoff_reset (&registration->backoff);
+  if (again)
+    start_ (registration);
+  if (registration->changed != NULL)
+    registration->changed (registration, registration->user_data);
+}
+
+static void
+set_held_ (DpRegistration *registration, gboolean held)
+{
+  if (registration->held == held)
+    return;
+  registration->held = held;
+  g_message ("registration: %s of service %s is %s", registration->self.name,
+             registration->service, held ? "held by a drain" : "released from its drain");
+}
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_registration.c
@@ -0,0 +1,418 @@
+/* Guards against members that undo one another's changes, come back against an operator's
+ * drain, stay out after a wrong removal, or are lost in a failed write. */
+#include "protected/registration.h"
+
+#include <string.h>
+
+#include "protected/json.h"
+#include "protected/membership.h"
+#include "runner.h"
+#include "standin_platform.h"
+
+#define LOCALHOST 0x7f000001
+#define TIMEOUT_MS 200
+#define WAIT_S 20
+#define SERVICE "darbnica"
+#define OTHER                                                                            \
+  "{\"name\":\"other\",\"zone\":\"z\",\"ip\":\"1.2.3.4\",\"port\":1,\"slots\":1,"        \
+  "\"connections\":1,\"state\":\"active\",\"incarnation\":9,\"note\":\"kept\"}"
+
+typedef struct
+{
+  StandinPlatform *standin;
+  DpPlatform *platform;
+  DpReplica *replica;
+  gboolean done;
+  DpWriteResult result;
+  guint64 version;
+  JsonNode *value; /* of members/SERVICE as last read */
+} World;
+
+static void
+world_init (World *world)
+{
+  DpAddress address = { LOCALHOST, 0 };
+
+  memset (world, 0, sizeof *world);
+  world->standin = standin_platform_new (&address, 1, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (world->standin);
+  world->platform = dp_platform_new (standin_platform_url (world->standin));
+  dp_platform_set_timeout (world->platform, TIMEOUT_MS);
+  world->replica = dp_replica_new ();
+}
+
+static void
+world_finish (World *world)
+{
+  dp_platform_free (world->platform);
+  standin_platform_free (world->standin);
+  dp_replica_free (world->replica);
+  g_clear_pointer (&world->value, json_node_unref);
+}
+
+static void
+was_written (DpWriteResult result,
+             DpRecord *record,
+             const GError *error,
+             gpointer user_data)
+{
+  World *world = user_data;
+
+  world->done = TRUE;
+  world->result = result;
+  if (result == DP_WRITE_DONE)
+    dp_replica_apply (world->replica, record);
+}
+
+static void
+was_read (GPtrArray *records, guint64 revision, const GError *error, gpointer user_data)
+{
+  World *world = user_data;
+
+  world->done = TRUE;
+  world->version = revision;
+  g_clear_pointer (&world->value, json_node_unref);
+  if (records->len > 0)
+    world->value = json_node_ref (((DpRecord *) g_ptr_array_index (records, 0))->value);
+}
+
+static void
+wait_done (World *world)
+{
+  while (!world->done)
+    g_main_context_iteration (NULL, TRUE);
+  world->done = FALSE;
+}
+
+static void
+read_members (World *world)
+{
+  dp_platform_get (world->platform, DP_KIND_MEMBERS, SERVICE, was_read, world);
+  wait_done (world);
+}
+
+static void
+write_members (World *world, JsonNode *value)
+{
+  do
+    {
+      read_members (world);
+      dp_platform_write (world->platform, DP_KIND_MEMBERS, SERVICE, world->version, value,
+                         was_written, world);
+      wait_done (world);
+    }
+  while (world->result == DP_WRITE_CONFLICT);
+  CU_ASSERT_EQUAL_FATAL (world->result, DP_WRITE_DONE);
+}
+
+static void
+write_text (World *world, const char *text)
+{
+  g_autoptr (JsonNode) value = dp_json_parse (text, strlen (text), NULL);
+
+  write_members (world, value);
+}
+
+static DpMembershipEntry
+find (World *world, const char *name)
+{
+  DpMembershipEntry entry;
+
+  read_members (world);
+  CU_ASSERT_TRUE (dp_membership_find (world->value, name, &entry));
+  return entry;
+}
+
+static DpRegistration *
+member_new (World *world, const char *name, guint64 incarnation)
+{
+  const DpMember self = {
+    .name = (char *) name,
+    .zone = (char *) "z",
+    .address = { LOCALHOST, 7000 },
+    .slots = 4,
+    .connections = 2000,
+    .incarnation = incarnation,
+  };
+
+  return dp_registration_new (SERVICE, &self, world->replica, world->platform,
+                              dp_clock_system ());
+}
+
+static gboolean
+wake (gpointer user_data)
+{
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+wait_written (DpRegistration *registration, DpRegistrationState state)
+{
+  gint64 end = g_get_monotonic_time () + WAIT_S * DP_US_PER_S;
+  guint timer = g_timeout_add (20, wake, NULL);
+
+  while (dp_registration_written (registration) != state && g_get_monotonic_time () < end)
+    g_main_context_iteration (NULL, TRUE);
+  g_source_remove (timer);
+  return dp_registration_written (registration) == state;
+}
+
+static void
+run_for (guint ms)
+{
+  gint64 end = g_get_monotonic_time () + ms * DP_US_PER_MS;
+  guint timer = g_timeout_add (10, wake, NULL);
+
+  while (g_get_monotonic_time () < end)
+    g_main_context_iteration (NULL, TRUE);
+  g_source_remove (timer);
+}
+
+static gboolean
+want (DpRegistration *registration, DpRegistrationState state)
+{
+  dp_registration_want (registration, state);
+  return wait_written (registration, state);
+}
+
+static void
+test_life (void)
+{
+  static const DpRegistrationState states[] = {
+    DP_REGISTRATION_JOINING, DP_REGISTRATION_ACTIVE,  DP_REGISTRATION_JOINING,
+    DP_REGISTRATION_ACTIVE,  DP_REGISTRATION_LEAVING, DP_REGISTRATION_ACTIVE,
+    DP_REGISTRATION_LEAVING, DP_REGISTRATION_ABSENT,  DP_REGISTRATION_ACTIVE,
+    DP_REGISTRATION_ABSENT,
+  };
+  World world;
+  g_autoptr (DpRegistration) member = NULL;
+
+  world_init (&world);
+  write_text (&world, "{\"extra\":1,\"members\":[" OTHER "]}");
+  member = member_new (&world, "m", 1);
+  for (guint i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      DpMembershipEntry entry;
+
+      CU_ASSERT_TRUE (want (member, states[i]));
+      entry = find (&world, "m");
+      CU_ASSERT_EQUAL (entry.present, states[i] != DP_REGISTRATION_ABSENT);
+      CU_ASSERT_TRUE (!entry.present || entry.state + 1 == (DpMemberState) states[i]);
+    }
+  {
+    g_autofree char *text = dp_json_format (world.value);
+
+    CU_ASSERT_STRING_EQUAL (text, "{\"extra\":1,\"members\":[" OTHER "]}");
+  }
+  g_clear_pointer (&member, dp_registration_free);
+  world_finish (&world);
+}
+
+/* Members that join at the same time, some with lost answers, all get in. */
+static void
+test_concurrent (void)
+{
+  enum
+  {
+    N = 10
+  };
+  static const char *const names[N] = { "m0", "m1", "m2", "m3", "m4",
+                                        "m5", "m6", "m7", "m8", "m9" };
+  const StandinFaults faults = { .lose_answers = 5 };
+  World world;
+  DpRegistration *members[N];
+
+  world_init (&world);
+  standin_platform_set_faults (world.standin, &faults);
+  for (guint i = 0; i < N; i++)
+    {
+      members[i] = member_new (&world, names[i], 1);
+      dp_registration_want (members[i], DP_REGISTRATION_ACTIVE);
+    }
+  for (guint i = 0; i < N; i++)
+    CU_ASSERT_TRUE (wait_written (members[i], DP_REGISTRATION_ACTIVE));
+  for (guint i = 0; i < N; i++)
+    CU_ASSERT_TRUE (find (&world, names[i]).present);
+  CU_ASSERT_EQUAL (standin_platform_revision (world.standin), N);
+  for (guint i = 0; i < N; i++)
+    dp_registration_free (members[i]);
+  world_finish (&world);
+}
+
+static void
+test_removed (void)
+{
+  World world;
+  g_autoptr (DpRegistration) member = NULL;
+  g_autoptr (JsonNode) without = NULL;
+  DpMembershipEntry entry;
+
+  world_init (&world);
+  member = member_new (&world, "m", 5);
+  CU_ASSERT_TRUE (want (member, DP_REGISTRATION_ACTIVE));
+  read_members (&world);
+  CU_ASSERT_PTR_NULL (dp_membership_remove (world.value, "m", 4));
+  without = dp_membership_remove (world.value, "m", 5);
+  write_members (&world, without);
+  run_for (500);
+  entry = find (&world, "m");
+  CU_ASSERT_TRUE (entry.present);
+  CU_ASSERT_EQUAL (entry.state, DP_MEMBER_ACTIVE);
+  CU_ASSERT_EQUAL (entry.incarnation, 6);
+  CU_ASSERT_EQUAL (dp_registration_incarnation (member), 6);
+  /* The old suspicion's removal does not touch the new incarnation. */
+  CU_ASSERT_PTR_NULL (dp_membership_remove (world.value, "m", 5));
+  g_clear_pointer (&member, dp_registration_free);
+  world_finish (&world);
+}
+
+static void
+count_change (DpRegistration *registration, gpointer user_data)
+{
+  if (dp_registration_held (registration))
+    dp_registration_want (registration, DP_REGISTRATION_LEAVING);
+  else if (dp_registration_wanted (registration) == DP_REGISTRATION_LEAVING)
+    dp_registration_want (registration, DP_REGISTRATION_ACTIVE);
+}
+
+static void
+test_held (void)
+{
+  static const char entry_text[] =
+      "{\"members\":[{\"name\":\"m\",\"zone\":\"z\",\"ip\":\"127.0.0.1\",\"port\":7000,"
+      "\"slots\":4,\"connections\":2000,\"state\":\"%s\"%s,\"incarnation\":1}]}";
+  g_autofree char *held = g_strdup_printf (entry_text, "leaving", ",\"held\":true");
+  g_autofree char *released = g_strdup_printf (entry_text, "leaving", "");
+  World world;
+  g_autoptr (DpRegistration) member = NULL;
+  DpMembershipEntry entry;
+
+  world_init (&world);
+  member = member_new (&world, "m", 1);
+  dp_registration_set_listener (member, count_change, NULL);
+  CU_ASSERT_TRUE (want (member, DP_REGISTRATION_ACTIVE));
+  write_text (&world, held);
+  CU_ASSERT_TRUE (wait_written (member, DP_REGISTRATION_LEAVING));
+  entry = find (&world, "m");
+  CU_ASSERT_TRUE (entry.held);
+  CU_ASSERT_EQUAL (entry.state, DP_MEMBER_LEAVING);
+  write_text (&world, released);
+  CU_ASSERT_TRUE (wait_written (member, DP_REGISTRATION_ACTIVE));
+  CU_ASSERT_FALSE (find (&world, "m").held);
+  /* The hold outlives the process and its entry. */
+  write_text (&world, held);
+  CU_ASSERT_TRUE (wait_written (member, DP_REGISTRATION_LEAVING));
+  dp_registration_set_listener (member, NULL, NULL);
+  CU_ASSERT_TRUE (want (member, DP_REGISTRATION_ABSENT));
+  entry = find (&world, "m");
+  CU_ASSERT_FALSE (entry.present);
+  CU_ASSERT_TRUE (entry.held);
+  dp_registration_free (member);
+  member = member_new (&world, "m", 2);
+  dp_registration_set_listener (member, count_change, NULL);
+  dp_registration_want (member, DP_REGISTRATION_JOINING);
+  CU_ASSERT_TRUE (wait_written (member, DP_REGISTRATION_LEAVING));
+  entry = find (&world, "m");
+  CU_ASSERT_TRUE (entry.present);
+  CU_ASSERT_TRUE (entry.held);
+  CU_ASSERT_EQUAL (entry.state, DP_MEMBER_LEAVING);
+  g_clear_pointer (&member, dp_registration_free);
+  world_finish (&world);
+}
+
+static void
+test_outage (void)
+{
+  const StandinFaults down = { .down = TRUE };
+  const StandinFaults none = { 0 };
+  World world;
+  g_autoptr (DpRegistration) member = NULL;
+
+  world_init (&world);
+  member = member_new (&world, "m", 1);
+  standin_platform_set_faults (world.standin, &down);
+  dp_registration_want (member, DP_REGISTRATION_ACTIVE);
+  run_for (1500);
+  CU_ASSERT_EQUAL (dp_registration_written (member), DP_REGISTRATION_ABSENT);
+  dp_registration_want (member, DP_REGISTRATION_LEAVING);
+  standin_platform_set_faults (world.standin, &none);
+  CU_ASSERT_TRUE (wait_written (member, DP_REGISTRATION_LEAVING));
+  CU_ASSERT_EQUAL (find (&world, "m").state, DP_MEMBER_LEAVING);
+  g_clear_pointer (&member, dp_registration_free);
+  world_finish (&world);
+}
+
+/* A process that replaces one of its own name takes a later incarnation, and the earlier
+ * one stops writing. */
+static void
+test_superseded (void)
+{
+  World world;
+  g_autoptr (DpRegistration) first = NULL;
+  g_autoptr (DpRegistration) second = NULL;
+
+  world_init (&world);
+  first = member_new (&world, "m", 7);
+  CU_ASSERT_TRUE (want (first, DP_REGISTRATION_ACTIVE));
+  second = member_new (&world, "m", 3); /* its clock is behind */
+  CU_ASSERT_TRUE (want (second, DP_REGISTRATION_ACTIVE));
+  CU_ASSERT_EQUAL (dp_registration_incarnation (second), 8);
+  run_for (300);
+  CU_ASSERT_TRUE (dp_registration_superseded (first));
+  dp_registration_want (first, DP_REGISTRATION_ABSENT);
+  run_for (300);
+  CU_ASSERT_EQUAL (find (&world, "m").incarnation, 8);
+  g_clear_pointer (&first, dp_registration_free);
+  g_clear_pointer (&second, dp_registration_free);
+  world_finish (&world);
+}
+
+static void
+test_malformed (void)
+{
+  static const char *const texts[] = { "[]", "{}", "{\"members\":7}",
+                                       "{\"members\":[{\"name\":\"m\"}]}" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      World world;
+      g_autoptr (DpRegistration) member = NULL;
+      g_autofree char *text = NULL;
+
+      world_init (&world);
+      write_text (&world, texts[i]);
+      member = member_new (&world, "m", 1);
+      dp_registration_want (member, DP_REGISTRATION_ACTIVE);
+      run_for (200);
+      read_members (&world);
+      text = dp_json_format (world.value);
+      CU_ASSERT_STRING_EQUAL (text, texts[i]);
+      g_clear_pointer (&member, dp_registration_free);
+      world_finish (&world);
+    }
+}
+
+static GLogWriterOutput
+quiet (GLogLevelFlags level, const GLogField *fields, gsize n_fields, gpointer user_data)
+{
+  return G_LOG_WRITER_HANDLED;
+}
+
+static void
+test_quiet_start (void)
+{
+  g_log_set_writer_func (quiet, NULL, NULL);
+}
+
+static const DpTestCase cases_[] = {
+  { "expected log lines are not printed", test_quiet_start },
+  { "states are written, others' entries kept", test_life },
+  { "members join at the same time", test_concurrent },
+  { "a removed member joins again", test_removed },
+  { "an operator's drain holds", test_held },
+  { "an outage delays the write only", test_outage },
+  { "a member of the same name takes over", test_superseded },
+  { "a malformed object is not overwritten", test_malformed },
+};
+
+DP_TEST_MAIN ("registration", cases_)
