Add a watcher's decisions about the members it watches

The guard against mass loss counts other watchers' suspicions, too, since each watcher sees only some members of a large service. A member whose watchers are all in one zone is suspected and reported but stays.

The states are those of the chart "watched". The deliberately wrong variant of a lapsed watcher is noticed by its test.

--- /dev/null
+++ b/src/libdogwoodpaddle/liveness.c
@@ -0,0 +1,447 @@
+#include "protected/liveness.h"
+
+#include <string.h>
+
+typedef struct
+{
+  char *service;
+  char *member;
+  guint64 incarnation;
+  gint64 suspect_after; /* us */
+  gboolean can_agree;
+  gboolean wanted;       /* set since dp_liveness_begin_members () */
+  DpChartInstance state; /* of the chart "watched" */
+  gint64 heard_at;       /* us; last heartbeat or start of the observation */
+  gint64 repeated_at;    /* us; last action for this member */
+  gint64 agreed_at;      /* us; last suspicion of a watcher in another zone, or -1 */
+  gint64 remote_at;      /* us; last suspicion of any other watcher, or -1 */
+  gboolean told_alone;
+  gboolean cleared; /* to be told at the next tick */
+} Watched;
+
+typedef struct
+{
+  guint size;
+  guint suspected; /* counted at each tick */
+  gboolean mass_loss;
+} Service;
+
+struct _DpLiveness
+{
+  char *zone;
+  DpChart *chart;
+  GHashTable *members;  /* "SERVICE/MEMBER" to Watched */
+  GHashTable *services; /* name to Service */
+  gint64 ticked_at;     /* us */
+  gboolean lapsed;      /* deliberately wrong variant for tests */
+};
+
+static const char *const action_strings_[] = {
+  "suspect", "remove", "clear", "mass_loss", "alone", "was_paused",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (action_strings_) == DP_N_LIVENESS_ACTIONS);
+
+static void watched_free_ (gpointer data);
+static Watched *find_ (DpLiveness *liveness, const char *service, const char *member);
+static Service *service_ (DpLiveness *liveness, const char *name);
+static void observe_anew_ (Watched *watched, gint64 now);
+static gboolean is_suspected_ (const Watched *watched);
+static gboolean is_fresh_ (gint64 at, gint64 now);
+static gboolean was_paused_ (const DpLiveness *liveness, gint64 now);
+static void note_silence_ (DpLiveness *liveness, Watched *watched, gint64 now);
+static void count_suspected_ (DpLiveness *liveness, gint64 now);
+static void report_mass_loss_ (DpLiveness *liveness, GArray *actions);
+static void decide_ (DpLiveness *liveness, Watched *watched, gint64 now, GArray *actions);
+static void
+add_action_ (GArray *actions, DpLivenessActionType type, const Watched *watched);
+
+/* Returns a short name of the type. */
+const char *
+dp_liveness_action_string (DpLivenessActionType type)
+{
+  g_assert (type < DP_N_LIVENESS_ACTIONS);
+  return action_strings_[type];
+}
+
+/* Creates a watcher in the availability zone that watches no member. now in us. */
+DpLiveness *
+dp_liveness_new (const char *zone, gint64 now)
+{
+  DpLiveness *liveness = g_new0 (DpLiveness, 1);
+  g_autoptr (GError) error = NULL;
+
+  liveness->zone = g_strdup (zone);
+  liveness->chart = dp_chart_load ("watched", &error);
+  if (liveness->chart == NULL)
+    g_error ("compiled-in chart: %s", error->message);
+  liveness->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                             watched_free_);
+  liveness->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  liveness->ticked_at = now;
+  return liveness;
+}
+
+/* Frees the watcher. */
+void
+dp_liveness_free (DpLiveness *liveness)
+{
+  if (liveness == NULL)
+    return;
+  g_hash_table_unref (liveness->members);
+  g_hash_table_unref (liveness->services);
+  dp_chart_free (liveness->chart);
+  g_free (liveness->zone);
+  g_free (liveness);
+}
+
+/* Begins a new set of members to watch. */
+void
+dp_liveness_begin_members (DpLiveness *liveness)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, liveness->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((Watched *) value)->wanted = FALSE;
+}
+
+/* Watches the member. One that is new here, or of a later incarnation than before, is
+ * observed from now on; an earlier incarnation is ignored. */
+void
+dp_liveness_set_member (DpLiveness *liveness, const DpLivenessMember *member, gint64 now)
+{
+  Watched *watched = find_ (liveness, member->service, member->member);
+
+  if (watched == NULL)
+    {
+      watched = g_new0 (Watched, 1);
+      watched->service = g_strdup (member->service);
+      watched->member = g_strdup (member->member);
+      watched->incarnation = member->incarnation;
+      dp_chart_start (&watched->state, liveness->chart);
+      observe_anew_ (watched, now);
+      g_hash_table_insert (liveness->members,
+                           g_strdup_printf ("%s/%s", member->service, member->member),
+                           watched);
+    }
+  else if (member->incarnation > watched->incarnation)
+    {
+      watched->incarnation = member->incarnation;
+      dp_chart_step (&watched->state, DP_WATCHED_EVENT_PAUSED);
+      observe_anew_ (watched, now);
+    }
+  watched->suspect_after = member->suspect_after;
+  watched->can_agree = member->can_agree;
+  watched->wanted = TRUE;
+}
+
+/* Forgets the members that were not set since the beginning. */
+void
+dp_liveness_end_members (DpLiveness *liveness)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, liveness->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Watched *watched = value;
+
+      if (watched->wanted)
+        continue;
+      dp_chart_step (&watched->state, DP_WATCHED_EVENT_GONE);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* Sets the number of the service's members, for the guard against mass loss. */
+void
+dp_liveness_set_service_size (DpLiveness *liveness, const char *service, guint size)
+{
+  service_ (liveness, service)->size = size;
+}
+
+/* Takes a heartbeat: it cancels a suspicion of its incarnation or an earlier one. */
+void
+dp_liveness_heartbeat (DpLiveness *liveness,
+                       const char *service,
+                       const char *member,
+                       guint64 incarnation,
+                       gint64 now)
+{
+  Watched *watched = find_ (liveness, service, member);
+
+  if (watched == NULL || incarnation < watched->incarnation)
+    return;
+  watched->incarnation = incarnation;
+  watched->heard_at = now;
+  if (dp_chart_step (&watched->state, DP_WATCHED_EVENT_HEARTBEAT)
+      == DP_WATCHED_ACTION_CLEAR)
+    {
+      watched->cleared = TRUE;
+      watched->told_alone = FALSE;
+    }
+}
+
+/* Takes another watcher's suspicion; one of another incarnation than the one that is
+ * watched here is ignored. */
+void
+dp_liveness_suspicion (DpLiveness *liveness,
+                       const char *service,
+                       const char *member,
+                       guint64 incarnation,
+                       const char *zone,
+                       gint64 now)
+{
+  Watched *watched = find_ (liveness, service, member);
+
+  if (watched == NULL || incarnation != watched->incarnation)
+    return;
+  watched->remote_at = now;
+  if (!g_str_equal (zone, liveness->zone))
+    watched->agreed_at = now;
+}
+
+/* Starts all observations from zero. */
+void
+dp_liveness_restart (DpLiveness *liveness, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, liveness->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      dp_chart_step (&((Watched *) value)->state, DP_WATCHED_EVENT_PAUSED);
+      observe_anew_ (value, now);
+    }
+}
+
+/* Decides for all members. To be called every DP_LIVENESS_TICK_US: a call that comes more
+ * than DP_LIVENESS_LATE_US late shows that this watcher was paused and may have missed
+ * heartbeats, so that it starts from zero. */
+void
+dp_liveness_tick (DpLiveness *liveness, gint64 now, GArray *actions)
+{
+  gboolean paused = was_paused_ (liveness, now);
+  GHashTableIter iter;
+  gpointer value;
+
+  liveness->ticked_at = now;
+  if (paused)
+    {
+      dp_liveness_restart (liveness, now);
+      add_action_ (actions, DP_LIVENESS_WAS_PAUSED, NULL);
+      return;
+    }
+  g_hash_table_iter_init (&iter, liveness->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    note_silence_ (liveness, value, now);
+  count_suspected_ (liveness, now);
+  report_mass_loss_ (liveness, actions);
+  g_hash_table_iter_init (&iter, liveness->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    decide_ (liveness, value, now, actions);
+}
+
+/* Returns whether this watcher still holds its own fresh suspicion of the incarnation and
+ * another zone's agreement: a watcher that was paused between its decision and its write
+ * must not act on it. */
+gboolean
+dp_liveness_may_remove (DpLiveness *liveness,
+                        const char *service,
+                        const char *member,
+                        guint64 incarnation,
+                        gint64 now)
+{
+  Watched *watched = find_ (liveness, service, member);
+
+  if (liveness->lapsed)
+    return TRUE;
+  return watched != NULL && watched->state.state == DP_WATCHED_REMOVING
+         && watched->incarnation == incarnation && !was_paused_ (liveness, now)
+         && now - watched->heard_at > watched->suspect_after
+         && is_fresh_ (watched->agreed_at, now)
+         && !service_ (liveness, service)->mass_loss;
+}
+
+/* Gives the member's state as this watcher sees it. */
+gboolean
+dp_liveness_state (DpLiveness *liveness,
+                   const char *service,
+                   const char *member,
+                   DpWatchedState *state)
+{
+  const Watched *watched = find_ (liveness, service, member);
+
+  if (watched == NULL)
+    return FALSE;
+  *state = (DpWatchedState) watched->state.state;
+  return TRUE;
+}
+
+/* Returns the state's name in the chart. */
+const char *
+dp_liveness_state_string (const DpLiveness *liveness, DpWatchedState state)
+{
+  return dp_chart_state_name (liveness->chart, state);
+}
+
+/* Makes a paused watcher go on as before. Only for tests that check that they notice it.
+ */
+void
+dp_liveness_set_test_lapsed (DpLiveness *liveness, gboolean lapsed)
+{
+  liveness->lapsed = lapsed;
+}
+
+static void
+watched_free_ (gpointer data)
+{
+  Watched *watched = data;
+
+  g_free (watched->service);
+  g_free (watched->member);
+  g_free (watched);
+}
+
+static Watched *
+find_ (DpLiveness *liveness, const char *service, const char *member)
+{
+  g_autofree char *key = g_strdup_printf ("%s/%s", service, member);
+
+  return g_hash_table_lookup (liveness->members, key);
+}
+
+static Service *
+service_ (DpLiveness *liveness, const char *name)
+{
+  Service *service = g_hash_table_lookup (liveness->services, name);
+
+  if (service == NULL)
+    {
+      service = g_new0 (Service, 1);
+      g_hash_table_insert (liveness->services, g_strdup (name), service);
+    }
+  return service;
+}
+
+static void
+observe_anew_ (Watched *watched, gint64 now)
+{
+  watched->heard_at = now;
+  watched->agreed_at = -1;
+  watched->remote_at = -1;
+  watched->repeated_at = -1;
+  watched->told_alone = FALSE;
+}
+
+static gboolean
+is_suspected_ (const Watched *watched)
+{
+  return watched->state.state == DP_WATCHED_SUSPECTED
+         || watched->state.state == DP_WATCHED_REMOVING;
+}
+
+static gboolean
+is_fresh_ (gint64 at, gint64 now)
+{
+  return at >= 0 && now - at <= DP_LIVENESS_REMOTE_US;
+}
+
+static gboolean
+was_paused_ (const DpLiveness *liveness, gint64 now)
+{
+  return !liveness->lapsed
+         && now - liveness->ticked_at > DP_LIVENESS_TICK_US + DP_LIVENESS_LATE_US;
+}
+
+static void
+note_silence_ (DpLiveness *liveness, Watched *watched, gint64 now)
+{
+  if (is_suspected_ (watched) || now - watched->heard_at <= watched->suspect_after)
+    return;
+  dp_chart_step (&watched->state, DP_WATCHED_EVENT_SILENT);
+  watched->repeated_at = -1;
+}
+
+static void
+count_suspected_ (DpLiveness *liveness, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, liveness->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((Service *) value)->suspected = 0;
+  g_hash_table_iter_init (&iter, liveness->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Watched *watched = value;
+
+      if (is_suspected_ (watched) || is_fresh_ (watched->remote_at, now))
+        service_ (liveness, watched->service)->suspected++;
+    }
+}
+
+/* A loss of more than half is more likely a fault of the network or of the watchers, and
+ * removing that many would leave too few. */
+static void
+report_mass_loss_ (DpLiveness *liveness, GArray *actions)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, liveness->services);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      Service *service = value;
+      gboolean mass_loss = service->suspected * 2 > service->size;
+      const DpLivenessAction action = { DP_LIVENESS_MASS_LOSS, name, "", 0 };
+
+      if (mass_loss && !service->mass_loss)
+        g_array_append_val (actions, action);
+      service->mass_loss = mass_loss;
+    }
+}
+
+static void
+decide_ (DpLiveness *liveness, Watched *watched, gint64 now, GArray *actions)
+{
+  gboolean due = watched->repeated_at < 0
+                 || now - watched->repeated_at >= DP_LIVENESS_REPEAT_US;
+  gboolean agreed = is_fresh_ (watched->agreed_at, now);
+
+  if (watched->cleared)
+    add_action_ (actions, DP_LIVENESS_CLEAR, watched);
+  watched->cleared = FALSE;
+  if (!is_suspected_ (watched) || !due)
+    return;
+  watched->repeated_at = now;
+  add_action_ (actions, DP_LIVENESS_SUSPECT, watched);
+  if (!watched->can_agree && !watched->told_alone)
+    {
+      add_action_ (actions, DP_LIVENESS_ALONE, watched);
+      watched->told_alone = TRUE;
+    }
+  if (!agreed || service_ (liveness, watched->service)->mass_loss)
+    return;
+  dp_chart_step (&watched->state, DP_WATCHED_EVENT_AGREED);
+  add_action_ (actions, DP_LIVENESS_REMOVE, watched);
+}
+
+static void
+add_action_ (GArray *actions, DpLivenessActionType type, const Watched *watched)
+{
+  const DpLivenessAction action = {
+    .type = type,
+    .service = watched == NULL ? "" : watched->service,
+    .member = watched == NULL ? "" : watched->member,
+    .incarnation = watched == NULL ? 0 : watched->incarnation,
+  };
+
+  g_array_append_val (actions, action);
+}
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_liveness.c
@@ -0,0 +1,333 @@
+/* Guards against members that are removed although they live: by one watcher alone, by
+ * one that was paused, by an old suspicion, or many at once; and against dead ones that
+ * stay.
+ */
+#include "protected/liveness.h"
+
+#include "protected/clock.h"
+#include "runner.h"
+
+#define SUSPECT_US (4 * DP_US_PER_S)
+#define N_MEMBERS 4
+
+static const char *const members_[N_MEMBERS] = { "m0", "m1", "m2", "m3" };
+
+typedef struct
+{
+  DpLiveness *liveness;
+  GArray *actions;
+  gint64 now;
+  guint64 incarnations[N_MEMBERS];
+  gboolean beats[N_MEMBERS];
+  gboolean agrees[N_MEMBERS]; /* a watcher in another zone suspects it */
+  const char *agreeing_zone;
+} Fixture;
+
+static void
+set_members (Fixture *f, gboolean can_agree)
+{
+  dp_liveness_begin_members (f->liveness);
+  for (guint i = 0; i < N_MEMBERS; i++)
+    {
+      const DpLivenessMember member = { "s", members_[i], f->incarnations[i], SUSPECT_US,
+                                        can_agree };
+
+      dp_liveness_set_member (f->liveness, &member, f->now);
+    }
+  dp_liveness_end_members (f->liveness);
+  dp_liveness_set_service_size (f->liveness, "s", N_MEMBERS);
+}
+
+static void
+set_up (Fixture *f)
+{
+  f->now = 1000 * DP_US_PER_S;
+  f->liveness = dp_liveness_new ("z1", f->now);
+  f->actions = g_array_new (FALSE, FALSE, sizeof (DpLivenessAction));
+  f->agreeing_zone = "z2";
+  for (guint i = 0; i < N_MEMBERS; i++)
+    {
+      f->incarnations[i] = 1;
+      f->beats[i] = TRUE;
+      f->agrees[i] = FALSE;
+    }
+  set_members (f, TRUE);
+}
+
+static void
+tear_down (Fixture *f)
+{
+  dp_liveness_free (f->liveness);
+  g_array_unref (f->actions);
+}
+
+/* Runs for a time with ticks, heartbeats and the other watcher's suspicions. */
+static void
+run (Fixture *f, gint64 duration)
+{
+  gint64 end = f->now + duration;
+
+  g_array_set_size (f->actions, 0);
+  while (f->now < end)
+    {
+      f->now += DP_LIVENESS_TICK_US;
+      for (guint i = 0; i < N_MEMBERS; i++)
+        {
+          if (f->beats[i])
+            dp_liveness_heartbeat (f->liveness, "s", members_[i], f->incarnations[i],
+                                   f->now);
+          if (f->agrees[i])
+            dp_liveness_suspicion (f->liveness, "s", members_[i], f->incarnations[i],
+                                   f->agreeing_zone, f->now);
+        }
+      dp_liveness_tick (f->liveness, f->now, f->actions);
+    }
+}
+
+static guint
+count (Fixture *f, DpLivenessActionType type)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < f->actions->len; i++)
+    n += g_array_index (f->actions, DpLivenessAction, i).type == type;
+  return n;
+}
+
+static gboolean
+may_remove (Fixture *f, guint member)
+{
+  return dp_liveness_may_remove (f->liveness, "s", members_[member],
+                                 f->incarnations[member], f->now);
+}
+
+static void
+test_dead (void)
+{
+  Fixture f;
+
+  set_up (&f);
+  run (&f, 10 * DP_US_PER_S);
+  CU_ASSERT_EQUAL (f.actions->len, 0);
+  f.beats[0] = FALSE;
+  run (&f, SUSPECT_US - DP_US_PER_S);
+  CU_ASSERT_EQUAL (f.actions->len, 0);
+  run (&f, 4 * DP_US_PER_S);
+  CU_ASSERT_TRUE (count (&f, DP_LIVENESS_SUSPECT) >= 2);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE), 0);
+  CU_ASSERT_FALSE (may_remove (&f, 0));
+  f.agrees[0] = TRUE;
+  run (&f, 2 * DP_US_PER_S);
+  CU_ASSERT_TRUE (count (&f, DP_LIVENESS_REMOVE) >= 1);
+  CU_ASSERT_TRUE (may_remove (&f, 0));
+  CU_ASSERT_FALSE (may_remove (&f, 1));
+  tear_down (&f);
+}
+
+typedef struct
+{
+  const char *guards;
+  const char *zone; /* of the other watcher, NULL: none suspects it */
+  gboolean beats;
+  gboolean removed;
+} AgreementCase;
+
+static void
+test_agreement (void)
+{
+  static const AgreementCase cases[] = {
+    { "no other watcher", NULL, FALSE, FALSE },
+    { "another watcher of the same zone", "z1", FALSE, FALSE },
+    { "another zone's watcher alone", "z2", TRUE, FALSE },
+    { "both", "z2", FALSE, TRUE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Fixture f;
+
+      set_up (&f);
+      f.beats[2] = cases[i].beats;
+      f.agrees[2] = cases[i].zone != NULL;
+      f.agreeing_zone = cases[i].zone;
+      run (&f, 20 * DP_US_PER_S);
+      CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE) > 0, cases[i].removed);
+      CU_ASSERT_EQUAL (may_remove (&f, 2), cases[i].removed);
+      tear_down (&f);
+    }
+}
+
+/* An agreement that is no longer repeated lapses. */
+static void
+test_agreement_lapses (void)
+{
+  Fixture f;
+
+  set_up (&f);
+  f.beats[0] = FALSE;
+  f.agrees[0] = TRUE;
+  run (&f, 6 * DP_US_PER_S);
+  CU_ASSERT_TRUE (may_remove (&f, 0));
+  f.agrees[0] = FALSE;
+  run (&f, 6 * DP_US_PER_S);
+  CU_ASSERT_FALSE (may_remove (&f, 0));
+  run (&f, 6 * DP_US_PER_S);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE), 0);
+  tear_down (&f);
+}
+
+/* Returns whether a watcher that was paused after its decision still acts. */
+static gboolean
+acts_after_pause (gboolean lapsed)
+{
+  Fixture f;
+  gboolean acts;
+
+  set_up (&f);
+  dp_liveness_set_test_lapsed (f.liveness, lapsed);
+  f.beats[0] = FALSE;
+  f.agrees[0] = TRUE;
+  run (&f, 6 * DP_US_PER_S);
+  CU_ASSERT_TRUE (may_remove (&f, 0));
+  f.now += 10 * DP_US_PER_S;
+  acts = may_remove (&f, 0);
+  run (&f, DP_LIVENESS_TICK_US);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_WAS_PAUSED), lapsed ? 0 : 1);
+  acts = acts || may_remove (&f, 0);
+  acts = acts || count (&f, DP_LIVENESS_REMOVE) > 0;
+  run (&f, SUSPECT_US - DP_US_PER_S);
+  acts = acts || count (&f, DP_LIVENESS_SUSPECT) > 0;
+  tear_down (&f);
+  return acts;
+}
+
+static void
+test_paused (void)
+{
+  CU_ASSERT_FALSE (acts_after_pause (FALSE));
+  CU_ASSERT_TRUE (acts_after_pause (TRUE));
+}
+
+static void
+test_restart (void)
+{
+  Fixture f;
+
+  set_up (&f);
+  f.beats[0] = FALSE;
+  f.agrees[0] = TRUE;
+  run (&f, 6 * DP_US_PER_S);
+  dp_liveness_restart (f.liveness, f.now);
+  CU_ASSERT_FALSE (may_remove (&f, 0));
+  run (&f, SUSPECT_US);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE), 0);
+  run (&f, 2 * DP_US_PER_S);
+  CU_ASSERT_TRUE (count (&f, DP_LIVENESS_REMOVE) > 0);
+  tear_down (&f);
+}
+
+static void
+test_incarnation (void)
+{
+  Fixture f;
+
+  set_up (&f);
+  f.beats[0] = FALSE;
+  f.agrees[0] = TRUE;
+  run (&f, 6 * DP_US_PER_S);
+  CU_ASSERT_TRUE (may_remove (&f, 0));
+  /* An old incarnation's heartbeat and suspicion change nothing. */
+  dp_liveness_heartbeat (f.liveness, "s", "m0", 0, f.now);
+  CU_ASSERT_TRUE (may_remove (&f, 0));
+  /* The member joined again. */
+  f.incarnations[0] = 2;
+  set_members (&f, TRUE);
+  CU_ASSERT_FALSE (may_remove (&f, 0));
+  CU_ASSERT_FALSE (dp_liveness_may_remove (f.liveness, "s", "m0", 1, f.now));
+  f.agrees[0] = FALSE;
+  for (guint i = 0; i < 20; i++)
+    {
+      dp_liveness_suspicion (f.liveness, "s", "m0", 1, "z2", f.now);
+      run (&f, DP_LIVENESS_TICK_US);
+      CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE), 0);
+    }
+  /* A heartbeat of a later incarnation than the list's counts, too. */
+  dp_liveness_heartbeat (f.liveness, "s", "m0", 3, f.now);
+  run (&f, DP_LIVENESS_TICK_US);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_CLEAR), 1);
+  tear_down (&f);
+}
+
+static void
+test_heartbeat_clears (void)
+{
+  Fixture f;
+  DpWatchedState state;
+
+  set_up (&f);
+  f.beats[0] = FALSE;
+  f.agrees[0] = TRUE;
+  run (&f, 6 * DP_US_PER_S);
+  f.beats[0] = TRUE;
+  run (&f, DP_LIVENESS_TICK_US);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_CLEAR), 1);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE), 0);
+  CU_ASSERT_FALSE (may_remove (&f, 0));
+  CU_ASSERT_TRUE (dp_liveness_state (f.liveness, "s", "m0", &state));
+  CU_ASSERT_EQUAL (state, DP_WATCHED_ALIVE);
+  CU_ASSERT_FALSE (dp_liveness_state (f.liveness, "s", "m9", &state));
+  tear_down (&f);
+}
+
+static void
+test_mass_loss (void)
+{
+  Fixture f;
+
+  set_up (&f);
+  for (guint i = 0; i < 3; i++)
+    {
+      f.beats[i] = FALSE;
+      f.agrees[i] = TRUE;
+    }
+  run (&f, 20 * DP_US_PER_S);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE), 0);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_MASS_LOSS), 1);
+  CU_ASSERT_FALSE (may_remove (&f, 0));
+  f.beats[2] = TRUE;
+  f.agrees[2] = FALSE;
+  run (&f, 6 * DP_US_PER_S);
+  CU_ASSERT_TRUE (count (&f, DP_LIVENESS_REMOVE) > 0);
+  CU_ASSERT_TRUE (may_remove (&f, 0));
+  CU_ASSERT_TRUE (may_remove (&f, 1));
+  CU_ASSERT_FALSE (may_remove (&f, 2));
+  tear_down (&f);
+}
+
+static void
+test_alone (void)
+{
+  Fixture f;
+
+  set_up (&f);
+  set_members (&f, FALSE);
+  f.beats[0] = FALSE;
+  run (&f, 20 * DP_US_PER_S);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_ALONE), 1);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE), 0);
+  tear_down (&f);
+}
+
+static const DpTestCase cases_[] = {
+  { "a dead member is removed by agreement", test_dead },
+  { "two availability zones have to agree", test_agreement },
+  { "an agreement lapses", test_agreement_lapses },
+  { "a paused watcher does not act", test_paused },
+  { "a restart begins from zero", test_restart },
+  { "an old suspicion does not remove a new incarnation", test_incarnation },
+  { "a heartbeat cancels", test_heartbeat_clears },
+  { "a mass loss removes none", test_mass_loss },
+  { "a watcher alone removes none", test_alone },
+};
+
+DP_TEST_MAIN ("liveness", cases_)
