--- /dev/null
+++ b/src/dogwoodpaddle/drain_commands.c
@@ -0,0 +1,230 @@
+/* drain and undrain: an operator's change of one member's entry. */
+#include "processes.h"
+#include "protected/error.h"
+#include "protected/json.h"
+#include "protected/view.h"
+
+#define POLL_MS 500
+/* Each attempt loses only if another process changed the list since it was read. */
+#define MAX_ATTEMPTS 20
+
+typedef enum
+{
+  EDIT_WRITE,  /* the entry has to be changed */
+  EDIT_NOTHING /* it is already as wanted */
+} Edit;
+
+typedef CliStatus (*EditFunc) (Cli *cli, JsonObject *member, Edit *edit);
+/* revision: of the member list with the change; process: NULL if it is not listed. */
+typedef gboolean (*ReachedFunc) (const Process *process, guint64 revision);
+
+static CliStatus change_ (Cli *cli, EditFunc edit);
+static CliStatus read_ (Cli *cli, DpRecord **record);
+static JsonObject *find_member_ (Cli *cli, JsonNode *list);
+static CliStatus edit_drain_ (Cli *cli, JsonObject *member, Edit *edit);
+static CliStatus edit_undrain_ (Cli *cli, JsonObject *member, Edit *edit);
+static CliStatus wait_ (Cli *cli, ReachedFunc is_reached, const char *goal);
+static gboolean has_left_ (const Process *process, guint64 revision);
+static gboolean is_active_ (const Process *process, guint64 revision);
+
+/* Marks a member as leaving and held: it finishes its flows, takes no new ones and does
+ * not rejoin until "undrain". With --wait returns once it has no flow left. */
+CliStatus
+command_drain (Cli *cli)
+{
+  CliStatus status = change_ (cli, edit_drain_);
+
+  if (status != CLI_DONE || !cli->wait)
+    return status;
+  return wait_ (cli, has_left_, "has left");
+}
+
+/* Releases a member from an operator's drain; its companion then writes it as joining and
+ * active again. With --wait returns once it is active. */
+CliStatus
+command_undrain (Cli *cli)
+{
+  CliStatus status = change_ (cli, edit_undrain_);
+
+  if (status != CLI_DONE || !cli->wait)
+    return status;
+  return wait_ (cli, is_active_, "is active");
+}
+
+/* Changes the member's entry by conditional update. After a conflict the change is made
+ * again on the list as it then is. */
+static CliStatus
+change_ (Cli *cli, EditFunc edit_func)
+{
+  g_autoptr (DpRecord) record = NULL;
+  CliStatus status;
+
+  if (!cli_require_platform (cli))
+    return CLI_USAGE;
+  json_object_set_string_member (cli->report, "service", cli->service);
+  json_object_set_string_member (cli->report, "member", cli->arguments[0]);
+  status = read_ (cli, &record);
+  for (guint i = 0; status == CLI_DONE && i < MAX_ATTEMPTS; i++)
+    {
+      g_autoptr (JsonNode) list = json_from_string (record->json, NULL);
+      g_autoptr (DpRecord) present = NULL;
+      g_autoptr (GError) error = NULL;
+      JsonObject *member = find_member_ (cli, list);
+      Edit edit = EDIT_WRITE;
+      DpWriteResult result;
+
+      if (member == NULL)
+        return CLI_FAILED;
+      cli->revision = (gint64) record->revision;
+      status = edit_func (cli, member, &edit);
+      if (status != CLI_DONE || edit == EDIT_NOTHING)
+        return status;
+      result = cli_write (cli, DP_KIND_MEMBERS, cli->service, record->revision, list,
+                          &present, &error);
+      if (result == DP_WRITE_DONE)
+        {
+          json_object_set_int_member (cli->report, "revision",
+                                      (gint64) present->revision);
+          cli->revision = (gint64) present->revision;
+          cli_print (cli, "%s of %s: accepted at revision %" G_GUINT64_FORMAT,
+                     cli->arguments[0], cli->service, present->revision);
+          return CLI_DONE;
+        }
+      if (result != DP_WRITE_CONFLICT)
+        {
+          cli_error (cli, "%s", error->message);
+          return result == DP_WRITE_UNKNOWN ? CLI_UNKNOWN : CLI_FAILED;
+        }
+      g_clear_pointer (&record, dp_record_unref);
+      status = read_ (cli, &record);
+    }
+  if (status == CLI_DONE)
+    {
+      cli_error (cli,
+                 "members/%s: changed by others during all of %d attempts; nothing "
+                 "was written",
+                 cli->service, MAX_ATTEMPTS);
+      status = CLI_CONFLICT;
+    }
+  return status;
+}
+
+static CliStatus
+read_ (Cli *cli, DpRecord **record)
+{
+  g_autoptr (GError) error = NULL;
+
+  if (!cli_get (cli, DP_KIND_MEMBERS, cli->service, record, &error))
+    {
+      cli_error (cli, "%s; nothing was written", error->message);
+      return CLI_UNKNOWN;
+    }
+  if (*record != NULL && !(*record)->deleted)
+    return CLI_DONE;
+  cli_error (cli, "members/%s: the service has no members", cli->service);
+  return CLI_FAILED;
+}
+
+/* Returns the entry of the member that the argument names; reports if there is none. */
+static JsonObject *
+find_member_ (Cli *cli, JsonNode *list)
+{
+  JsonArray *members = dp_json_get_array (dp_json_get_object (list), "members");
+  g_autoptr (GString) names = g_string_new ("");
+
+  for (guint i = 0; members != NULL && i < json_array_get_length (members); i++)
+    {
+      JsonObject *member = dp_json_get_object (json_array_get_element (members, i));
+      const char *name = dp_json_get_string (member, "name");
+
+      if (g_strcmp0 (name, cli->arguments[0]) == 0)
+        return member;
+      g_string_append_printf (names, "%s%s", names->len == 0 ? "" : ", ",
+                              name == NULL ? "?" : name);
+    }
+  cli_error (cli, "members/%s: there is no member \"%s\"; there are: %s", cli->service,
+             cli->arguments[0], names->len == 0 ? "none" : names->str);
+  return NULL;
+}
+
+static CliStatus
+edit_drain_ (Cli *cli, JsonObject *member, Edit *edit)
+{
+  const char *leaving = dp_member_state_string (DP_MEMBER_LEAVING);
+
+  if (dp_json_get_boolean (member, "held", FALSE)
+      && g_strcmp0 (dp_json_get_string (member, "state"), leaving) == 0)
+    {
+      cli_print (cli, "%s of %s: is drained already", cli->arguments[0], cli->service);
+      *edit = EDIT_NOTHING;
+      return CLI_DONE;
+    }
+  json_object_set_string_member (member, "state", leaving);
+  json_object_set_boolean_member (member, "held", TRUE);
+  return CLI_DONE;
+}
+
+static CliStatus
+edit_undrain_ (Cli *cli, JsonObject *member, Edit *edit)
+{
+  const char *leaving = dp_member_state_string (DP_MEMBER_LEAVING);
+
+  if (dp_json_get_boolean (member, "held", FALSE))
+    {
+      json_object_remove_member (member, "held");
+      return CLI_DONE;
+    }
+  if (g_strcmp0 (dp_json_get_string (member, "state"), leaving) == 0)
+    {
+      cli_error (cli, "%s of %s: is leaving by itself, not by an operator's drain",
+                 cli->arguments[0], cli->service);
+      return CLI_FAILED;
+    }
+  cli_print (cli, "%s of %s: is not drained", cli->arguments[0], cli->service);
+  *edit = EDIT_NOTHING;
+  return CLI_DONE;
+}
+
+static CliStatus
+wait_ (Cli *cli, ReachedFunc is_reached, const char *goal)
+{
+  gint64 deadline = g_get_monotonic_time () + (gint64) cli->timeout_s * G_USEC_PER_SEC;
+
+  for (;;)
+    {
+      g_autoptr (Processes) processes = processes_collect (cli);
+
+      /* Without the platform it is not known whether the member is still listed. */
+      if (processes->records != NULL
+          && is_reached (processes_find (processes, cli->service, cli->arguments[0]),
+                         (guint64) cli->revision))
+        {
+          cli_print (cli, "%s of %s: %s", cli->arguments[0], cli->service, goal);
+          return CLI_DONE;
+        }
+      if (g_get_monotonic_time () >= deadline)
+        break;
+      cli_sleep (POLL_MS);
+    }
+  cli_error (cli, "%s of %s: not reached after %d s: %s", cli->arguments[0], cli->service,
+             cli->timeout_s, goal);
+  return CLI_FAILED;
+}
+
+/* A drained member may stay listed while it is held, so that "undrain" finds it. What it
+ * said before it knew of the drain does not count: it may have taken a flow since. */
+static gboolean
+has_left_ (const Process *process, guint64 revision)
+{
+  if (process == NULL)
+    return TRUE;
+  return process->held && process->answers && process->revision >= revision
+         && process->connections == 0;
+}
+
+static gboolean
+is_active_ (const Process *process, guint64 revision)
+{
+  return process != NULL
+         && g_strcmp0 (process->state, dp_member_state_string (DP_MEMBER_ACTIVE)) == 0;
+}
--- /dev/null
+++ b/src/dogwoodpaddle/fleet_commands.c
@@ -0,0 +1,434 @@
+/* check, apply and show: the fleet file and the platform's objects. */
+#include <stdio.h>
+
+#include "cli.h"
+#include "protected/document.h"
+#include "protected/error.h"
+#include "protected/fleet.h"
+#include "protected/plan.h"
+
+static JsonNode *load_ (Cli *cli, const char *file);
+static void report_faults_ (Cli *cli, const char *where, const GPtrArray *faults);
+static DpPlan *make_plan_ (Cli *cli, JsonNode *file, GError **error);
+static CliStatus check_plan_ (Cli *cli, const DpPlan *plan);
+static void report_conflict_ (Cli *cli, const DpChange *change);
+static GPtrArray *new_faults_ (const DpPlan *plan);
+static JsonNode *present_file_ (const DpPlan *plan);
+static void report_plan_ (Cli *cli, const DpPlan *plan, const char *verb);
+static CliStatus write_plan_ (Cli *cli, const DpPlan *plan);
+static CliStatus
+write_change_ (Cli *cli, const DpChange *change, JsonObject *entry, guint64 *version);
+static void report_rest_ (Cli *cli,
+                          const DpPlan *plan,
+                          guint first,
+                          guint n_written,
+                          JsonArray *list);
+static gboolean is_write_ (const DpChange *change);
+static char *object_key_ (const DpChange *change);
+static JsonObject *change_entry_ (const DpChange *change);
+
+/* Checks a fleet file. With a platform it also says what applying the file would change;
+ * if the platform does not answer, the file alone is checked. */
+CliStatus
+command_check (Cli *cli)
+{
+  const char *name = cli->arguments[0];
+  g_autoptr (JsonNode) file = load_ (cli, name);
+  g_autoptr (GError) error = NULL;
+  g_autoptr (DpPlan) plan = NULL;
+  CliStatus status;
+
+  if (file == NULL)
+    return CLI_USAGE;
+  cli_print (cli, "%s: no faults", name);
+  if (cli->platform == NULL)
+    {
+      cli_print (cli, "checked the file alone: no platform is known");
+      json_object_set_string_member (cli->report, "platform", "unknown");
+      return CLI_DONE;
+    }
+  plan = make_plan_ (cli, file, &error);
+  if (plan == NULL)
+    {
+      cli_print (cli, "checked the file alone: %s", error->message);
+      json_object_set_string_member (cli->report, "platform", "unreachable");
+      json_object_set_string_member (cli->report, "reason", error->message);
+      return CLI_DONE;
+    }
+  json_object_set_string_member (cli->report, "platform", "reached");
+  status = check_plan_ (cli, plan);
+  report_plan_ (cli, plan, "would ");
+  return status;
+}
+
+/* Writes what differs, each object on condition that it is still at the version in the
+ * file. Nothing is written if the check or the comparison finds anything. */
+CliStatus
+command_apply (Cli *cli)
+{
+  g_autoptr (JsonNode) file = load_ (cli, cli->arguments[0]);
+  g_autoptr (GError) error = NULL;
+  g_autoptr (DpPlan) plan = NULL;
+  CliStatus status;
+
+  if (file == NULL)
+    return CLI_USAGE;
+  if (!cli_require_platform (cli))
+    return CLI_USAGE;
+  plan = make_plan_ (cli, file, &error);
+  if (plan == NULL)
+    {
+      cli_error (cli, "%s; nothing was written", error->message);
+      return CLI_UNKNOWN;
+    }
+  status = check_plan_ (cli, plan);
+  if (status != CLI_DONE)
+    {
+      cli_error (cli,
+                 "conflict: nothing was written; compare with \"dogwoodpaddle show\"");
+      return status;
+    }
+  return write_plan_ (cli, plan);
+}
+
+/* Prints the platform's fleet file with versions, ready for "apply". */
+CliStatus
+command_show (Cli *cli)
+{
+  g_autoptr (GPtrArray) records = NULL;
+  g_autoptr (JsonNode) file = NULL;
+  g_autoptr (GError) error = NULL;
+  g_autofree char *text = NULL;
+  gboolean pretty = !cli->json;
+  guint64 revision;
+
+  if (!cli_require_platform (cli))
+    return CLI_USAGE;
+  if (!cli_list (cli, &records, &revision, &error))
+    {
+      cli_error (cli, "%s", error->message);
+      return CLI_UNKNOWN;
+    }
+  file = dp_plan_file_from_records (records);
+  text = json_to_string (file, pretty);
+  puts (text);
+  /* The fleet file itself is the report. */
+  cli->json = FALSE;
+  return CLI_DONE;
+}
+
+/* Reads and checks a fleet file; NULL once its faults are reported. */
+static JsonNode *
+load_ (Cli *cli, const char *file)
+{
+  g_autoptr (GPtrArray) faults = dp_faults_new ();
+  g_autoptr (JsonNode) node = dp_document_load (file, faults);
+
+  json_object_set_string_member (cli->report, "file", file);
+  if (node != NULL)
+    {
+      g_autoptr (GPtrArray) found = dp_fleet_check (node);
+
+      g_ptr_array_extend_and_steal (faults, g_steal_pointer (&found));
+    }
+  report_faults_ (cli, file, faults);
+  if (faults->len == 0)
+    return g_steal_pointer (&node);
+  cli_error (cli, "%s: %u fault%s", file, faults->len, faults->len == 1 ? "" : "s");
+  return NULL;
+}
+
+static void
+report_faults_ (Cli *cli, const char *where, const GPtrArray *faults)
+{
+  JsonArray *list = json_array_new ();
+
+  for (guint i = 0; i < faults->len; i++)
+    {
+      const DpFault *fault = g_ptr_array_index (faults, i);
+      JsonObject *entry = json_object_new ();
+
+      json_object_set_string_member (entry, "path", fault->path);
+      json_object_set_string_member (entry, "text", fault->text);
+      json_array_add_object_element (list, entry);
+      fprintf (stderr, "%s: %s: %s\n", where, fault->path, fault->text);
+    }
+  json_object_set_array_member (cli->report, "faults", list);
+}
+
+static DpPlan *
+make_plan_ (Cli *cli, JsonNode *file, GError **error)
+{
+  g_autoptr (GPtrArray) records = NULL;
+  guint64 revision;
+
+  if (!cli_list (cli, &records, &revision, error))
+    return NULL;
+  json_object_set_int_member (cli->report, "revision", (gint64) revision);
+  return dp_plan_new (file, records);
+}
+
+/* Reports every object that someone else changed, with both contents, and what the file
+ * and objects that were added meanwhile contradict each other in. */
+static CliStatus
+check_plan_ (Cli *cli, const DpPlan *plan)
+{
+  g_autoptr (GPtrArray) faults = NULL;
+
+  for (guint i = 0; i < plan->changes->len; i++)
+    {
+      const DpChange *change = g_ptr_array_index (plan->changes, i);
+
+      if (change->type == DP_CHANGE_CONFLICT)
+        report_conflict_ (cli, change);
+    }
+  if (plan->counts[DP_CHANGE_CONFLICT] > 0)
+    return CLI_CONFLICT;
+  faults = new_faults_ (plan);
+  report_faults_ (cli, "with the objects on the platform", faults);
+  return faults->len == 0 ? CLI_DONE : CLI_CONFLICT;
+}
+
+static void
+report_conflict_ (Cli *cli, const DpChange *change)
+{
+  g_autofree char *key = object_key_ (change);
+  g_autofree char *wanted = cli_node_text (change->wanted);
+  g_autofree char *present = cli_node_text (change->present);
+  JsonObject *entry = change_entry_ (change);
+
+  if (change->file_version == 0)
+    fprintf (stderr, "conflict: %s already exists, and the file names no version of it\n",
+             key);
+  else if (change->version == 0)
+    fprintf (stderr,
+             "conflict: %s was deleted since version %" G_GUINT64_FORMAT " of the file\n",
+             key, change->file_version);
+  else
+    fprintf (stderr,
+             "conflict: %s was changed: version %" G_GUINT64_FORMAT
+             " in the file, %" G_GUINT64_FORMAT " on the platform\n",
+             key, change->file_version, change->version);
+  fprintf (stderr, "  in the file:     %s\n", wanted);
+  fprintf (stderr, "  on the platform: %s\n", present);
+  if (!json_object_has_member (cli->report, "conflicts"))
+    json_object_set_array_member (cli->report, "conflicts", json_array_new ());
+  json_array_add_object_element (json_object_get_array_member (cli->report, "conflicts"),
+                                 entry);
+}
+
+/* Returns the faults that the platform's objects would have after the plan and do not
+ * have already: the file can't be blamed for those. */
+static GPtrArray *
+new_faults_ (const DpPlan *plan)
+{
+  g_autoptr (JsonNode) result = dp_plan_result (plan);
+  g_autoptr (JsonNode) present = present_file_ (plan);
+  g_autoptr (GPtrArray) after = dp_fleet_check (result);
+  g_autoptr (GPtrArray) before = dp_fleet_check (present);
+  GPtrArray *faults = dp_faults_new ();
+
+  for (guint i = 0; i < after->len; i++)
+    {
+      const DpFault *fault = g_ptr_array_index (after, i);
+      gboolean is_old = FALSE;
+
+      for (guint k = 0; k < before->len && !is_old; k++)
+        {
+          const DpFault *old = g_ptr_array_index (before, k);
+
+          is_old = g_str_equal (old->path, fault->path)
+                   && g_str_equal (old->text, fault->text);
+        }
+      if (!is_old)
+        dp_faults_add (faults, fault->path, "%s", fault->text);
+    }
+  return faults;
+}
+
+static JsonNode *
+present_file_ (const DpPlan *plan)
+{
+  g_autoptr (GPtrArray)
+      records = g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
+
+  for (guint i = 0; i < plan->changes->len; i++)
+    {
+      const DpChange *change = g_ptr_array_index (plan->changes, i);
+      g_autofree char *text = NULL;
+      DpRecord *record;
+
+      if (change->present == NULL)
+        continue;
+      text = json_to_string (change->present, FALSE);
+      record = dp_record_new (change->kind, change->name, change->version, FALSE, text,
+                              NULL);
+      if (record != NULL)
+        g_ptr_array_add (records, record);
+    }
+  return dp_plan_file_from_records (records);
+}
+
+static void
+report_plan_ (Cli *cli, const DpPlan *plan, const char *verb)
+{
+  JsonArray *list = json_array_new ();
+  guint n = 0;
+
+  for (guint i = 0; i < plan->changes->len; i++)
+    {
+      const DpChange *change = g_ptr_array_index (plan->changes, i);
+      g_autofree char *key = object_key_ (change);
+      g_autofree char *wanted = cli_node_text (change->wanted);
+      g_autofree char *present = cli_node_text (change->present);
+
+      if (!is_write_ (change))
+        continue;
+      n++;
+      json_array_add_object_element (list, change_entry_ (change));
+      cli_print (cli, "%s%s %s", verb, dp_change_type_string (change->type), key);
+      cli_print (cli, "  from: %s", present);
+      cli_print (cli, "  to:   %s", wanted);
+    }
+  json_object_set_array_member (cli->report, "changes", list);
+  if (n == 0 && plan->counts[DP_CHANGE_CONFLICT] == 0)
+    cli_print (cli, "nothing to change");
+}
+
+static CliStatus
+write_plan_ (Cli *cli, const DpPlan *plan)
+{
+  JsonArray *list = json_array_new ();
+  CliStatus status = CLI_DONE;
+  guint64 revision = 0;
+  guint n_written = 0;
+  guint i;
+
+  json_object_set_array_member (cli->report, "changes", list);
+  for (i = 0; i < plan->changes->len && status == CLI_DONE; i++)
+    {
+      const DpChange *change = g_ptr_array_index (plan->changes, i);
+      JsonObject *entry;
+      guint64 version = 0;
+
+      if (!is_write_ (change))
+        continue;
+      entry = change_entry_ (change);
+      json_array_add_object_element (list, entry);
+      status = write_change_ (cli, change, entry, &version);
+      revision = MAX (revision, version);
+      n_written += status == CLI_DONE ? 1 : 0;
+    }
+  if (status != CLI_DONE)
+    report_rest_ (cli, plan, i, n_written, list);
+  json_object_set_int_member (cli->report, "written", n_written);
+  json_object_set_int_member (cli->report, "unchanged", plan->counts[DP_CHANGE_NONE]);
+  if (revision > 0)
+    json_object_set_int_member (cli->report, "revision", (gint64) revision);
+  if (status != CLI_DONE)
+    return status;
+  if (n_written == 0)
+    cli_print (cli, "nothing to change: %u objects unchanged",
+               plan->counts[DP_CHANGE_NONE]);
+  else
+    cli_print (cli,
+               "%u written, %u unchanged; accepted at revision %" G_GUINT64_FORMAT
+               "; see \"dogwoodpaddle watch --revision %" G_GUINT64_FORMAT "\"",
+               n_written, plan->counts[DP_CHANGE_NONE], revision, revision);
+  return CLI_DONE;
+}
+
+/* Writes one object and says what became of it. */
+static CliStatus
+write_change_ (Cli *cli, const DpChange *change, JsonObject *entry, guint64 *version)
+{
+  g_autofree char *key = object_key_ (change);
+  g_autoptr (DpRecord) record = NULL;
+  g_autoptr (GError) error = NULL;
+  guint64 calls = dp_platform_calls (cli->platform);
+  DpWriteResult result = cli_write (
+      cli, change->kind, change->name, change->version,
+      change->type == DP_CHANGE_DELETE ? NULL : change->wanted, &record, &error);
+  g_autofree char *present = NULL;
+  /* More than one call: an answer was lost and the object was read back, or the
+   * platform's rate limit was reached. */
+  const char *how = dp_platform_calls (cli->platform) > calls + 1
+                        ? " (confirmed after more than one call)"
+                        : "";
+
+  json_object_set_string_member (entry, "outcome", dp_write_result_string (result));
+  switch (result)
+    {
+    case DP_WRITE_DONE:
+      *version = record == NULL ? 0 : record->revision;
+      json_object_set_int_member (entry, "version", (gint64) *version);
+      cli_print (cli, "%s %s: written%s", dp_change_type_string (change->type), key, how);
+      return CLI_DONE;
+    case DP_WRITE_CONFLICT:
+      present = cli_node_text (record == NULL ? NULL : record->value);
+      cli_error (cli, "%s: not written, someone else changed it meanwhile to: %s", key,
+                 present);
+      return CLI_CONFLICT;
+    case DP_WRITE_REFUSED:
+      cli_error (cli, "%s: not written: %s", key, error->message);
+      return CLI_FAILED;
+    default:
+      cli_error (
+          cli,
+          "%s: outcome unknown, it may have been written or still be: %s; once the "
+          "platform answers, apply the file again: what was written is left as it is",
+          key, error->message);
+      return CLI_UNKNOWN;
+    }
+}
+
+/* After a failure in the middle: says how many were written and which were not tried. */
+static void
+report_rest_ (Cli *cli, const DpPlan *plan, guint first, guint n_written, JsonArray *list)
+{
+  fprintf (stderr, "%u written before that\n", n_written);
+  for (guint i = first; i < plan->changes->len; i++)
+    {
+      const DpChange *change = g_ptr_array_index (plan->changes, i);
+      g_autofree char *key = object_key_ (change);
+      JsonObject *entry;
+
+      if (!is_write_ (change))
+        continue;
+      entry = change_entry_ (change);
+      json_object_set_string_member (entry, "outcome", "not tried");
+      json_array_add_object_element (list, entry);
+      fprintf (stderr, "%s %s: not tried, not written\n",
+               dp_change_type_string (change->type), key);
+    }
+}
+
+static gboolean
+is_write_ (const DpChange *change)
+{
+  return change->type == DP_CHANGE_CREATE || change->type == DP_CHANGE_UPDATE
+         || change->type == DP_CHANGE_DELETE;
+}
+
+static char *
+object_key_ (const DpChange *change)
+{
+  return g_strdup_printf ("%s/%s", dp_kind_string (change->kind), change->name);
+}
+
+static JsonObject *
+change_entry_ (const DpChange *change)
+{
+  JsonObject *entry = json_object_new ();
+  g_autofree char *key = object_key_ (change);
+
+  json_object_set_string_member (entry, "object", key);
+  json_object_set_string_member (entry, "change", dp_change_type_string (change->type));
+  json_object_set_int_member (entry, "file_version", (gint64) change->file_version);
+  json_object_set_int_member (entry, "platform_version", (gint64) change->version);
+  if (change->wanted != NULL)
+    json_object_set_member (entry, "wanted", json_node_copy (change->wanted));
+  if (change->present != NULL)
+    json_object_set_member (entry, "present", json_node_copy (change->present));
+  return entry;
+}
--- /dev/null
+++ b/src/dogwoodpaddle/status_commands.c
@@ -0,0 +1,264 @@
+/* status and watch: where the accepted configuration is in force. */
+#include "processes.h"
+#include "protected/fleet.h"
+
+#define POLL_MS 500
+
+static CliStatus check_sources_ (Cli *cli, const Processes *processes);
+static const DpRecord *newest_change_ (const Processes *processes);
+static void print_platform_ (Cli *cli, const Processes *processes);
+static void print_changes_ (Cli *cli, const Processes *processes);
+static void print_processes_ (Cli *cli, const Processes *processes, guint64 target);
+static void print_process_ (Cli *cli, const Process *process, guint64 target);
+static JsonObject *process_entry_ (const Process *process, guint64 target);
+static void print_progress_ (Cli *cli, const Processes *processes, guint64 target);
+static gboolean is_everywhere_ (const Processes *processes, guint64 target);
+
+/* Prints the accepted revision, on how many processes it is in force and which lag. */
+CliStatus
+command_status (Cli *cli)
+{
+  g_autoptr (Processes) processes = NULL;
+  CliStatus status;
+
+  if (cli->platform == NULL && cli->balancers == NULL && !cli_require_platform (cli))
+    return CLI_USAGE;
+  processes = processes_collect (cli);
+  status = check_sources_ (cli, processes);
+  if (status != CLI_DONE)
+    return status;
+  print_platform_ (cli, processes);
+  print_changes_ (cli, processes);
+  print_progress_ (cli, processes, processes->revision);
+  print_processes_ (cli, processes, processes->revision);
+  return CLI_DONE;
+}
+
+/* Repeats until the revision is in force in every process; CLI_FAILED at the timeout. The
+ * revision is the platform's at the first answer unless --revision names one. */
+CliStatus
+command_watch (Cli *cli)
+{
+  gint64 deadline = g_get_monotonic_time () + (gint64) cli->timeout_s * G_USEC_PER_SEC;
+  guint64 target = (guint64) cli->revision;
+  gboolean has_target = target != 0;
+  guint last = G_MAXUINT;
+
+  if (cli->platform == NULL && cli->balancers == NULL && !cli_require_platform (cli))
+    return CLI_USAGE;
+  for (;;)
+    {
+      g_autoptr (Processes) processes = processes_collect (cli);
+      CliStatus status = check_sources_ (cli, processes);
+      guint n = processes_count (processes, target);
+
+      if (!has_target && status == CLI_DONE)
+        {
+          target = processes->revision;
+          has_target = TRUE;
+          n = processes_count (processes, target);
+        }
+      if (status == CLI_DONE && n != last)
+        print_progress_ (cli, processes, target);
+      last = n;
+      if (status == CLI_DONE && is_everywhere_ (processes, target))
+        {
+          print_processes_ (cli, processes, target);
+          return CLI_DONE;
+        }
+      if (g_get_monotonic_time () >= deadline)
+        {
+          print_processes_ (cli, processes, target);
+          cli_error (cli, "not in force everywhere after %d s", cli->timeout_s);
+          return status == CLI_DONE ? CLI_FAILED : status;
+        }
+      cli_sleep (POLL_MS);
+    }
+}
+
+/* Without a platform one balancer that answers is enough. */
+static CliStatus
+check_sources_ (Cli *cli, const Processes *processes)
+{
+  gboolean answered = processes->records != NULL;
+
+  for (guint i = 0; !answered && i < processes->processes->len; i++)
+    answered = ((Process *) g_ptr_array_index (processes->processes, i))->answers;
+  if (answered)
+    return CLI_DONE;
+  if (processes->platform_error != NULL)
+    cli_error (cli, "%s; name a balancer by --balancer IP:PORT to ask it instead",
+               processes->platform_error->message);
+  for (guint i = 0; i < processes->processes->len; i++)
+    {
+      const Process *process = g_ptr_array_index (processes->processes, i);
+
+      cli_error (cli, "%s", process->problem);
+    }
+  return CLI_UNKNOWN;
+}
+
+/* Returns the operators' object that was written last, NULL if there is none. */
+static const DpRecord *
+newest_change_ (const Processes *processes)
+{
+  const DpRecord *newest = NULL;
+
+  for (guint i = 0; processes->records != NULL && i < processes->records->len; i++)
+    {
+      const DpRecord *record = g_ptr_array_index (processes->records, i);
+
+      if (!record->deleted && dp_fleet_section (record->kind) != NULL
+          && (newest == NULL || record->revision > newest->revision))
+        newest = record;
+    }
+  return newest;
+}
+
+static void
+print_platform_ (Cli *cli, const Processes *processes)
+{
+  json_object_set_boolean_member (cli->report, "platform", processes->records != NULL);
+  json_object_set_int_member (cli->report, "revision", (gint64) processes->revision);
+  if (processes->records != NULL)
+    {
+      cli_print (cli, "platform %s: revision %" G_GUINT64_FORMAT, cli->platform_url,
+                 processes->revision);
+      return;
+    }
+  if (processes->platform_error != NULL)
+    cli_print (cli, "platform: %s", processes->platform_error->message);
+  cli_print (cli,
+             "the accepted revision is unknown; the highest that a process has is "
+             "%" G_GUINT64_FORMAT,
+             processes->revision);
+}
+
+/* One line for the newest change of the operators and for each that is not in force
+ * everywhere. */
+static void
+print_changes_ (Cli *cli, const Processes *processes)
+{
+  const DpRecord *newest = newest_change_ (processes);
+  JsonArray *list = json_array_new ();
+  guint n_all = processes->processes->len;
+
+  for (guint i = 0; processes->records != NULL && i < processes->records->len; i++)
+    {
+      const DpRecord *record = g_ptr_array_index (processes->records, i);
+      guint n = processes_count (processes, record->revision);
+      g_autofree char *key = g_strdup_printf ("%s/%s", dp_kind_string (record->kind),
+                                              record->name);
+      JsonObject *entry;
+
+      if (record->deleted || dp_fleet_section (record->kind) == NULL
+          || (n == n_all && record != newest))
+        continue;
+      entry = json_object_new ();
+      json_object_set_string_member (entry, "object", key);
+      json_object_set_int_member (entry, "revision", (gint64) record->revision);
+      json_object_set_int_member (entry, "in_force", n);
+      json_object_set_int_member (entry, "processes", n_all);
+      json_array_add_object_element (list, entry);
+      cli_print (cli,
+                 "%s: accepted at revision %" G_GUINT64_FORMAT
+                 ", in force on %u of %u processes",
+                 key, record->revision, n, n_all);
+    }
+  json_object_set_array_member (cli->report, "changes", list);
+}
+
+static void
+print_processes_ (Cli *cli, const Processes *processes, guint64 target)
+{
+  JsonArray *list = json_array_new ();
+
+  cli_print (cli, "%-10s %-16s %-20s %-10s %9s %-12s %5s %11s", "KIND", "SERVICE", "NAME",
+             "ZONE", "REVISION", "STATE", "BUSY", "CONNECTIONS");
+  for (guint i = 0; i < processes->processes->len; i++)
+    {
+      const Process *process = g_ptr_array_index (processes->processes, i);
+
+      print_process_ (cli, process, target);
+      json_array_add_object_element (list, process_entry_ (process, target));
+    }
+  json_object_set_array_member (cli->report, "processes", list);
+}
+
+static void
+print_process_ (Cli *cli, const Process *process, guint64 target)
+{
+  g_autofree char *revision = process->answers ? g_strdup_printf ("%" G_GUINT64_FORMAT,
+                                                                  process->revision)
+                                               : g_strdup ("?");
+  g_autofree char *note = NULL;
+
+  if (!process->answers)
+    note = g_strdup_printf ("  no answer: %s", process->problem);
+  else if (process->revision < target)
+    note = g_strdup_printf ("  lags by %" G_GUINT64_FORMAT, target - process->revision);
+  else
+    note = g_strdup ("");
+  cli_print (cli,
+             "%-10s %-16s %-20s %-10s %9s %-12s %5" G_GUINT64_FORMAT
+             " %11" G_GUINT64_FORMAT "%s",
+             process_kind_string (process->kind), process->service, process->name,
+             process->zone == NULL ? "" : process->zone, revision,
+             process->held ? "drained" : (process->state == NULL ? "" : process->state),
+             process->busy, process->connections, note);
+}
+
+static JsonObject *
+process_entry_ (const Process *process, guint64 target)
+{
+  JsonObject *entry = json_object_new ();
+
+  json_object_set_string_member (entry, "kind", process_kind_string (process->kind));
+  json_object_set_string_member (entry, "name", process->name);
+  if (process->kind == PROCESS_COMPANION)
+    json_object_set_string_member (entry, "service", process->service);
+  if (process->zone != NULL)
+    json_object_set_string_member (entry, "zone", process->zone);
+  if (process->state != NULL)
+    json_object_set_string_member (entry, "state", process->state);
+  json_object_set_boolean_member (entry, "held", process->held);
+  json_object_set_boolean_member (entry, "answers", process->answers);
+  json_object_set_boolean_member (entry, "in_force",
+                                  process->answers && process->revision >= target);
+  if (process->answers)
+    json_object_set_int_member (entry, "revision", (gint64) process->revision);
+  else
+    json_object_set_string_member (entry, "problem", process->problem);
+  json_object_set_int_member (entry, "busy", (gint64) process->busy);
+  json_object_set_int_member (entry, "connections", (gint64) process->connections);
+  return entry;
+}
+
+static void
+print_progress_ (Cli *cli, const Processes *processes, guint64 target)
+{
+  guint n = processes_count (processes, target);
+  g_autoptr (GString) lagging = g_string_new ("");
+
+  json_object_set_int_member (cli->report, "target", (gint64) target);
+  json_object_set_int_member (cli->report, "in_force", n);
+  json_object_set_int_member (cli->report, "of", processes->processes->len);
+  for (guint i = 0; i < processes->processes->len; i++)
+    {
+      const Process *process = g_ptr_array_index (processes->processes, i);
+
+      if (process->answers && process->revision >= target)
+        continue;
+      g_string_append_printf (lagging, "%s%s", lagging->len == 0 ? "; lagging: " : ", ",
+                              process->name);
+    }
+  cli_print (cli, "revision %" G_GUINT64_FORMAT ": in force on %u of %u processes%s",
+             target, n, processes->processes->len, lagging->str);
+}
+
+static gboolean
+is_everywhere_ (const Processes *processes, guint64 target)
+{
+  return processes->processes->len > 0
+         && processes_count (processes, target) == processes->processes->len;
+}
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_plan.c
@@ -0,0 +1,219 @@
+/* Guards against an apply that overwrites another operator's change, deletes what the
+ * file never knew, or writes what is already there. */
+#include <string.h>
+
+#include "protected/document.h"
+#include "protected/fleet.h"
+#include "protected/plan.h"
+#include "runner.h"
+
+#define A "{\"addresses\":[{\"ip\":\"10.0.0.1\",\"port\":1,\"class\":\"bulk\"}]}"
+#define A2                                                                               \
+  "{\"addresses\":[{\"ip\":\"10.0.0.1\",\"port\":1,\"class\":\"bulk\"},"                 \
+  "{\"ip\":\"10.0.0.2\",\"port\":1,\"class\":\"bulk\"}]}"
+#define B "{\"addresses\":[{\"ip\":\"10.0.0.2\",\"port\":1,\"class\":\"bulk\"}]}"
+
+/* The platform has service/a at version 5, as far as the case says so. */
+typedef struct
+{
+  const char *guards;
+  const char *file;
+  const char *present; /* value of service/a, NULL: it does not exist */
+  DpChangeType type;   /* of service/a */
+} PlanCase;
+
+static JsonNode *
+parse (const char *text)
+{
+  g_autoptr (GPtrArray) faults = dp_faults_new ();
+  JsonNode *node = dp_document_parse (text, strlen (text), faults);
+
+  g_assert (node != NULL && faults->len == 0);
+  return node;
+}
+
+static GPtrArray *
+new_records (void)
+{
+  return g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
+}
+
+static void
+add (GPtrArray *records, DpKind kind, const char *name, guint64 version, const char *json)
+{
+  DpRecord *record = dp_record_new (kind, name, version, FALSE, json, NULL);
+
+  g_assert (record != NULL);
+  g_ptr_array_add (records, record);
+}
+
+static const DpChange *
+find (const DpPlan *plan, const char *name)
+{
+  for (guint i = 0; i < plan->changes->len; i++)
+    {
+      const DpChange *change = g_ptr_array_index (plan->changes, i);
+
+      if (g_str_equal (change->name, name))
+        return change;
+    }
+  return NULL;
+}
+
+static void
+test_types (void)
+{
+  static const PlanCase cases[] = {
+    { "new object not created", "{\"services\":{\"a\":" A "}}", NULL, DP_CHANGE_CREATE },
+    { "equal object written again", "{\"services\":{\"a\":" A "}}", A, DP_CHANGE_NONE },
+    { "order of keys taken for a change",
+      "{\"services\":{\"a\":{\"addresses\":[{\"class\":\"bulk\",\"port\":1,\"ip\":"
+      "\"10.0.0.1\"}]}}}",
+      A, DP_CHANGE_NONE },
+    { "file without versions overwrites", "{\"services\":{\"a\":" A2 "}}", A,
+      DP_CHANGE_CONFLICT },
+    { "change on the known version refused",
+      "{\"versions\":{\"service/a\":5},\"services\":{\"a\":" A2 "}}", A,
+      DP_CHANGE_UPDATE },
+    { "another operator's change overwritten",
+      "{\"versions\":{\"service/a\":4},\"services\":{\"a\":" A2 "}}", A,
+      DP_CHANGE_CONFLICT },
+    { "version from the future trusted",
+      "{\"versions\":{\"service/a\":6},\"services\":{\"a\":" A2 "}}", A,
+      DP_CHANGE_CONFLICT },
+    { "same file applied twice refused",
+      "{\"versions\":{\"service/a\":4},\"services\":{\"a\":" A "}}", A, DP_CHANGE_NONE },
+    { "object that another operator deleted is created again",
+      "{\"versions\":{\"service/a\":4},\"services\":{\"a\":" A "}}", NULL,
+      DP_CHANGE_CONFLICT },
+    { "object left out of the file stays",
+      "{\"versions\":{\"service/a\":5},\"services\":{}}", A, DP_CHANGE_DELETE },
+    { "object deleted that another operator changed",
+      "{\"versions\":{\"service/a\":4},\"services\":{}}", A, DP_CHANGE_CONFLICT },
+    { "object deleted already", "{\"versions\":{\"service/a\":4},\"services\":{}}", NULL,
+      DP_CHANGE_NONE },
+    { "object added meanwhile deleted", "{\"versions\":{},\"services\":{}}", A,
+      DP_CHANGE_NONE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (JsonNode) file = parse (cases[i].file);
+      g_autoptr (GPtrArray) records = new_records ();
+      g_autoptr (DpPlan) plan = NULL;
+      const DpChange *change;
+
+      if (cases[i].present != NULL)
+        add (records, DP_KIND_SERVICE, "a", 5, cases[i].present);
+      /* Not the operators' business. */
+      add (records, DP_KIND_MEMBERS, "a", 9, "{\"members\":[]}");
+      plan = dp_plan_new (file, records);
+      change = find (plan, "a");
+      if (change == NULL && cases[i].type == DP_CHANGE_NONE)
+        continue;
+      if (change == NULL || change->type != cases[i].type)
+        {
+          g_printerr ("%s: %s\n", cases[i].guards,
+                      change == NULL ? "no change"
+                                     : dp_change_type_string (change->type));
+          CU_FAIL ("wrong change");
+          continue;
+        }
+      CU_ASSERT_EQUAL (change->version, cases[i].present == NULL ? 0 : 5);
+      CU_ASSERT_EQUAL (plan->counts[cases[i].type], 1);
+      CU_ASSERT_EQUAL (plan->changes->len, 1);
+    }
+}
+
+static void
+test_round_trip (void)
+{
+  static const char *const fleets[] = { "", "{\"visits\":3}" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (fleets); i++)
+    {
+      g_autoptr (GPtrArray) records = new_records ();
+      g_autoptr (GPtrArray) faults = NULL;
+      g_autoptr (JsonNode) file = NULL;
+      g_autoptr (DpPlan) plan = NULL;
+
+      if (fleets[i][0] != '\0')
+        add (records, DP_KIND_FLEET, "defaults", 3, fleets[i]);
+      add (records, DP_KIND_SERVICE, "a", 4, A);
+      add (records, DP_KIND_EXCEPTION, "x", 7,
+           "{\"service\":\"a\",\"set\":{\"slots\":2},\"reason\":\"old host\"}");
+      add (records, DP_KIND_BALANCER, "b", 8, "{}");
+      file = dp_plan_file_from_records (records);
+      faults = dp_fleet_check (file);
+      CU_ASSERT_EQUAL (faults->len, 0);
+      plan = dp_plan_new (file, records);
+      CU_ASSERT_EQUAL (plan->counts[DP_CHANGE_NONE], plan->changes->len);
+      CU_ASSERT_EQUAL (plan->changes->len, fleets[i][0] == '\0' ? 2 : 3);
+    }
+}
+
+static void
+test_order (void)
+{
+  static const char *const expected[] = {
+    "gone", "b", "a", "c", "new", "defaults", "old"
+  };
+  g_autoptr (JsonNode) file = parse (
+      "{\"versions\":{\"service/a\":1,\"service/b\":2,\"service/gone\":3,"
+      "\"exception/old\":4,\"fleet/defaults\":5},\"defaults\":{\"slots\":2},"
+      "\"services\":{\"a\":" A2 ",\"b\":{\"addresses\":[{\"ip\":\"10.0.0.3\",\"port\":1,"
+      "\"class\":\"bulk\"}]},\"c\":{\"addresses\":[{\"ip\":\"10.0.0.4\",\"port\":1,"
+      "\"class\":\"bulk\"}]}},\"exceptions\":{\"new\":{\"service\":\"a\",\"set\":{"
+      "\"slots\":4},\"reason\":\"r\"}}}");
+  g_autoptr (GPtrArray) records = new_records ();
+  g_autoptr (DpPlan) plan = NULL;
+
+  add (records, DP_KIND_SERVICE, "a", 1, A);
+  /* Loses 10.0.0.2 to a. */
+  add (records, DP_KIND_SERVICE, "b", 2,
+       "{\"addresses\":[{\"ip\":\"10.0.0.3\",\"port\":1,\"class\":\"bulk\"},"
+       "{\"ip\":\"10.0.0.2\",\"port\":1,\"class\":\"bulk\"}]}");
+  /* Its address goes to c. */
+  add (records, DP_KIND_SERVICE, "gone", 3,
+       "{\"addresses\":[{\"ip\":\"10.0.0.4\",\"port\":1,\"class\":\"bulk\"}]}");
+  add (records, DP_KIND_EXCEPTION, "old", 4,
+       "{\"service\":\"a\",\"set\":{\"slots\":4},\"reason\":\"r\"}");
+  add (records, DP_KIND_FLEET, "defaults", 5, "{\"slots\":4}");
+  plan = dp_plan_new (file, records);
+  CU_ASSERT_EQUAL_FATAL (plan->changes->len, G_N_ELEMENTS (expected));
+  for (guint i = 0; i < G_N_ELEMENTS (expected); i++)
+    {
+      const DpChange *change = g_ptr_array_index (plan->changes, i);
+
+      CU_ASSERT_STRING_EQUAL (change->name, expected[i]);
+      CU_ASSERT_NOT_EQUAL (change->type, DP_CHANGE_NONE);
+      CU_ASSERT_NOT_EQUAL (change->type, DP_CHANGE_CONFLICT);
+    }
+}
+
+static void
+test_result (void)
+{
+  g_autoptr (JsonNode) file = parse ("{\"services\":{\"b\":" B "}}");
+  g_autoptr (GPtrArray) records = new_records ();
+  g_autoptr (DpPlan) plan = NULL;
+  g_autoptr (JsonNode) result = NULL;
+  g_autoptr (GPtrArray) faults = NULL;
+
+  /* Added meanwhile, with an address that the file gives to b. */
+  add (records, DP_KIND_SERVICE, "a", 4, A2);
+  plan = dp_plan_new (file, records);
+  CU_ASSERT_EQUAL (plan->counts[DP_CHANGE_CONFLICT], 0);
+  result = dp_plan_result (plan);
+  faults = dp_fleet_check (result);
+  CU_ASSERT_EQUAL (faults->len, 1);
+}
+
+static const DpTestCase cases_[] = {
+  { "what becomes of one object", test_types },
+  { "a shown file changes nothing", test_round_trip },
+  { "each step of the order is right by itself", test_order },
+  { "contradictions to objects added meanwhile are found", test_result },
+};
+
+DP_TEST_MAIN ("plan", cases_)
