--- a/src/test_libdogwoodpaddle/test_settings.c
+++ b/src/test_libdogwoodpaddle/test_settings.c
@@ -165,11 +165,32 @@
   expect_text (error, "/nonexistent.json");
 }
 
+static void
+test_examples (void)
+{
+  static const char *const files[] = { "balancer.json", "companion.json" };
+  const char *source = g_getenv ("DP_SOURCE_DIR");
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (source);
+  for (guint i = 0; i < G_N_ELEMENTS (files); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autofree char *path = g_build_filename (source, "examples", files[i], NULL);
+      g_autoptr (DpSettings)
+          settings = dp_settings_load (path, (DpSettingsKind) i, &error);
+
+      if (error != NULL)
+        g_printerr ("%s\n", error->message);
+      CU_ASSERT_PTR_NOT_NULL (settings);
+    }
+}
+
 static const DpTestCase cases_[] = {
   { "faults are named with key and reason", test_table },
   { "unusable addresses are refused, all in one run", test_bad_addresses },
   { "fields and defaults", test_fields },
   { "a missing file is named", test_missing_file },
+  { "the examples are accepted", test_examples },
 };
 
 DP_TEST_MAIN ("settings", cases_)
--- a/test/test_cli.sh
+++ b/test/test_cli.sh
@@ -147,7 +147,16 @@
 has err "is not http://IP:PORT"
 run 2 "balancer without a port" status --balancer 127.0.0.1
 
+# The manual page has every command and option of --help.
+run 0 "no help" --help
+sed 's/\\-/-/g' "$source_dir/man/dogwoodpaddle.1" >"$work/manual"
+for word in $(grep -oE -- '--[a-z]+' "$work/out" | sort -u) check apply show status watch drain undrain; do
+  grep -qF -- "$word" "$work/manual" || fail "$word is missing in the manual page"
+done
+
 # The command line's own settings.
+run 0 "example refused" check "$fleet" --config "$source_dir/examples/command-line.json" \
+  --platform "http://127.0.0.1:$(free_port)"
 echo '{"platform":"http://127.0.0.1:9","balancer":[]}' >"$work/config.json"
 run 2 "misspelt key ignored" show --config "$work/config.json"
 has err "$work/config.json: \$.balancer: unknown key"
