--- a/test/backend/service.c
+++ b/test/backend/service.c
@@ -10,6 +10,16 @@
 #define SLOW_MAX_MS 600000
 #define DEFAULT_SEED 1
 
+/* Deliberate faults, to show that the load generator finds them. */
+typedef enum
+{
+  FAULT_NONE,
+  FAULT_DOUBLE,  /* acts on each report twice */
+  FAULT_FORGET,  /* answers reports without acting on them */
+  FAULT_CORRUPT, /* changes a byte of each manual */
+  N_FAULTS
+} Fault;
+
 struct _Service
 {
   char *service;
@@ -29,6 +39,7 @@
   guint shed_percent;
   gboolean silent;
   gboolean ignore_health;
+  Fault fault;
 };
 
 typedef struct
@@ -55,6 +66,7 @@
                     const char *path,
                     GHashTable *query);
 static char *parse_report_ (SoupServerMessage *message);
+static void act_ (Service *service, Job *job);
 static void start_next_ (Service *service);
 static gboolean work_done_ (gpointer user_data);
 static void write_chunk_ (SoupServerMessage *message, gpointer user_data);
@@ -62,6 +74,10 @@
 static void answer_ (SoupServerMessage *message, guint status, const char *json);
 static void connection_closed_ (gpointer user_data, GObject *connection);
 
+static const char *const fault_strings_[] = { "none", "double", "forget", "corrupt" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (fault_strings_) == N_FAULTS);
+
 /* Makes the work of the server named server of the service; each piece of work takes
  * service_ms and one of the slots. */
 Service *
@@ -199,6 +215,7 @@
   SoupMessageBody *body = soup_server_message_get_request_body (message);
   g_autoptr (JsonNode) node = json_from_string (body->data, NULL);
   JsonObject *object;
+  const char *fault;
 
   if (node == NULL || !JSON_NODE_HOLDS_OBJECT (node))
     {
@@ -213,6 +230,10 @@
   service->silent = json_object_get_boolean_member_with_default (object, "silent", FALSE);
   service->ignore_health = json_object_get_boolean_member_with_default (
       object, "ignore_health", FALSE);
+  fault = json_object_get_string_member_with_default (object, "fault", "none");
+  for (guint i = 0; i < N_FAULTS; i++)
+    if (strcmp (fault, fault_strings_[i]) == 0)
+      service->fault = i;
   answer_ (message, SOUP_STATUS_OK, "{}");
 }
 
@@ -282,6 +303,18 @@
       json_node_get_object (node), "id", NULL));
 }
 
+static void
+act_ (Service *service, Job *job)
+{
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (service->reports, job->report_id));
+
+  n += service->fault == FAULT_DOUBLE ? 2 : 1;
+  if (service->fault != FAULT_FORGET)
+    g_hash_table_replace (service->reports, g_strdup (job->report_id),
+                          GUINT_TO_POINTER (n));
+  job->body = g_strdup_printf ("{\"count\":%u}", n);
+}
+
 static void
 start_next_ (Service *service)
 {
@@ -292,15 +325,7 @@
       service->busy++;
       job->running = TRUE;
       if (job->report_id != NULL)
-        {
-          guint n = GPOINTER_TO_UINT (
-                        g_hash_table_lookup (service->reports, job->report_id))
-                    + 1;
-
-          g_hash_table_replace (service->reports, g_strdup (job->report_id),
-                                GUINT_TO_POINTER (n));
-          job->body = g_strdup_printf ("{\"count\":%u}", n);
-        }
+        act_ (service, job);
       job->timer = g_timeout_add (job->work_ms, work_done_, job);
     }
 }
@@ -342,6 +367,8 @@
       guint8 chunk[MANUAL_CHUNK];
 
       manual_fill (job->seed, job->offset, chunk, length);
+      if (job->service->fault == FAULT_CORRUPT)
+        chunk[length / 2] ^= 1;
       soup_message_body_append (body, SOUP_MEMORY_COPY, chunk, length);
       job->offset += length;
     }
--- /dev/null
+++ b/test/deployment.sh
@@ -0,0 +1,326 @@
+# Starts and stops a deployment of real processes on loopback addresses; sourced by bash
+# scripts. Every host has its own IP address, all hosts use the same ports. Only processes
+# started here are signalled, by their id.
+#
+#   deployment_init LIMIT_S      temporary folder, ports, clean-up on exit, error and signal
+#   association_hosts            declares the Association's hosts (docs/design.md, 1.1)
+#   start_association            starts all of it and waits until each address answers
+#   start_platform | start_balancer NAME | start_companion NAME | start_backend NAME
+#   start_fabric [OPTION...]     after the balancers are declared
+#   stop_process NAME            SIGTERM, waits until it ended
+#   kill_process NAME            SIGKILL, waits until it ended
+#   wait_for SECONDS TEXT COMMAND...
+#   stop_all
+# shellcheck shell=bash
+
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+bin=${DP_BINARY_DIR:-$root/build}
+region=lv-riga
+
+declare -A process_pid=()     # NAME -> process id
+declare -a process_order=()   # names in order of their start
+declare -A host_ip=() host_zone=() host_service=() host_slots=()
+declare -a balancers=() servers=() # names of hosts
+
+# Prints the time since the start and a line of progress.
+progress() {
+  printf '%3d s  %s\n' "$SECONDS" "$*" >&2
+}
+
+fail() {
+  progress "error: $*"
+  exit 1
+}
+
+# deployment_init LIMIT_S: the deployment is stopped at the latest after this time.
+deployment_init() {
+  local limit=$1
+  deploy_dir=$(mktemp -d)
+  : >"$deploy_dir/pids"
+  trap 'deployment_exit_ $?' EXIT
+  trap 'exit 130' INT
+  trap 'exit 143' TERM HUP
+  choose_ports_
+  watchdog_ $$ "$limit" &
+  watchdog_pid=$!
+}
+
+# Declares the hosts of the Association: 3 availability zones with a balancer each,
+# $1 (default 7) servers of darbnica and $2 (default 3) of rokasgramata.
+association_hosts() {
+  local zones=(riga-a riga-b riga-c) i
+  for i in 1 2 3; do
+    add_balancer "balancer-$i" "${zones[i - 1]}" "127.$net.$i.1"
+  done
+  for ((i = 1; i <= ${1:-7}; i++)); do
+    add_server "darbnica-$i" "${zones[(i - 1) % 3]}" "127.$net.$(((i - 1) % 3 + 1)).1$i" \
+      darbnica 4
+  done
+  for ((i = 1; i <= ${2:-3}; i++)); do
+    add_server "rokasgramata-$i" "${zones[(i - 1) % 3]}" \
+      "127.$net.$(((i - 1) % 3 + 1)).2$i" rokasgramata 4
+  done
+}
+
+# add_balancer NAME ZONE IP
+add_balancer() {
+  balancers+=("$1")
+  host_zone[$1]=$2
+  host_ip[$1]=$3
+}
+
+# add_server NAME ZONE IP SERVICE SLOTS
+add_server() {
+  servers+=("$1")
+  host_zone[$1]=$2
+  host_ip[$1]=$3
+  host_service[$1]=$4
+  host_slots[$1]=$5
+}
+
+# Writes the Association's fleet file to $1. Reports have an address of their own, so that
+# they are served before job sheets.
+write_association_fleet() {
+  cat >"$1" <<'JSON'
+{"versions": {},
+ "defaults": {"wait_limit_ms": 2000, "slots": 4, "connections": 2000},
+ "services": {
+   "darbnica": {"addresses": [
+     {"ip": "10.77.0.1", "port": 80, "class": "interactive"},
+     {"ip": "10.77.0.1", "port": 81, "class": "urgent"}]},
+   "rokasgramata": {"addresses": [{"ip": "10.77.0.2", "port": 80, "class": "bulk"}]}},
+ "exceptions": {
+   "manuals-may-wait": {"service": "rokasgramata", "host": "",
+     "set": {"wait_limit_ms": 10000},
+     "reason": "a technician rather waits for a manual than asks again"}}}
+JSON
+}
+
+# Starts the declared hosts, the platform and the fabric (its options: "$@"), and waits
+# until every service address answers through the fabric.
+start_association() {
+  local name address
+  start_platform
+  write_association_fleet "$deploy_dir/fleet.json"
+  "$bin/dogwoodpaddle" apply "$deploy_dir/fleet.json" --platform "$platform_url" \
+    >"$deploy_dir/apply.out" 2>&1 || fail "apply: $(cat "$deploy_dir/apply.out")"
+  for name in "${balancers[@]}"; do
+    start_balancer "$name"
+  done
+  for name in "${servers[@]}"; do
+    start_companion "$name"
+    start_backend "$name"
+  done
+  start_fabric "$@"
+  for name in "${balancers[@]}"; do
+    wait_for 15 "$name is ready" is_ready "$name"
+  done
+  for name in "${servers[@]}"; do
+    wait_for 15 "$name is an active member" is_member "$name" active
+  done
+  for address in "$jobs_address" "$reports_address" "$manuals_address"; do
+    wait_for 15 "$address answers" fetch "http://$address/health"
+  done
+}
+
+start_platform() {
+  local listen="127.$net.0.1:$http_port"
+  platform_url="http://$listen"
+  start_process_ platform "$bin/standin-platform" --listen "$listen"
+  wait_for 10 "the platform answers" fetch "$platform_url/v1/objects"
+}
+
+start_balancer() {
+  write_settings_ "$1"
+  start_process_ "$1" "$bin/dogwoodpaddle-balancer" --settings "$deploy_dir/$1.json"
+}
+
+# start_companion SERVER: the companion beside the server, named as the member.
+start_companion() {
+  write_settings_ "$1"
+  start_process_ "$1" "$bin/dogwoodpaddle-companion" --settings "$deploy_dir/$1.json"
+}
+
+# start_backend SERVER [OPTION...]
+start_backend() {
+  local name=$1
+  shift
+  start_process_ "$name-server" "$bin/standin-backend" --name "$name" \
+    --listen "$(server_address "$name")" --service "${host_service[$name]}" \
+    --slots "${host_slots[$name]}" --companion "${host_ip[$name]}:$http_port" "$@"
+}
+
+start_fabric() {
+  local name options=()
+  for name in "${balancers[@]}"; do
+    options+=(--balancer "${host_ip[$name]}:$data_port/$http_port")
+  done
+  jobs_address=127.$net.0.2:$server_port
+  reports_address=127.$net.0.3:$server_port
+  manuals_address=127.$net.0.4:$server_port
+  fabric_http=127.$net.0.2:$http_port
+  start_process_ fabric "$bin/standin-fabric" "${options[@]}" --http "$fabric_http" \
+    --udp "127.$net.0.2:$data_port" --map "$jobs_address=10.77.0.1:80" \
+    --map "$reports_address=10.77.0.1:81" --map "$manuals_address=10.77.0.2:80" "$@"
+  wait_for 10 "the fabric answers" fetch "http://$fabric_http/stats"
+}
+
+# Prints the load generator's options that name this deployment's addresses.
+load_targets() {
+  echo "--target jobs:darbnica=$jobs_address --target reports:darbnica=$reports_address" \
+    "--target manuals:rokasgramata=$manuals_address --fabric $fabric_http"
+}
+
+# Prints IP:PORT of the server, or of all servers separated by commas.
+server_address() {
+  echo "${host_ip[$1]}:$server_port"
+}
+
+server_addresses() {
+  local name list=()
+  for name in "${servers[@]}"; do
+    list+=("$(server_address "$name")")
+  done
+  (IFS=, && echo "${list[*]}")
+}
+
+fetch() {
+  curl --noproxy '*' --silent --fail --max-time 5 "$@" -o /dev/null
+}
+
+# is_ready HOST: its daemon says that it can do its work.
+is_ready() {
+  fetch "http://${host_ip[$1]}:$http_port/ready"
+}
+
+# is_member SERVER STATE
+is_member() {
+  [ "$(member_state "$1")" = "$2" ]
+}
+
+# Prints the state of the member in the platform, nothing if there is none.
+member_state() {
+  curl --noproxy '*' --silent --max-time 5 \
+    "$platform_url/v1/objects/members/${host_service[$1]}" |
+    jq -r --arg name "$1" '.value.members[]? | select(.name == $name) | .state'
+}
+
+# wait_for SECONDS TEXT COMMAND...: repeats the command until it succeeds.
+wait_for() {
+  local limit=$((SECONDS + $1)) text=$2
+  shift 2
+  until "$@"; do
+    [ "$SECONDS" -lt "$limit" ] || fail "timeout: $text"
+    sleep 0.05
+  done
+}
+
+is_running() {
+  [ -n "${process_pid[$1]:-}" ] && jobs -pr | grep -qx "${process_pid[$1]}"
+}
+
+has_ended() {
+  ! is_running "$1"
+}
+
+# signal_process NAME SIGNAL
+signal_process() {
+  ! is_running "$1" || kill "-$2" "${process_pid[$1]}"
+}
+
+stop_process() {
+  signal_process "$1" TERM
+  wait_for "${2:-20}" "$1 ends" has_ended "$1"
+}
+
+kill_process() {
+  signal_process "$1" KILL
+  wait "${process_pid[$1]}" 2>/dev/null
+}
+
+# Ends all processes, those in front of the servers last; what has not ended after 5 s is
+# killed.
+stop_all() {
+  local name limit
+  for name in "${process_order[@]}"; do
+    signal_process "$name" TERM
+  done
+  limit=$((SECONDS + 5))
+  for name in "${process_order[@]}"; do
+    while is_running "$name" && [ "$SECONDS" -lt "$limit" ]; do
+      sleep 0.05
+    done
+    kill_process "$name"
+  done
+}
+
+# start_process_ NAME COMMAND...
+start_process_() {
+  local name=$1
+  shift
+  "$@" >>"$deploy_dir/$name.out" 2>>"$deploy_dir/$name.log" &
+  process_pid[$name]=$!
+  echo $! >>"$deploy_dir/pids"
+  process_order+=("$name")
+}
+
+write_settings_() {
+  local name=$1 ip=${host_ip[$1]} peer peers=()
+  for peer in "${balancers[@]}"; do
+    [ "$peer" = "$name" ] || peers+=("${host_ip[$peer]}:$control_port")
+  done
+  jq -n --arg name "$name" --arg zone "${host_zone[$name]}" --arg region "$region" \
+    --arg data "$ip:$data_port" --arg control "$ip:$control_port" \
+    --arg http "$ip:$http_port" --arg platform "$platform_url" \
+    --arg service "${host_service[$name]:-}" \
+    '{$name, $zone, $region, $data, $http, $platform, peers: $ARGS.positional,
+      trusted_networks: ["127.0.0.0/8"], log_level: "info"}
+     + if $service == "" then {$control} else {$service} end' \
+    --args "${peers[@]}" >"$deploy_dir/$name.json"
+}
+
+# Chooses a second byte of the loopback addresses on which nobody listens, so that several
+# deployments can run side by side. The ports are below the range for clients' own ports.
+choose_ports_() {
+  data_port=7000 control_port=7001 http_port=7002 server_port=8000
+  net=$(python3 - "$http_port" <<'PYTHON'
+import random, socket, sys
+for net in random.sample(range(1, 250), 40):
+    with socket.socket() as s:
+        try:
+            s.bind((f"127.{net}.0.1", int(sys.argv[1])))
+        except OSError:
+            continue
+        print(net)
+        break
+PYTHON
+  )
+  [ -n "$net" ] || fail "no free loopback addresses"
+}
+
+# Ends the deployment if its script is killed, and ends the script after LIMIT_S.
+watchdog_() { # SCRIPT_PID LIMIT_S
+  local end=$((SECONDS + $2)) pid
+  trap - EXIT INT TERM HUP
+  while kill -0 "$1" 2>/dev/null && [ "$SECONDS" -lt "$end" ]; do
+    sleep 1
+  done
+  kill -TERM "$1" 2>/dev/null && sleep 10
+  while read -r pid; do
+    [[ $(readlink "/proc/$pid/exe") != "$bin"/* ]] || kill -KILL "$pid"
+  done <"$deploy_dir/pids" 2>/dev/null
+}
+
+deployment_exit_() {
+  local status=$1
+  trap - EXIT
+  trap '' INT TERM HUP
+  stop_all
+  kill "$watchdog_pid" 2>/dev/null
+  if [ "$status" -eq 0 ]; then
+    rm -rf "$deploy_dir"
+  else
+    progress "exit status $status; logs are in $deploy_dir"
+  fi
+  exit "$status"
+}
