--- a/test/load/main.c
+++ b/test/load/main.c
@@ -79,6 +79,7 @@
   g_autofree char *json = NULL;
   g_autoptr (GError) error = NULL;
   double seconds;
+  gboolean good;
 
   if (!parse_options_ (&load, argc, argv))
     return 2;
@@ -102,7 +103,12 @@
     g_printerr ("standin-load: %s\n", error->message);
   json = tally_format (&load.tally, seconds);
   g_print ("%s\n", json);
-  return error == NULL && tally_good (&load.tally) ? 0 : 1;
+  good = error == NULL && tally_good (&load.tally);
+  tally_finish (&load.tally);
+  client_free (load.client);
+  g_rand_free (load.rand);
+  g_main_loop_unref (load.loop);
+  return good ? 0 : 1;
 }
 
 static gboolean
