--- a/src/test_libdogwoodpaddle/driver.c
+++ b/src/test_libdogwoodpaddle/driver.c
@@ -49,6 +49,9 @@
 static void process_ (Driver *driver, const Packet *packet);
 static void
 carry_out_ (Driver *driver, guint host, const Packet *packet, DpActions *list);
+static void trace_action_ (Driver *driver, const Packet *packet, const DpAction *action);
+static void
+carry_out_packet_ (Driver *driver, const Packet *packet, const DpAction *action);
 static void carry_out_flow_ (Driver *driver, guint host, const DpAction *action);
 static void
 deliver_ (Driver *driver, guint host, DpHandle handle, const DpSegment *segment);
@@ -616,45 +619,62 @@
   for (guint i = 0; i < list->items->len; i++)
     {
       const DpAction *action = &g_array_index (list->items, DpAction, i);
-      Record *record;
 
       if (packet != NULL)
-        trace_ (driver, "flow-%u %s %s%s%s", packet->flow + 1,
-                driver->hosts[host].member.name, dp_action_type_string (action->type),
-                action->reason != DP_REASON_NONE ? " " : "",
-                action->reason != DP_REASON_NONE ? dp_reason_string (action->reason)
-                                                 : "");
-      if (packet != NULL)
-        check_decision_ (driver, packet, action);
-      switch (action->type)
+        trace_action_ (driver, packet, action);
+      if (action->type > DP_ACTION_RESET)
+        carry_out_flow_ (driver, host, action);
+      else
         {
-        case DP_ACTION_DELIVER:
-          deliver_ (driver, host, action->flow, &packet->segment);
-          break;
-        case DP_ACTION_FORWARD:
-          forward_ (driver, packet, action);
-          break;
-        case DP_ACTION_HOLD:
-          record = g_new0 (Record, 1);
-          record->flow = packet->flow;
-          record->segment = packet->segment;
-          record->header = packet->header;
-          g_hash_table_insert (driver->hosts[host].records,
-                               GUINT_TO_POINTER (action->flow), record);
-          break;
-        case DP_ACTION_DROP:
-          driver->dropped[action->reason]++;
-          break;
-        case DP_ACTION_RESET:
-          client_reset_ (driver, packet->flow, (packet->segment.flags & DP_TCP_SYN) != 0);
-          break;
-        default:
-          carry_out_flow_ (driver, host, action);
-          break;
+          g_assert (packet != NULL);
+          carry_out_packet_ (driver, packet, action);
         }
     }
 }
 
+static void
+trace_action_ (Driver *driver, const Packet *packet, const DpAction *action)
+{
+  gboolean reason = action->reason != DP_REASON_NONE;
+
+  trace_ (driver, "flow-%u %s %s%s%s", packet->flow + 1,
+          driver->hosts[packet->host].member.name, dp_action_type_string (action->type),
+          reason ? " " : "", reason ? dp_reason_string (action->reason) : "");
+}
+
+static void
+carry_out_packet_ (Driver *driver, const Packet *packet, const DpAction *action)
+{
+  Host *host = &driver->hosts[packet->host];
+  Record *record;
+
+  check_decision_ (driver, packet, action);
+  switch (action->type)
+    {
+    case DP_ACTION_DELIVER:
+      deliver_ (driver, packet->host, action->flow, &packet->segment);
+      break;
+    case DP_ACTION_FORWARD:
+      forward_ (driver, packet, action);
+      break;
+    case DP_ACTION_HOLD:
+      record = g_new0 (Record, 1);
+      record->flow = packet->flow;
+      record->segment = packet->segment;
+      record->header = packet->header;
+      g_hash_table_insert (host->records, GUINT_TO_POINTER (action->flow), record);
+      break;
+    case DP_ACTION_DROP:
+      driver->dropped[action->reason]++;
+      break;
+    case DP_ACTION_RESET:
+      client_reset_ (driver, packet->flow, (packet->segment.flags & DP_TCP_SYN) != 0);
+      break;
+    default:
+      g_assert_not_reached ();
+    }
+}
+
 static void
 carry_out_flow_ (Driver *driver, guint host, const DpAction *action)
 {
