Test two listeners on one address and malformed names in settings

Both cases were checked without a test that noticed if the check was lost (found by removing the checks one by one). fleet no longer sorts exceptions by name, since the replica lists them in that order.

--- a/src/libdogwoodpaddle/fleet.c
+++ b/src/libdogwoodpaddle/fleet.c
@@ -40,7 +40,6 @@
                                const char *service,
                                const char *host,
                                DpFleetSettings *settings);
-static gint compare_names_ (gconstpointer a, gconstpointer b);
 static JsonNode *member_of_ (JsonNode *node, const char *key);
 static const char *text_of_ (JsonNode *node, const char *key);
 
@@ -71,7 +70,6 @@
   if (service == NULL)
     return;
   exceptions = dp_replica_list (replica, DP_KIND_EXCEPTION);
-  g_ptr_array_sort (exceptions, compare_names_);
   merge_exceptions_ (exceptions, service, "", settings);
   if (host != NULL && host[0] != '\0')
     merge_exceptions_ (exceptions, service, host, settings);
@@ -228,15 +226,6 @@
   return g_str_equal (its_host == NULL ? "" : its_host, host);
 }
 
-static gint
-compare_names_ (gconstpointer a, gconstpointer b)
-{
-  const DpRecord *x = *(const DpRecord *const *) a;
-  const DpRecord *y = *(const DpRecord *const *) b;
-
-  return g_strcmp0 (x->name, y->name);
-}
-
 static JsonNode *
 member_of_ (JsonNode *node, const char *key)
 {
--- a/src/test_libdogwoodpaddle/test_settings.c
+++ b/src/test_libdogwoodpaddle/test_settings.c
@@ -84,6 +84,16 @@
       "$.server_ip: " },
     { "wildcard server address", DP_SETTINGS_COMPANION,
       COMPANION ",\"server_ip\":\"0.0.0.0\"}", "$.server_ip: " },
+    { "control and HTTP on one port, the second listener fails", DP_SETTINGS_BALANCER,
+      "{\"name\":\"b\",\"zone\":\"z\",\"region\":\"r\",\"data\":\"127.0.0.1:1\","
+      "\"control\":\"127.0.0.1:2\",\"http\":\"127.0.0.1:2\","
+      "\"platform\":\"http://127.0.0.1:3\"}",
+      "$.http: is the same address" },
+    { "name that can't be part of a path", DP_SETTINGS_COMPANION,
+      "{\"name\":\"a/b\",\"zone\":\"\",\"region\":\"r\",\"data\":\"127.0.0.1:1\","
+      "\"http\":\"127.0.0.1:2\",\"platform\":\"http://127.0.0.1:3\","
+      "\"service\":\".a\"}",
+      "$.name: \"a/b\" is not a name" },
     { "array instead of an object", DP_SETTINGS_BALANCER, "[]", "$: must be an object" },
     { "empty file", DP_SETTINGS_BALANCER, "", "$: the file is empty" },
   };
