--- a/src/libdogwoodpaddle/companion.c
+++ b/src/libdogwoodpaddle/companion.c
@@ -1,6 +1,5 @@
 #include "dogwoodpaddle/companion.h"
 
-#include "dogwoodpaddle/logging.h"
 #include "private/inforce.h"
 #include "protected/datapath.h"
 #include "protected/error.h"
@@ -12,8 +11,8 @@
 
 /* Balancers send new flows to a removed member until they know of the removal. */
 #define REMOVED_WAIT (2 * DP_US_PER_S)
-/* How long a shutdown waits for a platform that doesn't answer. */
-#define REMOVAL_WAIT_MAX (5 * DP_US_PER_S)
+/* How long a shutdown waits for a platform that doesn't answer, passing new flows on. */
+#define REMOVAL_WAIT_MAX (10 * DP_US_PER_S)
 #define STOP_POLL_MS 50
 #define SLOW_START (10 * DP_US_PER_S)
 #define SETTLE_TIME (5 * DP_US_PER_S)
@@ -80,8 +79,7 @@
 
 static const DpRelayListener relay_listener_ = { .connected = connected_ };
 
-/* Creates a companion and sets logging up as the settings say; nothing is opened yet.
- * Takes the settings over. */
+/* Creates a companion; nothing is opened yet. Takes the settings over. */
 DpCompanion *
 dp_companion_new (DpSettings *settings)
 {
@@ -89,8 +87,6 @@
 
   g_assert (settings->kind == DP_SETTINGS_COMPANION);
   companion->settings = settings;
-  /* The settings' level was checked when they were read. */
-  dp_logging_init (settings->name, settings->log_level, NULL);
   companion->clock = dp_clock_system ();
   companion->metrics = dp_metrics_new ();
   companion->loop = g_main_loop_new (NULL, FALSE);
