Estimate the wait for a slot from the age of running requests

Cause: at the crest urgent SYNs were queued behind stragglers, because the expected wait used the mean service time alone; 17% of slot time belongs to the 1% of requests that run 20 times longer. Change: a request is expected to run for at least as long again as it has run; the slots' rates of becoming free add up. While flows wait, an answer counts as ended after 10 ms without bytes in place of 100 ms.

--- a/src/libdogwoodpaddle/acceptance.c
+++ b/src/libdogwoodpaddle/acceptance.c
@@ -284,7 +284,10 @@
       return FALSE;
     }
   if (flow->slot == DP_SLOT_NONE || flow->slot == DP_SLOT_RESERVED)
-    flow->busy_since = now;
+    {
+      flow->busy_since = now;
+      dp_slots_begin (acceptance->slots, class, now);
+    }
   flow->slot = DP_SLOT_BUSY;
   flow->handed = TRUE;
   dp_flows_start (acceptance->flows, handle, DP_TIMER_SILENT, now);
--- a/src/libdogwoodpaddle/admission.c
+++ b/src/libdogwoodpaddle/admission.c
@@ -215,9 +215,9 @@
     }
   if (flow->slot == DP_SLOT_ANSWERING)
     dp_flows_running (acceptance->flows, handle, DP_TIMER_RESPONSE, &end);
-  if ((flow->slot == DP_SLOT_ANSWERING || flow->slot == DP_SLOT_BUSY)
-      && end > flow->busy_since)
-    dp_slots_record (acceptance->slots, class, end - flow->busy_since);
+  if (flow->slot == DP_SLOT_ANSWERING || flow->slot == DP_SLOT_BUSY)
+    dp_slots_end (acceptance->slots, class, flow->busy_since,
+                  MAX (end, flow->busy_since));
   dp_flows_stop (acceptance->flows, handle, DP_TIMER_GROUP_SLOT);
   flow->slot = DP_SLOT_NONE;
 }
@@ -350,7 +350,8 @@
   if (address->class == DP_CLASS_BULK && acceptance->mixed
       && acceptance->n_class[DP_CLASS_BULK] >= limit / 2)
     return DP_REASON_CONNECTIONS;
-  if (dp_slots_expected_wait (acceptance->slots, address->class) > address->wait_limit)
+  if (dp_slots_expected_wait (acceptance->slots, address->class, now)
+      > address->wait_limit)
     return DP_REASON_WAIT_LIMIT;
   return DP_REASON_NONE;
 }
@@ -494,7 +495,8 @@
 static void
 offer_ (Syn *syn)
 {
-  gint64 wait = dp_slots_expected_wait (syn->acceptance->slots, syn->address->class)
+  gint64 wait = dp_slots_expected_wait (syn->acceptance->slots, syn->address->class,
+                                        syn->now)
                 / DP_US_PER_MS;
   guint32 wait_ms = (guint32) MIN (wait, G_MAXUINT32);
 
--- a/src/libdogwoodpaddle/expiry.c
+++ b/src/libdogwoodpaddle/expiry.c
@@ -9,8 +9,10 @@
  * about this long. */
 #define WAITING_TIMEOUT (60 * DP_US_PER_S)
 #define RESERVATION_TIME (1 * DP_US_PER_S)
-/* An answer that pauses this long has ended. */
+/* An answer that pauses this long has ended; the shorter time holds while other flows
+ * wait for a slot. A server that goes on after it has one request more than its slots. */
 #define RESPONSE_IDLE_TIME (100 * DP_US_PER_MS)
+#define RESPONSE_IDLE_TIME_CONTENDED (10 * DP_US_PER_MS)
 
 static gint64 timeout_ (const DpAcceptance *acceptance, DpTimer timer);
 static void expire_ (DpAcceptance *acceptance,
@@ -106,6 +108,7 @@
         {
           flow->slot = DP_SLOT_BUSY;
           flow->busy_since = now;
+          dp_slots_begin (acceptance->slots, (DpClass) flow->class, now);
           flow->handed = TRUE;
           dp_flows_start (acceptance->flows, handle, DP_TIMER_SILENT, now);
           dp_actions_add (actions, DP_ACTION_GRANT, DP_REASON_NONE)->flow = handle;
@@ -135,7 +138,9 @@
     case DP_TIMER_RESERVATION:
       return RESERVATION_TIME;
     case DP_TIMER_RESPONSE:
-      return RESPONSE_IDLE_TIME;
+      return dp_slots_contended (acceptance->slots, DP_N_CLASSES - 1)
+                 ? RESPONSE_IDLE_TIME_CONTENDED
+                 : RESPONSE_IDLE_TIME;
     case DP_TIMER_SILENT:
     case DP_TIMER_PROGRESS:
       return acceptance->limits.progress_timeout;
--- a/src/libdogwoodpaddle/include/protected/slots.h
+++ b/src/libdogwoodpaddle/include/protected/slots.h
@@ -25,13 +25,14 @@
 gboolean dp_slots_take (DpSlots *slots, DpClass class);
 gboolean dp_slots_can_take (const DpSlots *slots, DpClass class);
 void dp_slots_give_back (DpSlots *slots, DpClass class);
-void dp_slots_record (DpSlots *slots, DpClass class, gint64 service_time);
+void dp_slots_begin (DpSlots *slots, DpClass class, gint64 now);
+void dp_slots_end (DpSlots *slots, DpClass class, gint64 since, gint64 end);
 
 DpHandle dp_slots_wait (DpSlots *slots, DpHandle flow, DpClass class);
 void dp_slots_cancel (DpSlots *slots, DpHandle ticket);
 DpHandle dp_slots_next (DpSlots *slots);
 
-gint64 dp_slots_expected_wait (const DpSlots *slots, DpClass class);
+gint64 dp_slots_expected_wait (const DpSlots *slots, DpClass class, gint64 now);
 gboolean dp_slots_contended (const DpSlots *slots, DpClass class);
 guint dp_slots_busy (const DpSlots *slots);
 guint dp_slots_waiting (const DpSlots *slots, DpClass class);
--- a/src/libdogwoodpaddle/slots.c
+++ b/src/libdogwoodpaddle/slots.c
@@ -26,8 +26,16 @@
   gint64 service_time; /* us, moving mean */
 } Queue;
 
+/* A request that the server works on. */
+typedef struct
+{
+  gint64 since; /* us */
+  DpClass class;
+} Work;
+
 struct _DpSlots
 {
+  GArray *running; /* Work, at most one for each busy slot */
   DpHandleTable *waiters;
   Queue queues[DP_N_CLASSES];
   guint capacity;
@@ -36,6 +44,7 @@
 };
 
 static guint class_limit_ (const DpSlots *slots, DpClass class);
+static gint64 next_free_ (const DpSlots *slots, DpClass class, gint64 now);
 static void update_mean_ (gint64 *mean, gint64 value);
 
 static const char *const class_strings_[] = { "urgent", "interactive", "bulk" };
@@ -71,6 +80,7 @@
   DpSlots *slots = g_new0 (DpSlots, 1);
 
   slots->waiters = dp_handle_table_new (sizeof (Waiter), max_waiting);
+  slots->running = g_array_new (FALSE, FALSE, sizeof (Work));
   slots->service_time = FIRST_SERVICE_TIME;
   for (guint i = 0; i < DP_N_CLASSES; i++)
     slots->queues[i].service_time = FIRST_SERVICE_TIME;
@@ -84,6 +94,7 @@
   if (slots == NULL)
     return;
   dp_handle_table_free (slots->waiters);
+  g_array_unref (slots->running);
   g_free (slots);
 }
 
@@ -125,12 +136,30 @@
   slots->queues[class].n_busy--;
 }
 
-/* Takes account of how long a request of the class occupied its slot, in us. */
+/* A request of the class began to occupy its slot. */
 void
-dp_slots_record (DpSlots *slots, DpClass class, gint64 service_time)
+dp_slots_begin (DpSlots *slots, DpClass class, gint64 now)
 {
-  update_mean_ (&slots->queues[class].service_time, service_time);
-  update_mean_ (&slots->service_time, service_time);
+  const Work work = { now, class };
+
+  g_array_append_val (slots->running, work);
+}
+
+/* The request of the class that began at since, in us, has ended. */
+void
+dp_slots_end (DpSlots *slots, DpClass class, gint64 since, gint64 end)
+{
+  for (guint i = 0; i < slots->running->len; i++)
+    {
+      const Work *work = &g_array_index (slots->running, Work, i);
+
+      if (work->since != since || work->class != class)
+        continue;
+      g_array_remove_index_fast (slots->running, i);
+      break;
+    }
+  update_mean_ (&slots->queues[class].service_time, end - since);
+  update_mean_ (&slots->service_time, end - since);
 }
 
 /* Queues a flow behind those of its class; DP_HANDLE_NONE if too many are waiting. The
@@ -210,15 +239,15 @@
 /* Returns how long a newcomer of the class is expected to wait, in us: until a slot is
  * free and those before it are served. */
 gint64
-dp_slots_expected_wait (const DpSlots *slots, DpClass class)
+dp_slots_expected_wait (const DpSlots *slots, DpClass class, gint64 now)
 {
-  gint64 work = slots->service_time;
+  gint64 work = 0;
 
   if (dp_slots_can_take (slots, class))
     return 0;
   for (guint i = 0; i <= class; i++)
     work += slots->queues[i].n_waiting * slots->queues[i].service_time;
-  return work / MAX (class_limit_ (slots, class), 1);
+  return next_free_ (slots, class, now) + work / MAX (class_limit_ (slots, class), 1);
 }
 
 /* Returns whether a flow of the same or a better class is waiting. */
@@ -261,6 +290,29 @@
   return slots->capacity;
 }
 
+/* Service times have long tails: a request that has run for longer than the mean is
+ * expected to run for as long again. The slots' rates of becoming free add up. */
+static gint64
+next_free_ (const DpSlots *slots, DpClass class, gint64 now)
+{
+  gboolean any_class = dp_slots_busy (slots) >= slots->capacity;
+  guint n_reserved = any_class ? dp_slots_busy (slots) : slots->queues[class].n_busy;
+  double rate = 0.0; /* slots that become free in a us */
+
+  for (guint i = 0; i < slots->running->len; i++)
+    {
+      const Work *work = &g_array_index (slots->running, Work, i);
+      gint64 mean = slots->queues[work->class].service_time;
+
+      if (!any_class && work->class != class)
+        continue;
+      rate += 1.0 / (double) MAX (MAX (now - work->since, mean), 1);
+      n_reserved -= n_reserved > 0 ? 1 : 0;
+    }
+  rate += n_reserved / (double) MAX (slots->service_time, 1);
+  return rate > 0.0 ? (gint64) (1.0 / rate) : slots->service_time;
+}
+
 static void
 update_mean_ (gint64 *mean, gint64 value)
 {
--- a/src/test_libdogwoodpaddle/test_slots.c
+++ b/src/test_libdogwoodpaddle/test_slots.c
@@ -86,18 +86,22 @@
 
   dp_slots_set_capacity (slots, 2, FALSE);
   for (guint i = 0; i < 100; i++)
-    dp_slots_record (slots, DP_CLASS_INTERACTIVE, 200 * DP_US_PER_MS);
-  CU_ASSERT_EQUAL (dp_slots_expected_wait (slots, DP_CLASS_BULK), 0);
+    {
+      dp_slots_begin (slots, DP_CLASS_INTERACTIVE, 0);
+      dp_slots_end (slots, DP_CLASS_INTERACTIVE, 0, 200 * DP_US_PER_MS);
+    }
+  CU_ASSERT_EQUAL (dp_slots_expected_wait (slots, DP_CLASS_BULK, 0), 0);
   dp_slots_take (slots, DP_CLASS_INTERACTIVE);
   dp_slots_take (slots, DP_CLASS_INTERACTIVE);
-  interactive = dp_slots_expected_wait (slots, DP_CLASS_INTERACTIVE);
+  interactive = dp_slots_expected_wait (slots, DP_CLASS_INTERACTIVE, 0);
   CU_ASSERT_TRUE (interactive > 99 * DP_US_PER_MS && interactive <= 100 * DP_US_PER_MS);
   for (guint i = 0; i < 9; i++)
     dp_slots_wait (slots, i + 1, DP_CLASS_INTERACTIVE);
-  interactive = dp_slots_expected_wait (slots, DP_CLASS_INTERACTIVE);
+  interactive = dp_slots_expected_wait (slots, DP_CLASS_INTERACTIVE, 0);
   CU_ASSERT_TRUE (interactive > 990 * DP_US_PER_MS && interactive <= DP_US_PER_S);
-  CU_ASSERT_TRUE (dp_slots_expected_wait (slots, DP_CLASS_URGENT) <= 100 * DP_US_PER_MS);
-  CU_ASSERT_TRUE (dp_slots_expected_wait (slots, DP_CLASS_BULK) >= interactive);
+  CU_ASSERT_TRUE (dp_slots_expected_wait (slots, DP_CLASS_URGENT, 0)
+                  <= 100 * DP_US_PER_MS);
+  CU_ASSERT_TRUE (dp_slots_expected_wait (slots, DP_CLASS_BULK, 0) >= interactive);
 }
 
 static void
@@ -157,10 +161,26 @@
     }
 }
 
+/* A straggler must not attract flows by the mean of the short requests before it. */
+static void
+test_straggler (void)
+{
+  g_autoptr (DpSlots) slots = dp_slots_new (10);
+  gint64 fresh;
+
+  dp_slots_set_capacity (slots, 1, FALSE);
+  dp_slots_take (slots, DP_CLASS_INTERACTIVE);
+  dp_slots_begin (slots, DP_CLASS_INTERACTIVE, 0);
+  fresh = dp_slots_expected_wait (slots, DP_CLASS_URGENT, 0);
+  CU_ASSERT_TRUE (dp_slots_expected_wait (slots, DP_CLASS_URGENT, 10 * fresh)
+                  >= 9 * fresh);
+}
+
 static const DpTestCase cases_[] = {
   { "slots go by class, then by arrival", test_order },
   { "a newcomer doesn't overtake its class", test_no_overtaking },
   { "bulk leaves one of several slots", test_bulk_leaves_a_slot },
+  { "a straggler's slot is not expected soon", test_straggler },
   { "the expected wait follows the queue", test_expected_wait },
   { "the queue is bounded", test_bound },
   { "random steps keep the counts right", test_random },
