--- a/include/dogwoodpaddle/settings.h
+++ b/include/dogwoodpaddle/settings.h
@@ -15,5 +15,7 @@
 /* Error: DP_ERROR_INVALID with file, key and reason. */
 DpSettings *dp_settings_load (const char *path, DpSettingsKind kind, GError **error);
 void dp_settings_free (DpSettings *settings);
+const char *dp_settings_name (const DpSettings *settings);
+const char *dp_settings_log_level (const DpSettings *settings);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpSettings, dp_settings_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/balancer.c
@@ -0,0 +1,333 @@
+#include "dogwoodpaddle/balancer.h"
+
+#include "private/enlistment.h"
+#include "private/forwarder.h"
+#include "private/watcher.h"
+#include "protected/fleet.h"
+#include "protected/httpd.h"
+#include "protected/relay.h"
+#include "protected/settings_fields.h"
+
+#define STOP_LIMIT_MS 3000 /* to remove the registration at a graceful shutdown */
+
+struct _DpBalancer
+{
+  DpSettings *settings;
+  DpClock *clock;
+  GMainLoop *loop;
+  DpMetrics *metrics;
+  DpReplica *replica;
+  DpPlatform *platform;
+  DpRelay *relay;
+  DpForwarder *forwarder;
+  DpWatcher *watcher;
+  DpEnlistment *enlistment;
+  DpHttpd *httpd;
+  guint replica_listener;
+  guint heartbeat_ms;
+  guint heartbeat; /* source id */
+  gboolean stopping;
+  guint stop_timer; /* source id */
+  DpMetric *revision;
+};
+
+static void create_parts_ (DpBalancer *balancer);
+static gboolean start_httpd_ (DpBalancer *balancer, GError **error);
+static void replica_changed_ (const DpRecord *record, gpointer user_data);
+static void set_heartbeat_ (DpBalancer *balancer);
+static gboolean send_heartbeat_ (gpointer user_data);
+static guint64 revision_in_force_ (const DpBalancer *balancer);
+static void heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data);
+static void heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data);
+static void platform_changed_ (gboolean reachable, gpointer user_data);
+static void enlisted_ (gpointer user_data);
+static gboolean stop_now_ (gpointer user_data);
+static gboolean is_ready_ (gpointer user_data);
+static JsonNode *make_status_ (gpointer user_data);
+static JsonObject *platform_status_ (DpBalancer *balancer);
+
+/* Creates a balancer with the settings, which it takes over. */
+DpBalancer *
+dp_balancer_new (DpSettings *settings)
+{
+  DpBalancer *balancer = g_new0 (DpBalancer, 1);
+
+  balancer->settings = settings;
+  balancer->clock = dp_clock_system ();
+  balancer->loop = g_main_loop_new (NULL, FALSE);
+  balancer->metrics = dp_metrics_new ();
+  balancer->replica = dp_replica_new ();
+  balancer->platform = dp_platform_new (settings->platform_url);
+  balancer->revision = dp_metrics_add (balancer->metrics, DP_METRIC_GAUGE,
+                                       "dogwoodpaddle_revision", "",
+                                       "Revision of the records in force");
+  create_parts_ (balancer);
+  return balancer;
+}
+
+/* Opens all sockets and begins to work. Error: the address that can't be used. */
+gboolean
+dp_balancer_start (DpBalancer *balancer, GError **error)
+{
+  if (!dp_forwarder_open (balancer->forwarder, &balancer->settings->data, error)
+      || !start_httpd_ (balancer, error) || !dp_relay_start (balancer->relay, error))
+    return FALSE;
+  dp_watcher_start (balancer->watcher, balancer->relay);
+  set_heartbeat_ (balancer);
+  dp_enlistment_want (balancer->enlistment, TRUE);
+  g_message ("balancer %s of availability zone %s started", balancer->settings->name,
+             balancer->settings->zone);
+  return TRUE;
+}
+
+/* Removes the registration and ends; packets are forwarded until then. */
+void
+dp_balancer_stop (DpBalancer *balancer)
+{
+  if (balancer->stopping)
+    {
+      g_main_loop_quit (balancer->loop);
+      return;
+    }
+  balancer->stopping = TRUE;
+  balancer->stop_timer = g_timeout_add (STOP_LIMIT_MS, stop_now_, balancer);
+  dp_enlistment_want (balancer->enlistment, FALSE);
+}
+
+/* Runs the default main context until the shutdown has ended. */
+void
+dp_balancer_run (DpBalancer *balancer)
+{
+  g_main_loop_run (balancer->loop);
+}
+
+/* Closes all sockets and frees the balancer and its settings. */
+void
+dp_balancer_free (DpBalancer *balancer)
+{
+  if (balancer == NULL)
+    return;
+  g_clear_handle_id (&balancer->heartbeat, g_source_remove);
+  g_clear_handle_id (&balancer->stop_timer, g_source_remove);
+  dp_replica_remove_listener (balancer->replica, balancer->replica_listener);
+  dp_httpd_free (balancer->httpd);
+  dp_enlistment_free (balancer->enlistment);
+  dp_watcher_free (balancer->watcher);
+  dp_relay_free (balancer->relay);
+  dp_forwarder_free (balancer->forwarder);
+  dp_platform_free (balancer->platform);
+  dp_replica_free (balancer->replica);
+  dp_metrics_free (balancer->metrics);
+  g_main_loop_unref (balancer->loop);
+  dp_settings_free (balancer->settings);
+  g_free (balancer);
+}
+
+static void
+create_parts_ (DpBalancer *balancer)
+{
+  static const DpRelayListener listener = {
+    .heartbeat = heard_heartbeat_,
+    .suspicion = heard_suspicion_,
+    .platform = platform_changed_,
+  };
+  DpSettings *settings = balancer->settings;
+  const DpRelayOptions relay = {
+    .role = DP_ROLE_BALANCER,
+    .name = settings->name,
+    .zone = settings->zone,
+    .service = "",
+    .control = &settings->control,
+    .trusted = (const DpNetwork *) (void *) settings->trusted_networks->data,
+    .n_trusted = settings->trusted_networks->len,
+    .peers = (const DpAddress *) (void *) settings->peers->data,
+    .n_peers = settings->peers->len,
+  };
+  const DpTopologyBalancer self = {
+    .name = settings->name,
+    .zone = settings->zone,
+    .data = settings->data,
+    .control = settings->control,
+    .http = settings->http,
+    /* Later than that of an earlier process, as long as the host's clock does not go
+     * back; the registration corrects it otherwise. */
+    .incarnation = (guint64) g_get_real_time (),
+  };
+  DpWatcherOptions watcher = {
+    .name = settings->name,
+    .zone = settings->zone,
+    .replica = balancer->replica,
+    .platform = balancer->platform,
+    .clock = balancer->clock,
+    .metrics = balancer->metrics,
+  };
+
+  balancer->replica_listener = dp_replica_add_listener (balancer->replica,
+                                                        replica_changed_, balancer);
+  balancer->forwarder = dp_forwarder_new (settings->name, balancer->replica,
+                                          settings->trusted_networks, balancer->clock,
+                                          balancer->metrics);
+  watcher.views = dp_forwarder_views (balancer->forwarder);
+  balancer->watcher = dp_watcher_new (&watcher);
+  balancer->relay = dp_relay_new (&relay, balancer->replica, balancer->platform,
+                                  balancer->clock, balancer->metrics);
+  dp_relay_set_listener (balancer->relay, &listener, balancer);
+  balancer->enlistment = dp_enlistment_new (&self, balancer->replica, balancer->platform,
+                                            enlisted_, balancer);
+}
+
+static gboolean
+start_httpd_ (DpBalancer *balancer, GError **error)
+{
+  balancer->httpd = dp_httpd_new (&balancer->settings->http, balancer->metrics, error);
+  if (balancer->httpd == NULL)
+    return FALSE;
+  dp_httpd_set_trusted (balancer->httpd, balancer->settings->trusted_networks);
+  dp_httpd_set_ready (balancer->httpd, is_ready_, balancer);
+  dp_httpd_set_status (balancer->httpd, make_status_, balancer);
+  return TRUE;
+}
+
+static void
+replica_changed_ (const DpRecord *record, gpointer user_data)
+{
+  DpBalancer *balancer = user_data;
+
+  if (balancer->heartbeat != 0
+      && (record->kind == DP_KIND_FLEET || record->kind == DP_KIND_EXCEPTION))
+    set_heartbeat_ (balancer);
+}
+
+/* Takes the heartbeat's interval from the fleet's settings. */
+static void
+set_heartbeat_ (DpBalancer *balancer)
+{
+  DpFleetSettings settings;
+
+  dp_fleet_effective (balancer->replica, NULL, balancer->settings->name, &settings);
+  if (balancer->heartbeat != 0 && balancer->heartbeat_ms == settings.heartbeat_ms)
+    return;
+  g_clear_handle_id (&balancer->heartbeat, g_source_remove);
+  balancer->heartbeat_ms = settings.heartbeat_ms;
+  balancer->heartbeat = g_timeout_add (settings.heartbeat_ms, send_heartbeat_, balancer);
+}
+
+/* Tells the balancers that watch this one that it lives and what is in force. */
+static gboolean
+send_heartbeat_ (gpointer user_data)
+{
+  DpBalancer *balancer = user_data;
+  const DpHeartbeat heartbeat = {
+    .service = "",
+    .member = balancer->settings->name,
+    .incarnation = dp_enlistment_incarnation (balancer->enlistment),
+    .revision = revision_in_force_ (balancer),
+  };
+
+  balancer->revision->value = heartbeat.revision;
+  dp_relay_send_heartbeat (balancer->relay, &heartbeat);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Returns the revision up to which all records are in force in the data path. */
+static guint64
+revision_in_force_ (const DpBalancer *balancer)
+{
+  return dp_forwarder_is_current (balancer->forwarder)
+             ? dp_replica_revision (balancer->replica)
+             : balancer->revision->value;
+}
+
+static void
+heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data)
+{
+  dp_watcher_heartbeat (((DpBalancer *) user_data)->watcher, heartbeat);
+}
+
+static void
+heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data)
+{
+  dp_watcher_suspicion (((DpBalancer *) user_data)->watcher, suspicion);
+}
+
+static void
+platform_changed_ (gboolean reachable, gpointer user_data)
+{
+  DpBalancer *balancer = user_data;
+
+  g_message ("platform: %s", reachable ? "reachable" : "not reachable");
+  dp_watcher_platform (balancer->watcher, reachable);
+}
+
+static void
+enlisted_ (gpointer user_data)
+{
+  DpBalancer *balancer = user_data;
+
+  if (balancer->stopping && !dp_enlistment_present (balancer->enlistment))
+    g_main_loop_quit (balancer->loop);
+}
+
+static gboolean
+stop_now_ (gpointer user_data)
+{
+  DpBalancer *balancer = user_data;
+
+  balancer->stop_timer = 0;
+  g_warning ("stopping without having removed the registration: the platform did not "
+             "answer");
+  g_main_loop_quit (balancer->loop);
+  return G_SOURCE_REMOVE;
+}
+
+/* Ready to get packets once records are in force. */
+static gboolean
+is_ready_ (gpointer user_data)
+{
+  DpBalancer *balancer = user_data;
+
+  return revision_in_force_ (balancer) > 0 && !balancer->stopping;
+}
+
+static JsonNode *
+make_status_ (gpointer user_data)
+{
+  DpBalancer *balancer = user_data;
+  JsonObject *object = json_object_new ();
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+
+  json_object_set_string_member (object, "role", "balancer");
+  json_object_set_string_member (object, "name", balancer->settings->name);
+  json_object_set_string_member (object, "zone", balancer->settings->zone);
+  json_object_set_string_member (object, "region", balancer->settings->region);
+  json_object_set_int_member (object, "incarnation",
+                              (gint64) dp_enlistment_incarnation (balancer->enlistment));
+  json_object_set_boolean_member (object, "registered",
+                                  dp_enlistment_present (balancer->enlistment));
+  json_object_set_int_member (object, "revision", (gint64) revision_in_force_ (balancer));
+  json_object_set_boolean_member (object, "connected",
+                                  dp_relay_connected (balancer->relay));
+  json_object_set_int_member (object, "subscribers",
+                              dp_relay_subscribers (balancer->relay));
+  json_object_set_object_member (object, "platform", platform_status_ (balancer));
+  dp_watcher_add_status (balancer->watcher, object);
+  json_node_take_object (node, object);
+  return node;
+}
+
+/* "reachable" is from the watch of a root, and from the last call of another balancer. */
+static JsonObject *
+platform_status_ (DpBalancer *balancer)
+{
+  JsonObject *object = json_object_new ();
+  gboolean watches = dp_relay_watches_platform (balancer->relay);
+
+  json_object_set_boolean_member (object, "watched", watches);
+  json_object_set_boolean_member (
+      object, "reachable", watches || dp_watcher_platform_answers (balancer->watcher));
+  json_object_set_boolean_member (object, "behind",
+                                  dp_relay_platform_is_behind (balancer->relay));
+  json_object_set_int_member (object, "calls",
+                              (gint64) dp_platform_calls (balancer->platform));
+  return object;
+}
--- a/src/libdogwoodpaddle/channel.c
+++ b/src/libdogwoodpaddle/channel.c
@@ -54,14 +54,17 @@
 void
 dp_channel_metrics_init (DpChannelMetrics *metrics, DpMetrics *all)
 {
-  metrics->sent_bytes = dp_metrics_add (all, DP_METRIC_COUNTER, "dp_control_sent_bytes",
-                                        "", "Bytes of control messages sent");
+  metrics->sent_bytes = dp_metrics_add (all, DP_METRIC_COUNTER,
+                                        "dogwoodpaddle_control_sent_bytes_total", "",
+                                        "Bytes of control messages sent");
   metrics->received_bytes = dp_metrics_add (all, DP_METRIC_COUNTER,
-                                            "dp_control_received_bytes", "",
-                                            "Bytes of control messages received");
-  metrics->malformed = dp_metrics_add (all, DP_METRIC_COUNTER, "dp_control_malformed", "",
+                                            "dogwoodpaddle_control_received_bytes_total",
+                                            "", "Bytes of control messages received");
+  metrics->malformed = dp_metrics_add (all, DP_METRIC_COUNTER,
+                                       "dogwoodpaddle_control_malformed_total", "",
                                        "Malformed control messages");
-  metrics->refused = dp_metrics_add (all, DP_METRIC_COUNTER, "dp_control_refused", "",
+  metrics->refused = dp_metrics_add (all, DP_METRIC_COUNTER,
+                                     "dogwoodpaddle_control_refused_total", "",
                                      "Control connections refused");
 }
 
--- /dev/null
+++ b/src/libdogwoodpaddle/forwarder.c
@@ -0,0 +1,357 @@
+#include "private/forwarder.h"
+
+#include <string.h>
+
+#include "protected/error.h"
+#include "protected/fleet.h"
+#include "protected/header.h"
+#include "protected/router.h"
+#include "protected/segment.h"
+#include "protected/trace.h"
+
+#define LOG_INTERVAL_US DP_US_PER_S /* one line per kind of drop */
+#define LABELS_MAX 64
+
+typedef enum
+{
+  DROP_UNTRUSTED,
+  DROP_MALFORMED,
+  DROP_UNSENT,
+  N_DROPS
+} Drop;
+
+struct _DpForwarder
+{
+  char *process;
+  DpReplica *replica;
+  guint replica_listener;
+  GArray *trusted; /* DpNetwork */
+  DpClock *clock;
+  DpRouter *router;
+  DpPacketPort *port;
+  GHashTable *views;           /* service to DpView */
+  GHashTable *stale_addresses; /* names of services to take over */
+  GHashTable *stale_members;   /* likewise */
+  gboolean defaults_are_stale;
+  guint update; /* source id */
+  DpMetric *results[DP_N_ROUTE_RESULTS];
+  DpMetric *drops[N_DROPS];
+  gint64 logged_at[N_DROPS]; /* us, 0: never */
+  DpMetric *bytes;
+};
+
+static const char *const drop_strings_[] = {
+  "untrusted source",
+  "malformed packet",
+  "not sent",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (drop_strings_) == N_DROPS);
+
+static void add_metrics_ (DpForwarder *forwarder, DpMetrics *metrics);
+static gboolean is_trusted_ (const DpForwarder *forwarder, guint32 ip);
+static void
+drop_ (DpForwarder *forwarder, Drop kind, const DpAddress *source, const char *text);
+static gboolean
+send_ (DpForwarder *forwarder, const DpRoute *route, const guint8 *packet, gsize length);
+static void span_ (DpForwarder *forwarder,
+                   const DpRoute *route,
+                   const DpSegment *segment,
+                   DpRouteResult result);
+static void replica_changed_ (const DpRecord *record, gpointer user_data);
+static gboolean update_now_ (gpointer user_data);
+static void update_addresses_ (DpForwarder *forwarder, const char *service);
+static void update_view_ (DpForwarder *forwarder, const char *service);
+static gboolean is_declared_ (const DpForwarder *forwarder, const char *service);
+
+/* Creates a forwarder that follows the replica and has no port yet. */
+DpForwarder *
+dp_forwarder_new (const char *process,
+                  DpReplica *replica,
+                  const GArray *trusted_networks,
+                  DpClock *clock,
+                  DpMetrics *metrics)
+{
+  DpForwarder *forwarder = g_new0 (DpForwarder, 1);
+
+  forwarder->process = g_strdup (process);
+  forwarder->replica = replica;
+  forwarder->trusted = g_array_new (FALSE, FALSE, sizeof (DpNetwork));
+  g_array_append_vals (forwarder->trusted, trusted_networks->data, trusted_networks->len);
+  forwarder->clock = clock;
+  forwarder->router = dp_router_new ();
+  forwarder->views = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                            (GDestroyNotify) dp_view_unref);
+  forwarder->stale_addresses = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                                      NULL);
+  forwarder->stale_members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                                    NULL);
+  forwarder->replica_listener = dp_replica_add_listener (replica, replica_changed_,
+                                                         forwarder);
+  add_metrics_ (forwarder, metrics);
+  return forwarder;
+}
+
+/* Closes the port. To be freed before its replica. */
+void
+dp_forwarder_free (DpForwarder *forwarder)
+{
+  if (forwarder == NULL)
+    return;
+  if (forwarder->port != NULL)
+    dp_packet_port_free (forwarder->port);
+  dp_replica_remove_listener (forwarder->replica, forwarder->replica_listener);
+  g_clear_handle_id (&forwarder->update, g_source_remove);
+  dp_router_free (forwarder->router);
+  g_hash_table_unref (forwarder->views);
+  g_hash_table_unref (forwarder->stale_addresses);
+  g_hash_table_unref (forwarder->stale_members);
+  g_array_unref (forwarder->trusted);
+  g_free (forwarder->process);
+  g_free (forwarder);
+}
+
+/* Begins to receive packets at the address. */
+gboolean
+dp_forwarder_open (DpForwarder *forwarder, const DpAddress *address, GError **error)
+{
+  forwarder->port = dp_udp_port_new (address, dp_forwarder_datagram, forwarder, error);
+  return forwarder->port != NULL;
+}
+
+/* Returns whether all records that the replica holds are in force here. */
+gboolean
+dp_forwarder_is_current (const DpForwarder *forwarder)
+{
+  return forwarder->update == 0;
+}
+
+/* Returns the member lists in force; the forwarder's own table. */
+GHashTable *
+dp_forwarder_views (DpForwarder *forwarder)
+{
+  return forwarder->views;
+}
+
+/* Returns the memory for routing in bytes. */
+gsize
+dp_forwarder_bytes (const DpForwarder *forwarder)
+{
+  return dp_router_bytes (forwarder->router);
+}
+
+/* Routes one IP packet and sends it on. */
+void
+dp_forwarder_datagram (const DpAddress *source,
+                       guint8 *data,
+                       gsize length,
+                       gpointer user_data)
+{
+  DpForwarder *forwarder = user_data;
+  g_autoptr (GError) error = NULL;
+  DpSegment segment;
+  DpRoute route;
+  DpRouteResult result;
+
+  if (!is_trusted_ (forwarder, source->ip))
+    {
+      drop_ (forwarder, DROP_UNTRUSTED, source, "not in trusted_networks");
+      return;
+    }
+  if (!dp_segment_parse (data, length, &segment, &error))
+    {
+      drop_ (forwarder, DROP_MALFORMED, source, error->message);
+      return;
+    }
+  result = dp_router_route (forwarder->router, &segment, &route);
+  dp_metric_increment (forwarder->results[result]);
+  span_ (forwarder, &route, &segment, result);
+  if (result != DP_ROUTE_FORWARD)
+    return;
+  route.header.reply_to = *source;
+  if (!send_ (forwarder, &route, data, length))
+    drop_ (forwarder, DROP_UNSENT, &route.member_address, "the socket took no more");
+}
+
+static void
+add_metrics_ (DpForwarder *forwarder, DpMetrics *metrics)
+{
+  char labels[LABELS_MAX];
+
+  for (guint i = 0; i < DP_N_ROUTE_RESULTS; i++)
+    {
+      g_snprintf (labels, sizeof labels, "result=\"%s\"",
+                  dp_route_result_string ((DpRouteResult) i));
+      forwarder->results[i] = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                              "dogwoodpaddle_routes_total", labels,
+                                              "Packets by the result of their routing");
+    }
+  for (guint i = 0; i < N_DROPS; i++)
+    {
+      g_snprintf (labels, sizeof labels, "kind=\"%s\"", drop_strings_[i]);
+      forwarder->drops[i] = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                            "dogwoodpaddle_faults_total", labels,
+                                            "Packets dropped before or after routing");
+    }
+  forwarder->bytes = dp_metrics_add (metrics, DP_METRIC_GAUGE,
+                                     "dogwoodpaddle_router_bytes", "",
+                                     "Memory of the routing tables");
+}
+
+static gboolean
+is_trusted_ (const DpForwarder *forwarder, guint32 ip)
+{
+  for (guint i = 0; i < forwarder->trusted->len; i++)
+    {
+      if (dp_network_contains (&g_array_index (forwarder->trusted, DpNetwork, i), ip))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Counts a packet that is dropped and logs it, one line a second for each kind. */
+static void
+drop_ (DpForwarder *forwarder, Drop kind, const DpAddress *source, const char *text)
+{
+  gint64 now = dp_clock_now (forwarder->clock);
+  char address[DP_ADDRESS_STRLEN];
+
+  dp_metric_increment (forwarder->drops[kind]);
+  if (forwarder->logged_at[kind] != 0
+      && now - forwarder->logged_at[kind] < LOG_INTERVAL_US)
+    return;
+  forwarder->logged_at[kind] = now;
+  g_warning ("dropped a packet: %s: %s: %s", drop_strings_[kind],
+             dp_address_format (source, address), text);
+}
+
+static gboolean
+send_ (DpForwarder *forwarder, const DpRoute *route, const guint8 *packet, gsize length)
+{
+  guint8 datagram[DP_HEADER_MAX + DP_PACKET_MAX];
+  gsize header = dp_header_encode (&route->header, datagram, DP_HEADER_MAX);
+
+  memcpy (datagram + header, packet, length);
+  return dp_packet_port_send (forwarder->port, &route->member_address, datagram,
+                              header + length);
+}
+
+static void
+span_ (DpForwarder *forwarder,
+       const DpRoute *route,
+       const DpSegment *segment,
+       DpRouteResult result)
+{
+  char address[DP_ADDRESS_STRLEN];
+  g_autofree char *detail = NULL;
+
+  if (result != DP_ROUTE_FORWARD || route->header.trace_id == 0)
+    return;
+  detail = g_strdup_printf ("%s to %s", dp_route_result_string (result),
+                            dp_address_format (&route->member_address, address));
+  dp_trace_span (route->header.trace_id, "balancer", forwarder->process, segment, detail);
+}
+
+static void
+replica_changed_ (const DpRecord *record, gpointer user_data)
+{
+  DpForwarder *forwarder = user_data;
+
+  if (record->kind == DP_KIND_SERVICE)
+    g_hash_table_add (forwarder->stale_addresses, g_strdup (record->name));
+  else if (record->kind == DP_KIND_MEMBERS)
+    g_hash_table_add (forwarder->stale_members, g_strdup (record->name));
+  else if (record->kind == DP_KIND_FLEET)
+    forwarder->defaults_are_stale = TRUE;
+  else
+    return;
+  if (forwarder->update == 0)
+    forwarder->update = g_idle_add_full (G_PRIORITY_DEFAULT, update_now_, forwarder,
+                                         NULL);
+}
+
+/* Takes over all stale services at once: many records arrive together at start. */
+static gboolean
+update_now_ (gpointer user_data)
+{
+  DpForwarder *forwarder = user_data;
+  GHashTableIter iter;
+  gpointer service;
+
+  g_hash_table_iter_init (&iter, forwarder->stale_members);
+  while (g_hash_table_iter_next (&iter, &service, NULL))
+    update_view_ (forwarder, service);
+  g_hash_table_iter_init (&iter, forwarder->stale_addresses);
+  while (g_hash_table_iter_next (&iter, &service, NULL))
+    update_addresses_ (forwarder, service);
+  g_hash_table_remove_all (forwarder->stale_members);
+  g_hash_table_remove_all (forwarder->stale_addresses);
+  if (forwarder->defaults_are_stale)
+    {
+      DpFleetSettings settings;
+
+      dp_fleet_effective (forwarder->replica, NULL, NULL, &settings);
+      dp_router_set_trace_sample (forwarder->router, settings.trace_sample);
+    }
+  forwarder->defaults_are_stale = FALSE;
+  forwarder->update = 0;
+  forwarder->bytes->value = dp_router_bytes (forwarder->router);
+  return G_SOURCE_REMOVE;
+}
+
+/* A service that is not declared has no place in the router, but its members are kept in
+ * case that it is declared again. */
+static void
+update_addresses_ (DpForwarder *forwarder, const char *service)
+{
+  g_autoptr (GArray) declared = NULL;
+  g_autoptr (GArray) addresses = NULL;
+  DpView *view = g_hash_table_lookup (forwarder->views, service);
+
+  if (!is_declared_ (forwarder, service))
+    {
+      dp_router_remove_service (forwarder->router, service);
+      return;
+    }
+  declared = dp_fleet_addresses (forwarder->replica, service);
+  addresses = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  for (guint i = 0; i < declared->len; i++)
+    g_array_append_val (addresses, g_array_index (declared, DpServiceAddress, i).address);
+  dp_router_set_addresses (forwarder->router, service,
+                           (const DpAddress *) (void *) addresses->data, addresses->len);
+  if (view != NULL)
+    dp_router_set_view (forwarder->router, view);
+}
+
+/* Takes over the service's member list; one that is malformed leaves the last in force.
+ */
+static void
+update_view_ (DpForwarder *forwarder, const char *service)
+{
+  const DpRecord *record = dp_replica_get (forwarder->replica, DP_KIND_MEMBERS, service);
+  const DpView *present = g_hash_table_lookup (forwarder->views, service);
+  g_autoptr (GError) error = NULL;
+  DpView *view;
+
+  if (record == NULL && present == NULL)
+    return;
+  if (record == NULL)
+    view = dp_view_new (service, present->revision, NULL, 0);
+  else
+    view = dp_view_new_from_json (service, record->revision, record->value, &error);
+  if (view == NULL)
+    {
+      g_warning ("%s; the last valid one stays in force",
+                 error == NULL ? service : error->message);
+      return;
+    }
+  g_hash_table_replace (forwarder->views, g_strdup (service), view);
+  if (is_declared_ (forwarder, service))
+    dp_router_set_view (forwarder->router, view);
+}
+
+static gboolean
+is_declared_ (const DpForwarder *forwarder, const char *service)
+{
+  return dp_replica_get (forwarder->replica, DP_KIND_SERVICE, service) != NULL;
+}
--- a/src/libdogwoodpaddle/settings.c
+++ b/src/libdogwoodpaddle/settings.c
@@ -105,6 +105,20 @@
   g_free (settings);
 }
 
+/* Returns the process's name. */
+const char *
+dp_settings_name (const DpSettings *settings)
+{
+  return settings->name;
+}
+
+/* Returns the level of the process's log. */
+const char *
+dp_settings_log_level (const DpSettings *settings)
+{
+  return settings->log_level;
+}
+
 static void
 read_common_ (DpSettings *settings, Reader *reader)
 {
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -33,7 +33,6 @@
 static void take_failure_ (DpWatch *watch, const GError *error);
 static void take_answer_ (DpWatch *watch, GPtrArray *records, guint64 revision);
 static void note_revision_ (DpWatch *watch, guint64 revision);
-static void set_reachable_ (DpWatch *watch, gboolean reachable);
 
 /* Creates a watch that is not active. */
 DpWatch *
@@ -50,10 +49,11 @@
   watch->listener = *listener;
   watch->user_data = user_data;
   dp_backoff_init (&watch->backoff, RETRY_FIRST_MS, RETRY_MAX_MS);
-  watch->failures = dp_metrics_add (metrics, DP_METRIC_COUNTER, "dp_platform_failures",
-                                    "", "Watches of the platform that failed");
+  watch->failures = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                    "dogwoodpaddle_platform_failures_total", "",
+                                    "Watches of the platform that failed");
   watch->behind_gauge = dp_metrics_add (
-      metrics, DP_METRIC_GAUGE, "dp_platform_behind", "",
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_platform_behind", "",
       "1 while the platform is at a lower revision than this process");
   return watch;
 }
@@ -158,11 +158,15 @@
 static void
 take_failure_ (DpWatch *watch, const GError *error)
 {
+  gboolean first = !watch->failed;
+
   dp_metric_increment (watch->failures);
-  if (!watch->failed)
-    g_warning ("%s", error->message);
   watch->failed = TRUE;
-  set_reachable_ (watch, FALSE);
+  watch->reachable = FALSE;
+  if (!first)
+    return;
+  g_warning ("%s", error->message);
+  watch->listener.reachable (FALSE, watch->user_data);
 }
 
 static void
@@ -185,7 +189,11 @@
       dp_replica_set_revision (watch->replica, revision);
     }
   watch->failed = FALSE;
-  set_reachable_ (watch, TRUE);
+  if (!watch->reachable)
+    {
+      watch->reachable = TRUE;
+      watch->listener.reachable (TRUE, watch->user_data);
+    }
   watch->listener.progressed (watch->user_data);
 }
 
@@ -209,12 +217,3 @@
   watch->behind = behind;
   watch->behind_gauge->value = behind ? 1 : 0;
 }
-
-static void
-set_reachable_ (DpWatch *watch, gboolean reachable)
-{
-  if (watch->reachable == reachable)
-    return;
-  watch->reachable = reachable;
-  watch->listener.reachable (reachable, watch->user_data);
-}
--- /dev/null
+++ b/src/libdogwoodpaddle/watcher.c
@@ -0,0 +1,638 @@
+#include "private/watcher.h"
+
+#include "protected/fleet.h"
+#include "protected/json.h"
+#include "protected/liveness.h"
+#include "protected/membership.h"
+#include "protected/topology.h"
+#include "protected/view.h"
+
+#define BALANCERS "" /* the service under which balancers are watched */
+
+/* What a watched process last told of itself. */
+typedef struct
+{
+  char *service;
+  char *member;
+  char *zone;
+  guint64 incarnation;
+  guint64 revision;
+  guint32 busy;
+  guint32 connections;
+  gint64 heard_at; /* us, -1: never */
+} Peer;
+
+/* A removal that is being carried out. */
+typedef struct
+{
+  DpWatcher *watcher;
+  char *key;
+  char *service;
+  char *member;
+  guint64 incarnation;
+} Removal;
+
+struct _DpWatcher
+{
+  char *name;
+  char *zone;
+  DpReplica *replica;
+  guint replica_listener;
+  DpPlatform *platform;
+  GHashTable *views;
+  DpClock *clock;
+  DpRelay *relay;
+  DpTopology *topology;
+  DpLiveness *liveness;
+  GHashTable *peers;        /* "SERVICE/MEMBER" to Peer, of those watched here */
+  GHashTable *watches;      /* "SERVICE/MEMBER" to whether it is watched here (Watch) */
+  GHashTable *removals;     /* "SERVICE/MEMBER" to Removal */
+  gboolean platform_failed; /* a call of a removal was not answered */
+  gboolean topology_is_old;
+  gboolean members_are_old;
+  GArray *actions; /* DpLivenessAction */
+  guint tick;      /* source id */
+  DpMetric *removed;
+  DpMetric *suspected;
+  DpMetric *mass_losses;
+  DpMetric *pauses;
+};
+
+typedef enum
+{
+  WATCH_NOT,
+  WATCH_ALONE, /* no other zone has a watcher */
+  WATCH_AGREEING,
+  N_WATCHES
+} Watch;
+
+static void peer_free_ (gpointer data);
+static void removal_free_ (gpointer data);
+static char *key_ (const char *service, const char *member);
+static void replica_changed_ (const DpRecord *record, gpointer user_data);
+static gboolean tick_ (gpointer user_data);
+static void update_members_ (DpWatcher *watcher, gint64 now);
+static void update_balancers_ (DpWatcher *watcher, gint64 now, GHashTable *kept);
+static void watch_ (DpWatcher *watcher,
+                    const char *service,
+                    const char *member,
+                    const char *zone,
+                    guint64 incarnation,
+                    gint64 now,
+                    GHashTable *kept);
+static Watch how_watched_ (DpWatcher *watcher,
+                           const char *service,
+                           const char *member,
+                           const char *key);
+static void keep_peer_ (DpWatcher *watcher,
+                        const char *key,
+                        const char *service,
+                        const char *member,
+                        const char *zone);
+static gboolean is_not_kept_ (gpointer key, gpointer value, gpointer kept);
+static void act_ (DpWatcher *watcher, const DpLivenessAction *action);
+static void tell_ (DpWatcher *watcher, const DpLivenessAction *action);
+static void remove_ (DpWatcher *watcher, const DpLivenessAction *action);
+static void
+was_read_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data);
+static gboolean note_answer_ (DpWatcher *watcher, const GError *error);
+static void write_ (Removal *removal, const DpRecord *record, guint64 version);
+static gboolean may_delete_balancer_ (const Removal *removal, const DpRecord *record);
+static void was_written_ (DpWriteResult result,
+                          DpRecord *record,
+                          const GError *error,
+                          gpointer user_data);
+static void add_peer_status_ (DpWatcher *watcher, const Peer *peer, JsonArray *list);
+
+/* Creates a watcher that watches nobody yet. */
+DpWatcher *
+dp_watcher_new (const DpWatcherOptions *options)
+{
+  DpWatcher *watcher = g_new0 (DpWatcher, 1);
+
+  watcher->name = g_strdup (options->name);
+  watcher->zone = g_strdup (options->zone);
+  watcher->replica = options->replica;
+  watcher->platform = options->platform;
+  watcher->views = options->views;
+  watcher->clock = options->clock;
+  watcher->topology = dp_topology_new (options->replica);
+  watcher->liveness = dp_liveness_new (options->zone, dp_clock_now (options->clock));
+  watcher->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, peer_free_);
+  watcher->watches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  watcher->removals = g_hash_table_new (g_str_hash, g_str_equal);
+  watcher->actions = g_array_new (FALSE, FALSE, sizeof (DpLivenessAction));
+  watcher->members_are_old = TRUE;
+  watcher->topology_is_old = TRUE;
+  watcher->replica_listener = dp_replica_add_listener (options->replica, replica_changed_,
+                                                       watcher);
+  watcher->removed = dp_metrics_add (options->metrics, DP_METRIC_COUNTER,
+                                     "dogwoodpaddle_removals_total", "",
+                                     "Processes removed as dead");
+  watcher->suspected = dp_metrics_add (options->metrics, DP_METRIC_COUNTER,
+                                       "dogwoodpaddle_suspicions_total", "",
+                                       "Suspicions, repeated ones included");
+  watcher->mass_losses = dp_metrics_add (
+      options->metrics, DP_METRIC_COUNTER, "dogwoodpaddle_mass_losses_total", "",
+      "Times that more than half of a service was suspected");
+  watcher->pauses = dp_metrics_add (options->metrics, DP_METRIC_COUNTER,
+                                    "dogwoodpaddle_watcher_pauses_total", "",
+                                    "Times that this watcher was paused");
+  return watcher;
+}
+
+/* Abandons removals in progress. To be freed before its platform client and replica. */
+void
+dp_watcher_free (DpWatcher *watcher)
+{
+  GHashTableIter iter;
+  gpointer removal;
+
+  if (watcher == NULL)
+    return;
+  g_clear_handle_id (&watcher->tick, g_source_remove);
+  dp_replica_remove_listener (watcher->replica, watcher->replica_listener);
+  g_hash_table_iter_init (&iter, watcher->removals);
+  while (g_hash_table_iter_next (&iter, NULL, &removal))
+    {
+      dp_platform_cancel (watcher->platform, removal);
+      g_hash_table_iter_remove (&iter);
+      removal_free_ (removal);
+    }
+  g_hash_table_unref (watcher->removals);
+  g_hash_table_unref (watcher->watches);
+  g_hash_table_unref (watcher->peers);
+  g_array_unref (watcher->actions);
+  dp_liveness_free (watcher->liveness);
+  dp_topology_free (watcher->topology);
+  g_free (watcher->name);
+  g_free (watcher->zone);
+  g_free (watcher);
+}
+
+/* Begins to watch. */
+void
+dp_watcher_start (DpWatcher *watcher, DpRelay *relay)
+{
+  watcher->relay = relay;
+  watcher->tick = g_timeout_add (DP_LIVENESS_TICK_US / DP_US_PER_MS, tick_, watcher);
+}
+
+/* Takes a heartbeat; one of a process that is not watched here is ignored. */
+void
+dp_watcher_heartbeat (DpWatcher *watcher, const DpHeartbeat *heartbeat)
+{
+  g_autofree char *key = key_ (heartbeat->service, heartbeat->member);
+  Peer *peer = g_hash_table_lookup (watcher->peers, key);
+  gint64 now = dp_clock_now (watcher->clock);
+
+  dp_liveness_heartbeat (watcher->liveness, heartbeat->service, heartbeat->member,
+                         heartbeat->incarnation, now);
+  if (peer == NULL || heartbeat->incarnation < peer->incarnation)
+    return;
+  peer->incarnation = heartbeat->incarnation;
+  peer->revision = heartbeat->revision;
+  peer->busy = heartbeat->busy;
+  peer->connections = heartbeat->connections;
+  peer->heard_at = now;
+}
+
+/* Takes another balancer's suspicion, if it is one of the member's watchers. Its zone is
+ * taken from its registration. */
+void
+dp_watcher_suspicion (DpWatcher *watcher, const DpSuspicion *suspicion)
+{
+  const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
+  guint n = dp_topology_watchers (watcher->topology, suspicion->service,
+                                  suspicion->member, watchers);
+
+  for (guint i = 0; i < n; i++)
+    {
+      if (g_str_equal (watchers[i]->name, suspicion->watcher))
+        dp_liveness_suspicion (watcher->liveness, suspicion->service, suspicion->member,
+                               suspicion->incarnation, watchers[i]->zone,
+                               dp_clock_now (watcher->clock));
+    }
+}
+
+/* Starts all observations from zero when the platform is reachable again. */
+void
+dp_watcher_platform (DpWatcher *watcher, gboolean reachable)
+{
+  if (reachable)
+    dp_liveness_restart (watcher->liveness, dp_clock_now (watcher->clock));
+  watcher->platform_failed = !reachable;
+}
+
+/* Returns whether the platform answered the last call. */
+gboolean
+dp_watcher_platform_answers (const DpWatcher *watcher)
+{
+  return !watcher->platform_failed;
+}
+
+/* Adds what the watched processes last told, their liveness, and whether this watcher can
+ * agree with one of another availability zone. */
+void
+dp_watcher_add_status (DpWatcher *watcher, JsonObject *status)
+{
+  JsonArray *members = json_array_new ();
+  JsonArray *balancers = json_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  gboolean alone = TRUE;
+
+  g_hash_table_iter_init (&iter, watcher->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    add_peer_status_ (watcher, value,
+                      ((const Peer *) value)->service[0] == '\0' ? balancers : members);
+  for (guint i = 0; i < dp_topology_size (watcher->topology); i++)
+    alone = alone
+            && g_str_equal (dp_topology_at (watcher->topology, i)->zone, watcher->zone);
+  json_object_set_array_member (status, "watched", members);
+  json_object_set_array_member (status, "watched_balancers", balancers);
+  json_object_set_boolean_member (status, "alone", alone);
+}
+
+static void
+peer_free_ (gpointer data)
+{
+  Peer *peer = data;
+
+  g_free (peer->service);
+  g_free (peer->member);
+  g_free (peer->zone);
+  g_free (peer);
+}
+
+static void
+removal_free_ (gpointer data)
+{
+  Removal *removal = data;
+
+  g_free (removal->key);
+  g_free (removal->service);
+  g_free (removal->member);
+  g_free (removal);
+}
+
+static char *
+key_ (const char *service, const char *member)
+{
+  return g_strdup_printf ("%s/%s", service, member);
+}
+
+static void
+replica_changed_ (const DpRecord *record, gpointer user_data)
+{
+  DpWatcher *watcher = user_data;
+
+  if (record->kind == DP_KIND_BALANCER)
+    watcher->topology_is_old = TRUE;
+  watcher->members_are_old = TRUE;
+}
+
+static gboolean
+tick_ (gpointer user_data)
+{
+  DpWatcher *watcher = user_data;
+  gint64 now = dp_clock_now (watcher->clock);
+
+  if (watcher->members_are_old)
+    update_members_ (watcher, now);
+  g_array_set_size (watcher->actions, 0);
+  dp_liveness_tick (watcher->liveness, now, watcher->actions);
+  for (guint i = 0; i < watcher->actions->len; i++)
+    act_ (watcher, &g_array_index (watcher->actions, DpLivenessAction, i));
+  return G_SOURCE_CONTINUE;
+}
+
+/* Finds out whom this balancer watches. Which balancers watch a member depends on the
+ * topology only, so that it is computed again only when that changes: for thousands of
+ * members and balancers it takes a noticeable time. */
+static void
+update_members_ (DpWatcher *watcher, gint64 now)
+{
+  g_autoptr (GHashTable)
+      kept = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (watcher->topology_is_old)
+    {
+      dp_topology_free (watcher->topology);
+      watcher->topology = dp_topology_new (watcher->replica);
+      g_hash_table_remove_all (watcher->watches);
+    }
+  watcher->topology_is_old = FALSE;
+  watcher->members_are_old = FALSE;
+  dp_liveness_begin_members (watcher->liveness);
+  g_hash_table_iter_init (&iter, watcher->views);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const DpView *view = value;
+
+      for (guint i = 0; i < view->n_members; i++)
+        {
+          const DpMember *member = &view->members[i];
+
+          watch_ (watcher, view->service, member->name, member->zone, member->incarnation,
+                  now, kept);
+        }
+      dp_liveness_set_service_size (watcher->liveness, view->service, view->n_members);
+    }
+  update_balancers_ (watcher, now, kept);
+  dp_liveness_end_members (watcher->liveness);
+  g_hash_table_foreach_remove (watcher->peers, is_not_kept_, kept);
+}
+
+static void
+update_balancers_ (DpWatcher *watcher, gint64 now, GHashTable *kept)
+{
+  guint n = dp_topology_size (watcher->topology);
+
+  for (guint i = 0; i < n; i++)
+    {
+      const DpTopologyBalancer *balancer = dp_topology_at (watcher->topology, i);
+
+      watch_ (watcher, BALANCERS, balancer->name, balancer->zone, balancer->incarnation,
+              now, kept);
+    }
+  dp_liveness_set_service_size (watcher->liveness, BALANCERS, n);
+}
+
+static void
+watch_ (DpWatcher *watcher,
+        const char *service,
+        const char *member,
+        const char *zone,
+        guint64 incarnation,
+        gint64 now,
+        GHashTable *kept)
+{
+  g_autofree char *key = key_ (service, member);
+  Watch watch = how_watched_ (watcher, service, member, key);
+  DpFleetSettings settings;
+  DpLivenessMember entry = { service, member, incarnation, 0, watch == WATCH_AGREEING };
+
+  if (watch == WATCH_NOT)
+    return;
+  dp_fleet_effective (watcher->replica, service[0] == '\0' ? NULL : service, member,
+                      &settings);
+  entry.suspect_after = settings.suspect_ms * DP_US_PER_MS;
+  dp_liveness_set_member (watcher->liveness, &entry, now);
+  keep_peer_ (watcher, key, service, member, zone);
+  g_hash_table_add (kept, g_steal_pointer (&key));
+}
+
+static Watch
+how_watched_ (DpWatcher *watcher,
+              const char *service,
+              const char *member,
+              const char *key)
+{
+  const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
+  gpointer known;
+  gboolean here = FALSE;
+  gboolean elsewhere = FALSE;
+  Watch watch;
+  guint n;
+
+  if (g_hash_table_lookup_extended (watcher->watches, key, NULL, &known))
+    return (Watch) GPOINTER_TO_INT (known);
+  n = dp_topology_watchers (watcher->topology, service, member, watchers);
+  for (guint i = 0; i < n; i++)
+    {
+      here = here || g_str_equal (watchers[i]->name, watcher->name);
+      elsewhere = elsewhere || !g_str_equal (watchers[i]->zone, watcher->zone);
+    }
+  watch = !here ? WATCH_NOT : elsewhere ? WATCH_AGREEING : WATCH_ALONE;
+  g_hash_table_insert (watcher->watches, g_strdup (key), GINT_TO_POINTER (watch));
+  return watch;
+}
+
+static void
+keep_peer_ (DpWatcher *watcher,
+            const char *key,
+            const char *service,
+            const char *member,
+            const char *zone)
+{
+  Peer *peer = g_hash_table_lookup (watcher->peers, key);
+
+  if (peer != NULL)
+    return;
+  peer = g_new0 (Peer, 1);
+  peer->service = g_strdup (service);
+  peer->member = g_strdup (member);
+  peer->zone = g_strdup (zone);
+  peer->heard_at = -1;
+  g_hash_table_insert (watcher->peers, g_strdup (key), peer);
+}
+
+static gboolean
+is_not_kept_ (gpointer key, gpointer value, gpointer kept)
+{
+  return !g_hash_table_contains (kept, key);
+}
+
+static void
+act_ (DpWatcher *watcher, const DpLivenessAction *action)
+{
+  const char *service = action->service[0] == '\0' ? "balancers" : action->service;
+
+  switch (action->type)
+    {
+    case DP_LIVENESS_SUSPECT:
+      dp_metric_increment (watcher->suspected);
+      tell_ (watcher, action);
+      break;
+    case DP_LIVENESS_REMOVE:
+      remove_ (watcher, action);
+      break;
+    case DP_LIVENESS_CLEAR:
+      g_message ("liveness: %s of %s is alive again", action->member, service);
+      break;
+    case DP_LIVENESS_MASS_LOSS:
+      dp_metric_increment (watcher->mass_losses);
+      g_critical ("liveness: more than half of %s are suspected, none is removed",
+                  service);
+      break;
+    case DP_LIVENESS_ALONE:
+      g_warning (
+          "liveness: %s of %s is suspected and stays, since no balancer of another "
+          "availability zone watches it",
+          action->member, service);
+      break;
+    case DP_LIVENESS_WAS_PAUSED:
+      dp_metric_increment (watcher->pauses);
+      g_warning ("liveness: this process was paused, observing from zero");
+      break;
+    case DP_N_LIVENESS_ACTIONS:
+    default:
+      break;
+    }
+}
+
+/* Tells the suspicion to the member's other watchers. */
+static void
+tell_ (DpWatcher *watcher, const DpLivenessAction *action)
+{
+  const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
+  guint n = dp_topology_watchers (watcher->topology, action->service, action->member,
+                                  watchers);
+  const DpSuspicion suspicion = { action->service, action->member, action->incarnation,
+                                  watcher->name, watcher->zone };
+
+  g_debug ("liveness: %s of \"%s\" is suspected", action->member, action->service);
+  for (guint i = 0; i < n; i++)
+    dp_relay_send_suspicion (watcher->relay, watchers[i]->name, &suspicion);
+}
+
+/* Begins a removal by reading the newest content. */
+static void
+remove_ (DpWatcher *watcher, const DpLivenessAction *action)
+{
+  g_autofree char *key = key_ (action->service, action->member);
+  gboolean balancer = action->service[0] == '\0';
+  Removal *removal;
+
+  if (g_hash_table_contains (watcher->removals, key))
+    return;
+  removal = g_new0 (Removal, 1);
+  removal->watcher = watcher;
+  removal->key = g_steal_pointer (&key);
+  removal->service = g_strdup (action->service);
+  removal->member = g_strdup (action->member);
+  removal->incarnation = action->incarnation;
+  g_hash_table_insert (watcher->removals, removal->key, removal);
+  dp_platform_get (watcher->platform, balancer ? DP_KIND_BALANCER : DP_KIND_MEMBERS,
+                   balancer ? removal->member : removal->service, was_read_, removal);
+}
+
+static void
+was_read_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data)
+{
+  Removal *removal = user_data;
+  DpWatcher *watcher = removal->watcher;
+
+  if (note_answer_ (watcher, error) && records->len > 0
+      && dp_liveness_may_remove (watcher->liveness, removal->service, removal->member,
+                                 removal->incarnation, dp_clock_now (watcher->clock)))
+    {
+      write_ (removal, g_ptr_array_index (records, 0), version);
+      return;
+    }
+  g_hash_table_remove (watcher->removals, removal->key);
+  removal_free_ (removal);
+}
+
+/* Returns whether a call was answered by a platform that was reachable before, too. After
+ * an outage the observation starts from zero: heartbeats may have been lost with it. */
+static gboolean
+note_answer_ (DpWatcher *watcher, const GError *error)
+{
+  gboolean failed_before = watcher->platform_failed;
+
+  watcher->platform_failed = error != NULL;
+  if (error != NULL)
+    {
+      if (!failed_before)
+        g_warning ("removal: %s", error->message);
+      return FALSE;
+    }
+  if (failed_before)
+    dp_liveness_restart (watcher->liveness, dp_clock_now (watcher->clock));
+  return !failed_before;
+}
+
+/* Removes what the newest content holds of this incarnation. */
+static void
+write_ (Removal *removal, const DpRecord *record, guint64 version)
+{
+  DpWatcher *watcher = removal->watcher;
+  gboolean balancer = removal->service[0] == '\0';
+  g_autoptr (JsonNode) value = NULL;
+
+  if (!balancer)
+    value = dp_membership_remove (record->value, removal->member, removal->incarnation);
+  if (balancer ? may_delete_balancer_ (removal, record) : value != NULL)
+    {
+      dp_platform_write (watcher->platform, balancer ? DP_KIND_BALANCER : DP_KIND_MEMBERS,
+                         balancer ? removal->member : removal->service, version, value,
+                         was_written_, removal);
+      return;
+    }
+  g_hash_table_remove (watcher->removals, removal->key);
+  removal_free_ (removal);
+}
+
+static gboolean
+may_delete_balancer_ (const Removal *removal, const DpRecord *record)
+{
+  guint64 incarnation;
+
+  return dp_json_get_uint (dp_json_get_object (record->value), "incarnation",
+                           &incarnation)
+         && incarnation <= removal->incarnation;
+}
+
+static void
+was_written_ (DpWriteResult result,
+              DpRecord *record,
+              const GError *error,
+              gpointer user_data)
+{
+  Removal *removal = user_data;
+  DpWatcher *watcher = removal->watcher;
+
+  if (result == DP_WRITE_DONE)
+    {
+      dp_metric_increment (watcher->removed);
+      g_message ("removal: %s of %s was removed: no heartbeat, agreed with another "
+                 "availability zone",
+                 removal->member,
+                 removal->service[0] == '\0' ? "balancers" : removal->service);
+      if (record != NULL)
+        dp_replica_apply (watcher->replica, record);
+    }
+  else if (result != DP_WRITE_CONFLICT)
+    g_warning ("removal: %s", error->message);
+  if (result == DP_WRITE_UNKNOWN)
+    watcher->platform_failed = TRUE;
+  g_hash_table_remove (watcher->removals, removal->key);
+  removal_free_ (removal);
+}
+
+static void
+add_peer_status_ (DpWatcher *watcher, const Peer *peer, JsonArray *list)
+{
+  JsonObject *object = json_object_new ();
+  DpWatchedState state = DP_WATCHED_OBSERVING;
+  const DpView *view = g_hash_table_lookup (watcher->views, peer->service);
+  const DpMember *member = view == NULL
+                               ? NULL
+                               : dp_view_find (view, dp_member_id (peer->member));
+
+  dp_liveness_state (watcher->liveness, peer->service, peer->member, &state);
+  json_object_set_string_member (object, "service", peer->service);
+  json_object_set_string_member (object, "member", peer->member);
+  json_object_set_string_member (object, "zone", peer->zone);
+  if (member != NULL)
+    json_object_set_string_member (object, "state",
+                                   dp_member_state_string (member->state));
+  json_object_set_string_member (object, "liveness",
+                                 dp_liveness_state_string (watcher->liveness, state));
+  json_object_set_boolean_member (
+      object, "suspected", state == DP_WATCHED_SUSPECTED || state == DP_WATCHED_REMOVING);
+  json_object_set_boolean_member (object, "heard", peer->heard_at >= 0);
+  json_object_set_int_member (object, "incarnation", (gint64) peer->incarnation);
+  json_object_set_int_member (object, "revision", (gint64) peer->revision);
+  json_object_set_int_member (object, "busy", peer->busy);
+  json_object_set_int_member (object, "connections", peer->connections);
+  if (peer->heard_at >= 0)
+    json_object_set_int_member (object, "silent_ms",
+                                (dp_clock_now (watcher->clock) - peer->heard_at)
+                                    / DP_US_PER_MS);
+  json_array_add_object_element (list, object);
+}
--- a/src/test_libdogwoodpaddle/test_relay.c
+++ b/src/test_libdogwoodpaddle/test_relay.c
@@ -318,7 +318,8 @@
       dp_replica_get (second->replica, DP_KIND_FLEET, "defaults")->json,
       "{\"visits\":2}");
   CU_ASSERT_TRUE (dp_relay_platform_is_behind (first->relay));
-  CU_ASSERT_EQUAL (dp_metrics_value (first->metrics, "dp_platform_behind", ""), 1);
+  CU_ASSERT_EQUAL (dp_metrics_value (first->metrics, "dogwoodpaddle_platform_behind", ""),
+                   1);
   CU_ASSERT_TRUE (criticals_ >= 1);
   CU_ASSERT_TRUE (standin_platform_calls (world.standin).watches < 30);
   node_free (first);
@@ -390,9 +391,12 @@
   CU_ASSERT_TRUE (first->heartbeats > 0);
   CU_ASSERT_TRUE (second->heartbeats > 0);
   CU_ASSERT_TRUE (second->suspicions > 0);
-  CU_ASSERT_TRUE (dp_metrics_value (companion->metrics, "dp_control_received_bytes", "")
+  CU_ASSERT_TRUE (dp_metrics_value (companion->metrics,
+                                    "dogwoodpaddle_control_received_bytes_total", "")
                   > 500000);
-  CU_ASSERT_TRUE (dp_metrics_value (companion->metrics, "dp_control_sent_bytes", "") > 0);
+  CU_ASSERT_TRUE (
+      dp_metrics_value (companion->metrics, "dogwoodpaddle_control_sent_bytes_total", "")
+      > 0);
   CU_ASSERT_TRUE (wait_count (&first->heartbeats, 1));
   node_free (first);
   node_free (second);
@@ -423,8 +427,9 @@
       g_output_stream_write_all (g_io_stream_get_output_stream (G_IO_STREAM (connection)),
                                  garbage[i], strlen (garbage[i]), NULL, NULL, NULL);
       run_for (100);
-      CU_ASSERT_EQUAL (dp_metrics_value (node->metrics, "dp_control_malformed", ""),
-                       i + 1);
+      CU_ASSERT_EQUAL (
+          dp_metrics_value (node->metrics, "dogwoodpaddle_control_malformed_total", ""),
+          i + 1);
     }
   put (&world, DP_KIND_FLEET, "defaults", 0, "{}");
   CU_ASSERT_TRUE (wait_revision (node, 1));
