--- a/src/test_libdogwoodpaddle/test_settings.c
+++ b/src/test_libdogwoodpaddle/test_settings.c
@@ -84,6 +84,16 @@
       "$.server_ip: " },
     { "wildcard server address", DP_SETTINGS_COMPANION,
       COMPANION ",\"server_ip\":\"0.0.0.0\"}", "$.server_ip: " },
+    { "control and HTTP on one port, the second listener fails", DP_SETTINGS_BALANCER,
+      "{\"name\":\"b\",\"zone\":\"z\",\"region\":\"r\",\"data\":\"127.0.0.1:1\","
+      "\"control\":\"127.0.0.1:2\",\"http\":\"127.0.0.1:2\","
+      "\"platform\":\"http://127.0.0.1:3\"}",
+      "$.http: is the same address" },
+    { "name that can't be part of a path", DP_SETTINGS_COMPANION,
+      "{\"name\":\"a/b\",\"zone\":\"\",\"region\":\"r\",\"data\":\"127.0.0.1:1\","
+      "\"http\":\"127.0.0.1:2\",\"platform\":\"http://127.0.0.1:3\","
+      "\"service\":\".a\"}",
+      "$.name: \"a/b\" is not a name" },
     { "array instead of an object", DP_SETTINGS_BALANCER, "[]", "$: must be an object" },
     { "empty file", DP_SETTINGS_BALANCER, "", "$: the file is empty" },
   };
@@ -165,11 +175,32 @@
   expect_text (error, "/nonexistent.json");
 }
 
+static void
+test_examples (void)
+{
+  static const char *const files[] = { "balancer.json", "companion.json" };
+  const char *source = g_getenv ("DP_SOURCE_DIR");
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (source);
+  for (guint i = 0; i < G_N_ELEMENTS (files); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autofree char *path = g_build_filename (source, "examples", files[i], NULL);
+      g_autoptr (DpSettings)
+          settings = dp_settings_load (path, (DpSettingsKind) i, &error);
+
+      if (error != NULL)
+        g_printerr ("%s\n", error->message);
+      CU_ASSERT_PTR_NOT_NULL (settings);
+    }
+}
+
 static const DpTestCase cases_[] = {
   { "faults are named with key and reason", test_table },
   { "unusable addresses are refused, all in one run", test_bad_addresses },
   { "fields and defaults", test_fields },
   { "a missing file is named", test_missing_file },
+  { "the examples are accepted", test_examples },
 };
 
 DP_TEST_MAIN ("settings", cases_)
