Show suspected and unheard members in the status

A balancer lists a member that it has not heard from yet with revision 0; the status counted this as an answer that lags. Suspicions are shown, since they are what an operator sees of a mass loss.

--- a/src/dogwoodpaddle/processes.c
+++ b/src/dogwoodpaddle/processes.c
@@ -13,6 +13,7 @@
 #define MAX_CONNECTIONS 32
 /* One balancer watches a few companions at 200 bytes each. */
 #define MAX_STATUS_BYTES (4 * 1024 * 1024)
+#define UNHEARD "no balancer that answers has heard from it"
 
 typedef struct
 {
@@ -170,7 +171,7 @@
       process->state = g_strdup (dp_member_state_string (member->state));
       process->held = member->held;
       process->incarnation = member->incarnation;
-      process->problem = g_strdup ("no balancer that answers has heard from it");
+      process->problem = g_strdup (UNHEARD);
     }
 }
 
@@ -364,10 +365,15 @@
       if (processes->records != NULL)
         return;
       process = add_ (processes, PROCESS_COMPANION, service, member);
+      process->zone = g_strdup (dp_json_get_string (object, "zone"));
       process->state = g_strdup (dp_json_get_string (object, "state"));
+      process->problem = g_strdup (UNHEARD);
     }
   if (process->incarnation != 0 && process->incarnation != incarnation)
     return;
+  process->suspected += dp_json_get_boolean (object, "suspected", FALSE) ? 1 : 0;
+  if (!dp_json_get_boolean (object, "heard", TRUE))
+    return;
   if (process->answers && process->revision >= revision)
     return;
   process->answers = TRUE;
--- a/src/dogwoodpaddle/processes.h
+++ b/src/dogwoodpaddle/processes.h
@@ -25,6 +25,7 @@
   gboolean held;
   guint64 busy;
   guint64 connections;
+  guint suspected; /* companion: number of balancers that suspect it */
 } Process;
 
 typedef struct
--- a/src/dogwoodpaddle/status_commands.c
+++ b/src/dogwoodpaddle/status_commands.c
@@ -191,21 +191,22 @@
   g_autofree char *revision = process->answers ? g_strdup_printf ("%" G_GUINT64_FORMAT,
                                                                   process->revision)
                                                : g_strdup ("?");
-  g_autofree char *note = NULL;
+  g_autoptr (GString) note = g_string_new ("");
 
   if (!process->answers)
-    note = g_strdup_printf ("  no answer: %s", process->problem);
+    g_string_append_printf (note, "  no answer: %s", process->problem);
   else if (process->revision < target)
-    note = g_strdup_printf ("  lags by %" G_GUINT64_FORMAT, target - process->revision);
-  else
-    note = g_strdup ("");
+    g_string_append_printf (note, "  lags by %" G_GUINT64_FORMAT,
+                            target - process->revision);
+  if (process->suspected > 0)
+    g_string_append_printf (note, "  suspected by %u", process->suspected);
   cli_print (cli,
              "%-10s %-16s %-20s %-10s %9s %-12s %5" G_GUINT64_FORMAT
              " %11" G_GUINT64_FORMAT "%s",
              process_kind_string (process->kind), process->service, process->name,
              process->zone == NULL ? "" : process->zone, revision,
              process->held ? "drained" : (process->state == NULL ? "" : process->state),
-             process->busy, process->connections, note);
+             process->busy, process->connections, note->str);
 }
 
 static JsonObject *
@@ -231,6 +232,7 @@
     json_object_set_string_member (entry, "problem", process->problem);
   json_object_set_int_member (entry, "busy", (gint64) process->busy);
   json_object_set_int_member (entry, "connections", (gint64) process->connections);
+  json_object_set_int_member (entry, "suspected", process->suspected);
   return entry;
 }
 
--- a/test/test_cli.sh
+++ b/test/test_cli.sh
@@ -413,6 +413,14 @@
 has out "in force on 3 of 3 processes"
 run 0 "watch for an earlier revision" watch --timeout 1 --revision 1
 
+# A suspected member, and one from which no balancer has heard since it started.
+jq -c '.watched[0].suspected = true | .watched[1].heard = false' "$work/balancer/status" >"$work/new"
+mv "$work/new" "$work/balancer/status"
+run 0 "status" status
+grep -q "darbnica-1 .* suspected by 1" "$work/out" || fail "a suspicion is not shown"
+grep -q "darbnica-2 .* no answer: no balancer" "$work/out" || fail "an unheard member answers"
+run 1 "unheard member taken for up to date" watch --timeout 0
+
 # A member has left once it knows of the drain and has no connection left.
 run 1 "drain ended with connections" drain darbnica-2 --service darbnica --wait --timeout 1
 report "$now" "$now" 1 0
