--- a/src/libdogwoodpaddle/companion.c
+++ b/src/libdogwoodpaddle/companion.c
@@ -9,13 +9,13 @@
 #include "protected/server.h"
 #include "protected/settings_fields.h"
 
-/* Balancers send new flows to a removed member until they know of the removal. */
-#define REMOVED_WAIT (2 * DP_US_PER_S)
 /* How long a shutdown waits for a platform that doesn't answer, passing new flows on. */
 #define REMOVAL_WAIT_MAX (10 * DP_US_PER_S)
 #define STOP_POLL_MS 50
 #define SLOW_START (10 * DP_US_PER_S)
-#define SETTLE_TIME (5 * DP_US_PER_S)
+#define PULSE_MS 250
+/* A pulse that comes later than this means that the process was paused. */
+#define PULSE_LATE_MAX (1 * DP_US_PER_S)
 
 typedef enum
 {
@@ -46,6 +46,8 @@
   guint heartbeat_timer;
   guint heartbeat_ms;
   guint stop_timer;
+  guint pulse_timer;
+  gint64 pulse_at; /* us, of the last pulse */
   State state;
   gint64 state_since; /* us */
   gboolean aborted;
@@ -64,6 +66,7 @@
 static DpRegistrationState wanted_ (const DpCompanion *companion);
 static gboolean is_leaving_ (const DpCompanion *companion);
 static gboolean heartbeat_ (gpointer user_data);
+static gboolean pulse_ (gpointer user_data);
 static void set_state_ (DpCompanion *companion, State state);
 static gboolean stop_step_ (gpointer user_data);
 static void check_drain_ (DpCompanion *companion, gint64 waited);
@@ -111,6 +114,10 @@
       || !start_control_ (companion, error))
     return FALSE;
   configure_ (companion);
+  companion->pulse_at = dp_clock_now (companion->clock);
+  /* Before the packets that arrived during a pause. */
+  companion->pulse_timer = g_timeout_add_full (G_PRIORITY_HIGH, PULSE_MS, pulse_,
+                                               companion, NULL);
   g_message ("companion %s of service %s started", companion->settings->name,
              companion->settings->service);
   return TRUE;
@@ -150,6 +157,7 @@
   if (companion == NULL)
     return;
   g_clear_handle_id (&companion->heartbeat_timer, g_source_remove);
+  g_clear_handle_id (&companion->pulse_timer, g_source_remove);
   g_clear_handle_id (&companion->stop_timer, g_source_remove);
   dp_server_free (companion->server);
   dp_httpd_free (companion->httpd);
@@ -243,7 +251,7 @@
     .idle_timeout = settings->idle_timeout_s * DP_US_PER_S,
     .progress_timeout = settings->progress_timeout_s * DP_US_PER_S,
     .slow_start = SLOW_START,
-    .settle_time = SETTLE_TIME,
+    .settle_time = settings->settle_ms * DP_US_PER_MS,
   };
 
   if (server->registered)
@@ -381,6 +389,24 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Notices a pause of the process, after which its view may be old. */
+static gboolean
+pulse_ (gpointer user_data)
+{
+  DpCompanion *companion = user_data;
+  gint64 now = dp_clock_now (companion->clock);
+  gint64 late = now - companion->pulse_at - PULSE_MS * DP_US_PER_MS;
+
+  companion->pulse_at = now;
+  if (late > PULSE_LATE_MAX)
+    {
+      g_warning ("the process was paused for %" G_GINT64_FORMAT " ms",
+                 late / DP_US_PER_MS);
+      dp_acceptance_resumed (companion->acceptance, now);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
 static void
 set_state_ (DpCompanion *companion, State state)
 {
@@ -401,6 +427,7 @@
   gint64 waited = dp_clock_now (companion->clock) - companion->state_since;
   gboolean absent = dp_registration_written (companion->registration)
                     == DP_REGISTRATION_ABSENT;
+  guint32 settle_ms = dp_in_force_settings (companion->in_force)->settle_ms;
 
   switch (companion->state)
     {
@@ -415,7 +442,8 @@
         set_state_ (companion, STATE_REMOVED);
       break;
     case STATE_REMOVED:
-      if (waited >= REMOVED_WAIT)
+      /* Balancers send new flows here until they know of the removal. */
+      if (waited >= settle_ms * DP_US_PER_MS)
         set_state_ (companion, STATE_ENDED);
       break;
     case STATE_RUNNING:
--- a/src/libdogwoodpaddle/fleet.c
+++ b/src/libdogwoodpaddle/fleet.c
@@ -22,6 +22,7 @@
   KEY (trace_sample, 0, 1000000, 1000),
   KEY (heartbeat_ms, 100, 10000, 1000),
   KEY (suspect_ms, 500, 60000, 4000),
+  KEY (settle_ms, 1000, 60000, 5000),
 };
 const guint dp_n_fleet_keys_ = G_N_ELEMENTS (dp_fleet_keys_);
 
--- a/src/libdogwoodpaddle/include/protected/fleet.h
+++ b/src/libdogwoodpaddle/include/protected/fleet.h
@@ -23,6 +23,7 @@
   guint32 trace_sample;     /* one flow in so many, 0: none */
   guint32 heartbeat_ms;
   guint32 suspect_ms;
+  guint32 settle_ms; /* after which a change is in force everywhere */
 } DpFleetSettings;
 
 void dp_fleet_settings_init (DpFleetSettings *settings);
--- a/src/test_libdogwoodpaddle/test_fleet.c
+++ b/src/test_libdogwoodpaddle/test_fleet.c
@@ -119,16 +119,17 @@
                 "\"connections\":100001,\"idle_timeout_s\":86401,"
                 "\"progress_timeout_s\":3601,\"drain_deadline_s\":86401,"
                 "\"trace_sample\":1000001,\"heartbeat_ms\":10001,"
-                "\"suspect_ms\":60001"),
+                "\"suspect_ms\":60001,\"settle_ms\":60001"),
       "$.defaults.wait_limit_ms $.defaults.visits $.defaults.slots "
       "$.defaults.connections $.defaults.idle_timeout_s "
       "$.defaults.progress_timeout_s $.defaults.drain_deadline_s "
-      "$.defaults.trace_sample $.defaults.heartbeat_ms $.defaults.suspect_ms" },
+      "$.defaults.trace_sample $.defaults.heartbeat_ms $.defaults.suspect_ms "
+      "$.defaults.settle_ms" },
     { "ends of the ranges refused",
       DEFAULTS ("\"wait_limit_ms\":0,\"visits\":8,\"slots\":1024,\"connections\":1,"
                 "\"idle_timeout_s\":10,\"progress_timeout_s\":3600,"
                 "\"drain_deadline_s\":0,\"trace_sample\":0,\"heartbeat_ms\":100,"
-                "\"suspect_ms\":500"),
+                "\"suspect_ms\":500,\"settle_ms\":1000"),
       "" },
     { "heartbeats rarer than the suspicion", DEFAULTS ("\"heartbeat_ms\":3000"),
       "$.defaults.suspect_ms" },
