--- a/test/backend/main.c
+++ b/test/backend/main.c
@@ -11,7 +11,9 @@
 #define REGISTER_RETRY_MS 200
 #define REGISTER_REPEAT_MS 2000
 #define STOP_POLL_MS 50
-#define STOP_QUIET_MS 1000 /* without connections before the server ends */
+/* Without connections before the server ends; the companion's health check opens one
+ * every second. */
+#define STOP_QUIET_MS 500
 #define STOP_LINGER_MS                                                                   \
   10000 /* that idle connections get to be closed by their clients                       \
          */
--- a/test/deployment.sh
+++ b/test/deployment.sh
@@ -238,19 +238,28 @@
   wait "${process_pid[$1]}" 2>/dev/null
 }
 
-# Ends all processes, those in front of the servers last; what has not ended after 5 s is
-# killed.
+# Ends all processes: those that still write to the platform before the platform.
 stop_all() {
-  local name limit
+  local name rest=()
   for name in "${process_order[@]}"; do
+    [[ $name == platform || " ${balancers[*]} " == *" $name "* ]] || rest+=("$name")
+  done
+  stop_together_ "${rest[@]}"
+  stop_together_ "${balancers[@]}"
+  stop_together_ platform
+}
+
+# Stops the processes; what has not ended after 5 s is killed.
+stop_together_() {
+  local name limit=$((SECONDS + 5))
+  for name in "$@"; do
     signal_process "$name" TERM
   done
-  limit=$((SECONDS + 5))
-  for name in "${process_order[@]}"; do
+  for name in "$@"; do
     while is_running "$name" && [ "$SECONDS" -lt "$limit" ]; do
       sleep 0.05
     done
-    kill_process "$name"
+    ! is_running "$name" || kill_process "$name"
   done
 }
 
