Pass flows on until every view knows a new member

A member that has just joined accepted flows at once. A packet of such a flow that came by a balancer with an older view visited members with older views only, the last of which answered it with a reset: the flow was broken by a planned change.

A leaving member could also give a free slot to a waiting SYN before its next tick; waiting SYNs are now passed on before slots are given out.

The histories also show that a removed member has to stay up and pass packets on until every view lacks it: otherwise flows that pass it stall for up to the views' lag.

--- a/src/libdogwoodpaddle/acceptance.c
+++ b/src/libdogwoodpaddle/acceptance.c
@@ -12,6 +12,7 @@
                                               const DpAddress *address);
 static void update_capacity_ (DpAcceptance *acceptance);
 static gboolean same_members_ (const DpView *a, const DpView *b);
+static gboolean is_present_ (const DpAcceptance *acceptance, const DpView *view);
 static gboolean is_active_ (const DpAcceptance *acceptance, const DpView *view);
 static gboolean deliver_ (DpAcceptance *acceptance,
                           DpHandle handle,
@@ -39,6 +40,7 @@
   acceptance->flows = dp_flows_new (FLOWS_MAX);
   acceptance->slots = dp_slots_new (FLOWS_MAX);
   acceptance->decisions = dp_decisions_new ();
+  acceptance->present_since = G_MAXINT64;
   update_capacity_ (acceptance);
   return acceptance;
 }
@@ -93,6 +95,10 @@
     return;
   if (old == NULL || !same_members_ (old, view))
     acceptance->changed_at = now;
+  if (!is_present_ (acceptance, view))
+    acceptance->present_since = G_MAXINT64;
+  else if (old == NULL || !is_present_ (acceptance, old))
+    acceptance->present_since = now;
   if (is_active_ (acceptance, view) && (old == NULL || !is_active_ (acceptance, old)))
     acceptance->active_since = now;
   dp_candidates_free (acceptance->candidates);
@@ -406,6 +412,12 @@
   return TRUE;
 }
 
+static gboolean
+is_present_ (const DpAcceptance *acceptance, const DpView *view)
+{
+  return dp_view_find (view, acceptance->member_id) != NULL;
+}
+
 static gboolean
 is_active_ (const DpAcceptance *acceptance, const DpView *view)
 {
--- a/src/libdogwoodpaddle/admission.c
+++ b/src/libdogwoodpaddle/admission.c
@@ -29,7 +29,7 @@
 static gboolean takes_flows_ (const DpAcceptance *acceptance);
 static DpReason hard_limit_ (const DpAcceptance *acceptance,
                              const DpServiceAddress *address);
-static gboolean in_slow_start_ (const DpAcceptance *acceptance, guint64 hash, gint64 now);
+static gboolean is_new_ (const DpAcceptance *acceptance, guint64 hash, gint64 now);
 static gboolean repeat_ (Syn *syn);
 static void remember_ (DpAcceptance *acceptance,
                        const DpSegment *segment,
@@ -73,7 +73,7 @@
   if (syn.header.n_visited < acceptance->limits.visits || !takes_flows_ (acceptance))
     next = next_member_ (acceptance, &syn.header, segment->hash, DP_CANDIDATES_NEW_FLOW);
   if (reason == DP_REASON_NONE && dp_slots_can_take (acceptance->slots, address->class)
-      && (next == NULL || !in_slow_start_ (acceptance, segment->hash, now)))
+      && (next == NULL || !is_new_ (acceptance, segment->hash, now)))
     {
       accept_ (&syn);
       return;
@@ -336,15 +336,21 @@
   return DP_REASON_NONE;
 }
 
-/* Returns whether a flow belongs to the share that is passed on during slow start; the
- * share falls from all flows to none. Members choose different flows. */
+/* Returns whether other members are to take a flow, if they can. They take all flows
+ * until every view has had time to include this member: a packet of its flow that comes
+ * by older views alone would visit all others and be answered with a reset. Then the
+ * share that they take falls to none during slow start; members choose different flows.
+ */
 static gboolean
-in_slow_start_ (const DpAcceptance *acceptance, guint64 hash, gint64 now)
+is_new_ (const DpAcceptance *acceptance, guint64 hash, gint64 now)
 {
   gint64 left = acceptance->limits.slow_start - (now - acceptance->active_since);
   guint64 mixed = (hash ^ acceptance->member_id)
                   * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15);
 
+  if (now < acceptance->present_since
+      || now - acceptance->present_since < acceptance->limits.settle_time)
+    return TRUE;
   if (left <= 0)
     return FALSE;
   return (gint64) (mixed >> 32) * acceptance->limits.slow_start
--- a/src/libdogwoodpaddle/expiry.c
+++ b/src/libdogwoodpaddle/expiry.c
@@ -19,6 +19,7 @@
                      gint64 now,
                      DpActions *actions);
 static gboolean must_pass_waiting_ (const DpAcceptance *acceptance);
+static void pass_waiting_ (DpAcceptance *acceptance, gint64 now, DpActions *actions);
 
 /* Carries out what is due by now. */
 void
@@ -31,14 +32,9 @@
       gint64 since = 0;
 
       while ((handle = dp_flows_oldest (acceptance->flows, timer, &since))
-             != DP_HANDLE_NONE)
-        {
-          gboolean pass = timer == DP_TIMER_WAITING && must_pass_waiting_ (acceptance);
-
-          if (!pass && now - since < timeout_ (acceptance, timer))
-            break;
-          expire_ (acceptance, handle, timer, now, actions);
-        }
+                 != DP_HANDLE_NONE
+             && now - since >= timeout_ (acceptance, timer))
+        expire_ (acceptance, handle, timer, now, actions);
     }
   dp_expiry_dispatch (acceptance, now, actions);
 }
@@ -94,6 +90,7 @@
   DpHandle handle;
 
   acceptance->dispatch_due = FALSE;
+  pass_waiting_ (acceptance, now, actions);
   while ((handle = dp_slots_next (acceptance->slots)) != DP_HANDLE_NONE)
     {
       DpFlow *flow = dp_flows_get (acceptance->flows, handle);
@@ -152,11 +149,7 @@
   switch (timer)
     {
     case DP_TIMER_WAITING:
-      dp_admission_pass_held (acceptance, handle,
-                              acceptance->leaving     ? DP_REASON_LEAVING
-                              : acceptance->server_up ? DP_REASON_WAIT_LIMIT
-                                                      : DP_REASON_NO_SERVER,
-                              now, actions);
+      dp_admission_pass_held (acceptance, handle, DP_REASON_WAIT_LIMIT, now, actions);
       break;
     case DP_TIMER_CONNECT:
       dp_admission_pass_held (acceptance, handle, DP_REASON_NO_SERVER, now, actions);
@@ -189,3 +182,18 @@
     return !acceptance->server_up;
   return acceptance->leaving || !acceptance->server_up;
 }
+
+/* Passes the waiting SYNs on if this member takes no flows any more. */
+static void
+pass_waiting_ (DpAcceptance *acceptance, gint64 now, DpActions *actions)
+{
+  DpReason reason = acceptance->server_up ? DP_REASON_LEAVING : DP_REASON_NO_SERVER;
+  DpHandle handle;
+  gint64 since;
+
+  if (!must_pass_waiting_ (acceptance))
+    return;
+  while ((handle = dp_flows_oldest (acceptance->flows, DP_TIMER_WAITING, &since))
+         != DP_HANDLE_NONE)
+    dp_admission_pass_held (acceptance, handle, reason, now, actions);
+}
--- a/src/libdogwoodpaddle/include/private/admission.h
+++ b/src/libdogwoodpaddle/include/private/admission.h
@@ -26,6 +26,7 @@
   gboolean dispatch_due; /* a slot may be free for a waiting flow */
   gint64 connected_at;   /* us */
   gint64 changed_at;     /* us, last change of the members */
+  gint64 present_since;  /* us, this member is in its own view */
   gint64 active_since;   /* us, start of the slow start */
 };
 
--- a/src/test_libdogwoodpaddle/members.h
+++ b/src/test_libdogwoodpaddle/members.h
@@ -157,13 +157,19 @@
   return n;
 }
 
-/* Follows a packet with its header until a member doesn't forward it. No member may be
- * visited twice, but for a SYN that is returned. */
+/* Follows a packet with its header until a member doesn't forward it; it is lost at one
+ * that is gone. No member may be visited twice, but for a SYN that is returned. */
 static inline void
 members_follow (Members *m, guint first, DpHeader header, const DpSegment *segment)
 {
   guint visits[MEMBERS_MAX] = { 0 };
 
+  for (guint i = 0; i < header.n_visited; i++)
+    {
+      for (guint j = 0; j < m->n; j++)
+        visits[j] += dp_member_id (m->names[j]) == header.visited[i] ? 1 : 0;
+    }
+  visits[first] = 0;
   m->at = first;
   for (m->n_hops = 1;; m->n_hops++)
     {
@@ -171,6 +177,11 @@
 
       visits[m->at]++;
       dp_actions_clear (&m->actions);
+      if (m->acceptances[m->at] == NULL)
+        {
+          m->last = (DpAction){ .type = DP_ACTION_DROP };
+          return;
+        }
       dp_acceptance_packet (m->acceptances[m->at], &header, segment, m->now, &m->actions);
       m->last = members_packet_action (m);
       if (m->last.type != DP_ACTION_FORWARD)
--- a/src/test_libdogwoodpaddle/test_admission.c
+++ b/src/test_libdogwoodpaddle/test_admission.c
@@ -388,6 +388,40 @@
   members_finish (&m);
 }
 
+/* A member that others may not know yet takes a flow only if no other can. */
+static void
+test_unknown_member (void)
+{
+  Members m;
+  DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+
+  members_init (&m, 3);
+  m.list[0].state = DP_MEMBER_JOINING;
+  members_set_view (&m, 0, 2, 0);
+  members_set_view (&m, 0, 3, 3);
+  m.list[0].state = DP_MEMBER_ACTIVE;
+  m.now += 4 * DP_US_PER_S;
+  members_set_view (&m, 0, 4, 3);
+  members_send (&m, 0, &syn);
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+  CU_ASSERT_NOT_EQUAL (m.at, 0);
+  m.now += DP_US_PER_S;
+  syn = members_segment (2, &status_, DP_TCP_SYN);
+  members_send (&m, 0, &syn);
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+  CU_ASSERT_EQUAL (m.at, 0);
+
+  members_set_view (&m, 0, 5, 0);
+  members_set_view (&m, 0, 6, 3);
+  for (guint i = 1; i < 3; i++)
+    dp_acceptance_set_leaving (m.acceptances[i], TRUE, m.now);
+  syn = members_segment (3, &status_, DP_TCP_SYN);
+  members_send (&m, 0, &syn);
+  CU_ASSERT_EQUAL (m.last.type, DP_ACTION_HOLD);
+  CU_ASSERT_EQUAL (m.at, 0);
+  members_finish (&m);
+}
+
 static const DpTestCase cases_[] = {
   { "a visited member with a free slot takes the SYN", test_free_slot_is_found },
   { "the least loaded visited member takes a SYN to wait", test_least_loaded_takes_it },
@@ -400,6 +434,7 @@
   { "bulk never takes all slots or connections", test_bulk_limits },
   { "waiting SYNs go on when their member leaves", test_waiting_syns_leave },
   { "the wait for a slot is bounded", test_waiting_timeout },
+  { "a member that others may not know yet passes on", test_unknown_member },
   { "a member that starts takes a growing share", test_slow_start },
 };
 
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_histories.c
@@ -0,0 +1,442 @@
+/* Guards against flows that a planned change breaks: random histories of members that
+ * join, leave and come back while every process knows the list up to 5 s late. */
+#include "members.h"
+
+#define N_MEMBERS 6
+#define N_BALANCERS 3
+#define N_CLIENTS 30
+#define N_HISTORIES 60
+#define N_STEPS 1500
+#define STEP (40 * DP_US_PER_MS)
+#define LAG_MAX (5 * DP_US_PER_S)
+#define REVISIONS_MAX 400
+
+typedef enum
+{
+  CLIENT_CLOSED,
+  CLIENT_SYN_SENT,
+  CLIENT_ESTABLISHED
+} ClientState;
+
+typedef struct
+{
+  ClientState state;
+  DpSegment syn;
+  guint32 ack;    /* initial sequence number of the SYN-ACK that was taken, + 1 */
+  guint owner;    /* member that sent it */
+  gint64 taken;   /* us */
+  gint64 dropped; /* us, first packet since the last delivered one; 0: none */
+} Client;
+
+/* A process's knowledge of the member list. */
+typedef struct
+{
+  guint known; /* index of its revision */
+  gint64 lag;  /* us */
+} Knowledge;
+
+typedef struct
+{
+  Members m;
+  GRand *rand;
+  gboolean late; /* all know the list as late as possible, but for one balancer */
+  DpMemberState states[N_MEMBERS];
+  gboolean listed[N_MEMBERS];
+  gboolean leaving[N_MEMBERS]; /* its companion has begun to leave */
+  gint64 removed[N_MEMBERS];   /* us, when it removed itself from the list */
+  DpView *views[REVISIONS_MAX];
+  DpCandidates *candidates[REVISIONS_MAX];
+  gint64 published[REVISIONS_MAX]; /* us */
+  guint n_revisions;
+  Knowledge knowledge[N_MEMBERS + N_BALANCERS];
+  Client clients[N_CLIENTS];
+  guint n_sent;
+  guint n_delivered;
+  guint n_reset;
+  guint n_stuck; /* packets dropped after all processes must have known the owner */
+  guint n_misdelivered;
+  guint n_aborted;
+  guint n_opened;
+  guint n_late; /* new flows at a member that has been leaving */
+} History;
+
+static gboolean
+chance (History *h, double probability)
+{
+  return g_rand_double (h->rand) < probability;
+}
+
+static void
+publish (History *h)
+{
+  DpMember list[N_MEMBERS];
+  guint n = 0;
+
+  g_assert (h->n_revisions < REVISIONS_MAX);
+  for (guint i = 0; i < N_MEMBERS; i++)
+    {
+      if (!h->listed[i])
+        continue;
+      list[n] = h->m.list[i];
+      list[n++].state = h->states[i];
+    }
+  h->views[h->n_revisions] = dp_view_new (SERVICE, h->n_revisions + 1, list, n);
+  h->candidates[h->n_revisions] = dp_candidates_new (h->views[h->n_revisions]);
+  h->published[h->n_revisions] = h->m.now;
+  h->n_revisions++;
+}
+
+static void
+start_member (History *h, guint i)
+{
+  const DpServiceAddress address = { status_, DP_CLASS_INTERACTIVE, 2 * DP_US_PER_S };
+  DpAcceptanceLimits limits = members_limits ();
+  DpAcceptance *a = dp_acceptance_new (SERVICE, dp_member_id (h->m.names[i]));
+
+  h->m.acceptances[i] = a;
+  h->m.list[i].incarnation++;
+  limits.slow_start = (gint64) g_rand_int_range (h->rand, 0, 10) * DP_US_PER_S;
+  dp_acceptance_set_limits (a, &limits);
+  dp_acceptance_set_addresses (a, &address, 1);
+  dp_acceptance_set_connected (a, TRUE, h->m.now - 10 * DP_US_PER_S);
+  h->states[i] = DP_MEMBER_JOINING;
+  h->listed[i] = TRUE;
+  h->leaving[i] = FALSE;
+  publish (h);
+  h->knowledge[i].known = h->n_revisions - 1;
+  dp_acceptance_set_view (a, h->views[h->n_revisions - 1], h->m.now);
+}
+
+/* Lets every process know what it has to by now, and perhaps more. */
+static void
+spread (History *h)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (h->knowledge); i++)
+    {
+      Knowledge *k = &h->knowledge[i];
+      guint before = k->known;
+
+      if (h->late)
+        k->lag = i == N_MEMBERS ? 0 : LAG_MAX;
+      else if (chance (h, 0.02))
+        k->lag = g_rand_int_range (h->rand, 0, (gint32) LAG_MAX);
+      while (k->known + 1 < h->n_revisions
+             && h->published[k->known + 1] + k->lag <= h->m.now)
+        k->known++;
+      if (k->known != before && i < N_MEMBERS && h->m.acceptances[i] != NULL)
+        dp_acceptance_set_view (h->m.acceptances[i], h->views[k->known], h->m.now);
+    }
+}
+
+/* A SYN-ACK reaches the client, which takes the first one of its SYN. */
+static void
+answer (History *h, guint member, DpHandle flow)
+{
+  guint32 initial_seq = g_rand_int (h->rand);
+  DpFlowKey key;
+
+  dp_acceptance_syn_answered (h->m.acceptances[member], flow, initial_seq, h->m.now);
+  if (!dp_acceptance_flow_key (h->m.acceptances[member], flow, &key) || chance (h, 0.2))
+    return;
+  for (guint i = 0; i < N_CLIENTS; i++)
+    {
+      Client *c = &h->clients[i];
+
+      if (c->state != CLIENT_SYN_SENT || !dp_flow_key_equal (&c->syn.key, &key))
+        continue;
+      c->state = CLIENT_ESTABLISHED;
+      c->ack = initial_seq + 1;
+      c->owner = member;
+      c->taken = h->m.now;
+      c->dropped = 0;
+      h->n_opened++;
+    }
+}
+
+/* Returns the SYN of the client with the key, or NULL if the client has moved on. */
+static const DpSegment *
+find_syn (History *h, const DpFlowKey *key)
+{
+  for (guint i = 0; i < N_CLIENTS; i++)
+    {
+      if (dp_flow_key_equal (&h->clients[i].syn.key, key))
+        return &h->clients[i].syn;
+    }
+  return NULL;
+}
+
+/* Carries out the last call's actions for flows of the member. syn: the SYN that may be
+ * passed on among them, NULL if the client is to send it again. */
+static void
+carry_out (History *h, guint member, const DpSegment *syn)
+{
+  DpAcceptance *a = h->m.acceptances[member];
+  g_autoptr (GArray) items = g_array_copy (h->m.actions.items);
+
+  for (guint i = 0; i < items->len; i++)
+    {
+      DpAction action = g_array_index (items, DpAction, i);
+
+      if (action.type == DP_ACTION_CONNECT)
+        {
+          gboolean fails = chance (h, 0.05);
+          DpFlowKey key;
+
+          g_assert (dp_acceptance_flow_key (a, action.flow, &key));
+          if (h->leaving[member])
+            h->n_late++;
+          dp_actions_clear (&h->m.actions);
+          if (fails)
+            dp_acceptance_server_failed (a, action.flow, h->m.now, &h->m.actions);
+          else
+            dp_acceptance_server_connected (a, action.flow, h->m.now, &h->m.actions);
+          if (fails)
+            carry_out (h, member, find_syn (h, &key));
+          else
+            answer (h, member, action.flow);
+        }
+      if (action.type == DP_ACTION_FORWARD_HELD && syn != NULL)
+        {
+          members_follow (&h->m, members_index (&h->m, &action.address), action.header,
+                          syn);
+          carry_out (h, h->m.at, syn);
+        }
+      h->n_aborted += action.type == DP_ACTION_ABORT;
+    }
+}
+
+/* Sends a packet by a random balancer; returns whether one had a member for it. */
+static gboolean
+send (History *h, const DpSegment *segment)
+{
+  const Knowledge *k =
+      &h->knowledge[N_MEMBERS + g_rand_int_range (h->rand, 0, N_BALANCERS)];
+  DpCandidateKind kind = dp_segment_opens_flow (segment) ? DP_CANDIDATES_NEW_FLOW
+                                                         : DP_CANDIDATES_ANY_FLOW;
+  const DpMember *first = dp_candidates_first (h->candidates[k->known], segment->hash,
+                                               kind);
+  DpHeader header;
+  guint at;
+
+  if (first == NULL)
+    return FALSE;
+  at = members_index (&h->m, &first->address);
+  header = members_header (&h->m, at);
+  header.revision = k->known + 1;
+  members_follow (&h->m, at, header, segment);
+  return TRUE;
+}
+
+static void
+send_syn (History *h, Client *c)
+{
+  if (!send (h, &c->syn))
+    return;
+  if (h->m.last.type == DP_ACTION_RESET)
+    c->state = CLIENT_CLOSED;
+  if (h->m.last.type == DP_ACTION_HOLD)
+    carry_out (h, h->m.at, &c->syn);
+}
+
+static void
+send_data (History *h, Client *c)
+{
+  DpSegment data = c->syn;
+  DpAcceptance *a;
+
+  data.flags = DP_TCP_ACK;
+  data.seq++;
+  data.ack = c->ack;
+  if (!send (h, &data))
+    return;
+  h->n_sent++;
+  h->n_reset += h->m.last.type == DP_ACTION_RESET;
+  if (h->m.last.type != DP_ACTION_DELIVER)
+    {
+      if (c->dropped == 0)
+        c->dropped = h->m.now;
+      h->n_stuck += h->m.now - c->dropped > LAG_MAX;
+      return;
+    }
+  c->dropped = 0;
+  h->n_delivered++;
+  h->n_misdelivered += h->m.at != c->owner;
+  a = h->m.acceptances[h->m.at];
+  dp_acceptance_established (a, h->m.last.flow, h->m.now);
+  if (dp_acceptance_request (a, h->m.last.flow, 10, h->m.now))
+    dp_acceptance_response (a, h->m.last.flow, 10, 0, h->m.now);
+}
+
+/* One step of a client. */
+static void
+step_client (History *h, Client *c)
+{
+  DpHandle flow;
+
+  switch (c->state)
+    {
+    case CLIENT_CLOSED:
+      c->syn = members_segment (g_rand_int (h->rand) & 0xffffff, &status_, DP_TCP_SYN);
+      c->syn.seq = g_rand_int (h->rand);
+      c->state = CLIENT_SYN_SENT;
+      send_syn (h, c);
+      break;
+    case CLIENT_SYN_SENT:
+      if (chance (h, 0.3))
+        send_syn (h, c);
+      break;
+    case CLIENT_ESTABLISHED:
+    default:
+      /* A copy of the SYN that comes late. */
+      if (h->m.now - c->taken < DP_US_PER_S && chance (h, 0.2) && send (h, &c->syn))
+        carry_out (h, h->m.at, &c->syn);
+      send_data (h, c);
+      if (h->m.last.type != DP_ACTION_DELIVER || !chance (h, 0.01))
+        break;
+      flow = dp_acceptance_find (h->m.acceptances[c->owner], &c->syn.key);
+      dp_actions_clear (&h->m.actions);
+      dp_acceptance_closed (h->m.acceptances[c->owner], flow, h->m.now, &h->m.actions);
+      c->state = CLIENT_CLOSED;
+      carry_out (h, c->owner, NULL);
+    }
+}
+
+/* One step of a member's life: joining, active, leaving, gone. */
+static void
+step_member (History *h, guint i)
+{
+  DpAcceptance *a = h->m.acceptances[i];
+  guint n_active = 0;
+
+  for (guint j = 0; j < N_MEMBERS; j++)
+    n_active += h->listed[j] && !h->leaving[j] && h->states[j] == DP_MEMBER_ACTIVE;
+  if (a == NULL)
+    {
+      if (chance (h, 0.01))
+        start_member (h, i);
+      return;
+    }
+  if (h->states[i] == DP_MEMBER_JOINING && chance (h, 0.05))
+    {
+      h->states[i] = DP_MEMBER_ACTIVE;
+      dp_acceptance_set_server_up (a, TRUE, h->m.now);
+      publish (h);
+    }
+  else if (h->states[i] == DP_MEMBER_ACTIVE && !h->leaving[i] && n_active > 2
+           && chance (h, 0.005))
+    {
+      h->leaving[i] = TRUE;
+      dp_acceptance_set_leaving (a, TRUE, h->m.now);
+    }
+  else if (h->states[i] == DP_MEMBER_ACTIVE && h->leaving[i] && chance (h, 0.05))
+    {
+      h->states[i] = DP_MEMBER_LEAVING;
+      publish (h);
+    }
+  else if (!h->listed[i])
+    {
+      /* Until every view lacks it, it passes packets of others' flows on. */
+      if (h->m.now - h->removed[i] > LAG_MAX)
+        g_clear_pointer (&h->m.acceptances[i], dp_acceptance_free);
+    }
+  else if (h->states[i] == DP_MEMBER_LEAVING && dp_acceptance_load (a).flows == 0)
+    {
+      h->listed[i] = FALSE;
+      h->removed[i] = h->m.now;
+      publish (h);
+    }
+}
+
+static void
+tick (History *h, guint i)
+{
+  DpAcceptance *a = h->m.acceptances[i];
+
+  if (a == NULL || dp_acceptance_next_deadline (a) > h->m.now)
+    return;
+  members_tick (&h->m, i);
+  CU_ASSERT_TRUE (dp_acceptance_next_deadline (a) > h->m.now);
+  carry_out (h, i, NULL);
+  CU_ASSERT_TRUE (dp_acceptance_load (a).slots_busy <= members_limits ().slots);
+}
+
+static void
+run_history (History *h, guint32 seed)
+{
+  members_init (&h->m, N_MEMBERS);
+  h->rand = g_rand_new_with_seed (seed);
+  h->late = seed % 2 == 1;
+  for (guint i = 0; i < N_MEMBERS; i++)
+    {
+      dp_acceptance_free (h->m.acceptances[i]);
+      start_member (h, i);
+      h->states[i] = i < 4 ? DP_MEMBER_ACTIVE : DP_MEMBER_JOINING;
+      dp_acceptance_set_server_up (h->m.acceptances[i], i < 4, h->m.now);
+    }
+  publish (h);
+  for (guint i = 0; i < G_N_ELEMENTS (h->knowledge); i++)
+    h->knowledge[i].known = h->n_revisions - 1;
+  for (guint i = 0; i < N_MEMBERS; i++)
+    dp_acceptance_set_view (h->m.acceptances[i], h->views[h->n_revisions - 1], h->m.now);
+  h->m.now += 10 * DP_US_PER_S;
+  for (guint step = 0; step < N_STEPS; step++)
+    {
+      h->m.now += STEP;
+      spread (h);
+      for (guint i = 0; i < N_MEMBERS; i++)
+        {
+          step_member (h, i);
+          tick (h, i);
+        }
+      for (guint i = 0; i < 4; i++)
+        step_client (h, &h->clients[g_rand_int_range (h->rand, 0, N_CLIENTS)]);
+    }
+  for (guint i = 0; i < h->n_revisions; i++)
+    {
+      dp_candidates_free (h->candidates[i]);
+      dp_view_unref (h->views[i]);
+    }
+  g_rand_free (h->rand);
+  members_finish (&h->m);
+}
+
+static void
+test_planned_changes (void)
+{
+  guint n_opened = 0;
+  guint n_revisions = 0;
+  guint n_sent = 0;
+  guint n_delivered = 0;
+
+  for (guint seed = 1; seed <= N_HISTORIES; seed++)
+    {
+      g_autofree History *h = g_new0 (History, 1);
+
+      run_history (h, seed);
+      n_opened += h->n_opened;
+      n_revisions += h->n_revisions;
+      n_sent += h->n_sent;
+      n_delivered += h->n_delivered;
+      if (h->n_reset + h->n_misdelivered + h->n_aborted + h->n_late + h->n_stuck > 0)
+        g_printerr ("seed %u: %u reset, %u misdelivered, %u aborted, %u late, %u stuck\n",
+                    seed, h->n_reset, h->n_misdelivered, h->n_aborted, h->n_late,
+                    h->n_stuck);
+      CU_ASSERT_EQUAL (h->n_reset, 0);
+      CU_ASSERT_EQUAL (h->n_misdelivered, 0);
+      CU_ASSERT_EQUAL (h->n_aborted, 0);
+      CU_ASSERT_EQUAL (h->n_late, 0);
+      CU_ASSERT_EQUAL (h->n_stuck, 0);
+    }
+  /* The histories contain something. */
+  CU_ASSERT_TRUE (n_opened > N_HISTORIES * 30);
+  CU_ASSERT_TRUE (n_revisions > N_HISTORIES * 12);
+  CU_ASSERT_TRUE (n_delivered > n_sent * 9 / 10);
+  g_print ("%u flows, %u lists, %u of %u packets delivered\n", n_opened, n_revisions,
+           n_delivered, n_sent);
+}
+
+static const DpTestCase cases_[] = {
+  { "planned changes break no flow", test_planned_changes },
+};
+
+DP_TEST_MAIN ("histories", cases_)
