--- a/src/libdogwoodpaddle/admission.c
+++ b/src/libdogwoodpaddle/admission.c
@@ -26,10 +26,12 @@
                          const DpHeader *header,
                          const DpMember *member);
 static gboolean settled_ (const DpAcceptance *acceptance, guint64 revision, gint64 now);
-static gboolean takes_flows_ (const DpAcceptance *acceptance);
-static DpReason hard_limit_ (const DpAcceptance *acceptance,
-                             const DpServiceAddress *address);
-static gboolean is_new_ (const DpAcceptance *acceptance, guint64 hash, gint64 now);
+static gboolean takes_flows_ (const DpAcceptance *acceptance, gint64 now);
+static gboolean known_everywhere_ (const DpAcceptance *acceptance, gint64 now);
+static DpReason
+hard_limit_ (const DpAcceptance *acceptance, const DpServiceAddress *address, gint64 now);
+static guint visits_ (const DpAcceptance *acceptance, DpClass class);
+static gboolean in_slow_start_ (const DpAcceptance *acceptance, guint64 hash, gint64 now);
 static gboolean repeat_ (Syn *syn);
 static void remember_ (DpAcceptance *acceptance,
                        const DpSegment *segment,
@@ -50,7 +52,7 @@
                   DpActions *actions)
 {
   Syn syn = { acceptance, address, segment, *header, now, actions };
-  DpReason reason = hard_limit_ (acceptance, address);
+  DpReason reason = hard_limit_ (acceptance, address, now);
   const DpMember *next = NULL;
   const DpMember *best;
 
@@ -70,10 +72,13 @@
   if (repeat_ (&syn))
     return;
   /* A member that takes no flows at all doesn't use up a visit. */
-  if (syn.header.n_visited < acceptance->limits.visits || !takes_flows_ (acceptance))
+  if (syn.header.n_visited < visits_ (acceptance, address->class)
+      || !takes_flows_ (acceptance, now))
     next = next_member_ (acceptance, &syn.header, segment->hash, DP_CANDIDATES_NEW_FLOW);
   if (reason == DP_REASON_NONE && dp_slots_can_take (acceptance->slots, address->class)
-      && (next == NULL || !is_new_ (acceptance, segment->hash, now)))
+      && (next == NULL
+          || (!in_slow_start_ (acceptance, segment->hash, now)
+              && !dp_admission_isolated (acceptance, now))))
     {
       accept_ (&syn);
       return;
@@ -210,9 +215,9 @@
     }
   if (flow->slot == DP_SLOT_ANSWERING)
     dp_flows_running (acceptance->flows, handle, DP_TIMER_RESPONSE, &end);
-  if ((flow->slot == DP_SLOT_ANSWERING || flow->slot == DP_SLOT_BUSY)
-      && end > flow->busy_since)
-    dp_slots_record (acceptance->slots, class, end - flow->busy_since);
+  if (flow->slot == DP_SLOT_ANSWERING || flow->slot == DP_SLOT_BUSY)
+    dp_slots_end (acceptance->slots, class, flow->busy_since,
+                  MAX (end, flow->busy_since));
   dp_flows_stop (acceptance->flows, handle, DP_TIMER_GROUP_SLOT);
   flow->slot = DP_SLOT_NONE;
 }
@@ -307,50 +312,68 @@
 }
 
 static gboolean
-takes_flows_ (const DpAcceptance *acceptance)
+takes_flows_ (const DpAcceptance *acceptance, gint64 now)
 {
   gboolean leaving = acceptance->leaving;
 
   if (acceptance->variant == DP_VARIANT_ACCEPT_LEAVING)
     leaving = FALSE;
-  return !leaving && acceptance->server_up;
+  return !leaving && acceptance->server_up && known_everywhere_ (acceptance, now);
+}
+
+/* Returns whether every process has had the time to learn of this member. A flow that it
+ * takes earlier would be unknown to members that find their own views settled, and they
+ * would reset it. */
+static gboolean
+known_everywhere_ (const DpAcceptance *acceptance, gint64 now)
+{
+  if (acceptance->variant == DP_VARIANT_ACCEPT_UNKNOWN)
+    return TRUE;
+  return acceptance->present_since >= 0
+         && now - acceptance->present_since >= acceptance->limits.settle_time;
 }
 
 /* Returns why a new flow of the address can't be accepted, not even to wait. */
 static DpReason
-hard_limit_ (const DpAcceptance *acceptance, const DpServiceAddress *address)
+hard_limit_ (const DpAcceptance *acceptance, const DpServiceAddress *address, gint64 now)
 {
   guint limit = acceptance->limits.connections;
 
   if (!acceptance->server_up)
     return DP_REASON_NO_SERVER;
-  if (!takes_flows_ (acceptance))
+  if (acceptance->leaving && acceptance->variant != DP_VARIANT_ACCEPT_LEAVING)
     return DP_REASON_LEAVING;
+  if (!known_everywhere_ (acceptance, now))
+    return DP_REASON_UNSETTLED;
   if (dp_flows_count (acceptance->flows) >= limit)
     return DP_REASON_CONNECTIONS;
   if (address->class == DP_CLASS_BULK && acceptance->mixed
       && acceptance->n_class[DP_CLASS_BULK] >= limit / 2)
     return DP_REASON_CONNECTIONS;
-  if (dp_slots_expected_wait (acceptance->slots, address->class) > address->wait_limit)
+  if (dp_slots_expected_wait (acceptance->slots, address->class, now)
+      > address->wait_limit)
     return DP_REASON_WAIT_LIMIT;
   return DP_REASON_NONE;
 }
 
-/* Returns whether other members are to take a flow, if they can. They take all flows
- * until every view has had time to include this member: a packet of its flow that comes
- * by older views alone would visit all others and be answered with a reset. Then the
- * share that they take falls to none during slow start; members choose different flows.
- */
+/* Urgent flows look at twice as many members for a free slot: behind a busy one they
+ * would wait for work in progress, which nothing shortens. */
+static guint
+visits_ (const DpAcceptance *acceptance, DpClass class)
+{
+  return class == DP_CLASS_URGENT ? 2 * acceptance->limits.visits
+                                  : acceptance->limits.visits;
+}
+
+/* Returns whether a flow belongs to the share that is passed on during slow start; the
+ * share falls from all flows to none. Members choose different flows. */
 static gboolean
-is_new_ (const DpAcceptance *acceptance, guint64 hash, gint64 now)
+in_slow_start_ (const DpAcceptance *acceptance, guint64 hash, gint64 now)
 {
   gint64 left = acceptance->limits.slow_start - (now - acceptance->active_since);
   guint64 mixed = (hash ^ acceptance->member_id)
                   * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15);
 
-  if (now < acceptance->present_since
-      || now - acceptance->present_since < acceptance->limits.settle_time)
-    return TRUE;
   if (left <= 0)
     return FALSE;
   return (gint64) (mixed >> 32) * acceptance->limits.slow_start
@@ -453,11 +476,17 @@
   set_target_ (syn->acceptance, action, &syn->header, member);
 }
 
+/* A member that may take flows in a moment drops the SYN: the client sends it again. */
 static void
 refuse_ (Syn *syn, DpReason reason)
 {
   DpDecision decision = { .type = DP_DECISION_REFUSE, .reason = reason };
 
+  if (reason == DP_REASON_UNSETTLED)
+    {
+      dp_actions_add (syn->actions, DP_ACTION_DROP, reason);
+      return;
+    }
   remember_ (syn->acceptance, syn->segment, &decision, syn->now);
   dp_actions_add (syn->actions, DP_ACTION_RESET, reason);
 }
@@ -466,7 +495,8 @@
 static void
 offer_ (Syn *syn)
 {
-  gint64 wait = dp_slots_expected_wait (syn->acceptance->slots, syn->address->class)
+  gint64 wait = dp_slots_expected_wait (syn->acceptance->slots, syn->address->class,
+                                        syn->now)
                 / DP_US_PER_MS;
   guint32 wait_ms = (guint32) MIN (wait, G_MAXUINT32);
 
--- a/src/libdogwoodpaddle/expiry.c
+++ b/src/libdogwoodpaddle/expiry.c
@@ -9,8 +9,10 @@
  * about this long. */
 #define WAITING_TIMEOUT (60 * DP_US_PER_S)
 #define RESERVATION_TIME (1 * DP_US_PER_S)
-/* An answer that pauses this long has ended. */
+/* An answer that pauses this long has ended; the shorter time holds while other flows
+ * wait for a slot. A server that goes on after it has one request more than its slots. */
 #define RESPONSE_IDLE_TIME (100 * DP_US_PER_MS)
+#define RESPONSE_IDLE_TIME_CONTENDED (10 * DP_US_PER_MS)
 
 static gint64 timeout_ (const DpAcceptance *acceptance, DpTimer timer);
 static void expire_ (DpAcceptance *acceptance,
@@ -19,7 +21,6 @@
                      gint64 now,
                      DpActions *actions);
 static gboolean must_pass_waiting_ (const DpAcceptance *acceptance);
-static void pass_waiting_ (DpAcceptance *acceptance, gint64 now, DpActions *actions);
 
 /* Carries out what is due by now. */
 void
@@ -32,9 +33,12 @@
       gint64 since = 0;
 
       while ((handle = dp_flows_oldest (acceptance->flows, timer, &since))
-                 != DP_HANDLE_NONE
-             && now - since >= timeout_ (acceptance, timer))
-        expire_ (acceptance, handle, timer, now, actions);
+             != DP_HANDLE_NONE)
+        {
+          if (now - since < timeout_ (acceptance, timer))
+            break;
+          expire_ (acceptance, handle, timer, now, actions);
+        }
     }
   dp_expiry_dispatch (acceptance, now, actions);
 }
@@ -83,14 +87,19 @@
   dp_admission_remove (acceptance, handle, now);
 }
 
-/* Gives free slots to the waiting flows. */
+/* Gives free slots to the waiting flows; a member that takes no new flows passes the
+ * waiting SYNs on first. */
 void
 dp_expiry_dispatch (DpAcceptance *acceptance, gint64 now, DpActions *actions)
 {
   DpHandle handle;
+  gint64 since;
 
   acceptance->dispatch_due = FALSE;
-  pass_waiting_ (acceptance, now, actions);
+  while (must_pass_waiting_ (acceptance)
+         && (handle = dp_flows_oldest (acceptance->flows, DP_TIMER_WAITING, &since))
+                != DP_HANDLE_NONE)
+    expire_ (acceptance, handle, DP_TIMER_WAITING, now, actions);
   while ((handle = dp_slots_next (acceptance->slots)) != DP_HANDLE_NONE)
     {
       DpFlow *flow = dp_flows_get (acceptance->flows, handle);
@@ -99,6 +108,7 @@
         {
           flow->slot = DP_SLOT_BUSY;
           flow->busy_since = now;
+          dp_slots_begin (acceptance->slots, (DpClass) flow->class, now);
           flow->handed = TRUE;
           dp_flows_start (acceptance->flows, handle, DP_TIMER_SILENT, now);
           dp_actions_add (actions, DP_ACTION_GRANT, DP_REASON_NONE)->flow = handle;
@@ -128,7 +138,9 @@
     case DP_TIMER_RESERVATION:
       return RESERVATION_TIME;
     case DP_TIMER_RESPONSE:
-      return RESPONSE_IDLE_TIME;
+      return dp_slots_contended (acceptance->slots, DP_N_CLASSES - 1)
+                 ? RESPONSE_IDLE_TIME_CONTENDED
+                 : RESPONSE_IDLE_TIME;
     case DP_TIMER_SILENT:
     case DP_TIMER_PROGRESS:
       return acceptance->limits.progress_timeout;
@@ -149,7 +161,11 @@
   switch (timer)
     {
     case DP_TIMER_WAITING:
-      dp_admission_pass_held (acceptance, handle, DP_REASON_WAIT_LIMIT, now, actions);
+      dp_admission_pass_held (acceptance, handle,
+                              acceptance->leaving     ? DP_REASON_LEAVING
+                              : acceptance->server_up ? DP_REASON_WAIT_LIMIT
+                                                      : DP_REASON_NO_SERVER,
+                              now, actions);
       break;
     case DP_TIMER_CONNECT:
       dp_admission_pass_held (acceptance, handle, DP_REASON_NO_SERVER, now, actions);
@@ -182,18 +198,3 @@
     return !acceptance->server_up;
   return acceptance->leaving || !acceptance->server_up;
 }
-
-/* Passes the waiting SYNs on if this member takes no flows any more. */
-static void
-pass_waiting_ (DpAcceptance *acceptance, gint64 now, DpActions *actions)
-{
-  DpReason reason = acceptance->server_up ? DP_REASON_LEAVING : DP_REASON_NO_SERVER;
-  DpHandle handle;
-  gint64 since;
-
-  if (!must_pass_waiting_ (acceptance))
-    return;
-  while ((handle = dp_flows_oldest (acceptance->flows, DP_TIMER_WAITING, &since))
-         != DP_HANDLE_NONE)
-    dp_admission_pass_held (acceptance, handle, reason, now, actions);
-}
--- a/src/libdogwoodpaddle/include/protected/fleet.h
+++ b/src/libdogwoodpaddle/include/protected/fleet.h
@@ -5,8 +5,11 @@
 #include <json-glib/json-glib.h>
 
 #include "protected/acceptance.h"
+#include "protected/document.h"
 #include "protected/replica.h"
 
+#define DP_FLEET_DEFAULTS "defaults" /* name of the only object of DP_KIND_FLEET */
+
 /* Effective settings of one host. */
 typedef struct
 {
@@ -22,15 +25,6 @@
   guint32 suspect_ms;
 } DpFleetSettings;
 
-/* One fault of a fleet file. */
-typedef struct
-{
-  char *path; /* JSON path, as $.exceptions.slow-host.reason */
-  char *text;
-} DpFault;
-
-void dp_fault_free (DpFault *fault);
-
 void dp_fleet_settings_init (DpFleetSettings *settings);
 /* service and host may be NULL. Records that are missing or invalid count as absent. */
 void dp_fleet_effective (const DpReplica *replica,
@@ -41,3 +35,6 @@
 GArray *dp_fleet_addresses (const DpReplica *replica, const char *service);
 /* Checks a whole fleet file; array of DpFault, empty if it is right. */
 GPtrArray *dp_fleet_check (JsonNode *file);
+/* The member of a fleet file that holds the objects of a kind, NULL for the kinds that
+ * operators don't write. */
+const char *dp_fleet_section (DpKind kind);
--- a/src/test_libdogwoodpaddle/test_variant.c
+++ b/src/test_libdogwoodpaddle/test_variant.c
@@ -137,6 +137,24 @@
     }
 }
 
+static void
+test_accept_unknown (void)
+{
+  for (guint wrong = 0; wrong < 2; wrong++)
+    {
+      Members m;
+      DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+
+      members_init (&m, 3);
+      set_variant (&m, wrong ? DP_VARIANT_ACCEPT_UNKNOWN : DP_VARIANT_NONE);
+      members_set_view (&m, 0, 2, 0);
+      members_set_view (&m, 0, 3, 3);
+      members_send (&m, 0, &syn);
+      CU_ASSERT_EQUAL (m.at == 0, wrong);
+      members_finish (&m);
+    }
+}
+
 static void
 test_refuse_delivered (void)
 {
@@ -166,6 +184,7 @@
   { "any ACK is delivered", test_any_ack },
   { "foreign packets are taken", test_foreign_service },
   { "a leaving member accepts", test_accept_leaving },
+  { "a member that isn't known yet accepts", test_accept_unknown },
   { "a flow that was read is refused", test_refuse_delivered },
 };
 
