Ask again whether a removal holds right before it is sent

A watcher decided, opened a connection and wrote; a pause between the two, or a repeat after a rate limit seconds later, could send a removal of a member that had been heard again. A guard is now asked each time right before the write is sent, and withdraws it.

The parsing of the platform's answers moves to a file of its own.

--- /dev/null
+++ b/src/libdogwoodpaddle/answer.c
@@ -0,0 +1,103 @@
+#include "private/answer.h"
+
+#include "protected/error.h"
+#include "protected/json.h"
+
+#define READ_STEP "platform read"
+
+static DpRecord *parse_record_ (JsonNode *node, GError **error);
+
+/* Parses the answer's JSON. */
+JsonNode *
+dp_answer_parse (GBytes *body, GError **error)
+{
+  gsize length;
+  const char *text = g_bytes_get_data (body, &length);
+
+  if (text == NULL)
+    {
+      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL, "the answer is empty");
+      return NULL;
+    }
+  return dp_json_parse (text, length, error);
+}
+
+/* Returns the answer's object; NULL without an error if it does not exist. */
+DpRecord *
+dp_answer_object (GBytes *body, GError **error)
+{
+  g_autoptr (JsonNode) node = dp_answer_parse (body, error);
+  DpRecord *record = node == NULL ? NULL : parse_record_ (node, error);
+
+  if (record != NULL && record->deleted)
+    g_clear_pointer (&record, dp_record_unref);
+  return record;
+}
+
+/* Parses {"revision","items"}. Items of an unknown kind or without a proper name are
+ * skipped with a warning: one bad object must not keep the others from being distributed.
+ */
+gboolean
+dp_answer_items (GBytes *body, GPtrArray *records, guint64 *revision, GError **error)
+{
+  g_autoptr (JsonNode) node = dp_answer_parse (body, error);
+  JsonObject *object = dp_json_get_object (node);
+  JsonArray *items = dp_json_get_array (object, "items");
+
+  if (node == NULL)
+    return FALSE;
+  if (items == NULL || !dp_json_get_uint (object, "revision", revision))
+    {
+      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL,
+                    "the answer lacks revision or items");
+      return FALSE;
+    }
+  for (guint i = 0; i < json_array_get_length (items); i++)
+    {
+      g_autoptr (GError) fault = NULL;
+      DpRecord *record = parse_record_ (json_array_get_element (items, i), &fault);
+
+      if (record != NULL)
+        g_ptr_array_add (records, record);
+      else
+        g_warning ("object skipped: %s", fault->message);
+    }
+  return TRUE;
+}
+
+/* Parses {"kind","name","version","value"} or a tombstone; DP_ERROR_INVALID otherwise. */
+static DpRecord *
+parse_record_ (JsonNode *node, GError **error)
+{
+  JsonObject *object = dp_json_get_object (node);
+  const char *name = dp_json_get_string (object, "name");
+  gboolean deleted = dp_json_get_boolean (object, "deleted", FALSE);
+  g_autofree char *text = NULL;
+  g_autoptr (GError) fault = NULL;
+  DpRecord *record;
+  JsonNode *value;
+  guint64 version;
+  DpKind kind;
+
+  if (name == NULL || !dp_kind_parse (dp_json_get_string (object, "kind"), &kind)
+      || !dp_json_get_uint (object, "version", &version))
+    {
+      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL,
+                    "an object lacks a known kind, a name or a version");
+      return NULL;
+    }
+  value = json_object_get_member (object, "value");
+  if (value == NULL && !deleted)
+    {
+      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, name, "the object has no value");
+      return NULL;
+    }
+  text = deleted ? g_strdup ("") : dp_json_format (value);
+  record = dp_record_new (kind, name, version, deleted, text, &fault);
+  if (record != NULL)
+    return record;
+  /* The object exists: without a record a list would say that it was deleted. */
+  g_warning ("value of %s/%s replaced by null: %s", dp_kind_string (kind), name,
+             fault->message);
+  return dp_record_new (kind, name, version, FALSE, "null", error);
+}
--- a/src/libdogwoodpaddle/include/protected/platform.h
+++ b/src/libdogwoodpaddle/include/protected/platform.h
@@ -57,6 +57,18 @@
                         JsonNode *value,
                         DpPlatformWriteFunc done,
                         gpointer user_data);
+/* Whether the write is still to be made; asked right before each time that it is sent. */
+typedef gboolean (*DpPlatformGuardFunc) (gpointer user_data);
+/* A write that its guard withdraws ends as DP_WRITE_REFUSED, or as DP_WRITE_UNKNOWN if an
+ * earlier attempt was not answered. */
+void dp_platform_write_guarded (DpPlatform *platform,
+                                DpKind kind,
+                                const char *name,
+                                guint64 version,
+                                JsonNode *value,
+                                DpPlatformGuardFunc guard,
+                                DpPlatformWriteFunc done,
+                                gpointer user_data);
 /* Abandons all requests with this user data: their callbacks are not called. A write
  * among them may still take effect. */
 void dp_platform_cancel (DpPlatform *platform, gpointer user_data);
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -3,6 +3,7 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+#include "private/answer.h"
 #include "protected/backoff.h"
 #include "protected/error.h"
 #include "protected/json.h"
@@ -42,10 +43,12 @@
   DpKind kind;
   char *name;
   char *url;
-  guint64 version;       /* of the object before the write; watch: since */
-  JsonNode *value;       /* NULL: delete */
-  gboolean reading_back; /* of a write: the present call reads the object */
-  gboolean unanswered;   /* of a write: some attempt may have taken effect */
+  guint64 version;           /* of the object before the write; watch: since */
+  JsonNode *value;           /* NULL: delete */
+  gboolean reading_back;     /* of a write: the present call reads the object */
+  DpPlatformGuardFunc guard; /* of a write, or NULL */
+  gboolean withdrawn;        /* by the guard */
+  gboolean unanswered;       /* of a write: some attempt may have taken effect */
   guint attempts;
   guint wait_ms; /* that the platform may hold the call open */
   DpBackoff backoff;
@@ -74,6 +77,7 @@
 static char *object_url_ (DpPlatform *platform, DpKind kind, const char *name);
 static void send_ (Request *request);
 static SoupMessage *make_message_ (Request *request);
+static void starting_ (SoupMessage *message, gpointer user_data);
 static gboolean timed_out_ (gpointer user_data);
 static gboolean retry_now_ (gpointer user_data);
 static gboolean retry_ (Request *request);
@@ -92,11 +96,6 @@
                            DpWriteResult result,
                            DpRecord *record,
                            const char *reason);
-static JsonNode *parse_body_ (GBytes *body, GError **error);
-static DpRecord *parse_record_ (JsonNode *node, GError **error);
-static DpRecord *parse_object_ (GBytes *body, GError **error);
-static gboolean
-parse_items_ (GBytes *body, GPtrArray *records, guint64 *revision, GError **error);
 
 /* Creates a client for the object API below the URL, as http://127.0.0.1:7100. */
 DpPlatform *
@@ -205,6 +204,21 @@
                    JsonNode *value,
                    DpPlatformWriteFunc done,
                    gpointer user_data)
+{
+  dp_platform_write_guarded (platform, kind, name, version, value, NULL, done, user_data);
+}
+
+/* Writes like dp_platform_write (), but asks the guard right before each attempt is sent:
+ * the connection may take its time, and an attempt may be repeated seconds later. */
+void
+dp_platform_write_guarded (DpPlatform *platform,
+                           DpKind kind,
+                           const char *name,
+                           guint64 version,
+                           JsonNode *value,
+                           DpPlatformGuardFunc guard,
+                           DpPlatformWriteFunc done,
+                           gpointer user_data)
 {
   Request *request = request_new_ (platform, REQUEST_WRITE);
 
@@ -213,6 +227,7 @@
   request->url = object_url_ (platform, kind, name);
   request->version = version;
   request->value = value == NULL ? NULL : json_node_copy (value);
+  request->guard = guard;
   request->write_done = done;
   request->user_data = user_data;
   send_ (request);
@@ -341,6 +356,8 @@
       soup_message_headers_replace (soup_message_get_request_headers (message),
                                     "If-Match", condition);
     }
+  if (writes && request->guard != NULL)
+    g_signal_connect (message, "starting", G_CALLBACK (starting_), request);
   if (writes && request->value != NULL)
     {
       char *text = dp_json_format (request->value);
@@ -351,6 +368,18 @@
   return message;
 }
 
+/* The connection is open and the request is about to be written to it. */
+static void
+starting_ (SoupMessage *message, gpointer user_data)
+{
+  Request *request = user_data;
+
+  if (request->platform == NULL || request->guard (request->user_data))
+    return;
+  request->withdrawn = TRUE;
+  g_cancellable_cancel (request->cancellable);
+}
+
 static gboolean
 timed_out_ (gpointer user_data)
 {
@@ -426,7 +455,7 @@
 
   if (request->type == REQUEST_GET && status == SOUP_STATUS_OK)
     {
-      DpRecord *record = parse_object_ (body, &error);
+      DpRecord *record = dp_answer_object (body, &error);
 
       if (record != NULL)
         {
@@ -435,7 +464,7 @@
         }
     }
   else if (status == SOUP_STATUS_OK)
-    parse_items_ (body, records, &revision, &error);
+    dp_answer_items (body, records, &revision, &error);
   else if (request->type == REQUEST_WATCH && status == SOUP_STATUS_GONE)
     dp_error_set (&error, DP_ERROR_LIMIT, READ_STEP, request->platform->base_url,
                   "the history since revision %" G_GUINT64_FORMAT " is gone",
@@ -463,11 +492,17 @@
   g_autofree char *text = NULL;
   guint64 version;
 
+  if (request->withdrawn)
+    {
+      finish_write_ (request, request->unanswered ? DP_WRITE_UNKNOWN : DP_WRITE_REFUSED,
+                     NULL, "withdrawn");
+      return;
+    }
   switch (status)
     {
     case SOUP_STATUS_OK:
     case SOUP_STATUS_CREATED:
-      answer = parse_body_ (body, NULL);
+      answer = dp_answer_parse (body, NULL);
       if (!dp_json_get_uint (dp_json_get_object (answer), "version", &version))
         break;
       text = request->value == NULL ? g_strdup ("") : dp_json_format (request->value);
@@ -476,7 +511,7 @@
       finish_write_ (request, DP_WRITE_DONE, record, NULL);
       return;
     case SOUP_STATUS_PRECONDITION_FAILED:
-      record = parse_object_ (body, NULL);
+      record = dp_answer_object (body, NULL);
       /* An earlier attempt without an answer may be the one that was first. */
       if (request->unanswered && is_intended_ (request, record))
         finish_write_ (request, DP_WRITE_DONE, record, NULL);
@@ -516,7 +551,7 @@
     }
   if (status == SOUP_STATUS_OK)
     {
-      record = parse_object_ (body, &error);
+      record = dp_answer_object (body, &error);
       if (error != NULL)
         {
           finish_write_ (request, DP_WRITE_UNKNOWN, NULL, error->message);
@@ -599,97 +634,3 @@
   request_end_ (request);
   done (result, record, error, user_data);
 }
-
-static JsonNode *
-parse_body_ (GBytes *body, GError **error)
-{
-  gsize length;
-  const char *text = g_bytes_get_data (body, &length);
-
-  if (text == NULL)
-    {
-      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL, "the answer is empty");
-      return NULL;
-    }
-  return dp_json_parse (text, length, error);
-}
-
-/* Parses {"kind","name","version","value"} or a tombstone; DP_ERROR_INVALID otherwise. */
-static DpRecord *
-parse_record_ (JsonNode *node, GError **error)
-{
-  JsonObject *object = dp_json_get_object (node);
-  const char *name = dp_json_get_string (object, "name");
-  gboolean deleted = dp_json_get_boolean (object, "deleted", FALSE);
-  g_autofree char *text = NULL;
-  g_autoptr (GError) fault = NULL;
-  DpRecord *record;
-  JsonNode *value;
-  guint64 version;
-  DpKind kind;
-
-  if (name == NULL || !dp_kind_parse (dp_json_get_string (object, "kind"), &kind)
-      || !dp_json_get_uint (object, "version", &version))
-    {
-      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL,
-                    "an object lacks a known kind, a name or a version");
-      return NULL;
-    }
-  value = json_object_get_member (object, "value");
-  if (value == NULL && !deleted)
-    {
-      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, name, "the object has no value");
-      return NULL;
-    }
-  text = deleted ? g_strdup ("") : dp_json_format (value);
-  record = dp_record_new (kind, name, version, deleted, text, &fault);
-  if (record != NULL)
-    return record;
-  /* The object exists: without a record a list would say that it was deleted. */
-  g_warning ("value of %s/%s replaced by null: %s", dp_kind_string (kind), name,
-             fault->message);
-  return dp_record_new (kind, name, version, FALSE, "null", error);
-}
-
-/* Returns the answer's object; NULL without an error if it does not exist. */
-static DpRecord *
-parse_object_ (GBytes *body, GError **error)
-{
-  g_autoptr (JsonNode) node = parse_body_ (body, error);
-  DpRecord *record = node == NULL ? NULL : parse_record_ (node, error);
-
-  if (record != NULL && record->deleted)
-    g_clear_pointer (&record, dp_record_unref);
-  return record;
-}
-
-/* Parses {"revision","items"}. Items of an unknown kind or without a proper name are
- * skipped with a warning: one bad object must not keep the others from being distributed.
- */
-static gboolean
-parse_items_ (GBytes *body, GPtrArray *records, guint64 *revision, GError **error)
-{
-  g_autoptr (JsonNode) node = parse_body_ (body, error);
-  JsonObject *object = dp_json_get_object (node);
-  JsonArray *items = dp_json_get_array (object, "items");
-
-  if (node == NULL)
-    return FALSE;
-  if (items == NULL || !dp_json_get_uint (object, "revision", revision))
-    {
-      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL,
-                    "the answer lacks revision or items");
-      return FALSE;
-    }
-  for (guint i = 0; i < json_array_get_length (items); i++)
-    {
-      g_autoptr (GError) fault = NULL;
-      DpRecord *record = parse_record_ (json_array_get_element (items, i), &fault);
-
-      if (record != NULL)
-        g_ptr_array_add (records, record);
-      else
-        g_warning ("object skipped: %s", fault->message);
-    }
-  return TRUE;
-}
--- a/src/libdogwoodpaddle/watcher.c
+++ b/src/libdogwoodpaddle/watcher.c
@@ -95,6 +95,7 @@
 static void remove_ (DpWatcher *watcher, const DpLivenessAction *action);
 static void
 was_read_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data);
+static gboolean still_holds_ (gpointer user_data);
 static gboolean note_answer_ (DpWatcher *watcher, const GError *error);
 static void write_ (Removal *removal, const DpRecord *record, guint64 version);
 static gboolean may_delete_balancer_ (const Removal *removal, const DpRecord *record);
@@ -516,9 +517,7 @@
   Removal *removal = user_data;
   DpWatcher *watcher = removal->watcher;
 
-  if (note_answer_ (watcher, error) && records->len > 0
-      && dp_liveness_may_remove (watcher->liveness, removal->service, removal->member,
-                                 removal->incarnation, dp_clock_now (watcher->clock)))
+  if (note_answer_ (watcher, error) && records->len > 0 && still_holds_ (removal))
     {
       write_ (removal, g_ptr_array_index (records, 0), version);
       return;
@@ -527,6 +526,17 @@
   removal_free_ (removal);
 }
 
+/* Returns whether this watcher's suspicion is fresh now; it was paused if it is not. */
+static gboolean
+still_holds_ (gpointer user_data)
+{
+  const Removal *removal = user_data;
+  DpWatcher *watcher = removal->watcher;
+
+  return dp_liveness_may_remove (watcher->liveness, removal->service, removal->member,
+                                 removal->incarnation, dp_clock_now (watcher->clock));
+}
+
 /* Returns whether a call was answered by a platform that was reachable before, too. After
  * an outage the observation starts from zero: heartbeats may have been lost with it. */
 static gboolean
--- a/src/test_libdogwoodpaddle/test_platform.c
+++ b/src/test_libdogwoodpaddle/test_platform.c
@@ -23,6 +23,7 @@
   guint n_records;
   gboolean failed;
   gint code;
+  gint n_allowed; /* attempts that the guard allows */
 } Fixture;
 
 static void
@@ -330,6 +331,40 @@
   tear_down (&f);
 }
 
+static gboolean
+allow (gpointer user_data)
+{
+  Fixture *f = user_data;
+
+  return f->n_allowed-- > 0;
+}
+
+/* A writer that was paused, or has to repeat its write, withdraws what no longer holds.
+ */
+static void
+test_guard (void)
+{
+  const StandinFaults rejecting = { .reject_rate = 100 };
+  Fixture f;
+  g_autoptr (JsonNode) value = dp_json_parse ("{}", 2, NULL);
+
+  set_up (&f);
+  dp_platform_write_guarded (f.platform, DP_KIND_SERVICE, "a", 0, value, allow, written,
+                             &f);
+  wait_done (&f);
+  CU_ASSERT_EQUAL (f.result, DP_WRITE_REFUSED);
+  CU_ASSERT_EQUAL (standin_platform_calls (f.standin).writes, 0);
+  standin_platform_set_faults (f.standin, &rejecting);
+  f.n_allowed = 1;
+  dp_platform_write_guarded (f.platform, DP_KIND_SERVICE, "a", 0, value, allow, written,
+                             &f);
+  wait_done (&f);
+  CU_ASSERT_EQUAL (f.result, DP_WRITE_REFUSED);
+  CU_ASSERT_EQUAL (standin_platform_calls (f.standin).writes, 1);
+  CU_ASSERT_EQUAL (standin_platform_revision (f.standin), 0);
+  tear_down (&f);
+}
+
 /* Freeing the client in the middle of its calls calls nobody back. */
 static void
 test_free (void)
@@ -363,6 +398,7 @@
   { "a slow write is made once", test_too_slow },
   { "watches", test_watch },
   { "a watch from before the history", test_history },
+  { "a guard withdraws a write", test_guard },
   { "a client is freed in mid-call", test_free },
 };
 
--- a/src/test_libdogwoodpaddle/test_relay.c
+++ b/src/test_libdogwoodpaddle/test_relay.c
@@ -404,6 +404,58 @@
   world_finish (&world);
 }
 
+/* A balancer whose parent ends goes on with another upstream; one that hears of a later
+ * revision than its upstream has leaves that upstream. */
+static void
+test_lagging_upstream (void)
+{
+  const StandinFaults down = { .down = TRUE };
+  const DpHeartbeat heartbeat = { "darbnica", "c1", 1, 2, 0, 0 };
+  World world;
+  World apart;
+  Node *current;
+  Node *stale;
+  Node *node;
+  Node *companion;
+  DpAddress peers[2];
+  DpAddress own;
+  gint64 end;
+
+  world_init (&world);
+  world_init (&apart);
+  put (&apart, DP_KIND_FLEET, "defaults", 0, "{}");
+  stale = node_new (&apart, DP_ROLE_BALANCER, "b1", "z1", NULL, 0);
+  CU_ASSERT_TRUE (wait_revision (stale, 1));
+  put (&world, DP_KIND_FLEET, "defaults", 0, "{}");
+  current = node_new (&world, DP_ROLE_BALANCER, "b2", "z2", NULL, 0);
+  CU_ASSERT_TRUE (wait_revision (current, 1));
+  standin_platform_set_faults (apart.standin, &down);
+  peers[0] = dp_relay_address (stale->relay);
+  peers[1] = dp_relay_address (current->relay);
+  node = node_new (&apart, DP_ROLE_BALANCER, "b3", "z3", peers, 2);
+  CU_ASSERT_TRUE (wait_revision (node, 1));
+  run_for (4000);
+  CU_ASSERT_EQUAL (dp_relay_subscribers (stale->relay), 1);
+  CU_ASSERT_EQUAL (dp_relay_subscribers (current->relay), 0);
+  put (&world, DP_KIND_FLEET, "defaults", 1, "{\"visits\":2}");
+  CU_ASSERT_TRUE (wait_revision (current, 2));
+  own = dp_relay_address (node->relay);
+  companion = node_new (&apart, DP_ROLE_COMPANION, "c1", "z3", &own, 1);
+  end = g_get_monotonic_time () + WAIT_S * DP_US_PER_S;
+  while (dp_replica_revision (node->replica) < 2 && g_get_monotonic_time () < end)
+    {
+      dp_relay_send_heartbeat (companion->relay, &heartbeat);
+      run_for (100);
+    }
+  CU_ASSERT_EQUAL (dp_replica_revision (node->replica), 2);
+  node_free (companion);
+  node_free (node);
+  node_free (current);
+  node_free (stale);
+  world_finish (&world);
+  world_finish (&apart);
+}
+
 /* Bytes that are no control message end their connection only. */
 static void
 test_garbage (void)
@@ -450,6 +502,7 @@
   { "a platform that went back is reported", test_platform_behind },
   { "deletions during an outage are noticed", test_deleted_meanwhile },
   { "heartbeats, suspicions and large values arrive", test_messages },
+  { "an upstream that lags is left", test_lagging_upstream },
   { "garbage ends its connection only", test_garbage },
 };
 
--- a/test/test_balancer.py
+++ b/test/test_balancer.py
@@ -19,7 +19,9 @@
 import urllib.request
 
 BUILD = os.environ.get("DP_BINARY_DIR", "build")
-PLATFORM = "127.8.0.1:7100"
+# Addresses of this run: several checks may run on one machine at the same time.
+NETWORK = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
+PLATFORM = NETWORK + ".1:7100"
 ZONES = ["riga-a", "riga-b", "riga-c"]
 WAIT_S = 30
 CONTROL_BYTES_A_SECOND = 2048  # bound of design section 9
@@ -98,7 +100,7 @@
 
 class Balancer:
     def __init__(self, folder, index):
-        self.ip = f"127.8.1.{index + 1}"
+        self.ip = f"{NETWORK}.{index + 11}"
         self.name = f"balancer-{index + 1}"
         self.file = os.path.join(folder, self.name + ".json")
         self.log = open(os.path.join(folder, self.name + ".log"), "ab")
@@ -110,7 +112,7 @@
             "control": self.ip + ":7001",
             "http": self.ip + ":7002",
             "platform": "http://" + PLATFORM,
-            "peers": [f"127.8.1.{i + 1}:7001" for i in range(len(ZONES))],
+            "peers": [f"{NETWORK}.{i + 11}:7001" for i in range(len(ZONES))],
             "trusted_networks": ["127.0.0.0/8"],
         }
         with open(self.file, "w", encoding="utf-8") as file:
@@ -154,7 +156,7 @@
         return {
             "name": self.name,
             "zone": ZONES[0],
-            "ip": "127.8.2.1",
+            "ip": NETWORK + ".21",
             "port": port,
             "slots": 4,
             "connections": 2000,
@@ -174,7 +176,7 @@
 
     def beat(self, links, i):
         if i not in links:
-            links[i] = socket.create_connection((f"127.8.1.{i + 1}", 7001), timeout=1)
+            links[i] = socket.create_connection((f"{NETWORK}.{i + 11}", 7001), timeout=1)
             self.send(links[i], [1, 1, 1, self.name, ZONES[0], 0])
         self.send(links[i], [4, "darbnica", self.name, self.incarnation, 1, 2, 30])
 
@@ -228,9 +230,9 @@
         ">HHIIBBHHH", 40000, 80, 1000, 0, 0x50, 2, 65535, 0, 0
     )
     client = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    client.bind(("127.8.3.1", 0))
+    client.bind((NETWORK + ".31", 0))
     server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    server.bind(("127.8.2.1", port))
+    server.bind((NETWORK + ".21", port))
     server.settimeout(5)
     for balancer in balancers:
         client.sendto(packet, (balancer.ip, 7000))
