List only the changes that an answering process lacks in the status

A process that doesn't answer made the status list every object of the fleet. Of the changes that a process which answers lacks, the ten newest are printed; the JSON report has all. test_cli checks that the balancer refuses faulty settings with status 2, file, key and reason.

--- a/src/dogwoodpaddle/status_commands.c
+++ b/src/dogwoodpaddle/status_commands.c
@@ -3,11 +3,15 @@
 #include "protected/fleet.h"
 
 #define POLL_MS 500
+/* A process that has just started lacks every object; a screen holds some of them. */
+#define MAX_PRINTED_CHANGES 10
 
 static CliStatus check_sources_ (Cli *cli, const Processes *processes);
 static const DpRecord *newest_change_ (const Processes *processes);
 static void print_platform_ (Cli *cli, const Processes *processes);
 static void print_changes_ (Cli *cli, const Processes *processes);
+static GPtrArray *lacking_changes_ (const Processes *processes);
+static gint compare_revisions_ (gconstpointer a, gconstpointer b);
 static void print_processes_ (Cli *cli, const Processes *processes, guint64 target);
 static void print_process_ (Cli *cli, const Process *process, guint64 target);
 static JsonObject *process_entry_ (const Process *process, guint64 target);
@@ -134,40 +138,74 @@
              processes->revision);
 }
 
-/* One line for the newest change of the operators and for each that is not in force
- * everywhere. */
+/* The newest change of the operators, and those that a process which answers lacks,
+ * newest first. Processes that don't answer are listed as such, not once for every
+ * object. */
 static void
 print_changes_ (Cli *cli, const Processes *processes)
 {
-  const DpRecord *newest = newest_change_ (processes);
+  g_autoptr (GPtrArray) changes = lacking_changes_ (processes);
   JsonArray *list = json_array_new ();
-  guint n_all = processes->processes->len;
 
-  for (guint i = 0; processes->records != NULL && i < processes->records->len; i++)
+  for (guint i = 0; i < changes->len; i++)
     {
-      const DpRecord *record = g_ptr_array_index (processes->records, i);
+      const DpRecord *record = g_ptr_array_index (changes, i);
       guint n = processes_count (processes, record->revision);
       g_autofree char *key = g_strdup_printf ("%s/%s", dp_kind_string (record->kind),
                                               record->name);
-      JsonObject *entry;
+      JsonObject *entry = json_object_new ();
 
-      if (record->deleted || dp_fleet_section (record->kind) == NULL
-          || (n == n_all && record != newest))
-        continue;
-      entry = json_object_new ();
       json_object_set_string_member (entry, "object", key);
       json_object_set_int_member (entry, "revision", (gint64) record->revision);
       json_object_set_int_member (entry, "in_force", n);
-      json_object_set_int_member (entry, "processes", n_all);
+      json_object_set_int_member (entry, "processes", processes->processes->len);
       json_array_add_object_element (list, entry);
-      cli_print (cli,
-                 "%s: accepted at revision %" G_GUINT64_FORMAT
-                 ", in force on %u of %u processes",
-                 key, record->revision, n, n_all);
+      if (i < MAX_PRINTED_CHANGES)
+        cli_print (cli,
+                   "%s: accepted at revision %" G_GUINT64_FORMAT
+                   ", in force on %u of %u processes",
+                   key, record->revision, n, processes->processes->len);
     }
+  if (changes->len > MAX_PRINTED_CHANGES)
+    cli_print (cli, "and %u earlier changes", changes->len - MAX_PRINTED_CHANGES);
   json_object_set_array_member (cli->report, "changes", list);
 }
 
+static GPtrArray *
+lacking_changes_ (const Processes *processes)
+{
+  const DpRecord *newest = newest_change_ (processes);
+  GPtrArray *changes = g_ptr_array_new ();
+  guint64 lowest = G_MAXUINT64;
+
+  for (guint i = 0; i < processes->processes->len; i++)
+    {
+      const Process *process = g_ptr_array_index (processes->processes, i);
+
+      if (process->answers)
+        lowest = MIN (lowest, process->revision);
+    }
+  for (guint i = 0; processes->records != NULL && i < processes->records->len; i++)
+    {
+      DpRecord *record = g_ptr_array_index (processes->records, i);
+
+      if (!record->deleted && dp_fleet_section (record->kind) != NULL
+          && (record->revision > lowest || record == newest))
+        g_ptr_array_add (changes, record);
+    }
+  g_ptr_array_sort (changes, compare_revisions_);
+  return changes;
+}
+
+static gint
+compare_revisions_ (gconstpointer a, gconstpointer b)
+{
+  const DpRecord *x = *(const DpRecord *const *) a;
+  const DpRecord *y = *(const DpRecord *const *) b;
+
+  return (x->revision < y->revision) - (x->revision > y->revision);
+}
+
 static void
 print_processes_ (Cli *cli, const Processes *processes, guint64 target)
 {
--- a/test/test_cli.sh
+++ b/test/test_cli.sh
@@ -166,6 +166,16 @@
 run 2 "missing settings file ignored" show --config "$work/nothing.json"
 has err "$work/nothing.json"
 
+# A daemon with faulty settings ends with status 2 and names file, key and reason.
+for daemon in balancer; do
+  steps=$((steps + 1))
+  jq '.data = "localhost:1" | .pears = []' "$source_dir/examples/$daemon.json" >"$work/$daemon.json"
+  timeout 20 "$binary_dir/dogwoodpaddle-$daemon" --settings "$work/$daemon.json" >"$work/out" 2>"$work/err"
+  same "exit status of a $daemon with faulty settings" 2 "$?"
+  has err "$work/$daemon.json: \$.pears: unknown key"
+  has err '"localhost" is not an IPv4 address'
+done
+
 # check without a platform.
 for file in association-fleet vrtina-fleet; do
   run 0 "example refused" check "$source_dir/examples/$file.json"
@@ -396,6 +406,9 @@
 run 0 "status" status
 has out "revision $now: in force on 0 of 3 processes; lagging: balancer-1, darbnica-1, darbnica-2"
 has out "fleet/defaults: accepted at revision $(version fleet/defaults), in force on 0 of 3 processes"
+run 0 "status" status --json
+same "changes that a process lacks, newest first" '["fleet/defaults",6]' \
+  "$(jq -c '[.changes[0].object, (.changes | length)]' "$work/out")"
 run 1 "lagging processes taken for up to date" watch --timeout 1
 has err "not in force everywhere after 1 s"
 report "$now" "$now" "$((now - 1))" 5
