--- a/test/test_cli.sh
+++ b/test/test_cli.sh
@@ -167,7 +167,7 @@
 has err "$work/nothing.json"
 
 # A daemon with faulty settings ends with status 2 and names file, key and reason.
-for daemon in balancer; do
+for daemon in balancer companion; do
   steps=$((steps + 1))
   jq '.data = "localhost:1" | .pears = []' "$source_dir/examples/$daemon.json" >"$work/$daemon.json"
   timeout 20 "$binary_dir/dogwoodpaddle-$daemon" --settings "$work/$daemon.json" >"$work/out" 2>"$work/err"
