--- a/test/test_companion.py
+++ b/test/test_companion.py
@@ -18,8 +18,11 @@
 import urllib.request
 
 BUILD = os.environ.get("DP_BINARY_DIR", "build")
-PLATFORM = "127.9.0.1:7100"
-FABRIC = "127.9.0.2"
+# Runs at the same time use other addresses.
+NETWORK = f"127.{200 + os.getpid() % 50}"
+GROUP = 3 * (os.getpid() // 50 % 80)
+PLATFORM = f"{NETWORK}.{GROUP}.1:7100"
+FABRIC = f"{NETWORK}.{GROUP}.2"
 SERVICE = "darbnica"
 ADDRESS = "10.77.0.1:80"
 BALANCERS = 2
@@ -101,7 +104,7 @@
         "data": ip + ":7000",
         "http": ip + ":7002",
         "platform": "http://" + PLATFORM,
-        "peers": [f"127.9.1.{i + 1}:7001" for i in range(BALANCERS)],
+        "peers": [f"{NETWORK}.{GROUP + 1}.{i + 1}:7001" for i in range(BALANCERS)],
         "trusted_networks": ["127.0.0.0/8"],
     }
     settings.update(more)
@@ -113,7 +116,7 @@
 
     def __init__(self, folder, index):
         self.folder = folder
-        self.ip = f"127.9.2.{index + 1}"
+        self.ip = f"{NETWORK}.{GROUP + 2}.{index + 1}"
         self.name = f"{SERVICE}-{index + 1}"
         self.zone = ["riga-a", "riga-b", "riga-c"][index % 3]
         self.companion = None
@@ -197,12 +200,12 @@
         put(f"service/{SERVICE}", {"addresses": [address]})
         for i in range(BALANCERS):
             name = f"balancer-{i + 1}"
-            ip = f"127.9.1.{i + 1}"
+            ip = f"{NETWORK}.{GROUP + 1}.{i + 1}"
             more = {"control": ip + ":7001"}
             settings = settings_of(name, ["riga-a", "riga-b"][i], ip, more)
             self.add(name, ["dogwoodpaddle-balancer"], settings)
         balancers = " ".join(
-            f"--balancer 127.9.1.{i + 1}:7000/7002" for i in range(BALANCERS)
+            f"--balancer {NETWORK}.{GROUP + 1}.{i + 1}:7000/7002" for i in range(BALANCERS)
         )
         options = f"--map {FABRIC}:8080={ADDRESS} {balancers} --udp {FABRIC}:6000"
         self.add("fabric", ["standin-fabric"] + options.split())
