--- a/microbench/measure_histories.c
+++ b/microbench/measure_histories.c
@@ -217,10 +217,11 @@
           ",\"broken\":%" G_GUINT64_FORMAT ",\"refused\":%" G_GUINT64_FORMAT
           ",\"broken_newest_list_only\":%" G_GUINT64_FORMAT
           ",\"broken_with_one_earlier_list\":%" G_GUINT64_FORMAT
+          ",\"packets\":%" G_GUINT64_FORMAT
           ",\"members_visited_mean\":%.3f,\"members_visited_max\":%" G_GUINT64_FORMAT
           ",\"bound\":0,\"reached\":%s}\n",
           histories, seed, result.flows, result.broken, result.refused,
-          result.broken_newest, result.broken_previous,
+          result.broken_newest, result.broken_previous, result.packets,
           (double) result.visits / (double) MAX (result.packets, 1), result.hops_max,
           result.broken == 0 ? "true" : "false");
   return 0;
