--- a/test/measure_deployment.py
+++ b/test/measure_deployment.py
@@ -12,6 +12,7 @@
 import urllib.request
 
 BUILD = os.environ.get("DP_BUILD_DIR", "build")
+STOP_S = 5  # that processes get to end by themselves
 ZONES = ["riga-a", "riga-b", "riga-c"]
 FLEET = {
     "defaults": {"wait_limit_ms": 2000, "slots": 4, "connections": 2000},
@@ -109,9 +110,17 @@
 
     def __exit__(self, *_):
         order = list(self.children)
-        order.sort(key=lambda name: (name == "platform", name in self.balancers))
-        for name in order:
-            self.stop(name, 5)
+        groups = [
+            [n for n in order if n != "platform" and n not in self.balancers],
+            [n for n in order if n in self.balancers],
+            [n for n in order if n == "platform"],
+        ]
+        for group in groups:
+            for name in group:
+                self.children[name].terminate()
+            end = time.monotonic() + STOP_S
+            for name in group:
+                self.stop(name, max(end - time.monotonic(), 0))
         self.folder.cleanup()
 
     def start(self, name, program, *arguments):
