Refuse a kept SYN whose list of visited members is full

A data header with 32 visited members and a best member that is not one of them made the companion end with a failed assertion once the kept SYN was passed on (server connection failed, wait limit). Only a forged header has this form, but bytes from outside must not end a process. The best member is now dropped if the list has no room for it, and the SYN is refused.

Found by fuzz_packet when it keeps flows alive.

--- a/src/libdogwoodpaddle/admission.c
+++ b/src/libdogwoodpaddle/admission.c
@@ -157,6 +157,10 @@
         header.best_member = 0;
       if (next == NULL)
         next = find_member_ (acceptance, header.best_member);
+      /* A sender can name a best member that is not among the visited ones. */
+      if (next != NULL && header.n_visited == DP_VISITED_MAX
+          && !has_visited_ (&header, next->id))
+        next = NULL;
     }
   if (next != NULL)
     {
--- a/src/test_libdogwoodpaddle/test_admission.c
+++ b/src/test_libdogwoodpaddle/test_admission.c
@@ -146,6 +146,32 @@
   members_finish (&m);
 }
 
+/* Found by fuzz_packet: a full list of visited members without the best one, as only a
+ * forged header has it, ended the companion with a failed assertion. */
+static void
+test_forged_best_member (void)
+{
+  Members m;
+  DpSegment syn = members_segment (1, &status_, DP_TCP_SYN);
+  DpHeader header;
+  DpHandle flow = DP_HANDLE_NONE;
+
+  members_init (&m, 6);
+  header = members_header (&m, 0);
+  while (header.n_visited < DP_VISITED_MAX)
+    {
+      header.visited[header.n_visited] = header.n_visited;
+      header.n_visited++;
+    }
+  header.best_member = dp_member_id (m.names[1]);
+  members_follow (&m, 0, header, &syn);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, &flow), 1);
+  dp_actions_clear (&m.actions);
+  dp_acceptance_server_failed (m.acceptances[0], flow, m.now, &m.actions);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_REFUSE, NULL), 1);
+  members_finish (&m);
+}
+
 static void
 test_wait_limit (void)
 {
@@ -429,6 +455,7 @@
   { "the least loaded visited member takes a SYN to wait", test_least_loaded_takes_it },
   { "a returned SYN is accepted or refused, never sent on", test_returned_syn },
   { "a returned SYN whose server fails is refused", test_returned_syn_fails },
+  { "a forged best member is not visited beyond the hop limit", test_forged_best_member },
   { "a SYN that would wait too long is refused at once", test_wait_limit },
   { "urgent work gets the next slot", test_urgent_first },
   { "a request waits for a slot and is granted one", test_request_waits },
