--- a/fuzzing/fuzz_json.c
+++ b/fuzzing/fuzz_json.c
@@ -23,10 +23,12 @@
 check_view (const char *text, gsize length)
 {
   g_autoptr (JsonNode) value = dp_json_parse (text, length, NULL);
-  g_autoptr (DpView) view = NULL;
+  DpView *view;
 
-  if (value != NULL)
-    view = dp_view_new_from_json ("s", 1, value, NULL);
+  if (value == NULL)
+    return;
+  view = dp_view_new_from_json ("s", 1, value, NULL);
+  g_clear_pointer (&view, dp_view_unref);
 }
 
 static void
--- a/fuzzing/fuzz_packet.c
+++ b/fuzzing/fuzz_packet.c
@@ -1,29 +1,54 @@
-/* Datagrams from outside: data header, then IP packet, then the companion's decision. */
+/* Datagrams from outside: data header, then IP packet, then the companion's decision. The
+ * same bytes are also read as a script that keeps flows alive in every state, so that
+ * packets meet more than unknown flows: each step is an operation, a client and 2 bytes.
+ */
 #include <stddef.h>
 #include <stdint.h>
 
 #include "protected/acceptance.h"
+#include "protected/clock.h"
+
+#define N_CLIENTS 8
+#define STEP_SIZE 4 /* bytes */
+#define SERVICE_IP 0x0a4d0001
+#define CONNECTIONS 12
+#define INITIAL_SEQ 1000 /* of every SYN-ACK */
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
-static DpAcceptance *
-make_acceptance (void)
+typedef enum
+{
+  OP_SYN,
+  OP_PACKET,
+  OP_ACK,
+  OP_CONNECTED,
+  OP_FAILED,
+  OP_ESTABLISHED,
+  OP_REQUEST,
+  OP_RESPONSE,
+  OP_PROGRESS,
+  OP_CLOSED,
+  OP_ADVANCE,
+  OP_LEAVING,
+  OP_SERVER_UP,
+  OP_VIEW,
+  OP_CONNECTION,
+  N_OPS
+} Op;
+
+typedef struct
+{
+  DpAcceptance *acceptance;
+  DpActions actions;
+  gint64 now;
+  guint64 revision;
+} Script;
+
+static DpView *
+make_view (guint64 revision, guint8 states)
 {
-  static DpAcceptance *acceptance;
-  const DpServiceAddress address = { { 0x0a4d0001, 80 },
-                                     DP_CLASS_INTERACTIVE,
-                                     2 * G_USEC_PER_SEC };
-  const DpAcceptanceLimits limits = { .slots = 4,
-                                      .connections = 100,
-                                      .visits = 4,
-                                      .idle_timeout = 10 * G_USEC_PER_SEC,
-                                      .progress_timeout = 5 * G_USEC_PER_SEC,
-                                      .settle_time = 5 * G_USEC_PER_SEC };
   DpMember members[3] = { { 0 } };
-  DpView *view;
 
-  if (acceptance != NULL)
-    return acceptance;
   for (guint i = 0; i < G_N_ELEMENTS (members); i++)
     {
       members[i].name = (char *[]){ "a", "b", "c" }[i];
@@ -31,50 +56,188 @@
       members[i].id = dp_member_id (members[i].name);
       members[i].address = (DpAddress){ 0x7f010101 + i, 7000 };
       members[i].slots = 4;
-      members[i].connections = 100;
-      members[i].state = DP_MEMBER_ACTIVE;
+      members[i].connections = CONNECTIONS;
+      members[i].state = (DpMemberState) ((states >> (2 * i)) % DP_N_MEMBER_STATES);
+      members[i].incarnation = 1 + (states >> 7);
     }
-  view = dp_view_new ("s", 1, members, G_N_ELEMENTS (members));
-  acceptance = dp_acceptance_new ("s", members[0].id);
-  dp_acceptance_set_limits (acceptance, &limits);
-  dp_acceptance_set_addresses (acceptance, &address, 1);
-  dp_acceptance_set_view (acceptance, view, 0);
-  dp_acceptance_set_connected (acceptance, TRUE, 0);
-  dp_acceptance_set_server_up (acceptance, TRUE, 0);
+  return dp_view_new ("s", revision, members, 1 + states % G_N_ELEMENTS (members));
+}
+
+static void
+set_view (Script *script, guint8 states)
+{
+  DpView *view = make_view (++script->revision, states);
+
+  dp_acceptance_set_view (script->acceptance, view, script->now);
   dp_view_unref (view);
-  return acceptance;
 }
 
-int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+static void
+start (Script *script)
 {
-  static gint64 now;
-  DpAcceptance *acceptance = make_acceptance ();
-  DpActions actions;
+  const DpServiceAddress addresses[] = {
+    { { SERVICE_IP, 80 }, DP_CLASS_INTERACTIVE, 2 * DP_US_PER_S },
+    { { SERVICE_IP, 81 }, DP_CLASS_URGENT, 2 * DP_US_PER_S },
+    { { SERVICE_IP, 82 }, DP_CLASS_BULK, 2 * DP_US_PER_S },
+  };
+  const DpAcceptanceLimits limits = { .slots = 4,
+                                      .connections = CONNECTIONS,
+                                      .visits = 4,
+                                      .idle_timeout = 10 * DP_US_PER_S,
+                                      .progress_timeout = 5 * DP_US_PER_S,
+                                      .settle_time = 5 * DP_US_PER_S };
+
+  *script = (Script){ .acceptance = dp_acceptance_new ("s", dp_member_id ("a")) };
+  dp_actions_init (&script->actions);
+  dp_acceptance_set_limits (script->acceptance, &limits);
+  dp_acceptance_set_addresses (script->acceptance, addresses, G_N_ELEMENTS (addresses));
+  set_view (script, DP_MEMBER_ACTIVE);
+  dp_acceptance_set_connected (script->acceptance, TRUE, 0);
+  dp_acceptance_set_server_up (script->acceptance, TRUE, 0);
+  script->now = 6 * DP_US_PER_S;
+}
+
+/* The client's bits choose one of the service's addresses and its state of the sequence.
+ */
+static DpSegment
+make_segment (const uint8_t *step, guint8 flags)
+{
+  guint client = step[1] % N_CLIENTS;
+  DpSegment segment = { .key = { { 0xc6336400 + client, 4000 },
+                                 { SERVICE_IP, (guint16) (80 + client % 3) } },
+                        .seq = client,
+                        .flags = flags };
+
+  segment.hash = dp_flow_key_hash (&segment.key);
+  return segment;
+}
+
+static void
+send_segment (Script *script, const uint8_t *step, const DpSegment *segment)
+{
+  DpHeader header = { .service_id = dp_service_id ("s"), .revision = step[3] % 4 };
+
+  if ((step[1] & 0x80) != 0)
+    {
+      header.n_visited = step[3] % (DP_VISITED_MAX + 1);
+      for (guint i = 0; i < header.n_visited; i++)
+        header.visited[i] = i == 0 ? dp_member_id ((step[1] & 0x40) != 0 ? "a" : "b") : i;
+      header.best_member = dp_member_id ((step[1] & 0x20) != 0 ? "a" : "c");
+    }
+  dp_acceptance_packet (script->acceptance, &header, segment, script->now,
+                        &script->actions);
+}
+
+/* Events of the client's flow; without one the handle is DP_HANDLE_NONE. */
+static void
+flow_event (Script *script, Op op, const uint8_t *step)
+{
+  DpAcceptance *acceptance = script->acceptance;
+  DpSegment segment = make_segment (step, 0);
+  DpHandle flow = dp_acceptance_find (acceptance, &segment.key);
+
+  if (op == OP_CONNECTED)
+    {
+      dp_acceptance_server_connected (acceptance, flow, script->now, &script->actions);
+      dp_acceptance_syn_answered (acceptance, flow, INITIAL_SEQ, script->now);
+    }
+  else if (op == OP_FAILED)
+    dp_acceptance_server_failed (acceptance, flow, script->now, &script->actions);
+  else if (op == OP_ESTABLISHED)
+    dp_acceptance_established (acceptance, flow, script->now);
+  else if (op == OP_REQUEST)
+    dp_acceptance_request (acceptance, flow, step[2], script->now);
+  else if (op == OP_RESPONSE)
+    dp_acceptance_response (acceptance, flow, step[2], step[3], script->now);
+  else if (op == OP_PROGRESS)
+    dp_acceptance_progress (acceptance, flow, script->now);
+  else
+    dp_acceptance_closed (acceptance, flow, script->now, &script->actions);
+}
+
+static void
+run_step (Script *script, const uint8_t *step)
+{
+  DpAcceptance *acceptance = script->acceptance;
+  Op op = (Op) (step[0] % N_OPS);
+  DpSegment segment = make_segment (step, op == OP_SYN ? DP_TCP_SYN : DP_TCP_ACK);
+
+  if (op == OP_PACKET)
+    {
+      segment.flags = step[2];
+      segment.seq = step[3];
+    }
+  segment.ack = INITIAL_SEQ + 1;
+  if (op == OP_SYN || op == OP_PACKET || op == OP_ACK)
+    send_segment (script, step, &segment);
+  else if (op < OP_ADVANCE)
+    flow_event (script, op, step);
+  else if (op == OP_ADVANCE)
+    script->now += step[2] * 100 * DP_US_PER_MS + step[3] * DP_US_PER_MS;
+  else if (op == OP_LEAVING)
+    dp_acceptance_set_leaving (acceptance, step[2] & 1, script->now);
+  else if (op == OP_SERVER_UP)
+    dp_acceptance_set_server_up (acceptance, step[2] & 1, script->now);
+  else if (op == OP_VIEW)
+    set_view (script, step[2]);
+  else
+    dp_acceptance_set_connected (acceptance, step[2] & 1, script->now);
+  dp_acceptance_tick (acceptance, script->now, &script->actions);
+  if (dp_acceptance_next_deadline (acceptance) < script->now)
+    g_error ("a deadline is left after the tick");
+  dp_actions_clear (&script->actions);
+}
+
+/* No flow may be left behind by its timers, and none be over the limit. */
+static void
+finish (Script *script)
+{
+  DpAcceptanceLoad load = dp_acceptance_load (script->acceptance);
+
+  if (load.flows > CONNECTIONS)
+    g_error ("the connection limit is exceeded");
+  dp_acceptance_abort_all (script->acceptance, DP_REASON_DRAIN_DEADLINE,
+                           &script->actions);
+  load = dp_acceptance_load (script->acceptance);
+  if (load.flows != 0 || load.half_open != 0 || load.slots_busy != 0)
+    g_error ("flows or slots are left after the end");
+  dp_actions_finish (&script->actions);
+  dp_acceptance_free (script->acceptance);
+}
+
+/* The datagram as it comes from the network, for the companion's own service and not. */
+static void
+check_datagram (Script *script, const uint8_t *data, size_t size)
+{
+  guint8 reset[DP_PACKET_MAX];
   DpHeader header;
   DpSegment segment;
   gsize length;
 
-  now += 10000;
   if (dp_segment_parse (data, size, &segment, NULL))
-    {
-      guint8 reset[DP_PACKET_MAX];
-
-      dp_segment_make_reset (&segment, reset);
-    }
+    dp_segment_make_reset (&segment, reset);
   if (!dp_header_decode (&header, data, size, &length, NULL)
       || !dp_segment_parse (data + length, size - length, &segment, NULL))
-    return 0;
-  /* Half of the packets are for the companion's own service, to get past that check. */
-  if (size % 2 == 0)
-    {
-      header.service_id = dp_service_id ("s");
-      segment.key.service = (DpAddress){ 0x0a4d0001, 80 };
-      segment.hash = dp_flow_key_hash (&segment.key);
-    }
-  dp_actions_init (&actions);
-  dp_acceptance_packet (acceptance, &header, &segment, now, &actions);
-  dp_acceptance_tick (acceptance, now, &actions);
-  dp_actions_finish (&actions);
+    return;
+  dp_acceptance_packet (script->acceptance, &header, &segment, script->now,
+                        &script->actions);
+  header.service_id = dp_service_id ("s");
+  segment.key.service = (DpAddress){ SERVICE_IP, 80 };
+  segment.hash = dp_flow_key_hash (&segment.key);
+  dp_acceptance_packet (script->acceptance, &header, &segment, script->now,
+                        &script->actions);
+  dp_acceptance_tick (script->acceptance, script->now, &script->actions);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  Script script;
+
+  start (&script);
+  check_datagram (&script, data, size);
+  for (size_t at = 0; at + STEP_SIZE <= size; at += STEP_SIZE)
+    run_step (&script, data + at);
+  finish (&script);
   return 0;
 }
--- a/src/libdogwoodpaddle/include/protected/settings_fields.h
+++ b/src/libdogwoodpaddle/include/protected/settings_fields.h
@@ -20,3 +20,10 @@
   char *service;     /* companion only */
   guint32 server_ip; /* companion only */
 };
+
+/* path: names the text in errors. */
+DpSettings *dp_settings_parse (const char *text,
+                               gsize length,
+                               DpSettingsKind kind,
+                               const char *path,
+                               GError **error);
--- a/src/libdogwoodpaddle/server.c
+++ b/src/libdogwoodpaddle/server.c
@@ -81,6 +81,27 @@
   return &server->state;
 }
 
+/* Reads port, slots, connections and readiness from the body of a registration. FALSE
+ * with the faults if it is not valid; the state is then not to be used. */
+gboolean
+dp_server_parse (const char *text, gsize length, DpServerState *state, GPtrArray *faults)
+{
+  g_autoptr (JsonNode) node = dp_document_parse (text, length, faults);
+  JsonObject *object = NULL;
+
+  if (node != NULL)
+    object = dp_document_object (node, "$", faults);
+  if (object == NULL)
+    return FALSE;
+  dp_document_known_keys (object, keys_, "$", faults);
+  state->port = (guint32) read_number_ (object, "port", G_MAXUINT16, faults);
+  state->slots = (guint32) read_number_ (object, "slots", SLOTS_MAX, faults);
+  state->connections = (guint32) read_number_ (object, "connections", CONNECTIONS_MAX,
+                                               faults);
+  state->ready = read_ready_ (object, faults);
+  return faults->len == 0;
+}
+
 static void
 request_ (SoupServer *http,
           SoupServerMessage *message,
@@ -151,21 +172,8 @@
   g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
   gsize length;
   const char *text = g_bytes_get_data (bytes, &length);
-  g_autoptr (JsonNode) node = NULL;
-  JsonObject *object = NULL;
 
-  node = dp_document_parse (text != NULL ? text : "", length, faults);
-  if (node != NULL)
-    object = dp_document_object (node, "$", faults);
-  if (object == NULL)
-    return FALSE;
-  dp_document_known_keys (object, keys_, "$", faults);
-  state->port = (guint32) read_number_ (object, "port", G_MAXUINT16, faults);
-  state->slots = (guint32) read_number_ (object, "slots", SLOTS_MAX, faults);
-  state->connections = (guint32) read_number_ (object, "connections", CONNECTIONS_MAX,
-                                               faults);
-  state->ready = read_ready_ (object, faults);
-  return faults->len == 0;
+  return dp_server_parse (text != NULL ? text : "", length, state, faults);
 }
 
 /* Reads a number from 1 to max. */
--- a/src/libdogwoodpaddle/settings.c
+++ b/src/libdogwoodpaddle/settings.c
@@ -35,6 +35,11 @@
 
 static const char *const log_levels_[] = { "error", "warning", "info", "debug", NULL };
 
+static DpSettings *read_root_ (JsonNode *root,
+                               DpSettingsKind kind,
+                               const char *path,
+                               GPtrArray *faults,
+                               GError **error);
 static void read_common_ (DpSettings *settings, Reader *reader);
 static void read_addresses_ (DpSettings *settings, Reader *reader);
 static void read_companion_ (DpSettings *settings, Reader *reader);
@@ -59,33 +64,24 @@
 DpSettings *
 dp_settings_load (const char *path, DpSettingsKind kind, GError **error)
 {
-  DpSettings *settings = g_new0 (DpSettings, 1);
   g_autoptr (GPtrArray) faults = dp_faults_new ();
-  g_autoptr (JsonNode) root = NULL;
-  g_autofree char *text = NULL;
-  Reader reader = { .faults = faults };
+  g_autoptr (JsonNode) root = dp_document_load (path, faults);
 
-  g_assert (kind < DP_N_SETTINGS_KINDS);
-  settings->kind = kind;
-  settings->peers = g_array_new (FALSE, TRUE, sizeof (DpAddress));
-  settings->trusted_networks = g_array_new (FALSE, TRUE, sizeof (DpNetwork));
-  root = dp_document_load (path, faults);
-  if (root != NULL)
-    reader.object = dp_document_object (root, "$", faults);
-  if (reader.object != NULL)
-    {
-      dp_document_known_keys (reader.object, keys_[kind], "$", faults);
-      read_common_ (settings, &reader);
-      read_addresses_ (settings, &reader);
-      if (kind == DP_SETTINGS_COMPANION)
-        read_companion_ (settings, &reader);
-    }
-  if (faults->len == 0)
-    return settings;
-  text = dp_faults_join (faults);
-  dp_error_set (error, DP_ERROR_INVALID, "settings", path, "%s", text);
-  dp_settings_free (settings);
-  return NULL;
+  return read_root_ (root, kind, path, faults, error);
+}
+
+/* Reads the settings from JSON text; path names it in errors. */
+DpSettings *
+dp_settings_parse (const char *text,
+                   gsize length,
+                   DpSettingsKind kind,
+                   const char *path,
+                   GError **error)
+{
+  g_autoptr (GPtrArray) faults = dp_faults_new ();
+  g_autoptr (JsonNode) root = dp_document_parse (text, length, faults);
+
+  return read_root_ (root, kind, path, faults, error);
 }
 
 /* Frees the settings. */
@@ -119,6 +115,40 @@
   return settings->log_level;
 }
 
+/* root: NULL if the text can't be parsed; faults says why. */
+static DpSettings *
+read_root_ (JsonNode *root,
+            DpSettingsKind kind,
+            const char *path,
+            GPtrArray *faults,
+            GError **error)
+{
+  DpSettings *settings = g_new0 (DpSettings, 1);
+  g_autofree char *text = NULL;
+  Reader reader = { .faults = faults };
+
+  g_assert (kind < DP_N_SETTINGS_KINDS);
+  settings->kind = kind;
+  settings->peers = g_array_new (FALSE, TRUE, sizeof (DpAddress));
+  settings->trusted_networks = g_array_new (FALSE, TRUE, sizeof (DpNetwork));
+  if (root != NULL)
+    reader.object = dp_document_object (root, "$", faults);
+  if (reader.object != NULL)
+    {
+      dp_document_known_keys (reader.object, keys_[kind], "$", faults);
+      read_common_ (settings, &reader);
+      read_addresses_ (settings, &reader);
+      if (kind == DP_SETTINGS_COMPANION)
+        read_companion_ (settings, &reader);
+    }
+  if (faults->len == 0)
+    return settings;
+  text = dp_faults_join (faults);
+  dp_error_set (error, DP_ERROR_INVALID, "settings", path, "%s", text);
+  dp_settings_free (settings);
+  return NULL;
+}
+
 static void
 read_common_ (DpSettings *settings, Reader *reader)
 {
