Bound half-open flows and their slots in a flood of SYNs

Each SYN reserved a slot for 1 s even if its handshake never completed, so that 4 SYNs a second and companion kept a server of 4 slots from all others, and half-open flows could fill the connection limit for 20 s.

While others wait, an incomplete handshake now keeps its slot for 200 ms, and for less the more half-open flows there are beyond the slots (at least 1 ms). At most a quarter of the connections are half-open; then the oldest one ends. Giving the slot to the next SYN at once was ruled out: in ordinary overload it would let the whole queue in during one round trip.

--- a/src/libdogwoodpaddle/acceptance.c
+++ b/src/libdogwoodpaddle/acceptance.c
@@ -211,7 +211,10 @@
   g_clear_pointer (&flow->held, g_free);
   dp_admission_set_state (acceptance, flow, DP_FLOW_HALF_OPEN);
   dp_flows_start (acceptance->flows, handle, DP_TIMER_HALF_OPEN, now);
+  if (flow->slot == DP_SLOT_RESERVED)
+    dp_flows_start (acceptance->flows, handle, DP_TIMER_HANDSHAKE, now);
   dp_actions_add (actions, DP_ACTION_DELIVER_HELD, DP_REASON_NONE)->flow = handle;
+  dp_expiry_bound_half_open (acceptance, now, actions);
 }
 
 /* The server can't be reached or has ended the connection in failure. A SYN that is still
@@ -258,6 +261,8 @@
     return;
   dp_admission_set_state (acceptance, flow, DP_FLOW_ESTABLISHED);
   dp_flows_start (acceptance->flows, handle, DP_TIMER_IDLE, now);
+  if (flow->slot == DP_SLOT_RESERVED)
+    dp_flows_start (acceptance->flows, handle, DP_TIMER_RESERVATION, now);
 }
 
 /* The client sent request bytes. Returns whether they may be handed to the server;
--- a/src/libdogwoodpaddle/expiry.c
+++ b/src/libdogwoodpaddle/expiry.c
@@ -9,12 +9,22 @@
  * about this long. */
 #define WAITING_TIMEOUT (60 * DP_US_PER_S)
 #define RESERVATION_TIME (1 * DP_US_PER_S)
+/* A handshake that takes longer than this loses its slot to a waiting flow, but goes on.
+ * Far more than a round trip to any client. */
+#define HANDSHAKE_TIME_CONTENDED (200 * DP_US_PER_MS)
+#define HANDSHAKE_TIME_MIN (1 * DP_US_PER_MS)
+/* Handshakes over and above the slots are not being completed, as in a flood of SYNs:
+ * this many of them for each slot may end their reservation in each RESERVATION_TIME. */
+#define HANDSHAKE_RATE 16
+/* Share of the connections that may be half-open. */
+#define HALF_OPEN_DIVISOR 4
 /* An answer that pauses this long has ended; the shorter time holds while other flows
  * wait for a slot. A server that goes on after it has one request more than its slots. */
 #define RESPONSE_IDLE_TIME (100 * DP_US_PER_MS)
 #define RESPONSE_IDLE_TIME_CONTENDED (10 * DP_US_PER_MS)
 
 static gint64 timeout_ (const DpAcceptance *acceptance, DpTimer timer);
+static gint64 handshake_time_ (const DpAcceptance *acceptance);
 static void expire_ (DpAcceptance *acceptance,
                      DpHandle handle,
                      DpTimer timer,
@@ -87,6 +97,22 @@
   dp_admission_remove (acceptance, handle, now);
 }
 
+/* Ends the oldest half-open flows beyond a share of the connections: in a flood of SYNs
+ * that never complete, the others stay free for clients that do. */
+void
+dp_expiry_bound_half_open (DpAcceptance *acceptance, gint64 now, DpActions *actions)
+{
+  guint max = MAX (acceptance->limits.connections / HALF_OPEN_DIVISOR,
+                   acceptance->limits.slots);
+  DpHandle oldest;
+  gint64 since;
+
+  while (acceptance->n_state[DP_FLOW_HALF_OPEN] > max
+         && (oldest = dp_flows_oldest (acceptance->flows, DP_TIMER_HALF_OPEN, &since))
+                != DP_HANDLE_NONE)
+    expire_ (acceptance, oldest, DP_TIMER_HALF_OPEN, now, actions);
+}
+
 /* Gives free slots to the waiting flows; a member that takes no new flows passes the
  * waiting SYNs on first. */
 void
@@ -135,6 +161,8 @@
       return HALF_OPEN_TIMEOUT;
     case DP_TIMER_IDLE:
       return acceptance->limits.idle_timeout;
+    case DP_TIMER_HANDSHAKE:
+      return handshake_time_ (acceptance);
     case DP_TIMER_RESERVATION:
       return RESERVATION_TIME;
     case DP_TIMER_RESPONSE:
@@ -150,6 +178,23 @@
     }
 }
 
+/* Returns how long a half-open flow keeps its slot while others wait for one: the more
+ * handshakes are not completed, the shorter, so that SYNs that never complete don't hold
+ * the slots. */
+static gint64
+handshake_time_ (const DpAcceptance *acceptance)
+{
+  gint64 n_slots = acceptance->limits.slots;
+  gint64 n_half_open = acceptance->n_state[DP_FLOW_HALF_OPEN];
+
+  if (!dp_slots_contended (acceptance->slots, DP_N_CLASSES - 1))
+    return RESERVATION_TIME;
+  if (n_half_open <= n_slots)
+    return HANDSHAKE_TIME_CONTENDED;
+  return CLAMP (RESERVATION_TIME * n_slots / (HANDSHAKE_RATE * n_half_open),
+                HANDSHAKE_TIME_MIN, HANDSHAKE_TIME_CONTENDED);
+}
+
 /* Takes the flow off the timer's list. */
 static void
 expire_ (DpAcceptance *acceptance,
@@ -179,6 +224,7 @@
     case DP_TIMER_PROGRESS:
       dp_expiry_end (acceptance, handle, DP_REASON_PROGRESS_TIMEOUT, now, actions);
       break;
+    case DP_TIMER_HANDSHAKE:
     case DP_TIMER_RESERVATION:
     case DP_TIMER_RESPONSE:
     case DP_TIMER_SILENT:
--- a/src/libdogwoodpaddle/include/private/expiry.h
+++ b/src/libdogwoodpaddle/include/private/expiry.h
@@ -8,4 +8,5 @@
                     DpReason reason,
                     gint64 now,
                     DpActions *actions);
+void dp_expiry_bound_half_open (DpAcceptance *acceptance, gint64 now, DpActions *actions);
 void dp_expiry_dispatch (DpAcceptance *acceptance, gint64 now, DpActions *actions);
--- a/src/libdogwoodpaddle/include/private/flows.h
+++ b/src/libdogwoodpaddle/include/private/flows.h
@@ -35,6 +35,7 @@
   DP_TIMER_CONNECT,
   DP_TIMER_HALF_OPEN,
   DP_TIMER_IDLE,
+  DP_TIMER_HANDSHAKE, /* as DP_TIMER_RESERVATION, while the flow is half-open */
   DP_TIMER_RESERVATION,
   DP_TIMER_RESPONSE,
   DP_TIMER_SILENT, /* a request without answer gives up its slot, the flow goes on */
--- a/src/test_libdogwoodpaddle/test_admission.c
+++ b/src/test_libdogwoodpaddle/test_admission.c
@@ -382,6 +382,95 @@
   members_finish (&m);
 }
 
+/* Sends a SYN to the only member and answers it; the client never completes it. */
+static void
+flood_syn (Members *m, guint i)
+{
+  DpSegment syn = members_segment (i, &status_, DP_TCP_SYN);
+  DpHandle flow;
+
+  members_send (m, 0, &syn);
+  flow = dp_acceptance_find (m->acceptances[0], &syn.key);
+  dp_acceptance_server_connected (m->acceptances[0], flow, m->now, &m->actions);
+  dp_acceptance_syn_answered (m->acceptances[0], flow, ISN, m->now);
+  dp_actions_clear (&m->actions);
+}
+
+/* Connects all flows that the tick gave a slot. */
+static void
+tick_flood (Members *m)
+{
+  g_autoptr (GArray) connect = g_array_new (FALSE, FALSE, sizeof (DpHandle));
+
+  dp_actions_clear (&m->actions);
+  dp_acceptance_tick (m->acceptances[0], m->now, &m->actions);
+  for (guint i = 0; i < m->actions.items->len; i++)
+    {
+      const DpAction *action = &g_array_index (m->actions.items, DpAction, i);
+
+      if (action->type == DP_ACTION_CONNECT)
+        g_array_append_val (connect, action->flow);
+    }
+  for (guint i = 0; i < connect->len; i++)
+    dp_acceptance_server_connected (
+        m->acceptances[0], g_array_index (connect, DpHandle, i), m->now, &m->actions);
+}
+
+/* Without it 2 slots let 2 SYNs a second pass, and all others wait or are refused. */
+static void
+test_syn_flood (void)
+{
+  Members m;
+  DpAcceptanceLoad load;
+  DpSegment syn = members_segment (5000, &status_, DP_TCP_SYN);
+  DpHandle flow;
+
+  members_init (&m, 1);
+  for (guint i = 0; i < 4000; i++)
+    {
+      m.now += DP_US_PER_MS;
+      tick_flood (&m);
+      if (i % 4 == 0)
+        flood_syn (&m, i);
+      load = dp_acceptance_load (m.acceptances[0]);
+      CU_ASSERT_TRUE (load.half_open <= members_limits ().connections / 4);
+    }
+  CU_ASSERT_EQUAL (load.half_open, members_limits ().connections / 4);
+  /* A client among them gets a connection at once. */
+  members_send (&m, 0, &syn);
+  m.now += 10 * DP_US_PER_MS;
+  tick_flood (&m);
+  flow = dp_acceptance_find (m.acceptances[0], &syn.key);
+  dp_acceptance_established (m.acceptances[0], flow, m.now);
+  CU_ASSERT_TRUE (dp_acceptance_request (m.acceptances[0], flow, 100, m.now));
+  /* The others end by themselves. */
+  m.now += 30 * DP_US_PER_S;
+  tick_flood (&m);
+  CU_ASSERT_EQUAL (dp_acceptance_load (m.acceptances[0]).flows, 1);
+  members_finish (&m);
+}
+
+/* The clients' handshakes take a round trip, during which they keep their slots. */
+static void
+test_handshake_keeps_slot (void)
+{
+  Members m;
+  DpSegment syn = members_segment (7, &status_, DP_TCP_SYN);
+
+  members_init (&m, 1);
+  flood_syn (&m, 0);
+  flood_syn (&m, 1);
+  members_send (&m, 0, &syn);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, NULL), 0);
+  m.now += 150 * DP_US_PER_MS;
+  tick_flood (&m);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, NULL), 0);
+  m.now += 50 * DP_US_PER_MS;
+  tick_flood (&m);
+  CU_ASSERT_EQUAL (members_count (&m, DP_ACTION_CONNECT, NULL), 1);
+  members_finish (&m);
+}
+
 static void
 test_slow_start (void)
 {
@@ -464,6 +553,8 @@
   { "waiting SYNs go on when their member leaves", test_waiting_syns_leave },
   { "the wait for a slot is bounded", test_waiting_timeout },
   { "a member that others may not know yet passes on", test_unknown_member },
+  { "SYNs that never complete hold no slots and few connections", test_syn_flood },
+  { "a handshake keeps its slot for a round trip", test_handshake_keeps_slot },
   { "a member that starts takes a growing share", test_slow_start },
 };
 
