Bound HTTP connections and their silence

libsoup keeps silent connections for ever and without bound, which uses up the file descriptors of a daemon. The HTTP server now accepts connections itself: beyond 128 a new one is closed and counted, and one that is silent for 15 s is closed.

GIO's backlog of 10 delayed clients that connect in a burst by a second: 139 of 150 connections to a control or HTTP port were open after 11 s.

--- a/src/libdogwoodpaddle/feed.c
+++ b/src/libdogwoodpaddle/feed.c
@@ -4,6 +4,8 @@
 
 #include "protected/error.h"
 
+/* GIO's default of 10 delays peers that connect in a burst. */
+#define BACKLOG 128
 #define BATCH_BYTES                                                                      \
   (32 * 1024) /* of values in one message, unless one value is larger                    \
                */
@@ -61,6 +63,7 @@
   feed->user_data = user_data;
   feed->subscribers = g_ptr_array_new_with_free_func (subscriber_free_);
   feed->service = g_socket_service_new ();
+  g_socket_listener_set_backlog (G_SOCKET_LISTENER (feed->service), BACKLOG);
   if (!listen_ (feed, error))
     {
       dp_feed_free (feed);
--- a/src/libdogwoodpaddle/httpd.c
+++ b/src/libdogwoodpaddle/httpd.c
@@ -6,10 +6,16 @@
 
 /* The longest request is a server's registration, about 100 bytes. */
 #define MAX_REQUEST_BYTES 65536
+#define MAX_CONNECTIONS 128
+#define SILENCE_MAX_S 15 /* then a connection is closed */
+#define BACKLOG 128      /* GIO's default of 10 delays clients that connect in a burst */
 
 struct _DpHttpd
 {
   SoupServer *server;
+  GSocketService *service; /* accepts the connections for the server */
+  guint *n_connections;    /* shared with the connections, which may outlive httpd */
+  DpMetric *refused;
   DpMetrics *metrics;
   DpHttpdStatusFunc status;
   gpointer status_data;
@@ -18,6 +24,12 @@
   GArray *trusted; /* DpNetwork; NULL: everyone */
 };
 
+static gboolean listen_ (DpHttpd *httpd, const char *ip, guint16 port, GError **error);
+static gboolean on_incoming_ (GSocketService *service,
+                              GSocketConnection *connection,
+                              GObject *source,
+                              gpointer user_data);
+static void connection_gone_ (gpointer user_data, GObject *connection);
 static void
 on_request_started_ (SoupServer *server, SoupServerMessage *message, DpHttpd *httpd);
 static void on_headers_ (SoupServerMessage *message, DpHttpd *httpd);
@@ -51,7 +63,6 @@
   char text[DP_ADDRESS_STRLEN];
   char ip[DP_ADDRESS_STRLEN];
   DpHttpd *httpd = g_new0 (DpHttpd, 1);
-  g_autoptr (GSocketAddress) socket_address = NULL;
   g_autoptr (GError) cause = NULL;
 
   dp_address_format (address, text);
@@ -59,8 +70,12 @@
   *strchr (ip, ':') = '\0';
   httpd->metrics = metrics;
   httpd->server = soup_server_new ("server-header", "dogwoodpaddle", NULL);
-  socket_address = g_inet_socket_address_new_from_string (ip, address->port);
-  if (!soup_server_listen (httpd->server, socket_address, 0, &cause))
+  httpd->n_connections = g_rc_box_new0 (guint);
+  httpd->service = g_socket_service_new ();
+  httpd->refused = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                   "dogwoodpaddle_http_refused_total", "",
+                                   "HTTP connections refused, since there are too many");
+  if (!listen_ (httpd, ip, address->port, &cause))
     {
       dp_error_set (error, DP_ERROR_UNAVAILABLE, "listen for HTTP", text, "%s",
                     cause->message);
@@ -81,10 +96,18 @@
 {
   if (httpd == NULL)
     return;
+  if (httpd->service != NULL)
+    {
+      g_socket_service_stop (httpd->service);
+      g_socket_listener_close (G_SOCKET_LISTENER (httpd->service));
+      g_signal_handlers_disconnect_by_data (httpd->service, httpd);
+    }
+  g_clear_object (&httpd->service);
   if (httpd->server != NULL)
     soup_server_disconnect (httpd->server);
   g_clear_object (&httpd->server);
   g_clear_pointer (&httpd->trusted, g_array_unref);
+  g_clear_pointer (&httpd->n_connections, g_rc_box_release);
   g_free (httpd);
 }
 
@@ -119,6 +142,58 @@
   return httpd->server;
 }
 
+static gboolean
+listen_ (DpHttpd *httpd, const char *ip, guint16 port, GError **error)
+{
+  GSocketListener *listener = G_SOCKET_LISTENER (httpd->service);
+  g_autoptr (GSocketAddress) address = g_inet_socket_address_new_from_string (ip, port);
+
+  g_socket_listener_set_backlog (listener, BACKLOG);
+  g_signal_connect (httpd->service, "incoming", G_CALLBACK (on_incoming_), httpd);
+  return g_socket_listener_add_address (listener, address, G_SOCKET_TYPE_STREAM,
+                                        G_SOCKET_PROTOCOL_TCP, NULL, NULL, error);
+}
+
+/* libsoup bounds neither the connections nor their silence, so the daemon could run out
+ * of file descriptors. */
+static gboolean
+on_incoming_ (GSocketService *service,
+              GSocketConnection *connection,
+              GObject *source,
+              gpointer user_data)
+{
+  DpHttpd *httpd = user_data;
+  g_autoptr (GSocketAddress)
+      local = g_socket_connection_get_local_address (connection, NULL);
+  g_autoptr (GSocketAddress)
+      remote = g_socket_connection_get_remote_address (connection, NULL);
+  g_autoptr (GError) error = NULL;
+
+  if (*httpd->n_connections >= MAX_CONNECTIONS)
+    {
+      dp_metric_increment (httpd->refused);
+      g_io_stream_close (G_IO_STREAM (connection), NULL, NULL);
+      return TRUE;
+    }
+  (*httpd->n_connections)++;
+  g_object_weak_ref (G_OBJECT (connection), connection_gone_,
+                     g_rc_box_acquire (httpd->n_connections));
+  g_socket_set_timeout (g_socket_connection_get_socket (connection), SILENCE_MAX_S);
+  if (!soup_server_accept_iostream (httpd->server, G_IO_STREAM (connection), local,
+                                    remote, &error))
+    g_debug ("HTTP connection not accepted: %s", error->message);
+  return TRUE;
+}
+
+static void
+connection_gone_ (gpointer user_data, GObject *connection)
+{
+  guint *n_connections = user_data;
+
+  (*n_connections)--;
+  g_rc_box_release (n_connections);
+}
+
 /* An early handler of libsoup would not do: it is not called for paths that have a
  * handler of their own. */
 static void
--- a/src/test_libdogwoodpaddle/test_httpd.c
+++ b/src/test_libdogwoodpaddle/test_httpd.c
@@ -1,6 +1,9 @@
 /* Guards against a status server that answers strangers, takes unbounded bodies or writes
  * through read-only paths. */
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "protected/httpd.h"
 #include "runner.h"
@@ -167,10 +170,72 @@
                   && strstr (error->message, dp_address_format (&address, text)) != NULL);
 }
 
+static int
+open_silent (const DpAddress *address)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons (address->port),
+                            .sin_addr.s_addr = htonl (address->ip) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *) &to, sizeof to), 0);
+  return fd;
+}
+
+/* Lets the server accept what has arrived. */
+static void
+settle (void)
+{
+  gint64 end = g_get_monotonic_time () + 20 * G_TIME_SPAN_MILLISECOND;
+
+  while (g_get_monotonic_time () < end)
+    g_main_context_iteration (NULL, FALSE);
+}
+
+/* Silent connections used to be kept without bound, until no file could be opened. */
+static void
+test_silent_connections (void)
+{
+  DpMetrics *metrics = dp_metrics_new ();
+  DpAddress address;
+  DpHttpd *httpd = start (metrics, &address);
+  g_autofree char *text = NULL;
+  int fds[200];
+  guint n_closed = 0;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (httpd);
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      fds[i] = open_silent (&address);
+      if (i % 50 == 49)
+        settle ();
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      char byte;
+
+      n_closed += recv (fds[i], &byte, 1, MSG_DONTWAIT) == 0;
+      close (fds[i]);
+    }
+  CU_ASSERT_EQUAL (n_closed, 200 - 128);
+  text = dp_metrics_format (metrics);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "dogwoodpaddle_http_refused_total 72\n"));
+  /* The closed connections make room for others. */
+  settle ();
+  fds[0] = open_silent (&address);
+  settle ();
+  CU_ASSERT_EQUAL (recv (fds[0], fds, 1, MSG_DONTWAIT), -1);
+  close (fds[0]);
+  settle ();
+  dp_httpd_free (httpd);
+  dp_metrics_free (metrics);
+}
+
 static const DpTestCase cases_[] = {
   { "status, metrics and readiness", test_paths },
   { "a large body is refused unread", test_large_body },
   { "requests from outside the trusted networks are refused", test_strangers },
+  { "silent connections are bounded", test_silent_connections },
   { "an address in use is named", test_address_in_use },
 };
 
