Test killed balancers and servers that leave during downloads

deployment.sh tells running processes without a pipe into grep -q: with pipefail it sometimes said that a running process had ended, so that a SIGCONT was not sent.

--- a/test/deployment.sh
+++ b/test/deployment.sh
@@ -11,6 +11,9 @@
 #   kill_process NAME            SIGKILL, waits until it ended
 #   wait_for SECONDS TEXT COMMAND...
 #   stop_all
+#   start_load [OPTION...] | expect_load    verified load on all service addresses
+#   start_download NAME | expect_download NAME    a manual, at most 2.5 MB a second
+#   status_of HOST FILTER | metric_of HOST METRIC | platform_faults JSON
 # shellcheck shell=bash
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
@@ -216,7 +219,8 @@
 }
 
 is_running() {
-  [ -n "${process_pid[$1]:-}" ] && jobs -pr | grep -qx "${process_pid[$1]}"
+  # No pipe into grep -q: with pipefail, it fails if grep ends before jobs has written all.
+  [ -n "${process_pid[$1]:-}" ] && [[ " $(jobs -pr | tr '\n' ' ')" == *" ${process_pid[$1]} "* ]]
 }
 
 has_ended() {
@@ -238,6 +242,124 @@
   wait "${process_pid[$1]}" 2>/dev/null
 }
 
+# Prints the time in milliseconds.
+now_ms() {
+  local time=${EPOCHREALTIME/[.,]/}
+  echo $((time / 1000))
+}
+
+# sleep_until MS: waits for a point of time given by now_ms.
+sleep_until() {
+  while [ "$(now_ms)" -lt "$1" ]; do
+    sleep 0.02
+  done
+}
+
+# kill_and_restart NAME START_FUNCTION: SIGKILL and a new start.
+kill_and_restart() {
+  kill_process "$1"
+  "$2" "$1"
+}
+
+# status_of HOST FILTER: what jq prints of the /status of its daemon.
+status_of() {
+  curl --noproxy '*' --silent --max-time 5 "http://${host_ip[$1]}:$http_port/status" |
+    jq -r "$2"
+}
+
+# metric_of HOST METRIC: the value of a metric of its daemon.
+metric_of() {
+  curl --noproxy '*' --silent --max-time 5 "http://${host_ip[$1]}:$http_port/metrics" |
+    awk -v metric="$2" 'index($0, metric " ") == 1 { print $NF }'
+}
+
+# Prints the number of flows that the companion has accepted.
+accepted_flows() {
+  metric_of "$1" 'dogwoodpaddle_actions_total{action="connect"}'
+}
+
+accepted_more() { # HOST NUMBER
+  [ "$(accepted_flows "$1")" -gt "$2" ]
+}
+
+# Prints the number of packets that the fabric has sent to the balancer.
+packets_to() {
+  curl --noproxy '*' --silent --max-time 5 "http://$fabric_http/stats" |
+    jq --arg address "${host_ip[$1]}:$data_port" '.packets[$address] // 0'
+}
+
+packets_above() { # BALANCER NUMBER
+  [ "$(packets_to "$1")" -gt "$2" ]
+}
+
+# has_revision REVISION HOST...: the revision is in force in all of the hosts' daemons.
+has_revision() {
+  local revision=$1 name
+  shift
+  for name in "$@"; do
+    [ "$(status_of "$name" .revision)" -ge "$revision" ] 2>/dev/null || return 1
+  done
+}
+
+# platform_faults JSON: see the stand-in of the platform.
+platform_faults() {
+  fetch -X PUT -d "$1" "$platform_url/v1/faults" || fail "platform_faults $1"
+}
+
+platform_revision() {
+  curl --noproxy '*' --silent --max-time 10 "$platform_url/v1/objects" | jq .revision
+}
+
+# start_load [OPTION...]: its reports are looked up on the servers of $verified_servers
+# (default: all), since a server that has ended can't be asked.
+start_load() {
+  # shellcheck disable=SC2046
+  start_process_ load "$bin/standin-load" $(load_targets) --seed 1 --timeout-s 15 \
+    --verify "${verified_servers:-$(server_addresses)}" --manual-bytes 200000 "$@"
+}
+
+# Waits for the load's end: nothing may be broken, doubled, lost or sent elsewhere.
+expect_load() {
+  local result
+  wait_for 40 "the load ends" has_ended load
+  wait "${process_pid[load]}"
+  result=$(tail -n 1 "$deploy_dir/load.out")
+  jq -e '.requests > 100 and .ok + .refused == .requests and .ok >= 0.9 * .requests and
+    .broken == 0 and .doubled == 0 and .lost == 0 and .misdelivered == 0 and
+    .refused_but_run == 0' <<<"$result" >/dev/null || fail "load: $result"
+  progress "load: $(jq -c 'del(.wait_us, .servers)' <<<"$result")"
+}
+
+# start_download NAME: a manual of $manual_bytes; its headers are in NAME.head.
+start_download() {
+  start_process_ "$1" curl --noproxy '*' --silent --fail --max-time 50 --limit-rate 2500K \
+    -D "$deploy_dir/$1.head" -o "$deploy_dir/$1.data" \
+    "http://$manuals_address/manuals/$manual_bytes?seed=7"
+}
+
+# Prints the server that answers the download.
+download_server() {
+  sed -n 's/^X-Server: \([a-z0-9-]*\).*/\1/ip' "$deploy_dir/$1.head" 2>/dev/null
+}
+
+has_download_server() {
+  [ -n "$(download_server "$1")" ]
+}
+
+# The manual that is downloaded, and its hash as a server sends it directly.
+manual_bytes=30000000
+manual_hash=e40303afcd516f1c28946b04bfc3617592d533b61c103a7469e818f057eaa0f4
+
+expect_download() {
+  local status
+  wait_for 40 "$1 ends" has_ended "$1"
+  wait "${process_pid[$1]}"
+  status=$?
+  [ "$status" -eq 0 ] || fail "$1 from $(download_server "$1"): curl's exit status $status"
+  [[ $(sha256sum <"$deploy_dir/$1.data") == "$manual_hash "* ]] || fail "$1: wrong hash"
+  rm "$deploy_dir/$1.data"
+}
+
 # Ends all processes: those that still write to the platform before the platform.
 stop_all() {
   local name rest=()
