Count overdue members when a removal is decided, test frozen processes

Cause: members that are stopped together are suspected up to a heartbeat interval apart. The first of them was removed before the others were suspected, so that more than half did not yet appear lost: of three frozen companions among four members one was removed. Members that have been silent for half of suspect_ms now count in this decision. Ruled out: to delay every removal by a heartbeat interval, which makes single losses last longer. Members that only other watchers observe still count once they are suspected.

--- a/src/libdogwoodpaddle/liveness.c
+++ b/src/libdogwoodpaddle/liveness.c
@@ -23,6 +23,7 @@
 {
   guint size;
   guint suspected; /* counted at each tick */
+  guint overdue;   /* suspected or about to be, counted at each tick */
   gboolean mass_loss;
 } Service;
 
@@ -48,6 +49,8 @@
 static void observe_anew_ (Watched *watched, gint64 now);
 static gboolean is_suspected_ (const Watched *watched);
 static gboolean is_fresh_ (gint64 at, gint64 now);
+static gboolean is_overdue_ (const Watched *watched, gint64 now);
+static gboolean is_mass_loss_ (const Service *service);
 static gboolean was_paused_ (const DpLiveness *liveness, gint64 now);
 static void note_silence_ (DpLiveness *liveness, Watched *watched, gint64 now);
 static void count_suspected_ (DpLiveness *liveness, gint64 now);
@@ -264,7 +267,7 @@
          && watched->incarnation == incarnation && !was_paused_ (liveness, now)
          && now - watched->heard_at > watched->suspect_after
          && is_fresh_ (watched->agreed_at, now)
-         && !service_ (liveness, service)->mass_loss;
+         && !is_mass_loss_ (service_ (liveness, service));
 }
 
 /* Gives the member's state as this watcher sees it. */
@@ -351,6 +354,22 @@
   return at >= 0 && now - at <= DP_LIVENESS_REMOTE_US;
 }
 
+/* Returns whether the member has missed so many heartbeats that it may be among those
+ * that fell silent together with a suspected one. */
+static gboolean
+is_overdue_ (const Watched *watched, gint64 now)
+{
+  return now - watched->heard_at > watched->suspect_after / 2;
+}
+
+/* Members that fall silent together are suspected up to a heartbeat interval apart. The
+ * first of them must not be removed before the others are suspected. */
+static gboolean
+is_mass_loss_ (const Service *service)
+{
+  return service->mass_loss || service->overdue * 2 > service->size;
+}
+
 static gboolean
 was_paused_ (const DpLiveness *liveness, gint64 now)
 {
@@ -375,14 +394,22 @@
 
   g_hash_table_iter_init (&iter, liveness->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((Service *) value)->suspected = 0;
+    {
+      Service *service = value;
+
+      service->suspected = 0;
+      service->overdue = 0;
+    }
   g_hash_table_iter_init (&iter, liveness->members);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Watched *watched = value;
+      Service *service = service_ (liveness, watched->service);
 
       if (is_suspected_ (watched) || is_fresh_ (watched->remote_at, now))
-        service_ (liveness, watched->service)->suspected++;
+        service->suspected++;
+      if (is_overdue_ (watched, now) || is_fresh_ (watched->remote_at, now))
+        service->overdue++;
     }
 }
 
@@ -427,7 +454,7 @@
       add_action_ (actions, DP_LIVENESS_ALONE, watched);
       watched->told_alone = TRUE;
     }
-  if (!agreed || service_ (liveness, watched->service)->mass_loss)
+  if (!agreed || is_mass_loss_ (service_ (liveness, watched->service)))
     return;
   dp_chart_step (&watched->state, DP_WATCHED_EVENT_AGREED);
   add_action_ (actions, DP_LIVENESS_REMOVE, watched);
--- a/src/test_libdogwoodpaddle/test_liveness.c
+++ b/src/test_libdogwoodpaddle/test_liveness.c
@@ -304,6 +304,31 @@
   tear_down (&f);
 }
 
+/* Guards against the removal of the first ones of a mass loss, before the others, whose
+ * last heartbeats were up to a heartbeat interval later, are suspected as well. */
+static void
+test_staggered_mass_loss (void)
+{
+  Fixture f;
+
+  set_up (&f);
+  for (guint i = 0; i < 3; i++)
+    {
+      f.beats[i] = FALSE;
+      run (&f, DP_LIVENESS_TICK_US);
+    }
+  run (&f, SUSPECT_US - 3 * DP_LIVENESS_TICK_US);
+  for (guint i = 0; i < 3; i++)
+    {
+      f.agrees[i] = TRUE;
+      run (&f, DP_LIVENESS_TICK_US);
+      CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE), 0);
+    }
+  run (&f, 20 * DP_US_PER_S);
+  CU_ASSERT_EQUAL (count (&f, DP_LIVENESS_REMOVE), 0);
+  tear_down (&f);
+}
+
 static void
 test_alone (void)
 {
@@ -327,6 +352,7 @@
   { "an old suspicion does not remove a new incarnation", test_incarnation },
   { "a heartbeat cancels", test_heartbeat_clears },
   { "a mass loss removes none", test_mass_loss },
+  { "a staggered mass loss removes none", test_staggered_mass_loss },
   { "a watcher alone removes none", test_alone },
 };
 
