Hold records as text and parse the platform's list item by item

A balancer with the records of the later size (3,100 services, 7,100 members, 1,300 balancers) had 59.7 MB resident, bound 32 MB. Two causes, both from the parsed form of JSON, which takes more than ten times its text: each record kept its parsed value beside the text, and the platform's whole list was parsed as one tree, whose memory the allocators keep.

DpRecord.value is replaced by dp_record_value (), which parses on demand. dp_answer_items () splits the list's text and parses one item at a time; an answer with any malformed part is refused as a whole, as before. The C library is asked to give memory back after many services were taken over at once.

Ruled out: returning memory without splitting the list (38,412 KB, since GLib's slice allocator keeps freed nodes), and turning that allocator off, which only the environment can do before GLib starts (17,320 KB as a trial).

--- a/src/dogwoodpaddle/fleet_commands.c
+++ b/src/dogwoodpaddle/fleet_commands.c
@@ -349,6 +349,7 @@
   DpWriteResult result = cli_write (
       cli, change->kind, change->name, change->version,
       change->type == DP_CHANGE_DELETE ? NULL : change->wanted, &record, &error);
+  g_autoptr (JsonNode) value = NULL;
   g_autofree char *present = NULL;
   /* More than one call: an answer was lost and the object was read back, or the
    * platform's rate limit was reached. */
@@ -365,7 +366,8 @@
       cli_print (cli, "%s %s: written%s", dp_change_type_string (change->type), key, how);
       return CLI_DONE;
     case DP_WRITE_CONFLICT:
-      present = cli_node_text (record == NULL ? NULL : record->value);
+      value = record == NULL ? NULL : dp_record_value (record);
+      present = cli_node_text (value);
       cli_error (cli, "%s: not written, someone else changed it meanwhile to: %s", key,
                  present);
       return CLI_CONFLICT;
--- a/src/dogwoodpaddle/processes.c
+++ b/src/dogwoodpaddle/processes.c
@@ -135,7 +135,8 @@
 add_balancer_ (Processes *processes, const DpRecord *record)
 {
   Process *process = add_ (processes, PROCESS_BALANCER, "", record->name);
-  JsonObject *object = dp_json_get_object (record->value);
+  g_autoptr (JsonNode) value = dp_record_value (record);
+  JsonObject *object = dp_json_get_object (value);
   const char *ip = dp_json_get_string (object, "ip");
   guint64 port;
   DpAddress address;
@@ -154,8 +155,9 @@
 add_members_ (Processes *processes, const DpRecord *record)
 {
   g_autoptr (GError) error = NULL;
-  g_autoptr (DpView) view = dp_view_new_from_json (record->name, record->revision,
-                                                   record->value, &error);
+  g_autoptr (JsonNode) value = dp_record_value (record);
+  g_autoptr (DpView)
+      view = dp_view_new_from_json (record->name, record->revision, value, &error);
 
   if (view == NULL)
     {
--- a/src/libdogwoodpaddle/answer.c
+++ b/src/libdogwoodpaddle/answer.c
@@ -1,10 +1,13 @@
 #include "private/answer.h"
 
+#include <string.h>
+
 #include "protected/error.h"
 #include "protected/json.h"
 
 #define READ_STEP "platform read"
 
+static JsonNode *parse_list_ (GBytes *body, GPtrArray *items, GError **error);
 static DpRecord *parse_record_ (JsonNode *node, GError **error);
 
 /* Parses the answer's JSON. */
@@ -36,35 +39,62 @@
 
 /* Parses {"revision","items"}. Items of an unknown kind or without a proper name are
  * skipped with a warning: one bad object must not keep the others from being distributed.
- */
+ * Items are parsed one by one, since the parsed form of a whole list would take more than
+ * ten times the memory that a balancer needs for it. */
 gboolean
 dp_answer_items (GBytes *body, GPtrArray *records, guint64 *revision, GError **error)
 {
-  g_autoptr (JsonNode) node = dp_answer_parse (body, error);
+  g_autoptr (GPtrArray) items = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (GPtrArray)
+      parsed = g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
+  g_autoptr (JsonNode) node = parse_list_ (body, items, error);
   JsonObject *object = dp_json_get_object (node);
-  JsonArray *items = dp_json_get_array (object, "items");
 
   if (node == NULL)
     return FALSE;
-  if (items == NULL || !dp_json_get_uint (object, "revision", revision))
+  if (dp_json_get_array (object, "items") == NULL
+      || !dp_json_get_uint (object, "revision", revision))
     {
       dp_error_set (error, DP_ERROR_INVALID, READ_STEP, NULL,
                     "the answer lacks revision or items");
       return FALSE;
     }
-  for (guint i = 0; i < json_array_get_length (items); i++)
+  for (guint i = 0; i < items->len; i++)
     {
+      g_autoptr (JsonNode)
+          item = dp_json_parse_element (g_ptr_array_index (items, i), error);
       g_autoptr (GError) fault = NULL;
-      DpRecord *record = parse_record_ (json_array_get_element (items, i), &fault);
+      DpRecord *record;
 
+      if (item == NULL)
+        return FALSE;
+      record = parse_record_ (item, &fault);
       if (record != NULL)
-        g_ptr_array_add (records, record);
+        g_ptr_array_add (parsed, record);
       else
         g_warning ("object skipped: %s", fault->message);
     }
+  g_ptr_array_extend_and_steal (records, g_steal_pointer (&parsed));
   return TRUE;
 }
 
+/* Parses the answer but for the elements of "items", whose texts it adds to items. */
+static JsonNode *
+parse_list_ (GBytes *body, GPtrArray *items, GError **error)
+{
+  g_autofree char *text = NULL;
+  g_autofree char *rest = NULL;
+  gsize length;
+  const char *data = g_bytes_get_data (body, &length);
+
+  /* Text with a NUL is refused by the parser; it would end too early here. */
+  if (data == NULL || memchr (data, '\0', length) != NULL)
+    return dp_answer_parse (body, error);
+  text = g_strndup (data, length);
+  rest = dp_json_take_elements (text, "items", items);
+  return dp_json_parse (rest, strlen (rest), error);
+}
+
 /* Parses {"kind","name","version","value"} or a tombstone; DP_ERROR_INVALID otherwise. */
 static DpRecord *
 parse_record_ (JsonNode *node, GError **error)
--- a/src/libdogwoodpaddle/enlistment.c
+++ b/src/libdogwoodpaddle/enlistment.c
@@ -247,9 +247,10 @@
 static guint64
 incarnation_of_ (const DpRecord *record)
 {
+  g_autoptr (JsonNode) value = dp_record_value (record);
   guint64 incarnation = 0;
 
-  dp_json_get_uint (dp_json_get_object (record->value), "incarnation", &incarnation);
+  dp_json_get_uint (dp_json_get_object (value), "incarnation", &incarnation);
   return incarnation;
 }
 
--- a/src/libdogwoodpaddle/fleet.c
+++ b/src/libdogwoodpaddle/fleet.c
@@ -36,7 +36,7 @@
 G_STATIC_ASSERT (G_N_ELEMENTS (sections_) == DP_N_KINDS);
 
 static gboolean
-exception_applies_ (const DpRecord *record, const char *service, const char *host);
+exception_applies_ (JsonNode *value, const char *service, const char *host);
 static void merge_exceptions_ (GPtrArray *exceptions,
                                const char *service,
                                const char *host,
@@ -67,7 +67,11 @@
 
   dp_fleet_settings_init (settings);
   if (defaults != NULL && !defaults->deleted)
-    dp_fleet_settings_merge_ (settings, defaults->value);
+    {
+      g_autoptr (JsonNode) value = dp_record_value (defaults);
+
+      dp_fleet_settings_merge_ (settings, value);
+    }
   if (service == NULL)
     return;
   exceptions = dp_replica_list (replica, DP_KIND_EXCEPTION);
@@ -84,12 +88,14 @@
   GArray *addresses = g_array_new (FALSE, TRUE, sizeof (DpServiceAddress));
   const DpRecord *record = dp_replica_get (replica, DP_KIND_SERVICE, service);
   g_autoptr (GPtrArray) faults = dp_faults_new ();
+  g_autoptr (JsonNode) value = NULL;
   DpFleetSettings settings;
   JsonNode *list;
 
   if (record == NULL || record->deleted)
     return addresses;
-  list = member_of_ (record->value, "addresses");
+  value = dp_record_value (record);
+  list = member_of_ (value, "addresses");
   if (list == NULL || !JSON_NODE_HOLDS_ARRAY (list))
     return addresses;
   dp_fleet_effective (replica, service, NULL, &settings);
@@ -206,24 +212,25 @@
   for (guint i = 0; i < exceptions->len; i++)
     {
       const DpRecord *record = g_ptr_array_index (exceptions, i);
+      g_autoptr (JsonNode) value = dp_record_value (record);
       JsonNode *set;
 
-      if (!exception_applies_ (record, service, host))
+      if (!exception_applies_ (value, service, host))
         continue;
-      set = member_of_ (record->value, "set");
+      set = member_of_ (value, "set");
       if (set != NULL)
         dp_fleet_settings_merge_ (settings, set);
     }
 }
 
 static gboolean
-exception_applies_ (const DpRecord *record, const char *service, const char *host)
+exception_applies_ (JsonNode *value, const char *service, const char *host)
 {
   const char *its_host;
 
-  if (record->deleted || g_strcmp0 (text_of_ (record->value, "service"), service) != 0)
+  if (value == NULL || g_strcmp0 (text_of_ (value, "service"), service) != 0)
     return FALSE;
-  its_host = text_of_ (record->value, "host");
+  its_host = text_of_ (value, "host");
   return g_str_equal (its_host == NULL ? "" : its_host, host);
 }
 
--- a/src/libdogwoodpaddle/forwarder.c
+++ b/src/libdogwoodpaddle/forwarder.c
@@ -1,5 +1,6 @@
 #include "private/forwarder.h"
 
+#include <malloc.h>
 #include <string.h>
 
 #include "protected/error.h"
@@ -11,6 +12,7 @@
 
 #define LOG_INTERVAL_US DP_US_PER_S /* one line per kind of drop */
 #define LABELS_MAX 64
+#define TRIM_MIN 256 /* services taken over at once, as at start */
 
 typedef enum
 {
@@ -275,6 +277,7 @@
 update_now_ (gpointer user_data)
 {
   DpForwarder *forwarder = user_data;
+  const gboolean many = g_hash_table_size (forwarder->stale_members) >= TRIM_MIN;
   GHashTableIter iter;
   gpointer service;
 
@@ -296,6 +299,9 @@
   forwarder->defaults_are_stale = FALSE;
   forwarder->update = 0;
   forwarder->bytes->value = dp_router_bytes (forwarder->router);
+  /* The platform's whole list was parsed at once; the C library keeps what that took. */
+  if (many)
+    malloc_trim (0);
   return G_SOURCE_REMOVE;
 }
 
@@ -330,6 +336,7 @@
 {
   const DpRecord *record = dp_replica_get (forwarder->replica, DP_KIND_MEMBERS, service);
   const DpView *present = g_hash_table_lookup (forwarder->views, service);
+  g_autoptr (JsonNode) value = record == NULL ? NULL : dp_record_value (record);
   g_autoptr (GError) error = NULL;
   DpView *view;
 
@@ -338,7 +345,7 @@
   if (record == NULL)
     view = dp_view_new (service, present->revision, NULL, 0);
   else
-    view = dp_view_new_from_json (service, record->revision, record->value, &error);
+    view = dp_view_new_from_json (service, record->revision, value, &error);
   if (view == NULL)
     {
       g_warning ("%s; the last valid one stays in force",
--- a/src/libdogwoodpaddle/include/protected/json.h
+++ b/src/libdogwoodpaddle/include/protected/json.h
@@ -7,6 +7,9 @@
 
 JsonNode *dp_json_parse (const char *text, gsize length, GError **error);
 char *dp_json_format (JsonNode *node);
+/* Appends the text of each element of an array, for elements to be parsed one by one. */
+char *dp_json_take_elements (const char *text, const char *key, GPtrArray *elements);
+JsonNode *dp_json_parse_element (const char *text, GError **error);
 
 /* Members of an object; FALSE or NULL if the member is missing or of another type. */
 const char *dp_json_get_string (JsonObject *object, const char *key);
--- a/src/libdogwoodpaddle/include/protected/replica.h
+++ b/src/libdogwoodpaddle/include/protected/replica.h
@@ -28,8 +28,7 @@
   char *name;
   guint64 revision;
   gboolean deleted;
-  char *json;      /* the value's text, "" if deleted */
-  JsonNode *value; /* NULL if deleted */
+  char *json; /* the value's text, valid JSON; "" if deleted */
 } DpRecord;
 
 DpRecord *dp_record_new (DpKind kind,
@@ -40,6 +39,7 @@
                          GError **error);
 DpRecord *dp_record_ref (DpRecord *record);
 void dp_record_unref (DpRecord *record);
+JsonNode *dp_record_value (const DpRecord *record);
 
 typedef struct _DpReplica DpReplica;
 
--- a/src/libdogwoodpaddle/inforce.c
+++ b/src/libdogwoodpaddle/inforce.c
@@ -116,15 +116,16 @@
 take_members_ (DpInForce *in_force, const DpRecord *record)
 {
   DpView *view;
+  g_autoptr (JsonNode) value = NULL;
   g_autoptr (GError) error = NULL;
 
   if (record->kind != DP_KIND_MEMBERS || !g_str_equal (record->name, in_force->service))
     return FALSE;
+  value = dp_record_value (record);
   if (record->deleted)
     view = dp_view_new (in_force->service, record->revision, NULL, 0);
   else
-    view = dp_view_new_from_json (in_force->service, record->revision, record->value,
-                                  &error);
+    view = dp_view_new_from_json (in_force->service, record->revision, value, &error);
   if (error != NULL)
     {
       g_warning ("members/%s at revision %" G_GUINT64_FORMAT " is ignored: %s",
@@ -174,20 +175,21 @@
   JsonNode *file = json_node_new (JSON_NODE_OBJECT);
   JsonObject *root = json_object_new ();
   const char *section = dp_fleet_section (record->kind);
+  g_autoptr (JsonNode) value = dp_record_value (record);
 
   json_node_take_object (file, root);
   if (record->kind == DP_KIND_FLEET)
     {
-      json_object_set_member (root, section, json_node_copy (record->value));
+      json_object_set_member (root, section, json_node_copy (value));
       return file;
     }
   json_object_set_object_member (root, section, json_object_new ());
   json_object_set_member (json_object_get_object_member (root, section), record->name,
-                          json_node_copy (record->value));
-  if (record->kind == DP_KIND_EXCEPTION && JSON_NODE_HOLDS_OBJECT (record->value))
+                          json_node_copy (value));
+  if (record->kind == DP_KIND_EXCEPTION && JSON_NODE_HOLDS_OBJECT (value))
     {
       const char *service = json_object_get_string_member_with_default (
-          json_node_get_object (record->value), "service", "");
+          json_node_get_object (value), "service", "");
       JsonObject *services = json_object_new ();
 
       json_object_set_member (services, service,
--- a/src/libdogwoodpaddle/json.c
+++ b/src/libdogwoodpaddle/json.c
@@ -6,6 +6,10 @@
 
 static gboolean depth_is_bounded_ (const char *text, gsize length);
 static JsonNode *member_ (JsonObject *object, const char *key);
+static const char *find_array_ (const char *text, const char *key);
+static const char *skip_space_ (const char *at);
+static const char *skip_string_ (const char *at);
+static const char *skip_value_ (const char *at);
 
 /* Parses one JSON value. DP_ERROR_INVALID if the text is malformed or nests deeper than
  * DP_JSON_DEPTH_MAX: the library's parser recurses once per level. */
@@ -46,6 +50,58 @@
   return json_to_string (node, FALSE);
 }
 
+/* Takes the elements out of the array that is the member of that name of the outermost
+ * object: adds each one's text to elements, which owns it, and returns the rest of the
+ * text with an empty array in its place. Nothing is validated: whoever parses the rest
+ * and each element meets every fault of the text. Returns a copy of the whole text if
+ * there is no such array or it has no end. */
+char *
+dp_json_take_elements (const char *text, const char *key, GPtrArray *elements)
+{
+  const guint n_before = elements->len;
+  const char *begin = find_array_ (text, key);
+  const char *at = begin == NULL ? NULL : skip_space_ (begin);
+  g_autofree char *head = NULL;
+
+  if (begin == NULL)
+    return g_strdup (text);
+  while (*at != ']' || elements->len > n_before)
+    {
+      const char *end = skip_value_ (at);
+
+      g_ptr_array_add (elements, g_strndup (at, (gsize) (end - at)));
+      at = end;
+      if (*at != ',')
+        break;
+      at++;
+    }
+  if (*at != ']')
+    {
+      g_ptr_array_set_size (elements, (gint) n_before);
+      return g_strdup (text);
+    }
+  head = g_strndup (text, (gsize) (begin - text));
+  return g_strconcat (head, at, NULL);
+}
+
+/* Parses the text of one element of an array. The library accepts several values in a row
+ * as one text, but not within an array, hence the brackets. */
+JsonNode *
+dp_json_parse_element (const char *text, GError **error)
+{
+  g_autofree char *array = g_strconcat ("[", text, "]", NULL);
+  g_autoptr (JsonNode) node = dp_json_parse (array, strlen (array), error);
+
+  if (node == NULL)
+    return NULL;
+  if (json_array_get_length (json_node_get_array (node)) != 1)
+    {
+      dp_error_set (error, DP_ERROR_INVALID, "json", NULL, "an element is missing");
+      return NULL;
+    }
+  return json_array_dup_element (json_node_get_array (node), 0);
+}
+
 /* Returns the string member of that name, or NULL. */
 const char *
 dp_json_get_string (JsonObject *object, const char *key)
@@ -134,3 +190,77 @@
 {
   return object == NULL ? NULL : json_object_get_member (object, key);
 }
+
+/* Returns the first character inside the array, or NULL. */
+static const char *
+find_array_ (const char *text, const char *key)
+{
+  const char *at = skip_space_ (text);
+
+  if (*at != '{')
+    return NULL;
+  do
+    {
+      const char *name = skip_space_ (at + 1);
+      gboolean matches;
+
+      if (*name != '"')
+        return NULL;
+      at = skip_string_ (name);
+      matches = (gsize) (at - name) == strlen (key) + 2
+                && strncmp (name + 1, key, strlen (key)) == 0;
+      at = skip_space_ (at);
+      if (*at != ':')
+        return NULL;
+      at = skip_space_ (at + 1);
+      if (matches && *at == '[')
+        return at + 1;
+      at = skip_value_ (at);
+    }
+  while (*at == ',');
+  return NULL;
+}
+
+static const char *
+skip_space_ (const char *at)
+{
+  while (*at == ' ' || *at == '\t' || *at == '\n' || *at == '\r')
+    at++;
+  return at;
+}
+
+/* From the opening quote to behind the closing one or to the end of the text. */
+static const char *
+skip_string_ (const char *at)
+{
+  for (at++; *at != '\0' && *at != '"'; at++)
+    {
+      if (*at == '\\' && at[1] != '\0')
+        at++;
+    }
+  return *at == '"' ? at + 1 : at;
+}
+
+/* Goes to the comma or bracket that ends the value, or to the end of the text. */
+static const char *
+skip_value_ (const char *at)
+{
+  guint depth = 0;
+
+  while (*at != '\0')
+    {
+      if (*at == '"')
+        {
+          at = skip_string_ (at);
+          continue;
+        }
+      if (depth == 0 && (*at == ',' || *at == ']' || *at == '}'))
+        return at;
+      if (*at == '{' || *at == '[')
+        depth++;
+      else if (*at == '}' || *at == ']')
+        depth--;
+      at++;
+    }
+  return at;
+}
--- a/src/libdogwoodpaddle/plan.c
+++ b/src/libdogwoodpaddle/plan.c
@@ -109,11 +109,12 @@
       const DpRecord *record = g_ptr_array_index (sorted, i);
       g_autofree char *key = g_strdup_printf ("%s/%s", dp_kind_string (record->kind),
                                               record->name);
+      g_autoptr (JsonNode) value = dp_record_value (record);
 
       if (record->deleted || dp_fleet_section (record->kind) == NULL)
         continue;
       json_object_set_int_member (versions, key, (gint64) record->revision);
-      add_object_ (root, record->kind, record->name, record->value);
+      add_object_ (root, record->kind, record->name, value);
     }
   obtain_section_ (root, dp_fleet_section (DP_KIND_SERVICE));
   obtain_section_ (root, dp_fleet_section (DP_KIND_EXCEPTION));
@@ -189,7 +190,7 @@
         continue;
       change = obtain_ (by_key, record->kind, record->name);
       change->version = record->revision;
-      change->present = json_node_ref (record->value);
+      change->present = dp_record_value (record);
     }
 }
 
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -595,10 +595,12 @@
 static gboolean
 is_intended_ (const Request *request, const DpRecord *record)
 {
+  g_autoptr (JsonNode) value = record == NULL ? NULL : dp_record_value (record);
+
   if (record == NULL)
     return request->value == NULL;
-  return request->value != NULL && record->value != NULL
-         && json_node_equal (request->value, record->value);
+  return request->value != NULL && value != NULL
+         && json_node_equal (request->value, value);
 }
 
 static void
--- a/src/libdogwoodpaddle/registration.c
+++ b/src/libdogwoodpaddle/registration.c
@@ -211,13 +211,15 @@
 replica_changed_ (const DpRecord *record, gpointer user_data)
 {
   DpRegistration *registration = user_data;
+  g_autoptr (JsonNode) value = NULL;
 
   if (record->kind != DP_KIND_MEMBERS
       || !g_str_equal (record->name, registration->service)
       || record->revision <= registration->version || registration->superseded
       || (registration->wanted == DP_REGISTRATION_ABSENT && !registration->joined))
     return;
-  if (!is_settled_ (registration, record->value))
+  value = dp_record_value (record);
+  if (!is_settled_ (registration, value))
     start_ (registration);
 }
 
@@ -278,6 +280,7 @@
 {
   DpRegistration *registration = user_data;
   const DpRecord *record = records->len == 0 ? NULL : g_ptr_array_index (records, 0);
+  g_autoptr (JsonNode) value = record == NULL ? NULL : dp_record_value (record);
 
   if (error != NULL)
     {
@@ -286,7 +289,7 @@
       start_later_ (registration);
       return;
     }
-  compare_ (registration, record == NULL ? NULL : record->value, version);
+  compare_ (registration, value, version);
 }
 
 /* Writes the value with the entry as it is to be, if it is not so yet. */
--- a/src/libdogwoodpaddle/replica.c
+++ b/src/libdogwoodpaddle/replica.c
@@ -101,7 +101,6 @@
   record->revision = revision;
   record->deleted = deleted;
   record->json = g_strdup (deleted ? "" : json);
-  record->value = g_steal_pointer (&value);
   return record;
 }
 
@@ -121,11 +120,24 @@
     return;
   g_free (record->name);
   g_free (record->json);
-  if (record->value != NULL)
-    json_node_unref (record->value);
   g_free (record);
 }
 
+/* Returns the parsed value, owned by the caller; NULL if the record is deleted. A record
+ * holds the text only: the parsed values of all records of a large replica would take
+ * more than ten times the memory. */
+JsonNode *
+dp_record_value (const DpRecord *record)
+{
+  JsonNode *value;
+
+  if (record->deleted)
+    return NULL;
+  value = dp_json_parse (record->json, strlen (record->json), NULL);
+  g_assert (value != NULL); /* dp_record_new () refused other texts */
+  return value;
+}
+
 /* Creates an empty replica at revision 0. */
 DpReplica *
 dp_replica_new (void)
@@ -289,6 +301,7 @@
 gboolean
 dp_record_wanted (const DpRecord *record, const char *service)
 {
+  g_autoptr (JsonNode) value = NULL;
   const char *scope;
 
   if (service[0] == '\0')
@@ -301,7 +314,8 @@
     case DP_KIND_EXCEPTION:
       if (record->deleted)
         return TRUE;
-      scope = dp_json_get_string (dp_json_get_object (record->value), "service");
+      value = dp_record_value (record);
+      scope = dp_json_get_string (dp_json_get_object (value), "service");
       return g_strcmp0 (scope, service) == 0;
     case DP_KIND_FLEET:
     case DP_KIND_BALANCER:
--- a/src/libdogwoodpaddle/topology.c
+++ b/src/libdogwoodpaddle/topology.c
@@ -165,7 +165,8 @@
 static DpTopologyBalancer *
 parse_ (const DpRecord *record)
 {
-  JsonObject *object = dp_json_get_object (record->value);
+  g_autoptr (JsonNode) value = dp_record_value (record);
+  JsonObject *object = dp_json_get_object (value);
   const char *zone = dp_json_get_string (object, "zone");
   const char *ip_text = dp_json_get_string (object, "ip");
   DpTopologyBalancer parsed = { 0 };
--- a/src/libdogwoodpaddle/watcher.c
+++ b/src/libdogwoodpaddle/watcher.c
@@ -562,10 +562,12 @@
 {
   DpWatcher *watcher = removal->watcher;
   gboolean balancer = removal->service[0] == '\0';
+  g_autoptr (JsonNode) present = NULL;
   g_autoptr (JsonNode) value = NULL;
 
+  present = dp_record_value (record);
   if (!balancer)
-    value = dp_membership_remove (record->value, removal->member, removal->incarnation);
+    value = dp_membership_remove (present, removal->member, removal->incarnation);
   if (balancer ? may_delete_balancer_ (removal, record) : value != NULL)
     {
       dp_platform_write (watcher->platform, balancer ? DP_KIND_BALANCER : DP_KIND_MEMBERS,
@@ -580,10 +582,10 @@
 static gboolean
 may_delete_balancer_ (const Removal *removal, const DpRecord *record)
 {
+  g_autoptr (JsonNode) value = dp_record_value (record);
   guint64 incarnation;
 
-  return dp_json_get_uint (dp_json_get_object (record->value), "incarnation",
-                           &incarnation)
+  return dp_json_get_uint (dp_json_get_object (value), "incarnation", &incarnation)
          && incarnation <= removal->incarnation;
 }
 
--- a/src/test_libdogwoodpaddle/test_registration.c
+++ b/src/test_libdogwoodpaddle/test_registration.c
@@ -73,7 +73,7 @@
   world->version = revision;
   g_clear_pointer (&world->value, json_node_unref);
   if (records->len > 0)
-    world->value = json_node_ref (((DpRecord *) g_ptr_array_index (records, 0))->value);
+    world->value = dp_record_value (g_ptr_array_index (records, 0));
 }
 
 static void
