Add no offset to the missing buffer of an empty connection

dp_conn_readable () added an offset of zero to a NULL buffer, which is undefined behaviour. It was found by the flood test with programs that were built with AddressSanitizer and UndefinedBehaviorSanitizer; the stand-in of the fabric ended there. The test fails only in such a build.

--- a/src/libdogwoodpaddle/conn.c
+++ b/src/libdogwoodpaddle/conn.c
@@ -80,12 +80,12 @@
 }
 
 /* Returns the number of received bytes that were not consumed; data is valid until the
- * next call into the stack. */
+ * next call into the stack, and NULL if there are none. */
 gsize
 dp_conn_readable (const DpConn *conn, const guint8 **data)
 {
   if (data != NULL)
-    *data = conn->buffer + conn->start;
+    *data = conn->buffer == NULL ? NULL : conn->buffer + conn->start;
   return conn->end - conn->start;
 }
 
--- a/src/test_libdogwoodpaddle/test_splice.c
+++ b/src/test_libdogwoodpaddle/test_splice.c
@@ -290,7 +290,24 @@
   dp_wire_finish (&wire);
 }
 
+/* A connection without bytes has no buffer. With the sanitizers this fails if an offset
+ * is added to the missing buffer. */
+static void
+test_nothing_readable (void)
+{
+  DpWire wire;
+  const guint8 *data = (const guint8 *) "";
+
+  dp_wire_init (&wire);
+  dp_wire_open (&wire);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (wire.accepted);
+  CU_ASSERT_EQUAL (dp_conn_readable (wire.accepted, &data), 0);
+  CU_ASSERT_PTR_NULL (data);
+  dp_wire_finish (&wire);
+}
+
 static const DpTestCase cases_[] = {
+  { "a connection without bytes gives none", test_nothing_readable },
   { "bytes pass both ways unchanged", test_exchange },
   { "bytes survive loss of packets", test_loss },
   { "each direction ends on its own", test_half_close },
