Notice idle clients that are gone by TCP keepalive

Cause: a connection that something between the ends had lost track of, with no data under way, stayed until idle_timeout_s (2 h) and counted against the connections. Change: lwIP probes a connection after 120 s without a packet, 4 times 15 s apart. The answers to probes don't count as use of the flow, so idle_timeout_s holds as before; test_acceptance refreshed a flow by an empty ACK and now sends a byte, and checks that an empty ACK does not. Ruled out: a shorter idle timeout, which ends live pooled connections. Before: the new case of test_stack fails, after it passes.

--- a/src/libdogwoodpaddle/acceptance.c
+++ b/src/libdogwoodpaddle/acceptance.c
@@ -481,7 +481,11 @@
                   && segment->ack == flow->initial_seq + 1;
 
   if (flow->state == DP_FLOW_ESTABLISHED)
-    dp_flows_start (acceptance->flows, handle, DP_TIMER_IDLE, now);
+    {
+      /* The answer to a keepalive probe is no use of the flow. */
+      if (segment->payload_length > 0)
+        dp_flows_start (acceptance->flows, handle, DP_TIMER_IDLE, now);
+    }
   else if (syn && flow->held != NULL)
     {
       dp_actions_add (actions, DP_ACTION_DROP, DP_REASON_ALREADY_HELD)->flow = handle;
--- a/src/libdogwoodpaddle/conn.c
+++ b/src/libdogwoodpaddle/conn.c
@@ -5,6 +5,10 @@
 #include <lwip/priv/tcp_priv.h>
 
 #define READ_BUFFER_FIRST 2048 /* bytes */
+/* A peer that is idle and answers none of the probes is gone: noticed after 3 minutes. */
+#define KEEPALIVE_IDLE_MS 120000
+#define KEEPALIVE_INTERVAL_MS 15000
+#define KEEPALIVE_PROBES 4
 
 static err_t received_ (void *arg, struct tcp_pcb *pcb, struct pbuf *p, err_t err);
 static err_t sent_ (void *arg, struct tcp_pcb *pcb, u16_t length);
@@ -32,6 +36,10 @@
   tcp_err (pcb, failed_);
   /* The splice hands over what the other side sent at once, as one piece. */
   tcp_nagle_disable (pcb);
+  ip_set_option (pcb, SOF_KEEPALIVE);
+  pcb->keep_idle = KEEPALIVE_IDLE_MS;
+  pcb->keep_intvl = KEEPALIVE_INTERVAL_MS;
+  pcb->keep_cnt = KEEPALIVE_PROBES;
   return conn;
 }
 
--- a/src/test_libdogwoodpaddle/test_acceptance.c
+++ b/src/test_libdogwoodpaddle/test_acceptance.c
@@ -415,10 +415,14 @@
 
   flow = members_establish (&m, &syn, ISN);
   m.now += 599 * DP_US_PER_S;
+  ack.payload_length = 1;
   members_send (&m, 0, &ack);
   m.now += 599 * DP_US_PER_S;
   members_tick (&m, 0);
   CU_ASSERT_EQUAL (dp_acceptance_load (a).flows, 1);
+  /* The answer to a keepalive probe does not keep an idle flow. */
+  ack.payload_length = 0;
+  members_send (&m, 0, &ack);
   m.now += DP_US_PER_S;
   CU_ASSERT_EQUAL (dp_acceptance_next_deadline (a), m.now);
   members_tick (&m, 0);
--- a/src/test_libdogwoodpaddle/test_stack.c
+++ b/src/test_libdogwoodpaddle/test_stack.c
@@ -167,6 +167,38 @@
   dp_stack_free (bench.stack);
 }
 
+/* A client that answers nothing any more, as behind a firewall that has forgotten the
+ * connection, is noticed though no data is under way; one that answers is kept. */
+static void
+test_keepalive (void)
+{
+  for (guint answers = 0; answers < 2; answers++)
+    {
+      Bench bench;
+      guint32 initial;
+
+      bench_init (&bench);
+      initial = open_conn (&bench);
+      /* lwIP runs its TCP timer once for each time that it is found due. */
+      for (guint i = 0; i < 4 * 240; i++)
+        {
+          guint before = bench.n_packets;
+
+          dp_test_clock_advance (&bench.clock, DP_US_PER_S / 4);
+          dp_stack_run_timers (bench.stack);
+          if (answers && bench.n_packets > before)
+            inject (&bench, client_.ip, DP_TCP_ACK, 1001, initial + 1);
+        }
+      CU_ASSERT_EQUAL (dp_conn_state (bench.accepted),
+                       answers ? DP_CONN_OPEN : DP_CONN_TIMED_OUT);
+      if (answers)
+        dp_conn_abort (bench.accepted);
+      else
+        dp_conn_free (bench.accepted);
+      dp_stack_free (bench.stack);
+    }
+}
+
 static void
 test_connect (void)
 {
@@ -204,6 +236,7 @@
 }
 
 static const DpTestCase cases_[] = {
+  { "a silent client is noticed", test_keepalive },
   { "each stack has its own sequence numbers", test_sequence },
   { "packets that lwIP would loop back are dropped", test_stray },
   { "a half-open connection is forgotten silently", test_forget },
