--- a/src/share/daemon.c
+++ b/src/share/daemon.c
@@ -2,15 +2,21 @@
 
 #include <glib-unix.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include "dogwoodpaddle/logging.h"
 
+/* A companion has one for each connection to its server, a balancer one for each
+ * subscriber. */
+#define OPEN_FILES_WANTED 65536
+
 typedef struct
 {
   void (*stop) (gpointer daemon);
   gpointer daemon;
 } Stop;
 
+static void raise_open_files_ (void);
 static gboolean signalled_ (gpointer user_data);
 
 DpSettings *
@@ -53,6 +59,7 @@
                         log_level == NULL ? dp_settings_log_level (settings) : log_level,
                         &error))
     goto fault;
+  raise_open_files_ ();
   return g_steal_pointer (&settings);
 
 fault:
@@ -71,6 +78,18 @@
                           g_memdup2 (&callback, sizeof callback), g_free);
 }
 
+/* Raises this process's own limit as far as the system allows. */
+static void
+raise_open_files_ (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= OPEN_FILES_WANTED)
+    return;
+  limit.rlim_cur = MIN (limit.rlim_max, OPEN_FILES_WANTED);
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
 static gboolean
 signalled_ (gpointer user_data)
 {
--- a/test/test_cli.sh
+++ b/test/test_cli.sh
@@ -364,6 +364,10 @@
 run 1 "member that leaves by itself" undrain darbnica-1 --service darbnica
 run 0 "undrain of an active member" undrain darbnica-2 --service darbnica
 has out "is not drained"
+# A drained member that has ended is held without an entry.
+put members/ended '{"members":[],"held":["ended-1","ended-2"]}'
+run 0 "undrain of a member that has ended" undrain ended-1 --service ended
+same "held names" '["ended-2"]' "$(value members/ended | jq -c .held)"
 
 # A drain whose list changes between reading and writing is made again on the new list.
 list_version=$(version members/darbnica)
