--- a/src/libdogwoodpaddle/balancer.c
+++ b/src/libdogwoodpaddle/balancer.c
@@ -1,6 +1,6 @@
 #include "dogwoodpaddle/balancer.h"
 
-#include "private/enlistment.h"
+#include "private/balancerentry.h"
 #include "private/forwarder.h"
 #include "private/watcher.h"
 #include "protected/fleet.h"
@@ -21,7 +21,7 @@
   DpRelay *relay;
   DpForwarder *forwarder;
   DpWatcher *watcher;
-  DpEnlistment *enlistment;
+  DpBalancerEntry *entry;
   DpHttpd *httpd;
   guint replica_listener;
   guint heartbeat_ms;
@@ -40,7 +40,7 @@
 static void heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data);
 static void heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data);
 static void platform_changed_ (gboolean reachable, gpointer user_data);
-static void enlisted_ (gpointer user_data);
+static void entry_written_ (gpointer user_data);
 static gboolean stop_now_ (gpointer user_data);
 static gboolean is_ready_ (gpointer user_data);
 static JsonNode *make_status_ (gpointer user_data);
@@ -74,7 +74,7 @@
     return FALSE;
   dp_watcher_start (balancer->watcher, balancer->relay);
   set_heartbeat_ (balancer);
-  dp_enlistment_want (balancer->enlistment, TRUE);
+  dp_balancer_entry_want (balancer->entry, TRUE);
   g_message ("balancer %s of availability zone %s started", balancer->settings->name,
              balancer->settings->zone);
   return TRUE;
@@ -91,7 +91,7 @@
     }
   balancer->stopping = TRUE;
   balancer->stop_timer = g_timeout_add (STOP_LIMIT_MS, stop_now_, balancer);
-  dp_enlistment_want (balancer->enlistment, FALSE);
+  dp_balancer_entry_want (balancer->entry, FALSE);
 }
 
 /* Runs the default main context until the shutdown has ended. */
@@ -111,7 +111,7 @@
   g_clear_handle_id (&balancer->stop_timer, g_source_remove);
   dp_replica_remove_listener (balancer->replica, balancer->replica_listener);
   dp_httpd_free (balancer->httpd);
-  dp_enlistment_free (balancer->enlistment);
+  dp_balancer_entry_free (balancer->entry);
   dp_watcher_free (balancer->watcher);
   dp_relay_free (balancer->relay);
   dp_forwarder_free (balancer->forwarder);
@@ -172,8 +172,8 @@
   balancer->relay = dp_relay_new (&relay, balancer->replica, balancer->platform,
                                   balancer->clock, balancer->metrics);
   dp_relay_set_listener (balancer->relay, &listener, balancer);
-  balancer->enlistment = dp_enlistment_new (&self, balancer->replica, balancer->platform,
-                                            enlisted_, balancer);
+  balancer->entry = dp_balancer_entry_new (&self, balancer->replica, balancer->platform,
+                                           entry_written_, balancer);
 }
 
 static gboolean
@@ -220,7 +220,7 @@
   const DpHeartbeat heartbeat = {
     .service = "",
     .member = balancer->settings->name,
-    .incarnation = dp_enlistment_incarnation (balancer->enlistment),
+    .incarnation = dp_balancer_entry_incarnation (balancer->entry),
     .revision = revision_in_force_ (balancer),
   };
 
@@ -260,11 +260,11 @@
 }
 
 static void
-enlisted_ (gpointer user_data)
+entry_written_ (gpointer user_data)
 {
   DpBalancer *balancer = user_data;
 
-  if (balancer->stopping && !dp_enlistment_present (balancer->enlistment))
+  if (balancer->stopping && !dp_balancer_entry_present (balancer->entry))
     g_main_loop_quit (balancer->loop);
 }
 
@@ -301,9 +301,9 @@
   json_object_set_string_member (object, "zone", balancer->settings->zone);
   json_object_set_string_member (object, "region", balancer->settings->region);
   json_object_set_int_member (object, "incarnation",
-                              (gint64) dp_enlistment_incarnation (balancer->enlistment));
+                              (gint64) dp_balancer_entry_incarnation (balancer->entry));
   json_object_set_boolean_member (object, "registered",
-                                  dp_enlistment_present (balancer->enlistment));
+                                  dp_balancer_entry_present (balancer->entry));
   json_object_set_int_member (object, "revision", (gint64) revision_in_force_ (balancer));
   json_object_set_boolean_member (object, "connected",
                                   dp_relay_connected (balancer->relay));
--- a/src/libdogwoodpaddle/enlistment.c
+++ b/src/libdogwoodpaddle/balancerentry.c
@@ -1,4 +1,4 @@
-#include "private/enlistment.h"
+#include "private/balancerentry.h"
 
 #include "protected/backoff.h"
 #include "protected/json.h"
@@ -6,12 +6,12 @@
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 5000
 
-struct _DpEnlistment
+struct _DpBalancerEntry
 {
   DpTopologyBalancer self; /* owns its texts */
   DpReplica *replica;
   DpPlatform *platform;
-  DpEnlistmentFunc settled;
+  DpBalancerEntryFunc settled;
   gpointer user_data;
   guint replica_listener;
   gboolean wanted;     /* to be present */
@@ -26,172 +26,169 @@
 };
 
 static void replica_changed_ (const DpRecord *record, gpointer user_data);
-static void start_ (DpEnlistment *enlistment);
+static void start_ (DpBalancerEntry *entry);
 static gboolean start_now_ (gpointer user_data);
-static void start_later_ (DpEnlistment *enlistment);
+static void start_later_ (DpBalancerEntry *entry);
 static void
 was_read_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data);
 static gboolean
-take_record_ (DpEnlistment *enlistment, const DpRecord *record, gboolean *present);
+take_record_ (DpBalancerEntry *entry, const DpRecord *record, gboolean *present);
 static void was_written_ (DpWriteResult result,
                           DpRecord *record,
                           const GError *error,
                           gpointer user_data);
-static void settle_ (DpEnlistment *enlistment, gboolean present);
+static void settle_ (DpBalancerEntry *entry, gboolean present);
 static guint64 incarnation_of_ (const DpRecord *record);
 static JsonNode *make_value_ (const DpTopologyBalancer *self);
 
 /* Creates a registration that is to be absent and writes nothing. Copies self. */
-DpEnlistment *
-dp_enlistment_new (const DpTopologyBalancer *self,
-                   DpReplica *replica,
-                   DpPlatform *platform,
-                   DpEnlistmentFunc settled,
-                   gpointer user_data)
+DpBalancerEntry *
+dp_balancer_entry_new (const DpTopologyBalancer *self,
+                       DpReplica *replica,
+                       DpPlatform *platform,
+                       DpBalancerEntryFunc settled,
+                       gpointer user_data)
 {
-  DpEnlistment *enlistment = g_new0 (DpEnlistment, 1);
+  DpBalancerEntry *entry = g_new0 (DpBalancerEntry, 1);
 
-  enlistment->self = *self;
-  enlistment->self.name = g_strdup (self->name);
-  enlistment->self.zone = g_strdup (self->zone);
-  enlistment->replica = replica;
-  enlistment->platform = platform;
-  enlistment->settled = settled;
-  enlistment->user_data = user_data;
-  dp_backoff_init (&enlistment->backoff, RETRY_FIRST_MS, RETRY_MAX_MS);
-  enlistment->replica_listener = dp_replica_add_listener (replica, replica_changed_,
-                                                          enlistment);
-  return enlistment;
+  entry->self = *self;
+  entry->self.name = g_strdup (self->name);
+  entry->self.zone = g_strdup (self->zone);
+  entry->replica = replica;
+  entry->platform = platform;
+  entry->settled = settled;
+  entry->user_data = user_data;
+  dp_backoff_init (&entry->backoff, RETRY_FIRST_MS, RETRY_MAX_MS);
+  entry->replica_listener = dp_replica_add_listener (replica, replica_changed_, entry);
+  return entry;
 }
 
 /* Frees it; what is registered stays so. */
 void
-dp_enlistment_free (DpEnlistment *enlistment)
+dp_balancer_entry_free (DpBalancerEntry *entry)
 {
-  if (enlistment == NULL)
+  if (entry == NULL)
     return;
-  dp_replica_remove_listener (enlistment->replica, enlistment->replica_listener);
-  dp_platform_cancel (enlistment->platform, enlistment);
-  g_clear_handle_id (&enlistment->timer, g_source_remove);
-  g_free (enlistment->self.name);
-  g_free (enlistment->self.zone);
-  g_free (enlistment);
+  dp_replica_remove_listener (entry->replica, entry->replica_listener);
+  dp_platform_cancel (entry->platform, entry);
+  g_clear_handle_id (&entry->timer, g_source_remove);
+  g_free (entry->self.name);
+  g_free (entry->self.zone);
+  g_free (entry);
 }
 
 /* Registers or removes as soon as the platform allows. */
 void
-dp_enlistment_want (DpEnlistment *enlistment, gboolean present)
+dp_balancer_entry_want (DpBalancerEntry *entry, gboolean present)
 {
-  enlistment->wanted = present;
-  start_ (enlistment);
+  entry->wanted = present;
+  start_ (entry);
 }
 
 /* Returns whether the platform is known to hold the registration. */
 gboolean
-dp_enlistment_present (const DpEnlistment *enlistment)
+dp_balancer_entry_present (const DpBalancerEntry *entry)
 {
-  return enlistment->present;
+  return entry->present;
 }
 
 /* Returns the registration's incarnation. */
 guint64
-dp_enlistment_incarnation (const DpEnlistment *enlistment)
+dp_balancer_entry_incarnation (const DpBalancerEntry *entry)
 {
-  return enlistment->self.incarnation;
+  return entry->self.incarnation;
 }
 
 /* Notices a removal or a change that was not made here. */
 static void
 replica_changed_ (const DpRecord *record, gpointer user_data)
 {
-  DpEnlistment *enlistment = user_data;
+  DpBalancerEntry *entry = user_data;
 
-  if (record->kind != DP_KIND_BALANCER
-      || !g_str_equal (record->name, enlistment->self.name) || !enlistment->attempted)
+  if (record->kind != DP_KIND_BALANCER || !g_str_equal (record->name, entry->self.name)
+      || !entry->attempted)
     return;
-  if (record->deleted == enlistment->wanted
-      || (!record->deleted && incarnation_of_ (record) != enlistment->self.incarnation))
-    start_ (enlistment);
+  if (record->deleted == entry->wanted
+      || (!record->deleted && incarnation_of_ (record) != entry->self.incarnation))
+    start_ (entry);
 }
 
 static void
-start_ (DpEnlistment *enlistment)
+start_ (DpBalancerEntry *entry)
 {
-  if (enlistment->superseded)
+  if (entry->superseded)
     return;
-  if (enlistment->busy)
+  if (entry->busy)
     {
-      enlistment->again = TRUE;
+      entry->again = TRUE;
       return;
     }
-  g_clear_handle_id (&enlistment->timer, g_source_remove);
-  enlistment->busy = TRUE;
-  enlistment->again = FALSE;
-  dp_platform_get (enlistment->platform, DP_KIND_BALANCER, enlistment->self.name,
-                   was_read_, enlistment);
+  g_clear_handle_id (&entry->timer, g_source_remove);
+  entry->busy = TRUE;
+  entry->again = FALSE;
+  dp_platform_get (entry->platform, DP_KIND_BALANCER, entry->self.name, was_read_, entry);
 }
 
 static gboolean
 start_now_ (gpointer user_data)
 {
-  DpEnlistment *enlistment = user_data;
+  DpBalancerEntry *entry = user_data;
 
-  enlistment->timer = 0;
-  start_ (enlistment);
+  entry->timer = 0;
+  start_ (entry);
   return G_SOURCE_REMOVE;
 }
 
 static void
-start_later_ (DpEnlistment *enlistment)
+start_later_ (DpBalancerEntry *entry)
 {
-  enlistment->busy = FALSE;
-  if (enlistment->timer == 0)
-    enlistment->timer = g_timeout_add (dp_backoff_next (&enlistment->backoff), start_now_,
-                                       enlistment);
+  entry->busy = FALSE;
+  if (entry->timer == 0)
+    entry->timer = g_timeout_add (dp_backoff_next (&entry->backoff), start_now_, entry);
 }
 
 static void
 was_read_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data)
 {
-  DpEnlistment *enlistment = user_data;
+  DpBalancerEntry *entry = user_data;
   const DpRecord *record = records->len == 0 ? NULL : g_ptr_array_index (records, 0);
   g_autoptr (JsonNode) value = NULL;
   gboolean present;
 
   if (error != NULL)
     {
-      if (enlistment->backoff.attempts == 0)
+      if (entry->backoff.attempts == 0)
         g_warning ("registration: %s", error->message);
-      start_later_ (enlistment);
+      start_later_ (entry);
       return;
     }
-  if (!take_record_ (enlistment, record, &present))
+  if (!take_record_ (entry, record, &present))
     {
-      settle_ (enlistment, FALSE);
+      settle_ (entry, FALSE);
       return;
     }
-  if (present == enlistment->wanted || (!enlistment->wanted && record == NULL))
+  if (present == entry->wanted || (!entry->wanted && record == NULL))
     {
-      settle_ (enlistment, present);
+      settle_ (entry, present);
       return;
     }
-  enlistment->adding = enlistment->wanted;
-  enlistment->attempted = TRUE;
-  value = enlistment->wanted ? make_value_ (&enlistment->self) : NULL;
-  dp_platform_write (enlistment->platform, DP_KIND_BALANCER, enlistment->self.name,
-                     version, value, was_written_, enlistment);
+  entry->adding = entry->wanted;
+  entry->attempted = TRUE;
+  value = entry->wanted ? make_value_ (&entry->self) : NULL;
+  dp_platform_write (entry->platform, DP_KIND_BALANCER, entry->self.name, version, value,
+                     was_written_, entry);
 }
 
 /* present: whether the record is this process's registration. FALSE if another process
  * has registered the name since. */
 static gboolean
-take_record_ (DpEnlistment *enlistment, const DpRecord *record, gboolean *present)
+take_record_ (DpBalancerEntry *entry, const DpRecord *record, gboolean *present)
 {
   guint64 incarnation = record == NULL ? 0 : incarnation_of_ (record);
-  DpTopologyBalancer *self = &enlistment->self;
+  DpTopologyBalancer *self = &entry->self;
 
-  *present = record != NULL && enlistment->attempted && incarnation == self->incarnation;
-  if (record == NULL && enlistment->present && enlistment->wanted)
+  *present = record != NULL && entry->attempted && incarnation == self->incarnation;
+  if (record == NULL && entry->present && entry->wanted)
     {
       self->incarnation++;
       g_warning ("registration: balancer %s was removed by another process, registering "
@@ -200,12 +197,12 @@
     }
   if (record == NULL || incarnation < self->incarnation || *present)
     return TRUE;
-  if (!enlistment->attempted)
+  if (!entry->attempted)
     {
       self->incarnation = incarnation + 1; /* left by an earlier process */
       return TRUE;
     }
-  enlistment->superseded = TRUE;
+  entry->superseded = TRUE;
   g_critical ("registration: another process has registered balancer %s with incarnation "
               "%" G_GUINT64_FORMAT,
               self->name, incarnation);
@@ -218,30 +215,30 @@
               const GError *error,
               gpointer user_data)
 {
-  DpEnlistment *enlistment = user_data;
+  DpBalancerEntry *entry = user_data;
 
   if (result != DP_WRITE_DONE)
     {
-      if (result != DP_WRITE_CONFLICT && enlistment->backoff.attempts == 0)
+      if (result != DP_WRITE_CONFLICT && entry->backoff.attempts == 0)
         g_warning ("registration: %s", error->message);
-      start_later_ (enlistment);
+      start_later_ (entry);
       return;
     }
   if (record != NULL)
-    dp_replica_apply (enlistment->replica, record);
-  settle_ (enlistment, enlistment->adding);
+    dp_replica_apply (entry->replica, record);
+  settle_ (entry, entry->adding);
 }
 
 static void
-settle_ (DpEnlistment *enlistment, gboolean present)
+settle_ (DpBalancerEntry *entry, gboolean present)
 {
-  enlistment->busy = FALSE;
-  enlistment->present = present;
-  dp_backoff_reset (&enlistment->backoff);
-  if (enlistment->again || (present != enlistment->wanted && !enlistment->superseded))
-    start_ (enlistment);
+  entry->busy = FALSE;
+  entry->present = present;
+  dp_backoff_reset (&entry->backoff);
+  if (entry->again || (present != entry->wanted && !entry->superseded))
+    start_ (entry);
   else
-    enlistment->settled (enlistment->user_data);
+    entry->settled (entry->user_data);
 }
 
 static guint64
