Pass kept SYNs on when this member has joined again meanwhile

Change: waiting SYNs are passed on by the same condition that keeps new SYNs away, and a SYN whose connection to the server stands is checked once more. Ruled out: dropping kept SYNs at the reconnection only, since a member that joins again without a gap has the same fault.

--- a/src/libdogwoodpaddle/acceptance.c
+++ b/src/libdogwoodpaddle/acceptance.c
@@ -104,6 +104,7 @@
     acceptance->present_since = now;
   if (is_active_ (acceptance, view) && (old == NULL || !is_active_ (acceptance, old)))
     acceptance->active_since = now;
+  acceptance->dispatch_due = TRUE;
   dp_candidates_free (acceptance->candidates);
   acceptance->candidates = dp_candidates_new (view);
 }
@@ -130,6 +131,7 @@
 dp_acceptance_resumed (DpAcceptance *acceptance, gint64 now)
 {
   acceptance->changed_at = now;
+  acceptance->dispatch_due = TRUE;
   if (acceptance->present_since >= 0)
     acceptance->present_since = now;
 }
@@ -149,6 +151,7 @@
   if (up && !acceptance->server_up)
     acceptance->active_since = now;
   acceptance->server_up = up;
+  acceptance->dispatch_due = TRUE;
 }
 
 /* Says whether this member is leaving. New flows are passed on from now on, and so are
@@ -157,6 +160,7 @@
 dp_acceptance_set_leaving (DpAcceptance *acceptance, gboolean leaving, gint64 now)
 {
   acceptance->leaving = leaving;
+  acceptance->dispatch_due = TRUE;
 }
 
 /* Only tests use it: makes the decisions wrong in one way. */
@@ -197,7 +201,8 @@
     dp_admission_walk (acceptance, header, segment, now, actions);
 }
 
-/* The connection to the server that DP_ACTION_CONNECT asked for is established. */
+/* The connection to the server that DP_ACTION_CONNECT asked for is established. The SYN
+ * goes on to another member if this one has joined again meanwhile. */
 void
 dp_acceptance_server_connected (DpAcceptance *acceptance,
                                 DpHandle handle,
@@ -208,6 +213,12 @@
 
   if (flow == NULL || flow->state != DP_FLOW_CONNECTING)
     return;
+  if (!dp_admission_known_everywhere (acceptance, now))
+    {
+      dp_admission_pass_held (acceptance, handle, DP_REASON_UNSETTLED, now, actions);
+      dp_expiry_dispatch (acceptance, now, actions);
+      return;
+    }
   g_clear_pointer (&flow->held, g_free);
   dp_admission_set_state (acceptance, flow, DP_FLOW_HALF_OPEN);
   dp_flows_start (acceptance->flows, handle, DP_TIMER_HALF_OPEN, now);
--- a/src/libdogwoodpaddle/admission.c
+++ b/src/libdogwoodpaddle/admission.c
@@ -26,8 +26,6 @@
                          const DpHeader *header,
                          const DpMember *member);
 static gboolean settled_ (const DpAcceptance *acceptance, guint64 revision, gint64 now);
-static gboolean takes_flows_ (const DpAcceptance *acceptance, gint64 now);
-static gboolean known_everywhere_ (const DpAcceptance *acceptance, gint64 now);
 static DpReason
 hard_limit_ (const DpAcceptance *acceptance, const DpServiceAddress *address, gint64 now);
 static guint visits_ (const DpAcceptance *acceptance, DpClass class);
@@ -73,7 +71,7 @@
     return;
   /* A member that takes no flows at all doesn't use up a visit. */
   if (syn.header.n_visited < visits_ (acceptance, address->class)
-      || !takes_flows_ (acceptance, now))
+      || !dp_admission_takes_flows (acceptance, now))
     next = next_member_ (acceptance, &syn.header, segment->hash, DP_CANDIDATES_NEW_FLOW);
   if (reason == DP_REASON_NONE && dp_slots_can_take (acceptance->slots, address->class)
       && (next == NULL
@@ -226,6 +224,30 @@
   flow->slot = DP_SLOT_NONE;
 }
 
+/* Returns whether this member takes new flows at all. */
+gboolean
+dp_admission_takes_flows (const DpAcceptance *acceptance, gint64 now)
+{
+  gboolean leaving = acceptance->leaving;
+
+  if (acceptance->variant == DP_VARIANT_ACCEPT_LEAVING)
+    leaving = FALSE;
+  return !leaving && acceptance->server_up
+         && dp_admission_known_everywhere (acceptance, now);
+}
+
+/* Returns whether every process has had the time to learn of this member. A flow that it
+ * takes earlier would be unknown to members that find their own views settled, and they
+ * would reset it. */
+gboolean
+dp_admission_known_everywhere (const DpAcceptance *acceptance, gint64 now)
+{
+  if (acceptance->variant == DP_VARIANT_ACCEPT_UNKNOWN)
+    return TRUE;
+  return acceptance->present_since >= 0
+         && now - acceptance->present_since >= acceptance->limits.settle_time;
+}
+
 static gboolean
 has_visited_ (const DpHeader *header, guint32 member)
 {
@@ -315,28 +337,6 @@
          && now - since >= acceptance->limits.settle_time;
 }
 
-static gboolean
-takes_flows_ (const DpAcceptance *acceptance, gint64 now)
-{
-  gboolean leaving = acceptance->leaving;
-
-  if (acceptance->variant == DP_VARIANT_ACCEPT_LEAVING)
-    leaving = FALSE;
-  return !leaving && acceptance->server_up && known_everywhere_ (acceptance, now);
-}
-
-/* Returns whether every process has had the time to learn of this member. A flow that it
- * takes earlier would be unknown to members that find their own views settled, and they
- * would reset it. */
-static gboolean
-known_everywhere_ (const DpAcceptance *acceptance, gint64 now)
-{
-  if (acceptance->variant == DP_VARIANT_ACCEPT_UNKNOWN)
-    return TRUE;
-  return acceptance->present_since >= 0
-         && now - acceptance->present_since >= acceptance->limits.settle_time;
-}
-
 /* Returns why a new flow of the address can't be accepted, not even to wait. */
 static DpReason
 hard_limit_ (const DpAcceptance *acceptance, const DpServiceAddress *address, gint64 now)
@@ -347,7 +347,7 @@
     return DP_REASON_NO_SERVER;
   if (acceptance->leaving && acceptance->variant != DP_VARIANT_ACCEPT_LEAVING)
     return DP_REASON_LEAVING;
-  if (!known_everywhere_ (acceptance, now))
+  if (!dp_admission_known_everywhere (acceptance, now))
     return DP_REASON_UNSETTLED;
   if (dp_flows_count (acceptance->flows) >= limit)
     return DP_REASON_CONNECTIONS;
--- a/src/libdogwoodpaddle/expiry.c
+++ b/src/libdogwoodpaddle/expiry.c
@@ -25,12 +25,12 @@
 
 static gint64 timeout_ (const DpAcceptance *acceptance, DpTimer timer);
 static gint64 handshake_time_ (const DpAcceptance *acceptance);
+static DpReason waiting_reason_ (const DpAcceptance *acceptance, gint64 now);
 static void expire_ (DpAcceptance *acceptance,
                      DpHandle handle,
                      DpTimer timer,
                      gint64 now,
                      DpActions *actions);
-static gboolean must_pass_waiting_ (const DpAcceptance *acceptance);
 
 /* Carries out what is due by now. */
 void
@@ -70,8 +70,6 @@
 
       if (dp_flows_oldest (acceptance->flows, timer, &since) == DP_HANDLE_NONE)
         continue;
-      if (timer == DP_TIMER_WAITING && must_pass_waiting_ (acceptance))
-        return 0;
       deadline = MIN (deadline, since + timeout_ (acceptance, timer));
     }
   return deadline;
@@ -122,7 +120,7 @@
   gint64 since;
 
   acceptance->dispatch_due = FALSE;
-  while (must_pass_waiting_ (acceptance)
+  while (!dp_admission_takes_flows (acceptance, now)
          && (handle = dp_flows_oldest (acceptance->flows, DP_TIMER_WAITING, &since))
                 != DP_HANDLE_NONE)
     expire_ (acceptance, handle, DP_TIMER_WAITING, now, actions);
@@ -195,6 +193,19 @@
                 HANDSHAKE_TIME_MIN, HANDSHAKE_TIME_CONTENDED);
 }
 
+/* Returns why a waiting SYN is passed on. */
+static DpReason
+waiting_reason_ (const DpAcceptance *acceptance, gint64 now)
+{
+  if (acceptance->leaving)
+    return DP_REASON_LEAVING;
+  if (!acceptance->server_up)
+    return DP_REASON_NO_SERVER;
+  if (!dp_admission_known_everywhere (acceptance, now))
+    return DP_REASON_UNSETTLED;
+  return DP_REASON_WAIT_LIMIT;
+}
+
 /* Takes the flow off the timer's list. */
 static void
 expire_ (DpAcceptance *acceptance,
@@ -206,11 +217,8 @@
   switch (timer)
     {
     case DP_TIMER_WAITING:
-      dp_admission_pass_held (acceptance, handle,
-                              acceptance->leaving     ? DP_REASON_LEAVING
-                              : acceptance->server_up ? DP_REASON_WAIT_LIMIT
-                                                      : DP_REASON_NO_SERVER,
-                              now, actions);
+      dp_admission_pass_held (acceptance, handle, waiting_reason_ (acceptance, now), now,
+                              actions);
       break;
     case DP_TIMER_CONNECT:
       dp_admission_pass_held (acceptance, handle, DP_REASON_NO_SERVER, now, actions);
@@ -235,12 +243,3 @@
       g_assert_not_reached ();
     }
 }
-
-/* Returns whether waiting SYNs are to be passed on, since this member takes no flows. */
-static gboolean
-must_pass_waiting_ (const DpAcceptance *acceptance)
-{
-  if (acceptance->variant == DP_VARIANT_ACCEPT_LEAVING)
-    return !acceptance->server_up;
-  return acceptance->leaving || !acceptance->server_up;
-}
--- a/src/libdogwoodpaddle/include/private/admission.h
+++ b/src/libdogwoodpaddle/include/private/admission.h
@@ -50,5 +50,7 @@
 void dp_admission_set_state (DpAcceptance *acceptance, DpFlow *flow, DpFlowState state);
 void dp_admission_remove (DpAcceptance *acceptance, DpHandle handle, gint64 now);
 void dp_admission_release_slot (DpAcceptance *acceptance, DpHandle handle, gint64 now);
+gboolean dp_admission_takes_flows (const DpAcceptance *acceptance, gint64 now);
+gboolean dp_admission_known_everywhere (const DpAcceptance *acceptance, gint64 now);
 gboolean dp_admission_isolated (const DpAcceptance *acceptance, gint64 now);
 DpAction *dp_actions_add (DpActions *actions, DpActionType type, DpReason reason);
--- a/src/test_libdogwoodpaddle/test_stateful.c
+++ b/src/test_libdogwoodpaddle/test_stateful.c
@@ -1,10 +1,12 @@
 /* Guards the promises of docs/proof.md over random histories of the decision modules, and
  * guards against an oracle that can't fail: each wrong variant must break a rule. */
 #include <stdio.h>
+#include <string.h>
 
 #include "runner.h"
 #include "stateful.h"
 
+#define SEED_PREFIX "# seed "
 #define HISTORIES 400
 #define COMMANDS 600
 #define VARIANT_HISTORIES 400
@@ -55,7 +57,42 @@
     }
 }
 
+/* Shortened histories that once broke a rule; the first line names the seed. */
+static void
+test_recorded (void)
+{
+  g_autofree char *folder = g_build_filename (g_getenv ("DP_SOURCE_DIR"), "test",
+                                              "histories", NULL);
+  g_autoptr (GDir) files = g_dir_open (folder, 0, NULL);
+  const char *name;
+  guint n = 0;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (files);
+  while ((name = g_dir_read_name (files)) != NULL)
+    {
+      g_autofree char *path = g_build_filename (folder, name, NULL);
+      g_autofree char *text = NULL;
+      g_autofree char *violation = NULL;
+      GArray *commands;
+      guint64 seed;
+
+      CU_ASSERT_TRUE_FATAL (g_file_get_contents (path, &text, NULL, NULL));
+      CU_ASSERT_TRUE_FATAL (g_str_has_prefix (text, SEED_PREFIX));
+      seed = g_ascii_strtoull (text + strlen (SEED_PREFIX), NULL, 10);
+      commands = stateful_parse (text, NULL);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (commands);
+      violation = stateful_run (commands, seed, DP_VARIANT_NONE, NULL, NULL);
+      CU_ASSERT_PTR_NULL (violation);
+      if (violation != NULL)
+        printf ("%s: %s\n", name, violation);
+      g_array_unref (commands);
+      n++;
+    }
+  CU_ASSERT_TRUE (n > 0);
+}
+
 static const DpTestCase cases_[] = {
+  { "recorded histories break no rule", test_recorded },
   { "random histories break no rule", test_histories },
   { "each wrong variant breaks a rule", test_variants },
 };
