--- a/test/deployment.sh
+++ b/test/deployment.sh
@@ -86,7 +86,7 @@
 write_association_fleet() {
   cat >"$1" <<'JSON'
 {"versions": {},
- "defaults": {"wait_limit_ms": 2000, "slots": 4, "connections": 2000},
+ "defaults": {"wait_limit_ms": 2000, "slots": 4, "connections": 2000, "trace_sample": 20},
  "services": {
    "darbnica": {"addresses": [
      {"ip": "10.77.0.1", "port": 80, "class": "interactive"},
--- a/test/fabric/links.c
+++ b/test/fabric/links.c
@@ -6,6 +6,7 @@
 #include "protected/clock.h"
 #include "protected/packetport.h"
 #include "protected/segment.h"
+#include "protected/trace.h"
 
 #define POLL_MS 500
 #define POLL_TIMEOUT_S 1 /* with POLL_MS: a dead balancer is left out after 1.5 s */
@@ -57,6 +58,7 @@
 static int choose_ (Links *links);
 static gboolean chance_ (Links *links, double share);
 static gboolean carry_ (Links *links, int balancer, const guint8 *packet, gsize length);
+static void trace_ (const Links *links, int balancer, const guint8 *packet, gsize length);
 static void hand_over_ (Links *links, int balancer, const guint8 *packet, gsize length);
 static void delay_ (Links *links, int balancer, const guint8 *packet, gsize length);
 static gboolean dispatch_ (GSource *source, GSourceFunc callback, gpointer user_data);
@@ -233,9 +235,33 @@
   return TRUE;
 }
 
+/* The trace id is that of the other processes: the hash of the flow as its client sends
+ * it. */
+static void
+trace_ (const Links *links, int balancer, const guint8 *packet, gsize length)
+{
+  DpSegment segment;
+
+  if (links->faults.trace_sample == 0
+      || !dp_segment_parse (packet, length, &segment, NULL))
+    return;
+  if (balancer < 0)
+    {
+      DpAddress service = segment.key.client;
+
+      segment.key.client = segment.key.service;
+      segment.key.service = service;
+      segment.hash = dp_flow_key_hash (&segment.key);
+    }
+  if ((guint32) segment.hash % links->faults.trace_sample == 0)
+    dp_trace_span (segment.hash, "fabric", "fabric", &segment,
+                   balancer < 0 ? "client" : links->balancers[balancer].name);
+}
+
 static void
 hand_over_ (Links *links, int balancer, const guint8 *packet, gsize length)
 {
+  trace_ (links, balancer, packet, length);
   if (balancer < 0)
     {
       links->received (packet, length, links->user_data);
--- a/test/fabric/links.h
+++ b/test/fabric/links.h
@@ -16,6 +16,7 @@
   guint delay_ms;
   guint jitter_ms;
   guint seed;
+  guint trace_sample; /* one flow in so many is traced, 0: none */
 } LinkFaults;
 
 typedef struct _Links Links;
--- a/test/fabric/main.c
+++ b/test/fabric/main.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "dogwoodpaddle/logging.h"
 #include "links.h"
 #include "protected/splice.h"
 #include "protected/stack.h"
@@ -49,6 +50,7 @@
   int delay_ms;
   int jitter_ms;
   int seed;
+  gint trace_sample;
 
   Links *links;
   DpStack *stack;
@@ -134,6 +136,8 @@
     { "delay-ms", 0, 0, G_OPTION_ARG_INT, &fabric->delay_ms, "one way", NULL },
     { "jitter-ms", 0, 0, G_OPTION_ARG_INT, &fabric->jitter_ms, "at most", NULL },
     { "seed", 0, 0, G_OPTION_ARG_INT, &fabric->seed, "of all choices", NULL },
+    { "trace-sample", 0, 0, G_OPTION_ARG_INT, &fabric->trace_sample,
+      "trace one flow in so many", "N" },
     { NULL }
   };
   g_autoptr (GOptionContext) context = g_option_context_new ("- the network");
@@ -144,8 +148,9 @@
   fabric->faults.delay_ms = (guint) fabric->delay_ms;
   fabric->faults.jitter_ms = (guint) fabric->jitter_ms;
   fabric->faults.seed = (guint) fabric->seed;
+  fabric->faults.trace_sample = (guint) fabric->trace_sample;
   if (fabric->maps != NULL && fabric->balancers != NULL)
-    return TRUE;
+    return dp_logging_init ("fabric", "info", error);
   g_set_error (error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
                "--map and --balancer are needed");
   return FALSE;
--- a/test/test_whole_path.sh
+++ b/test/test_whole_path.sh
@@ -104,13 +104,38 @@
   [ "$(stray_packets "$1")" -eq "$2" ]
 }
 
+# One flow in 20 is traced: each hop of such a flow logs a span with the same trace id.
+check_spans() {
+  local id
+  for id in $(spans fabric "$deploy_dir/fabric.log" | sort -u); do
+    spans balancer "$deploy_dir"/balancer-*.log | grep -qx "$id" || continue
+    spans companion "${companion_logs[@]}" | grep -qx "$id" || continue
+    spans server "${companion_logs[@]}" | grep -qx "$id" || continue
+    progress "flow $id has a span of each hop"
+    return
+  done
+  fail "no flow has a span of each hop"
+}
+
+spans() { # HOP LOG...
+  local hop=$1
+  shift
+  grep -h '^{' "$@" | jq -rR --arg hop "$hop" \
+    'fromjson? | select(.hop == $hop) | .trace_id'
+}
+
 deployment_init 58
 association_hosts 3 1
-start_association --delay-ms 1 --seed 2
+start_association --delay-ms 1 --seed 2 --trace-sample 20
+companion_logs=()
+for name in "${servers[@]}"; do
+  companion_logs+=("$deploy_dir/$name.log")
+done
 progress "every service address answers"
 check_manual_while_a_balancer_dies
 check_reports
 check_stray_packets
+check_spans
 for name in "${balancers[@]}" "${servers[@]}"; do
   [ "$name" = balancer-2 ] || is_running "$name" || fail "$name ended by itself"
 done
