Keep the measured subscribers' connections alive and correct the figures

The driver's subscribers sent nothing and were closed for their silence (6 s now, 15 s before) while changes were counted, so that a change seemed to cost 1,165 B (2,875 B before) for 8 subscribers. With pings it is 3,520 B.

--- a/test/measure_capacity.py
+++ b/test/measure_capacity.py
@@ -28,6 +28,7 @@
 SUBSCRIBERS = [0, 4, 8]
 CHANGES = 60
 CHANGE_GAP_S = 0.12  # longer than the balancer's spacing of watches
+PING = 6  # type of a control message
 CORE_BOUND = 2.1  # percent
 MEMORY_BOUND_KB = 32 * 1024
 
@@ -257,6 +258,9 @@
             record = d.get(key)
             record["value"]["members"][0]["slots"] = 4 + i % 2
             d.put(key, record["value"], record["version"])
+            # A connection that is silent for 6 s is closed.
+            for link in links:
+                link.sendall(frame([PING]))
             time.sleep(CHANGE_GAP_S)
         took = time.monotonic() - began
         used = cpu_ns(pid) - before - idle * took
