Choose a member's watchers in its own region

Found while working out what an hour between regions costs: two of a member's three watchers could be in the other region, in different availability zones, and agree that it is gone although it serves its own region; a service with half of its members there was below the guard against mass loss. A balancer's registration now names its region, and watchers are chosen among the balancers of the region of the member's zone. Ruled out: a lower share for the guard, since a lost availability zone of three would then remove nobody. The new case of test_topology checks 200 members, and that the choice without regions would cross them.

--- a/src/libdogwoodpaddle/balancer.c
+++ b/src/libdogwoodpaddle/balancer.c
@@ -146,6 +146,7 @@
   const DpTopologyBalancer self = {
     .name = settings->name,
     .zone = settings->zone,
+    .region = settings->region,
     .data = settings->data,
     .control = settings->control,
     .http = settings->http,
--- a/src/libdogwoodpaddle/balancerentry.c
+++ b/src/libdogwoodpaddle/balancerentry.c
@@ -54,6 +54,7 @@
   entry->self = *self;
   entry->self.name = g_strdup (self->name);
   entry->self.zone = g_strdup (self->zone);
+  entry->self.region = g_strdup (self->region);
   entry->replica = replica;
   entry->platform = platform;
   entry->settled = settled;
@@ -74,6 +75,7 @@
   g_clear_handle_id (&entry->timer, g_source_remove);
   g_free (entry->self.name);
   g_free (entry->self.zone);
+  g_free (entry->self.region);
   g_free (entry);
 }
 
@@ -261,6 +263,7 @@
                                            (ip >> 8) & 0xff, ip & 0xff);
 
   json_object_set_string_member (object, "zone", self->zone);
+  json_object_set_string_member (object, "region", self->region);
   json_object_set_string_member (object, "ip", text);
   json_object_set_int_member (object, "data_port", self->data.port);
   json_object_set_int_member (object, "control_port", self->control.port);
--- a/src/libdogwoodpaddle/include/protected/topology.h
+++ b/src/libdogwoodpaddle/include/protected/topology.h
@@ -15,6 +15,7 @@
 {
   char *name;
   char *zone;
+  char *region; /* "" if it is not registered */
   DpAddress data;
   DpAddress control;
   DpAddress http;
@@ -35,10 +36,12 @@
 /* Upstreams of a balancer, the parent first; pointers into the topology. */
 GPtrArray *
 dp_topology_upstreams (const DpTopology *topology, const char *name, const char *zone);
-/* Watchers of a member, or with service "" of a balancer; returns their number. */
+/* Watchers of a member in the zone, or with service "" of a balancer; returns their
+ * number. */
 guint dp_topology_watchers (const DpTopology *topology,
                             const char *service,
                             const char *member,
+                            const char *zone,
                             const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS]);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpTopology, dp_topology_free)
--- a/src/libdogwoodpaddle/relay.c
+++ b/src/libdogwoodpaddle/relay.c
@@ -532,7 +532,8 @@
 update_watchers_ (DpRelay *relay, gint64 now)
 {
   const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
-  guint n = dp_topology_watchers (relay->topology, relay->service, relay->name, watchers);
+  guint n = dp_topology_watchers (relay->topology, relay->service, relay->name,
+                                  relay->zone, watchers);
   gboolean apart = relay->apart_since >= 0 && now - relay->apart_since > FALLBACK_US;
 
   for (guint i = 0; i < relay->watchers->len; i++)
--- a/src/libdogwoodpaddle/topology.c
+++ b/src/libdogwoodpaddle/topology.c
@@ -12,6 +12,14 @@
   GPtrArray *balancers; /* DpTopologyBalancer, in order of zone, then rank */
 };
 
+/* Whose watchers are chosen. */
+typedef struct
+{
+  guint64 seed;
+  const char *excluded; /* name of a balancer, or "" */
+  const char *region;   /* NULL: any */
+} Choice;
+
 static DpTopologyBalancer *parse_ (const DpRecord *record);
 static gboolean
 parse_address_ (JsonObject *object, guint32 ip, const char *key, DpAddress *address);
@@ -24,8 +32,7 @@
 static void
 add_once_ (GPtrArray *list, const DpTopologyBalancer *balancer, const char *self);
 static const DpTopologyBalancer *best_watcher_ (const DpTopology *topology,
-                                                guint64 seed,
-                                                const char *excluded,
+                                                const Choice *choice,
                                                 const DpTopologyBalancer *const *watchers,
                                                 guint n,
                                                 gboolean new_zone);
@@ -137,16 +144,25 @@
   return list;
 }
 
-/* Chooses the watchers by rendezvous hashing, first one of each zone, then the rest. A
- * balancer does not watch itself. Fewer than DP_TOPOLOGY_WATCHERS if there are not more.
+/* Chooses the watchers by rendezvous hashing, first one of each zone, then the rest; all
+ * of them in the region of the member's zone, if a balancer of that zone is known: when
+ * the regions lose each other, watchers of another one would agree that a live member is
+ * gone. A balancer does not watch itself. Fewer than DP_TOPOLOGY_WATCHERS if there are
+ * not more.
  */
 guint
 dp_topology_watchers (const DpTopology *topology,
                       const char *service,
                       const char *member,
+                      const char *zone,
                       const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS])
 {
-  guint64 seed = hash_ (member, hash_ (service, 0));
+  const DpTopologyBalancer *neighbour = at_rank_ (topology, zone, 0);
+  const Choice choice = {
+    .seed = hash_ (member, hash_ (service, 0)),
+    .excluded = service[0] == '\0' ? member : "",
+    .region = neighbour == NULL ? NULL : neighbour->region,
+  };
   guint n = 0;
 
   for (guint pass = 0; pass < 2; pass++)
@@ -154,8 +170,7 @@
       const DpTopologyBalancer *best;
 
       while (n < DP_TOPOLOGY_WATCHERS
-             && (best = best_watcher_ (topology, seed, service[0] == '\0' ? member : "",
-                                       watchers, n, pass == 0))
+             && (best = best_watcher_ (topology, &choice, watchers, n, pass == 0))
                     != NULL)
         watchers[n++] = best;
     }
@@ -168,6 +183,7 @@
   g_autoptr (JsonNode) value = dp_record_value (record);
   JsonObject *object = dp_json_get_object (value);
   const char *zone = dp_json_get_string (object, "zone");
+  const char *region = dp_json_get_string (object, "region");
   const char *ip_text = dp_json_get_string (object, "ip");
   DpTopologyBalancer parsed = { 0 };
   guint32 ip;
@@ -180,6 +196,7 @@
     return NULL;
   parsed.name = g_strdup (record->name);
   parsed.zone = g_strdup (zone);
+  parsed.region = g_strdup (region == NULL ? "" : region);
   return g_memdup2 (&parsed, sizeof parsed);
 }
 
@@ -202,6 +219,7 @@
 
   g_free (balancer->name);
   g_free (balancer->zone);
+  g_free (balancer->region);
   g_free (balancer);
 }
 
@@ -259,8 +277,7 @@
  * one; with new_zone only of a zone that is not chosen yet. NULL if there is none. */
 static const DpTopologyBalancer *
 best_watcher_ (const DpTopology *topology,
-               guint64 seed,
-               const char *excluded,
+               const Choice *choice,
                const DpTopologyBalancer *const *watchers,
                guint n,
                gboolean new_zone)
@@ -271,10 +288,11 @@
   for (guint i = 0; i < topology->balancers->len; i++)
     {
       const DpTopologyBalancer *balancer = dp_topology_at (topology, i);
-      guint64 weight = hash_ (balancer->name, seed);
+      guint64 weight = hash_ (balancer->name, choice->seed);
 
       if ((best != NULL && weight <= best_weight)
-          || g_str_equal (balancer->name, excluded)
+          || g_str_equal (balancer->name, choice->excluded)
+          || (choice->region != NULL && !g_str_equal (balancer->region, choice->region))
           || is_chosen_ (watchers, n, balancer, new_zone))
         continue;
       best = balancer;
--- a/src/libdogwoodpaddle/watcher.c
+++ b/src/libdogwoodpaddle/watcher.c
@@ -83,7 +83,12 @@
 static Watch how_watched_ (DpWatcher *watcher,
                            const char *service,
                            const char *member,
+                           const char *zone,
                            const char *key);
+static guint watchers_of_ (DpWatcher *watcher,
+                           const char *service,
+                           const char *member,
+                           const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS]);
 static void keep_peer_ (DpWatcher *watcher,
                         const char *key,
                         const char *service,
@@ -204,8 +209,7 @@
 dp_watcher_suspicion (DpWatcher *watcher, const DpSuspicion *suspicion)
 {
   const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
-  guint n = dp_topology_watchers (watcher->topology, suspicion->service,
-                                  suspicion->member, watchers);
+  guint n = watchers_of_ (watcher, suspicion->service, suspicion->member, watchers);
 
   for (guint i = 0; i < n; i++)
     {
@@ -372,7 +376,7 @@
         GHashTable *kept)
 {
   g_autofree char *key = key_ (service, member);
-  Watch watch = how_watched_ (watcher, service, member, key);
+  Watch watch = how_watched_ (watcher, service, member, zone, key);
   DpFleetSettings settings;
   DpLivenessMember entry = { service, member, incarnation, 0, watch == WATCH_AGREEING };
 
@@ -390,6 +394,7 @@
 how_watched_ (DpWatcher *watcher,
               const char *service,
               const char *member,
+              const char *zone,
               const char *key)
 {
   const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
@@ -401,7 +406,7 @@
 
   if (g_hash_table_lookup_extended (watcher->watches, key, NULL, &known))
     return (Watch) GPOINTER_TO_INT (known);
-  n = dp_topology_watchers (watcher->topology, service, member, watchers);
+  n = dp_topology_watchers (watcher->topology, service, member, zone, watchers);
   for (guint i = 0; i < n; i++)
     {
       here = here || g_str_equal (watchers[i]->name, watcher->name);
@@ -412,6 +417,22 @@
   return watch;
 }
 
+/* Returns the number of watchers of a member that this process watches, 0 for another
+ * one. */
+static guint
+watchers_of_ (DpWatcher *watcher,
+              const char *service,
+              const char *member,
+              const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS])
+{
+  g_autofree char *key = key_ (service, member);
+  const Peer *peer = g_hash_table_lookup (watcher->peers, key);
+
+  if (peer == NULL)
+    return 0;
+  return dp_topology_watchers (watcher->topology, service, member, peer->zone, watchers);
+}
+
 static void
 keep_peer_ (DpWatcher *watcher,
             const char *key,
@@ -480,8 +501,7 @@
 tell_ (DpWatcher *watcher, const DpLivenessAction *action)
 {
   const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
-  guint n = dp_topology_watchers (watcher->topology, action->service, action->member,
-                                  watchers);
+  guint n = watchers_of_ (watcher, action->service, action->member, watchers);
   const DpSuspicion suspicion = { action->service, action->member, action->incarnation,
                                   watcher->name, watcher->zone };
 
--- a/src/test_libdogwoodpaddle/test_topology.c
+++ b/src/test_libdogwoodpaddle/test_topology.c
@@ -6,14 +6,20 @@
 
 #define N_BALANCERS 1300
 #define N_ZONES 6
+#define ZONES_OF_REGION 3
 
 static void
-add_balancer (DpReplica *replica, const char *name, const char *zone, guint port)
+add_balancer (DpReplica *replica,
+              const char *name,
+              const char *zone,
+              const char *region,
+              guint port)
 {
   g_autofree char *json = g_strdup_printf (
-      "{\"zone\":\"%s\",\"ip\":\"127.0.0.1\",\"data_port\":%u,\"control_port\":%u,"
+      "{\"zone\":\"%s\",\"region\":\"%s\",\"ip\":\"127.0.0.1\",\"data_port\":%u,"
+      "\"control_port\":%u,"
       "\"http_port\":%u,\"incarnation\":1}",
-      zone, port, port + 1, port + 2);
+      zone, region, port, port + 1, port + 2);
   DpRecord *record = dp_record_new (DP_KIND_BALANCER, name, port, FALSE, json, NULL);
 
   dp_replica_apply (replica, record);
@@ -30,7 +36,8 @@
       g_autofree char *name = g_strdup_printf ("b%u", i);
       g_autofree char *zone = g_strdup_printf ("z%u", i % n_zones);
 
-      add_balancer (replica, name, zone, 1000 + i * 3);
+      add_balancer (replica, name, zone, i % n_zones < ZONES_OF_REGION ? "r0" : "r1",
+                    1000 + i * 3);
     }
   return dp_topology_new (replica);
 }
@@ -101,7 +108,7 @@
       const WatcherCase *c = &cases[i];
       g_autoptr (DpTopology) topology = make_topology (c->n_balancers, c->n_zones);
       const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
-      guint n = dp_topology_watchers (topology, "darbnica", "darbnica-1", watchers);
+      guint n = dp_topology_watchers (topology, "darbnica", "darbnica-1", "", watchers);
 
       CU_ASSERT_EQUAL (n, c->n_watchers);
       CU_ASSERT_EQUAL (count_zones (watchers, n), c->n_watcher_zones);
@@ -121,7 +128,7 @@
     {
       const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
       const char *name = dp_topology_at (all, i)->name;
-      guint n = dp_topology_watchers (all, "", name, watchers);
+      guint n = dp_topology_watchers (all, "", name, "", watchers);
 
       for (guint j = 0; j < n; j++)
         CU_ASSERT_STRING_NOT_EQUAL (watchers[j]->name, name);
@@ -132,8 +139,8 @@
       const DpTopologyBalancer *before[DP_TOPOLOGY_WATCHERS];
       const DpTopologyBalancer *after[DP_TOPOLOGY_WATCHERS];
 
-      dp_topology_watchers (all, "s", member, before);
-      dp_topology_watchers (fewer, "s", member, after);
+      dp_topology_watchers (all, "s", member, "", before);
+      dp_topology_watchers (fewer, "s", member, "", after);
       for (guint j = 0; j < DP_TOPOLOGY_WATCHERS; j++)
         {
           if (dp_topology_find (fewer, before[j]->name) == NULL)
@@ -177,7 +184,36 @@
     }
 }
 
+/* Regions that lose each other must not remove each other's members. */
+static void
+test_regions (void)
+{
+  g_autoptr (DpTopology) topology = make_topology (60, N_ZONES);
+  guint n_foreign = 0;
+
+  for (guint i = 0; i < 200; i++)
+    {
+      const DpTopologyBalancer *watchers[DP_TOPOLOGY_WATCHERS];
+      g_autofree char *member = g_strdup_printf ("m%u", i);
+      g_autofree char *zone = g_strdup_printf ("z%u", i % N_ZONES);
+      const char *region = i % N_ZONES < ZONES_OF_REGION ? "r0" : "r1";
+
+      CU_ASSERT_EQUAL (dp_topology_watchers (topology, "s", member, zone, watchers), 3);
+      for (guint j = 0; j < DP_TOPOLOGY_WATCHERS; j++)
+        {
+          CU_ASSERT_STRING_EQUAL (watchers[j]->region, region);
+          CU_ASSERT_STRING_NOT_EQUAL (watchers[j]->zone, watchers[(j + 1) % 3]->zone);
+        }
+      /* Without a known zone the choice is not bound to a region. */
+      dp_topology_watchers (topology, "s", member, "elsewhere", watchers);
+      for (guint j = 0; j < DP_TOPOLOGY_WATCHERS; j++)
+        n_foreign += !g_str_equal (watchers[j]->region, region);
+    }
+  CU_ASSERT_TRUE (n_foreign > 0);
+}
+
 static const DpTestCase cases_[] = {
+  { "watchers are in the member's region", test_regions },
   { "the tree is bounded and has no cycle", test_tree },
   { "watchers are in distinct zones", test_watchers },
   { "watchers stay when others go", test_watchers_stay },
