--- a/microbench/bench_router.c
+++ b/microbench/bench_router.c
@@ -113,14 +113,15 @@
   for (guint s = 0; s < size->n_services; s++)
     {
       g_autofree char *name = g_strdup_printf ("service-%u", s);
-      g_autoptr (GArray) addresses = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+      g_autoptr (GArray)
+          addresses = g_array_new (FALSE, FALSE, sizeof (DpServiceAddress));
       g_autoptr (GArray) members = g_array_new (FALSE, TRUE, sizeof (DpMember));
       g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
       g_autoptr (DpView) view = NULL;
 
       for (guint i = s; i < size->n_addresses; i += size->n_services)
         {
-          DpAddress address = address_ (i);
+          DpServiceAddress address = { address_ (i), DP_CLASS_INTERACTIVE, 0 };
 
           g_array_append_val (addresses, address);
         }
@@ -139,7 +140,8 @@
       view = dp_view_new (name, 1, (const DpMember *) (void *) members->data,
                           members->len);
       dp_router_set_view (router, view);
-      dp_router_set_addresses (router, name, (const DpAddress *) (void *) addresses->data,
+      dp_router_set_addresses (router, name,
+                               (const DpServiceAddress *) (void *) addresses->data,
                                addresses->len);
     }
 }
--- a/src/dogwoodpaddle/cli.c
+++ b/src/dogwoodpaddle/cli.c
@@ -160,7 +160,7 @@
 {
   Call call = { 0 };
 
-  dp_platform_list (cli->platform, on_read_, &call);
+  dp_platform_list (cli->platform, 0, on_read_, &call);
   wait_ (&call);
   if (call.error != NULL)
     {
--- a/src/libdogwoodpaddle/candidates.c
+++ b/src/libdogwoodpaddle/candidates.c
@@ -186,6 +186,48 @@
     }
 }
 
+/* Returns the member that follows the given one in the flow's order, and the first one
+ * after the last; NULL if there is no other member of the kind. For a member that the
+ * view doesn't have, the first one. A walk that goes on like this from any member visits
+ * all of them. */
+const DpMember *
+dp_candidates_after (const DpCandidates *candidates,
+                     guint64 flow_hash,
+                     DpCandidateKind kind,
+                     guint32 id)
+{
+  const Ring *ring = &candidates->ring;
+  const DpView *view = candidates->view;
+  const DpMember *self = dp_view_find (view, id);
+  const DpMember *first = NULL;
+  g_autofree guint8 *seen = g_malloc0 (view->n_members + 1);
+  gboolean passed = self == NULL;
+  guint start;
+
+  if (ring->n == 0)
+    return NULL;
+  start = start_ (candidates, flow_hash);
+  for (guint k = 0; k < ring->n; k++)
+    {
+      guint member = ring->members[(start + k) % ring->n];
+      const DpMember *m = &view->members[member];
+
+      if (seen[member])
+        continue;
+      seen[member] = TRUE;
+      if (m == self)
+        passed = TRUE;
+      else if (eligible_ (candidates, member, kind))
+        {
+          if (passed)
+            return m;
+          if (first == NULL)
+            first = m;
+        }
+    }
+  return first;
+}
+
 /* Returns the table's memory in bytes, without the view. */
 gsize
 dp_candidates_bytes (const DpCandidates *candidates)
--- /dev/null
+++ b/src/libdogwoodpaddle/flowcache.c
@@ -0,0 +1,82 @@
+#include "protected/flowcache.h"
+
+#include "protected/clock.h"
+
+#define WAYS 4 /* rows that a flow may be in */
+
+struct _DpFlowCache
+{
+  guint n_sets; /* a power of two */
+  DpCachedFlow *rows;
+};
+
+static DpCachedFlow *set_ (DpFlowCache *cache, guint64 hash);
+
+/* Creates a cache for at least so many flows. */
+DpFlowCache *
+dp_flow_cache_new (guint n_flows)
+{
+  DpFlowCache *cache = g_new0 (DpFlowCache, 1);
+
+  cache->n_sets = 1;
+  while (cache->n_sets * WAYS < n_flows)
+    cache->n_sets *= 2;
+  cache->rows = g_new0 (DpCachedFlow, cache->n_sets * WAYS);
+  return cache;
+}
+
+/* Frees the cache. */
+void
+dp_flow_cache_free (DpFlowCache *cache)
+{
+  if (cache == NULL)
+    return;
+  g_free (cache->rows);
+  g_free (cache);
+}
+
+/* Returns the flow's row, NULL if it has none. */
+DpCachedFlow *
+dp_flow_cache_find (DpFlowCache *cache, const DpFlowKey *key, guint64 hash)
+{
+  DpCachedFlow *row = set_ (cache, hash);
+
+  for (guint i = 0; i < WAYS; i++)
+    if (row[i].member != DP_HANDLE_NONE && dp_flow_key_equal (&row[i].key, key))
+      return &row[i];
+  return NULL;
+}
+
+/* Takes a free row, or the one of its set that was not used for the longest time. */
+DpCachedFlow *
+dp_flow_cache_add (DpFlowCache *cache,
+                   const DpFlowKey *key,
+                   guint64 hash,
+                   gint64 now,
+                   DpCachedFlow *replaced)
+{
+  guint32 now_ms = (guint32) (now / DP_US_PER_MS);
+  DpCachedFlow *row = set_ (cache, hash);
+  DpCachedFlow *oldest = row;
+
+  for (guint i = 0; i < WAYS && oldest->member != DP_HANDLE_NONE; i++)
+    if (row[i].member == DP_HANDLE_NONE
+        || now_ms - row[i].used_ms > now_ms - oldest->used_ms)
+      oldest = &row[i];
+  *replaced = *oldest;
+  *oldest = (DpCachedFlow){ .key = *key, .used_ms = now_ms };
+  return oldest;
+}
+
+/* Returns the cache's memory in bytes. */
+gsize
+dp_flow_cache_bytes (const DpFlowCache *cache)
+{
+  return sizeof *cache + (gsize) cache->n_sets * WAYS * sizeof (DpCachedFlow);
+}
+
+static DpCachedFlow *
+set_ (DpFlowCache *cache, guint64 hash)
+{
+  return &cache->rows[(hash & (cache->n_sets - 1)) * WAYS];
+}
--- a/src/libdogwoodpaddle/forwarder.c
+++ b/src/libdogwoodpaddle/forwarder.c
@@ -311,7 +311,6 @@
 update_addresses_ (DpForwarder *forwarder, const char *service)
 {
   g_autoptr (GArray) declared = NULL;
-  g_autoptr (GArray) addresses = NULL;
   DpView *view = g_hash_table_lookup (forwarder->views, service);
 
   if (!is_declared_ (forwarder, service))
@@ -320,11 +319,9 @@
       return;
     }
   declared = dp_fleet_addresses (forwarder->replica, service);
-  addresses = g_array_new (FALSE, FALSE, sizeof (DpAddress));
-  for (guint i = 0; i < declared->len; i++)
-    g_array_append_val (addresses, g_array_index (declared, DpServiceAddress, i).address);
   dp_router_set_addresses (forwarder->router, service,
-                           (const DpAddress *) (void *) addresses->data, addresses->len);
+                           (const DpServiceAddress *) (void *) declared->data,
+                           declared->len);
   if (view != NULL)
     dp_router_set_view (forwarder->router, view);
 }
--- a/src/libdogwoodpaddle/include/private/watch.h
+++ b/src/libdogwoodpaddle/include/private/watch.h
@@ -1,4 +1,4 @@
-/* Keeps a replica up to date from the platform's watch. */
+/* Keeps a replica up to date with one collection from the platform's watch. */
 #pragma once
 
 #include "protected/metrics.h"
@@ -14,6 +14,7 @@
 } DpWatchListener;
 
 DpWatch *dp_watch_new (DpPlatform *platform,
+                       guint collection,
                        DpReplica *replica,
                        DpMetrics *metrics,
                        const DpWatchListener *listener,
--- a/src/libdogwoodpaddle/include/protected/candidates.h
+++ b/src/libdogwoodpaddle/include/protected/candidates.h
@@ -38,6 +38,10 @@
                                     DpCandidateKind kind,
                                     const guint32 *visited,
                                     guint n_visited);
+const DpMember *dp_candidates_after (const DpCandidates *candidates,
+                                     guint64 flow_hash,
+                                     DpCandidateKind kind,
+                                     guint32 id);
 gsize dp_candidates_bytes (const DpCandidates *candidates);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpCandidates, dp_candidates_free)
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -0,0 +1,92 @@
+/* A companion's decisions in passthrough mode, where the backend server itself ends the
+ * flows and the companion sees every packet in both directions. No I/O: a packet and the
+ * time go in, what to do with the packet comes out.
+ *
+ * Nobody but the companions knows who owns a flow. A packet that reaches a member without
+ * its flow is passed on along the flow's order of members until it reaches its owner. */
+#pragma once
+
+#include <glib.h>
+
+#include "protected/candidates.h"
+#include "protected/packetformat.h"
+
+typedef struct _DpPassthrough DpPassthrough;
+
+typedef enum
+{
+  DP_PASS_TO_SERVER, /* hand the packet to the backend server */
+  DP_PASS_TO_CLIENT, /* send the server's packet to the client */
+  DP_PASS_TO_MEMBER, /* send the packet to the address, with the hop */
+  DP_PASS_RESET,     /* answer the client with a reset */
+  DP_PASS_DROP,
+  DP_N_PASS_ACTIONS
+} DpPassAction;
+
+typedef enum
+{
+  DP_PASS_OWNED,         /* the server has the flow, or is offered it */
+  DP_PASS_ASKED,         /* only the server can know whether it has the flow */
+  DP_PASS_SEARCHING,     /* another member may have the flow */
+  DP_PASS_BUSY,          /* all slots are taken here */
+  DP_PASS_NOT_SERVING,   /* the server is leaving, down or not known yet */
+  DP_PASS_RETURNED,      /* the server returned the packet */
+  DP_PASS_PASSED_BEFORE, /* the flow's SYN went to another member */
+  DP_PASS_OVERLOADED,    /* no visited member can serve the flow in time */
+  DP_PASS_LOST,          /* the server has lost the flow, as after a crash */
+  DP_PASS_NOT_FOUND,     /* no member has the flow */
+  DP_PASS_WRONG_SERVICE,
+  DP_PASS_UNEXPECTED, /* a packet that neither a client nor the server sends */
+  DP_N_PASS_REASONS
+} DpPassReason;
+
+typedef struct
+{
+  DpPassAction action;
+  DpPassReason reason;
+  DpAddress member; /* with DP_PASS_TO_MEMBER */
+  DpHop hop;        /* to write into the packet for the server or a member */
+} DpPassDecision;
+
+typedef struct
+{
+  guint slots;
+  gint64 flow_ttl; /* us after which a flow may be forgotten */
+} DpPassLimits;
+
+DpPassthrough *dp_passthrough_new (const char *service, const char *member, gint64 now);
+void dp_passthrough_free (DpPassthrough *passthrough);
+void dp_passthrough_set_limits (DpPassthrough *passthrough, const DpPassLimits *limits);
+/* The members of the service; the view is referenced. */
+void dp_passthrough_set_view (DpPassthrough *passthrough, DpView *view);
+/* Whether the server takes new flows. */
+void dp_passthrough_set_serving (DpPassthrough *passthrough, gboolean serving);
+/* A server without flows has started: from now on every flow of it is known here. */
+void dp_passthrough_server_started (DpPassthrough *passthrough);
+
+/* A client's packet from a balancer or another member. */
+DpPassDecision dp_passthrough_from_peer (DpPassthrough *passthrough,
+                                         const DpSegment *segment,
+                                         const DpHop *hop,
+                                         gint64 now);
+/* A client's packet that the server returned. */
+DpPassDecision dp_passthrough_returned (DpPassthrough *passthrough,
+                                        const DpSegment *segment,
+                                        const DpHop *hop,
+                                        gint64 now);
+/* A packet of the server; the segment's key has client and service as for the client's
+ * own packets. */
+DpPassDecision dp_passthrough_from_server (DpPassthrough *passthrough,
+                                           const DpSegment *segment,
+                                           gint64 now);
+/* Forgets what has expired; to be called about once a second. */
+void dp_passthrough_tick (DpPassthrough *passthrough, gint64 now);
+/* Whether the server has left SYNs unanswered for longer than it takes to accept one. */
+gboolean dp_passthrough_server_is_silent (const DpPassthrough *passthrough, gint64 now);
+
+guint dp_passthrough_in_flight (const DpPassthrough *passthrough);
+guint dp_passthrough_n_flows (const DpPassthrough *passthrough);
+const char *dp_pass_action_string (DpPassAction action);
+const char *dp_pass_reason_string (DpPassReason reason);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpPassthrough, dp_passthrough_free)
--- a/src/libdogwoodpaddle/include/protected/platform.h
+++ b/src/libdogwoodpaddle/include/protected/platform.h
@@ -1,12 +1,60 @@
-/* Client of the platform's object API over HTTP and JSON. */
+/* Client of the platform's object API over HTTP and JSON. The calls' spelling is a
+ * dialect; retries, timeouts and the handling of lost answers are the same for all
+ * dialects. */
 #pragma once
 
 #include <gio/gio.h>
+#include <libsoup/soup.h>
 
 #include "protected/replica.h"
 
 typedef struct _DpPlatform DpPlatform;
 
+/* Objects that are listed and watched together. */
+typedef struct
+{
+  guint kinds;       /* bits 1 << DpKind of the records that its answers may hold */
+  gboolean snapshot; /* an event carries all records of the kinds, not only new ones */
+} DpPlatformCollection;
+
+/* One way to spell the calls. Paths begin with a slash and are newly allocated. */
+typedef struct
+{
+  const DpPlatformCollection *collections;
+  guint n_collections;
+  guint conflict_status; /* HTTP status of a write on another version */
+
+  /* after: name to continue behind, NULL on the first page. */
+  char *(*list_path) (guint collection, const char *after);
+  char *(*watch_path) (guint collection, guint64 since, guint wait_ms);
+  char *(*object_path) (DpKind kind, const char *name);
+  /* version 0: the object must not exist; value NULL: delete. */
+  SoupMessage *(*write_message) (const char *base_url,
+                                 DpKind kind,
+                                 const char *name,
+                                 guint64 version,
+                                 JsonNode *value);
+  /* Appends to records. after: set to a name if there is a further page. */
+  gboolean (*read_list) (GBytes *body,
+                         guint collection,
+                         GPtrArray *records,
+                         guint64 *revision,
+                         char **after,
+                         GError **error);
+  gboolean (*read_events) (GBytes *body,
+                           guint collection,
+                           GPtrArray *records,
+                           guint64 *revision,
+                           GError **error);
+  /* NULL without an error: the object does not exist. */
+  DpRecord *(*read_object) (GBytes *body, DpKind kind, GError **error);
+  /* The object's version after a write that was answered; FALSE if it says none. */
+  gboolean (*read_written) (GBytes *body, guint64 *version);
+} DpPlatformDialect;
+
+/* The project's own object API (docs/design.md, section 5.3). */
+extern const DpPlatformDialect dp_platform_own_dialect;
+
 typedef enum
 {
   DP_WRITE_DONE,     /* the write took effect */
@@ -31,11 +79,18 @@
                                     gpointer user_data);
 
 DpPlatform *dp_platform_new (const char *base_url);
+DpPlatform *dp_platform_new_with_dialect (const char *base_url,
+                                          const DpPlatformDialect *dialect);
+const DpPlatformCollection *dp_platform_collection (const DpPlatform *platform,
+                                                    guint collection);
 void dp_platform_free (DpPlatform *platform);
 void dp_platform_set_timeout (DpPlatform *platform, guint timeout_ms);
 const char *dp_write_result_string (DpWriteResult result);
 
-void dp_platform_list (DpPlatform *platform, DpPlatformReadFunc done, gpointer user_data);
+void dp_platform_list (DpPlatform *platform,
+                       guint collection,
+                       DpPlatformReadFunc done,
+                       gpointer user_data);
 void dp_platform_get (DpPlatform *platform,
                       DpKind kind,
                       const char *name,
@@ -43,6 +98,7 @@
                       gpointer user_data);
 /* Held open until something is newer than since or timeout_ms passed. */
 void dp_platform_watch (DpPlatform *platform,
+                        guint collection,
                         guint64 since,
                         guint timeout_ms,
                         DpPlatformReadFunc done,
--- a/src/libdogwoodpaddle/include/protected/replica.h
+++ b/src/libdogwoodpaddle/include/protected/replica.h
@@ -54,8 +54,12 @@
 
 /* Returns whether the record was newer than the one held. */
 gboolean dp_replica_apply (DpReplica *replica, DpRecord *record);
-/* Takes a complete list at a revision: what it lacks was deleted up to that revision. */
-void dp_replica_apply_list (DpReplica *replica, GPtrArray *records, guint64 revision);
+/* Takes a complete list of some kinds (bits 1 << DpKind) at a revision: what it lacks of
+ * them was deleted up to that revision. */
+void dp_replica_apply_list (DpReplica *replica,
+                            guint kinds,
+                            GPtrArray *records,
+                            guint64 revision);
 /* All records up to the revision have been applied. Never moves back. */
 void dp_replica_set_revision (DpReplica *replica, guint64 revision);
 guint64 dp_replica_revision (const DpReplica *replica);
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -0,0 +1,54 @@
+/* Datagrams between companions and balancers in passthrough mode: a companion reports its
+ * server's state and load; a balancer answers with the members of the service. */
+#pragma once
+
+#include <glib.h>
+
+#include "protected/address.h"
+#include "protected/view.h"
+
+#define DP_REPORT_MAX 8192 /* bytes of one encoded datagram */
+
+typedef struct
+{
+  const char *service;
+  const char *name;
+  const char *zone;
+  DpAddress address; /* of the companion's packet port */
+  guint32 slots;
+  DpMemberState state;
+  guint32 in_flight;    /* flows whose server works on a request or is about to */
+  guint32 warm_left_ms; /* for which the server is still slow after its start */
+  guint64 list_hash;    /* of the members that the companion knows */
+} DpReport;
+
+/* The present members of one service. */
+typedef struct
+{
+  const char *service;
+  GArray *members;   /* DpMember; id, name, zone, address, slots and state are set */
+  GArray *balancers; /* DpAddress of the balancers' report ports */
+} DpMemberList;
+
+typedef enum
+{
+  DP_REPORT_NONE, /* malformed */
+  DP_REPORT_LOAD,
+  DP_REPORT_MEMBERS,
+  DP_N_REPORT_TYPES
+} DpReportType;
+
+/* A decoded datagram; owns what the report and the list point to. */
+typedef struct
+{
+  DpReportType type;
+  DpReport report;
+  DpMemberList list;
+  GStringChunk *texts;
+} DpReportMessage;
+
+gsize dp_report_encode (const DpReport *report, guint8 buffer[DP_REPORT_MAX]);
+gsize dp_member_list_encode (const DpMemberList *list, guint8 buffer[DP_REPORT_MAX]);
+gboolean dp_report_decode (DpReportMessage *message, const guint8 *data, gsize length);
+void dp_report_message_clear (DpReportMessage *message);
+guint64 dp_member_list_hash (const DpMember *members, guint n_members);
--- a/src/libdogwoodpaddle/include/protected/router.h
+++ b/src/libdogwoodpaddle/include/protected/router.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "protected/acceptance.h"
 #include "protected/header.h"
 #include "protected/segment.h"
 #include "protected/view.h"
@@ -27,13 +28,17 @@
 void dp_router_free (DpRouter *router);
 void dp_router_set_addresses (DpRouter *router,
                               const char *service,
-                              const DpAddress *addresses,
+                              const DpServiceAddress *addresses,
                               guint n_addresses);
 void dp_router_set_view (DpRouter *router, DpView *view);
 void dp_router_remove_service (DpRouter *router, const char *service);
 void dp_router_set_trace_sample (DpRouter *router, guint one_in);
 DpRouteResult
 dp_router_route (DpRouter *router, const DpSegment *segment, DpRoute *route);
+gboolean dp_router_find (DpRouter *router,
+                         const DpAddress *address,
+                         guint64 *service_id,
+                         DpClass *class);
 const char *dp_route_result_string (DpRouteResult result);
 gsize dp_router_bytes (const DpRouter *router);
 
--- /dev/null
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -0,0 +1,529 @@
+#include "protected/passbalancer.h"
+
+#include "private/balancerentry.h"
+#include "private/watch.h"
+#include "protected/flowcache.h"
+#include "protected/fleet.h"
+#include "protected/packetport.h"
+#include "protected/placement.h"
+#include "protected/router.h"
+
+/* Flows in the cache, 32 bytes each: ten times the flows of ten seconds at the largest
+ * balancer of today. */
+#define CACHED_FLOWS 16384
+#define TICK_MS 500
+/* Clients send copies of a SYN 200 and 600 ms after it and give up after 1.4 s. */
+#define COPIES_MS 1500
+/* Within this time after a start nobody is rejected because there is no member: reports
+ * come every 100 to 400 ms. Clients repeat their SYN after 200 and 600 ms. */
+#define GATHER_US (1500 * DP_US_PER_MS)
+/* A member's list is sent at most once in this time. */
+#define LIST_INTERVAL_US (250 * DP_US_PER_MS)
+
+typedef enum
+{
+  DROP_MALFORMED,
+  DROP_NOT_A_CLIENT, /* a packet that only a server sends */
+  DROP_NO_ROUTE,
+  DROP_NO_MEMBER,
+  DROP_UNSENT,
+  N_DROPS
+} Drop;
+
+struct _DpPassBalancer
+{
+  DpPassBalancerOptions options;
+  char *name;
+  char *zone;
+  char *region;
+  DpReplica *services;  /* of the collection services */
+  DpReplica *balancers; /* for the own registration only */
+  DpWatch *watch;
+  DpBalancerEntry *entry;
+  DpRouter *router;
+  DpPlacement *placement;
+  DpFlowCache *cache;
+  DpPacketPort *data;
+  DpPacketPort *report;
+  GHashTable *stale;  /* names of services to take over */
+  GHashTable *listed; /* member's name to the time of its last list, gint64 us */
+  guint update;       /* source id */
+  guint tick;         /* source id */
+  guint replica_listener;
+  gint64 started_at;   /* us */
+  gboolean configured; /* the services have been read */
+  gboolean stopping;
+  DpMetric *forwarded;
+  DpMetric *placed;
+  DpMetric *searched;
+  DpMetric *rejected;
+  DpMetric *drops[N_DROPS];
+  DpMetric *members;
+};
+
+static const char *const drop_strings_[] = { "malformed", "not_a_client", "no_route",
+                                             "no_member", "unsent" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (drop_strings_) == N_DROPS);
+
+static void add_metrics_ (DpPassBalancer *balancer);
+static void create_parts_ (DpPassBalancer *balancer);
+static void services_reachable_ (gboolean reachable, gpointer user_data);
+static void services_progressed_ (gpointer user_data);
+static void entry_settled_ (gpointer user_data);
+static void service_changed_ (const DpRecord *record, gpointer user_data);
+static gboolean update_now_ (gpointer user_data);
+static void received_packet_ (const DpAddress *source,
+                              guint8 *data,
+                              gsize length,
+                              gpointer user_data);
+static DpCachedFlow *
+place_ (DpPassBalancer *balancer, const DpSegment *segment, DpHop *hop, gint64 now);
+static DpCachedFlow *
+search_ (DpPassBalancer *balancer, const DpSegment *segment, DpHop *hop, gint64 now);
+static DpCachedFlow *remember_ (DpPassBalancer *balancer,
+                                const DpSegment *segment,
+                                const DpHop *hop,
+                                DpHandle member,
+                                gint64 now);
+static void note_end_ (DpPassBalancer *balancer, DpCachedFlow *flow);
+static void reject_ (DpPassBalancer *balancer, const DpSegment *segment);
+static void received_report_ (const DpAddress *source,
+                              guint8 *data,
+                              gsize length,
+                              gpointer user_data);
+static void send_list_ (DpPassBalancer *balancer,
+                        const DpAddress *destination,
+                        const DpReport *report,
+                        gint64 now);
+static gboolean tick_ (gpointer user_data);
+
+/* Creates a balancer that does nothing yet. */
+DpPassBalancer *
+dp_pass_balancer_new (const DpPassBalancerOptions *options)
+{
+  DpPassBalancer *balancer = g_new0 (DpPassBalancer, 1);
+
+  balancer->options = *options;
+  balancer->name = g_strdup (options->name);
+  balancer->zone = g_strdup (options->zone);
+  balancer->region = g_strdup (options->region);
+  balancer->started_at = dp_clock_now (options->clock);
+  add_metrics_ (balancer);
+  create_parts_ (balancer);
+  return balancer;
+}
+
+/* Opens the ports, reads the services and registers. Error: the address that can't be
+ * used. */
+gboolean
+dp_pass_balancer_start (DpPassBalancer *balancer, GError **error)
+{
+  balancer->report = dp_udp_port_new (&balancer->options.report, received_report_,
+                                      balancer, error);
+  if (balancer->report == NULL)
+    return FALSE;
+  balancer->data = dp_udp_port_new (&balancer->options.data, received_packet_, balancer,
+                                    error);
+  if (balancer->data == NULL)
+    return FALSE;
+  dp_watch_set_active (balancer->watch, TRUE);
+  dp_balancer_entry_want (balancer->entry, TRUE);
+  balancer->tick = g_timeout_add (TICK_MS, tick_, balancer);
+  g_message ("balancer %s of availability zone %s started", balancer->name,
+             balancer->zone);
+  return TRUE;
+}
+
+/* Stops being ready. */
+void
+dp_pass_balancer_stop (DpPassBalancer *balancer)
+{
+  balancer->stopping = TRUE;
+  g_message ("balancer %s is stopping", balancer->name);
+}
+
+/* Closes the ports and frees the balancer. */
+void
+dp_pass_balancer_free (DpPassBalancer *balancer)
+{
+  if (balancer == NULL)
+    return;
+  g_clear_handle_id (&balancer->tick, g_source_remove);
+  g_clear_handle_id (&balancer->update, g_source_remove);
+  dp_replica_remove_listener (balancer->services, balancer->replica_listener);
+  dp_balancer_entry_free (balancer->entry);
+  dp_watch_free (balancer->watch);
+  dp_packet_port_free (balancer->data);
+  dp_packet_port_free (balancer->report);
+  dp_flow_cache_free (balancer->cache);
+  dp_placement_free (balancer->placement);
+  dp_router_free (balancer->router);
+  dp_replica_free (balancer->services);
+  dp_replica_free (balancer->balancers);
+  g_hash_table_unref (balancer->stale);
+  g_hash_table_unref (balancer->listed);
+  g_free (balancer->name);
+  g_free (balancer->zone);
+  g_free (balancer->region);
+  g_free (balancer);
+}
+
+/* Returns whether the fabric may send packets here: the services are known, and so is a
+ * member, or there has been time to hear of one. */
+gboolean
+dp_pass_balancer_is_ready (const DpPassBalancer *balancer)
+{
+  gint64 age = dp_clock_now (balancer->options.clock) - balancer->started_at;
+
+  return balancer->configured && !balancer->stopping
+         && (dp_placement_n_members (balancer->placement) > 0 || age > GATHER_US);
+}
+
+static void
+add_metrics_ (DpPassBalancer *balancer)
+{
+  DpMetrics *metrics = balancer->options.metrics;
+
+  balancer->forwarded = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                        "dogwoodpaddle_packets_forwarded_total", "",
+                                        "Packets sent to a member");
+  balancer->placed = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                     "dogwoodpaddle_flows_placed_total", "",
+                                     "New flows for which a member was chosen");
+  balancer->searched = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                       "dogwoodpaddle_flows_searched_total", "",
+                                       "Flows of unknown owner");
+  balancer->rejected = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                       "dogwoodpaddle_flows_rejected_total", "",
+                                       "New flows answered with a reset");
+  balancer->members = dp_metrics_add (metrics, DP_METRIC_GAUGE, "dogwoodpaddle_members",
+                                      "", "Members that have reported");
+  for (guint i = 0; i < N_DROPS; i++)
+    {
+      g_autofree char *labels = g_strdup_printf ("reason=\"%s\"", drop_strings_[i]);
+
+      balancer->drops[i] = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                           "dogwoodpaddle_packets_dropped_total", labels,
+                                           "Packets dropped");
+    }
+}
+
+static void
+create_parts_ (DpPassBalancer *balancer)
+{
+  static const DpWatchListener listener = {
+    .reachable = services_reachable_,
+    .progressed = services_progressed_,
+  };
+  const DpPassBalancerOptions *options = &balancer->options;
+  const DpTopologyBalancer self = {
+    .name = balancer->name,
+    .zone = balancer->zone,
+    .region = balancer->region,
+    .data = options->data,
+    .control = options->report,
+    .http = options->report,
+    /* Later than that of an earlier process, as long as the host's clock does not go
+     * back; the registration corrects it otherwise. */
+    .incarnation = (guint64) g_get_real_time (),
+  };
+
+  balancer->services = dp_replica_new ();
+  balancer->balancers = dp_replica_new ();
+  balancer->replica_listener = dp_replica_add_listener (balancer->services,
+                                                        service_changed_, balancer);
+  balancer->watch = dp_watch_new (options->platform, options->services,
+                                  balancer->services, options->metrics, &listener,
+                                  balancer);
+  balancer->entry = dp_balancer_entry_new (&self, balancer->balancers, options->platform,
+                                           entry_settled_, balancer);
+  balancer->router = dp_router_new ();
+  balancer->placement = dp_placement_new (balancer->zone);
+  balancer->cache = dp_flow_cache_new (CACHED_FLOWS);
+  balancer->stale = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  balancer->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+services_reachable_ (gboolean reachable, gpointer user_data)
+{
+  g_message ("platform: %s", reachable ? "reachable" : "not reachable");
+}
+
+/* Taken over at once: the balancer must not be ready before its services are in force. */
+static void
+services_progressed_ (gpointer user_data)
+{
+  DpPassBalancer *balancer = user_data;
+  g_autoptr (GPtrArray) services = NULL;
+
+  g_clear_handle_id (&balancer->update, g_source_remove);
+  update_now_ (balancer);
+  if (balancer->configured)
+    return;
+  services = dp_replica_list (balancer->services, DP_KIND_SERVICE);
+  balancer->configured = services->len > 0;
+}
+
+static void
+entry_settled_ (gpointer user_data)
+{
+  const DpPassBalancer *balancer = user_data;
+
+  g_message ("balancer %s is registered", balancer->name);
+}
+
+static void
+service_changed_ (const DpRecord *record, gpointer user_data)
+{
+  DpPassBalancer *balancer = user_data;
+
+  if (record->kind != DP_KIND_SERVICE)
+    return;
+  g_hash_table_add (balancer->stale, g_strdup (record->name));
+  if (balancer->update == 0)
+    balancer->update = g_idle_add_full (G_PRIORITY_DEFAULT, update_now_, balancer, NULL);
+}
+
+static gboolean
+update_now_ (gpointer user_data)
+{
+  DpPassBalancer *balancer = user_data;
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, balancer->stale);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      g_autoptr (GArray) addresses = dp_fleet_addresses (balancer->services, name);
+
+      if (dp_replica_get (balancer->services, DP_KIND_SERVICE, name) == NULL)
+        dp_router_remove_service (balancer->router, name);
+      else
+        dp_router_set_addresses (balancer->router, name,
+                                 (const DpServiceAddress *) (void *) addresses->data,
+                                 addresses->len);
+    }
+  if (g_hash_table_size (balancer->stale) > 0)
+    g_message ("services of revision %" G_GUINT64_FORMAT " are in force",
+               dp_replica_revision (balancer->services));
+  g_hash_table_remove_all (balancer->stale);
+  balancer->update = 0;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+received_packet_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
+{
+  DpPassBalancer *balancer = user_data;
+  const DpPacketFormat *format = balancer->options.format;
+  gint64 now = dp_clock_now (balancer->options.clock);
+  DpSegment segment;
+  DpCachedFlow *flow;
+  DpAddress member;
+  DpHop hop = { 0 };
+  gboolean returned;
+  gboolean opens;
+
+  if (!format->parse (data, length, &segment, &returned))
+    {
+      dp_metric_increment (balancer->drops[DROP_MALFORMED]);
+      return;
+    }
+  opens = dp_segment_opens_flow (&segment);
+  if (returned || ((segment.flags & DP_TCP_SYN) != 0 && !opens))
+    {
+      dp_metric_increment (balancer->drops[DROP_NOT_A_CLIENT]);
+      return;
+    }
+  flow = dp_flow_cache_find (balancer->cache, &segment.key, segment.hash);
+  /* A copy of a SYN follows the first one, unless that one's member fell silent. */
+  if (flow != NULL && opens
+      && ((guint32) (now / DP_US_PER_MS) - flow->used_ms > COPIES_MS
+          || !dp_placement_is_live (balancer->placement, flow->member, now)))
+    {
+      note_end_ (balancer, flow);
+      flow->member = DP_HANDLE_NONE;
+      flow = NULL;
+    }
+  if (flow != NULL && !dp_placement_address (balancer->placement, flow->member, &member))
+    {
+      flow->member = DP_HANDLE_NONE;
+      flow = NULL;
+    }
+  if (flow == NULL)
+    flow = opens ? place_ (balancer, &segment, &hop, now)
+                 : search_ (balancer, &segment, &hop, now);
+  if (flow == NULL || !dp_placement_address (balancer->placement, flow->member, &member))
+    return;
+  flow->used_ms = (guint32) (now / DP_US_PER_MS);
+  hop.service_tag = flow->service_tag;
+  hop.class = flow->class;
+  format->write_hop (data, &hop);
+  if (dp_packet_port_send (balancer->data, &member, data, length))
+    dp_metric_increment (balancer->forwarded);
+  else
+    dp_metric_increment (balancer->drops[DROP_UNSENT]);
+  if ((segment.flags & (DP_TCP_FIN | DP_TCP_RST)) != 0)
+    note_end_ (balancer, flow);
+}
+
+/* Chooses a member for a new flow. NULL if the flow is rejected or the packet dropped. */
+static DpCachedFlow *
+place_ (DpPassBalancer *balancer, const DpSegment *segment, DpHop *hop, gint64 now)
+{
+  guint64 service_id;
+  DpCachedFlow *flow;
+  DpHandle member;
+  DpClass class;
+
+  if (!dp_router_find (balancer->router, &segment->key.service, &service_id, &class))
+    {
+      dp_metric_increment (balancer->drops[DROP_NO_ROUTE]);
+      if (balancer->configured && dp_watch_reachable (balancer->watch))
+        reject_ (balancer, segment);
+      return NULL;
+    }
+  member = dp_placement_choose (balancer->placement, service_id, class, segment->hash,
+                                now);
+  if (member == DP_HANDLE_NONE)
+    {
+      dp_metric_increment (balancer->drops[DROP_NO_MEMBER]);
+      if (now - balancer->started_at > GATHER_US)
+        reject_ (balancer, segment);
+      return NULL;
+    }
+  hop->service_tag = dp_service_tag (service_id);
+  hop->class = (guint8) class;
+  flow = remember_ (balancer, segment, hop, member, now);
+  flow->placed = TRUE;
+  dp_placement_opened (balancer->placement, member);
+  dp_metric_increment (balancer->placed);
+  return flow;
+}
+
+/* Sends the packet of an unknown flow on its way along the flow's order of members. */
+static DpCachedFlow *
+search_ (DpPassBalancer *balancer, const DpSegment *segment, DpHop *hop, gint64 now)
+{
+  guint64 service_id;
+  DpHandle member;
+  DpClass class;
+
+  if (!dp_router_find (balancer->router, &segment->key.service, &service_id, &class))
+    {
+      dp_metric_increment (balancer->drops[DROP_NO_ROUTE]);
+      return NULL;
+    }
+  member = dp_placement_first (balancer->placement, service_id, segment->hash);
+  if (member == DP_HANDLE_NONE)
+    {
+      dp_metric_increment (balancer->drops[DROP_NO_MEMBER]);
+      return NULL;
+    }
+  hop->service_tag = dp_service_tag (service_id);
+  hop->class = (guint8) class;
+  dp_metric_increment (balancer->searched);
+  return remember_ (balancer, segment, hop, member, now);
+}
+
+static DpCachedFlow *
+remember_ (DpPassBalancer *balancer,
+           const DpSegment *segment,
+           const DpHop *hop,
+           DpHandle member,
+           gint64 now)
+{
+  DpCachedFlow replaced;
+  DpCachedFlow *flow = dp_flow_cache_add (balancer->cache, &segment->key, segment->hash,
+                                          now, &replaced);
+
+  if (replaced.member != DP_HANDLE_NONE)
+    note_end_ (balancer, &replaced);
+  flow->member = member;
+  flow->service_tag = hop->service_tag;
+  flow->class = hop->class;
+  return flow;
+}
+
+/* The flow no longer counts as in flight; its last packets still find their way. */
+static void
+note_end_ (DpPassBalancer *balancer, DpCachedFlow *flow)
+{
+  if (flow->placed)
+    dp_placement_closed (balancer->placement, flow->member);
+  flow->placed = FALSE;
+}
+
+/* Answers a SYN with a reset: nothing has run. */
+static void
+reject_ (DpPassBalancer *balancer, const DpSegment *segment)
+{
+  const DpAddress client = { segment->key.client.ip, balancer->options.client_port };
+  guint8 packet[DP_PACKET_MAX];
+  gsize length = balancer->options.format->make_reset (segment, packet);
+
+  dp_metric_increment (balancer->rejected);
+  dp_packet_port_send (balancer->data, &client, packet, length);
+}
+
+static void
+received_report_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
+{
+  DpPassBalancer *balancer = user_data;
+  gint64 now = dp_clock_now (balancer->options.clock);
+  DpReportMessage message;
+
+  if (dp_report_decode (&message, data, length) && message.type == DP_REPORT_LOAD)
+    {
+      const DpReport *report = &message.report;
+      guint64 service_id = dp_service_id (report->service);
+
+      dp_placement_report (balancer->placement, report, now);
+      balancer->members->value = dp_placement_n_members (balancer->placement);
+      if (dp_placement_list_hash (balancer->placement, service_id) != report->list_hash)
+        send_list_ (balancer, source, report, now);
+    }
+  else
+    dp_metric_increment (balancer->drops[DROP_MALFORMED]);
+  dp_report_message_clear (&message);
+}
+
+/* Tells a member who the members of its service are. */
+static void
+send_list_ (DpPassBalancer *balancer,
+            const DpAddress *destination,
+            const DpReport *report,
+            gint64 now)
+{
+  DpView *view = dp_placement_view (balancer->placement, dp_service_id (report->service));
+  gint64 *listed_at = g_hash_table_lookup (balancer->listed, report->name);
+  guint8 buffer[DP_REPORT_MAX];
+  DpMemberList list = { .service = report->service };
+  gsize length;
+
+  if (view == NULL || (listed_at != NULL && now - *listed_at < LIST_INTERVAL_US))
+    return;
+  g_hash_table_replace (balancer->listed, g_strdup (report->name),
+                        g_memdup2 (&now, sizeof now));
+  list.members = g_array_new (FALSE, FALSE, sizeof (DpMember));
+  list.balancers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  g_array_append_vals (list.members, view->members, view->n_members);
+  length = dp_member_list_encode (&list, buffer);
+  if (length > 0)
+    dp_packet_port_send (balancer->report, destination, buffer, length);
+  g_array_unref (list.members);
+  g_array_unref (list.balancers);
+}
+
+static gboolean
+tick_ (gpointer user_data)
+{
+  DpPassBalancer *balancer = user_data;
+
+  if (dp_placement_expire (balancer->placement, dp_clock_now (balancer->options.clock)))
+    g_hash_table_remove_all (balancer->listed);
+  balancer->members->value = dp_placement_n_members (balancer->placement);
+  return G_SOURCE_CONTINUE;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -0,0 +1,515 @@
+#include "protected/passcompanion.h"
+
+#include <string.h>
+
+#include "private/watch.h"
+#include "protected/packetport.h"
+#include "protected/passthrough.h"
+#include "protected/report.h"
+#include "protected/topology.h"
+
+/* Between two reports to balancers of the own availability zone, whose choices depend on
+ * them. Half a dozen flows are placed on a server of two slots in this time. */
+#define REPORT_NEAR_MS 100
+/* Others hear of every fourth report only: they send flows here when theirs is full. */
+#define FAR_EVERY 4
+#define TICK_MS 1000
+/* A server that misses more of its heartbeats than this no longer takes new flows. */
+#define HEARTBEATS_MISSED 3
+/* So that every balancer hears that this member is leaving before it ends. */
+#define STOP_MIN_MS 500
+/* Platforms kill a process some seconds after they ask it to stop; 6 s is the shortest.
+ */
+#define STOP_MAX_MS 4500
+#define STOP_CHECK_MS 50
+
+/* A balancer that reports go to. */
+typedef struct
+{
+  DpAddress address; /* of its report port */
+  gboolean near;
+} Balancer;
+
+struct _DpPassCompanion
+{
+  DpPassCompanionOptions options;
+  char *service;
+  char *name;
+  char *zone;
+  GArray *first_balancers; /* Balancer, until the platform lists some */
+  GArray *balancers;       /* Balancer */
+  DpPassthrough *passthrough;
+  DpReplica *replica; /* of the collection balancers */
+  DpWatch *watch;
+  DpPacketPort *data;
+  DpPacketPort *outbound;
+  DpPacketPort *report;
+  DpAnnounced announced;
+  DpAnnouncement state; /* of the last announcement; id is not set */
+  gint64 announced_at;  /* us */
+  gint64 warm_at;       /* us */
+  guint64 list_hash;    /* of the members known */
+  guint n_reports;
+  guint report_timer; /* source id */
+  guint tick;         /* source id */
+  guint replica_listener;
+  gboolean stopping;
+  gint64 stop_at;   /* us, when the stop began */
+  guint stop_timer; /* source id */
+  DpPassCompanionFunc stopped;
+  gpointer stopped_data;
+  DpMetric *decisions[DP_N_PASS_REASONS];
+  DpMetric *in_flight;
+  DpMetric *malformed;
+};
+
+static void add_metrics_ (DpPassCompanion *companion);
+static void create_parts_ (DpPassCompanion *companion);
+static void platform_reachable_ (gboolean reachable, gpointer user_data);
+static void balancers_progressed_ (gpointer user_data);
+static void balancer_changed_ (const DpRecord *record, gpointer user_data);
+static void read_balancers_ (DpPassCompanion *companion);
+static void received_packet_ (const DpAddress *source,
+                              guint8 *data,
+                              gsize length,
+                              gpointer user_data);
+static void
+server_packet_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data);
+static void carry_out_ (DpPassCompanion *companion,
+                        const DpPassDecision *decision,
+                        const DpSegment *segment,
+                        guint8 *data,
+                        gsize length);
+static void
+received_list_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data);
+static void take_members_ (DpPassCompanion *companion, const DpMemberList *list);
+static gboolean is_serving_ (const DpPassCompanion *companion, gint64 now);
+static DpMemberState state_ (const DpPassCompanion *companion, gint64 now);
+static void update_serving_ (DpPassCompanion *companion);
+static gboolean report_ (gpointer user_data);
+static gboolean tick_ (gpointer user_data);
+static gboolean check_stop_ (gpointer user_data);
+
+/* Creates a companion that does nothing yet. */
+DpPassCompanion *
+dp_pass_companion_new (const DpPassCompanionOptions *options)
+{
+  DpPassCompanion *companion = g_new0 (DpPassCompanion, 1);
+
+  companion->options = *options;
+  companion->service = g_strdup (options->service);
+  companion->name = g_strdup (options->name);
+  companion->zone = g_strdup (options->zone);
+  companion->first_balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
+  companion->balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
+  for (guint i = 0; i < options->n_first_balancers; i++)
+    {
+      const Balancer balancer = { options->first_balancers[i], TRUE };
+
+      g_array_append_val (companion->first_balancers, balancer);
+    }
+  add_metrics_ (companion);
+  create_parts_ (companion);
+  return companion;
+}
+
+/* Opens the ports and begins to work. Error: the address that can't be used. */
+gboolean
+dp_pass_companion_start (DpPassCompanion *companion, GError **error)
+{
+  const DpPassCompanionOptions *options = &companion->options;
+
+  companion->outbound = dp_udp_port_new (&options->outbound, server_packet_, companion,
+                                         error);
+  if (companion->outbound == NULL)
+    return FALSE;
+  companion->data = dp_udp_port_new (&options->data, received_packet_, companion, error);
+  if (companion->data == NULL)
+    return FALSE;
+  companion->report = dp_udp_port_new (&options->report, received_list_, companion,
+                                       error);
+  if (companion->report == NULL)
+    return FALSE;
+  dp_watch_set_active (companion->watch, TRUE);
+  companion->report_timer = g_timeout_add (REPORT_NEAR_MS, report_, companion);
+  companion->tick = g_timeout_add (TICK_MS, tick_, companion);
+  g_message ("companion %s of service %s started", companion->name, companion->service);
+  return TRUE;
+}
+
+/* Takes no new flows from now on and calls done once nothing is in flight. */
+void
+dp_pass_companion_stop (DpPassCompanion *companion,
+                        DpPassCompanionFunc done,
+                        gpointer user_data)
+{
+  if (companion->stopping)
+    return;
+  companion->stopping = TRUE;
+  companion->stopped = done;
+  companion->stopped_data = user_data;
+  companion->stop_at = dp_clock_now (companion->options.clock);
+  companion->stop_timer = g_timeout_add (STOP_CHECK_MS, check_stop_, companion);
+  g_message ("companion %s is stopping, %u flows in flight", companion->name,
+             dp_passthrough_in_flight (companion->passthrough));
+  update_serving_ (companion);
+  report_ (companion);
+}
+
+/* Closes the ports and frees the companion. */
+void
+dp_pass_companion_free (DpPassCompanion *companion)
+{
+  if (companion == NULL)
+    return;
+  g_clear_handle_id (&companion->report_timer, g_source_remove);
+  g_clear_handle_id (&companion->tick, g_source_remove);
+  g_clear_handle_id (&companion->stop_timer, g_source_remove);
+  dp_replica_remove_listener (companion->replica, companion->replica_listener);
+  dp_watch_free (companion->watch);
+  dp_packet_port_free (companion->data);
+  dp_packet_port_free (companion->outbound);
+  dp_packet_port_free (companion->report);
+  dp_passthrough_free (companion->passthrough);
+  dp_replica_free (companion->replica);
+  dp_announced_clear (&companion->announced);
+  g_array_unref (companion->first_balancers);
+  g_array_unref (companion->balancers);
+  g_free (companion->service);
+  g_free (companion->name);
+  g_free (companion->zone);
+  g_free (companion);
+}
+
+/* Takes a heartbeat of the server over; FALSE if it is out of date. */
+gboolean
+dp_pass_companion_announced (DpPassCompanion *companion,
+                             const DpAnnouncement *announcement)
+{
+  gint64 now = dp_clock_now (companion->options.clock);
+  const DpPassLimits limits = { announcement->slots, companion->options.flow_ttl };
+  const gboolean first = !companion->announced.known;
+  gboolean left = companion->state.leaving;
+  DpAnnouncedResult result = dp_announced_take (&companion->announced, announcement);
+
+  if (result == DP_ANNOUNCED_STALE)
+    return FALSE;
+  if (result == DP_ANNOUNCED_STARTED)
+    dp_passthrough_server_started (companion->passthrough);
+  if (first || result == DP_ANNOUNCED_STARTED || left != announcement->leaving)
+    g_message ("server %s: incarnation %" G_GUINT64_FORMAT
+               ", heartbeat %" G_GUINT64_FORMAT ", %s, %u slots, warm in %u ms%s",
+               announcement->id, announcement->incarnation, announcement->sequence,
+               announcement->leaving ? "leaving" : "ready", announcement->slots,
+               announcement->warm_left_ms,
+               result == DP_ANNOUNCED_STARTED ? ", just started" : "");
+  companion->state = *announcement;
+  companion->state.id = NULL;
+  companion->announced_at = now;
+  companion->warm_at = now + announcement->warm_left_ms * DP_US_PER_MS;
+  dp_passthrough_set_limits (companion->passthrough, &limits);
+  update_serving_ (companion);
+  if (first || result == DP_ANNOUNCED_STARTED || left != announcement->leaving)
+    report_ (companion);
+  return TRUE;
+}
+
+/* Notes that the server has ended. */
+void
+dp_pass_companion_signed_off (DpPassCompanion *companion, const char *id)
+{
+  if (!dp_announced_sign_off (&companion->announced, id))
+    return;
+  g_message ("server %s has signed off", id);
+  update_serving_ (companion);
+  report_ (companion);
+}
+
+static void
+add_metrics_ (DpPassCompanion *companion)
+{
+  DpMetrics *metrics = companion->options.metrics;
+
+  for (guint i = 0; i < DP_N_PASS_REASONS; i++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "reason=\"%s\"", dp_pass_reason_string ((DpPassReason) i));
+
+      companion->decisions[i] = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                                "dogwoodpaddle_packets_total", labels,
+                                                "Packets by the reason of the decision");
+    }
+  companion->in_flight = dp_metrics_add (metrics, DP_METRIC_GAUGE,
+                                         "dogwoodpaddle_flows_in_flight", "",
+                                         "Flows that the server works on");
+  companion->malformed = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                         "dogwoodpaddle_datagrams_malformed_total", "",
+                                         "Datagrams that could not be read");
+}
+
+static void
+create_parts_ (DpPassCompanion *companion)
+{
+  static const DpWatchListener listener = {
+    .reachable = platform_reachable_,
+    .progressed = balancers_progressed_,
+  };
+  const DpPassCompanionOptions *options = &companion->options;
+
+  companion->passthrough = dp_passthrough_new (companion->service, companion->name,
+                                               dp_clock_now (options->clock));
+  companion->replica = dp_replica_new ();
+  companion->replica_listener = dp_replica_add_listener (companion->replica,
+                                                         balancer_changed_, companion);
+  companion->watch = dp_watch_new (options->platform, options->balancers,
+                                   companion->replica, options->metrics, &listener,
+                                   companion);
+  read_balancers_ (companion);
+}
+
+static void
+platform_reachable_ (gboolean reachable, gpointer user_data)
+{
+  g_message ("platform: %s", reachable ? "reachable" : "not reachable");
+}
+
+static void
+balancers_progressed_ (gpointer user_data)
+{
+  read_balancers_ (user_data);
+}
+
+static void
+balancer_changed_ (const DpRecord *record, gpointer user_data)
+{
+  const DpPassCompanion *companion = user_data;
+
+  g_message ("balancer %s is %s, %u known", record->name,
+             record->deleted ? "no longer registered" : "registered",
+             companion->balancers->len);
+}
+
+/* Takes the registered balancers over; without any, those of the settings. */
+static void
+read_balancers_ (DpPassCompanion *companion)
+{
+  g_autoptr (DpTopology) topology = dp_topology_new (companion->replica);
+
+  g_array_set_size (companion->balancers, 0);
+  for (guint i = 0; i < dp_topology_size (topology); i++)
+    {
+      const DpTopologyBalancer *b = dp_topology_at (topology, i);
+      const Balancer balancer = { b->control, g_str_equal (b->zone, companion->zone) };
+
+      g_array_append_val (companion->balancers, balancer);
+    }
+  if (companion->balancers->len == 0)
+    g_array_append_vals (companion->balancers, companion->first_balancers->data,
+                         companion->first_balancers->len);
+}
+
+static void
+received_packet_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
+{
+  DpPassCompanion *companion = user_data;
+  const DpPacketFormat *format = companion->options.format;
+  DpPassDecision decision;
+  DpSegment segment;
+  gboolean returned;
+  DpHop hop;
+
+  if (!format->parse (data, length, &segment, &returned) || returned)
+    {
+      dp_metric_increment (companion->malformed);
+      return;
+    }
+  format->read_hop (data, &hop);
+  decision = dp_passthrough_from_peer (companion->passthrough, &segment, &hop,
+                                       dp_clock_now (companion->options.clock));
+  carry_out_ (companion, &decision, &segment, data, length);
+}
+
+/* A packet of the server itself, or a client's packet that it returned. */
+static void
+server_packet_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
+{
+  DpPassCompanion *companion = user_data;
+  const DpPacketFormat *format = companion->options.format;
+  gint64 now = dp_clock_now (companion->options.clock);
+  DpPassDecision decision;
+  DpSegment segment;
+  gboolean returned;
+  DpFlowKey key;
+  DpHop hop;
+
+  if (!format->parse (data, length, &segment, &returned))
+    {
+      dp_metric_increment (companion->malformed);
+      return;
+    }
+  if (returned)
+    {
+      format->read_hop (data, &hop);
+      decision = dp_passthrough_returned (companion->passthrough, &segment, &hop, now);
+    }
+  else
+    {
+      key = (DpFlowKey){ .client = segment.key.service, .service = segment.key.client };
+      segment.key = key;
+      segment.hash = dp_flow_key_hash (&key);
+      decision = dp_passthrough_from_server (companion->passthrough, &segment, now);
+    }
+  carry_out_ (companion, &decision, &segment, data, length);
+}
+
+static void
+carry_out_ (DpPassCompanion *companion,
+            const DpPassDecision *decision,
+            const DpSegment *segment,
+            guint8 *data,
+            gsize length)
+{
+  const DpPassCompanionOptions *options = &companion->options;
+  const DpAddress client = { segment->key.client.ip, options->client_port };
+  guint8 reset[DP_PACKET_MAX];
+
+  dp_metric_increment (companion->decisions[decision->reason]);
+  switch (decision->action)
+    {
+    case DP_PASS_TO_SERVER:
+      options->format->write_hop (data, &decision->hop);
+      dp_packet_port_send (companion->outbound, &options->server, data, length);
+      break;
+    case DP_PASS_TO_CLIENT:
+      dp_packet_port_send (companion->data, &client, data, length);
+      break;
+    case DP_PASS_TO_MEMBER:
+      options->format->write_hop (data, &decision->hop);
+      dp_packet_port_send (companion->data, &decision->member, data, length);
+      break;
+    case DP_PASS_RESET:
+      length = options->format->make_reset (segment, reset);
+      dp_packet_port_send (companion->data, &client, reset, length);
+      break;
+    case DP_PASS_DROP:
+    case DP_N_PASS_ACTIONS:
+    default:
+      break;
+    }
+}
+
+static void
+received_list_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
+{
+  DpPassCompanion *companion = user_data;
+  DpReportMessage message;
+
+  if (dp_report_decode (&message, data, length) && message.type == DP_REPORT_MEMBERS
+      && g_str_equal (message.list.service, companion->service))
+    take_members_ (companion, &message.list);
+  else
+    dp_metric_increment (companion->malformed);
+  dp_report_message_clear (&message);
+}
+
+static void
+take_members_ (DpPassCompanion *companion, const DpMemberList *list)
+{
+  const DpMember *members = (const DpMember *) (void *) list->members->data;
+  g_autoptr (DpView)
+      view = dp_view_new (companion->service, 0, members, list->members->len);
+
+  companion->list_hash = dp_member_list_hash (members, list->members->len);
+  dp_passthrough_set_view (companion->passthrough, view);
+}
+
+/* Whether the server is known, takes new flows and has not fallen silent. */
+static gboolean
+is_serving_ (const DpPassCompanion *companion, gint64 now)
+{
+  gint64 bound = companion->options.heartbeat_ms * HEARTBEATS_MISSED * DP_US_PER_MS;
+
+  return companion->announced.known && !companion->announced.gone
+         && !companion->state.leaving && !companion->stopping
+         && now - companion->announced_at <= bound;
+}
+
+static DpMemberState
+state_ (const DpPassCompanion *companion, gint64 now)
+{
+  if (!is_serving_ (companion, now)
+      || dp_passthrough_server_is_silent (companion->passthrough, now))
+    return DP_MEMBER_LEAVING;
+  return DP_MEMBER_ACTIVE;
+}
+
+static void
+update_serving_ (DpPassCompanion *companion)
+{
+  dp_passthrough_set_serving (
+      companion->passthrough,
+      is_serving_ (companion, dp_clock_now (companion->options.clock)));
+}
+
+/* Tells the balancers the server's state and load. Before its first heartbeat the
+ * server's capacity is not known, and a report would say nothing. */
+static gboolean
+report_ (gpointer user_data)
+{
+  DpPassCompanion *companion = user_data;
+  gint64 now = dp_clock_now (companion->options.clock);
+  gint64 warm_left = MAX (companion->warm_at - now, 0);
+  const DpReport report = {
+    .service = companion->service,
+    .name = companion->name,
+    .zone = companion->zone,
+    .address = companion->options.data,
+    .slots = companion->state.slots,
+    .state = state_ (companion, now),
+    .in_flight = dp_passthrough_in_flight (companion->passthrough),
+    .warm_left_ms = (guint32) (warm_left / DP_US_PER_MS),
+    .list_hash = companion->list_hash,
+  };
+  gboolean far = companion->n_reports++ % FAR_EVERY == 0;
+  guint8 buffer[DP_REPORT_MAX];
+  gsize length;
+
+  companion->in_flight->value = report.in_flight;
+  if (!companion->announced.known)
+    return G_SOURCE_CONTINUE;
+  length = dp_report_encode (&report, buffer);
+  for (guint i = 0; i < companion->balancers->len; i++)
+    {
+      const Balancer *balancer = &g_array_index (companion->balancers, Balancer, i);
+
+      if (far || balancer->near)
+        dp_packet_port_send (companion->report, &balancer->address, buffer, length);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+tick_ (gpointer user_data)
+{
+  DpPassCompanion *companion = user_data;
+
+  dp_passthrough_tick (companion->passthrough, dp_clock_now (companion->options.clock));
+  update_serving_ (companion);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+check_stop_ (gpointer user_data)
+{
+  DpPassCompanion *companion = user_data;
+  gint64 age = dp_clock_now (companion->options.clock) - companion->stop_at;
+  guint in_flight = dp_passthrough_in_flight (companion->passthrough);
+
+  if (age < STOP_MIN_MS * DP_US_PER_MS
+      || (in_flight > 0 && age < STOP_MAX_MS * DP_US_PER_MS))
+    return G_SOURCE_CONTINUE;
+  g_message ("companion %s stopped, %u flows in flight", companion->name, in_flight);
+  companion->stop_timer = 0;
+  companion->stopped (companion->stopped_data);
+  return G_SOURCE_REMOVE;
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -0,0 +1,653 @@
+#include "protected/passthrough.h"
+
+#include "protected/clock.h"
+
+/* Members that a new flow visits before it is rejected. */
+#define VISITS_MAX 4
+/* Flows that may be offered to the server for each slot, by class, when no visited member
+ * has a free slot: the rest of a queue that is served within the usual latency objective.
+ * Urgent requests still find room when the others are rejected. */
+static const guint in_flight_per_slot_[DP_N_CLASSES] = { 5, 4, 4 };
+/* A server answers a SYN within a millisecond unless it is frozen or gone. */
+#define SILENT_US (150 * DP_US_PER_MS)
+/* SYNs without an answer until the server counts as silent; one may be lost. */
+#define SILENT_SYNS 2
+/* Clients give up an unanswered SYN after 1.4 s. */
+#define OFFER_US (2 * DP_US_PER_S)
+/* Retransmissions of the last packets come up to 1.6 s apart. */
+#define LINGER_US (4 * DP_US_PER_S)
+/* A flow whose server has sent nothing for so long after its last data is between two
+ * requests. */
+#define ANSWERED_US (100 * DP_US_PER_MS)
+#define FLOWS_MAX 65536
+
+typedef enum
+{
+  FLOW_OFFERED,  /* the SYN went to the server */
+  FLOW_ANSWERED, /* the server's SYN-ACK went to the client */
+  FLOW_OPEN,     /* the client has acknowledged it */
+  FLOW_CLOSED,   /* both ends have finished, or one has reset it */
+  FLOW_PASSED,   /* the SYN went to another member */
+  FLOW_FOREIGN   /* the server does not have the flow */
+} FlowState;
+
+typedef struct
+{
+  DpFlowKey key;
+  guint64 hash;
+  FlowState state;
+  guint32 client_seq; /* of the SYN */
+  guint32 server_seq; /* of the SYN-ACK */
+  gboolean working;   /* counts as in flight */
+  gboolean client_finished;
+  gboolean server_finished;
+  gint64 offered_at;  /* us */
+  gint64 used_at;     /* us */
+  gint64 answered_at; /* us of the server's last data, 0: none since the last request */
+  DpAddress passed_to;
+} Flow;
+
+struct _DpPassthrough
+{
+  guint32 service_tag;
+  guint32 member_id;
+  DpPassLimits limits;
+  DpCandidates *candidates; /* NULL: no view yet */
+  GHashTable *flows;        /* Flow by its key, which comes first */
+  guint in_flight;
+  gboolean serving;
+  gboolean complete;  /* every flow of the server is known */
+  gint64 started_at;  /* us */
+  guint unanswered;   /* SYNs since the server's last packet */
+  gint64 silent_from; /* us of the first of them */
+};
+
+static const char *const action_strings_[] = { "to_server", "to_client", "to_member",
+                                               "reset", "drop" };
+
+static const char *const reason_strings_[] = {
+  "owned",         "asked",      "searching", "busy",      "not_serving",   "returned",
+  "passed_before", "overloaded", "lost",      "not_found", "wrong_service", "unexpected",
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (action_strings_) == DP_N_PASS_ACTIONS);
+G_STATIC_ASSERT (G_N_ELEMENTS (reason_strings_) == DP_N_PASS_REASONS);
+
+static guint flow_hash_ (gconstpointer flow);
+static gboolean flow_equal_ (gconstpointer a, gconstpointer b);
+static Flow *find_ (DpPassthrough *passthrough, const DpSegment *segment);
+static Flow *add_ (DpPassthrough *passthrough, const DpSegment *segment, gint64 now);
+static void remove_ (DpPassthrough *passthrough, Flow *flow);
+static void set_working_ (DpPassthrough *passthrough, Flow *flow, gboolean working);
+static DpPassDecision
+decide_ (DpPassAction action, DpPassReason reason, const DpHop *hop);
+static DpPassDecision take_syn_ (DpPassthrough *passthrough,
+                                 const DpSegment *segment,
+                                 const DpHop *hop,
+                                 gint64 now);
+static DpPassDecision place_ (DpPassthrough *passthrough,
+                              const DpSegment *segment,
+                              const DpHop *hop,
+                              gint64 now);
+static DpPassDecision offer_ (DpPassthrough *passthrough,
+                              const DpSegment *segment,
+                              const DpHop *hop,
+                              gint64 now);
+static gboolean pass_new_flow_ (DpPassthrough *passthrough,
+                                const DpSegment *segment,
+                                const DpHop *hop,
+                                DpPassReason reason,
+                                gint64 now,
+                                DpPassDecision *decision);
+static const DpMember *
+next_for_new_flow_ (DpPassthrough *passthrough, guint64 hash, guint n_visited);
+static DpPassDecision search_ (DpPassthrough *passthrough,
+                               const DpSegment *segment,
+                               const DpHop *hop,
+                               DpPassReason reason);
+static DpPassDecision
+to_member_ (const DpAddress *member, DpPassReason reason, const DpHop *hop);
+static DpPassDecision take_client_packet_ (DpPassthrough *passthrough,
+                                           Flow *flow,
+                                           const DpSegment *segment,
+                                           const DpHop *hop,
+                                           gint64 now);
+static void note_client_packet_ (DpPassthrough *passthrough,
+                                 Flow *flow,
+                                 const DpSegment *segment,
+                                 gint64 now);
+static gboolean knows_all_ (const DpPassthrough *passthrough, gint64 now);
+static gboolean
+has_expired_ (const DpPassthrough *passthrough, const Flow *flow, gint64 now);
+
+/* Creates the decisions of a member that serves nothing yet. */
+DpPassthrough *
+dp_passthrough_new (const char *service, const char *member, gint64 now)
+{
+  DpPassthrough *passthrough = g_new0 (DpPassthrough, 1);
+
+  passthrough->service_tag = dp_service_tag (dp_service_id (service));
+  passthrough->member_id = dp_member_id (member);
+  passthrough->flows = g_hash_table_new_full (flow_hash_, flow_equal_, NULL, g_free);
+  passthrough->limits = (DpPassLimits){ 1, 60 * DP_US_PER_S };
+  passthrough->started_at = now;
+  return passthrough;
+}
+
+/* Frees it. */
+void
+dp_passthrough_free (DpPassthrough *passthrough)
+{
+  if (passthrough == NULL)
+    return;
+  dp_candidates_free (passthrough->candidates);
+  g_hash_table_unref (passthrough->flows);
+  g_free (passthrough);
+}
+
+/* Sets the limits of this companion's server. */
+void
+dp_passthrough_set_limits (DpPassthrough *passthrough, const DpPassLimits *limits)
+{
+  passthrough->limits = *limits;
+}
+
+/* Sets the members among which flows are passed on. */
+void
+dp_passthrough_set_view (DpPassthrough *passthrough, DpView *view)
+{
+  dp_candidates_free (passthrough->candidates);
+  passthrough->candidates = dp_candidates_new (view);
+}
+
+/* Sets whether new flows are offered to the server. */
+void
+dp_passthrough_set_serving (DpPassthrough *passthrough, gboolean serving)
+{
+  passthrough->serving = serving;
+}
+
+/* Notes that the server holds no flow but those that will be seen from now on. */
+void
+dp_passthrough_server_started (DpPassthrough *passthrough)
+{
+  passthrough->complete = TRUE;
+  passthrough->unanswered = 0;
+}
+
+/* Decides about a client's packet from a balancer or another member. */
+DpPassDecision
+dp_passthrough_from_peer (DpPassthrough *passthrough,
+                          const DpSegment *segment,
+                          const DpHop *hop,
+                          gint64 now)
+{
+  Flow *flow;
+
+  if (hop->service_tag != passthrough->service_tag || hop->class >= DP_N_CLASSES)
+    return decide_ (DP_PASS_DROP, DP_PASS_WRONG_SERVICE, hop);
+  if ((segment->flags & (DP_TCP_SYN | DP_TCP_ACK)) == (DP_TCP_SYN | DP_TCP_ACK))
+    return decide_ (DP_PASS_DROP, DP_PASS_UNEXPECTED, hop);
+  if (dp_segment_opens_flow (segment))
+    return take_syn_ (passthrough, segment, hop, now);
+  flow = find_ (passthrough, segment);
+  if (flow != NULL)
+    return take_client_packet_ (passthrough, flow, segment, hop, now);
+  if (knows_all_ (passthrough, now))
+    return search_ (passthrough, segment, hop, DP_PASS_SEARCHING);
+  return decide_ (DP_PASS_TO_SERVER, DP_PASS_ASKED, hop);
+}
+
+/* Decides about a client's packet that the server gave back. */
+DpPassDecision
+dp_passthrough_returned (DpPassthrough *passthrough,
+                         const DpSegment *segment,
+                         const DpHop *returned,
+                         gint64 now)
+{
+  Flow *flow = find_ (passthrough, segment);
+  DpHop hop = *returned;
+  DpPassDecision decision;
+
+  hop.service_tag = passthrough->service_tag;
+  passthrough->unanswered = 0;
+  if (hop.class >= DP_N_CLASSES)
+    return decide_ (DP_PASS_DROP, DP_PASS_UNEXPECTED, &hop);
+  if (dp_segment_opens_flow (segment))
+    {
+      if (flow != NULL && flow->state == FLOW_OFFERED)
+        remove_ (passthrough, flow);
+      else if (flow != NULL)
+        return decide_ (DP_PASS_DROP, DP_PASS_RETURNED, &hop);
+      if (pass_new_flow_ (passthrough, segment, &hop, DP_PASS_RETURNED, now, &decision))
+        return decision;
+      return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, &hop);
+    }
+  if (flow != NULL && flow->state == FLOW_OPEN)
+    {
+      /* The server held this flow and no longer does: it has crashed since. */
+      remove_ (passthrough, flow);
+      if ((segment->flags & DP_TCP_RST) != 0)
+        return decide_ (DP_PASS_DROP, DP_PASS_LOST, &hop);
+      return decide_ (DP_PASS_RESET, DP_PASS_LOST, &hop);
+    }
+  if (flow == NULL)
+    {
+      flow = add_ (passthrough, segment, now);
+      if (flow != NULL)
+        flow->state = FLOW_FOREIGN;
+    }
+  return search_ (passthrough, segment, &hop, DP_PASS_RETURNED);
+}
+
+/* Learns from a packet of the server who owns its flow. */
+DpPassDecision
+dp_passthrough_from_server (DpPassthrough *passthrough,
+                            const DpSegment *segment,
+                            gint64 now)
+{
+  const guint8 handshake = DP_TCP_SYN | DP_TCP_ACK;
+  const DpHop hop = { passthrough->service_tag, 0, 0 };
+  Flow *flow = find_ (passthrough, segment);
+
+  passthrough->unanswered = 0;
+  if (flow == NULL)
+    flow = add_ (passthrough, segment, now);
+  if (flow == NULL)
+    return decide_ (DP_PASS_TO_CLIENT, DP_PASS_OWNED, &hop);
+  flow->used_at = now;
+  if ((segment->flags & handshake) == handshake)
+    {
+      if (flow->state != FLOW_OPEN)
+        flow->state = FLOW_ANSWERED;
+      flow->server_seq = segment->seq;
+    }
+  else if (flow->state != FLOW_CLOSED)
+    flow->state = FLOW_OPEN;
+  if (segment->payload_length > 0)
+    flow->answered_at = now;
+  if ((segment->flags & DP_TCP_FIN) != 0)
+    flow->server_finished = TRUE;
+  if ((segment->flags & DP_TCP_RST) != 0)
+    flow->server_finished = flow->client_finished = TRUE;
+  if (flow->server_finished)
+    set_working_ (passthrough, flow, FALSE);
+  if (flow->server_finished && flow->client_finished)
+    flow->state = FLOW_CLOSED;
+  return decide_ (DP_PASS_TO_CLIENT, DP_PASS_OWNED, &hop);
+}
+
+/* Forgets flows that have ended, and ends the work of flows that were answered. */
+void
+dp_passthrough_tick (DpPassthrough *passthrough, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, passthrough->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Flow *flow = value;
+
+      if (flow->working && flow->answered_at != 0
+          && now - flow->answered_at > ANSWERED_US)
+        set_working_ (passthrough, flow, FALSE);
+      if (!has_expired_ (passthrough, flow, now))
+        continue;
+      set_working_ (passthrough, flow, FALSE);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* Returns whether the server has not answered several SYNs for SILENT_US. */
+gboolean
+dp_passthrough_server_is_silent (const DpPassthrough *passthrough, gint64 now)
+{
+  return passthrough->unanswered >= SILENT_SYNS
+         && now - passthrough->silent_from > SILENT_US;
+}
+
+/* Returns the number of flows whose server works on a request or is about to. */
+guint
+dp_passthrough_in_flight (const DpPassthrough *passthrough)
+{
+  return passthrough->in_flight;
+}
+
+/* Returns the number of flows that are remembered. */
+guint
+dp_passthrough_n_flows (const DpPassthrough *passthrough)
+{
+  return g_hash_table_size (passthrough->flows);
+}
+
+/* Returns the action's name. */
+const char *
+dp_pass_action_string (DpPassAction action)
+{
+  g_assert (action < DP_N_PASS_ACTIONS);
+  return action_strings_[action];
+}
+
+/* Returns the reason's name. */
+const char *
+dp_pass_reason_string (DpPassReason reason)
+{
+  g_assert (reason < DP_N_PASS_REASONS);
+  return reason_strings_[reason];
+}
+
+static guint
+flow_hash_ (gconstpointer flow)
+{
+  return (guint) ((const Flow *) flow)->hash;
+}
+
+static gboolean
+flow_equal_ (gconstpointer a, gconstpointer b)
+{
+  return dp_flow_key_equal (&((const Flow *) a)->key, &((const Flow *) b)->key);
+}
+
+static Flow *
+find_ (DpPassthrough *passthrough, const DpSegment *segment)
+{
+  const Flow wanted = { .key = segment->key, .hash = segment->hash };
+
+  return g_hash_table_lookup (passthrough->flows, &wanted);
+}
+
+/* NULL if too many flows are remembered: the server is asked for further ones. */
+static Flow *
+add_ (DpPassthrough *passthrough, const DpSegment *segment, gint64 now)
+{
+  Flow *flow;
+
+  if (g_hash_table_size (passthrough->flows) >= FLOWS_MAX)
+    {
+      passthrough->complete = FALSE;
+      passthrough->started_at = now;
+      return NULL;
+    }
+  flow = g_new0 (Flow, 1);
+  flow->key = segment->key;
+  flow->hash = segment->hash;
+  flow->used_at = now;
+  g_hash_table_add (passthrough->flows, flow);
+  return flow;
+}
+
+static void
+remove_ (DpPassthrough *passthrough, Flow *flow)
+{
+  set_working_ (passthrough, flow, FALSE);
+  g_hash_table_remove (passthrough->flows, flow);
+}
+
+static void
+set_working_ (DpPassthrough *passthrough, Flow *flow, gboolean working)
+{
+  if (flow->working == working)
+    return;
+  flow->working = working;
+  if (working)
+    passthrough->in_flight++;
+  else
+    passthrough->in_flight--;
+}
+
+static DpPassDecision
+decide_ (DpPassAction action, DpPassReason reason, const DpHop *hop)
+{
+  return (DpPassDecision){ .action = action, .reason = reason, .hop = *hop };
+}
+
+/* A copy of a SYN goes where the first one went, so that only one server answers. */
+static DpPassDecision
+take_syn_ (DpPassthrough *passthrough,
+           const DpSegment *segment,
+           const DpHop *hop,
+           gint64 now)
+{
+  Flow *flow = find_ (passthrough, segment);
+  const gboolean copy = flow != NULL && flow->client_seq == segment->seq;
+
+  if (copy)
+    flow->used_at = now;
+  if (copy && flow->state == FLOW_PASSED)
+    return to_member_ (&flow->passed_to, DP_PASS_PASSED_BEFORE, hop);
+  if (copy && flow->state != FLOW_FOREIGN
+      && !(flow->state == FLOW_OFFERED
+           && dp_passthrough_server_is_silent (passthrough, now)))
+    return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
+  if (flow != NULL)
+    remove_ (passthrough, flow);
+  return place_ (passthrough, segment, hop, now);
+}
+
+/* Takes a new flow, passes it on or rejects it. */
+static DpPassDecision
+place_ (DpPassthrough *passthrough,
+        const DpSegment *segment,
+        const DpHop *hop,
+        gint64 now)
+{
+  const guint slots = passthrough->limits.slots;
+  const gboolean serving = passthrough->serving
+                           && !dp_passthrough_server_is_silent (passthrough, now);
+  DpPassDecision decision;
+
+  if (serving && passthrough->in_flight < slots)
+    return offer_ (passthrough, segment, hop, now);
+  if (pass_new_flow_ (passthrough, segment, hop,
+                      serving ? DP_PASS_BUSY : DP_PASS_NOT_SERVING, now, &decision))
+    return decision;
+  if (serving && passthrough->in_flight < slots * in_flight_per_slot_[hop->class])
+    return offer_ (passthrough, segment, hop, now);
+  return decide_ (DP_PASS_RESET, serving ? DP_PASS_OVERLOADED : DP_PASS_NOT_SERVING, hop);
+}
+
+static DpPassDecision
+offer_ (DpPassthrough *passthrough,
+        const DpSegment *segment,
+        const DpHop *hop,
+        gint64 now)
+{
+  Flow *flow = add_ (passthrough, segment, now);
+
+  if (flow == NULL)
+    return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
+  flow->state = FLOW_OFFERED;
+  flow->client_seq = segment->seq;
+  flow->offered_at = now;
+  set_working_ (passthrough, flow, TRUE);
+  if (passthrough->unanswered++ == 0)
+    passthrough->silent_from = now;
+  return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
+}
+
+/* Passes a SYN on and remembers where to; FALSE if it has visited enough members. */
+static gboolean
+pass_new_flow_ (DpPassthrough *passthrough,
+                const DpSegment *segment,
+                const DpHop *hop,
+                DpPassReason reason,
+                gint64 now,
+                DpPassDecision *decision)
+{
+  const DpMember *next;
+  Flow *flow;
+
+  if (hop->visited + 1 >= VISITS_MAX)
+    return FALSE;
+  next = next_for_new_flow_ (passthrough, segment->hash, hop->visited + 1u);
+  if (next == NULL)
+    return FALSE;
+  flow = add_ (passthrough, segment, now);
+  if (flow != NULL)
+    {
+      flow->state = FLOW_PASSED;
+      flow->client_seq = segment->seq;
+      flow->passed_to = next->address;
+    }
+  *decision = to_member_ (&next->address, reason, hop);
+  return TRUE;
+}
+
+/* Returns the active member to visit next: the following one in the flow's order within
+ * the own availability zone until all of them were visited, then any. */
+static const DpMember *
+next_for_new_flow_ (DpPassthrough *passthrough, guint64 hash, guint n_visited)
+{
+  DpCandidates *candidates = passthrough->candidates;
+  const DpMember *self;
+  const DpMember *member;
+  const DpMember *other = NULL;
+  DpView *view;
+  guint n_near = 0;
+  guint n_active = 0;
+
+  if (candidates == NULL)
+    return NULL;
+  view = dp_candidates_view (candidates);
+  self = dp_view_find (view, passthrough->member_id);
+  for (guint i = 0; i < view->n_members; i++)
+    {
+      const DpMember *m = &view->members[i];
+
+      if (m->state != DP_MEMBER_ACTIVE)
+        continue;
+      n_active++;
+      n_near += self != NULL && g_str_equal (m->zone, self->zone) ? 1 : 0;
+    }
+  if (n_visited > n_active)
+    return NULL;
+  member = dp_candidates_after (candidates, hash, DP_CANDIDATES_NEW_FLOW,
+                                passthrough->member_id);
+  for (guint i = 0;
+       member != NULL && member->id != passthrough->member_id && i < n_active; i++)
+    {
+      gboolean near = self != NULL && g_str_equal (member->zone, self->zone);
+
+      if (near == (n_visited < n_near))
+        return member;
+      if (other == NULL)
+        other = member;
+      member = dp_candidates_after (candidates, hash, DP_CANDIDATES_NEW_FLOW, member->id);
+    }
+  return other;
+}
+
+/* Sends a packet whose flow is not here to the next member, or ends the search. Nobody
+ * answers with a reset: a member that is cut off may still have the flow. */
+static DpPassDecision
+search_ (DpPassthrough *passthrough,
+         const DpSegment *segment,
+         const DpHop *hop,
+         DpPassReason reason)
+{
+  const DpMember *next = NULL;
+
+  if (passthrough->candidates != NULL
+      && hop->visited + 1u < dp_candidates_view (passthrough->candidates)->n_members)
+    next = dp_candidates_after (passthrough->candidates, segment->hash,
+                                DP_CANDIDATES_ANY_FLOW, passthrough->member_id);
+  if (next == NULL)
+    return decide_ (DP_PASS_DROP, DP_PASS_NOT_FOUND, hop);
+  return to_member_ (&next->address, reason, hop);
+}
+
+static DpPassDecision
+to_member_ (const DpAddress *member, DpPassReason reason, const DpHop *hop)
+{
+  DpPassDecision decision = decide_ (DP_PASS_TO_MEMBER, reason, hop);
+
+  decision.member = *member;
+  if (decision.hop.visited == G_MAXUINT8)
+    return decide_ (DP_PASS_DROP, DP_PASS_NOT_FOUND, hop);
+  decision.hop.visited++;
+  return decision;
+}
+
+/* A client's packet after its SYN, of a flow that is remembered. */
+static DpPassDecision
+take_client_packet_ (DpPassthrough *passthrough,
+                     Flow *flow,
+                     const DpSegment *segment,
+                     const DpHop *hop,
+                     gint64 now)
+{
+  switch (flow->state)
+    {
+    case FLOW_PASSED:
+      flow->used_at = now;
+      return to_member_ (&flow->passed_to, DP_PASS_PASSED_BEFORE, hop);
+    case FLOW_ANSWERED:
+      /* Two servers may have answered copies of the SYN; the client acknowledges one. */
+      if (segment->ack != flow->server_seq + 1)
+        return search_ (passthrough, segment, hop, DP_PASS_SEARCHING);
+      break;
+    case FLOW_OFFERED:
+    case FLOW_FOREIGN:
+      return search_ (passthrough, segment, hop, DP_PASS_SEARCHING);
+    case FLOW_OPEN:
+    case FLOW_CLOSED:
+    default:
+      break;
+    }
+  note_client_packet_ (passthrough, flow, segment, now);
+  return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
+}
+
+static void
+note_client_packet_ (DpPassthrough *passthrough,
+                     Flow *flow,
+                     const DpSegment *segment,
+                     gint64 now)
+{
+  flow->used_at = now;
+  if (flow->state == FLOW_ANSWERED)
+    flow->state = FLOW_OPEN;
+  if (segment->payload_length > 0 && !flow->server_finished)
+    {
+      flow->answered_at = 0;
+      set_working_ (passthrough, flow, TRUE);
+    }
+  if ((segment->flags & DP_TCP_FIN) != 0)
+    flow->client_finished = TRUE;
+  if ((segment->flags & DP_TCP_RST) != 0)
+    {
+      flow->client_finished = flow->server_finished = TRUE;
+      set_working_ (passthrough, flow, FALSE);
+    }
+  if (flow->client_finished && flow->server_finished)
+    flow->state = FLOW_CLOSED;
+}
+
+/* Flows from before the companion's start have expired after their time to live. */
+static gboolean
+knows_all_ (const DpPassthrough *passthrough, gint64 now)
+{
+  return passthrough->complete
+         || now - passthrough->started_at > passthrough->limits.flow_ttl;
+}
+
+static gboolean
+has_expired_ (const DpPassthrough *passthrough, const Flow *flow, gint64 now)
+{
+  const gint64 unused = now - flow->used_at;
+
+  switch (flow->state)
+    {
+    case FLOW_OFFERED:
+    case FLOW_ANSWERED:
+      return unused > OFFER_US;
+    case FLOW_CLOSED:
+      return unused > LINGER_US;
+    case FLOW_OPEN:
+    case FLOW_PASSED:
+    case FLOW_FOREIGN:
+    default:
+      return unused > passthrough->limits.flow_ttl;
+    }
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/placement.c
@@ -0,0 +1,411 @@
+#include "protected/placement.h"
+
+#include <string.h>
+
+#include "protected/clock.h"
+
+/* A member that is silent for longer takes no new flows while others live. Reports of
+ * members in the balancer's own availability zone are 100 ms apart, others 400 ms
+ * (passcompanion.c); either bound leaves room for two lost ones. */
+#define SILENT_NEAR_US (350 * DP_US_PER_MS)
+#define SILENT_FAR_US (1300 * DP_US_PER_MS)
+/* A member that is silent for longer is no longer a member. Its flows may live as long as
+ * it is only cut off, so that this exceeds the usual disturbance of some seconds. */
+#define FORGET_US (15 * DP_US_PER_S)
+#define MEMBERS_MAX 16384
+/* Flows in flight for each slot that a member in the own availability zone may have more
+ * than one elsewhere, by class: bytes between availability zones cost more than a short
+ * wait, and those of a download are the most. */
+static const double zone_preference_[DP_N_CLASSES] = { 1.0, 1.0, 4.0 };
+/* Part of its slots that a server uses well while it is cold. */
+#define COLD_CAPACITY 0.6
+
+typedef struct
+{
+  char *name;
+  char *zone;
+  char *service;
+  guint64 service_id;
+  DpAddress address;
+  guint32 slots;
+  DpMemberState state;
+  gboolean near;
+  gint64 reported_at; /* us */
+  gint64 warm_at;     /* us */
+  guint own;          /* flows in flight that this balancer placed */
+  guint others;       /* flows in flight that other balancers placed */
+} Member;
+
+typedef struct
+{
+  char *name;
+  GArray *members; /* DpHandle */
+  DpCandidates *candidates;
+  guint64 list_hash;
+  guint64 revision; /* of the view, counted here */
+} Service;
+
+struct _DpPlacement
+{
+  char *zone;
+  DpHandleTable *members;
+  GHashTable *by_name;  /* name to DpHandle */
+  GHashTable *services; /* &id to Service */
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (zone_preference_) == DP_N_CLASSES);
+
+static void service_free_ (gpointer data);
+static Service *find_service_ (DpPlacement *placement, guint64 id);
+static DpHandle add_member_ (DpPlacement *placement, const DpReport *report);
+static void remove_member_ (DpPlacement *placement, DpHandle handle);
+static void clear_member_ (Member *member);
+static void rebuild_ (DpPlacement *placement, Service *service);
+static gboolean is_fresh_ (const Member *member, gint64 now);
+static double
+cost_ (const DpPlacement *placement, const Member *member, DpClass class, gint64 now);
+
+/* Creates a placement without members for a balancer in the availability zone. */
+DpPlacement *
+dp_placement_new (const char *zone)
+{
+  DpPlacement *placement = g_new0 (DpPlacement, 1);
+
+  placement->zone = g_strdup (zone);
+  placement->members = dp_handle_table_new (sizeof (Member), MEMBERS_MAX);
+  placement->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  placement->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                               service_free_);
+  return placement;
+}
+
+/* Frees the placement. */
+void
+dp_placement_free (DpPlacement *placement)
+{
+  if (placement == NULL)
+    return;
+  for (DpHandle h = dp_handle_table_next (placement->members, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = dp_handle_table_next (placement->members, h))
+    clear_member_ (dp_handle_table_get (placement->members, h));
+  g_hash_table_unref (placement->services);
+  g_hash_table_unref (placement->by_name);
+  dp_handle_table_free (placement->members);
+  g_free (placement->zone);
+  g_free (placement);
+}
+
+/* Takes over what a member says of itself. A name that comes back with another service
+ * leaves the former one. */
+gboolean
+dp_placement_report (DpPlacement *placement, const DpReport *report, gint64 now)
+{
+  DpHandle handle = GPOINTER_TO_UINT (
+      g_hash_table_lookup (placement->by_name, report->name));
+  Member *member = dp_handle_table_get (placement->members, handle);
+  gboolean changed = FALSE;
+
+  if (member != NULL
+      && (!g_str_equal (member->service, report->service)
+          || !dp_address_equal (&member->address, &report->address)))
+    {
+      remove_member_ (placement, handle);
+      member = NULL;
+    }
+  if (member == NULL)
+    {
+      handle = add_member_ (placement, report);
+      member = dp_handle_table_get (placement->members, handle);
+      if (member == NULL)
+        return FALSE;
+      changed = TRUE;
+    }
+  changed = changed || member->state != report->state || member->slots != report->slots;
+  member->state = report->state;
+  member->slots = report->slots;
+  member->reported_at = now;
+  member->warm_at = now + report->warm_left_ms * DP_US_PER_MS;
+  /* A flow whose end was not seen here is forgotten by this. One that was placed within
+   * the last millisecond may be missing in the report. */
+  member->own = MIN (member->own, report->in_flight + 1);
+  member->others = report->in_flight - MIN (member->own, report->in_flight);
+  if (changed)
+    rebuild_ (placement, find_service_ (placement, member->service_id));
+  return changed;
+}
+
+/* Forgets members that have not reported for FORGET_US. */
+gboolean
+dp_placement_expire (DpPlacement *placement, gint64 now)
+{
+  gboolean removed = FALSE;
+  DpHandle next;
+
+  for (DpHandle h = dp_handle_table_next (placement->members, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = next)
+    {
+      const Member *member = dp_handle_table_get (placement->members, h);
+
+      next = dp_handle_table_next (placement->members, h);
+      if (now - member->reported_at <= FORGET_US)
+        continue;
+      remove_member_ (placement, h);
+      removed = TRUE;
+    }
+  return removed;
+}
+
+/* Chooses the member with the fewest flows in flight for each slot, one in the own
+ * availability zone before others of about the same load. Members that have fallen silent
+ * are chosen only if no other is left, since the report may be what is lost. */
+DpHandle
+dp_placement_choose (DpPlacement *placement,
+                     guint64 service_id,
+                     DpClass class,
+                     guint64 flow_hash,
+                     gint64 now)
+{
+  const Service *service = find_service_ (placement, service_id);
+  DpHandle best = DP_HANDLE_NONE;
+  gboolean best_fresh = FALSE;
+  double best_cost = 0;
+  guint n = service == NULL ? 0 : service->members->len;
+
+  for (guint i = 0; i < n; i++)
+    {
+      /* Starting anywhere spreads flows over members of equal cost. */
+      guint index = (guint) ((flow_hash + i) % n);
+      DpHandle handle = g_array_index (service->members, DpHandle, index);
+      const Member *member = dp_handle_table_get (placement->members, handle);
+      gboolean fresh = is_fresh_ (member, now);
+      double cost;
+
+      if (member->state != DP_MEMBER_ACTIVE || (best_fresh && !fresh))
+        continue;
+      cost = cost_ (placement, member, class, now);
+      if (best != DP_HANDLE_NONE && best_fresh == fresh && cost >= best_cost)
+        continue;
+      best = handle;
+      best_fresh = fresh;
+      best_cost = cost;
+    }
+  return best;
+}
+
+/* Returns the first member in the flow's order, in any state. */
+DpHandle
+dp_placement_first (DpPlacement *placement, guint64 service_id, guint64 flow_hash)
+{
+  const Service *service = find_service_ (placement, service_id);
+  const DpMember *first = NULL;
+
+  if (service != NULL && service->candidates != NULL)
+    first = dp_candidates_first (service->candidates, flow_hash, DP_CANDIDATES_ANY_FLOW);
+  if (first == NULL)
+    return DP_HANDLE_NONE;
+  return GPOINTER_TO_UINT (g_hash_table_lookup (placement->by_name, first->name));
+}
+
+/* Returns whether the member takes new flows and has reported lately. */
+gboolean
+dp_placement_is_live (DpPlacement *placement, DpHandle handle, gint64 now)
+{
+  const Member *member = dp_handle_table_get (placement->members, handle);
+
+  return member != NULL && member->state == DP_MEMBER_ACTIVE && is_fresh_ (member, now);
+}
+
+/* Gives the member's address; FALSE if it is gone. */
+gboolean
+dp_placement_address (DpPlacement *placement, DpHandle handle, DpAddress *address)
+{
+  const Member *member = dp_handle_table_get (placement->members, handle);
+
+  if (member == NULL)
+    return FALSE;
+  *address = member->address;
+  return TRUE;
+}
+
+/* Notes that a flow was placed on the member. */
+void
+dp_placement_opened (DpPlacement *placement, DpHandle handle)
+{
+  Member *member = dp_handle_table_get (placement->members, handle);
+
+  if (member != NULL)
+    member->own++;
+}
+
+/* Notes that a flow of the member has ended. */
+void
+dp_placement_closed (DpPlacement *placement, DpHandle handle)
+{
+  Member *member = dp_handle_table_get (placement->members, handle);
+
+  if (member != NULL && member->own > 0)
+    member->own--;
+}
+
+/* Returns the service's members, owned by the placement, until the next change. */
+DpView *
+dp_placement_view (DpPlacement *placement, guint64 service_id)
+{
+  const Service *service = find_service_ (placement, service_id);
+
+  return service == NULL || service->candidates == NULL
+             ? NULL
+             : dp_candidates_view (service->candidates);
+}
+
+/* Returns dp_member_list_hash () of the service's members; 0 without any. */
+guint64
+dp_placement_list_hash (DpPlacement *placement, guint64 service_id)
+{
+  const Service *service = find_service_ (placement, service_id);
+
+  return service == NULL ? 0 : service->list_hash;
+}
+
+/* Returns the number of members of all services. */
+guint
+dp_placement_n_members (const DpPlacement *placement)
+{
+  return dp_handle_table_count (placement->members);
+}
+
+static void
+service_free_ (gpointer data)
+{
+  Service *service = data;
+
+  g_array_unref (service->members);
+  dp_candidates_free (service->candidates);
+  g_free (service->name);
+  g_free (service);
+}
+
+static Service *
+find_service_ (DpPlacement *placement, guint64 id)
+{
+  return g_hash_table_lookup (placement->services, &id);
+}
+
+/* DP_HANDLE_NONE if the table is full. */
+static DpHandle
+add_member_ (DpPlacement *placement, const DpReport *report)
+{
+  DpHandle handle = dp_handle_table_add (placement->members);
+  Member *member = dp_handle_table_get (placement->members, handle);
+  guint64 id = dp_service_id (report->service);
+  Service *service = find_service_ (placement, id);
+
+  if (member == NULL)
+    {
+      g_warning ("member %s refused: there are %u members", report->name, MEMBERS_MAX);
+      return DP_HANDLE_NONE;
+    }
+  if (service == NULL)
+    {
+      service = g_new0 (Service, 1);
+      service->name = g_strdup (report->service);
+      service->members = g_array_new (FALSE, FALSE, sizeof (DpHandle));
+      g_hash_table_insert (placement->services, g_memdup2 (&id, sizeof id), service);
+    }
+  member->name = g_strdup (report->name);
+  member->zone = g_strdup (report->zone);
+  member->service = g_strdup (report->service);
+  member->service_id = id;
+  member->address = report->address;
+  member->near = g_str_equal (report->zone, placement->zone);
+  member->own = 0;
+  member->others = 0;
+  g_array_append_val (service->members, handle);
+  g_hash_table_replace (placement->by_name, g_strdup (report->name),
+                        GUINT_TO_POINTER (handle));
+  g_message ("member %s of service %s joined, availability zone %s, %s, %u slots",
+             report->name, report->service, report->zone,
+             dp_member_state_string (report->state), report->slots);
+  return handle;
+}
+
+static void
+remove_member_ (DpPlacement *placement, DpHandle handle)
+{
+  Member *member = dp_handle_table_get (placement->members, handle);
+  guint64 id = member->service_id;
+  Service *service = find_service_ (placement, id);
+
+  for (guint i = 0; i < service->members->len; i++)
+    {
+      if (g_array_index (service->members, DpHandle, i) != handle)
+        continue;
+      g_array_remove_index (service->members, i);
+      break;
+    }
+  g_message ("member %s of service %s is gone", member->name, member->service);
+  g_hash_table_remove (placement->by_name, member->name);
+  clear_member_ (member);
+  dp_handle_table_remove (placement->members, handle);
+  if (service->members->len == 0)
+    g_hash_table_remove (placement->services, &id);
+  else
+    rebuild_ (placement, service);
+}
+
+static void
+clear_member_ (Member *member)
+{
+  g_free (member->name);
+  g_free (member->zone);
+  g_free (member->service);
+}
+
+static void
+rebuild_ (DpPlacement *placement, Service *service)
+{
+  g_autoptr (GArray) list = g_array_new (FALSE, TRUE, sizeof (DpMember));
+  g_autoptr (DpView) view = NULL;
+
+  for (guint i = 0; i < service->members->len; i++)
+    {
+      const Member *m = dp_handle_table_get (
+          placement->members, g_array_index (service->members, DpHandle, i));
+      DpMember entry = {
+        .id = dp_member_id (m->name),
+        .name = m->name,
+        .zone = m->zone,
+        .address = m->address,
+        .slots = m->slots,
+        .state = m->state,
+      };
+
+      g_array_append_val (list, entry);
+    }
+  service->revision++;
+  service->list_hash = dp_member_list_hash ((const DpMember *) (void *) list->data,
+                                            list->len);
+  view = dp_view_new (service->name, service->revision,
+                      (const DpMember *) (void *) list->data, list->len);
+  dp_candidates_free (service->candidates);
+  service->candidates = dp_candidates_new (view);
+}
+
+static gboolean
+is_fresh_ (const Member *member, gint64 now)
+{
+  return now - member->reported_at <= (member->near ? SILENT_NEAR_US : SILENT_FAR_US);
+}
+
+/* Flows in flight for each slot with the new one, plus what its distance costs. */
+static double
+cost_ (const DpPlacement *placement, const Member *member, DpClass class, gint64 now)
+{
+  double slots = MAX (member->slots, 1);
+  double cost;
+
+  if (now < member->warm_at)
+    slots *= COLD_CAPACITY;
+  cost = (member->own + member->others + 1) / slots;
+  return member->near ? cost : cost + zone_preference_[class];
+}
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -3,7 +3,6 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
-#include "private/answer.h"
 #include "protected/backoff.h"
 #include "protected/error.h"
 #include "protected/json.h"
@@ -28,6 +27,7 @@
 
 struct _DpPlatform
 {
+  const DpPlatformDialect *dialect;
   char *base_url;
   SoupSession *session;
   GPtrArray *requests; /* Request, in progress */
@@ -40,9 +40,12 @@
 {
   DpPlatform *platform; /* NULL once the client is freed or the caller was told */
   RequestType type;
+  guint collection; /* of a list or watch */
   DpKind kind;
   char *name;
   char *url;
+  GPtrArray *records;        /* of the list's earlier pages */
+  guint64 first_revision;    /* of the list's first page, 0: none yet */
   guint64 version;           /* of the object before the write; watch: since */
   JsonNode *value;           /* NULL: delete */
   gboolean reading_back;     /* of a write: the present call reads the object */
@@ -74,7 +77,7 @@
 static Request *request_new_ (DpPlatform *platform, RequestType type);
 static void request_free_ (Request *request);
 static void request_end_ (Request *request);
-static char *object_url_ (DpPlatform *platform, DpKind kind, const char *name);
+static char *take_path_ (const DpPlatform *platform, char *path);
 static void send_ (Request *request);
 static SoupMessage *make_message_ (Request *request);
 static void starting_ (SoupMessage *message, gpointer user_data);
@@ -83,6 +86,11 @@
 static gboolean retry_ (Request *request);
 static void answered_ (GObject *source, GAsyncResult *result, gpointer user_data);
 static void read_answered_ (Request *request, guint status, GBytes *body, GError *cause);
+static gboolean read_page_ (Request *request,
+                            GBytes *body,
+                            GPtrArray *records,
+                            guint64 *revision,
+                            GError **error);
 static void write_answered_ (Request *request, guint status, GBytes *body);
 static void read_back_answered_ (Request *request, guint status, GBytes *body);
 static void read_back_ (Request *request);
@@ -97,12 +105,21 @@
                            DpRecord *record,
                            const char *reason);
 
-/* Creates a client for the object API below the URL, as http://127.0.0.1:7100. */
+/* Creates a client for the project's own object API below the URL, as
+ * http://127.0.0.1:7100. */
 DpPlatform *
 dp_platform_new (const char *base_url)
+{
+  return dp_platform_new_with_dialect (base_url, &dp_platform_own_dialect);
+}
+
+/* Creates a client that speaks the dialect, which must outlive it. */
+DpPlatform *
+dp_platform_new_with_dialect (const char *base_url, const DpPlatformDialect *dialect)
 {
   DpPlatform *platform = g_new0 (DpPlatform, 1);
 
+  platform->dialect = dialect;
   platform->base_url = g_strdup (base_url);
   platform->session = soup_session_new_with_options (
       "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS, "user-agent",
@@ -129,6 +146,14 @@
   g_free (platform);
 }
 
+/* Returns what the dialect says of a collection. */
+const DpPlatformCollection *
+dp_platform_collection (const DpPlatform *platform, guint collection)
+{
+  g_assert (collection < platform->dialect->n_collections);
+  return &platform->dialect->collections[collection];
+}
+
 /* Sets the time after which a call counts as unanswered; a watch adds its own time. */
 void
 dp_platform_set_timeout (DpPlatform *platform, guint timeout_ms)
@@ -145,13 +170,19 @@
   return write_result_strings_[result];
 }
 
-/* Reads all objects. Tried again a bounded number of times before an error is given. */
+/* Reads all objects of a collection, page by page. Each page is tried again a bounded
+ * number of times before an error is given. */
 void
-dp_platform_list (DpPlatform *platform, DpPlatformReadFunc done, gpointer user_data)
+dp_platform_list (DpPlatform *platform,
+                  guint collection,
+                  DpPlatformReadFunc done,
+                  gpointer user_data)
 {
   Request *request = request_new_ (platform, REQUEST_LIST);
 
-  request->url = g_strdup_printf ("%s/v1/objects", platform->base_url);
+  request->collection = collection;
+  request->records = g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
+  request->url = take_path_ (platform, platform->dialect->list_path (collection, NULL));
   request->read_done = done;
   request->user_data = user_data;
   send_ (request);
@@ -167,7 +198,8 @@
 {
   Request *request = request_new_ (platform, REQUEST_GET);
 
-  request->url = object_url_ (platform, kind, name);
+  request->kind = kind;
+  request->url = take_path_ (platform, platform->dialect->object_path (kind, name));
   request->read_done = done;
   request->user_data = user_data;
   send_ (request);
@@ -177,6 +209,7 @@
  * again on failure. */
 void
 dp_platform_watch (DpPlatform *platform,
+                   guint collection,
                    guint64 since,
                    guint timeout_ms,
                    DpPlatformReadFunc done,
@@ -184,8 +217,9 @@
 {
   Request *request = request_new_ (platform, REQUEST_WATCH);
 
-  request->url = g_strdup_printf ("%s/v1/watch?since=%" G_GUINT64_FORMAT "&timeout_ms=%u",
-                                  platform->base_url, since, timeout_ms);
+  request->collection = collection;
+  request->url = take_path_ (
+      platform, platform->dialect->watch_path (collection, since, timeout_ms));
   request->version = since;
   request->wait_ms = timeout_ms;
   request->read_done = done;
@@ -224,7 +258,7 @@
 
   request->kind = kind;
   request->name = g_strdup (name);
-  request->url = object_url_ (platform, kind, name);
+  request->url = take_path_ (platform, platform->dialect->object_path (kind, name));
   request->version = version;
   request->value = value == NULL ? NULL : json_node_copy (value);
   request->guard = guard;
@@ -279,6 +313,7 @@
   g_clear_object (&request->message);
   g_clear_object (&request->cancellable);
   g_clear_pointer (&request->value, json_node_unref);
+  g_clear_pointer (&request->records, g_ptr_array_unref);
   g_free (request->name);
   g_free (request->url);
   g_free (request);
@@ -298,13 +333,14 @@
     request_free_ (request);
 }
 
+/* Returns the URL of a path, which it frees. */
 static char *
-object_url_ (DpPlatform *platform, DpKind kind, const char *name)
+take_path_ (const DpPlatform *platform, char *path)
 {
-  g_autofree char *escaped = g_uri_escape_string (name, NULL, FALSE);
+  char *url = g_strconcat (platform->base_url, path, NULL);
 
-  return g_strdup_printf ("%s/v1/objects/%s/%s", platform->base_url,
-                          dp_kind_string (kind), escaped);
+  g_free (path);
+  return url;
 }
 
 static void
@@ -333,14 +369,15 @@
 static SoupMessage *
 make_message_ (Request *request)
 {
+  const DpPlatformDialect *dialect = request->platform->dialect;
   gboolean writes = request->type == REQUEST_WRITE && !request->reading_back;
-  const char *method = SOUP_METHOD_GET;
   SoupMessage *message;
-  char condition[32];
 
   if (writes)
-    method = request->value == NULL ? SOUP_METHOD_DELETE : SOUP_METHOD_PUT;
-  message = soup_message_new (method, request->url);
+    message = dialect->write_message (request->platform->base_url, request->kind,
+                                      request->name, request->version, request->value);
+  else
+    message = soup_message_new (SOUP_METHOD_GET, request->url);
   if (message == NULL)
     return NULL;
   /* libsoup itself repeats a request whose kept-alive connection was closed; a write must
@@ -349,22 +386,8 @@
     soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION
                                          | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE);
   soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
-  if (writes)
-    {
-      g_snprintf (condition, sizeof condition, "\"%" G_GUINT64_FORMAT "\"",
-                  request->version);
-      soup_message_headers_replace (soup_message_get_request_headers (message),
-                                    "If-Match", condition);
-    }
   if (writes && request->guard != NULL)
     g_signal_connect (message, "starting", G_CALLBACK (starting_), request);
-  if (writes && request->value != NULL)
-    {
-      char *text = dp_json_format (request->value);
-      g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
-
-      soup_message_set_request_body_from_bytes (message, "application/json", body);
-    }
   return message;
 }
 
@@ -455,7 +478,8 @@
 
   if (request->type == REQUEST_GET && status == SOUP_STATUS_OK)
     {
-      DpRecord *record = dp_answer_object (body, &error);
+      DpRecord *record = request->platform->dialect->read_object (body, request->kind,
+                                                                  &error);
 
       if (record != NULL)
         {
@@ -464,7 +488,10 @@
         }
     }
   else if (status == SOUP_STATUS_OK)
-    dp_answer_items (body, records, &revision, &error);
+    {
+      if (read_page_ (request, body, records, &revision, &error))
+        return;
+    }
   else if (request->type == REQUEST_WATCH && status == SOUP_STATUS_GONE)
     dp_error_set (&error, DP_ERROR_LIMIT, READ_STEP, request->platform->base_url,
                   "the history since revision %" G_GUINT64_FORMAT " is gone",
@@ -484,11 +511,49 @@
   finish_read_ (request, records, revision, error);
 }
 
+/* Takes over one page of a list or the events of a watch. TRUE if a further page has been
+ * asked for. */
+static gboolean
+read_page_ (Request *request,
+            GBytes *body,
+            GPtrArray *records,
+            guint64 *revision,
+            GError **error)
+{
+  const DpPlatformDialect *dialect = request->platform->dialect;
+  g_autofree char *after = NULL;
+
+  if (request->type == REQUEST_WATCH)
+    {
+      dialect->read_events (body, request->collection, records, revision, error);
+      return FALSE;
+    }
+  if (!dialect->read_list (body, request->collection, request->records, revision, &after,
+                           error))
+    return FALSE;
+  /* Changes between two pages are told again by a watch from the first page's revision.
+   */
+  if (request->first_revision == 0)
+    request->first_revision = *revision;
+  *revision = request->first_revision;
+  if (after != NULL)
+    {
+      g_free (request->url);
+      request->url = take_path_ (request->platform,
+                                 dialect->list_path (request->collection, after));
+      request->attempts = 0;
+      send_ (request);
+      return TRUE;
+    }
+  g_ptr_array_extend_and_steal (records, g_steal_pointer (&request->records));
+  return FALSE;
+}
+
 static void
 write_answered_ (Request *request, guint status, GBytes *body)
 {
+  const DpPlatformDialect *dialect = request->platform->dialect;
   g_autoptr (DpRecord) record = NULL;
-  g_autoptr (JsonNode) answer = NULL;
   g_autofree char *text = NULL;
   guint64 version;
 
@@ -498,27 +563,28 @@
                      NULL, "withdrawn");
       return;
     }
+  if (status == dialect->conflict_status)
+    {
+      record = dialect->read_object (body, request->kind, NULL);
+      /* An earlier attempt without an answer may be the one that was first. */
+      if (request->unanswered && is_intended_ (request, record))
+        finish_write_ (request, DP_WRITE_DONE, record, NULL);
+      else
+        finish_write_ (request, DP_WRITE_CONFLICT, record,
+                       "the object is at another version");
+      return;
+    }
   switch (status)
     {
     case SOUP_STATUS_OK:
     case SOUP_STATUS_CREATED:
-      answer = dp_answer_parse (body, NULL);
-      if (!dp_json_get_uint (dp_json_get_object (answer), "version", &version))
+      if (!dialect->read_written (body, &version))
         break;
       text = request->value == NULL ? g_strdup ("") : dp_json_format (request->value);
       record = dp_record_new (request->kind, request->name, version,
                               request->value == NULL, text, NULL);
       finish_write_ (request, DP_WRITE_DONE, record, NULL);
       return;
-    case SOUP_STATUS_PRECONDITION_FAILED:
-      record = dp_answer_object (body, NULL);
-      /* An earlier attempt without an answer may be the one that was first. */
-      if (request->unanswered && is_intended_ (request, record))
-        finish_write_ (request, DP_WRITE_DONE, record, NULL);
-      else
-        finish_write_ (request, DP_WRITE_CONFLICT, record,
-                       "the object is at another version");
-      return;
     case STATUS_TOO_MANY_REQUESTS:
       if (!retry_ (request))
         finish_write_ (request, request->unanswered ? DP_WRITE_UNKNOWN : DP_WRITE_REFUSED,
@@ -551,7 +617,7 @@
     }
   if (status == SOUP_STATUS_OK)
     {
-      record = dp_answer_object (body, &error);
+      record = request->platform->dialect->read_object (body, request->kind, &error);
       if (error != NULL)
         {
           finish_write_ (request, DP_WRITE_UNKNOWN, NULL, error->message);
--- a/src/libdogwoodpaddle/replica.c
+++ b/src/libdogwoodpaddle/replica.c
@@ -34,7 +34,8 @@
 static gint compare_names_ (gconstpointer a, gconstpointer b);
 static const DpRecord *held_ (const DpReplica *replica, DpKind kind, const char *name);
 static void notify_ (DpReplica *replica, const DpRecord *record);
-static void delete_absent_ (DpReplica *replica, GPtrArray *records, guint64 revision);
+static void
+delete_absent_ (DpReplica *replica, guint kinds, GPtrArray *records, guint64 revision);
 static DpRecord *project_ (DpRecord *record, const char *service);
 
 /* Returns the kind as in the platform's keys. */
@@ -216,12 +217,15 @@
  * lower revision and is not in the list was deleted meanwhile: it becomes a tombstone at
  * the list's revision. A list from before the replica's own revision deletes nothing. */
 void
-dp_replica_apply_list (DpReplica *replica, GPtrArray *records, guint64 revision)
+dp_replica_apply_list (DpReplica *replica,
+                       guint kinds,
+                       GPtrArray *records,
+                       guint64 revision)
 {
   for (guint i = 0; i < records->len; i++)
     dp_replica_apply (replica, g_ptr_array_index (records, i));
   if (revision >= replica->revision)
-    delete_absent_ (replica, records, revision);
+    delete_absent_ (replica, kinds, records, revision);
   dp_replica_set_revision (replica, revision);
 }
 
@@ -394,14 +398,18 @@
 }
 
 static void
-delete_absent_ (DpReplica *replica, GPtrArray *records, guint64 revision)
+delete_absent_ (DpReplica *replica, guint kinds, GPtrArray *records, guint64 revision)
 {
   g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
   g_autoptr (GPtrArray) absent = g_ptr_array_new_with_free_func (unref_record_);
 
   for (guint kind = 0; kind < DP_N_KINDS; kind++)
     {
-      g_autoptr (GPtrArray) held = dp_replica_list (replica, (DpKind) kind);
+      g_autoptr (GPtrArray) held = NULL;
+
+      if ((kinds & 1u << kind) == 0)
+        continue;
+      held = dp_replica_list (replica, (DpKind) kind);
 
       g_hash_table_remove_all (listed);
       for (guint i = 0; i < records->len; i++)
--- /dev/null
+++ b/src/libdogwoodpaddle/report.c
@@ -0,0 +1,327 @@
+#include "protected/report.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define VERSION 1
+#define TEXT_MAX 255     /* bytes of a name */
+#define MEMBERS_MAX 100  /* of one list, so that it fits into a datagram */
+#define BALANCERS_MAX 32 /* likewise */
+#define CHUNK 512        /* bytes of the texts' first block */
+
+/* Fields of a report and of a list's member, in their order. */
+enum
+{
+  REPORT_TYPE,
+  REPORT_VERSION,
+  REPORT_SERVICE,
+  REPORT_NAME,
+  REPORT_ZONE,
+  REPORT_IP,
+  REPORT_PORT,
+  REPORT_SLOTS,
+  REPORT_STATE,
+  REPORT_IN_FLIGHT,
+  REPORT_WARM_LEFT,
+  REPORT_LIST_HASH,
+  N_REPORT_FIELDS
+};
+
+enum
+{
+  LIST_TYPE,
+  LIST_VERSION,
+  LIST_SERVICE,
+  LIST_MEMBERS,
+  LIST_BALANCERS,
+  N_LIST_FIELDS
+};
+
+enum
+{
+  MEMBER_NAME,
+  MEMBER_ZONE,
+  MEMBER_IP,
+  MEMBER_PORT,
+  MEMBER_SLOTS,
+  MEMBER_STATE,
+  N_MEMBER_FIELDS
+};
+
+static void pack_text_ (msgpack_packer *packer, const char *text);
+static gsize finish_ (msgpack_sbuffer *buffer, guint8 *data);
+static gboolean decode_report_ (DpReportMessage *message, const msgpack_object *fields);
+static gboolean decode_list_ (DpReportMessage *message, const msgpack_object *fields);
+static gboolean
+decode_member_ (DpReportMessage *message, const msgpack_object *object, DpMember *member);
+static gboolean get_uint_ (const msgpack_object *object, guint64 max, guint64 *value);
+static gboolean
+get_text_ (DpReportMessage *message, const msgpack_object *object, const char **text);
+static gboolean
+get_address_ (const msgpack_object *ip, const msgpack_object *port, DpAddress *address);
+
+/* Encodes a report; returns its length in bytes, 0 if it does not fit. */
+gsize
+dp_report_encode (const DpReport *report, guint8 buffer[DP_REPORT_MAX])
+{
+  msgpack_sbuffer out;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, N_REPORT_FIELDS);
+  msgpack_pack_uint8 (&packer, DP_REPORT_LOAD);
+  msgpack_pack_uint8 (&packer, VERSION);
+  pack_text_ (&packer, report->service);
+  pack_text_ (&packer, report->name);
+  pack_text_ (&packer, report->zone);
+  msgpack_pack_uint32 (&packer, report->address.ip);
+  msgpack_pack_uint16 (&packer, report->address.port);
+  msgpack_pack_uint32 (&packer, report->slots);
+  msgpack_pack_uint8 (&packer, (guint8) report->state);
+  msgpack_pack_uint32 (&packer, report->in_flight);
+  msgpack_pack_uint32 (&packer, report->warm_left_ms);
+  msgpack_pack_uint64 (&packer, report->list_hash);
+  return finish_ (&out, buffer);
+}
+
+/* Encodes a list of at most MEMBERS_MAX members; returns its length in bytes, 0 if it
+ * does not fit. */
+gsize
+dp_member_list_encode (const DpMemberList *list, guint8 buffer[DP_REPORT_MAX])
+{
+  guint n_members = MIN (list->members->len, MEMBERS_MAX);
+  guint n_balancers = MIN (list->balancers->len, BALANCERS_MAX);
+  msgpack_sbuffer out;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, N_LIST_FIELDS);
+  msgpack_pack_uint8 (&packer, DP_REPORT_MEMBERS);
+  msgpack_pack_uint8 (&packer, VERSION);
+  pack_text_ (&packer, list->service);
+  msgpack_pack_array (&packer, n_members);
+  for (guint i = 0; i < n_members; i++)
+    {
+      const DpMember *m = &g_array_index (list->members, DpMember, i);
+
+      msgpack_pack_array (&packer, N_MEMBER_FIELDS);
+      pack_text_ (&packer, m->name);
+      pack_text_ (&packer, m->zone);
+      msgpack_pack_uint32 (&packer, m->address.ip);
+      msgpack_pack_uint16 (&packer, m->address.port);
+      msgpack_pack_uint32 (&packer, m->slots);
+      msgpack_pack_uint8 (&packer, (guint8) m->state);
+    }
+  msgpack_pack_array (&packer, 2 * (size_t) n_balancers);
+  for (guint i = 0; i < n_balancers; i++)
+    {
+      const DpAddress *address = &g_array_index (list->balancers, DpAddress, i);
+
+      msgpack_pack_uint32 (&packer, address->ip);
+      msgpack_pack_uint16 (&packer, address->port);
+    }
+  return finish_ (&out, buffer);
+}
+
+/* Decodes a datagram; FALSE if it is malformed. The message is to be cleared either way.
+ */
+gboolean
+dp_report_decode (DpReportMessage *message, const guint8 *data, gsize length)
+{
+  msgpack_unpacked unpacked;
+  size_t offset = 0;
+  guint64 type = 0;
+  guint64 version = 0;
+  gboolean valid = FALSE;
+
+  memset (message, 0, sizeof *message);
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, (const char *) data, length, &offset)
+          == MSGPACK_UNPACK_SUCCESS
+      && offset == length && unpacked.data.type == MSGPACK_OBJECT_ARRAY
+      && unpacked.data.via.array.size > REPORT_VERSION)
+    {
+      const msgpack_object *fields = unpacked.data.via.array.ptr;
+      guint n = unpacked.data.via.array.size;
+
+      message->texts = g_string_chunk_new (CHUNK);
+      valid = get_uint_ (&fields[REPORT_TYPE], DP_N_REPORT_TYPES - 1, &type)
+              && get_uint_ (&fields[REPORT_VERSION], VERSION, &version)
+              && version == VERSION;
+      if (valid && type == DP_REPORT_LOAD && n == N_REPORT_FIELDS)
+        valid = decode_report_ (message, fields);
+      else if (valid && type == DP_REPORT_MEMBERS && n == N_LIST_FIELDS)
+        valid = decode_list_ (message, fields);
+      else
+        valid = FALSE;
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  message->type = valid ? (DpReportType) type : DP_REPORT_NONE;
+  return valid;
+}
+
+/* Frees what a decoded message points to. */
+void
+dp_report_message_clear (DpReportMessage *message)
+{
+  g_clear_pointer (&message->list.members, g_array_unref);
+  g_clear_pointer (&message->list.balancers, g_array_unref);
+  g_clear_pointer (&message->texts, g_string_chunk_free);
+}
+
+/* Returns a hash of who the members are and what state they are in; it doesn't depend on
+ * their order. */
+guint64
+dp_member_list_hash (const DpMember *members, guint n_members)
+{
+  guint64 hash = n_members;
+
+  for (guint i = 0; i < n_members; i++)
+    hash += XXH3_64bits_withSeed (members[i].name, strlen (members[i].name),
+                                  members[i].state);
+  return hash;
+}
+
+static void
+pack_text_ (msgpack_packer *packer, const char *text)
+{
+  gsize length = strlen (text);
+
+  msgpack_pack_str (packer, length);
+  msgpack_pack_str_body (packer, text, length);
+}
+
+static gsize
+finish_ (msgpack_sbuffer *buffer, guint8 *data)
+{
+  gsize length = buffer->size <= DP_REPORT_MAX ? buffer->size : 0;
+
+  if (length > 0)
+    memcpy (data, buffer->data, length);
+  msgpack_sbuffer_destroy (buffer);
+  return length;
+}
+
+static gboolean
+decode_report_ (DpReportMessage *message, const msgpack_object *fields)
+{
+  DpReport *report = &message->report;
+  guint64 slots;
+  guint64 state;
+  guint64 in_flight;
+  guint64 warm_left;
+
+  if (!get_text_ (message, &fields[REPORT_SERVICE], &report->service)
+      || !get_text_ (message, &fields[REPORT_NAME], &report->name)
+      || !get_text_ (message, &fields[REPORT_ZONE], &report->zone)
+      || !get_address_ (&fields[REPORT_IP], &fields[REPORT_PORT], &report->address)
+      || !get_uint_ (&fields[REPORT_SLOTS], G_MAXUINT16, &slots)
+      || !get_uint_ (&fields[REPORT_STATE], DP_N_MEMBER_STATES - 1, &state)
+      || !get_uint_ (&fields[REPORT_IN_FLIGHT], G_MAXUINT32, &in_flight)
+      || !get_uint_ (&fields[REPORT_WARM_LEFT], G_MAXUINT32, &warm_left)
+      || !get_uint_ (&fields[REPORT_LIST_HASH], G_MAXUINT64, &report->list_hash))
+    return FALSE;
+  report->slots = (guint32) slots;
+  report->state = (DpMemberState) state;
+  report->in_flight = (guint32) in_flight;
+  report->warm_left_ms = (guint32) warm_left;
+  return TRUE;
+}
+
+static gboolean
+decode_list_ (DpReportMessage *message, const msgpack_object *fields)
+{
+  DpMemberList *list = &message->list;
+  const msgpack_object_array *members = &fields[LIST_MEMBERS].via.array;
+  const msgpack_object_array *balancers = &fields[LIST_BALANCERS].via.array;
+
+  if (fields[LIST_MEMBERS].type != MSGPACK_OBJECT_ARRAY
+      || fields[LIST_BALANCERS].type != MSGPACK_OBJECT_ARRAY
+      || members->size > MEMBERS_MAX || balancers->size > 2 * BALANCERS_MAX
+      || balancers->size % 2 != 0
+      || !get_text_ (message, &fields[LIST_SERVICE], &list->service))
+    return FALSE;
+  list->members = g_array_sized_new (FALSE, TRUE, sizeof (DpMember), members->size);
+  list->balancers = g_array_new (FALSE, TRUE, sizeof (DpAddress));
+  for (guint i = 0; i < members->size; i++)
+    {
+      DpMember member = { 0 };
+
+      if (!decode_member_ (message, &members->ptr[i], &member))
+        return FALSE;
+      g_array_append_val (list->members, member);
+    }
+  for (guint i = 0; i < balancers->size; i += 2)
+    {
+      DpAddress address;
+
+      if (!get_address_ (&balancers->ptr[i], &balancers->ptr[i + 1], &address))
+        return FALSE;
+      g_array_append_val (list->balancers, address);
+    }
+  return TRUE;
+}
+
+static gboolean
+decode_member_ (DpReportMessage *message, const msgpack_object *object, DpMember *member)
+{
+  const msgpack_object *fields = object->via.array.ptr;
+  const char *name;
+  const char *zone;
+  guint64 slots;
+  guint64 state;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != N_MEMBER_FIELDS
+      || !get_text_ (message, &fields[MEMBER_NAME], &name)
+      || !get_text_ (message, &fields[MEMBER_ZONE], &zone)
+      || !get_address_ (&fields[MEMBER_IP], &fields[MEMBER_PORT], &member->address)
+      || !get_uint_ (&fields[MEMBER_SLOTS], G_MAXUINT16, &slots)
+      || !get_uint_ (&fields[MEMBER_STATE], DP_N_MEMBER_STATES - 1, &state))
+    return FALSE;
+  member->name = (char *) name;
+  member->zone = (char *) zone;
+  member->id = dp_member_id (name);
+  member->slots = (guint32) slots;
+  member->state = (DpMemberState) state;
+  return TRUE;
+}
+
+static gboolean
+get_uint_ (const msgpack_object *object, guint64 max, guint64 *value)
+{
+  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 > max)
+    return FALSE;
+  *value = object->via.u64;
+  return TRUE;
+}
+
+/* A text without a NUL, not empty. */
+static gboolean
+get_text_ (DpReportMessage *message, const msgpack_object *object, const char **text)
+{
+  const msgpack_object_str *str = &object->via.str;
+
+  if (object->type != MSGPACK_OBJECT_STR || str->size == 0 || str->size > TEXT_MAX
+      || memchr (str->ptr, '\0', str->size) != NULL)
+    return FALSE;
+  *text = g_string_chunk_insert_len (message->texts, str->ptr, str->size);
+  return TRUE;
+}
+
+static gboolean
+get_address_ (const msgpack_object *ip, const msgpack_object *port, DpAddress *address)
+{
+  guint64 ip_value;
+  guint64 port_value;
+
+  if (!get_uint_ (ip, G_MAXUINT32, &ip_value) || ip_value == 0
+      || !get_uint_ (port, G_MAXUINT16, &port_value) || port_value == 0)
+    return FALSE;
+  *address = (DpAddress){ (guint32) ip_value, (guint16) port_value };
+  return TRUE;
+}
--- a/src/libdogwoodpaddle/router.c
+++ b/src/libdogwoodpaddle/router.c
@@ -5,7 +5,9 @@
 #include "protected/candidates.h"
 
 #define FIRST_SIZE 64 /* rows of the address table, a power of two */
-#define INDEX_BITS 16 /* of a row: the service's index + 1 */
+#define INDEX_BITS 14 /* of a row: the service's index + 1 */
+#define CLASS_BITS 2  /* of a row: the address's class */
+#define VALUE_BITS (INDEX_BITS + CLASS_BITS)
 #define SERVICES_MAX ((1u << INDEX_BITS) - 1)
 #define ROW_FREE 0
 
@@ -16,11 +18,11 @@
   guint64 id;
   guint64 revision; /* of the member list */
   char *name;
-  GArray *addresses; /* DpAddress */
+  GArray *addresses; /* DpServiceAddress */
 } Service;
 
-/* A row of the address table: ip, port and the service's index + 1 in 32, 16 and 16 bits.
- * Linear probing, at most half full. */
+/* A row of the address table: ip, port, class and the service's index + 1 in 32, 16, 2
+ * and 14 bits. Linear probing, at most half full. */
 typedef guint64 Row;
 
 struct _DpRouter
@@ -37,14 +39,16 @@
 static Service *get_service_ (DpRouter *router, const char *name);
 static void clear_service_ (Service *service);
 static void rebuild_ (DpRouter *router);
-static void insert_ (DpRouter *router, const DpAddress *address, guint service);
+static void insert_ (DpRouter *router, const DpServiceAddress *address, guint service);
 static guint64 key_ (const DpAddress *address);
 static guint home_ (const DpRouter *router, guint64 key);
+static Row find_row_ (const DpRouter *router, const DpAddress *address);
 static const Service *find_ (const DpRouter *router, const DpAddress *address);
 
 static const char *const result_strings_[] = { "forward", "unknown_address",
                                                "no_member" };
 
+G_STATIC_ASSERT (DP_N_CLASSES <= 1u << CLASS_BITS);
 G_STATIC_ASSERT (G_N_ELEMENTS (result_strings_) == DP_ROUTE_NO_MEMBER + 1);
 
 /* Creates a router without services. */
@@ -77,7 +81,7 @@
 void
 dp_router_set_addresses (DpRouter *router,
                          const char *service,
-                         const DpAddress *addresses,
+                         const DpServiceAddress *addresses,
                          guint n_addresses)
 {
   Service *s = get_service_ (router, service);
@@ -156,6 +160,25 @@
   return DP_ROUTE_FORWARD;
 }
 
+/* Gives the service of an address and the address's class; FALSE if no service has it. */
+gboolean
+dp_router_find (DpRouter *router,
+                const DpAddress *address,
+                guint64 *service_id,
+                DpClass *class)
+{
+  Row row;
+
+  if (G_UNLIKELY (router->stale))
+    rebuild_ (router);
+  row = find_row_ (router, address);
+  if (row == ROW_FREE)
+    return FALSE;
+  *service_id = router->services[(row & SERVICES_MAX) - 1].id;
+  *class = (DpClass) ((row >> INDEX_BITS) & ((1u << CLASS_BITS) - 1));
+  return TRUE;
+}
+
 /* Returns the result's name. */
 const char *
 dp_route_result_string (DpRouteResult result)
@@ -177,7 +200,7 @@
       const DpView *view;
 
       if (s->name != NULL)
-        bytes += s->addresses->len * sizeof (DpAddress);
+        bytes += s->addresses->len * sizeof (DpServiceAddress);
       if (s->candidates == NULL)
         continue;
       view = dp_candidates_view (s->candidates);
@@ -207,7 +230,7 @@
   s = &router->services[index];
   *s = (Service){ .name = g_strdup (name),
                   .id = dp_service_id (name),
-                  .addresses = g_array_new (FALSE, FALSE, sizeof (DpAddress)) };
+                  .addresses = g_array_new (FALSE, FALSE, sizeof (DpServiceAddress)) };
   g_hash_table_insert (router->indices, s->name, GUINT_TO_POINTER (index + 1));
   return s;
 }
@@ -243,17 +266,17 @@
       const GArray *addresses = router->services[i].addresses;
 
       for (guint j = 0; router->services[i].name != NULL && j < addresses->len; j++)
-        insert_ (router, &g_array_index (addresses, DpAddress, j), i);
+        insert_ (router, &g_array_index (addresses, DpServiceAddress, j), i);
     }
 }
 
 static void
-insert_ (DpRouter *router, const DpAddress *address, guint service)
+insert_ (DpRouter *router, const DpServiceAddress *address, guint service)
 {
-  guint64 key = key_ (address);
+  guint64 key = key_ (&address->address);
   guint i = home_ (router, key);
 
-  while (router->rows[i] != ROW_FREE && router->rows[i] >> INDEX_BITS != key)
+  while (router->rows[i] != ROW_FREE && router->rows[i] >> VALUE_BITS != key)
     i = (i + 1) & (router->size - 1);
   if (router->rows[i] != ROW_FREE)
     {
@@ -262,7 +285,8 @@
       if (strcmp (router->services[other].name, router->services[service].name) < 0)
         return;
     }
-  router->rows[i] = key << INDEX_BITS | (service + 1);
+  router->rows[i] = key << VALUE_BITS | (Row) address->class << INDEX_BITS
+                    | (service + 1);
 }
 
 static guint64
@@ -280,17 +304,22 @@
          & (router->size - 1);
 }
 
-static const Service *
-find_ (const DpRouter *router, const DpAddress *address)
+/* Returns the address's row, ROW_FREE if it has none. */
+static Row
+find_row_ (const DpRouter *router, const DpAddress *address)
 {
   guint64 key = key_ (address);
   guint i = home_ (router, key);
 
-  while (router->rows[i] >> INDEX_BITS != key || router->rows[i] == ROW_FREE)
-    {
-      if (router->rows[i] == ROW_FREE)
-        return NULL;
-      i = (i + 1) & (router->size - 1);
-    }
-  return &router->services[(router->rows[i] & SERVICES_MAX) - 1];
+  while (router->rows[i] != ROW_FREE && router->rows[i] >> VALUE_BITS != key)
+    i = (i + 1) & (router->size - 1);
+  return router->rows[i];
+}
+
+static const Service *
+find_ (const DpRouter *router, const DpAddress *address)
+{
+  Row row = find_row_ (router, address);
+
+  return row == ROW_FREE ? NULL : &router->services[(row & SERVICES_MAX) - 1];
 }
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -11,6 +11,7 @@
 struct _DpWatch
 {
   DpPlatform *platform;
+  guint collection;
   DpReplica *replica;
   DpWatchListener listener;
   gpointer user_data;
@@ -37,6 +38,7 @@
 /* Creates a watch that is not active. */
 DpWatch *
 dp_watch_new (DpPlatform *platform,
+              guint collection,
               DpReplica *replica,
               DpMetrics *metrics,
               const DpWatchListener *listener,
@@ -45,6 +47,7 @@
   DpWatch *watch = g_new0 (DpWatch, 1);
 
   watch->platform = platform;
+  watch->collection = collection;
   watch->replica = replica;
   watch->listener = *listener;
   watch->user_data = user_data;
@@ -124,9 +127,10 @@
   watch->timer = 0;
   watch->listing = !watch->listed;
   if (watch->listing)
-    dp_platform_list (watch->platform, answered_, watch);
+    dp_platform_list (watch->platform, watch->collection, answered_, watch);
   else
-    dp_platform_watch (watch->platform, watch->since, WATCH_MS, answered_, watch);
+    dp_platform_watch (watch->platform, watch->collection, watch->since, WATCH_MS,
+                       answered_, watch);
   return G_SOURCE_REMOVE;
 }
 
@@ -172,6 +176,9 @@
 static void
 take_answer_ (DpWatch *watch, GPtrArray *records, guint64 revision)
 {
+  const DpPlatformCollection *collection = dp_platform_collection (watch->platform,
+                                                                   watch->collection);
+
   note_revision_ (watch, revision);
   /* A platform that went back has to be listed: what it wrote before its present revision
    * isn't known from its watch. */
@@ -180,8 +187,8 @@
   else
     watch->listed = TRUE;
   watch->since = revision;
-  if (watch->listing)
-    dp_replica_apply_list (watch->replica, records, revision);
+  if (watch->listing || (collection->snapshot && records->len > 0))
+    dp_replica_apply_list (watch->replica, collection->kinds, records, revision);
   else
     {
       for (guint i = 0; i < records->len; i++)
--- a/src/test_libdogwoodpaddle/driver.c
+++ b/src/test_libdogwoodpaddle/driver.c
@@ -242,14 +242,11 @@
 driver_replace_balancer (Driver *driver, guint balancer)
 {
   Balancer *b = &driver->balancers[balancer];
-  DpAddress addresses[DP_N_CLASSES];
 
-  for (guint i = 0; i < DP_N_CLASSES; i++)
-    addresses[i] = driver->addresses[i].address;
   g_clear_pointer (&b->router, dp_router_free);
   b->router = dp_router_new ();
   b->alive = TRUE;
-  dp_router_set_addresses (b->router, driver->service, addresses, DP_N_CLASSES);
+  dp_router_set_addresses (b->router, driver->service, driver->addresses, DP_N_CLASSES);
   driver_update_balancer (driver, balancer);
   trace_ (driver, "balancer-%u starts", balancer + 1);
 }
--- a/src/test_libdogwoodpaddle/test_platform.c
+++ b/src/test_libdogwoodpaddle/test_platform.c
@@ -269,7 +269,7 @@
 static void
 watch (Fixture *f, guint64 since, guint timeout_ms)
 {
-  dp_platform_watch (f->platform, since, timeout_ms, was_read, f);
+  dp_platform_watch (f->platform, 0, since, timeout_ms, was_read, f);
 }
 
 static void
@@ -324,7 +324,7 @@
   watch (&f, 4, 0);
   wait_done (&f);
   CU_ASSERT_EQUAL (f.n_records, 1);
-  dp_platform_list (f.platform, was_read, &f);
+  dp_platform_list (f.platform, 0, was_read, &f);
   wait_done (&f);
   CU_ASSERT_EQUAL (f.n_records, 1);
   CU_ASSERT_EQUAL (f.version, 5);
@@ -374,7 +374,7 @@
 
   set_up (&f);
   watch (&f, 0, 10000);
-  dp_platform_list (f.platform, was_read, &f);
+  dp_platform_list (f.platform, 0, was_read, &f);
   dp_platform_write (f.platform, DP_KIND_SERVICE, "a", 0, value, written, &f);
   g_main_context_iteration (NULL, FALSE);
   dp_platform_free (f.platform);
--- a/src/test_libdogwoodpaddle/test_replica.c
+++ b/src/test_libdogwoodpaddle/test_replica.c
@@ -2,6 +2,8 @@
 #include "protected/replica.h"
 #include "runner.h"
 
+#define ALL_KINDS ((1u << DP_N_KINDS) - 1)
+
 static gboolean
 apply (DpReplica *replica,
        DpKind kind,
@@ -69,7 +71,7 @@
   apply (replica, DP_KIND_SERVICE, "newer", 12, "{}");
   apply (replica, DP_KIND_MEMBERS, "kept", 4, "{}");
   g_ptr_array_add (listed, dp_record_new (DP_KIND_SERVICE, "kept", 2, FALSE, "{}", NULL));
-  dp_replica_apply_list (replica, listed, 10);
+  dp_replica_apply_list (replica, ALL_KINDS, listed, 10);
   CU_ASSERT_PTR_NOT_NULL (dp_replica_get (replica, DP_KIND_SERVICE, "kept"));
   CU_ASSERT_PTR_NULL (dp_replica_get (replica, DP_KIND_SERVICE, "gone"));
   CU_ASSERT_PTR_NULL (dp_replica_get (replica, DP_KIND_MEMBERS, "kept"));
@@ -78,7 +80,7 @@
   CU_ASSERT_EQUAL (left->len, 3);
   /* A platform restored to an older state deletes nothing. */
   g_ptr_array_set_size (listed, 0);
-  dp_replica_apply_list (replica, listed, 5);
+  dp_replica_apply_list (replica, ALL_KINDS, listed, 5);
   CU_ASSERT_PTR_NOT_NULL (dp_replica_get (replica, DP_KIND_SERVICE, "kept"));
   CU_ASSERT_EQUAL (dp_replica_revision (replica), 10);
 }
--- a/src/test_libdogwoodpaddle/test_router.c
+++ b/src/test_libdogwoodpaddle/test_router.c
@@ -26,6 +26,14 @@
   return dp_view_new (service, revision, members, N_PER_SERVICE);
 }
 
+static void
+set_address (DpRouter *router, const char *service, const DpAddress *address)
+{
+  const DpServiceAddress declared = { *address, DP_CLASS_INTERACTIVE, 0 };
+
+  dp_router_set_addresses (router, service, &declared, 1);
+}
+
 static DpRouter *
 make_router (void)
 {
@@ -33,8 +41,8 @@
   g_autoptr (DpView) a = make_view ("darbnica", 5, 0x7f010100, DP_MEMBER_LEAVING);
   g_autoptr (DpView) b = make_view ("rokasgramata", 6, 0x7f020100, DP_MEMBER_ACTIVE);
 
-  dp_router_set_addresses (router, "darbnica", &reports_, 1);
-  dp_router_set_addresses (router, "rokasgramata", &manuals_, 1);
+  set_address (router, "darbnica", &reports_);
+  set_address (router, "rokasgramata", &manuals_);
   dp_router_set_view (router, a);
   dp_router_set_view (router, b);
   return router;
@@ -87,7 +95,7 @@
   DpRoute route;
 
   CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_UNKNOWN_ADDRESS);
-  dp_router_set_addresses (router, "tuksa", &other_, 1);
+  set_address (router, "tuksa", &other_);
   CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_NO_MEMBER);
   dp_router_set_view (router, empty);
   CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_NO_MEMBER);
@@ -123,10 +131,8 @@
       DpSegment segment = make_segment (1, &other_, DP_TCP_ACK);
       DpRoute route;
 
-      dp_router_set_addresses (router, order == 0 ? "darbnica" : "rokasgramata", &other_,
-                               1);
-      dp_router_set_addresses (router, order == 0 ? "rokasgramata" : "darbnica", &other_,
-                               1);
+      set_address (router, order == 0 ? "darbnica" : "rokasgramata", &other_);
+      set_address (router, order == 0 ? "rokasgramata" : "darbnica", &other_);
       CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_FORWARD);
       CU_ASSERT_EQUAL (route.header.service_id, dp_service_id ("darbnica"));
     }
@@ -136,17 +142,24 @@
 test_many_addresses (void)
 {
   g_autoptr (DpRouter) router = make_router ();
-  DpAddress addresses[3100];
+  DpServiceAddress addresses[3100];
   DpRoute route;
 
   for (guint i = 0; i < G_N_ELEMENTS (addresses); i++)
-    addresses[i] = (DpAddress){ 0x0a500000 + i / 2, (guint16) (80 + i % 2) };
+    addresses[i] = (DpServiceAddress){ { 0x0a500000 + i / 2, (guint16) (80 + i % 2) },
+                                       (DpClass) (i % DP_N_CLASSES),
+                                       0 };
   dp_router_set_addresses (router, "darbnica", addresses, G_N_ELEMENTS (addresses));
   for (guint i = 0; i < G_N_ELEMENTS (addresses); i++)
     {
-      DpSegment segment = make_segment (i, &addresses[i], DP_TCP_ACK);
+      DpSegment segment = make_segment (i, &addresses[i].address, DP_TCP_ACK);
+      guint64 service_id = 0;
+      DpClass class = DP_N_CLASSES;
 
       CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_FORWARD);
+      CU_ASSERT (dp_router_find (router, &addresses[i].address, &service_id, &class));
+      CU_ASSERT_EQUAL (service_id, dp_service_id ("darbnica"));
+      CU_ASSERT_EQUAL (class, addresses[i].class);
     }
 }
 
