Bound how long a change of the configuration may stay unnoticed

Ruled out: a refused or lost call (the log shows the watch waiting and then 410). A watch now waits for a third of config_apply_ms at most.

--- a/src/libdogwoodpaddle/include/private/watch.h
+++ b/src/libdogwoodpaddle/include/private/watch.h
@@ -5,6 +5,9 @@
 #include "protected/platform.h"
 #include "protected/replica.h"
 
+/* Longest time for which the platform may hold a watch open. */
+#define DP_WATCH_MAX_MS 30000
+
 typedef struct _DpWatch DpWatch;
 
 typedef struct
@@ -15,6 +18,7 @@
 
 DpWatch *dp_watch_new (DpPlatform *platform,
                        guint collection,
+                       guint wait_ms,
                        DpReplica *replica,
                        DpMetrics *metrics,
                        const DpWatchListener *listener,
--- a/src/libdogwoodpaddle/include/protected/passbalancer.h
+++ b/src/libdogwoodpaddle/include/protected/passbalancer.h
@@ -24,6 +24,7 @@
   DpPlatform *platform;
   guint services;  /* the platform's collection with the services */
   guint balancers; /* the one with the balancers */
+  guint apply_ms;  /* within which a change of the services has to be in force */
   DpClock *clock;
   DpMetrics *metrics;
 } DpPassBalancerOptions;
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -12,6 +12,8 @@
  * balancer of today. */
 #define CACHED_FLOWS 16384
 #define TICK_MS 500
+/* A change that a watch misses is found by the next one, with time left for a read. */
+#define WATCHES_PER_BOUND 3
 /* Clients send copies of a SYN 200 and 600 ms after it and give up after 1.4 s. */
 #define COPIES_MS 1500
 /* Within this time after a start nobody is rejected because there is no member: reports
@@ -233,9 +235,9 @@
   balancer->balancers = dp_replica_new ();
   balancer->replica_listener = dp_replica_add_listener (balancer->services,
                                                         service_changed_, balancer);
-  balancer->watch = dp_watch_new (options->platform, options->services,
-                                  balancer->services, options->metrics, &listener,
-                                  balancer);
+  balancer->watch = dp_watch_new (
+      options->platform, options->services, options->apply_ms / WATCHES_PER_BOUND,
+      balancer->services, options->metrics, &listener, balancer);
   balancer->entry = dp_balancer_entry_new (&self, balancer->balancers, options->platform,
                                            entry_settled_, balancer);
   balancer->router = dp_router_new ();
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -14,6 +14,8 @@
 /* Others hear of every fourth report only: they send flows here when theirs is full. */
 #define FAR_EVERY 4
 #define TICK_MS 1000
+/* Half of the history that the platform keeps. */
+#define WATCH_MS 10000
 /* A server that misses more of its heartbeats than this no longer takes new flows. */
 #define HEARTBEATS_MISSED 3
 /* So that every balancer hears that this member is leaving before it ends. */
@@ -261,7 +263,7 @@
   companion->replica = dp_replica_new ();
   companion->replica_listener = dp_replica_add_listener (companion->replica,
                                                          balancer_changed_, companion);
-  companion->watch = dp_watch_new (options->platform, options->balancers,
+  companion->watch = dp_watch_new (options->platform, options->balancers, WATCH_MS,
                                    companion->replica, options->metrics, &listener,
                                    companion);
   read_balancers_ (companion);
--- a/src/libdogwoodpaddle/relay.c
+++ b/src/libdogwoodpaddle/relay.c
@@ -124,7 +124,8 @@
     {
       static const DpWatchListener listener = { watch_reachable_, watch_progressed_ };
 
-      relay->watch = dp_watch_new (platform, 0, replica, metrics, &listener, relay);
+      relay->watch = dp_watch_new (platform, 0, DP_WATCH_MAX_MS, replica, metrics,
+                                   &listener, relay);
     }
   return relay;
 }
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -3,7 +3,6 @@
 #include "protected/backoff.h"
 #include "protected/error.h"
 
-#define WATCH_MS 30000 /* that the platform may hold a watch open */
 #define SPACING_MS 100 /* between two watches: bounds the calls at many writes */
 #define RETRY_FIRST_MS 200
 #define RETRY_MAX_MS 5000
@@ -12,6 +11,7 @@
 {
   DpPlatform *platform;
   guint collection;
+  guint wait_ms;
   DpReplica *replica;
   DpWatchListener listener;
   gpointer user_data;
@@ -35,10 +35,13 @@
 static void take_answer_ (DpWatch *watch, GPtrArray *records, guint64 revision);
 static void note_revision_ (DpWatch *watch, guint64 revision);
 
-/* Creates a watch that is not active. */
+/* Creates a watch that is not active. A call is held open for at most wait_ms: a platform
+ * that has lost the history since the watched revision may say so only when the call
+ * ends, so that this bounds how long a change may stay unnoticed. */
 DpWatch *
 dp_watch_new (DpPlatform *platform,
               guint collection,
+              guint wait_ms,
               DpReplica *replica,
               DpMetrics *metrics,
               const DpWatchListener *listener,
@@ -48,6 +51,7 @@
 
   watch->platform = platform;
   watch->collection = collection;
+  watch->wait_ms = wait_ms;
   watch->replica = replica;
   watch->listener = *listener;
   watch->user_data = user_data;
@@ -129,7 +133,7 @@
   if (watch->listing)
     dp_platform_list (watch->platform, watch->collection, answered_, watch);
   else
-    dp_platform_watch (watch->platform, watch->collection, watch->since, WATCH_MS,
+    dp_platform_watch (watch->platform, watch->collection, watch->since, watch->wait_ms,
                        answered_, watch);
   return G_SOURCE_REMOVE;
 }
