End the search of a SYN that comes around, merge the lists of balancers

Cause 2: the list of a balancer that had just started, with the few members that it had heard of, replaced the companion's whole list. Ruled out: the servers' own queues (in_flight was below the bound on those members).

Decisions on flows are now logged within a rate.

--- /dev/null
+++ b/src/libdogwoodpaddle/flowlog.c
@@ -0,0 +1,121 @@
+#include "protected/flowlog.h"
+
+#include <stdarg.h>
+
+/* Lines a second of one process. A line takes about 10 us, so that failures take at most
+ * 0.1% of a core and 7 KB/s of log, and the sample as much again. */
+#define LINES_PER_S 20
+/* One flow in so many has its normal decisions logged in every process: all of them
+ * choose by the flow's hash. */
+#define SAMPLE 256
+
+struct _DpFlowLog
+{
+  DpClock *clock;
+  gint64 second; /* us, start of the second that is counted */
+  guint written[DP_N_FLOW_LOG_KINDS];
+  guint suppressed;
+  DpMetric *suppressed_total;
+};
+
+static void begin_second_ (DpFlowLog *log, gint64 now);
+
+/* Creates a log that has written nothing yet. */
+DpFlowLog *
+dp_flow_log_new (DpClock *clock, DpMetrics *metrics)
+{
+  DpFlowLog *log = g_new0 (DpFlowLog, 1);
+
+  log->clock = clock;
+  log->second = dp_clock_now (clock);
+  log->suppressed_total = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                          "dogwoodpaddle_log_lines_suppressed_total", "",
+                                          "Lines about flows beyond the log's rate");
+  return log;
+}
+
+/* Frees the log. */
+void
+dp_flow_log_free (DpFlowLog *log)
+{
+  g_free (log);
+}
+
+/* Returns whether the flow belongs to the sample, or failed, and the rate allows a line.
+ */
+gboolean
+dp_flow_log_admits (DpFlowLog *log, DpFlowLogKind kind, const DpSegment *segment)
+{
+  gint64 now;
+
+  if (kind == DP_FLOW_LOG_NORMAL && segment->hash % SAMPLE != 0)
+    return FALSE;
+  now = dp_clock_now (log->clock);
+  if (now - log->second >= DP_US_PER_S)
+    begin_second_ (log, now);
+  if (log->written[kind] < LINES_PER_S)
+    {
+      log->written[kind]++;
+      return TRUE;
+    }
+  log->suppressed++;
+  dp_metric_increment (log->suppressed_total);
+  return FALSE;
+}
+
+/* Writes a structured line. Its flow id is the same in every process. */
+void
+dp_flow_log_write (const DpSegment *segment,
+                   const char *action,
+                   const char *reason,
+                   const char *inputs,
+                   ...)
+{
+  char id[DP_FLOW_ID_STRLEN];
+  char client[DP_ADDRESS_STRLEN];
+  char service[DP_ADDRESS_STRLEN];
+  char seq[16];
+  char text[256];
+  const GLogField fields[] = {
+    { "MESSAGE", "flow", -1 },
+    { "PRIORITY", "6", -1 },
+    { "GLIB_DOMAIN", G_LOG_DOMAIN, -1 },
+    { "FLOW", id, -1 },
+    { "CLIENT", client, -1 },
+    { "SERVICE", service, -1 },
+    { "SEQ", seq, -1 },
+    { "ACTION", action, -1 },
+    { "REASON", reason, -1 },
+    { "INPUTS", text, -1 },
+  };
+  va_list arguments;
+
+  dp_flow_id_format (&segment->key, id);
+  dp_address_format (&segment->key.client, client);
+  dp_address_format (&segment->key.service, service);
+  g_snprintf (seq, sizeof seq, "%u", segment->seq);
+  va_start (arguments, inputs);
+  g_vsnprintf (text, sizeof text, inputs, arguments);
+  va_end (arguments);
+  g_log_structured_array (G_LOG_LEVEL_INFO, fields, G_N_ELEMENTS (fields));
+}
+
+/* Writes the flow's id: the hash of its four addresses and ports. */
+const char *
+dp_flow_id_format (const DpFlowKey *key, char buffer[DP_FLOW_ID_STRLEN])
+{
+  g_snprintf (buffer, DP_FLOW_ID_STRLEN, "%016" G_GINT64_MODIFIER "x",
+              dp_flow_key_hash (key));
+  return buffer;
+}
+
+static void
+begin_second_ (DpFlowLog *log, gint64 now)
+{
+  if (log->suppressed > 0)
+    g_message ("%u lines about flows were suppressed", log->suppressed);
+  log->second = now;
+  log->suppressed = 0;
+  for (guint i = 0; i < DP_N_FLOW_LOG_KINDS; i++)
+    log->written[i] = 0;
+}
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -2,8 +2,9 @@
 
 #include "private/balancerentry.h"
 #include "private/watch.h"
-#include "protected/flowcache.h"
 #include "protected/fleet.h"
+#include "protected/flowcache.h"
+#include "protected/flowlog.h"
 #include "protected/packetport.h"
 #include "protected/placement.h"
 #include "protected/router.h"
@@ -45,6 +46,7 @@
   DpRouter *router;
   DpPlacement *placement;
   DpFlowCache *cache;
+  DpFlowLog *log;
   DpPacketPort *data;
   DpPacketPort *report;
   GHashTable *stale;  /* names of services to take over */
@@ -89,6 +91,10 @@
                                 DpHandle member,
                                 gint64 now);
 static void note_end_ (DpPassBalancer *balancer, DpCachedFlow *flow);
+static void log_failure_ (DpPassBalancer *balancer,
+                          const DpSegment *segment,
+                          gboolean rejected,
+                          Drop reason);
 static void reject_ (DpPassBalancer *balancer, const DpSegment *segment);
 static void received_report_ (const DpAddress *source,
                               guint8 *data,
@@ -159,6 +165,7 @@
   dp_packet_port_free (balancer->data);
   dp_packet_port_free (balancer->report);
   dp_flow_cache_free (balancer->cache);
+  dp_flow_log_free (balancer->log);
   dp_placement_free (balancer->placement);
   dp_router_free (balancer->router);
   dp_replica_free (balancer->services);
@@ -243,6 +250,7 @@
   balancer->router = dp_router_new ();
   balancer->placement = dp_placement_new (balancer->zone);
   balancer->cache = dp_flow_cache_new (CACHED_FLOWS);
+  balancer->log = dp_flow_log_new (options->clock, options->metrics);
   balancer->stale = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   balancer->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -382,8 +390,11 @@
 
   if (!dp_router_find (balancer->router, &segment->key.service, &service_id, &class))
     {
+      gboolean certain = balancer->configured && dp_watch_reachable (balancer->watch);
+
       dp_metric_increment (balancer->drops[DROP_NO_ROUTE]);
-      if (balancer->configured && dp_watch_reachable (balancer->watch))
+      log_failure_ (balancer, segment, certain, DROP_NO_ROUTE);
+      if (certain)
         reject_ (balancer, segment);
       return NULL;
     }
@@ -391,8 +402,11 @@
                                 now);
   if (member == DP_HANDLE_NONE)
     {
+      gboolean certain = now - balancer->started_at > GATHER_US;
+
       dp_metric_increment (balancer->drops[DROP_NO_MEMBER]);
-      if (now - balancer->started_at > GATHER_US)
+      log_failure_ (balancer, segment, certain, DROP_NO_MEMBER);
+      if (certain)
         reject_ (balancer, segment);
       return NULL;
     }
@@ -400,6 +414,17 @@
   hop->class = (guint8) class;
   flow = remember_ (balancer, segment, hop, member, now);
   flow->placed = TRUE;
+  if (dp_flow_log_admits (balancer->log, DP_FLOW_LOG_NORMAL, segment))
+    {
+      char address[DP_ADDRESS_STRLEN];
+      DpAddress target = { 0 };
+
+      dp_placement_address (balancer->placement, member, &target);
+      dp_flow_log_write (segment, "to_member", "placed",
+                         "member=%s class=%s services_revision=%" G_GUINT64_FORMAT,
+                         dp_address_format (&target, address), dp_class_string (class),
+                         dp_replica_revision (balancer->services));
+    }
   dp_placement_opened (balancer->placement, member);
   dp_metric_increment (balancer->placed);
   return flow;
@@ -458,6 +483,21 @@
   flow->placed = FALSE;
 }
 
+static void
+log_failure_ (DpPassBalancer *balancer,
+              const DpSegment *segment,
+              gboolean rejected,
+              Drop reason)
+{
+  if (dp_flow_log_admits (balancer->log, DP_FLOW_LOG_FAILURE, segment))
+    dp_flow_log_write (segment, rejected ? "reset" : "drop", drop_strings_[reason],
+                       "services_revision=%" G_GUINT64_FORMAT
+                       " members=%u platform_reachable=%d",
+                       dp_replica_revision (balancer->services),
+                       dp_placement_n_members (balancer->placement),
+                       dp_watch_reachable (balancer->watch));
+}
+
 /* Answers a SYN with a reset: nothing has run. */
 static void
 reject_ (DpPassBalancer *balancer, const DpSegment *segment)
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "private/watch.h"
+#include "protected/flowlog.h"
 #include "protected/packetport.h"
 #include "protected/passthrough.h"
 #include "protected/report.h"
@@ -18,6 +19,9 @@
 #define WATCH_MS 10000
 /* A server that misses more of its heartbeats than this no longer takes new flows. */
 #define HEARTBEATS_MISSED 3
+/* A member that is absent from the lists of all balancers for so long is no longer one.
+ * A balancer that has just started, or is cut off, lists only those that it has heard. */
+#define ABSENT_US (3 * DP_US_PER_S)
 /* So that every balancer hears that this member is leaving before it ends. */
 #define STOP_MIN_MS 500
 /* Platforms kill a process some seconds after they ask it to stop; 6 s is the shortest.
@@ -32,6 +36,14 @@
   gboolean near;
 } Balancer;
 
+/* A member of the service that a balancer has listed. */
+typedef struct
+{
+  DpMember member;     /* owns its texts */
+  gint64 listed_at;    /* us */
+  gint64 absent_since; /* us of the first list without it since then, 0: none */
+} KnownMember;
+
 struct _DpPassCompanion
 {
   DpPassCompanionOptions options;
@@ -40,7 +52,9 @@
   char *zone;
   GArray *first_balancers; /* Balancer, until the platform lists some */
   GArray *balancers;       /* Balancer */
+  GHashTable *members;     /* KnownMember by its name */
   DpPassthrough *passthrough;
+  DpFlowLog *log;
   DpReplica *replica; /* of the collection balancers */
   DpWatch *watch;
   DpPacketPort *data;
@@ -82,9 +96,16 @@
                         const DpSegment *segment,
                         guint8 *data,
                         gsize length);
+static void log_decision_ (DpPassCompanion *companion,
+                           const DpPassDecision *decision,
+                           const DpSegment *segment);
 static void
 received_list_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data);
-static void take_members_ (DpPassCompanion *companion, const DpMemberList *list);
+static void
+take_members_ (DpPassCompanion *companion, const DpMemberList *list, gint64 now);
+static void take_member_ (DpPassCompanion *companion, const DpMember *listed, gint64 now);
+static void update_view_ (DpPassCompanion *companion);
+static void known_member_free_ (gpointer data);
 static gboolean is_serving_ (const DpPassCompanion *companion, gint64 now);
 static DpMemberState state_ (const DpPassCompanion *companion, gint64 now);
 static void update_serving_ (DpPassCompanion *companion);
@@ -104,6 +125,8 @@
   companion->zone = g_strdup (options->zone);
   companion->first_balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
   companion->balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
+  companion->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                              known_member_free_);
   for (guint i = 0; i < options->n_first_balancers; i++)
     {
       const Balancer balancer = { options->first_balancers[i], TRUE };
@@ -173,10 +196,12 @@
   dp_packet_port_free (companion->outbound);
   dp_packet_port_free (companion->report);
   dp_passthrough_free (companion->passthrough);
+  dp_flow_log_free (companion->log);
   dp_replica_free (companion->replica);
   dp_announced_clear (&companion->announced);
   g_array_unref (companion->first_balancers);
   g_array_unref (companion->balancers);
+  g_hash_table_unref (companion->members);
   g_free (companion->service);
   g_free (companion->name);
   g_free (companion->zone);
@@ -260,6 +285,7 @@
 
   companion->passthrough = dp_passthrough_new (companion->service, companion->name,
                                                dp_clock_now (options->clock));
+  companion->log = dp_flow_log_new (options->clock, options->metrics);
   companion->replica = dp_replica_new ();
   companion->replica_listener = dp_replica_add_listener (companion->replica,
                                                          balancer_changed_, companion);
@@ -376,6 +402,7 @@
   guint8 reset[DP_PACKET_MAX];
 
   dp_metric_increment (companion->decisions[decision->reason]);
+  log_decision_ (companion, decision, segment);
   switch (decision->action)
     {
     case DP_PASS_TO_SERVER:
@@ -400,6 +427,32 @@
     }
 }
 
+/* A line for each packet that goes nowhere, and for the SYNs of the sampled flows. */
+static void
+log_decision_ (DpPassCompanion *companion,
+               const DpPassDecision *decision,
+               const DpSegment *segment)
+{
+  gboolean failure = decision->action == DP_PASS_RESET
+                     || decision->action == DP_PASS_DROP;
+  gboolean syn = (segment->flags & DP_TCP_SYN) != 0;
+  char member[DP_ADDRESS_STRLEN];
+
+  if ((!failure && !syn)
+      || !dp_flow_log_admits (
+          companion->log, failure ? DP_FLOW_LOG_FAILURE : DP_FLOW_LOG_NORMAL, segment))
+    return;
+  dp_flow_log_write (segment, dp_pass_action_string (decision->action),
+                     dp_pass_reason_string (decision->reason),
+                     "member=%s visited=%u in_flight=%u slots=%u flags=%u",
+                     decision->action == DP_PASS_TO_MEMBER
+                         ? dp_address_format (&decision->member, member)
+                         : companion->name,
+                     decision->hop.visited,
+                     dp_passthrough_in_flight (companion->passthrough),
+                     companion->state.slots, segment->flags);
+}
+
 static void
 received_list_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
 {
@@ -408,23 +461,87 @@
 
   if (dp_report_decode (&message, data, length) && message.type == DP_REPORT_MEMBERS
       && g_str_equal (message.list.service, companion->service))
-    take_members_ (companion, &message.list);
+    take_members_ (companion, &message.list, dp_clock_now (companion->options.clock));
   else
     dp_metric_increment (companion->malformed);
   dp_report_message_clear (&message);
 }
 
+/* Adds what one balancer lists to what others have listed. */
+static void
+take_members_ (DpPassCompanion *companion, const DpMemberList *list, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < list->members->len; i++)
+    take_member_ (companion, &g_array_index (list->members, DpMember, i), now);
+  g_hash_table_iter_init (&iter, companion->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      KnownMember *known = value;
+
+      if (known->listed_at == now)
+        known->absent_since = 0;
+      else if (known->absent_since == 0)
+        known->absent_since = now;
+      else if (now - known->absent_since > ABSENT_US)
+        g_hash_table_iter_remove (&iter);
+    }
+  update_view_ (companion);
+}
+
 static void
-take_members_ (DpPassCompanion *companion, const DpMemberList *list)
+take_member_ (DpPassCompanion *companion, const DpMember *listed, gint64 now)
 {
-  const DpMember *members = (const DpMember *) (void *) list->members->data;
-  g_autoptr (DpView)
-      view = dp_view_new (companion->service, 0, members, list->members->len);
+  KnownMember *known = g_hash_table_lookup (companion->members, listed->name);
 
-  companion->list_hash = dp_member_list_hash (members, list->members->len);
+  if (known == NULL)
+    {
+      known = g_new0 (KnownMember, 1);
+      known->member.name = g_strdup (listed->name);
+      known->member.id = listed->id;
+      g_hash_table_insert (companion->members, known->member.name, known);
+    }
+  g_free (known->member.zone);
+  known->member.zone = g_strdup (listed->zone);
+  known->member.address = listed->address;
+  known->member.slots = listed->slots;
+  known->member.state = listed->state;
+  known->listed_at = now;
+}
+
+static void
+update_view_ (DpPassCompanion *companion)
+{
+  g_autoptr (GArray) members = g_array_new (FALSE, FALSE, sizeof (DpMember));
+  g_autoptr (DpView) view = NULL;
+  GHashTableIter iter;
+  gpointer value;
+  guint64 hash;
+
+  g_hash_table_iter_init (&iter, companion->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_val (members, ((KnownMember *) value)->member);
+  hash = dp_member_list_hash ((const DpMember *) (void *) members->data, members->len);
+  if (hash == companion->list_hash)
+    return;
+  companion->list_hash = hash;
+  view = dp_view_new (companion->service, 0, (const DpMember *) (void *) members->data,
+                      members->len);
   dp_passthrough_set_view (companion->passthrough, view);
 }
 
+static void
+known_member_free_ (gpointer data)
+{
+  KnownMember *known = data;
+
+  g_free (known->member.name);
+  g_free (known->member.zone);
+  g_free (known);
+}
+
 /* Whether the server is known, takes new flows and has not fallen silent. */
 static gboolean
 is_serving_ (const DpPassCompanion *companion, gint64 now)
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -45,6 +45,7 @@
   gint64 used_at;     /* us */
   gint64 answered_at; /* us of the server's last data, 0: none since the last request */
   DpAddress passed_to;
+  guint8 visited; /* members that the SYN had visited before it was passed on */
 } Flow;
 
 struct _DpPassthrough
@@ -88,6 +89,7 @@
 static DpPassDecision place_ (DpPassthrough *passthrough,
                               const DpSegment *segment,
                               const DpHop *hop,
+                              gboolean around,
                               gint64 now);
 static DpPassDecision offer_ (DpPassthrough *passthrough,
                               const DpSegment *segment,
@@ -411,25 +413,30 @@
 {
   Flow *flow = find_ (passthrough, segment);
   const gboolean copy = flow != NULL && flow->client_seq == segment->seq;
+  gboolean around;
 
   if (copy)
     flow->used_at = now;
-  if (copy && flow->state == FLOW_PASSED)
+  /* A SYN that has come around after it was passed on is not a copy. */
+  if (copy && flow->state == FLOW_PASSED && hop->visited <= flow->visited)
     return to_member_ (&flow->passed_to, DP_PASS_PASSED_BEFORE, hop);
-  if (copy && flow->state != FLOW_FOREIGN
+  if (copy && flow->state != FLOW_FOREIGN && flow->state != FLOW_PASSED
       && !(flow->state == FLOW_OFFERED
            && dp_passthrough_server_is_silent (passthrough, now)))
     return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
+  around = copy && flow->state == FLOW_PASSED;
   if (flow != NULL)
     remove_ (passthrough, flow);
-  return place_ (passthrough, segment, hop, now);
+  return place_ (passthrough, segment, hop, around, now);
 }
 
-/* Takes a new flow, passes it on or rejects it. */
+/* Takes a new flow, passes it on or rejects it. around: it was passed on from here before
+ * and no member that it visited since has a free slot. */
 static DpPassDecision
 place_ (DpPassthrough *passthrough,
         const DpSegment *segment,
         const DpHop *hop,
+        gboolean around,
         gint64 now)
 {
   const guint slots = passthrough->limits.slots;
@@ -439,8 +446,9 @@
 
   if (serving && passthrough->in_flight < slots)
     return offer_ (passthrough, segment, hop, now);
-  if (pass_new_flow_ (passthrough, segment, hop,
-                      serving ? DP_PASS_BUSY : DP_PASS_NOT_SERVING, now, &decision))
+  if (!around
+      && pass_new_flow_ (passthrough, segment, hop,
+                         serving ? DP_PASS_BUSY : DP_PASS_NOT_SERVING, now, &decision))
     return decision;
   if (serving && passthrough->in_flight < slots * in_flight_per_slot_[hop->class])
     return offer_ (passthrough, segment, hop, now);
@@ -489,6 +497,7 @@
       flow->state = FLOW_PASSED;
       flow->client_seq = segment->seq;
       flow->passed_to = next->address;
+      flow->visited = hop->visited;
     }
   *decision = to_member_ (&next->address, reason, hop);
   return TRUE;
