--- a/src/libdogwoodpaddle/fleet.c
+++ b/src/libdogwoodpaddle/fleet.c
@@ -6,6 +6,9 @@
 /* Multicast and reserved addresses start here; no client connects to them. */
 #define FIRST_MULTICAST_IP 0xe0000000u
 
+/* As the longest wait limit of the fleet's settings. */
+#define ADDRESS_TIME_MAX_MS 60000
+
 #define KEY(name, min, max, initial)                                                     \
   {                                                                                      \
 #name, min, max, initial, G_STRUCT_OFFSET(DpFleetSettings, name)                     \
@@ -42,6 +45,15 @@
                                const char *host,
                                DpFleetSettings *settings);
 static JsonNode *member_of_ (JsonNode *node, const char *key);
+static const char *
+read_text_ (JsonObject *object, const char *key, const char *path, GPtrArray *faults);
+static void read_number_ (JsonObject *object,
+                          const char *key,
+                          gboolean required,
+                          gint64 max,
+                          const char *path,
+                          gint64 *value,
+                          GPtrArray *faults);
 static const char *text_of_ (JsonNode *node, const char *key);
 
 /* Sets the values that hold where operators set nothing. */
@@ -80,10 +92,11 @@
     merge_exceptions_ (exceptions, service, host, settings);
 }
 
-/* Returns the valid addresses of a service. Their wait limit is the service's; a host
- * with an exception of its own takes wait_limit_ms from dp_fleet_effective (). */
+/* Returns the valid addresses of a service as they hold for a host, or with host NULL for
+ * all hosts without exceptions. One without a wait limit of its own has that of the
+ * effective settings. */
 GArray *
-dp_fleet_addresses (const DpReplica *replica, const char *service)
+dp_fleet_addresses (const DpReplica *replica, const char *service, const char *host)
 {
   GArray *addresses = g_array_new (FALSE, TRUE, sizeof (DpServiceAddress));
   const DpRecord *record = dp_replica_get (replica, DP_KIND_SERVICE, service);
@@ -98,7 +111,7 @@
   list = member_of_ (value, "addresses");
   if (list == NULL || !JSON_NODE_HOLDS_ARRAY (list))
     return addresses;
-  dp_fleet_effective (replica, service, NULL, &settings);
+  dp_fleet_effective (replica, service, host, &settings);
   for (guint i = 0; i < json_array_get_length (json_node_get_array (list)); i++)
     {
       JsonNode *node = json_array_get_element (json_node_get_array (list), i);
@@ -106,7 +119,8 @@
 
       if (!dp_fleet_address_parse_ (node, "$", &address, faults))
         continue;
-      address.wait_limit = settings.wait_limit_ms * DP_US_PER_MS;
+      if (address.wait_limit == 0)
+        address.wait_limit = settings.wait_limit_ms * DP_US_PER_MS;
       g_array_append_val (addresses, address);
     }
   return addresses;
@@ -163,42 +177,43 @@
                          DpServiceAddress *address,
                          GPtrArray *faults)
 {
-  static const char *const keys[] = { "ip", "port", "class", NULL };
+  static const char *const keys[] = { "ip",          "port",          "class",
+                                      "deadline_ms", "wait_limit_ms", NULL };
   guint n_faults = faults->len;
   JsonObject *object = dp_document_object (node, path, faults);
-  const char *texts[G_N_ELEMENTS (keys)] = { NULL };
+  const char *ip;
+  const char *class;
   gint64 port = 0;
+  gint64 wait_limit_ms = 0;
+  gint64 deadline_ms = 0;
 
   if (object == NULL)
     return FALSE;
   dp_document_known_keys (object, keys, path, faults);
-  for (guint i = 0; keys[i] != NULL; i++)
-    {
-      JsonNode *member = json_object_get_member (object, keys[i]);
-      g_autofree char *at = dp_json_path (path, keys[i]);
-
-      if (member == NULL)
-        dp_faults_add (faults, at, "is missing");
-      else if (g_str_equal (keys[i], "port"))
-        dp_document_integer (member, at, 1, G_MAXUINT16, &port, faults);
-      else
-        texts[i] = dp_document_text (member, at, faults);
-    }
+  ip = read_text_ (object, "ip", path, faults);
+  class = read_text_ (object, "class", path, faults);
+  read_number_ (object, "port", TRUE, G_MAXUINT16, path, &port, faults);
+  read_number_ (object, "wait_limit_ms", FALSE, ADDRESS_TIME_MAX_MS, path, &wait_limit_ms,
+                faults);
+  read_number_ (object, "deadline_ms", FALSE, ADDRESS_TIME_MAX_MS, path, &deadline_ms,
+                faults);
+  address->wait_limit = wait_limit_ms * DP_US_PER_MS;
+  address->deadline = deadline_ms * DP_US_PER_MS;
   address->address.port = (guint16) port;
-  if (texts[0] != NULL
-      && (!dp_ip_parse (texts[0], &address->address.ip, NULL) || address->address.ip == 0
+  if (ip != NULL
+      && (!dp_ip_parse (ip, &address->address.ip, NULL) || address->address.ip == 0
           || address->address.ip >= FIRST_MULTICAST_IP))
     {
-      g_autofree char *at = dp_json_path (path, keys[0]);
+      g_autofree char *at = dp_json_path (path, "ip");
 
-      dp_faults_add (faults, at, "\"%s\" is not the IPv4 address of a service", texts[0]);
+      dp_faults_add (faults, at, "\"%s\" is not the IPv4 address of a service", ip);
     }
-  if (texts[2] != NULL && !dp_class_parse (texts[2], &address->class))
+  if (class != NULL && !dp_class_parse (class, &address->class))
     {
-      g_autofree char *at = dp_json_path (path, keys[2]);
+      g_autofree char *at = dp_json_path (path, "class");
 
       dp_faults_add (faults, at, "must be urgent, interactive or bulk, not \"%s\"",
-                     texts[2]);
+                     class);
     }
   return faults->len == n_faults;
 }
@@ -252,3 +267,34 @@
     return NULL;
   return json_node_get_string (member);
 }
+
+static const char *
+read_text_ (JsonObject *object, const char *key, const char *path, GPtrArray *faults)
+{
+  JsonNode *node = json_object_get_member (object, key);
+  g_autofree char *at = dp_json_path (path, key);
+
+  if (node != NULL)
+    return dp_document_text (node, at, faults);
+  dp_faults_add (faults, at, "is missing");
+  return NULL;
+}
+
+/* Reads a number from 1 to max; the value of an optional one that is missing stays. */
+static void
+read_number_ (JsonObject *object,
+              const char *key,
+              gboolean required,
+              gint64 max,
+              const char *path,
+              gint64 *value,
+              GPtrArray *faults)
+{
+  JsonNode *node = json_object_get_member (object, key);
+  g_autofree char *at = dp_json_path (path, key);
+
+  if (node != NULL)
+    dp_document_integer (node, at, 1, max, value, faults);
+  else if (required)
+    dp_faults_add (faults, at, "is missing");
+}
--- a/src/libdogwoodpaddle/forwarder.c
+++ b/src/libdogwoodpaddle/forwarder.c
@@ -318,7 +318,7 @@
       dp_router_remove_service (forwarder->router, service);
       return;
     }
-  declared = dp_fleet_addresses (forwarder->replica, service);
+  declared = dp_fleet_addresses (forwarder->replica, service, NULL);
   dp_router_set_addresses (forwarder->router, service,
                            (const DpServiceAddress *) (void *) declared->data,
                            declared->len);
--- a/src/libdogwoodpaddle/include/protected/acceptance.h
+++ b/src/libdogwoodpaddle/include/protected/acceptance.h
@@ -84,6 +84,7 @@
   DpAddress address;
   DpClass class;
   gint64 wait_limit; /* us */
+  gint64 deadline;   /* us after which callers no longer want an answer, 0: not known */
 } DpServiceAddress;
 
 typedef struct
--- a/src/libdogwoodpaddle/include/protected/fleet.h
+++ b/src/libdogwoodpaddle/include/protected/fleet.h
@@ -33,7 +33,8 @@
                          const char *host,
                          DpFleetSettings *settings);
 /* The addresses of a service with class and wait limit; array of DpServiceAddress. */
-GArray *dp_fleet_addresses (const DpReplica *replica, const char *service);
+GArray *
+dp_fleet_addresses (const DpReplica *replica, const char *service, const char *host);
 /* Checks a whole fleet file; array of DpFault, empty if it is right. */
 GPtrArray *dp_fleet_check (JsonNode *file);
 /* The member of a fleet file that holds the objects of a kind, NULL for the kinds that
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -3,22 +3,32 @@
  * time go in, what to do with the packet comes out.
  *
  * Nobody but the companions knows who owns a flow. A packet that reaches a member without
- * its flow is passed on along the flow's order of members until it reaches its owner. */
+ * its flow is passed on along the flow's order of members until it reaches its owner.
+ *
+ * Load pattern answered: more work than slots for some seconds, as at the crest of a
+ * demand swing or after a power failure, when all clients come back at once to cold
+ * servers. A new flow first looks for a free slot at up to DP_PASS_VISITS_MAX members.
+ * Then its SYN waits at the last of them, urgent flows before others, as long as its turn
+ * is expected to come before its client gives up; otherwise it is rejected at once. */
 #pragma once
 
 #include <glib.h>
 
 #include "protected/candidates.h"
 #include "protected/packetformat.h"
+#include "protected/slots.h"
 
 typedef struct _DpPassthrough DpPassthrough;
 
+#define DP_PASS_VISITS_MAX 4 /* members that look for a free slot for one new flow */
+
 typedef enum
 {
   DP_PASS_TO_SERVER, /* hand the packet to the backend server */
   DP_PASS_TO_CLIENT, /* send the server's packet to the client */
   DP_PASS_TO_MEMBER, /* send the packet to the address, with the hop */
   DP_PASS_RESET,     /* answer the client with a reset */
+  DP_PASS_HOLD,      /* keep the SYN until dp_passthrough_next () names its flow */
   DP_PASS_DROP,
   DP_N_PASS_ACTIONS
 } DpPassAction;
@@ -32,6 +42,8 @@
   DP_PASS_NOT_SERVING,   /* the server is leaving, down or not known yet */
   DP_PASS_RETURNED,      /* the server returned the packet */
   DP_PASS_PASSED_BEFORE, /* the flow's SYN went to another member */
+  DP_PASS_WAITING,       /* the flow waits for a slot */
+  DP_PASS_EXPIRED,       /* the client of a waiting flow has given up */
   DP_PASS_OVERLOADED,    /* no visited member can serve the flow in time */
   DP_PASS_LOST,          /* the server has lost the flow, as after a crash */
   DP_PASS_NOT_FOUND,     /* no member has the flow */
@@ -79,12 +91,19 @@
 DpPassDecision dp_passthrough_from_server (DpPassthrough *passthrough,
                                            const DpSegment *segment,
                                            gint64 now);
+/* Gives the next flow that waits no longer, with what to do with its SYN; FALSE if there
+ * is none. To be called after each packet of the server and each tick. */
+gboolean dp_passthrough_next (DpPassthrough *passthrough,
+                              DpFlowKey *key,
+                              DpPassDecision *decision,
+                              gint64 now);
 /* Forgets what has expired; to be called about once a second. */
 void dp_passthrough_tick (DpPassthrough *passthrough, gint64 now);
 /* Whether the server has left SYNs unanswered for longer than it takes to accept one. */
 gboolean dp_passthrough_server_is_silent (const DpPassthrough *passthrough, gint64 now);
 
 guint dp_passthrough_in_flight (const DpPassthrough *passthrough);
+guint dp_passthrough_waiting (const DpPassthrough *passthrough);
 guint dp_passthrough_n_flows (const DpPassthrough *passthrough);
 const char *dp_pass_action_string (DpPassAction action);
 const char *dp_pass_reason_string (DpPassReason reason);
--- a/src/libdogwoodpaddle/include/protected/router.h
+++ b/src/libdogwoodpaddle/include/protected/router.h
@@ -35,10 +35,8 @@
 void dp_router_set_trace_sample (DpRouter *router, guint one_in);
 DpRouteResult
 dp_router_route (DpRouter *router, const DpSegment *segment, DpRoute *route);
-gboolean dp_router_find (DpRouter *router,
-                         const DpAddress *address,
-                         guint64 *service_id,
-                         DpClass *class);
+const DpServiceAddress *
+dp_router_find (DpRouter *router, const DpAddress *address, guint64 *service_id);
 const char *dp_route_result_string (DpRouteResult result);
 gsize dp_router_bytes (const DpRouter *router);
 
--- a/src/libdogwoodpaddle/include/protected/segment.h
+++ b/src/libdogwoodpaddle/include/protected/segment.h
@@ -31,6 +31,7 @@
   guint16 payload_length;  /* bytes */
   guint8 flags;            /* DP_TCP_* */
   guint8 ip_header_length; /* bytes */
+  guint16 syn_age_ms;      /* of a SYN's copy: since the first one, 0 if it isn't known */
 } DpSegment;
 
 gboolean
--- a/src/libdogwoodpaddle/inforce.c
+++ b/src/libdogwoodpaddle/inforce.c
@@ -203,10 +203,8 @@
 update_settings_ (DpInForce *in_force)
 {
   g_clear_pointer (&in_force->addresses, g_array_unref);
-  in_force->addresses = dp_fleet_addresses (in_force->valid, in_force->service);
+  in_force->addresses = dp_fleet_addresses (in_force->valid, in_force->service,
+                                            in_force->host);
   dp_fleet_effective (in_force->valid, in_force->service, in_force->host,
                       &in_force->settings);
-  for (guint i = 0; i < in_force->addresses->len; i++)
-    g_array_index (in_force->addresses, DpServiceAddress, i).wait_limit =
-        in_force->settings.wait_limit_ms * DP_US_PER_MS;
 }
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -81,6 +81,7 @@
                               guint8 *data,
                               gsize length,
                               gpointer user_data);
+static void set_times_ (DpPassBalancer *balancer, const DpSegment *segment, DpHop *hop);
 static DpCachedFlow *
 place_ (DpPassBalancer *balancer, const DpSegment *segment, DpHop *hop, gint64 now);
 static DpCachedFlow *
@@ -306,7 +307,7 @@
   g_hash_table_iter_init (&iter, balancer->stale);
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
-      g_autoptr (GArray) addresses = dp_fleet_addresses (balancer->services, name);
+      g_autoptr (GArray) addresses = dp_fleet_addresses (balancer->services, name, NULL);
 
       if (dp_replica_get (balancer->services, DP_KIND_SERVICE, name) == NULL)
         dp_router_remove_service (balancer->router, name);
@@ -370,6 +371,8 @@
   flow->used_ms = (guint32) (now / DP_US_PER_MS);
   hop.service_tag = flow->service_tag;
   hop.class = flow->class;
+  if (opens)
+    set_times_ (balancer, &segment, &hop);
   format->write_hop (data, &hop);
   if (dp_packet_port_send (balancer->data, &member, data, length))
     dp_metric_increment (balancer->forwarded);
@@ -379,16 +382,31 @@
     note_end_ (balancer, flow);
 }
 
+/* Tells the companion how long the SYN may wait. */
+static void
+set_times_ (DpPassBalancer *balancer, const DpSegment *segment, DpHop *hop)
+{
+  const DpServiceAddress *address;
+  guint64 service_id;
+
+  address = dp_router_find (balancer->router, &segment->key.service, &service_id);
+  if (address == NULL)
+    return;
+  hop->wait_limit_ms = (guint16) MIN (address->wait_limit / DP_US_PER_MS, G_MAXUINT16);
+  hop->deadline_ms = (guint16) MIN (address->deadline / DP_US_PER_MS, G_MAXUINT16);
+}
+
 /* Chooses a member for a new flow. NULL if the flow is rejected or the packet dropped. */
 static DpCachedFlow *
 place_ (DpPassBalancer *balancer, const DpSegment *segment, DpHop *hop, gint64 now)
 {
+  const DpServiceAddress *address;
   guint64 service_id;
   DpCachedFlow *flow;
   DpHandle member;
-  DpClass class;
 
-  if (!dp_router_find (balancer->router, &segment->key.service, &service_id, &class))
+  address = dp_router_find (balancer->router, &segment->key.service, &service_id);
+  if (address == NULL)
     {
       gboolean certain = balancer->configured && dp_watch_reachable (balancer->watch);
 
@@ -398,8 +416,8 @@
         reject_ (balancer, segment);
       return NULL;
     }
-  member = dp_placement_choose (balancer->placement, service_id, class, segment->hash,
-                                now);
+  member = dp_placement_choose (balancer->placement, service_id, address->class,
+                                segment->hash, now);
   if (member == DP_HANDLE_NONE)
     {
       gboolean certain = now - balancer->started_at > GATHER_US;
@@ -411,18 +429,19 @@
       return NULL;
     }
   hop->service_tag = dp_service_tag (service_id);
-  hop->class = (guint8) class;
+  hop->class = (guint8) address->class;
   flow = remember_ (balancer, segment, hop, member, now);
   flow->placed = TRUE;
   if (dp_flow_log_admits (balancer->log, DP_FLOW_LOG_NORMAL, segment))
     {
-      char address[DP_ADDRESS_STRLEN];
+      char text[DP_ADDRESS_STRLEN];
       DpAddress target = { 0 };
 
       dp_placement_address (balancer->placement, member, &target);
       dp_flow_log_write (segment, "to_member", "placed",
                          "member=%s class=%s services_revision=%" G_GUINT64_FORMAT,
-                         dp_address_format (&target, address), dp_class_string (class),
+                         dp_address_format (&target, text),
+                         dp_class_string (address->class),
                          dp_replica_revision (balancer->services));
     }
   dp_placement_opened (balancer->placement, member);
@@ -434,11 +453,12 @@
 static DpCachedFlow *
 search_ (DpPassBalancer *balancer, const DpSegment *segment, DpHop *hop, gint64 now)
 {
+  const DpServiceAddress *address;
   guint64 service_id;
   DpHandle member;
-  DpClass class;
 
-  if (!dp_router_find (balancer->router, &segment->key.service, &service_id, &class))
+  address = dp_router_find (balancer->router, &segment->key.service, &service_id);
+  if (address == NULL)
     {
       dp_metric_increment (balancer->drops[DROP_NO_ROUTE]);
       return NULL;
@@ -450,7 +470,7 @@
       return NULL;
     }
   hop->service_tag = dp_service_tag (service_id);
-  hop->class = (guint8) class;
+  hop->class = (guint8) address->class;
   dp_metric_increment (balancer->searched);
   return remember_ (balancer, segment, hop, member, now);
 }
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -53,6 +53,7 @@
   GArray *first_balancers; /* Balancer, until the platform lists some */
   GArray *balancers;       /* Balancer */
   GHashTable *members;     /* KnownMember by its name */
+  GHashTable *held;        /* GBytes of the SYNs of waiting flows by DpFlowKey */
   DpPassthrough *passthrough;
   DpFlowLog *log;
   DpReplica *replica; /* of the collection balancers */
@@ -96,6 +97,9 @@
                         const DpSegment *segment,
                         guint8 *data,
                         gsize length);
+static guint key_hash_ (gconstpointer key);
+static gboolean key_equal_ (gconstpointer a, gconstpointer b);
+static void release_held_ (DpPassCompanion *companion, gint64 now);
 static void log_decision_ (DpPassCompanion *companion,
                            const DpPassDecision *decision,
                            const DpSegment *segment);
@@ -127,6 +131,8 @@
   companion->balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
   companion->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                               known_member_free_);
+  companion->held = g_hash_table_new_full (key_hash_, key_equal_, g_free,
+                                           (GDestroyNotify) g_bytes_unref);
   for (guint i = 0; i < options->n_first_balancers; i++)
     {
       const Balancer balancer = { options->first_balancers[i], TRUE };
@@ -202,6 +208,7 @@
   g_array_unref (companion->first_balancers);
   g_array_unref (companion->balancers);
   g_hash_table_unref (companion->members);
+  g_hash_table_unref (companion->held);
   g_free (companion->service);
   g_free (companion->name);
   g_free (companion->zone);
@@ -388,6 +395,7 @@
       decision = dp_passthrough_from_server (companion->passthrough, &segment, now);
     }
   carry_out_ (companion, &decision, &segment, data, length);
+  release_held_ (companion, now);
 }
 
 static void
@@ -420,6 +428,11 @@
       length = options->format->make_reset (segment, reset);
       dp_packet_port_send (companion->data, &client, reset, length);
       break;
+    case DP_PASS_HOLD:
+      g_hash_table_replace (companion->held,
+                            g_memdup2 (&segment->key, sizeof segment->key),
+                            g_bytes_new (data, length));
+      break;
     case DP_PASS_DROP:
     case DP_N_PASS_ACTIONS:
     default:
@@ -427,6 +440,42 @@
     }
 }
 
+static guint
+key_hash_ (gconstpointer key)
+{
+  return (guint) dp_flow_key_hash (key);
+}
+
+static gboolean
+key_equal_ (gconstpointer a, gconstpointer b)
+{
+  return dp_flow_key_equal (a, b);
+}
+
+/* Carries out what has been decided for SYNs that were kept. */
+static void
+release_held_ (DpPassCompanion *companion, gint64 now)
+{
+  DpPassDecision decision;
+  DpFlowKey key;
+
+  while (dp_passthrough_next (companion->passthrough, &key, &decision, now))
+    {
+      GBytes *held = g_hash_table_lookup (companion->held, &key);
+      guint8 packet[DP_PACKET_MAX];
+      DpSegment segment;
+      gboolean returned;
+      gsize length;
+
+      g_assert (held != NULL);
+      length = g_bytes_get_size (held);
+      memcpy (packet, g_bytes_get_data (held, NULL), length);
+      g_hash_table_remove (companion->held, &key);
+      if (companion->options.format->parse (packet, length, &segment, &returned))
+        carry_out_ (companion, &decision, &segment, packet, length);
+    }
+}
+
 /* A line for each packet that goes nowhere, and for the SYNs of the sampled flows. */
 static void
 log_decision_ (DpPassCompanion *companion,
@@ -585,14 +634,18 @@
     .address = companion->options.data,
     .slots = companion->state.slots,
     .state = state_ (companion, now),
-    .in_flight = dp_passthrough_in_flight (companion->passthrough),
+    .in_flight = dp_passthrough_in_flight (companion->passthrough)
+                 + dp_passthrough_waiting (companion->passthrough),
     .warm_left_ms = (guint32) (warm_left / DP_US_PER_MS),
     .list_hash = companion->list_hash,
   };
+
   gboolean far = companion->n_reports++ % FAR_EVERY == 0;
   guint8 buffer[DP_REPORT_MAX];
   gsize length;
 
+  /* Ends the wait of SYNs whose server fell silent. */
+  release_held_ (companion, now);
   companion->in_flight->value = report.in_flight;
   if (!companion->announced.known)
     return G_SOURCE_CONTINUE;
@@ -612,8 +665,11 @@
 {
   DpPassCompanion *companion = user_data;
 
-  dp_passthrough_tick (companion->passthrough, dp_clock_now (companion->options.clock));
+  gint64 now = dp_clock_now (companion->options.clock);
+
+  dp_passthrough_tick (companion->passthrough, now);
   update_serving_ (companion);
+  release_held_ (companion, now);
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -2,12 +2,13 @@
 
 #include "protected/clock.h"
 
-/* Members that a new flow visits before it is rejected. */
-#define VISITS_MAX 4
-/* Flows that may be offered to the server for each slot, by class, when no visited member
- * has a free slot: the rest of a queue that is served within the usual latency objective.
- * Urgent requests still find room when the others are rejected. */
-static const guint in_flight_per_slot_[DP_N_CLASSES] = { 5, 4, 4 };
+/* Flows that may be offered to the server beyond its slots, so that a slot is not idle
+ * while the next client's handshake takes its 2 to 6 ms. */
+#define OFFERED_AHEAD 2
+/* A client gives up an unanswered SYN after 1.4 s, or at its deadline. The rest is for
+ * the packets on their way. */
+#define SYN_LIFE_US (1350 * DP_US_PER_MS)
+#define WAITING_MAX 1024
 /* A server answers a SYN within a millisecond unless it is frozen or gone. */
 #define SILENT_US (150 * DP_US_PER_MS)
 /* SYNs without an answer until the server counts as silent; one may be lost. */
@@ -23,6 +24,7 @@
 
 typedef enum
 {
+  FLOW_WAITING,  /* the SYN is kept until a slot is free */
   FLOW_OFFERED,  /* the SYN went to the server */
   FLOW_ANSWERED, /* the server's SYN-ACK went to the client */
   FLOW_OPEN,     /* the client has acknowledged it */
@@ -39,13 +41,18 @@
   guint32 client_seq; /* of the SYN */
   guint32 server_seq; /* of the SYN-ACK */
   gboolean working;   /* counts as in flight */
+  gboolean has_slot;
+  DpClass class;
+  DpHandle waiting; /* row in the table of waiting flows */
+  DpHandle ticket;  /* in the slots' queue */
   gboolean client_finished;
   gboolean server_finished;
   gint64 offered_at;  /* us */
   gint64 used_at;     /* us */
   gint64 answered_at; /* us of the server's last data, 0: none since the last request */
   DpAddress passed_to;
-  guint8 visited; /* members that the SYN had visited before it was passed on */
+  guint8 visited;    /* members that the SYN had visited when it came here */
+  gint64 give_up_at; /* us, when the client is expected to give up a waiting SYN */
 } Flow;
 
 struct _DpPassthrough
@@ -54,7 +61,9 @@
   guint32 member_id;
   DpPassLimits limits;
   DpCandidates *candidates; /* NULL: no view yet */
-  GHashTable *flows;        /* Flow by its key, which comes first */
+  DpSlots *slots;
+  DpHandleTable *waiting; /* Flow pointers */
+  GHashTable *flows;      /* Flow by its key, which comes first */
   guint in_flight;
   gboolean serving;
   gboolean complete;  /* every flow of the server is known */
@@ -64,11 +73,12 @@
 };
 
 static const char *const action_strings_[] = { "to_server", "to_client", "to_member",
-                                               "reset", "drop" };
+                                               "reset",     "hold",      "drop" };
 
 static const char *const reason_strings_[] = {
-  "owned",         "asked",      "searching", "busy",      "not_serving",   "returned",
-  "passed_before", "overloaded", "lost",      "not_found", "wrong_service", "unexpected",
+  "owned",    "asked",         "searching",     "busy",       "not_serving",
+  "returned", "passed_before", "waiting",       "expired",    "overloaded",
+  "lost",     "not_found",     "wrong_service", "unexpected",
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (action_strings_) == DP_N_PASS_ACTIONS);
@@ -78,8 +88,11 @@
 static gboolean flow_equal_ (gconstpointer a, gconstpointer b);
 static Flow *find_ (DpPassthrough *passthrough, const DpSegment *segment);
 static Flow *add_ (DpPassthrough *passthrough, const DpSegment *segment, gint64 now);
-static void remove_ (DpPassthrough *passthrough, Flow *flow);
-static void set_working_ (DpPassthrough *passthrough, Flow *flow, gboolean working);
+static void remove_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
+static void release_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
+static void
+begin_work_ (DpPassthrough *passthrough, Flow *flow, gboolean slot, gint64 now);
+static void end_work_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
 static DpPassDecision
 decide_ (DpPassAction action, DpPassReason reason, const DpHop *hop);
 static DpPassDecision take_syn_ (DpPassthrough *passthrough,
@@ -91,10 +104,19 @@
                               const DpHop *hop,
                               gboolean around,
                               gint64 now);
-static DpPassDecision offer_ (DpPassthrough *passthrough,
-                              const DpSegment *segment,
-                              const DpHop *hop,
-                              gint64 now);
+static DpPassDecision offer_or_wait_ (DpPassthrough *passthrough,
+                                      const DpSegment *segment,
+                                      const DpHop *hop,
+                                      gint64 now);
+static void offer_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
+static Flow *add_new_flow_ (DpPassthrough *passthrough,
+                            const DpSegment *segment,
+                            const DpHop *hop,
+                            FlowState state,
+                            gint64 now);
+static gboolean wait_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
+static Flow *next_waiting_ (DpPassthrough *passthrough);
+static gboolean is_serving_ (const DpPassthrough *passthrough, gint64 now);
 static gboolean pass_new_flow_ (DpPassthrough *passthrough,
                                 const DpSegment *segment,
                                 const DpHop *hop,
@@ -132,6 +154,9 @@
   passthrough->member_id = dp_member_id (member);
   passthrough->flows = g_hash_table_new_full (flow_hash_, flow_equal_, NULL, g_free);
   passthrough->limits = (DpPassLimits){ 1, 60 * DP_US_PER_S };
+  passthrough->slots = dp_slots_new (WAITING_MAX);
+  passthrough->waiting = dp_handle_table_new (sizeof (Flow *), WAITING_MAX);
+  dp_slots_set_capacity (passthrough->slots, 1, FALSE);
   passthrough->started_at = now;
   return passthrough;
 }
@@ -143,6 +168,8 @@
   if (passthrough == NULL)
     return;
   dp_candidates_free (passthrough->candidates);
+  dp_slots_free (passthrough->slots);
+  dp_handle_table_free (passthrough->waiting);
   g_hash_table_unref (passthrough->flows);
   g_free (passthrough);
 }
@@ -152,6 +179,7 @@
 dp_passthrough_set_limits (DpPassthrough *passthrough, const DpPassLimits *limits)
 {
   passthrough->limits = *limits;
+  dp_slots_set_capacity (passthrough->slots, limits->slots + OFFERED_AHEAD, FALSE);
 }
 
 /* Sets the members among which flows are passed on. */
@@ -218,7 +246,7 @@
   if (dp_segment_opens_flow (segment))
     {
       if (flow != NULL && flow->state == FLOW_OFFERED)
-        remove_ (passthrough, flow);
+        remove_ (passthrough, flow, now);
       else if (flow != NULL)
         return decide_ (DP_PASS_DROP, DP_PASS_RETURNED, &hop);
       if (pass_new_flow_ (passthrough, segment, &hop, DP_PASS_RETURNED, now, &decision))
@@ -228,7 +256,7 @@
   if (flow != NULL && flow->state == FLOW_OPEN)
     {
       /* The server held this flow and no longer does: it has crashed since. */
-      remove_ (passthrough, flow);
+      remove_ (passthrough, flow, now);
       if ((segment->flags & DP_TCP_RST) != 0)
         return decide_ (DP_PASS_DROP, DP_PASS_LOST, &hop);
       return decide_ (DP_PASS_RESET, DP_PASS_LOST, &hop);
@@ -273,12 +301,58 @@
   if ((segment->flags & DP_TCP_RST) != 0)
     flow->server_finished = flow->client_finished = TRUE;
   if (flow->server_finished)
-    set_working_ (passthrough, flow, FALSE);
+    end_work_ (passthrough, flow, now);
   if (flow->server_finished && flow->client_finished)
     flow->state = FLOW_CLOSED;
   return decide_ (DP_PASS_TO_CLIENT, DP_PASS_OWNED, &hop);
 }
 
+/* Returns the flow whose turn it is. When the server takes no new flows, all of them go
+ * to other members. */
+gboolean
+dp_passthrough_next (DpPassthrough *passthrough,
+                     DpFlowKey *key,
+                     DpPassDecision *decision,
+                     gint64 now)
+{
+  const gboolean serving = is_serving_ (passthrough, now);
+  DpSegment segment = { .flags = DP_TCP_SYN };
+  DpHop hop = { passthrough->service_tag, 0, 0 };
+  Flow *flow;
+
+  if (dp_handle_table_count (passthrough->waiting) == 0)
+    return FALSE;
+  flow = serving ? next_waiting_ (passthrough)
+                 : *(Flow **) dp_handle_table_get (
+                     passthrough->waiting,
+                     dp_handle_table_next (passthrough->waiting, DP_HANDLE_NONE));
+  if (flow == NULL)
+    return FALSE;
+  *key = flow->key;
+  hop.class = (guint8) flow->class;
+  hop.visited = flow->visited;
+  segment.key = flow->key;
+  segment.hash = flow->hash;
+  segment.seq = flow->client_seq;
+  if (now >= flow->give_up_at)
+    {
+      remove_ (passthrough, flow, now);
+      *decision = decide_ (DP_PASS_DROP, DP_PASS_EXPIRED, &hop);
+      return TRUE;
+    }
+  if (serving)
+    {
+      release_ (passthrough, flow, now);
+      offer_ (passthrough, flow, now);
+      *decision = decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, &hop);
+      return TRUE;
+    }
+  remove_ (passthrough, flow, now);
+  if (!pass_new_flow_ (passthrough, &segment, &hop, DP_PASS_NOT_SERVING, now, decision))
+    *decision = decide_ (DP_PASS_RESET, DP_PASS_NOT_SERVING, &hop);
+  return TRUE;
+}
+
 /* Forgets flows that have ended, and ends the work of flows that were answered. */
 void
 dp_passthrough_tick (DpPassthrough *passthrough, gint64 now)
@@ -293,10 +367,10 @@
 
       if (flow->working && flow->answered_at != 0
           && now - flow->answered_at > ANSWERED_US)
-        set_working_ (passthrough, flow, FALSE);
+        end_work_ (passthrough, flow, now);
       if (!has_expired_ (passthrough, flow, now))
         continue;
-      set_working_ (passthrough, flow, FALSE);
+      end_work_ (passthrough, flow, now);
       g_hash_table_iter_remove (&iter);
     }
 }
@@ -316,6 +390,13 @@
   return passthrough->in_flight;
 }
 
+/* Returns the number of flows that wait for a slot. */
+guint
+dp_passthrough_waiting (const DpPassthrough *passthrough)
+{
+  return dp_handle_table_count (passthrough->waiting);
+}
+
 /* Returns the number of flows that are remembered. */
 guint
 dp_passthrough_n_flows (const DpPassthrough *passthrough)
@@ -380,22 +461,51 @@
 }
 
 static void
-remove_ (DpPassthrough *passthrough, Flow *flow)
+remove_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
 {
-  set_working_ (passthrough, flow, FALSE);
+  release_ (passthrough, flow, now);
+  end_work_ (passthrough, flow, now);
   g_hash_table_remove (passthrough->flows, flow);
 }
 
+/* Takes the flow out of those that wait. One that was chosen by dp_slots_next () has its
+ * slot already. */
+static void
+release_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
+{
+  if (flow->waiting == DP_HANDLE_NONE)
+    return;
+  dp_slots_cancel (passthrough->slots, flow->ticket);
+  dp_handle_table_remove (passthrough->waiting, flow->waiting);
+  flow->waiting = DP_HANDLE_NONE;
+  flow->ticket = DP_HANDLE_NONE;
+}
+
+/* slot: the flow has taken one. */
 static void
-set_working_ (DpPassthrough *passthrough, Flow *flow, gboolean working)
+begin_work_ (DpPassthrough *passthrough, Flow *flow, gboolean slot, gint64 now)
 {
-  if (flow->working == working)
+  if (flow->working)
     return;
-  flow->working = working;
-  if (working)
-    passthrough->in_flight++;
-  else
+  flow->working = TRUE;
+  flow->has_slot = slot;
+  flow->offered_at = now;
+  passthrough->in_flight++;
+  if (slot)
+    dp_slots_begin (passthrough->slots, flow->class, now);
+}
+
+static void
+end_work_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
+{
+  if (flow->working)
     passthrough->in_flight--;
+  if (flow->working && flow->has_slot)
+    dp_slots_end (passthrough->slots, flow->class, flow->offered_at, now);
+  if (flow->has_slot)
+    dp_slots_give_back (passthrough->slots, flow->class);
+  flow->working = FALSE;
+  flow->has_slot = FALSE;
 }
 
 static DpPassDecision
@@ -420,13 +530,15 @@
   /* A SYN that has come around after it was passed on is not a copy. */
   if (copy && flow->state == FLOW_PASSED && hop->visited <= flow->visited)
     return to_member_ (&flow->passed_to, DP_PASS_PASSED_BEFORE, hop);
+  if (copy && flow->state == FLOW_WAITING)
+    return decide_ (DP_PASS_DROP, DP_PASS_WAITING, hop);
   if (copy && flow->state != FLOW_FOREIGN && flow->state != FLOW_PASSED
       && !(flow->state == FLOW_OFFERED
            && dp_passthrough_server_is_silent (passthrough, now)))
     return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
   around = copy && flow->state == FLOW_PASSED;
   if (flow != NULL)
-    remove_ (passthrough, flow);
+    remove_ (passthrough, flow, now);
   return place_ (passthrough, segment, hop, around, now);
 }
 
@@ -439,39 +551,117 @@
         gboolean around,
         gint64 now)
 {
-  const guint slots = passthrough->limits.slots;
-  const gboolean serving = passthrough->serving
-                           && !dp_passthrough_server_is_silent (passthrough, now);
+  const gboolean serving = is_serving_ (passthrough, now);
   DpPassDecision decision;
 
-  if (serving && passthrough->in_flight < slots)
-    return offer_ (passthrough, segment, hop, now);
+  if (serving && passthrough->in_flight < passthrough->limits.slots
+      && dp_handle_table_count (passthrough->waiting) == 0)
+    return offer_or_wait_ (passthrough, segment, hop, now);
   if (!around
       && pass_new_flow_ (passthrough, segment, hop,
                          serving ? DP_PASS_BUSY : DP_PASS_NOT_SERVING, now, &decision))
     return decision;
-  if (serving && passthrough->in_flight < slots * in_flight_per_slot_[hop->class])
-    return offer_ (passthrough, segment, hop, now);
-  return decide_ (DP_PASS_RESET, serving ? DP_PASS_OVERLOADED : DP_PASS_NOT_SERVING, hop);
+  if (serving)
+    return offer_or_wait_ (passthrough, segment, hop, now);
+  return decide_ (DP_PASS_RESET, DP_PASS_NOT_SERVING, hop);
 }
 
+/* Offers a new flow to the server, or lets it wait if its turn is expected in time. */
 static DpPassDecision
-offer_ (DpPassthrough *passthrough,
-        const DpSegment *segment,
-        const DpHop *hop,
-        gint64 now)
+offer_or_wait_ (DpPassthrough *passthrough,
+                const DpSegment *segment,
+                const DpHop *hop,
+                gint64 now)
 {
-  Flow *flow = add_ (passthrough, segment, now);
+  const DpClass class = (DpClass) hop->class;
+  const gint64 wait = dp_slots_expected_wait (passthrough->slots, class, now);
+  const gint64 age = segment->syn_age_ms * DP_US_PER_MS;
+  Flow *flow;
 
+  if (dp_slots_can_take (passthrough->slots, class))
+    {
+      flow = add_new_flow_ (passthrough, segment, hop, FLOW_OFFERED, now);
+      if (flow == NULL)
+        return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
+      flow->has_slot = dp_slots_take (passthrough->slots, class);
+      offer_ (passthrough, flow, now);
+      return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
+    }
+  if (wait + age > hop->wait_limit_ms * DP_US_PER_MS)
+    return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
+  flow = add_new_flow_ (passthrough, segment, hop, FLOW_WAITING, now);
   if (flow == NULL)
     return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
+  flow->give_up_at = now + SYN_LIFE_US - age;
+  if (wait_ (passthrough, flow, now))
+    return decide_ (DP_PASS_HOLD, DP_PASS_WAITING, hop);
+  remove_ (passthrough, flow, now);
+  return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
+}
+
+/* The SYN goes to the server; the flow has its slot. */
+static void
+offer_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
+{
   flow->state = FLOW_OFFERED;
-  flow->client_seq = segment->seq;
-  flow->offered_at = now;
-  set_working_ (passthrough, flow, TRUE);
+  flow->used_at = now;
+  begin_work_ (passthrough, flow, flow->has_slot, now);
   if (passthrough->unanswered++ == 0)
     passthrough->silent_from = now;
-  return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
+}
+
+static Flow *
+add_new_flow_ (DpPassthrough *passthrough,
+               const DpSegment *segment,
+               const DpHop *hop,
+               FlowState state,
+               gint64 now)
+{
+  Flow *flow = add_ (passthrough, segment, now);
+
+  if (flow == NULL)
+    return NULL;
+  flow->state = state;
+  flow->client_seq = segment->seq;
+  flow->class = (DpClass) hop->class;
+  flow->visited = hop->visited;
+  return flow;
+}
+
+/* FALSE if too many flows wait. */
+static gboolean
+wait_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
+{
+  Flow **row;
+
+  flow->waiting = dp_handle_table_add (passthrough->waiting);
+  row = dp_handle_table_get (passthrough->waiting, flow->waiting);
+  if (row == NULL)
+    return FALSE;
+  *row = flow;
+  flow->ticket = dp_slots_wait (passthrough->slots, flow->waiting, flow->class);
+  return flow->ticket != DP_HANDLE_NONE;
+}
+
+/* Returns the flow whose turn it is, with its slot; NULL if no slot is free. */
+static Flow *
+next_waiting_ (DpPassthrough *passthrough)
+{
+  DpHandle handle = dp_slots_next (passthrough->slots);
+  Flow *flow;
+
+  if (handle == DP_HANDLE_NONE)
+    return NULL;
+  flow = *(Flow **) dp_handle_table_get (passthrough->waiting, handle);
+  flow->has_slot = TRUE;
+  flow->ticket = DP_HANDLE_NONE;
+  return flow;
+}
+
+static gboolean
+is_serving_ (const DpPassthrough *passthrough, gint64 now)
+{
+  return passthrough->serving && !dp_passthrough_server_is_silent (passthrough, now);
 }
 
 /* Passes a SYN on and remembers where to; FALSE if it has visited enough members. */
@@ -486,19 +676,14 @@
   const DpMember *next;
   Flow *flow;
 
-  if (hop->visited + 1 >= VISITS_MAX)
+  if (hop->visited + 1 >= DP_PASS_VISITS_MAX)
     return FALSE;
   next = next_for_new_flow_ (passthrough, segment->hash, hop->visited + 1u);
   if (next == NULL)
     return FALSE;
-  flow = add_ (passthrough, segment, now);
+  flow = add_new_flow_ (passthrough, segment, hop, FLOW_PASSED, now);
   if (flow != NULL)
-    {
-      flow->state = FLOW_PASSED;
-      flow->client_seq = segment->seq;
-      flow->passed_to = next->address;
-      flow->visited = hop->visited;
-    }
+    flow->passed_to = next->address;
   *decision = to_member_ (&next->address, reason, hop);
   return TRUE;
 }
@@ -596,6 +781,7 @@
       if (segment->ack != flow->server_seq + 1)
         return search_ (passthrough, segment, hop, DP_PASS_SEARCHING);
       break;
+    case FLOW_WAITING:
     case FLOW_OFFERED:
     case FLOW_FOREIGN:
       return search_ (passthrough, segment, hop, DP_PASS_SEARCHING);
@@ -617,17 +803,20 @@
   flow->used_at = now;
   if (flow->state == FLOW_ANSWERED)
     flow->state = FLOW_OPEN;
-  if (segment->payload_length > 0 && !flow->server_finished)
+  if (segment->payload_length > 0 && !flow->server_finished && flow->working)
+    flow->answered_at = 0;
+  else if (segment->payload_length > 0 && !flow->server_finished)
     {
       flow->answered_at = 0;
-      set_working_ (passthrough, flow, TRUE);
+      begin_work_ (passthrough, flow, dp_slots_take (passthrough->slots, flow->class),
+                   now);
     }
   if ((segment->flags & DP_TCP_FIN) != 0)
     flow->client_finished = TRUE;
   if ((segment->flags & DP_TCP_RST) != 0)
     {
       flow->client_finished = flow->server_finished = TRUE;
-      set_working_ (passthrough, flow, FALSE);
+      end_work_ (passthrough, flow, now);
     }
   if (flow->client_finished && flow->server_finished)
     flow->state = FLOW_CLOSED;
@@ -648,6 +837,8 @@
 
   switch (flow->state)
     {
+    case FLOW_WAITING:
+      return FALSE; /* dp_passthrough_next () ends it */
     case FLOW_OFFERED:
     case FLOW_ANSWERED:
       return unused > OFFER_US;
--- a/src/libdogwoodpaddle/router.c
+++ b/src/libdogwoodpaddle/router.c
@@ -5,9 +5,7 @@
 #include "protected/candidates.h"
 
 #define FIRST_SIZE 64 /* rows of the address table, a power of two */
-#define INDEX_BITS 14 /* of a row: the service's index + 1 */
-#define CLASS_BITS 2  /* of a row: the address's class */
-#define VALUE_BITS (INDEX_BITS + CLASS_BITS)
+#define INDEX_BITS 16 /* of a row: the service's index + 1 */
 #define SERVICES_MAX ((1u << INDEX_BITS) - 1)
 #define ROW_FREE 0
 
@@ -21,8 +19,8 @@
   GArray *addresses; /* DpServiceAddress */
 } Service;
 
-/* A row of the address table: ip, port, class and the service's index + 1 in 32, 16, 2
- * and 14 bits. Linear probing, at most half full. */
+/* A row of the address table: ip, port and the service's index + 1 in 32, 16 and 16 bits.
+ * Linear probing, at most half full. */
 typedef guint64 Row;
 
 struct _DpRouter
@@ -42,13 +40,11 @@
 static void insert_ (DpRouter *router, const DpServiceAddress *address, guint service);
 static guint64 key_ (const DpAddress *address);
 static guint home_ (const DpRouter *router, guint64 key);
-static Row find_row_ (const DpRouter *router, const DpAddress *address);
 static const Service *find_ (const DpRouter *router, const DpAddress *address);
 
 static const char *const result_strings_[] = { "forward", "unknown_address",
                                                "no_member" };
 
-G_STATIC_ASSERT (DP_N_CLASSES <= 1u << CLASS_BITS);
 G_STATIC_ASSERT (G_N_ELEMENTS (result_strings_) == DP_ROUTE_NO_MEMBER + 1);
 
 /* Creates a router without services. */
@@ -160,23 +156,28 @@
   return DP_ROUTE_FORWARD;
 }
 
-/* Gives the service of an address and the address's class; FALSE if no service has it. */
-gboolean
-dp_router_find (DpRouter *router,
-                const DpAddress *address,
-                guint64 *service_id,
-                DpClass *class)
+/* Returns what was declared of an address and gives its service; NULL if no service has
+ * it. Valid until the next change of the service. Takes time in proportion to the
+ * service's addresses. */
+const DpServiceAddress *
+dp_router_find (DpRouter *router, const DpAddress *address, guint64 *service_id)
 {
-  Row row;
+  const Service *service;
 
   if (G_UNLIKELY (router->stale))
     rebuild_ (router);
-  row = find_row_ (router, address);
-  if (row == ROW_FREE)
-    return FALSE;
-  *service_id = router->services[(row & SERVICES_MAX) - 1].id;
-  *class = (DpClass) ((row >> INDEX_BITS) & ((1u << CLASS_BITS) - 1));
-  return TRUE;
+  service = find_ (router, address);
+  for (guint i = 0; service != NULL && i < service->addresses->len; i++)
+    {
+      const DpServiceAddress *declared = &g_array_index (service->addresses,
+                                                         DpServiceAddress, i);
+
+      if (!dp_address_equal (&declared->address, address))
+        continue;
+      *service_id = service->id;
+      return declared;
+    }
+  return NULL;
 }
 
 /* Returns the result's name. */
@@ -276,7 +277,7 @@
   guint64 key = key_ (&address->address);
   guint i = home_ (router, key);
 
-  while (router->rows[i] != ROW_FREE && router->rows[i] >> VALUE_BITS != key)
+  while (router->rows[i] != ROW_FREE && router->rows[i] >> INDEX_BITS != key)
     i = (i + 1) & (router->size - 1);
   if (router->rows[i] != ROW_FREE)
     {
@@ -285,8 +286,7 @@
       if (strcmp (router->services[other].name, router->services[service].name) < 0)
         return;
     }
-  router->rows[i] = key << VALUE_BITS | (Row) address->class << INDEX_BITS
-                    | (service + 1);
+  router->rows[i] = key << INDEX_BITS | (service + 1);
 }
 
 static guint64
@@ -304,22 +304,17 @@
          & (router->size - 1);
 }
 
-/* Returns the address's row, ROW_FREE if it has none. */
-static Row
-find_row_ (const DpRouter *router, const DpAddress *address)
-{
-  guint64 key = key_ (address);
-  guint i = home_ (router, key);
-
-  while (router->rows[i] != ROW_FREE && router->rows[i] >> VALUE_BITS != key)
-    i = (i + 1) & (router->size - 1);
-  return router->rows[i];
-}
-
 static const Service *
 find_ (const DpRouter *router, const DpAddress *address)
 {
-  Row row = find_row_ (router, address);
+  guint64 key = key_ (address);
+  guint i = home_ (router, key);
 
-  return row == ROW_FREE ? NULL : &router->services[(row & SERVICES_MAX) - 1];
+  while (router->rows[i] >> INDEX_BITS != key || router->rows[i] == ROW_FREE)
+    {
+      if (router->rows[i] == ROW_FREE)
+        return NULL;
+      i = (i + 1) & (router->size - 1);
+    }
+  return &router->services[(router->rows[i] & SERVICES_MAX) - 1];
 }
--- a/src/libdogwoodpaddle/segment.c
+++ b/src/libdogwoodpaddle/segment.c
@@ -80,6 +80,7 @@
   segment->flags = tcp[TCP_FLAGS];
   segment->payload_length = (guint16) (total - ip_header - tcp_header);
   segment->ip_header_length = (guint8) ip_header;
+  segment->syn_age_ms = 0;
   return TRUE;
 }
 
--- a/src/test_libdogwoodpaddle/test_fleet.c
+++ b/src/test_libdogwoodpaddle/test_fleet.c
@@ -287,7 +287,7 @@
 test_addresses (void)
 {
   g_autoptr (DpReplica) replica = dp_replica_new ();
-  g_autoptr (GArray) none = dp_fleet_addresses (replica, "darbnica");
+  g_autoptr (GArray) none = dp_fleet_addresses (replica, "darbnica", NULL);
   g_autoptr (GArray) addresses = NULL;
   const DpServiceAddress *address;
 
@@ -297,7 +297,7 @@
        "{\"ip\":\"10.77.0.1\",\"port\":0,\"class\":\"bulk\"},null]}");
   put (replica, DP_KIND_EXCEPTION, "x",
        EXCEPTION ("darbnica", "", "\"wait_limit_ms\":500"));
-  addresses = dp_fleet_addresses (replica, "darbnica");
+  addresses = dp_fleet_addresses (replica, "darbnica", NULL);
   CU_ASSERT_EQUAL_FATAL (addresses->len, 1);
   address = &g_array_index (addresses, DpServiceAddress, 0);
   CU_ASSERT_EQUAL (address->address.ip, 0x0a4d0001);
--- a/src/test_libdogwoodpaddle/test_router.c
+++ b/src/test_libdogwoodpaddle/test_router.c
@@ -154,12 +154,12 @@
     {
       DpSegment segment = make_segment (i, &addresses[i].address, DP_TCP_ACK);
       guint64 service_id = 0;
-      DpClass class = DP_N_CLASSES;
+      const DpServiceAddress *declared;
 
       CU_ASSERT_EQUAL (dp_router_route (router, &segment, &route), DP_ROUTE_FORWARD);
-      CU_ASSERT (dp_router_find (router, &addresses[i].address, &service_id, &class));
+      declared = dp_router_find (router, &addresses[i].address, &service_id);
       CU_ASSERT_EQUAL (service_id, dp_service_id ("darbnica"));
-      CU_ASSERT_EQUAL (class, addresses[i].class);
+      CU_ASSERT_EQUAL (declared->class, addresses[i].class);
     }
 }
 
