Free the slots of flows that nobody goes on with

Ruled out: a real lack of capacity (p50 stayed at 25 ms). A handshake now keeps its slot for 300 ms, a request without an answer for 2 s, and neither counts into the mean.

--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -97,7 +97,8 @@
                               DpFlowKey *key,
                               DpPassDecision *decision,
                               gint64 now);
-/* Forgets what has expired; to be called about once a second. */
+/* Frees the slots of flows that nobody goes on with and forgets what has expired; to be
+ * called every 100 ms or so. */
 void dp_passthrough_tick (DpPassthrough *passthrough, gint64 now);
 /* Whether the server has left SYNs unanswered for longer than it takes to accept one. */
 gboolean dp_passthrough_server_is_silent (const DpPassthrough *passthrough, gint64 now);
--- a/src/libdogwoodpaddle/include/protected/slots.h
+++ b/src/libdogwoodpaddle/include/protected/slots.h
@@ -27,6 +27,7 @@
 void dp_slots_give_back (DpSlots *slots, DpClass class);
 void dp_slots_begin (DpSlots *slots, DpClass class, gint64 now);
 void dp_slots_end (DpSlots *slots, DpClass class, gint64 since, gint64 end);
+void dp_slots_abandon (DpSlots *slots, DpClass class, gint64 since);
 
 DpHandle dp_slots_wait (DpSlots *slots, DpHandle flow, DpClass class);
 void dp_slots_cancel (DpSlots *slots, DpHandle ticket);
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -644,6 +644,7 @@
   guint8 buffer[DP_REPORT_MAX];
   gsize length;
 
+  dp_passthrough_tick (companion->passthrough, now);
   /* Ends the wait of SYNs whose server fell silent. */
   release_held_ (companion, now);
   companion->in_flight->value = report.in_flight;
@@ -665,11 +666,7 @@
 {
   DpPassCompanion *companion = user_data;
 
-  gint64 now = dp_clock_now (companion->options.clock);
-
-  dp_passthrough_tick (companion->passthrough, now);
   update_serving_ (companion);
-  release_held_ (companion, now);
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -15,6 +15,13 @@
 #define SILENT_SYNS 2
 /* Clients give up an unanswered SYN after 1.4 s. */
 #define OFFER_US (2 * DP_US_PER_S)
+/* A client whose first packet was lost sends it again after 200 ms; one that takes longer
+ * for the handshake no longer keeps its slot. */
+#define HANDSHAKE_US (300 * DP_US_PER_MS)
+/* A request without an answer no longer keeps its slot: the slowest ones run for 280 ms
+ * on a cold server, and five times as long on a slow one. */
+#define WORK_MAX_US (2 * DP_US_PER_S)
+#define SWEEP_US DP_US_PER_S /* between two searches for flows that have expired */
 /* Retransmissions of the last packets come up to 1.6 s apart. */
 #define LINGER_US (4 * DP_US_PER_S)
 /* A flow whose server has sent nothing for so long after its last data is between two
@@ -42,6 +49,8 @@
   guint32 server_seq; /* of the SYN-ACK */
   gboolean working;   /* counts as in flight */
   gboolean has_slot;
+  gboolean requested; /* the client has sent data */
+  DpHandle work;      /* row in the table of working flows */
   DpClass class;
   DpHandle waiting; /* row in the table of waiting flows */
   DpHandle ticket;  /* in the slots' queue */
@@ -63,6 +72,8 @@
   DpCandidates *candidates; /* NULL: no view yet */
   DpSlots *slots;
   DpHandleTable *waiting; /* Flow pointers */
+  DpHandleTable *working; /* Flow pointers */
+  gint64 swept_at;        /* us */
   GHashTable *flows;      /* Flow by its key, which comes first */
   guint in_flight;
   gboolean serving;
@@ -93,6 +104,8 @@
 static void
 begin_work_ (DpPassthrough *passthrough, Flow *flow, gboolean slot, gint64 now);
 static void end_work_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
+static void abandon_work_ (DpPassthrough *passthrough, Flow *flow);
+static void check_work_ (DpPassthrough *passthrough, gint64 now);
 static DpPassDecision
 decide_ (DpPassAction action, DpPassReason reason, const DpHop *hop);
 static DpPassDecision take_syn_ (DpPassthrough *passthrough,
@@ -156,6 +169,7 @@
   passthrough->limits = (DpPassLimits){ 1, 60 * DP_US_PER_S };
   passthrough->slots = dp_slots_new (WAITING_MAX);
   passthrough->waiting = dp_handle_table_new (sizeof (Flow *), WAITING_MAX);
+  passthrough->working = dp_handle_table_new (sizeof (Flow *), FLOWS_MAX);
   dp_slots_set_capacity (passthrough->slots, 1, FALSE);
   passthrough->started_at = now;
   return passthrough;
@@ -170,6 +184,7 @@
   dp_candidates_free (passthrough->candidates);
   dp_slots_free (passthrough->slots);
   dp_handle_table_free (passthrough->waiting);
+  dp_handle_table_free (passthrough->working);
   g_hash_table_unref (passthrough->flows);
   g_free (passthrough);
 }
@@ -201,8 +216,17 @@
 void
 dp_passthrough_server_started (DpPassthrough *passthrough)
 {
+  DpHandle next;
+
   passthrough->complete = TRUE;
   passthrough->unanswered = 0;
+  for (DpHandle h = dp_handle_table_next (passthrough->working, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = next)
+    {
+      next = dp_handle_table_next (passthrough->working, h);
+      abandon_work_ (passthrough,
+                     *(Flow **) dp_handle_table_get (passthrough->working, h));
+    }
 }
 
 /* Decides about a client's packet from a balancer or another member. */
@@ -360,17 +384,18 @@
   GHashTableIter iter;
   gpointer value;
 
+  check_work_ (passthrough, now);
+  if (now - passthrough->swept_at < SWEEP_US)
+    return;
+  passthrough->swept_at = now;
   g_hash_table_iter_init (&iter, passthrough->flows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Flow *flow = value;
 
-      if (flow->working && flow->answered_at != 0
-          && now - flow->answered_at > ANSWERED_US)
-        end_work_ (passthrough, flow, now);
       if (!has_expired_ (passthrough, flow, now))
         continue;
-      end_work_ (passthrough, flow, now);
+      abandon_work_ (passthrough, flow);
       g_hash_table_iter_remove (&iter);
     }
 }
@@ -464,7 +489,7 @@
 remove_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
 {
   release_ (passthrough, flow, now);
-  end_work_ (passthrough, flow, now);
+  abandon_work_ (passthrough, flow);
   g_hash_table_remove (passthrough->flows, flow);
 }
 
@@ -487,6 +512,9 @@
 {
   if (flow->working)
     return;
+  flow->work = dp_handle_table_add (passthrough->working);
+  if (flow->work != DP_HANDLE_NONE)
+    *(Flow **) dp_handle_table_get (passthrough->working, flow->work) = flow;
   flow->working = TRUE;
   flow->has_slot = slot;
   flow->offered_at = now;
@@ -495,17 +523,52 @@
     dp_slots_begin (passthrough->slots, flow->class, now);
 }
 
+/* The server has answered the flow's request. */
 static void
 end_work_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
 {
-  if (flow->working)
-    passthrough->in_flight--;
   if (flow->working && flow->has_slot)
     dp_slots_end (passthrough->slots, flow->class, flow->offered_at, now);
+  abandon_work_ (passthrough, flow);
+}
+
+/* The flow no longer counts as in flight, whatever the server does with it. */
+static void
+abandon_work_ (DpPassthrough *passthrough, Flow *flow)
+{
+  if (flow->working)
+    {
+      passthrough->in_flight--;
+      dp_handle_table_remove (passthrough->working, flow->work);
+    }
+  if (flow->working && flow->has_slot)
+    dp_slots_abandon (passthrough->slots, flow->class, flow->offered_at);
   if (flow->has_slot)
     dp_slots_give_back (passthrough->slots, flow->class);
   flow->working = FALSE;
   flow->has_slot = FALSE;
+  flow->work = DP_HANDLE_NONE;
+}
+
+/* Ends the work of flows that were answered some time ago, as on a connection that stays
+ * open, and of those that nobody goes on with. */
+static void
+check_work_ (DpPassthrough *passthrough, gint64 now)
+{
+  DpHandle next;
+
+  for (DpHandle h = dp_handle_table_next (passthrough->working, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = next)
+    {
+      Flow *flow = *(Flow **) dp_handle_table_get (passthrough->working, h);
+      gint64 bound = flow->requested ? WORK_MAX_US : HANDSHAKE_US;
+
+      next = dp_handle_table_next (passthrough->working, h);
+      if (flow->answered_at != 0 && now - flow->answered_at > ANSWERED_US)
+        end_work_ (passthrough, flow, now);
+      else if (flow->answered_at == 0 && now - flow->offered_at > bound)
+        abandon_work_ (passthrough, flow);
+    }
 }
 
 static DpPassDecision
@@ -801,6 +864,7 @@
                      gint64 now)
 {
   flow->used_at = now;
+  flow->requested = flow->requested || segment->payload_length > 0;
   if (flow->state == FLOW_ANSWERED)
     flow->state = FLOW_OPEN;
   if (segment->payload_length > 0 && !flow->server_finished && flow->working)
@@ -816,7 +880,7 @@
   if ((segment->flags & DP_TCP_RST) != 0)
     {
       flow->client_finished = flow->server_finished = TRUE;
-      end_work_ (passthrough, flow, now);
+      abandon_work_ (passthrough, flow);
     }
   if (flow->client_finished && flow->server_finished)
     flow->state = FLOW_CLOSED;
--- a/src/libdogwoodpaddle/slots.c
+++ b/src/libdogwoodpaddle/slots.c
@@ -148,6 +148,16 @@
 /* The request of the class that began at since, in us, has ended. */
 void
 dp_slots_end (DpSlots *slots, DpClass class, gint64 since, gint64 end)
+{
+  dp_slots_abandon (slots, class, since);
+  update_mean_ (&slots->queues[class].service_time, end - since);
+  update_mean_ (&slots->service_time, end - since);
+}
+
+/* The request of the class that began at since, in us, no longer counts. Unlike an ended
+ * one, it says nothing about service times. */
+void
+dp_slots_abandon (DpSlots *slots, DpClass class, gint64 since)
 {
   for (guint i = 0; i < slots->running->len; i++)
     {
@@ -156,10 +166,8 @@
       if (work->since != since || work->class != class)
         continue;
       g_array_remove_index_fast (slots->running, i);
-      break;
+      return;
     }
-  update_mean_ (&slots->queues[class].service_time, end - since);
-  update_mean_ (&slots->service_time, end - since);
 }
 
 /* Queues a flow behind those of its class; DP_HANDLE_NONE if too many are waiting. The
