Get the services from another balancer while the platform does not answer

Balancers now serve each other the services over the product's own feed; one asks its peers (registered balancers and the settings' seeds) once the platform has been silent for 400 ms.

--- a/src/libdogwoodpaddle/include/protected/passbalancer.h
+++ b/src/libdogwoodpaddle/include/protected/passbalancer.h
@@ -1,5 +1,6 @@
 /* A balancer in passthrough mode: sends clients' packets unchanged to the companions of
- * the service, chooses the member for new flows and tells members of each other. */
+ * the service, chooses the member for new flows and tells members of each other. The
+ * services come from the platform, or while it is not reachable from another balancer. */
 #pragma once
 
 #include <glib.h>
@@ -17,8 +18,10 @@
   const char *name;
   const char *zone;
   const char *region;
-  DpAddress data;      /* clients' packets arrive here */
-  DpAddress report;    /* members' reports arrive here */
+  DpAddress data;   /* clients' packets arrive here */
+  DpAddress report; /* members' reports (UDP) and other balancers (TCP) arrive here */
+  const DpAddress *peers; /* report addresses of other balancers, may be out of date */
+  guint n_peers;
   guint16 client_port; /* UDP port of all clients */
   const DpPacketFormat *format;
   DpPlatform *platform;
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -1,6 +1,8 @@
 #include "protected/passbalancer.h"
 
 #include "private/balancerentry.h"
+#include "private/feed.h"
+#include "private/upstream.h"
 #include "private/watch.h"
 #include "protected/fleet.h"
 #include "protected/flowcache.h"
@@ -12,7 +14,12 @@
 /* Flows in the cache, 32 bytes each: ten times the flows of ten seconds at the largest
  * balancer of today. */
 #define CACHED_FLOWS 16384
-#define TICK_MS 500
+#define TICK_MS 250
+/* A watch of the registered balancers; half of the history that the platform keeps. */
+#define BALANCERS_WATCH_MS 10000
+/* A read of the platform takes 4 ms, or 240 ms when it is slow. One that is not answered
+ * for longer is asked of another balancer. */
+#define PLATFORM_PATIENCE_US (400 * DP_US_PER_MS)
 /* A change that a watch misses is found by the next one, with time left for a read. */
 #define WATCHES_PER_BOUND 3
 /* Clients send copies of a SYN 200 and 600 ms after it and give up after 1.4 s. */
@@ -42,6 +49,12 @@
   DpReplica *services;  /* of the collection services */
   DpReplica *balancers; /* for the own registration only */
   DpWatch *watch;
+  DpWatch *balancers_watch;
+  DpFeed *feed;         /* of the services, for other balancers */
+  DpUpstream *upstream; /* another balancer, while the platform is not reachable */
+  DpChannelMetrics channel_metrics;
+  GArray *peers;            /* DpAddress, of the settings */
+  gint64 unreachable_since; /* us, 0: the platform is reachable */
   DpBalancerEntry *entry;
   DpRouter *router;
   DpPlacement *placement;
@@ -71,6 +84,15 @@
 G_STATIC_ASSERT (G_N_ELEMENTS (drop_strings_) == N_DROPS);
 
 static void add_metrics_ (DpPassBalancer *balancer);
+static gboolean start_feed_ (DpPassBalancer *balancer, GError **error);
+static void ask_peers_ (DpPassBalancer *balancer, gint64 now);
+static void add_peer_ (DpPassBalancer *balancer, GArray *peers, const DpAddress *peer);
+static void upstream_changed_ (DpUpstream *upstream, gpointer user_data);
+static void upstream_progressed_ (DpUpstream *upstream, gpointer user_data);
+static void heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data);
+static void heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data);
+static void balancers_reachable_ (gboolean reachable, gpointer user_data);
+static void balancers_progressed_ (gpointer user_data);
 static void create_parts_ (DpPassBalancer *balancer);
 static void services_reachable_ (gboolean reachable, gpointer user_data);
 static void services_progressed_ (gpointer user_data);
@@ -118,6 +140,9 @@
   balancer->zone = g_strdup (options->zone);
   balancer->region = g_strdup (options->region);
   balancer->started_at = dp_clock_now (options->clock);
+  balancer->unreachable_since = balancer->started_at;
+  balancer->peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  g_array_append_vals (balancer->peers, options->peers, options->n_peers);
   add_metrics_ (balancer);
   create_parts_ (balancer);
   return balancer;
@@ -134,9 +159,10 @@
     return FALSE;
   balancer->data = dp_udp_port_new (&balancer->options.data, received_packet_, balancer,
                                     error);
-  if (balancer->data == NULL)
+  if (balancer->data == NULL || !start_feed_ (balancer, error))
     return FALSE;
   dp_watch_set_active (balancer->watch, TRUE);
+  dp_watch_set_active (balancer->balancers_watch, TRUE);
   dp_balancer_entry_want (balancer->entry, TRUE);
   balancer->tick = g_timeout_add (TICK_MS, tick_, balancer);
   g_message ("balancer %s of availability zone %s started", balancer->name,
@@ -163,6 +189,10 @@
   dp_replica_remove_listener (balancer->services, balancer->replica_listener);
   dp_balancer_entry_free (balancer->entry);
   dp_watch_free (balancer->watch);
+  dp_watch_free (balancer->balancers_watch);
+  dp_upstream_free (balancer->upstream);
+  dp_feed_free (balancer->feed);
+  g_array_unref (balancer->peers);
   dp_packet_port_free (balancer->data);
   dp_packet_port_free (balancer->report);
   dp_flow_cache_free (balancer->cache);
@@ -226,6 +256,10 @@
     .reachable = services_reachable_,
     .progressed = services_progressed_,
   };
+  static const DpWatchListener balancers_listener = {
+    .reachable = balancers_reachable_,
+    .progressed = balancers_progressed_,
+  };
   const DpPassBalancerOptions *options = &balancer->options;
   const DpTopologyBalancer self = {
     .name = balancer->name,
@@ -246,6 +280,9 @@
   balancer->watch = dp_watch_new (
       options->platform, options->services, options->apply_ms / WATCHES_PER_BOUND,
       balancer->services, options->metrics, &listener, balancer);
+  balancer->balancers_watch = dp_watch_new (
+      options->platform, options->balancers, BALANCERS_WATCH_MS, balancer->balancers,
+      options->metrics, &balancers_listener, balancer);
   balancer->entry = dp_balancer_entry_new (&self, balancer->balancers, options->platform,
                                            entry_settled_, balancer);
   balancer->router = dp_router_new ();
@@ -256,9 +293,127 @@
   balancer->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
+/* Serves the services to other balancers, and gets them from one if need be. */
+static gboolean
+start_feed_ (DpPassBalancer *balancer, GError **error)
+{
+  static const DpFeedListener feed_listener = { heard_heartbeat_, heard_suspicion_ };
+  static const DpUpstreamListener upstream_listener = { upstream_changed_,
+                                                        upstream_progressed_ };
+  /* The platform's network lets only its own hosts reach this port. */
+  static const DpNetwork everyone = { 0, 0 };
+  const DpFeedOptions feed = {
+    .name = balancer->name,
+    .zone = balancer->zone,
+    .address = &balancer->options.report,
+    .trusted = &everyone,
+    .n_trusted = 1,
+    .replica = balancer->services,
+    .metrics = &balancer->channel_metrics,
+  };
+  const DpUpstreamOptions upstream = {
+    .role = DP_ROLE_BALANCER,
+    .name = balancer->name,
+    .zone = balancer->zone,
+    .service = "",
+    .subscribe = TRUE,
+    .replica = balancer->services,
+    .metrics = &balancer->channel_metrics,
+  };
+
+  dp_channel_metrics_init (&balancer->channel_metrics, balancer->options.metrics);
+  balancer->feed = dp_feed_new (&feed, &feed_listener, balancer, error);
+  if (balancer->feed == NULL)
+    return FALSE;
+  balancer->upstream = dp_upstream_new (&upstream, &upstream_listener, balancer);
+  return TRUE;
+}
+
+/* Connects to another balancer while the platform does not answer. */
+static void
+ask_peers_ (DpPassBalancer *balancer, gint64 now)
+{
+  g_autoptr (GArray) peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  g_autoptr (DpTopology) topology = NULL;
+
+  if (balancer->unreachable_since == 0
+      || now - balancer->unreachable_since < PLATFORM_PATIENCE_US)
+    {
+      dp_upstream_set_peers (balancer->upstream, NULL, 0);
+      return;
+    }
+  topology = dp_topology_new (balancer->balancers);
+  for (guint i = 0; i < dp_topology_size (topology); i++)
+    add_peer_ (balancer, peers, &dp_topology_at (topology, i)->control);
+  for (guint i = 0; i < balancer->peers->len; i++)
+    add_peer_ (balancer, peers, &g_array_index (balancer->peers, DpAddress, i));
+  dp_upstream_set_peers (balancer->upstream, (const DpAddress *) (void *) peers->data,
+                         peers->len);
+}
+
+/* Adds a peer that is not this balancer itself and not in the list yet. */
+static void
+add_peer_ (DpPassBalancer *balancer, GArray *peers, const DpAddress *peer)
+{
+  if (dp_address_equal (peer, &balancer->options.report))
+    return;
+  for (guint i = 0; i < peers->len; i++)
+    if (dp_address_equal (peer, &g_array_index (peers, DpAddress, i)))
+      return;
+  g_array_append_val (peers, *peer);
+}
+
+static void
+upstream_changed_ (DpUpstream *upstream, gpointer user_data)
+{
+  const DpPassBalancer *balancer = user_data;
+
+  g_message ("services from another balancer: %s, revision %" G_GUINT64_FORMAT,
+             dp_upstream_synced (upstream) ? "complete" : "connection lost",
+             dp_replica_revision (balancer->services));
+}
+
+static void
+upstream_progressed_ (DpUpstream *upstream, gpointer user_data)
+{
+  if (dp_upstream_synced (upstream))
+    services_progressed_ (user_data);
+}
+
+/* Members report by datagrams; no process of this mode sends heartbeats here. */
+static void
+heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data)
+{
+  g_debug ("heartbeat of %s ignored", heartbeat->member);
+}
+
+static void
+heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data)
+{
+  g_debug ("suspicion of %s ignored", suspicion->member);
+}
+
+static void
+balancers_reachable_ (gboolean reachable, gpointer user_data)
+{
+  g_debug ("registered balancers: %s", reachable ? "reachable" : "not reachable");
+}
+
+static void
+balancers_progressed_ (gpointer user_data)
+{
+  const DpPassBalancer *balancer = user_data;
+
+  g_debug ("registered balancers of revision %" G_GUINT64_FORMAT,
+           dp_replica_revision (balancer->balancers));
+}
+
 static void
 services_reachable_ (gboolean reachable, gpointer user_data)
 {
+  DpPassBalancer *balancer = user_data;
+
+  balancer->unreachable_since = reachable ? 0 : dp_clock_now (balancer->options.clock);
   g_message ("platform: %s", reachable ? "reachable" : "not reachable");
 }
 
@@ -271,6 +426,7 @@
 
   g_clear_handle_id (&balancer->update, g_source_remove);
   update_now_ (balancer);
+  dp_feed_flush (balancer->feed);
   if (balancer->configured)
     return;
   services = dp_replica_list (balancer->services, DP_KIND_SERVICE);
@@ -584,7 +740,10 @@
 {
   DpPassBalancer *balancer = user_data;
 
-  if (dp_placement_expire (balancer->placement, dp_clock_now (balancer->options.clock)))
+  gint64 now = dp_clock_now (balancer->options.clock);
+
+  ask_peers_ (balancer, now);
+  if (dp_placement_expire (balancer->placement, now))
     g_hash_table_remove_all (balancer->listed);
   balancer->members->value = dp_placement_n_members (balancer->placement);
   return G_SOURCE_CONTINUE;
