Test the platform's program as processes against stand-ins of the platform

The last copy of a SYN whose member did not answer is decided where it arrives: the stand-ins showed flows lost when an address was used again by another service.

--- a/src/libdogwoodpaddle/candidates.c
+++ b/src/libdogwoodpaddle/candidates.c
@@ -200,21 +200,22 @@
   const DpView *view = candidates->view;
   const DpMember *self = dp_view_find (view, id);
   const DpMember *first = NULL;
-  g_autofree guint8 *seen = g_malloc0 (view->n_members + 1);
+  guint64 seen[DP_VIEW_MEMBERS_MAX / 64 + 1]; /* bits by member */
   gboolean passed = self == NULL;
   guint start;
 
   if (ring->n == 0)
     return NULL;
+  memset (seen, 0, (view->n_members / 64 + 1) * sizeof seen[0]);
   start = start_ (candidates, flow_hash);
   for (guint k = 0; k < ring->n; k++)
     {
       guint member = ring->members[(start + k) % ring->n];
       const DpMember *m = &view->members[member];
 
-      if (seen[member])
+      if ((seen[member / 64] >> (member % 64) & 1) != 0)
         continue;
-      seen[member] = TRUE;
+      seen[member / 64] |= G_GUINT64_CONSTANT (1) << (member % 64);
       if (m == self)
         passed = TRUE;
       else if (eligible_ (candidates, member, kind))
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -21,7 +21,7 @@
 #define HEARTBEATS_MISSED 3
 /* A member that is absent from the lists of all balancers for so long is no longer one.
  * A balancer that has just started, or is cut off, lists only those that it has heard. */
-#define ABSENT_US (3 * DP_US_PER_S)
+#define ABSENT_US (1500 * DP_US_PER_MS)
 /* So that every balancer hears that this member is leaving before it ends. */
 #define STOP_MIN_MS 500
 /* Platforms kill a process some seconds after they ask it to stop; 6 s is the shortest.
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -15,6 +15,8 @@
 #define SILENT_SYNS 2
 /* Clients give up an unanswered SYN after 1.4 s. */
 #define OFFER_US (2 * DP_US_PER_S)
+/* Their copies come after 200 and 600 ms. */
+#define LAST_COPY_MS 600
 /* A client whose first packet was lost sends it again after 200 ms; one that takes longer
  * for the handshake no longer keeps its slot. */
 #define HANDSHAKE_US (300 * DP_US_PER_MS)
@@ -590,8 +592,10 @@
 
   if (copy)
     flow->used_at = now;
-  /* A SYN that has come around after it was passed on is not a copy. */
-  if (copy && flow->state == FLOW_PASSED && hop->visited <= flow->visited)
+  /* A SYN that has come around after it was passed on is not a copy. The client's last
+   * copy is decided here: nobody has answered the others. */
+  if (copy && flow->state == FLOW_PASSED && hop->visited <= flow->visited
+      && segment->syn_age_ms < LAST_COPY_MS)
     return to_member_ (&flow->passed_to, DP_PASS_PASSED_BEFORE, hop);
   if (copy && flow->state == FLOW_WAITING)
     return decide_ (DP_PASS_DROP, DP_PASS_WAITING, hop);
--- /dev/null
+++ b/test/hosted/standins.py
@@ -0,0 +1,573 @@
+"""Stand-ins for the users' platform: its store, its backend servers and their clients.
+
+They speak the platform's published protocol with a sum of their own, on loopback addresses.
+"""
+
+import http.client
+import json
+import os
+import random
+import select
+import signal
+import socket
+import struct
+import subprocess
+import threading
+import time
+import zlib
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+HEAD = struct.Struct(">4sB5sHIHHIIII")
+SYN, ACK, FIN, RST, RETURNED = 64, 4, 8, 2, 32
+KEY = b"stand-in"
+PACKET_PORT = 8172
+READY_PORT = 8167
+ANNOUNCE_PORT = 8166
+OUTBOUND_PORT = 8162
+SERVER_PORT = 8165
+STORE_PORT = 8169
+COPY_DELAYS_S = (0.0, 0.2, 0.6)
+RETRANSMIT_S = 0.2
+DATA_MAX = 1200
+
+
+def ip_number(text):
+    return struct.unpack(">I", socket.inet_aton(text))[0]
+
+
+def ip_text(number):
+    return socket.inet_ntoa(struct.pack(">I", number))
+
+
+class Packet:
+    """One datagram: a head of 36 bytes and the data."""
+
+    def __init__(self, src, dst, flags, seq=0, ack=0, data=b"", echo=b"\0" * 4,
+                 pad=b"\0" * 5, total=None):
+        self.src, self.dst = src, dst  # (ip text, port)
+        self.flags, self.seq, self.ack, self.data = flags, seq, ack, data
+        self.echo, self.pad = echo, pad
+        self.total = self.expected_sum() if total is None else total
+
+    def expected_sum(self):
+        flags = self.flags & ~RETURNED
+        covered = repr((self.src, self.dst, flags, self.seq, self.ack)).encode()
+        return zlib.crc32(KEY + covered + self.data) or 1
+
+    def is_genuine(self):
+        return self.total == self.expected_sum()
+
+    def pack(self):
+        return HEAD.pack(self.echo, self.flags, self.pad, len(self.data),
+                         ip_number(self.src[0]), self.src[1], self.dst[1],
+                         ip_number(self.dst[0]), self.seq, self.ack,
+                         self.total) + self.data
+
+    @classmethod
+    def unpack(cls, datagram):
+        echo, flags, pad, length, src, sport, dport, dst, seq, ack, total = HEAD.unpack(
+            datagram[:HEAD.size])
+        data = datagram[HEAD.size:]
+        if length != len(data):
+            raise ValueError("length of the data is wrong")
+        return cls((ip_text(src), sport), (ip_text(dst), dport), flags, seq, ack, data,
+                   echo, pad, total)
+
+
+class Store:
+    """Objects by kind and name with revisions, conditional updates and watches."""
+
+    def __init__(self, ip):
+        self.objects = {}
+        self.events = []
+        self.revision = 4
+        self.compacted = 0
+        self.changed = threading.Condition()
+        self.refused = set()  # IPs of hosts that get 503
+        self.lose_answers = False
+        self.calls = 0
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_args):
+                pass
+
+            def do_GET(self):
+                store.handle(self, "GET")
+
+            def do_POST(self):
+                store.handle(self, "POST")
+
+            def do_PUT(self):
+                store.handle(self, "PUT")
+
+            def do_DELETE(self):
+                store.handle(self, "DELETE")
+
+        self.server = ThreadingHTTPServer((ip, STORE_PORT), Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def put(self, kind, name, spec):
+        with self.changed:
+            self._write(kind, name, spec)
+
+    def compact(self, quiet_change=None):
+        """Drops the history; a change in it wakes no watch."""
+        with self.changed:
+            if quiet_change is not None:
+                self.revision += 1
+                kind, name, spec = quiet_change
+                self.objects[kind, name] = self._object(name, spec)
+            self.events.clear()
+            self.compacted = self.revision
+
+    def _object(self, name, spec):
+        return {"meta": {"name": name, "revision": self.revision, "created": 1,
+                         "finalizers": [], "deleting": False},
+                "spec": spec, "status": None}
+
+    def _write(self, kind, name, spec):
+        self.revision += 1
+        deleted = spec is None
+        if deleted:
+            self.objects.pop((kind, name), None)
+        else:
+            self.objects[kind, name] = self._object(name, spec)
+        written = self._object(name, spec or {})
+        self.events.append((self.revision, kind, {"deleted": deleted, "object": written}))
+        self.changed.notify_all()
+        return written
+
+    def handle(self, request, method):
+        length = int(request.headers.get("Content-Length", 0))
+        body = json.loads(request.rfile.read(length)) if length else None
+        path, _, query = request.path.partition("?")
+        arguments = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
+        parts = path.strip("/").split("/")[1:]
+        with self.changed:
+            self.calls += 1
+            if request.client_address[0] in self.refused:
+                status, answer = 503, {"error": "refused"}
+            elif method == "GET" and "watch" in arguments:
+                status, answer = self._watch(parts[0], arguments)
+            elif method == "GET" and len(parts) == 1:
+                items = [o for (kind, _), o in sorted(self.objects.items())
+                         if kind == parts[0]]
+                status, answer = 200, {"items": items, "has_more": False,
+                                       "as_of": self.revision}
+            elif method == "GET":
+                found = self.objects.get((parts[0], parts[1]))
+                status, answer = (200, found) if found else (404, {"error": "none"})
+            else:
+                status, answer = self._change(method, parts, body, arguments)
+            lost = self.lose_answers and method != "GET"
+        if lost:
+            request.close_connection = True
+            request.connection.shutdown(socket.SHUT_RDWR)
+            return
+        text = json.dumps(answer).encode()
+        try:
+            request.send_response(status)
+            request.send_header("Content-Type", "application/json")
+            request.send_header("Content-Length", str(len(text)))
+            request.end_headers()
+            request.wfile.write(text)
+        except OSError:
+            request.close_connection = True  # the caller has gone
+
+    def _watch(self, kind, arguments):
+        since = int(arguments["watch"])
+        end = time.monotonic() + int(arguments.get("wait_ms", 0)) / 1000
+        while True:
+            events = [e for r, k, e in self.events if r > since and k == kind]
+            if events:
+                return 200, {"events": events, "as_of": self.revision}
+            left = end - time.monotonic()
+            if left <= 0:
+                break
+            self.changed.wait(left)
+        if since < self.compacted:
+            return 410, {"error": "history is gone"}
+        return 200, {"events": [], "as_of": self.revision}
+
+    def _change(self, method, parts, body, arguments):
+        kind = parts[0]
+        name = body["meta"]["name"] if method == "POST" else parts[1]
+        present = self.objects.get((kind, name))
+        if method == "POST":
+            if present:
+                return 409, present
+            return 200, self._write(kind, name, body["spec"])
+        if present is None:
+            return 404, {"error": "none"}
+        wanted = (int(arguments["revision"]) if method == "DELETE"
+                  else body["meta"].get("revision"))
+        if wanted is not None and wanted != present["meta"]["revision"]:
+            return 409, present
+        return 200, self._write(kind, name, body["spec"] if method == "PUT" else None)
+
+
+class Server:
+    """A backend server that ends flows itself; each runs a request once."""
+
+    def __init__(self, ip, service, zone, identity, slots=2, work_s=0.005,
+                 answer=b"x" * 3000, heartbeat_s=0.2):
+        self.ip, self.service, self.zone, self.identity = ip, service, zone, identity
+        self.slots, self.work_s, self.answer = slots, work_s, answer
+        self.heartbeat_s = heartbeat_s
+        self.state = "ready"
+        self.acknowledged_at = None  # of the first heartbeat that said draining
+        self.born = int(time.time() * 1000)
+        self.flows = {}
+        self.runs = []  # (flow, request, time)
+        self.syns = []  # (flow, time)
+        self.violations = []
+        self.taking = True  # FALSE: returns SYNs
+        self.sequence = 0
+        self.stopping = False
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((ip, SERVER_PORT))
+        self.threads = [threading.Thread(target=self._serve, daemon=True),
+                        threading.Thread(target=self._announce, daemon=True)]
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self, sign_off=False):
+        self.stopping = True
+        if sign_off:
+            self._call("deregister", None)
+        for thread in self.threads:
+            thread.join(5)
+        self.socket.close()
+
+    def _call(self, call, body):
+        connection = http.client.HTTPConnection(self.ip, ANNOUNCE_PORT, timeout=1)
+        try:
+            connection.request("POST", f"/instances/{self.identity}/{call}",
+                               json.dumps(body) if body else None,
+                               {"Content-Type": "application/json"})
+            return connection.getresponse().status
+        except OSError:
+            return None
+        finally:
+            connection.close()
+
+    def _announce(self):
+        while not self.stopping:
+            self.sequence += 1
+            state = self.state
+            status = self._call("heartbeat", {
+                "service": self.service, "address": f"{self.ip}:{SERVER_PORT}",
+                "zone": self.zone, "version": "v1", "slots": self.slots, "state": state,
+                "warmup_left_ms": 0, "sequence": self.sequence, "born": self.born})
+            if status == 200 and state == "draining" and self.acknowledged_at is None:
+                self.acknowledged_at = time.monotonic()
+            time.sleep(self.heartbeat_s)
+
+    def _serve(self):
+        while not self.stopping:
+            ready, _, _ = select.select([self.socket], [], [], 0.02)
+            if ready:
+                self._take(Packet.unpack(self.socket.recv(4096)))
+            now = time.monotonic()
+            for key, flow in list(self.flows.items()):
+                self._go_on(key, flow, now)
+
+    def _send(self, packet):
+        self.socket.sendto(packet.pack(), (self.ip, OUTBOUND_PORT))
+
+    def _return(self, packet):
+        packet.flags |= RETURNED
+        packet.pad = b"\0" * 5
+        self._send(packet)
+
+    def _take(self, packet):
+        key = (packet.src, packet.dst)
+        flow = self.flows.get(key)
+        if not packet.is_genuine() or packet.flags & RETURNED:
+            self.violations.append(("changed packet", key))
+            return
+        if packet.flags & (SYN | ACK) == SYN | ACK:
+            self.violations.append(("forged packet", key))
+            return
+        if packet.flags & SYN:
+            if flow is None and not self.taking:
+                self._return(packet)
+                return
+            if flow is None:
+                flow = {"state": "half", "seq": random.getrandbits(31), "in": b"",
+                        "client": packet.seq + 1, "out": None, "acked": 0, "fin": False,
+                        "due": None, "sent_at": 0.0}
+                self.flows[key] = flow
+                self.syns.append((key, time.monotonic()))
+            self._send(Packet(packet.dst, packet.src, SYN | ACK, flow["seq"],
+                              packet.seq + 1))
+            return
+        if flow is None or (flow["state"] == "half" and packet.ack != flow["seq"] + 1):
+            self._return(packet)
+            return
+        if packet.flags & RST:
+            del self.flows[key]
+            return
+        flow["state"] = "open"
+        flow["acked"] = max(flow["acked"], packet.ack - flow["seq"] - 1)
+        if packet.data and packet.seq == flow["client"]:
+            flow["in"] += packet.data
+            flow["client"] += len(packet.data)
+        if flow["in"].endswith(b"\n") and flow["due"] is None:
+            flow["due"] = time.monotonic() + self.work_s
+            self.runs.append((key, flow["in"], time.monotonic()))
+        if packet.flags & FIN:
+            flow["fin"] = True
+        if packet.data or packet.flags & FIN:
+            self._send(Packet(packet.dst, packet.src, ACK, flow["seq"] + 1,
+                              flow["client"] + (1 if flow["fin"] else 0)))
+
+    def _go_on(self, key, flow, now):
+        if flow["due"] is None or now < flow["due"]:
+            return
+        if flow["out"] is None:
+            flow["out"] = flow["in"].strip() + b":" + self.answer
+        if flow["acked"] >= len(flow["out"]) + 1:
+            return
+        if now - flow["sent_at"] < RETRANSMIT_S:
+            return
+        flow["sent_at"] = now
+        for start in range(0, len(flow["out"]), DATA_MAX):
+            data = flow["out"][start:start + DATA_MAX]
+            last = start + DATA_MAX >= len(flow["out"])
+            self._send(Packet(key[1], key[0], ACK | (FIN if last else 0),
+                              flow["seq"] + 1 + start, flow["client"], data))
+
+
+class Clients:
+    """Requests of one client address, each on a flow of its own, sprayed over balancers."""
+
+    def __init__(self, ip, balancers):
+        self.ip = ip
+        self.balancers = balancers  # addresses; each packet takes any of them
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((ip, PACKET_PORT))
+        self.next_port = 20000
+        self.flows = {}
+
+    def close(self):
+        self.socket.close()
+
+    def start(self, route, request):
+        self.next_port += 1
+        seq = random.getrandbits(31)
+        flow = {"key": ((self.ip, self.next_port), route), "request": request + b"\n",
+                "seq": seq, "started": time.monotonic(), "copies": 0, "peer": None,
+                "in": {}, "result": None, "sent_at": 0.0, "finished_at": None,
+                "end": None}
+        self.flows[self.next_port] = flow
+        return flow
+
+    def _send(self, flow, flags, seq, ack=0, data=b""):
+        packet = Packet(flow["key"][0], flow["key"][1], flags, seq, ack, data)
+        balancer = random.choice(self.balancers)
+        self.socket.sendto(packet.pack(), (balancer, PACKET_PORT))
+
+    def run(self, until, wanted=None):
+        """Goes on until the time, or until all wanted flows have a result."""
+        while time.monotonic() < until:
+            ready, _, _ = select.select([self.socket], [], [], 0.01)
+            if ready:
+                self._take(Packet.unpack(self.socket.recv(4096)))
+            now = time.monotonic()
+            for flow in self.flows.values():
+                self._go_on(flow, now)
+            if wanted is not None and all(f["result"] for f in wanted):
+                return
+
+    def _take(self, packet):
+        flow = self.flows.get(packet.dst[1])
+        if flow is None or flow["result"]:
+            return
+        if packet.flags & RST:
+            flow["result"] = "reset"
+            flow["genuine_reset"] = packet.is_genuine()
+            return
+        if not packet.is_genuine():
+            flow["result"] = "changed packet"
+            return
+        if packet.flags & SYN:
+            if flow["peer"] is None:
+                flow["peer"] = packet.seq
+            self._send(flow, ACK, flow["seq"] + 1, flow["peer"] + 1, flow["request"])
+            flow["sent_at"] = time.monotonic()
+            return
+        if flow["peer"] is None:
+            return
+        flow["in"][packet.seq - flow["peer"] - 1] = packet.data
+        if packet.flags & FIN:
+            flow["end"] = packet.seq - flow["peer"] - 1 + len(packet.data)
+        whole = self._whole(flow)
+        self._send(flow, ACK, flow["seq"] + 1 + len(flow["request"]),
+                   flow["peer"] + 1 + len(whole))
+        if flow["end"] is not None and len(whole) == flow["end"]:
+            self._send(flow, ACK | FIN, flow["seq"] + 1 + len(flow["request"]),
+                       flow["peer"] + 2 + len(whole))
+            good = whole.startswith(flow["request"].strip() + b":")
+            flow["result"] = "ok" if good else "wrong answer"
+            flow["finished_at"] = time.monotonic()
+
+    @staticmethod
+    def _whole(flow):
+        text = b""
+        while len(text) in flow["in"] and flow["in"][len(text)]:
+            text += flow["in"][len(text)]
+        return text
+
+    def _go_on(self, flow, now):
+        if flow["result"]:
+            return
+        age = now - flow["started"]
+        if flow["peer"] is None:
+            if flow["copies"] < len(COPY_DELAYS_S) and age >= COPY_DELAYS_S[
+                    flow["copies"]]:
+                # A SYN's acknowledgement number counts its copies.
+                self._send(flow, SYN, flow["seq"], flow["copies"])
+                flow["copies"] += 1
+            elif age > 1.4:
+                flow["result"] = "no answer"
+        elif now - flow["sent_at"] > RETRANSMIT_S and not flow["in"]:
+            flow["sent_at"] = now
+            self._send(flow, ACK, flow["seq"] + 1, flow["peer"] + 1, flow["request"])
+        elif age > 10:
+            flow["result"] = "deadline"
+
+
+class Process:
+    """One process of the system, with its settings file and its log."""
+
+    def __init__(self, program, role, folder, settings):
+        self.program, self.role = program, role
+        self.settings = settings
+        self.name = settings["node_name"]
+        self.path = os.path.join(folder, self.name + ".json")
+        self.log_path = os.path.join(folder, self.name + ".log")
+        self.process = None
+        self.start()
+
+    def start(self):
+        with open(self.path, "w", encoding="utf-8") as file:
+            json.dump(self.settings, file)
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [self.program, self.role], stdout=log, stderr=log,
+                env={"DOGWOODPADDLE_CONFIG": self.path, "PATH": os.environ["PATH"]})
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self, timeout=6.0):
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(timeout)
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8") as file:
+            return file.read()
+
+    def is_ready(self):
+        connection = http.client.HTTPConnection(self.settings["ip"], READY_PORT, timeout=1)
+        try:
+            connection.request("GET", "/readyz")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+
+class Site:
+    """A whole deployment below one loopback prefix, as "127.33"."""
+
+    def __init__(self, program, folder, prefix):
+        self.program, self.folder, self.prefix = program, folder, prefix
+        self.store = Store(f"{prefix}.200.1")
+        self.balancers, self.companions, self.servers = [], [], []
+        self.clients = []
+        self.version = 1
+        self.declared = set()  # (ip, port, service) of all configurations
+
+    def settings(self, role, name, ip, zone, extra=None):
+        seeds = [f"{self.prefix}.1.{i + 1}:{ANNOUNCE_PORT}" for i in range(2)]
+        settings = {
+            "node_name": name, "role": role, "ip": ip, "zone": zone, "region": "lv-riga",
+            "listen": {"datagram_addr": f"{ip}:{PACKET_PORT}",
+                       "ready": f"{ip}:{READY_PORT}"},
+            "internal_port_range": [7720, 7735], "seeds": seeds, "heartbeat_ms": 200,
+            "bounds": {"flow_ttl_s": 60, "config_apply_ms": 3000},
+            "platform": {"address": f"{self.prefix}.200.1:{STORE_PORT}"}}
+        settings.update(extra or {})
+        return settings
+
+    def add_balancer(self, zone="riga-a"):
+        number = len(self.balancers) + 1
+        ip = f"{self.prefix}.1.{number}"
+        balancer = Process(self.program, "balancer", self.folder,
+                           self.settings("balancer", f"balancer-{number}", ip, zone))
+        self.balancers.append(balancer)
+        return balancer
+
+    def add_server(self, service, zone="riga-a", number=None, **options):
+        number = number or len(self.companions) + 1
+        ip = f"{self.prefix}.2.{number}"
+        settings = self.settings("companion", f"side-{service}-{number}", ip, zone,
+                                 {"service": service, "app": f"{ip}:{SERVER_PORT}"})
+        settings["listen"]["outbound"] = f"{ip}:{OUTBOUND_PORT}"
+        settings["listen"]["control_plane"] = f"{ip}:{ANNOUNCE_PORT}"
+        companion = Process(self.program, "companion", self.folder, settings)
+        server = Server(ip, service, zone, f"i-{service}-{number}", **options)
+        self.companions.append(companion)
+        self.servers.append(server)
+        return companion, server
+
+    def configure(self, routes):
+        """routes: (ip, port, service, kind)."""
+        self.version += 1
+        self.store.put("config", "main", self.configuration(routes))
+
+    def configuration(self, routes):
+        self.declared.update(route[:3] for route in routes)
+        return {"version": self.version, "services": [], "limits": {},
+                "routes": [{"name": f"r-{i}", "host": ip, "path_prefix": f"/{port}/",
+                            "service": service, "kind": kind, "timeout_ms": 3000,
+                            "slo_ms": 1000, "priority": 1}
+                           for i, (ip, port, service, kind) in enumerate(routes)]}
+
+    def client(self):
+        number = len(self.clients) + 1
+        clients = Clients(f"{self.prefix}.9.{number}",
+                          [b.settings["ip"] for b in self.balancers])
+        self.clients.append(clients)
+        return clients
+
+    def wait_ready(self, timeout=5.0):
+        end = time.monotonic() + timeout
+        while not all(b.is_ready() for b in self.balancers):
+            if time.monotonic() > end:
+                raise RuntimeError("balancers are not ready")
+            time.sleep(0.05)
+        time.sleep(0.5)  # every member has reported to every balancer
+
+    def close(self):
+        for server in self.servers:
+            if not server.stopping:
+                server.stop()
+        for process in self.companions + self.balancers:
+            if process.process.poll() is None:
+                process.kill()
+        for clients in self.clients:
+            clients.close()
+        self.store.close()
--- /dev/null
+++ b/test/test_hosted.py
@@ -0,0 +1,323 @@
+#!/usr/bin/env python3
+"""Runs the platform's program as processes against stand-ins of the platform.
+
+Guards against the failures found on the users' bench, without the bench: flows that reach
+two servers, a configuration that stays unnoticed, balancers without services during an
+outage, new flows at a leaving server, packets of another service.
+"""
+
+import os
+import random
+import shutil
+import sys
+import tempfile
+import time
+import traceback
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "hosted"))
+import standins  # noqa: E402
+
+BINARIES = os.environ.get("DP_BINARY_DIR", "build")
+PROGRAM = os.path.join(BINARIES, "dogwoodpaddle-platform")
+REPORTS = ("198.18.0.1", 443, "darbnica", "non_idempotent")
+MANUALS = ("198.18.0.2", 443, "rokasgramata", "download")
+CONFIG_APPLY_S = 3.0
+DRAIN_S = 3.0
+
+
+def check(condition, text):
+    if not condition:
+        raise AssertionError(text)
+
+
+def start(site, n_balancers=2, n_servers=3, **options):
+    site.configure([REPORTS, MANUALS])
+    for _ in range(n_balancers):
+        site.add_balancer()
+    for _ in range(n_servers):
+        site.add_server("darbnica", **options)
+    site.add_server("rokasgramata", answer=b"m" * 40000)
+    site.wait_ready()
+
+
+def ask(client, route, n, tag, spacing=0.005):
+    flows = []
+    for i in range(n):
+        flows.append(client.start(route[:2], f"{tag}-{i}".encode()))
+        client.run(time.monotonic() + spacing)
+    return flows
+
+
+def finish(client, flows, timeout=8.0):
+    client.run(time.monotonic() + timeout, flows)
+    return [f["result"] for f in flows]
+
+
+def check_servers(site):
+    runs = [request for server in site.servers for _, request, _ in server.runs]
+    check(len(runs) == len(set(runs)), "a request ran twice")
+    for server in site.servers:
+        check(not server.violations, f"{server.identity}: {server.violations[:3]}")
+        for key, _, _ in server.runs:
+            check((*key[1], server.service) in site.declared,
+                  f"{server.identity} ran a request of {key[1]}")
+
+
+def test_every_packet_takes_any_balancer(site):
+    start(site)
+    client = site.client()
+    flows = ask(client, REPORTS, 150, "report") + ask(client, MANUALS, 5, "manual", 0.05)
+    results = finish(client, flows)
+    check(results == ["ok"] * len(flows), f"results {set(results)}")
+    check(all(server.runs for server in site.servers), "a server got no flow")
+
+
+def test_companion_killed_during_flows(site):
+    start(site, n_servers=1, work_s=0.6)
+    client = site.client()
+    flows = ask(client, REPORTS, 2, "report")
+    client.run(time.monotonic() + 0.2)
+    site.companions[0].kill()
+    site.companions[0].start()
+    results = finish(client, flows)
+    check(results == ["ok", "ok"], f"results {results}")
+
+
+def test_companion_restarted_by_a_signal(site):
+    start(site, work_s=0.1)
+    client = site.client()
+    flows = ask(client, REPORTS, 4, "report")
+    check(site.companions[0].stop() == 0, "exit status")
+    site.companions[0].start()
+    flows += ask(client, REPORTS, 20, "later", 0.02)
+    results = finish(client, flows)
+    check(results == ["ok"] * len(flows), f"results {set(results)}")
+
+
+def test_balancer_killed_during_flows(site):
+    start(site, work_s=0.3)
+    client = site.client()
+    flows = ask(client, REPORTS, 6, "report")
+    client.run(time.monotonic() + 0.1)
+    site.balancers[0].kill()
+    client.balancers = [site.balancers[1].settings["ip"]]
+    results = finish(client, flows)
+    check(results == ["ok"] * len(flows), f"results {results}")
+
+
+def test_leaving_server_gets_no_new_flow(site):
+    """Also while the store is down."""
+    start(site)
+    site.store.refused.update(b.settings["ip"] for b in site.balancers + site.companions)
+    leaving = site.servers[0]
+    leaving.state = "draining"
+    client = site.client()
+    client.run(time.monotonic() + 0.5)
+    check(leaving.acknowledged_at is not None, "no acknowledgement")
+    flows = ask(client, REPORTS, 60, "report", 0.02)
+    results = finish(client, flows)
+    check(results == ["ok"] * len(flows), f"results {set(results)}")
+    late = [t for _, t in leaving.syns if t > leaving.acknowledged_at + DRAIN_S / 10]
+    check(not late, f"{len(late)} new flows after the acknowledgement")
+
+
+def test_server_returns_syns(site):
+    start(site, n_servers=2)
+    site.servers[0].taking = False
+    client = site.client()
+    flows = ask(client, REPORTS, 30, "report", 0.02)
+    results = finish(client, flows)
+    check(results == ["ok"] * len(flows), f"results {set(results)}")
+
+
+def test_crashed_server(site):
+    """Its clients hear of it, and the address's next incarnation gets no old flow."""
+    start(site, n_servers=1, work_s=1.0)
+    client = site.client()
+    flows = ask(client, REPORTS, 1, "report")
+    client.run(time.monotonic() + 0.3)
+    old = site.servers[0]
+    old.stop()
+    new = standins.Server(old.ip, old.service, old.zone, old.identity)
+    site.servers.append(new)
+    client.run(time.monotonic() + 0.5)
+    # The client's next packet, as an acknowledgement during a download.
+    flow = flows[0]
+    client._send(flow, standins.ACK, flow["seq"] + 1 + len(flow["request"]),
+                 flow["peer"] + 1)
+    results = finish(client, flows)
+    check(results == ["reset"], f"results {results}")
+    check(not new.runs, "the new incarnation ran a request of the old one's flow")
+
+
+def test_no_route(site):
+    start(site)
+    client = site.client()
+    flow = client.start(("198.18.0.9", 443), b"nobody")
+    client.run(time.monotonic() + 1.0, [flow])
+    check(flow["result"] == "reset", f"result {flow['result']}")
+
+
+def test_changed_configuration(site):
+    start(site)
+    client = site.client()
+    added = ("198.18.0.3", 80, "darbnica", "idempotent")
+    site.configure([REPORTS, added])
+    client.run(time.monotonic() + 0.5)
+    gone = client.start(MANUALS[:2], b"gone")
+    new = client.start(added[:2], b"new")
+    client.run(time.monotonic() + 2.0, [gone, new])
+    check(gone["result"] == "reset", f"removed route: {gone['result']}")
+    check(new["result"] == "ok", f"added route: {new['result']}")
+
+
+def test_compacted_store(site):
+    """Found on lgkaa-serviss scale-1: the waiting watch is told nothing of the change."""
+    start(site)
+    client = site.client()
+    added = ("198.18.0.3", 80, "darbnica", "idempotent")
+    site.store.compact(("config", "main", site.configuration([REPORTS, added])))
+    client.run(time.monotonic() + CONFIG_APPLY_S - 0.5)
+    flow = client.start(added[:2], b"new")
+    client.run(time.monotonic() + 1.0, [flow])
+    check(flow["result"] == "ok", f"result {flow['result']}")
+
+
+def test_balancer_started_without_the_store(site):
+    """Found on lgkaa-serviss trouble-1: no services until the store returned."""
+    start(site)
+    site.store.refused.add(site.balancers[1].settings["ip"])
+    site.balancers[1].kill()
+    site.balancers[1].start()
+    end = time.monotonic() + 3.0
+    while not site.balancers[1].is_ready() and time.monotonic() < end:
+        time.sleep(0.05)
+    check(site.balancers[1].is_ready(), "not ready without the store")
+    client = site.client()
+    client.balancers = [site.balancers[1].settings["ip"]]
+    results = finish(client, ask(client, REPORTS, 10, "report"))
+    check(results == ["ok"] * 10, f"results {set(results)}")
+
+
+def test_lost_answers(site):
+    """A registration whose answer is lost is read back, not written twice."""
+    start(site, n_balancers=1)
+    site.store.lose_answers = True
+    added = site.add_balancer()
+    time.sleep(0.6)
+    site.store.lose_answers = False
+    time.sleep(0.6)
+    written = [e for _, kind, e in site.store.events
+               if kind == "balancers" and e["object"]["meta"]["name"] == added.name]
+    check(len(written) == 1, f"{len(written)} writes")
+
+
+def test_address_used_by_another_service(site):
+    """A balancer that was cut off still sends the old service's packets there."""
+    start(site, n_balancers=1, n_servers=2)
+    site.servers[0].stop()
+    site.companions[0].kill()
+    # A datagram as of a balancer that has not heard of the change yet.
+    client = site.client()
+    site.add_server("rokasgramata", number=1, answer=b"m" * 100)
+    client.run(time.monotonic() + 0.5)
+    # Also a member that still takes the address for one of its own service's.
+    results = finish(client, ask(client, REPORTS, 30, "early"))
+    check(results == ["ok"] * 30, f"results {set(results)}")
+    victim = site.servers[-1]
+    before = len(victim.syns)
+    packet = standins.Packet((client.ip, 30000), REPORTS[:2], standins.SYN, 7)
+    tag = tag_of("darbnica", site)
+    packet.pad = tag + b"\0\0"
+    client.socket.sendto(packet.pack(), (victim.ip, standins.PACKET_PORT))
+    client.run(time.monotonic() + 0.3)
+    check(len(victim.syns) == before, "a packet of the old service reached the server")
+    results = finish(client, ask(client, REPORTS, 10, "report"))
+    check(results == ["ok"] * 10, f"results {set(results)}")
+
+
+def tag_of(service, site):
+    """The tag that a balancer writes for the service, seen on a real packet."""
+    probe = next(s for s in site.servers if s.service == service and not s.stopping)
+    seen = []
+    take = probe._take
+
+    def spy(packet):
+        seen.append(packet.pad[:3])
+        take(packet)
+
+    probe._take = spy
+    client = site.client()
+    finish(client, ask(client, REPORTS, 4, "probe"))
+    probe._take = take
+    check(seen, "no packet seen")
+    return seen[0]
+
+
+def test_malformed_input(site):
+    """Neither heartbeats nor datagrams of others harm a process."""
+    start(site, n_servers=1)
+    client = site.client()
+    server = site.servers[0]
+    for body in ({}, {"service": 3}, {"service": "darbnica", "slots": -1}, [1]):
+        check(server._call("heartbeat", body) == 400 or not body, f"{body} accepted")
+    rng = random.Random(7)
+    for address in [(b.settings["ip"], port) for b in site.balancers
+                    for port in (standins.PACKET_PORT, 7720)] + [
+                        (server.ip, port) for port in
+                        (standins.PACKET_PORT, standins.OUTBOUND_PORT, 7720)]:
+        for length in (0, 1, 35, 36, 100, 1236, 1300, 4000):
+            client.socket.sendto(rng.randbytes(length), address)
+    results = finish(client, ask(client, REPORTS, 10, "report"))
+    check(results == ["ok"] * 10, f"results {set(results)}")
+    for process in site.balancers + site.companions:
+        check(process.process.poll() is None, f"{process.name} ended")
+
+
+def test_reload(site):
+    """SIGHUP, with good settings and bad ones, ends no process."""
+    start(site, n_servers=1)
+    for process in site.balancers + site.companions:
+        process.process.send_signal(1)
+    time.sleep(0.2)
+    with open(site.balancers[0].path, "w", encoding="utf-8") as file:
+        file.write("{")
+    site.balancers[0].process.send_signal(1)
+    time.sleep(0.2)
+    check("settings not reloaded" in site.balancers[0].log(), "no warning in the log")
+    for process in site.balancers + site.companions:
+        check(process.process.poll() is None, f"{process.name} ended")
+
+
+def run(test, number):
+    folder = tempfile.mkdtemp(prefix="hosted-")
+    prefix = f"127.{20 + os.getpid() % 200}"
+    site = standins.Site(PROGRAM, folder, f"{prefix}")
+    try:
+        test(site)
+        check_servers(site)
+        print(f"ok {number} - {test.__name__}")
+        return True
+    except Exception:  # pylint: disable=broad-except
+        traceback.print_exc()
+        print(f"not ok {number} - {test.__name__}")
+        for process in site.balancers + site.companions:
+            print(f"--- {process.name}\n{process.log()[-3000:]}")
+        return False
+    finally:
+        site.close()
+        shutil.rmtree(folder)
+
+
+def main():
+    tests = [value for name, value in sorted(globals().items())
+             if name.startswith("test_") and callable(value)]
+    wanted = sys.argv[1:]
+    results = [run(test, i + 1) for i, test in enumerate(tests)
+               if not wanted or test.__name__ in wanted]
+    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
+    return 0 if all(results) and results else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
