--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -83,7 +83,7 @@
         self.revision = 4
         self.compacted = 0
         self.changed = threading.Condition()
-        self.refused = set()  # IPs of hosts that get 503
+        self.down = False  # answers 503, also to watches that are waiting
         self.lose_answers = False
         self.calls = 0
         store = self
@@ -114,6 +114,11 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def set_down(self, down):
+        with self.changed:
+            self.down = down
+            self.changed.notify_all()
+
     def put(self, kind, name, spec):
         with self.changed:
             self._write(kind, name, spec)
@@ -153,8 +158,8 @@
         parts = path.strip("/").split("/")[1:]
         with self.changed:
             self.calls += 1
-            if request.client_address[0] in self.refused:
-                status, answer = 503, {"error": "refused"}
+            if self.down:
+                status, answer = 503, {"error": "down"}
             elif method == "GET" and "watch" in arguments:
                 status, answer = self._watch(parts[0], arguments)
             elif method == "GET" and len(parts) == 1:
@@ -187,6 +192,8 @@
         end = time.monotonic() + int(arguments.get("wait_ms", 0)) / 1000
         while True:
             events = [e for r, k, e in self.events if r > since and k == kind]
+            if self.down:
+                return 503, {"error": "down"}
             if events:
                 return 200, {"events": events, "as_of": self.revision}
             left = end - time.monotonic()
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -108,7 +108,7 @@
 def test_leaving_server_gets_no_new_flow(site):
     """Also while the store is down."""
     start(site)
-    site.store.refused.update(b.settings["ip"] for b in site.balancers + site.companions)
+    site.store.set_down(True)
     leaving = site.servers[0]
     leaving.state = "draining"
     client = site.client()
@@ -186,7 +186,7 @@
 def test_balancer_started_without_the_store(site):
     """Found on lgkaa-serviss trouble-1: no services until the store returned."""
     start(site)
-    site.store.refused.add(site.balancers[1].settings["ip"])
+    site.store.set_down(True)
     site.balancers[1].kill()
     site.balancers[1].start()
     end = time.monotonic() + 3.0
