--- a/src/libdogwoodpaddle/fleet.c
+++ b/src/libdogwoodpaddle/fleet.c
@@ -272,8 +272,12 @@
 read_text_ (JsonObject *object, const char *key, const char *path, GPtrArray *faults)
 {
   JsonNode *node = json_object_get_member (object, key);
-  g_autofree char *at = dp_json_path (path, key);
+  g_autofree char *at = NULL;
 
+  if (node != NULL && JSON_NODE_HOLDS_VALUE (node)
+      && json_node_get_value_type (node) == G_TYPE_STRING)
+    return json_node_get_string (node);
+  at = dp_json_path (path, key);
   if (node != NULL)
     return dp_document_text (node, at, faults);
   dp_faults_add (faults, at, "is missing");
@@ -291,10 +295,20 @@
               GPtrArray *faults)
 {
   JsonNode *node = json_object_get_member (object, key);
-  g_autofree char *at = dp_json_path (path, key);
+  g_autofree char *at = NULL;
 
+  if (node == NULL && !required)
+    return;
+  if (node != NULL && JSON_NODE_HOLDS_VALUE (node)
+      && json_node_get_value_type (node) == G_TYPE_INT64 && json_node_get_int (node) >= 1
+      && json_node_get_int (node) <= max)
+    {
+      *value = json_node_get_int (node);
+      return;
+    }
+  at = dp_json_path (path, key);
   if (node != NULL)
     dp_document_integer (node, at, 1, max, value, faults);
-  else if (required)
+  else
     dp_faults_add (faults, at, "is missing");
 }
--- a/src/libdogwoodpaddle/include/protected/replica.h
+++ b/src/libdogwoodpaddle/include/protected/replica.h
@@ -31,12 +31,16 @@
   char *json; /* the value's text, valid JSON; "" if deleted */
 } DpRecord;
 
+gboolean dp_record_name_is_valid (const char *name);
 DpRecord *dp_record_new (DpKind kind,
                          const char *name,
                          guint64 revision,
                          gboolean deleted,
                          const char *json,
                          GError **error);
+/* The value's text comes from this process and is valid JSON; takes it over. */
+DpRecord *
+dp_record_new_from_own (DpKind kind, const char *name, guint64 revision, char *json);
 DpRecord *dp_record_ref (DpRecord *record);
 void dp_record_unref (DpRecord *record);
 JsonNode *dp_record_value (const DpRecord *record);
--- a/src/libdogwoodpaddle/json.c
+++ b/src/libdogwoodpaddle/json.c
@@ -6,7 +6,7 @@
 
 static gboolean depth_is_bounded_ (const char *text, gsize length);
 static JsonNode *member_ (JsonObject *object, const char *key);
-static const char *find_array_ (const char *text, const char *key);
+static const char *find_member_ (const char *text, const char *key);
 static const char *skip_space_ (const char *at);
 static const char *skip_string_ (const char *at);
 static const char *skip_value_ (const char *at);
@@ -59,12 +59,14 @@
 dp_json_take_elements (const char *text, const char *key, GPtrArray *elements)
 {
   const guint n_before = elements->len;
-  const char *begin = find_array_ (text, key);
-  const char *at = begin == NULL ? NULL : skip_space_ (begin);
+  const char *begin = find_member_ (text, key);
+  const char *at;
   g_autofree char *head = NULL;
 
-  if (begin == NULL)
+  if (begin == NULL || *begin != '[')
     return g_strdup (text);
+  begin++;
+  at = skip_space_ (begin);
   while (*at != ']' || elements->len > n_before)
     {
       const char *end = skip_value_ (at);
@@ -102,6 +104,54 @@
   return json_array_dup_element (json_node_get_array (node), 0);
 }
 
+/* Gives the text of a member's value, NULL if there is none, and returns the rest of the
+ * text with null in its place. As with dp_json_take_elements (), nothing is validated. */
+char *
+dp_json_take_member (const char *text, const char *key, char **value)
+{
+  const char *begin = find_member_ (text, key);
+  const char *end = begin == NULL ? NULL : skip_value_ (begin);
+  g_autofree char *head = NULL;
+
+  *value = NULL;
+  if (begin == NULL)
+    return g_strdup (text);
+  *value = g_strndup (begin, (gsize) (end - begin));
+  head = g_strndup (text, (gsize) (begin - text));
+  return g_strconcat (head, "null", end, NULL);
+}
+
+/* Returns a copy of a string member. Parsing a list of several hundred objects takes
+ * milliseconds, in which a process forwards nothing; this reads what it needs. */
+char *
+dp_json_scan_string (const char *text, const char *key)
+{
+  const char *begin = find_member_ (text, key);
+  gsize length;
+
+  if (begin == NULL || *begin != '"')
+    return NULL;
+  length = strcspn (begin + 1, "\"\\");
+  if (begin[1 + length] != '"' || !g_utf8_validate_len (begin + 1, length, NULL))
+    return NULL;
+  return g_strndup (begin + 1, length);
+}
+
+/* Reads a member that is a whole number without sign, fraction and exponent. */
+gboolean
+dp_json_scan_uint (const char *text, const char *key, guint64 *value)
+{
+  const char *begin = find_member_ (text, key);
+  const char *end = begin == NULL ? NULL : skip_value_ (begin);
+  char digits[24];
+
+  if (begin == NULL || end == begin || (gsize) (end - begin) >= sizeof digits)
+    return FALSE;
+  memcpy (digits, begin, (gsize) (end - begin));
+  digits[end - begin] = '\0';
+  return g_ascii_string_to_unsigned (g_strchomp (digits), 10, 0, G_MAXINT64, value, NULL);
+}
+
 /* Returns the string member of that name, or NULL. */
 const char *
 dp_json_get_string (JsonObject *object, const char *key)
@@ -191,9 +241,9 @@
   return object == NULL ? NULL : json_object_get_member (object, key);
 }
 
-/* Returns the first character inside the array, or NULL. */
+/* Returns the first character of a member's value in an object's text, or NULL. */
 static const char *
-find_array_ (const char *text, const char *key)
+find_member_ (const char *text, const char *key)
 {
   const char *at = skip_space_ (text);
 
@@ -213,8 +263,8 @@
       if (*at != ':')
         return NULL;
       at = skip_space_ (at + 1);
-      if (matches && *at == '[')
-        return at + 1;
+      if (matches)
+        return at;
       at = skip_value_ (at);
     }
   while (*at == ',');
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -63,6 +63,7 @@
   DpPacketPort *data;
   DpPacketPort *report;
   GHashTable *stale;  /* names of services to take over */
+  GHashTable *taken;  /* name of a service to the text of its record in force */
   GHashTable *listed; /* member's name to the time of its last list, gint64 us */
   guint update;       /* source id */
   guint tick;         /* source id */
@@ -99,6 +100,7 @@
 static void entry_settled_ (gpointer user_data);
 static void service_changed_ (const DpRecord *record, gpointer user_data);
 static gboolean update_now_ (gpointer user_data);
+static void take_service_ (DpPassBalancer *balancer, const char *name);
 static void received_packet_ (const DpAddress *source,
                               guint8 *data,
                               gsize length,
@@ -202,6 +204,7 @@
   dp_replica_free (balancer->services);
   dp_replica_free (balancer->balancers);
   g_hash_table_unref (balancer->stale);
+  g_hash_table_unref (balancer->taken);
   g_hash_table_unref (balancer->listed);
   g_free (balancer->name);
   g_free (balancer->zone);
@@ -290,6 +293,7 @@
   balancer->cache = dp_flow_cache_new (CACHED_FLOWS);
   balancer->log = dp_flow_log_new (options->clock, options->metrics);
   balancer->stale = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  balancer->taken = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   balancer->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
@@ -424,8 +428,12 @@
   DpPassBalancer *balancer = user_data;
   g_autoptr (GPtrArray) services = NULL;
 
-  g_clear_handle_id (&balancer->update, g_source_remove);
-  update_now_ (balancer);
+  if (!balancer->configured)
+    {
+      g_clear_handle_id (&balancer->update, g_source_remove);
+      while (g_hash_table_size (balancer->stale) > 0)
+        update_now_ (balancer);
+    }
   dp_feed_flush (balancer->feed);
   if (balancer->configured)
     return;
@@ -461,25 +469,43 @@
   gpointer name;
 
   g_hash_table_iter_init (&iter, balancer->stale);
-  while (g_hash_table_iter_next (&iter, &name, NULL))
+  if (g_hash_table_iter_next (&iter, &name, NULL))
     {
-      g_autoptr (GArray) addresses = dp_fleet_addresses (balancer->services, name, NULL);
-
-      if (dp_replica_get (balancer->services, DP_KIND_SERVICE, name) == NULL)
-        dp_router_remove_service (balancer->router, name);
-      else
-        dp_router_set_addresses (balancer->router, name,
-                                 (const DpServiceAddress *) (void *) addresses->data,
-                                 addresses->len);
+      take_service_ (balancer, name);
+      g_hash_table_iter_remove (&iter);
     }
   if (g_hash_table_size (balancer->stale) > 0)
-    g_message ("services of revision %" G_GUINT64_FORMAT " are in force",
-               dp_replica_revision (balancer->services));
-  g_hash_table_remove_all (balancer->stale);
+    return G_SOURCE_CONTINUE;
+  g_message ("services of revision %" G_GUINT64_FORMAT " are in force",
+             dp_replica_revision (balancer->services));
   balancer->update = 0;
   return G_SOURCE_REMOVE;
 }
 
+/* Takes a service's addresses over, unless they are as before: each configuration repeats
+ * all of them, and reading some hundred takes milliseconds. */
+static void
+take_service_ (DpPassBalancer *balancer, const char *name)
+{
+  const DpRecord *record = dp_replica_get (balancer->services, DP_KIND_SERVICE, name);
+  const char *taken = g_hash_table_lookup (balancer->taken, name);
+  g_autoptr (GArray) addresses = NULL;
+
+  if (record == NULL)
+    {
+      dp_router_remove_service (balancer->router, name);
+      g_hash_table_remove (balancer->taken, name);
+      return;
+    }
+  if (g_strcmp0 (taken, record->json) == 0)
+    return;
+  addresses = dp_fleet_addresses (balancer->services, name, NULL);
+  dp_router_set_addresses (balancer->router, name,
+                           (const DpServiceAddress *) (void *) addresses->data,
+                           addresses->len);
+  g_hash_table_replace (balancer->taken, g_strdup (name), g_strdup (record->json));
+}
+
 static void
 received_packet_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
 {
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -9,6 +9,10 @@
 
 #define DEFAULT_TIMEOUT_MS 5000
 #define MAX_ATTEMPTS 4 /* of one read or write */
+/* Of a read's first attempt; doubled for each further one. A platform answers in
+ * milliseconds, or a quarter of a second when it is slow; after a power failure the first
+ * packet of a connection may be lost, which TCP repeats after a second only. */
+#define FIRST_READ_TIMEOUT_MS 400
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 2000
 #define MAX_CONNECTIONS 8
@@ -79,6 +83,7 @@
 static void request_end_ (Request *request);
 static char *take_path_ (const DpPlatform *platform, char *path);
 static void send_ (Request *request);
+static guint timeout_ms_ (const Request *request);
 static SoupMessage *make_message_ (Request *request);
 static void starting_ (SoupMessage *message, gpointer user_data);
 static gboolean timed_out_ (gpointer user_data);
@@ -359,13 +364,25 @@
     }
   request->cancellable = g_cancellable_new ();
   request->sent = TRUE;
-  request->timer = g_timeout_add (request->platform->timeout_ms + request->wait_ms,
-                                  timed_out_, request);
+  request->timer = g_timeout_add (timeout_ms_ (request), timed_out_, request);
   soup_session_send_and_read_async (request->platform->session, request->message,
                                     G_PRIORITY_DEFAULT, request->cancellable, answered_,
                                     request);
 }
 
+/* A read may be repeated, so that its first attempts are given up early. */
+static guint
+timeout_ms_ (const Request *request)
+{
+  guint bound = request->platform->timeout_ms;
+
+  if (request->type == REQUEST_WATCH)
+    return bound + request->wait_ms;
+  if (request->type == REQUEST_WRITE && !request->reading_back)
+    return bound;
+  return MIN (bound, FIRST_READ_TIMEOUT_MS << (request->attempts - 1));
+}
+
 static SoupMessage *
 make_message_ (Request *request)
 {
--- a/src/libdogwoodpaddle/replica.c
+++ b/src/libdogwoodpaddle/replica.c
@@ -28,7 +28,6 @@
 
 G_STATIC_ASSERT (G_N_ELEMENTS (kind_strings_) == DP_N_KINDS);
 
-static gboolean name_is_valid_ (const char *name);
 static void unref_record_ (gpointer data);
 static gint compare_revisions_ (gconstpointer a, gconstpointer b, gpointer user_data);
 static gint compare_names_ (gconstpointer a, gconstpointer b);
@@ -61,6 +60,22 @@
   return FALSE;
 }
 
+/* Returns whether an object may have the name. */
+gboolean
+dp_record_name_is_valid (const char *name)
+{
+  gsize length = strlen (name);
+
+  if (length == 0 || length > DP_RECORD_NAME_MAX || !g_utf8_validate (name, -1, NULL))
+    return FALSE;
+  for (gsize i = 0; i < length; i++)
+    {
+      if (g_ascii_iscntrl (name[i]) || name[i] == '/')
+        return FALSE;
+    }
+  return TRUE;
+}
+
 /* Creates a record from a value's JSON text, which is ignored for a deleted object.
  * DP_ERROR_INVALID if name or value are malformed or too long. */
 DpRecord *
@@ -76,7 +91,7 @@
   gsize length;
 
   g_assert (kind < DP_N_KINDS);
-  if (!name_is_valid_ (name))
+  if (!dp_record_name_is_valid (name))
     {
       dp_error_set (error, DP_ERROR_INVALID, "record", kind_strings_[kind],
                     "the object's name is malformed");
@@ -95,13 +110,23 @@
       if (value == NULL)
         return NULL;
     }
-  record = g_new0 (DpRecord, 1);
+  record = dp_record_new_from_own (kind, name, revision, g_strdup (deleted ? "" : json));
+  record->deleted = deleted;
+  return record;
+}
+
+/* Creates a record without parsing its value. The name has to be valid. */
+DpRecord *
+dp_record_new_from_own (DpKind kind, const char *name, guint64 revision, char *json)
+{
+  DpRecord *record = g_new0 (DpRecord, 1);
+
+  g_assert (kind < DP_N_KINDS && dp_record_name_is_valid (name));
   g_ref_count_init (&record->refs);
   record->kind = kind;
   record->name = g_strdup (name);
   record->revision = revision;
-  record->deleted = deleted;
-  record->json = g_strdup (deleted ? "" : json);
+  record->json = json;
   return record;
 }
 
@@ -337,21 +362,6 @@
   replica->any_revision = any_revision;
 }
 
-static gboolean
-name_is_valid_ (const char *name)
-{
-  gsize length = strlen (name);
-
-  if (length == 0 || length > DP_RECORD_NAME_MAX || !g_utf8_validate (name, -1, NULL))
-    return FALSE;
-  for (gsize i = 0; i < length; i++)
-    {
-      if (g_ascii_iscntrl (name[i]) || name[i] == '/')
-        return FALSE;
-    }
-  return TRUE;
-}
-
 static void
 unref_record_ (gpointer data)
 {
--- a/src/test_libdogwoodpaddle/test_json.c
+++ b/src/test_libdogwoodpaddle/test_json.c
@@ -84,9 +84,65 @@
     }
 }
 
+/* Guards against a value that is read from another member, or from within a text. */
+static void
+test_scan (void)
+{
+  static const struct
+  {
+    const char *text;
+    const char *string; /* of the member "a", NULL: none */
+    gint64 number;      /* of the member "a", -1: none */
+  } cases[] = {
+    { "{\"a\":\"x\"}", "x", -1 },
+    { " { \"b\" : {\"a\":\"no\"} , \"a\" : \"x y\" }", "x y", -1 },
+    { "{\"b\":\"\\\"a\\\":7\",\"a\":8}", NULL, 8 },
+    { "{\"a\":[1,2]}", NULL, -1 },
+    { "{\"a\": 17 ,\"b\":1}", NULL, 17 },
+    { "{\"a\":-1}", NULL, -1 },
+    { "{\"a\":1.5}", NULL, -1 },
+    { "{\"a\":99999999999999999999}", NULL, -1 },
+    { "{\"a\":\"with \\u0041 escape\"}", NULL, -1 },
+    { "{\"a\":\"no end", NULL, -1 },
+    { "{\"a\"", NULL, -1 },
+    { "{\"aa\":1}", NULL, -1 },
+    { "[\"a\",1]", NULL, -1 },
+    { "", NULL, -1 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *string = dp_json_scan_string (cases[i].text, "a");
+      guint64 number = 0;
+      gboolean found = dp_json_scan_uint (cases[i].text, "a", &number);
+
+      CU_ASSERT_EQUAL (g_strcmp0 (string, cases[i].string), 0);
+      CU_ASSERT_EQUAL (found, cases[i].number >= 0);
+      if (found)
+        CU_ASSERT_EQUAL (number, (guint64) cases[i].number);
+    }
+}
+
+static void
+test_take_member (void)
+{
+  g_autofree char *value = NULL;
+  g_autofree char *rest = dp_json_take_member (
+      "{\"x\":1,\"a\":{\"b\":[1,\"}\"]},\"c\":2}", "a", &value);
+  g_autofree char *missing = NULL;
+  g_autofree char *whole = dp_json_take_member ("{\"x\":1}", "a", &missing);
+
+  CU_ASSERT_STRING_EQUAL (value, "{\"b\":[1,\"}\"]}");
+  CU_ASSERT_STRING_EQUAL (rest, "{\"x\":1,\"a\":null,\"c\":2}");
+  CU_ASSERT_PTR_NULL (missing);
+  CU_ASSERT_STRING_EQUAL (whole, "{\"x\":1}");
+}
+
 static const DpTestCase cases_[] = {
   { "elements are split", test_split },
   { "malformed lists are refused", test_malformed },
+  { "members are found without parsing", test_scan },
+  { "a member is taken out of a text", test_take_member },
 };
 
 DP_TEST_MAIN ("json", cases_)
