--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -15,6 +15,7 @@
 #include <glib.h>
 
 #include "protected/candidates.h"
+#include "protected/metrics.h"
 #include "protected/packetformat.h"
 #include "protected/slots.h"
 
@@ -66,7 +67,16 @@
   gint64 flow_ttl; /* us after which a flow may be forgotten */
 } DpPassLimits;
 
+/* Where the times of flows are counted; members may be NULL. */
+typedef struct
+{
+  DpHistogram *wait;   /* of SYNs that were held, until they went to the server */
+  DpHistogram *accept; /* from the SYN to the server's answer */
+  DpHistogram *work;   /* from the SYN to the end of the server's answer */
+} DpPassTimes;
+
 DpPassthrough *dp_passthrough_new (const char *service, const char *member, gint64 now);
+void dp_passthrough_set_times (DpPassthrough *passthrough, const DpPassTimes *times);
 void dp_passthrough_free (DpPassthrough *passthrough);
 void dp_passthrough_set_limits (DpPassthrough *passthrough, const DpPassLimits *limits);
 /* The members of the service; the view is referenced. */
--- a/src/libdogwoodpaddle/logging.c
+++ b/src/libdogwoodpaddle/logging.c
@@ -1,12 +1,14 @@
 #include "dogwoodpaddle/logging.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "protected/error.h"
 
-/* Longer values are cut, so that one line never fills the reader's buffer. */
-#define MAX_VALUE_BYTES 4096
+/* Longer values are cut, so that a line fits into what a pipe takes at once. */
+#define MAX_VALUE_BYTES 3000
 
 typedef struct
 {
@@ -30,6 +32,9 @@
 /* GLib allows one log writer per process, so its state is the process's. */
 static char *process_;
 static gint threshold_ = 2;
+static int descriptor_ = STDERR_FILENO;
+static guint64 lost_;       /* lines */
+static guint64 lost_noted_; /* of them, those that a later line has told of */
 
 static GLogWriterOutput write_ (GLogLevelFlags flags,
                                 const GLogField *fields,
@@ -43,6 +48,7 @@
 append_pair_ (GString *line, const char *key, const char *value, gssize length);
 static void append_text_ (GString *line, const char *text, gssize length);
 static void write_line_ (const GString *line);
+static gboolean write_now_ (const char *text, gsize length);
 
 /* Sends all log messages of the process as JSON lines to standard error. process is the
  * name in each line; level as in dp_logging_set_level (). May be called again. */
@@ -63,6 +69,20 @@
   return TRUE;
 }
 
+/* Sets the descriptor that lines are written to. */
+void
+dp_logging_set_descriptor (int descriptor)
+{
+  descriptor_ = descriptor;
+}
+
+/* Returns the number of lines that were lost. */
+guint64
+dp_logging_lost (void)
+{
+  return lost_;
+}
+
 /* Sets the least important level that is written; DP_ERROR_INVALID if it is none. */
 gboolean
 dp_logging_set_level (const char *level, GError **error)
@@ -164,11 +184,41 @@
   g_string_append_c (line, '"');
 }
 
-/* One call per line keeps the lines of several threads apart. A line that standard error
- * does not take is lost; there is nowhere to report it. */
+/* One call per line keeps the lines of several threads apart. A line that the descriptor
+ * does not take at once is lost, so that a slow reader never holds up packets; the next
+ * line that is taken says how many were. */
 static void
 write_line_ (const GString *line)
 {
-  if (write (STDERR_FILENO, line->str, line->len) < 0)
-    return;
+  char note[128];
+
+  if (lost_ > lost_noted_)
+    {
+      guint64 lost = lost_;
+      int length = g_snprintf (
+          note, sizeof note,
+          "{\"level\":\"warning\",\"process\":\"%.60s\","
+          "\"message\":\"log lines lost\",\"lost\":\"%" G_GUINT64_FORMAT "\"}\n",
+          process_ == NULL ? "" : process_, lost);
+
+      if (!write_now_ (note, MIN ((gsize) length, sizeof note - 1)))
+        {
+          lost_++;
+          return;
+        }
+      lost_noted_ = lost;
+    }
+  if (!write_now_ (line->str, line->len))
+    lost_++;
+}
+
+/* A pipe that is ready takes PIPE_BUF bytes without blocking. */
+static gboolean
+write_now_ (const char *text, gsize length)
+{
+  struct pollfd ready = { .fd = descriptor_, .events = POLLOUT };
+
+  if (length > PIPE_BUF || poll (&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
+    return FALSE;
+  return write (descriptor_, text, length) == (gssize) length;
 }
--- a/src/libdogwoodpaddle/metrics.c
+++ b/src/libdogwoodpaddle/metrics.c
@@ -3,6 +3,7 @@
 typedef struct
 {
   DpMetric metric; /* first, so that its address is the entry's */
+  DpHistogram histogram;
   DpMetricKind kind;
   char *name;
   char *labels; /* as zone="riga-a", or "" */
@@ -14,11 +15,27 @@
   GPtrArray *entries; /* Entry, in order of name */
 };
 
-static const char *const kind_strings_[] = { "counter", "gauge" };
+static const char *const kind_strings_[] = { "counter", "gauge", "histogram" };
+
+/* Upper bounds in us, and as Prometheus writes them in seconds. */
+static const gint64 bounds_[] = { 1000,   2000,   5000,   10000,   20000,   50000,
+                                  100000, 200000, 500000, 1000000, 2000000, 5000000 };
+static const char *const bound_strings_[] = { "0.001", "0.002", "0.005", "0.01",
+                                              "0.02",  "0.05",  "0.1",   "0.2",
+                                              "0.5",   "1",     "2",     "5" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (bounds_) == DP_HISTOGRAM_BOUNDS);
+G_STATIC_ASSERT (G_N_ELEMENTS (bound_strings_) == DP_HISTOGRAM_BOUNDS);
 
 G_STATIC_ASSERT (G_N_ELEMENTS (kind_strings_) == DP_N_METRIC_KINDS);
 
 static void entry_free_ (gpointer data);
+static Entry *add_ (DpMetrics *metrics,
+                    DpMetricKind kind,
+                    const char *name,
+                    const char *labels,
+                    const char *help);
+static void format_histogram_ (GString *text, const Entry *entry);
 static Entry *find_ (DpMetrics *metrics, const char *name, const char *labels);
 static gint compare_ (gconstpointer a, gconstpointer b);
 
@@ -51,18 +68,26 @@
                 const char *labels,
                 const char *help)
 {
-  Entry *entry = find_ (metrics, name, labels);
+  return &add_ (metrics, kind, name, labels, help)->metric;
+}
 
-  if (entry != NULL)
-    return &entry->metric;
-  entry = g_new0 (Entry, 1);
-  entry->kind = kind;
-  entry->name = g_strdup (name);
-  entry->labels = g_strdup (labels);
-  entry->help = g_strdup (help);
-  g_ptr_array_add (metrics->entries, entry);
-  g_ptr_array_sort (metrics->entries, compare_);
-  return &entry->metric;
+/* Adds a histogram of times without labels, or returns the present one. */
+DpHistogram *
+dp_metrics_add_histogram (DpMetrics *metrics, const char *name, const char *help)
+{
+  return &add_ (metrics, DP_METRIC_HISTOGRAM, name, "", help)->histogram;
+}
+
+/* Counts a time in us. */
+void
+dp_histogram_observe (DpHistogram *histogram, gint64 time)
+{
+  guint i = 0;
+
+  while (i < DP_HISTOGRAM_BOUNDS && time > bounds_[i])
+    i++;
+  histogram->counts[i]++;
+  histogram->sum += (guint64) MAX (time, 0);
 }
 
 /* Returns a metric's value, 0 if there is none of that name and labels. */
@@ -92,6 +117,11 @@
                                   kind_strings_[entry->kind]);
         }
       last = entry->name;
+      if (entry->kind == DP_METRIC_HISTOGRAM)
+        {
+          format_histogram_ (text, entry);
+          continue;
+        }
       if (entry->labels[0] == '\0')
         g_string_append (text, entry->name);
       else
@@ -101,6 +131,49 @@
   return g_string_free (text, FALSE);
 }
 
+static Entry *
+add_ (DpMetrics *metrics,
+      DpMetricKind kind,
+      const char *name,
+      const char *labels,
+      const char *help)
+{
+  Entry *entry = find_ (metrics, name, labels);
+
+  if (entry != NULL)
+    return entry;
+  entry = g_new0 (Entry, 1);
+  entry->kind = kind;
+  entry->name = g_strdup (name);
+  entry->labels = g_strdup (labels);
+  entry->help = g_strdup (help);
+  g_ptr_array_add (metrics->entries, entry);
+  g_ptr_array_sort (metrics->entries, compare_);
+  return entry;
+}
+
+/* Prometheus counts cumulatively and in seconds. */
+static void
+format_histogram_ (GString *text, const Entry *entry)
+{
+  const DpHistogram *histogram = &entry->histogram;
+  guint64 count = 0;
+
+  for (guint i = 0; i < DP_HISTOGRAM_BOUNDS; i++)
+    {
+      count += histogram->counts[i];
+      g_string_append_printf (text, "%s_bucket{le=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                              entry->name, bound_strings_[i], count);
+    }
+  count += histogram->counts[DP_HISTOGRAM_BOUNDS];
+  g_string_append_printf (text, "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n",
+                          entry->name, count);
+  g_string_append_printf (text, "%s_sum %" G_GUINT64_FORMAT ".%06" G_GUINT64_FORMAT "\n",
+                          entry->name, histogram->sum / 1000000,
+                          histogram->sum % 1000000);
+  g_string_append_printf (text, "%s_count %" G_GUINT64_FORMAT "\n", entry->name, count);
+}
+
 static void
 entry_free_ (gpointer data)
 {
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "dogwoodpaddle/logging.h"
 #include "private/watch.h"
 #include "protected/flowlog.h"
 #include "protected/packetport.h"
@@ -77,6 +78,7 @@
   gpointer stopped_data;
   DpMetric *decisions[DP_N_PASS_REASONS];
   DpMetric *in_flight;
+  DpMetric *lost_lines;
   DpMetric *malformed;
 };
 
@@ -273,6 +275,9 @@
                                                 "dogwoodpaddle_packets_total", labels,
                                                 "Packets by the reason of the decision");
     }
+  companion->lost_lines = dp_metrics_add (metrics, DP_METRIC_GAUGE,
+                                          "dogwoodpaddle_log_lines_lost", "",
+                                          "Log lines that the log's reader did not take");
   companion->in_flight = dp_metrics_add (metrics, DP_METRIC_GAUGE,
                                          "dogwoodpaddle_flows_in_flight", "",
                                          "Flows that the server works on");
@@ -289,9 +294,18 @@
     .progressed = balancers_progressed_,
   };
   const DpPassCompanionOptions *options = &companion->options;
+  const DpPassTimes times = {
+    .wait = dp_metrics_add_histogram (options->metrics, "dogwoodpaddle_wait_seconds",
+                                      "Waits of new flows for a slot"),
+    .accept = dp_metrics_add_histogram (options->metrics, "dogwoodpaddle_accept_seconds",
+                                        "From a SYN to the server's answer"),
+    .work = dp_metrics_add_histogram (options->metrics, "dogwoodpaddle_work_seconds",
+                                      "From a SYN to the end of the server's work"),
+  };
 
   companion->passthrough = dp_passthrough_new (companion->service, companion->name,
                                                dp_clock_now (options->clock));
+  dp_passthrough_set_times (companion->passthrough, &times);
   companion->log = dp_flow_log_new (options->clock, options->metrics);
   companion->replica = dp_replica_new ();
   companion->replica_listener = dp_replica_add_listener (companion->replica,
@@ -667,6 +681,7 @@
   DpPassCompanion *companion = user_data;
 
   update_serving_ (companion);
+  companion->lost_lines->value = dp_logging_lost ();
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -71,6 +71,7 @@
   guint32 service_tag;
   guint32 member_id;
   DpPassLimits limits;
+  DpPassTimes times;
   DpCandidates *candidates; /* NULL: no view yet */
   DpSlots *slots;
   DpHandleTable *waiting; /* Flow pointers */
@@ -107,6 +108,7 @@
 begin_work_ (DpPassthrough *passthrough, Flow *flow, gboolean slot, gint64 now);
 static void end_work_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
 static void abandon_work_ (DpPassthrough *passthrough, Flow *flow);
+static void observe_ (DpHistogram *histogram, gint64 time);
 static void check_work_ (DpPassthrough *passthrough, gint64 now);
 static DpPassDecision
 decide_ (DpPassAction action, DpPassReason reason, const DpHop *hop);
@@ -199,6 +201,13 @@
   dp_slots_set_capacity (passthrough->slots, limits->slots + OFFERED_AHEAD, FALSE);
 }
 
+/* Sets where times are counted. */
+void
+dp_passthrough_set_times (DpPassthrough *passthrough, const DpPassTimes *times)
+{
+  passthrough->times = *times;
+}
+
 /* Sets the members among which flows are passed on. */
 void
 dp_passthrough_set_view (DpPassthrough *passthrough, DpView *view)
@@ -314,6 +323,8 @@
   flow->used_at = now;
   if ((segment->flags & handshake) == handshake)
     {
+      if (flow->state == FLOW_OFFERED)
+        observe_ (passthrough->times.accept, now - flow->offered_at);
       if (flow->state != FLOW_OPEN)
         flow->state = FLOW_ANSWERED;
       flow->server_seq = segment->seq;
@@ -368,6 +379,7 @@
     }
   if (serving)
     {
+      observe_ (passthrough->times.wait, now - flow->used_at);
       release_ (passthrough, flow, now);
       offer_ (passthrough, flow, now);
       *decision = decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, &hop);
@@ -529,6 +541,8 @@
 static void
 end_work_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
 {
+  if (flow->working)
+    observe_ (passthrough->times.work, now - flow->offered_at);
   if (flow->working && flow->has_slot)
     dp_slots_end (passthrough->slots, flow->class, flow->offered_at, now);
   abandon_work_ (passthrough, flow);
@@ -552,6 +566,13 @@
   flow->work = DP_HANDLE_NONE;
 }
 
+static void
+observe_ (DpHistogram *histogram, gint64 time)
+{
+  if (histogram != NULL)
+    dp_histogram_observe (histogram, time);
+}
+
 /* Ends the work of flows that were answered some time ago, as on a connection that stays
  * open, and of those that nobody goes on with. */
 static void
@@ -590,7 +611,7 @@
   const gboolean copy = flow != NULL && flow->client_seq == segment->seq;
   gboolean around;
 
-  if (copy)
+  if (copy && flow->state != FLOW_WAITING)
     flow->used_at = now;
   /* A SYN that has come around after it was passed on is not a copy. The client's last
    * copy is decided here: nobody has answered the others. */
--- a/src/test_libdogwoodpaddle/test_logging.c
+++ b/src/test_libdogwoodpaddle/test_logging.c
@@ -135,10 +135,42 @@
   CU_ASSERT_STRING_EQUAL (field (span, "detail"), "rank 2");
 }
 
+/* Guards against packets that wait because nobody reads the log. */
+static void
+test_full_pipe (void)
+{
+  int ends[2];
+  char buffer[4096];
+  guint64 lost_before = dp_logging_lost ();
+  gboolean told = FALSE;
+  gsize read_bytes = 0;
+
+  CU_ASSERT_TRUE (dp_logging_init ("p", "info", NULL));
+  g_assert (pipe (ends) == 0);
+  dp_logging_set_descriptor (ends[1]);
+  for (guint i = 0; i < 2000; i++)
+    g_message ("line %u of a log that nobody reads", i);
+  CU_ASSERT (dp_logging_lost () > lost_before);
+  while (read_bytes < 32768)
+    read_bytes += (gsize) read (ends[0], buffer, sizeof buffer);
+  g_message ("somebody reads again");
+  dp_logging_set_descriptor (STDERR_FILENO);
+  close (ends[1]);
+  for (gssize n = read (ends[0], buffer, sizeof buffer - 1); n > 0;
+       n = read (ends[0], buffer, sizeof buffer - 1))
+    {
+      buffer[n] = '\0';
+      told = told || strstr (buffer, "log lines lost") != NULL;
+    }
+  CU_ASSERT_TRUE (told);
+  close (ends[0]);
+}
+
 static const DpTestCase cases_[] = {
   { "awkward text stays one JSON line", test_json },
   { "levels below the threshold are not written", test_levels },
   { "a span has its flow; flows that are not sampled have none", test_span },
+  { "a log that nobody reads holds nothing up", test_full_pipe },
 };
 
 DP_TEST_MAIN ("logging", cases_)
