--- a/src/dogwoodpaddle/cli.h
+++ b/src/dogwoodpaddle/cli.h
@@ -72,3 +72,4 @@
 CliStatus command_watch (Cli *cli);
 CliStatus command_drain (Cli *cli);
 CliStatus command_undrain (Cli *cli);
+CliStatus command_explain (Cli *cli);
--- /dev/null
+++ b/src/dogwoodpaddle/explain_command.c
@@ -0,0 +1,227 @@
+/* dogwoodpaddle explain: one account of a flow from the logs of all processes. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli.h"
+#include "protected/address.h"
+#include "protected/json.h"
+#include "protected/segment.h"
+
+/* One line about the flow. */
+typedef struct
+{
+  char *time;
+  char *process;
+  char *action;
+  char *reason;
+  char *inputs;
+  guint64 seq;
+  gint64 visited; /* members visited before; -1 at the balancer */
+} Line;
+
+/* What a decision means for the caller. */
+typedef struct
+{
+  const char *action;
+  const char *reason;
+  const char *cause;
+} Cause;
+
+static const Cause causes_[] = {
+  { "reset", "overloaded",
+    "rejected under load: no member expected to serve it in time; nothing has run" },
+  { "reset", "not_serving",
+    "rejected: the members that it visited were leaving or down; nothing has run" },
+  { "reset", "no_route", "rejected: no service has this address; nothing has run" },
+  { "reset", "no_member", "rejected: the service has no member; nothing has run" },
+  { "reset", "lost", "the server has crashed while it held the flow" },
+  { "drop", "no_route", "dropped: no service has this address, as far as is known" },
+  { "drop", "no_member", "dropped: no member of the service is known yet" },
+  { "drop", "expired", "its SYN waited until its client had given up; nothing has run" },
+  { "drop", "not_found",
+    "no member has the flow: its server has crashed, or is cut off" },
+  { "drop", "wrong_service", "a packet of another service arrived at the member" },
+  { "to_member", "member_silent",
+    "stalled: the member that has the flow is down or cut off" },
+  { "to_client", "repeated",
+    "the server has answered, but its client does not acknowledge the answer" },
+};
+
+static gboolean
+read_file_ (Cli *cli, const char *path, const char *flow, GPtrArray *lines);
+static void take_line_ (const char *text, const char *flow, GPtrArray *lines);
+static gboolean is_of_flow_ (JsonObject *object, const char *flow);
+static gint64 read_visited_ (const char *inputs);
+static void line_free_ (gpointer data);
+static void order_ (GPtrArray *lines);
+static gboolean precedes_ (const Line *a, const Line *b);
+static const Cause *find_cause_ (const GPtrArray *lines);
+static char *normalise_ (const char *flow);
+
+/* The flow is an id of 16 hexadecimal digits or "CLIENT-IP:PORT", as the client logs it.
+ */
+CliStatus
+command_explain (Cli *cli)
+{
+  g_autoptr (GPtrArray) lines = g_ptr_array_new_with_free_func (line_free_);
+  g_autofree char *flow = normalise_ (cli->arguments[0]);
+  const Cause *cause;
+
+  if (flow == NULL)
+    {
+      cli_error (cli, "\"%s\" is neither a flow's id nor a client's IP:PORT",
+                 cli->arguments[0]);
+      return CLI_USAGE;
+    }
+  for (guint i = 1; cli->arguments[i] != NULL; i++)
+    if (!read_file_ (cli, cli->arguments[i], flow, lines))
+      return CLI_FAILED;
+  order_ (lines);
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const Line *line = g_ptr_array_index (lines, i);
+
+      cli_print (cli, "%s  %-24s %s (%s) %s", line->time, line->process, line->action,
+                 line->reason, line->inputs);
+    }
+  cause = find_cause_ (lines);
+  if (lines->len == 0)
+    cli_print (cli, "cause: not known: no line names the flow; it is not in the sample, "
+                    "or its packets reached no process");
+  else if (cause == NULL)
+    cli_print (cli, "cause: none here: the flow was passed on as it should be");
+  else
+    cli_print (cli, "cause: %s", cause->cause);
+  json_object_set_int_member (cli->report, "lines", lines->len);
+  json_object_set_string_member (cli->report, "cause", cause == NULL ? "" : cause->cause);
+  return CLI_DONE;
+}
+
+static gboolean
+read_file_ (Cli *cli, const char *path, const char *flow, GPtrArray *lines)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) error = NULL;
+  g_auto (GStrv) parts = NULL;
+
+  if (!g_file_get_contents (path, &text, NULL, &error))
+    {
+      cli_error (cli, "%s", error->message);
+      return FALSE;
+    }
+  parts = g_strsplit (text, "\n", -1);
+  for (guint i = 0; parts[i] != NULL; i++)
+    take_line_ (parts[i], flow, lines);
+  return TRUE;
+}
+
+/* Log collectors may write something in front of the JSON object. */
+static void
+take_line_ (const char *text, const char *flow, GPtrArray *lines)
+{
+  const char *begin = strchr (text, '{');
+  g_autoptr (JsonNode) node = NULL;
+  JsonObject *object;
+  Line *line;
+
+  if (begin == NULL || strstr (begin, "\"flow\"") == NULL)
+    return;
+  node = dp_json_parse (begin, strlen (begin), NULL);
+  object = dp_json_get_object (node);
+  if (object == NULL || !is_of_flow_ (object, flow))
+    return;
+  line = g_new0 (Line, 1);
+  line->time = g_strdup (dp_json_get_string (object, "time"));
+  line->process = g_strdup (dp_json_get_string (object, "process"));
+  line->action = g_strdup (dp_json_get_string (object, "action"));
+  line->reason = g_strdup (dp_json_get_string (object, "reason"));
+  line->inputs = g_strdup (dp_json_get_string (object, "inputs"));
+  line->visited = read_visited_ (line->inputs);
+  if (dp_json_get_string (object, "seq") != NULL)
+    line->seq = g_ascii_strtoull (dp_json_get_string (object, "seq"), NULL, 10);
+  if (line->time != NULL && line->process != NULL && line->action != NULL
+      && line->reason != NULL && line->inputs != NULL)
+    g_ptr_array_add (lines, line);
+  else
+    line_free_ (line);
+}
+
+static gboolean
+is_of_flow_ (JsonObject *object, const char *flow)
+{
+  return g_strcmp0 (dp_json_get_string (object, "flow"), flow) == 0
+         || g_strcmp0 (dp_json_get_string (object, "client"), flow) == 0;
+}
+
+static gint64
+read_visited_ (const char *inputs)
+{
+  const char *found = inputs == NULL ? NULL : strstr (inputs, "visited=");
+
+  return found == NULL ? -1 : g_ascii_strtoll (found + strlen ("visited="), NULL, 10);
+}
+
+static void
+line_free_ (gpointer data)
+{
+  Line *line = data;
+
+  g_free (line->time);
+  g_free (line->process);
+  g_free (line->action);
+  g_free (line->reason);
+  g_free (line->inputs);
+  g_free (line);
+}
+
+/* Insertion sort: the order by hops is not transitive with the one by clocks. */
+static void
+order_ (GPtrArray *lines)
+{
+  for (guint i = 1; i < lines->len; i++)
+    for (guint j = i; j > 0; j--)
+      {
+        gpointer a = g_ptr_array_index (lines, j - 1);
+        gpointer b = g_ptr_array_index (lines, j);
+
+        if (!precedes_ (b, a))
+          break;
+        lines->pdata[j - 1] = b;
+        lines->pdata[j] = a;
+      }
+}
+
+/* Clocks differ between hosts; the hops of one packet tell their order themselves. */
+static gboolean
+precedes_ (const Line *a, const Line *b)
+{
+  if (a->seq == b->seq && a->visited != b->visited)
+    return a->visited < b->visited;
+  return strcmp (a->time, b->time) < 0;
+}
+
+/* The last decision that hurt the flow. */
+static const Cause *
+find_cause_ (const GPtrArray *lines)
+{
+  for (guint i = lines->len; i > 0; i--)
+    {
+      const Line *line = g_ptr_array_index (lines, i - 1);
+
+      for (guint j = 0; j < G_N_ELEMENTS (causes_); j++)
+        if (g_str_equal (line->action, causes_[j].action)
+            && g_str_equal (line->reason, causes_[j].reason))
+          return &causes_[j];
+    }
+  return NULL;
+}
+
+static char *
+normalise_ (const char *flow)
+{
+  DpAddress address;
+
+  if (strlen (flow) == 16 && strspn (flow, "0123456789abcdefABCDEF") == 16)
+    return g_ascii_strdown (flow, -1);
+  return dp_address_parse (flow, &address, NULL) ? g_strdup (flow) : NULL;
+}
--- a/src/dogwoodpaddle/main.c
+++ b/src/dogwoodpaddle/main.c
@@ -15,6 +15,7 @@
   gboolean needs_service;
   const char *usage;
   const char *help;
+  gboolean takes_more; /* arguments than n_arguments */
 } Command;
 
 static const Command commands_[] = {
@@ -31,6 +32,8 @@
     "Let a member finish its flows and take no new ones" },
   { "undrain", command_undrain, 1, TRUE, "undrain MEMBER --service NAME",
     "Let a drained member take flows again" },
+  { "explain", command_explain, 2, FALSE, "explain FLOW FILE...",
+    "Say from the processes' logs what became of a flow", TRUE },
 };
 
 static const Command *find_ (const char *name);
@@ -147,7 +150,9 @@
 static gboolean
 check_usage_ (Cli *cli, const Command *command)
 {
-  if (g_strv_length (cli->arguments) != command->n_arguments)
+  const guint n = g_strv_length (cli->arguments);
+
+  if (n < command->n_arguments || (n > command->n_arguments && !command->takes_more))
     cli_error (cli, "usage: dogwoodpaddle %s", command->usage);
   else if (command->needs_service && cli->service == NULL)
     cli_error (cli, "--service is missing: dogwoodpaddle %s", command->usage);
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -46,8 +46,9 @@
   DP_PASS_WAITING,       /* the flow waits for a slot */
   DP_PASS_EXPIRED,       /* the client of a waiting flow has given up */
   DP_PASS_OVERLOADED,    /* no visited member can serve the flow in time */
-  DP_PASS_LOST,          /* the server has lost the flow, as after a crash */
-  DP_PASS_NOT_FOUND,     /* no member has the flow */
+  DP_PASS_REPEATED,  /* the server repeats data that the client has not acknowledged */
+  DP_PASS_LOST,      /* the server has lost the flow, as after a crash */
+  DP_PASS_NOT_FOUND, /* no member has the flow */
   DP_PASS_WRONG_SERVICE,
   DP_PASS_UNEXPECTED, /* a packet that neither a client nor the server sends */
   DP_N_PASS_REASONS
--- a/src/libdogwoodpaddle/include/protected/placement.h
+++ b/src/libdogwoodpaddle/include/protected/placement.h
@@ -33,6 +33,8 @@
 dp_placement_first (DpPlacement *placement, guint64 service_id, guint64 flow_hash);
 /* Whether the member is expected to take a packet: it has reported lately. */
 gboolean dp_placement_is_live (DpPlacement *placement, DpHandle member, gint64 now);
+/* How long the member has not reported, in us. */
+gint64 dp_placement_silence (DpPlacement *placement, DpHandle member, gint64 now);
 /* FALSE if the member is gone. */
 gboolean
 dp_placement_address (DpPlacement *placement, DpHandle member, DpAddress *address);
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -15,6 +15,8 @@
  * balancer of today. */
 #define CACHED_FLOWS 16384
 #define TICK_MS 250
+/* A member that has not reported for so long is probably down or cut off. */
+#define STALL_US (1500 * DP_US_PER_MS)
 /* A watch of the registered balancers; half of the history that the platform keeps. */
 #define BALANCERS_WATCH_MS 10000
 /* A read of the platform takes 4 ms, or 240 ms when it is slow. One that is not answered
@@ -116,6 +118,11 @@
                                 DpHandle member,
                                 gint64 now);
 static void note_end_ (DpPassBalancer *balancer, DpCachedFlow *flow);
+static void log_silence_ (DpPassBalancer *balancer,
+                          const DpSegment *segment,
+                          DpHandle handle,
+                          const DpAddress *member,
+                          gint64 now);
 static void log_failure_ (DpPassBalancer *balancer,
                           const DpSegment *segment,
                           gboolean rejected,
@@ -551,6 +558,8 @@
   if (flow == NULL || !dp_placement_address (balancer->placement, flow->member, &member))
     return;
   flow->used_ms = (guint32) (now / DP_US_PER_MS);
+  if (!opens)
+    log_silence_ (balancer, &segment, flow->member, &member, now);
   hop.service_tag = flow->service_tag;
   hop.class = flow->class;
   if (opens)
@@ -685,6 +694,25 @@
   flow->placed = FALSE;
 }
 
+/* A flow stalls while its member is down or cut off. */
+static void
+log_silence_ (DpPassBalancer *balancer,
+              const DpSegment *segment,
+              DpHandle handle,
+              const DpAddress *member,
+              gint64 now)
+{
+  gint64 silence = dp_placement_silence (balancer->placement, handle, now);
+  char address[DP_ADDRESS_STRLEN];
+
+  if (silence < STALL_US
+      || !dp_flow_log_admits (balancer->log, DP_FLOW_LOG_FAILURE, segment))
+    return;
+  dp_flow_log_write (segment, "to_member", "member_silent",
+                     "member=%s silent_ms=%" G_GINT64_FORMAT,
+                     dp_address_format (member, address), silence / DP_US_PER_MS);
+}
+
 static void
 log_failure_ (DpPassBalancer *balancer,
               const DpSegment *segment,
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -490,14 +490,17 @@
     }
 }
 
-/* A line for each packet that goes nowhere, and for the SYNs of the sampled flows. */
+/* A line for each packet that goes nowhere or not for the first time, and for the SYNs of
+ * the sampled flows. */
 static void
 log_decision_ (DpPassCompanion *companion,
                const DpPassDecision *decision,
                const DpSegment *segment)
 {
   gboolean failure = decision->action == DP_PASS_RESET
-                     || decision->action == DP_PASS_DROP;
+                     || (decision->action == DP_PASS_DROP
+                         && decision->reason != DP_PASS_WAITING)
+                     || decision->reason == DP_PASS_REPEATED;
   gboolean syn = (segment->flags & DP_TCP_SYN) != 0;
   char member[DP_ADDRESS_STRLEN];
 
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -61,6 +61,7 @@
   gint64 offered_at;  /* us */
   gint64 used_at;     /* us */
   gint64 answered_at; /* us of the server's last data, 0: none since the last request */
+  guint32 server_end; /* behind the last data that the server has sent */
   DpAddress passed_to;
   guint8 visited;    /* members that the SYN had visited when it came here */
   gint64 give_up_at; /* us, when the client is expected to give up a waiting SYN */
@@ -90,9 +91,9 @@
                                                "reset",     "hold",      "drop" };
 
 static const char *const reason_strings_[] = {
-  "owned",    "asked",         "searching",     "busy",       "not_serving",
-  "returned", "passed_before", "waiting",       "expired",    "overloaded",
-  "lost",     "not_found",     "wrong_service", "unexpected",
+  "owned",    "asked",         "searching", "busy",          "not_serving",
+  "returned", "passed_before", "waiting",   "expired",       "overloaded",
+  "repeated", "lost",          "not_found", "wrong_service", "unexpected",
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (action_strings_) == DP_N_PASS_ACTIONS);
@@ -314,6 +315,7 @@
   const guint8 handshake = DP_TCP_SYN | DP_TCP_ACK;
   const DpHop hop = { passthrough->service_tag, 0, 0 };
   Flow *flow = find_ (passthrough, segment);
+  gboolean repeated = FALSE;
 
   passthrough->unanswered = 0;
   if (flow == NULL)
@@ -332,7 +334,13 @@
   else if (flow->state != FLOW_CLOSED)
     flow->state = FLOW_OPEN;
   if (segment->payload_length > 0)
-    flow->answered_at = now;
+    {
+      const guint32 end = segment->seq + segment->payload_length;
+
+      repeated = flow->answered_at != 0 && (gint32) (end - flow->server_end) <= 0;
+      flow->server_end = repeated ? flow->server_end : end;
+      flow->answered_at = now;
+    }
   if ((segment->flags & DP_TCP_FIN) != 0)
     flow->server_finished = TRUE;
   if ((segment->flags & DP_TCP_RST) != 0)
@@ -341,7 +349,7 @@
     end_work_ (passthrough, flow, now);
   if (flow->server_finished && flow->client_finished)
     flow->state = FLOW_CLOSED;
-  return decide_ (DP_PASS_TO_CLIENT, DP_PASS_OWNED, &hop);
+  return decide_ (DP_PASS_TO_CLIENT, repeated ? DP_PASS_REPEATED : DP_PASS_OWNED, &hop);
 }
 
 /* Returns the flow whose turn it is. When the server takes no new flows, all of them go
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -215,6 +215,15 @@
   return member != NULL && member->state == DP_MEMBER_ACTIVE && is_fresh_ (member, now);
 }
 
+/* Returns the time since the member's last report; 0 if the member is gone. */
+gint64
+dp_placement_silence (DpPlacement *placement, DpHandle handle, gint64 now)
+{
+  const Member *member = dp_handle_table_get (placement->members, handle);
+
+  return member == NULL ? 0 : now - member->reported_at;
+}
+
 /* Gives the member's address; FALSE if it is gone. */
 gboolean
 dp_placement_address (DpPlacement *placement, DpHandle handle, DpAddress *address)
--- a/test/hosted/demo.py
+++ b/test/hosted/demo.py
@@ -24,7 +24,7 @@
 
 def main():
     folder = tempfile.mkdtemp(prefix="demo-")
-    site = standins.Site(PROGRAM, folder, f"127.{20 + os.getpid() % 200}")
+    site = standins.Site(PROGRAM, folder)
     began = time.monotonic()
     try:
         site.configure(ROUTES)
--- a/test/hosted/soak.py
+++ b/test/hosted/soak.py
@@ -70,7 +70,7 @@
 class Soak:
     def __init__(self, seed, folder):
         self.rng = random.Random(seed)
-        self.site = standins.Site(PROGRAM, folder, f"127.{20 + os.getpid() % 200}")
+        self.site = standins.Site(PROGRAM, folder)
         self.site.configure(ROUTES)
         self.repairs = []  # (time, function)
         self.crashed = set()  # identities of servers that have crashed
--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -499,14 +499,25 @@
 class Site:
     """A whole deployment below one loopback prefix, as "127.33"."""
 
-    def __init__(self, program, folder, prefix):
-        self.program, self.folder, self.prefix = program, folder, prefix
-        self.store = Store(f"{prefix}.200.1")
+    def __init__(self, program, folder):
+        self.program, self.folder = program, folder
+        self.prefix, self.store = self._open_store()
         self.balancers, self.companions, self.servers = [], [], []
         self.clients = []
         self.version = 1
         self.declared = set()  # (ip, port, service) of all configurations
 
+    @staticmethod
+    def _open_store():
+        """Takes a prefix that no other run on this machine has."""
+        for i in range(200):
+            prefix = f"127.{20 + (os.getpid() + 37 * i) % 200}"
+            try:
+                return prefix, Store(f"{prefix}.200.1")
+            except OSError:
+                continue
+        raise RuntimeError("every loopback prefix is in use")
+
     def settings(self, role, name, ip, zone, extra=None):
         seeds = [f"{self.prefix}.1.{i + 1}:{ANNOUNCE_PORT}" for i in range(2)]
         settings = {
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -9,6 +9,7 @@
 import os
 import random
 import shutil
+import subprocess
 import sys
 import tempfile
 import time
@@ -254,6 +255,83 @@
     return seen[0]
 
 
+def explain(site, flow):
+    """What the command line says of the flow, from the logs of all processes."""
+    name = "%s:%d" % flow["key"][0]
+    logs = [p.log_path for p in site.balancers + site.companions]
+    done = subprocess.run([os.path.join(BINARIES, "dogwoodpaddle"), "explain", name, *logs],
+                          capture_output=True, text=True, timeout=20, check=True)
+    return done.stdout
+
+
+def test_explain_rejected_flow(site):
+    start(site, n_balancers=1, n_servers=1, slots=1, work_s=0.4)
+    client = site.client()
+    flows = ask(client, REPORTS, 40, "report", 0.001)
+    finish(client, flows)
+    rejected = [f for f in flows if f["result"] == "reset"]
+    check(rejected, "nothing was rejected")
+    account = explain(site, rejected[0])
+    check("cause: rejected under load" in account, account)
+
+
+def test_explain_stalled_download(site):
+    start(site, n_balancers=1)
+    client = site.client()
+    flow = client.start(MANUALS[:2], b"manual")
+    client.run(time.monotonic() + 0.2, [flow])
+    flow["result"] = None
+    site.companions[-1].kill()
+    site.servers[-1].stop()
+    for _ in range(12):
+        client._send(flow, standins.ACK, flow["seq"] + 8, flow["peer"] + 1200)
+        client.run(time.monotonic() + 0.2)
+    account = explain(site, flow)
+    check("cause: stalled" in account, account)
+
+
+def test_explain_lost_answer(site):
+    start(site, n_balancers=1)
+    client = site.client()
+    flow = client.start(REPORTS[:2], b"report")
+    take = client._take
+
+    def lose_data(packet):
+        if not packet.data:
+            take(packet)
+
+    client._take = lose_data
+    client.run(time.monotonic() + 1.5)
+    client._take = take
+    check(sum(len(s.runs) for s in site.servers) == 1, "the report has not run once")
+    account = explain(site, flow)
+    check("the server has answered" in account, account)
+
+
+def test_unread_log(site):
+    """A log that nobody reads holds up no packet."""
+    start(site, n_balancers=1, n_servers=1, slots=1, work_s=0.05)
+    process = site.companions[0]
+    process.kill()
+    read_end, write_end = os.pipe()
+    process.process = subprocess.Popen(
+        [process.program, process.role], stdout=write_end, stderr=subprocess.DEVNULL,
+        env={"DOGWOODPADDLE_CONFIG": process.path, "PATH": os.environ["PATH"]})
+    os.set_blocking(write_end, False)
+    client = site.client()
+    client.run(time.monotonic() + 0.5)
+    try:
+        while os.write(write_end, b"x" * 4096):
+            pass
+    except BlockingIOError:
+        pass
+    flows = ask(client, REPORTS, 40, "report", 0.06)
+    results = finish(client, flows)
+    os.close(read_end)
+    os.close(write_end)
+    check(results.count("ok") >= 38, f"results {results}")
+
+
 def test_malformed_input(site):
     """Neither heartbeats nor datagrams of others harm a process."""
     start(site, n_servers=1)
@@ -291,8 +369,7 @@
 
 def run(test, number):
     folder = tempfile.mkdtemp(prefix="hosted-")
-    prefix = f"127.{20 + os.getpid() % 200}"
-    site = standins.Site(PROGRAM, folder, f"{prefix}")
+    site = standins.Site(PROGRAM, folder)
     try:
         test(site)
         check_servers(site)
