--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -24,6 +24,9 @@
  * on a cold server, and five times as long on a slow one. */
 #define WORK_MAX_US (2 * DP_US_PER_S)
 #define SWEEP_US DP_US_PER_S /* between two searches for flows that have expired */
+/* Data that the server sends again comes 200 ms after the first time; packets that merely
+ * overtook each other are closer. */
+#define REPEATED_US (150 * DP_US_PER_MS)
 /* Retransmissions of the last packets come up to 1.6 s apart. */
 #define LINGER_US (4 * DP_US_PER_S)
 /* A flow whose server has sent nothing for so long after its last data is between two
@@ -62,6 +65,7 @@
   gint64 used_at;     /* us */
   gint64 answered_at; /* us of the server's last data, 0: none since the last request */
   guint32 server_end; /* behind the last data that the server has sent */
+  gint64 progress_at; /* us, when it last sent data beyond that */
   DpAddress passed_to;
   guint8 visited;    /* members that the SYN had visited when it came here */
   gint64 give_up_at; /* us, when the client is expected to give up a waiting SYN */
@@ -337,8 +341,15 @@
     {
       const guint32 end = segment->seq + segment->payload_length;
 
-      repeated = flow->answered_at != 0 && (gint32) (end - flow->server_end) <= 0;
-      flow->server_end = repeated ? flow->server_end : end;
+      const gboolean newer = flow->progress_at == 0
+                             || (gint32) (end - flow->server_end) > 0;
+
+      repeated = !newer && now - flow->progress_at > REPEATED_US;
+      if (newer)
+        {
+          flow->server_end = end;
+          flow->progress_at = now;
+        }
       flow->answered_at = now;
     }
   if ((segment->flags & DP_TCP_FIN) != 0)
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -433,6 +433,29 @@
   CU_ASSERT_EQUAL (dp_passthrough_waiting (p), 0);
 }
 
+static DpPassReason
+send_data (DpPassthrough *p, guint32 seq, gint64 now)
+{
+  const DpSegment segment = make_segment (1, DP_TCP_ACK, seq, 301, 1200);
+
+  return dp_passthrough_from_server (p, &segment, now).reason;
+}
+
+/* Only what the server sends again is worth a log line: packets of one burst overtake
+ * each other. */
+static void
+test_repeated_data (void)
+{
+  g_autoptr (DpPassthrough) p = make (1);
+
+  open_flow (p, 1, MS);
+  CU_ASSERT_EQUAL (send_data (p, 1701, 10 * MS), DP_PASS_OWNED);
+  CU_ASSERT_EQUAL (send_data (p, 501, 10 * MS), DP_PASS_OWNED);
+  CU_ASSERT_EQUAL (send_data (p, 2901, 11 * MS), DP_PASS_OWNED);
+  CU_ASSERT_EQUAL (send_data (p, 501, 211 * MS), DP_PASS_REPEATED);
+  CU_ASSERT_EQUAL (send_data (p, 4101, 212 * MS), DP_PASS_OWNED);
+}
+
 static const DpTestCase cases_[] = {
   { "a flow from its SYN to its end", test_whole_flow },
   { "packets of another service or sender are dropped", test_foreign_packets },
@@ -450,6 +473,7 @@
   { "abandoned flows give their slots back", test_slots_do_not_leak },
   { "a silent server gets no further flows", test_silent_server },
   { "SYNs do not wait at a leaving server", test_waiting_at_a_leaving_server },
+  { "data that the server sends again is told from reordering", test_repeated_data },
 };
 
 DP_TEST_MAIN ("passthrough", cases_)
