Reject nothing for lack of other members just after a start

Cause: after a power failure the first companions that were up rejected new flows while the other members were free but not known yet; clients used up their tries within milliseconds. Such a SYN is now dropped for the first 1.5 s, and its copy 200 ms later finds the others.

--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -45,6 +45,7 @@
   DP_PASS_PASSED_BEFORE, /* the flow's SYN went to another member */
   DP_PASS_WAITING,       /* the flow waits for a slot */
   DP_PASS_EXPIRED,       /* the client of a waiting flow has given up */
+  DP_PASS_GATHERING,     /* who else could serve the flow is not known yet */
   DP_PASS_OVERLOADED,    /* no visited member can serve the flow in time */
   DP_PASS_REPEATED,  /* the server repeats data that the client has not acknowledged */
   DP_PASS_LOST,      /* the server has lost the flow, as after a crash */
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -9,6 +9,8 @@
  * the packets on their way. */
 #define SYN_LIFE_US (1350 * DP_US_PER_MS)
 #define WAITING_MAX 1024
+/* Members report every 100 to 400 ms, and lists are sent at most every 250 ms. */
+#define GATHER_US (1500 * DP_US_PER_MS)
 /* A server answers a SYN within a millisecond unless it is frozen or gone. */
 #define SILENT_US (150 * DP_US_PER_MS)
 /* SYNs without an answer until the server counts as silent; one may be lost. */
@@ -86,7 +88,8 @@
   guint in_flight;
   gboolean serving;
   gboolean complete;  /* every flow of the server is known */
-  gint64 started_at;  /* us */
+  gint64 started_at;  /* us, since when flows have been seen */
+  gint64 created_at;  /* us */
   guint unanswered;   /* SYNs since the server's last packet */
   gint64 silent_from; /* us of the first of them */
 };
@@ -95,9 +98,9 @@
                                                "reset",     "hold",      "drop" };
 
 static const char *const reason_strings_[] = {
-  "owned",    "asked",         "searching", "busy",          "not_serving",
-  "returned", "passed_before", "waiting",   "expired",       "overloaded",
-  "repeated", "lost",          "not_found", "wrong_service", "unexpected",
+  "owned",         "asked",     "searching",     "busy",      "not_serving", "returned",
+  "passed_before", "waiting",   "expired",       "gathering", "overloaded",  "repeated",
+  "lost",          "not_found", "wrong_service", "unexpected"
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (action_strings_) == DP_N_PASS_ACTIONS);
@@ -130,6 +133,8 @@
                                       const DpSegment *segment,
                                       const DpHop *hop,
                                       gint64 now);
+static DpPassDecision
+reject_ (const DpPassthrough *passthrough, const DpHop *hop, gint64 now);
 static void offer_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
 static Flow *add_new_flow_ (DpPassthrough *passthrough,
                             const DpSegment *segment,
@@ -695,7 +700,7 @@
       return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
     }
   if (wait + age > hop->wait_limit_ms * DP_US_PER_MS)
-    return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
+    return reject_ (passthrough, hop, now);
   flow = add_new_flow_ (passthrough, segment, hop, FLOW_WAITING, now);
   if (flow == NULL)
     return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
@@ -706,6 +711,20 @@
   return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
 }
 
+/* Rejects a new flow that is not expected to be served here in time. Just after a start
+ * other members may be free without being known yet: the client's next copy of the SYN,
+ * 200 ms later, will tell. */
+static DpPassDecision
+reject_ (const DpPassthrough *passthrough, const DpHop *hop, gint64 now)
+{
+  const gboolean alone = passthrough->candidates == NULL
+                         || dp_candidates_view (passthrough->candidates)->n_members < 2;
+
+  if (alone && now - passthrough->created_at < GATHER_US)
+    return decide_ (DP_PASS_DROP, DP_PASS_GATHERING, hop);
+  return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
+}
+
 /* The SYN goes to the server; the flow has its slot. */
 static void
 offer_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -366,10 +366,10 @@
   guint n_held = 0;
   DpPassDecision decision;
 
-  fill (p, 1000, 0);
+  fill (p, 1000, 2 * S);
   for (guint i = 0; i < 100; i++)
     {
-      decision = send_syn (p, i, DP_CLASS_INTERACTIVE, 0, MS);
+      decision = send_syn (p, i, DP_CLASS_INTERACTIVE, 0, 2 * S + MS);
       n_held += decision.action == DP_PASS_HOLD;
     }
   /* A request takes 100 ms as long as nothing is known: four at once, 75 ms of wait. */
@@ -433,6 +433,25 @@
   CU_ASSERT_EQUAL (dp_passthrough_waiting (p), 0);
 }
 
+/* Found on lgkaa-serviss scale-2: after a power failure the first member that was up
+ * rejected what the others could have served. */
+static void
+test_gathering (void)
+{
+  g_autoptr (DpPassthrough) p = make (1);
+  g_autoptr (DpView) all = make_view (3, DP_MEMBER_ACTIVE);
+  DpPassDecision decision = { 0 };
+
+  fill (p, 1000, 0);
+  for (guint i = 0; i < 10; i++)
+    decision = send_syn (p, i, DP_CLASS_INTERACTIVE, 0, MS);
+  CU_ASSERT_EQUAL (decision.action, DP_PASS_DROP);
+  CU_ASSERT_EQUAL (decision.reason, DP_PASS_GATHERING);
+  dp_passthrough_set_view (p, all);
+  CU_ASSERT_EQUAL (send_syn (p, 9, DP_CLASS_INTERACTIVE, 0, 200 * MS).action,
+                   DP_PASS_TO_MEMBER);
+}
+
 static DpPassReason
 send_data (DpPassthrough *p, guint32 seq, gint64 now)
 {
@@ -473,6 +492,7 @@
   { "abandoned flows give their slots back", test_slots_do_not_leak },
   { "a silent server gets no further flows", test_silent_server },
   { "SYNs do not wait at a leaving server", test_waiting_at_a_leaving_server },
+  { "just after a start nothing is rejected for lack of others", test_gathering },
   { "data that the server sends again is told from reordering", test_repeated_data },
 };
 
