--- a/src/libdogwoodpaddle/include/protected/passbalancer.h
+++ b/src/libdogwoodpaddle/include/protected/passbalancer.h
@@ -27,7 +27,7 @@
   DpPlatform *platform;
   guint services;  /* the platform's collection with the services */
   guint balancers; /* the one with the balancers */
-  guint apply_ms;  /* within which a change of the services has to be in force */
+  guint watch_ms;  /* longest wait of a watch of the services */
   DpClock *clock;
   DpMetrics *metrics;
 } DpPassBalancerOptions;
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -22,8 +22,6 @@
 /* A read of the platform takes 4 ms, or 240 ms when it is slow. One that is not answered
  * for longer is asked of another balancer. */
 #define PLATFORM_PATIENCE_US (400 * DP_US_PER_MS)
-/* A change that a watch misses is found by the next one, with time left for a read. */
-#define WATCHES_PER_BOUND 3
 /* Clients send copies of a SYN 200 and 600 ms after it and give up after 1.4 s. */
 #define COPIES_MS 1500
 /* Within this time after a start nobody is rejected because there is no member: reports
@@ -287,9 +285,9 @@
   balancer->balancers = dp_replica_new ();
   balancer->replica_listener = dp_replica_add_listener (balancer->services,
                                                         service_changed_, balancer);
-  balancer->watch = dp_watch_new (
-      options->platform, options->services, options->apply_ms / WATCHES_PER_BOUND,
-      balancer->services, options->metrics, &listener, balancer);
+  balancer->watch = dp_watch_new (options->platform, options->services, options->watch_ms,
+                                  balancer->services, options->metrics, &listener,
+                                  balancer);
   balancer->balancers_watch = dp_watch_new (
       options->platform, options->balancers, BALANCERS_WATCH_MS, balancer->balancers,
       options->metrics, &balancers_listener, balancer);
