Split the flows' table from the decisions of passthrough mode

Also sets the time of creation, which the rule for the first seconds after a start needs (the test now runs on a late clock as well), and forgets a kept SYN whose key is used again.

--- /dev/null
+++ b/src/libdogwoodpaddle/include/private/passflows.h
@@ -0,0 +1,84 @@
+/* A companion's flows in passthrough mode: what is remembered of each, which of them wait
+ * for a slot and which the server works on. */
+#pragma once
+
+#include "protected/passthrough.h"
+
+typedef enum
+{
+  DP_PASS_FLOW_WAITING,  /* the SYN is kept until a slot is free */
+  DP_PASS_FLOW_OFFERED,  /* the SYN went to the server */
+  DP_PASS_FLOW_ANSWERED, /* the server's SYN-ACK went to the client */
+  DP_PASS_FLOW_OPEN,     /* the client has acknowledged it */
+  DP_PASS_FLOW_CLOSED,   /* both ends have finished, or one has reset it */
+  DP_PASS_FLOW_PASSED,   /* the SYN went to another member */
+  DP_PASS_FLOW_FOREIGN   /* the server does not have the flow */
+} DpPassFlowState;
+
+typedef struct
+{
+  DpFlowKey key;
+  guint64 hash;
+  DpPassFlowState state;
+  guint32 client_seq; /* of the SYN */
+  guint32 server_seq; /* of the SYN-ACK */
+  gboolean working;   /* counts as in flight */
+  gboolean has_slot;
+  gboolean requested; /* the client has sent data */
+  DpHandle work;      /* row in the table of working flows */
+  DpClass class;
+  DpHandle waiting; /* row in the table of waiting flows */
+  DpHandle ticket;  /* in the slots' queue */
+  gboolean client_finished;
+  gboolean server_finished;
+  gint64 offered_at;  /* us */
+  gint64 used_at;     /* us */
+  gint64 answered_at; /* us of the server's last data, 0: none since the last request */
+  guint32 server_end; /* behind the last data that the server has sent */
+  gint64 progress_at; /* us, when it last sent data beyond that */
+  DpAddress passed_to;
+  guint8 visited;    /* members that the SYN had visited when it came here */
+  gint64 give_up_at; /* us, when the client is expected to give up a waiting SYN */
+} DpPassFlow;
+
+typedef struct
+{
+  DpSlots *slots;
+  DpPassTimes times;
+  GHashTable *by_key;     /* DpPassFlow by its key, which comes first */
+  DpHandleTable *waiting; /* DpPassFlow pointers */
+  DpHandleTable *working; /* DpPassFlow pointers */
+  guint in_flight;        /* flows whose server works on a request or is about to */
+  gint64 flow_ttl;        /* us */
+  gint64 swept_at;        /* us */
+} DpPassFlows;
+
+DpPassFlows *dp_pass_flows_new (gint64 flow_ttl);
+void dp_pass_flows_free (DpPassFlows *flows);
+void dp_pass_flows_set_limits (DpPassFlows *flows, guint capacity, gint64 flow_ttl);
+
+DpPassFlow *dp_pass_flows_find (DpPassFlows *flows, const DpSegment *segment);
+/* NULL if too many are remembered. */
+DpPassFlow *dp_pass_flows_add (DpPassFlows *flows, const DpSegment *segment, gint64 now);
+void dp_pass_flows_remove (DpPassFlows *flows, DpPassFlow *flow);
+guint dp_pass_flows_count (const DpPassFlows *flows);
+
+/* slot: the flow has taken one. */
+void dp_pass_flows_begin_work (DpPassFlows *flows,
+                               DpPassFlow *flow,
+                               gboolean slot,
+                               gint64 now);
+void dp_pass_flows_end_work (DpPassFlows *flows, DpPassFlow *flow, gint64 now);
+void dp_pass_flows_abandon_work (DpPassFlows *flows, DpPassFlow *flow);
+void dp_pass_flows_abandon_all (DpPassFlows *flows);
+
+/* FALSE if too many wait. */
+gboolean dp_pass_flows_wait (DpPassFlows *flows, DpPassFlow *flow);
+void dp_pass_flows_release (DpPassFlows *flows, DpPassFlow *flow);
+/* The flow whose turn it is, with its slot; NULL if none waits or no slot is free. */
+DpPassFlow *dp_pass_flows_next_waiting (DpPassFlows *flows);
+DpPassFlow *dp_pass_flows_any_waiting (DpPassFlows *flows);
+guint dp_pass_flows_n_waiting (const DpPassFlows *flows);
+
+void dp_pass_flows_tick (DpPassFlows *flows, gint64 now);
+void dp_pass_flows_observe (DpHistogram *histogram, gint64 time);
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -424,6 +424,9 @@
   guint8 reset[DP_PACKET_MAX];
 
   dp_metric_increment (companion->decisions[decision->reason]);
+  /* A new flow of the same key takes the place of one whose SYN was kept. */
+  if (dp_segment_opens_flow (segment) && decision->reason != DP_PASS_WAITING)
+    g_hash_table_remove (companion->held, &segment->key);
   log_decision_ (companion, decision, segment);
   switch (decision->action)
     {
--- /dev/null
+++ b/src/libdogwoodpaddle/passflows.c
@@ -0,0 +1,320 @@
+#include "private/passflows.h"
+
+#include "protected/clock.h"
+
+#define WAITING_MAX 1024
+/* Clients give up an unanswered SYN after 1.4 s. */
+#define OFFER_US (2 * DP_US_PER_S)
+/* A client whose first packet was lost sends it again after 200 ms; one that takes longer
+ * for the handshake no longer keeps its slot. */
+#define HANDSHAKE_US (300 * DP_US_PER_MS)
+/* A request without an answer no longer keeps its slot: the slowest ones run for 280 ms
+ * on a cold server, and five times as long on a slow one. */
+#define WORK_MAX_US (2 * DP_US_PER_S)
+#define SWEEP_US DP_US_PER_S /* between two searches for flows that have expired */
+/* Retransmissions of the last packets come up to 1.6 s apart. */
+#define LINGER_US (4 * DP_US_PER_S)
+/* A flow whose server has sent nothing for so long after its last data is between two
+ * requests. */
+#define ANSWERED_US (100 * DP_US_PER_MS)
+#define FLOWS_MAX 65536
+
+static guint hash_ (gconstpointer flow);
+static gboolean equal_ (gconstpointer a, gconstpointer b);
+static DpPassFlow *flow_at_ (DpHandleTable *table, DpHandle handle);
+static DpHandle add_to_ (DpHandleTable *table, DpPassFlow *flow);
+static void check_work_ (DpPassFlows *flows, gint64 now);
+static gboolean
+has_expired_ (const DpPassFlows *flows, const DpPassFlow *flow, gint64 now);
+
+/* Creates an empty table with one slot. */
+DpPassFlows *
+dp_pass_flows_new (gint64 flow_ttl)
+{
+  DpPassFlows *flows = g_new0 (DpPassFlows, 1);
+
+  flows->by_key = g_hash_table_new_full (hash_, equal_, NULL, g_free);
+  flows->slots = dp_slots_new (WAITING_MAX);
+  flows->waiting = dp_handle_table_new (sizeof (DpPassFlow *), WAITING_MAX);
+  flows->working = dp_handle_table_new (sizeof (DpPassFlow *), FLOWS_MAX);
+  dp_pass_flows_set_limits (flows, 1, flow_ttl);
+  return flows;
+}
+
+/* Frees the table with all flows. */
+void
+dp_pass_flows_free (DpPassFlows *flows)
+{
+  dp_slots_free (flows->slots);
+  dp_handle_table_free (flows->waiting);
+  dp_handle_table_free (flows->working);
+  g_hash_table_unref (flows->by_key);
+  g_free (flows);
+}
+
+/* Sets how many flows may be offered to the server at once, and how long an unused flow
+ * is remembered, in us. */
+void
+dp_pass_flows_set_limits (DpPassFlows *flows, guint capacity, gint64 flow_ttl)
+{
+  dp_slots_set_capacity (flows->slots, capacity, FALSE);
+  flows->flow_ttl = flow_ttl;
+}
+
+/* Returns the segment's flow, NULL if it isn't remembered. */
+DpPassFlow *
+dp_pass_flows_find (DpPassFlows *flows, const DpSegment *segment)
+{
+  const DpPassFlow wanted = { .key = segment->key, .hash = segment->hash };
+
+  return g_hash_table_lookup (flows->by_key, &wanted);
+}
+
+/* Adds the segment's flow, which isn't remembered yet. */
+DpPassFlow *
+dp_pass_flows_add (DpPassFlows *flows, const DpSegment *segment, gint64 now)
+{
+  DpPassFlow *flow;
+
+  if (g_hash_table_size (flows->by_key) >= FLOWS_MAX)
+    return NULL;
+  flow = g_new0 (DpPassFlow, 1);
+  flow->key = segment->key;
+  flow->hash = segment->hash;
+  flow->used_at = now;
+  g_hash_table_add (flows->by_key, flow);
+  return flow;
+}
+
+/* Forgets the flow; it no longer waits and gives its slot back. */
+void
+dp_pass_flows_remove (DpPassFlows *flows, DpPassFlow *flow)
+{
+  dp_pass_flows_release (flows, flow);
+  dp_pass_flows_abandon_work (flows, flow);
+  g_hash_table_remove (flows->by_key, flow);
+}
+
+/* Returns the number of flows that are remembered. */
+guint
+dp_pass_flows_count (const DpPassFlows *flows)
+{
+  return g_hash_table_size (flows->by_key);
+}
+
+/* Counts the flow as in flight. */
+void
+dp_pass_flows_begin_work (DpPassFlows *flows, DpPassFlow *flow, gboolean slot, gint64 now)
+{
+  if (flow->working)
+    return;
+  flow->work = add_to_ (flows->working, flow);
+  flow->working = TRUE;
+  flow->has_slot = slot;
+  flow->offered_at = now;
+  flows->in_flight++;
+  if (slot)
+    dp_slots_begin (flows->slots, flow->class, now);
+}
+
+/* The server has answered the flow's request. */
+void
+dp_pass_flows_end_work (DpPassFlows *flows, DpPassFlow *flow, gint64 now)
+{
+  if (flow->working)
+    dp_pass_flows_observe (flows->times.work, now - flow->offered_at);
+  if (flow->working && flow->has_slot)
+    dp_slots_end (flows->slots, flow->class, flow->offered_at, now);
+  dp_pass_flows_abandon_work (flows, flow);
+}
+
+/* The flow no longer counts as in flight, whatever the server does with it. */
+void
+dp_pass_flows_abandon_work (DpPassFlows *flows, DpPassFlow *flow)
+{
+  if (flow->working)
+    {
+      flows->in_flight--;
+      dp_handle_table_remove (flows->working, flow->work);
+    }
+  if (flow->working && flow->has_slot)
+    dp_slots_abandon (flows->slots, flow->class, flow->offered_at);
+  if (flow->has_slot)
+    dp_slots_give_back (flows->slots, flow->class);
+  flow->working = FALSE;
+  flow->has_slot = FALSE;
+  flow->work = DP_HANDLE_NONE;
+}
+
+/* No flow counts as in flight any more, as after a restart of the server. */
+void
+dp_pass_flows_abandon_all (DpPassFlows *flows)
+{
+  DpHandle next;
+
+  for (DpHandle h = dp_handle_table_next (flows->working, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = next)
+    {
+      next = dp_handle_table_next (flows->working, h);
+      dp_pass_flows_abandon_work (flows, flow_at_ (flows->working, h));
+    }
+}
+
+/* Queues the flow by its class. */
+gboolean
+dp_pass_flows_wait (DpPassFlows *flows, DpPassFlow *flow)
+{
+  flow->waiting = add_to_ (flows->waiting, flow);
+  if (flow->waiting == DP_HANDLE_NONE)
+    return FALSE;
+  flow->ticket = dp_slots_wait (flows->slots, flow->waiting, flow->class);
+  return flow->ticket != DP_HANDLE_NONE;
+}
+
+/* Takes the flow out of those that wait; one that has got its slot keeps it. */
+void
+dp_pass_flows_release (DpPassFlows *flows, DpPassFlow *flow)
+{
+  if (flow->waiting == DP_HANDLE_NONE)
+    return;
+  dp_slots_cancel (flows->slots, flow->ticket);
+  dp_handle_table_remove (flows->waiting, flow->waiting);
+  flow->waiting = DP_HANDLE_NONE;
+  flow->ticket = DP_HANDLE_NONE;
+}
+
+/* Gives a free slot to the flow whose turn it is, by class and then by arrival. */
+DpPassFlow *
+dp_pass_flows_next_waiting (DpPassFlows *flows)
+{
+  DpHandle handle = dp_slots_next (flows->slots);
+  DpPassFlow *flow;
+
+  if (handle == DP_HANDLE_NONE)
+    return NULL;
+  flow = flow_at_ (flows->waiting, handle);
+  flow->has_slot = TRUE;
+  flow->ticket = DP_HANDLE_NONE;
+  return flow;
+}
+
+/* Returns a flow that waits, without a slot; NULL if none does. */
+DpPassFlow *
+dp_pass_flows_any_waiting (DpPassFlows *flows)
+{
+  DpHandle handle = dp_handle_table_next (flows->waiting, DP_HANDLE_NONE);
+
+  return handle == DP_HANDLE_NONE ? NULL : flow_at_ (flows->waiting, handle);
+}
+
+/* Returns the number of flows that wait for a slot. */
+guint
+dp_pass_flows_n_waiting (const DpPassFlows *flows)
+{
+  return dp_handle_table_count (flows->waiting);
+}
+
+/* Frees the slots of flows that nobody goes on with, and forgets flows that have ended.
+ */
+void
+dp_pass_flows_tick (DpPassFlows *flows, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  check_work_ (flows, now);
+  if (now - flows->swept_at < SWEEP_US)
+    return;
+  flows->swept_at = now;
+  g_hash_table_iter_init (&iter, flows->by_key);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      DpPassFlow *flow = value;
+
+      if (!has_expired_ (flows, flow, now))
+        continue;
+      dp_pass_flows_abandon_work (flows, flow);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* Counts a time in us, if it is wanted. */
+void
+dp_pass_flows_observe (DpHistogram *histogram, gint64 time)
+{
+  if (histogram != NULL)
+    dp_histogram_observe (histogram, time);
+}
+
+static guint
+hash_ (gconstpointer flow)
+{
+  return (guint) ((const DpPassFlow *) flow)->hash;
+}
+
+static gboolean
+equal_ (gconstpointer a, gconstpointer b)
+{
+  return dp_flow_key_equal (&((const DpPassFlow *) a)->key,
+                            &((const DpPassFlow *) b)->key);
+}
+
+static DpPassFlow *
+flow_at_ (DpHandleTable *table, DpHandle handle)
+{
+  return *(DpPassFlow **) dp_handle_table_get (table, handle);
+}
+
+/* DP_HANDLE_NONE if the table is full. */
+static DpHandle
+add_to_ (DpHandleTable *table, DpPassFlow *flow)
+{
+  DpHandle handle = dp_handle_table_add (table);
+
+  if (handle != DP_HANDLE_NONE)
+    *(DpPassFlow **) dp_handle_table_get (table, handle) = flow;
+  return handle;
+}
+
+/* Ends the work of flows that were answered some time ago, as on a connection that stays
+ * open, and of those that nobody goes on with. */
+static void
+check_work_ (DpPassFlows *flows, gint64 now)
+{
+  DpHandle next;
+
+  for (DpHandle h = dp_handle_table_next (flows->working, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = next)
+    {
+      DpPassFlow *flow = flow_at_ (flows->working, h);
+      gint64 bound = flow->requested ? WORK_MAX_US : HANDSHAKE_US;
+
+      next = dp_handle_table_next (flows->working, h);
+      if (flow->answered_at != 0 && now - flow->answered_at > ANSWERED_US)
+        dp_pass_flows_end_work (flows, flow, now);
+      else if (flow->answered_at == 0 && now - flow->offered_at > bound)
+        dp_pass_flows_abandon_work (flows, flow);
+    }
+}
+
+static gboolean
+has_expired_ (const DpPassFlows *flows, const DpPassFlow *flow, gint64 now)
+{
+  const gint64 unused = now - flow->used_at;
+
+  switch (flow->state)
+    {
+    case DP_PASS_FLOW_WAITING:
+      return FALSE; /* dp_passthrough_next () ends it */
+    case DP_PASS_FLOW_OFFERED:
+    case DP_PASS_FLOW_ANSWERED:
+      return unused > OFFER_US;
+    case DP_PASS_FLOW_CLOSED:
+      return unused > LINGER_US;
+    case DP_PASS_FLOW_OPEN:
+    case DP_PASS_FLOW_PASSED:
+    case DP_PASS_FLOW_FOREIGN:
+    default:
+      return unused > flows->flow_ttl;
+    }
+}
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -1,5 +1,6 @@
 #include "protected/passthrough.h"
 
+#include "private/passflows.h"
 #include "protected/clock.h"
 
 /* Flows that may be offered to the server beyond its slots, so that a slot is not idle
@@ -8,84 +9,25 @@
 /* A client gives up an unanswered SYN after 1.4 s, or at its deadline. The rest is for
  * the packets on their way. */
 #define SYN_LIFE_US (1350 * DP_US_PER_MS)
-#define WAITING_MAX 1024
 /* Members report every 100 to 400 ms, and lists are sent at most every 250 ms. */
 #define GATHER_US (1500 * DP_US_PER_MS)
 /* A server answers a SYN within a millisecond unless it is frozen or gone. */
 #define SILENT_US (150 * DP_US_PER_MS)
 /* SYNs without an answer until the server counts as silent; one may be lost. */
 #define SILENT_SYNS 2
-/* Clients give up an unanswered SYN after 1.4 s. */
-#define OFFER_US (2 * DP_US_PER_S)
-/* Their copies come after 200 and 600 ms. */
+/* Clients send copies of a SYN after 200 and 600 ms. */
 #define LAST_COPY_MS 600
-/* A client whose first packet was lost sends it again after 200 ms; one that takes longer
- * for the handshake no longer keeps its slot. */
-#define HANDSHAKE_US (300 * DP_US_PER_MS)
-/* A request without an answer no longer keeps its slot: the slowest ones run for 280 ms
- * on a cold server, and five times as long on a slow one. */
-#define WORK_MAX_US (2 * DP_US_PER_S)
-#define SWEEP_US DP_US_PER_S /* between two searches for flows that have expired */
 /* Data that the server sends again comes 200 ms after the first time; packets that merely
  * overtook each other are closer. */
 #define REPEATED_US (150 * DP_US_PER_MS)
-/* Retransmissions of the last packets come up to 1.6 s apart. */
-#define LINGER_US (4 * DP_US_PER_S)
-/* A flow whose server has sent nothing for so long after its last data is between two
- * requests. */
-#define ANSWERED_US (100 * DP_US_PER_MS)
-#define FLOWS_MAX 65536
-
-typedef enum
-{
-  FLOW_WAITING,  /* the SYN is kept until a slot is free */
-  FLOW_OFFERED,  /* the SYN went to the server */
-  FLOW_ANSWERED, /* the server's SYN-ACK went to the client */
-  FLOW_OPEN,     /* the client has acknowledged it */
-  FLOW_CLOSED,   /* both ends have finished, or one has reset it */
-  FLOW_PASSED,   /* the SYN went to another member */
-  FLOW_FOREIGN   /* the server does not have the flow */
-} FlowState;
-
-typedef struct
-{
-  DpFlowKey key;
-  guint64 hash;
-  FlowState state;
-  guint32 client_seq; /* of the SYN */
-  guint32 server_seq; /* of the SYN-ACK */
-  gboolean working;   /* counts as in flight */
-  gboolean has_slot;
-  gboolean requested; /* the client has sent data */
-  DpHandle work;      /* row in the table of working flows */
-  DpClass class;
-  DpHandle waiting; /* row in the table of waiting flows */
-  DpHandle ticket;  /* in the slots' queue */
-  gboolean client_finished;
-  gboolean server_finished;
-  gint64 offered_at;  /* us */
-  gint64 used_at;     /* us */
-  gint64 answered_at; /* us of the server's last data, 0: none since the last request */
-  guint32 server_end; /* behind the last data that the server has sent */
-  gint64 progress_at; /* us, when it last sent data beyond that */
-  DpAddress passed_to;
-  guint8 visited;    /* members that the SYN had visited when it came here */
-  gint64 give_up_at; /* us, when the client is expected to give up a waiting SYN */
-} Flow;
 
 struct _DpPassthrough
 {
   guint32 service_tag;
   guint32 member_id;
   DpPassLimits limits;
-  DpPassTimes times;
   DpCandidates *candidates; /* NULL: no view yet */
-  DpSlots *slots;
-  DpHandleTable *waiting; /* Flow pointers */
-  DpHandleTable *working; /* Flow pointers */
-  gint64 swept_at;        /* us */
-  GHashTable *flows;      /* Flow by its key, which comes first */
-  guint in_flight;
+  DpPassFlows *flows;
   gboolean serving;
   gboolean complete;  /* every flow of the server is known */
   gint64 started_at;  /* us, since when flows have been seen */
@@ -106,18 +48,8 @@
 G_STATIC_ASSERT (G_N_ELEMENTS (action_strings_) == DP_N_PASS_ACTIONS);
 G_STATIC_ASSERT (G_N_ELEMENTS (reason_strings_) == DP_N_PASS_REASONS);
 
-static guint flow_hash_ (gconstpointer flow);
-static gboolean flow_equal_ (gconstpointer a, gconstpointer b);
-static Flow *find_ (DpPassthrough *passthrough, const DpSegment *segment);
-static Flow *add_ (DpPassthrough *passthrough, const DpSegment *segment, gint64 now);
-static void remove_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
-static void release_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
-static void
-begin_work_ (DpPassthrough *passthrough, Flow *flow, gboolean slot, gint64 now);
-static void end_work_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
-static void abandon_work_ (DpPassthrough *passthrough, Flow *flow);
-static void observe_ (DpHistogram *histogram, gint64 time);
-static void check_work_ (DpPassthrough *passthrough, gint64 now);
+static DpPassFlow *
+add_ (DpPassthrough *passthrough, const DpSegment *segment, gint64 now);
 static DpPassDecision
 decide_ (DpPassAction action, DpPassReason reason, const DpHop *hop);
 static DpPassDecision take_syn_ (DpPassthrough *passthrough,
@@ -135,14 +67,12 @@
                                       gint64 now);
 static DpPassDecision
 reject_ (const DpPassthrough *passthrough, const DpHop *hop, gint64 now);
-static void offer_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
-static Flow *add_new_flow_ (DpPassthrough *passthrough,
-                            const DpSegment *segment,
-                            const DpHop *hop,
-                            FlowState state,
-                            gint64 now);
-static gboolean wait_ (DpPassthrough *passthrough, Flow *flow, gint64 now);
-static Flow *next_waiting_ (DpPassthrough *passthrough);
+static void offer_ (DpPassthrough *passthrough, DpPassFlow *flow, gint64 now);
+static DpPassFlow *add_new_flow_ (DpPassthrough *passthrough,
+                                  const DpSegment *segment,
+                                  const DpHop *hop,
+                                  DpPassFlowState state,
+                                  gint64 now);
 static gboolean is_serving_ (const DpPassthrough *passthrough, gint64 now);
 static DpPassDecision pass_new_flow_ (DpPassthrough *passthrough,
                                       const DpSegment *segment,
@@ -167,17 +97,15 @@
 static DpPassDecision
 to_member_ (const DpAddress *member, DpPassReason reason, const DpHop *hop);
 static DpPassDecision take_client_packet_ (DpPassthrough *passthrough,
-                                           Flow *flow,
+                                           DpPassFlow *flow,
                                            const DpSegment *segment,
                                            const DpHop *hop,
                                            gint64 now);
 static void note_client_packet_ (DpPassthrough *passthrough,
-                                 Flow *flow,
+                                 DpPassFlow *flow,
                                  const DpSegment *segment,
                                  gint64 now);
 static gboolean knows_all_ (const DpPassthrough *passthrough, gint64 now);
-static gboolean
-has_expired_ (const DpPassthrough *passthrough, const Flow *flow, gint64 now);
 
 /* Creates the decisions of a member that serves nothing yet. */
 DpPassthrough *
@@ -187,13 +115,10 @@
 
   passthrough->service_tag = dp_service_tag (dp_service_id (service));
   passthrough->member_id = dp_member_id (member);
-  passthrough->flows = g_hash_table_new_full (flow_hash_, flow_equal_, NULL, g_free);
   passthrough->limits = (DpPassLimits){ 1, 60 * DP_US_PER_S };
-  passthrough->slots = dp_slots_new (WAITING_MAX);
-  passthrough->waiting = dp_handle_table_new (sizeof (Flow *), WAITING_MAX);
-  passthrough->working = dp_handle_table_new (sizeof (Flow *), FLOWS_MAX);
-  dp_slots_set_capacity (passthrough->slots, 1, FALSE);
+  passthrough->flows = dp_pass_flows_new (passthrough->limits.flow_ttl);
   passthrough->started_at = now;
+  passthrough->created_at = now;
   return passthrough;
 }
 
@@ -204,10 +129,7 @@
   if (passthrough == NULL)
     return;
   dp_candidates_free (passthrough->candidates);
-  dp_slots_free (passthrough->slots);
-  dp_handle_table_free (passthrough->waiting);
-  dp_handle_table_free (passthrough->working);
-  g_hash_table_unref (passthrough->flows);
+  dp_pass_flows_free (passthrough->flows);
   g_free (passthrough);
 }
 
@@ -216,14 +138,15 @@
 dp_passthrough_set_limits (DpPassthrough *passthrough, const DpPassLimits *limits)
 {
   passthrough->limits = *limits;
-  dp_slots_set_capacity (passthrough->slots, limits->slots + OFFERED_AHEAD, FALSE);
+  dp_pass_flows_set_limits (passthrough->flows, limits->slots + OFFERED_AHEAD,
+                            limits->flow_ttl);
 }
 
 /* Sets where times are counted. */
 void
 dp_passthrough_set_times (DpPassthrough *passthrough, const DpPassTimes *times)
 {
-  passthrough->times = *times;
+  passthrough->flows->times = *times;
 }
 
 /* Sets the members among which flows are passed on. */
@@ -245,17 +168,9 @@
 void
 dp_passthrough_server_started (DpPassthrough *passthrough)
 {
-  DpHandle next;
-
   passthrough->complete = TRUE;
   passthrough->unanswered = 0;
-  for (DpHandle h = dp_handle_table_next (passthrough->working, DP_HANDLE_NONE);
-       h != DP_HANDLE_NONE; h = next)
-    {
-      next = dp_handle_table_next (passthrough->working, h);
-      abandon_work_ (passthrough,
-                     *(Flow **) dp_handle_table_get (passthrough->working, h));
-    }
+  dp_pass_flows_abandon_all (passthrough->flows);
 }
 
 /* Decides about a client's packet from a balancer or another member. */
@@ -265,7 +180,7 @@
                           const DpHop *hop,
                           gint64 now)
 {
-  Flow *flow;
+  DpPassFlow *flow;
 
   if (hop->service_tag != passthrough->service_tag || hop->class >= DP_N_CLASSES)
     return decide_ (DP_PASS_DROP, DP_PASS_WRONG_SERVICE, hop);
@@ -273,7 +188,7 @@
     return decide_ (DP_PASS_DROP, DP_PASS_UNEXPECTED, hop);
   if (dp_segment_opens_flow (segment))
     return take_syn_ (passthrough, segment, hop, now);
-  flow = find_ (passthrough, segment);
+  flow = dp_pass_flows_find (passthrough->flows, segment);
   if (flow != NULL)
     return take_client_packet_ (passthrough, flow, segment, hop, now);
   if (knows_all_ (passthrough, now))
@@ -288,7 +203,7 @@
                          const DpHop *returned,
                          gint64 now)
 {
-  Flow *flow = find_ (passthrough, segment);
+  DpPassFlow *flow = dp_pass_flows_find (passthrough->flows, segment);
   DpHop hop = *returned;
 
   hop.service_tag = passthrough->service_tag;
@@ -297,17 +212,17 @@
     return decide_ (DP_PASS_DROP, DP_PASS_UNEXPECTED, &hop);
   if (dp_segment_opens_flow (segment))
     {
-      if (flow != NULL && flow->state == FLOW_OFFERED)
-        remove_ (passthrough, flow, now);
+      if (flow != NULL && flow->state == DP_PASS_FLOW_OFFERED)
+        dp_pass_flows_remove (passthrough->flows, flow);
       else if (flow != NULL)
         return decide_ (DP_PASS_DROP, DP_PASS_RETURNED, &hop);
       return pass_or_reject_ (passthrough, segment, &hop, DP_PASS_RETURNED,
                               DP_PASS_OVERLOADED, now);
     }
-  if (flow != NULL && flow->state == FLOW_OPEN)
+  if (flow != NULL && flow->state == DP_PASS_FLOW_OPEN)
     {
       /* The server held this flow and no longer does: it has crashed since. */
-      remove_ (passthrough, flow, now);
+      dp_pass_flows_remove (passthrough->flows, flow);
       if ((segment->flags & DP_TCP_RST) != 0)
         return decide_ (DP_PASS_DROP, DP_PASS_LOST, &hop);
       return decide_ (DP_PASS_RESET, DP_PASS_LOST, &hop);
@@ -316,7 +231,7 @@
     {
       flow = add_ (passthrough, segment, now);
       if (flow != NULL)
-        flow->state = FLOW_FOREIGN;
+        flow->state = DP_PASS_FLOW_FOREIGN;
     }
   return search_ (passthrough, segment, &hop, DP_PASS_RETURNED);
 }
@@ -329,7 +244,7 @@
 {
   const guint8 handshake = DP_TCP_SYN | DP_TCP_ACK;
   const DpHop hop = { passthrough->service_tag, 0, 0 };
-  Flow *flow = find_ (passthrough, segment);
+  DpPassFlow *flow = dp_pass_flows_find (passthrough->flows, segment);
   gboolean repeated = FALSE;
 
   passthrough->unanswered = 0;
@@ -340,14 +255,14 @@
   flow->used_at = now;
   if ((segment->flags & handshake) == handshake)
     {
-      if (flow->state == FLOW_OFFERED)
-        observe_ (passthrough->times.accept, now - flow->offered_at);
-      if (flow->state != FLOW_OPEN)
-        flow->state = FLOW_ANSWERED;
+      if (flow->state == DP_PASS_FLOW_OFFERED)
+        dp_pass_flows_observe (passthrough->flows->times.accept, now - flow->offered_at);
+      if (flow->state != DP_PASS_FLOW_OPEN)
+        flow->state = DP_PASS_FLOW_ANSWERED;
       flow->server_seq = segment->seq;
     }
-  else if (flow->state != FLOW_CLOSED)
-    flow->state = FLOW_OPEN;
+  else if (flow->state != DP_PASS_FLOW_CLOSED)
+    flow->state = DP_PASS_FLOW_OPEN;
   if (segment->payload_length > 0)
     {
       const guint32 end = segment->seq + segment->payload_length;
@@ -368,9 +283,9 @@
   if ((segment->flags & DP_TCP_RST) != 0)
     flow->server_finished = flow->client_finished = TRUE;
   if (flow->server_finished)
-    end_work_ (passthrough, flow, now);
+    dp_pass_flows_end_work (passthrough->flows, flow, now);
   if (flow->server_finished && flow->client_finished)
-    flow->state = FLOW_CLOSED;
+    flow->state = DP_PASS_FLOW_CLOSED;
   return decide_ (DP_PASS_TO_CLIENT, repeated ? DP_PASS_REPEATED : DP_PASS_OWNED, &hop);
 }
 
@@ -385,14 +300,10 @@
   const gboolean serving = is_serving_ (passthrough, now);
   DpSegment segment = { .flags = DP_TCP_SYN };
   DpHop hop = { passthrough->service_tag, 0, 0 };
-  Flow *flow;
+  DpPassFlow *flow;
 
-  if (dp_handle_table_count (passthrough->waiting) == 0)
-    return FALSE;
-  flow = serving ? next_waiting_ (passthrough)
-                 : *(Flow **) dp_handle_table_get (
-                     passthrough->waiting,
-                     dp_handle_table_next (passthrough->waiting, DP_HANDLE_NONE));
+  flow = serving ? dp_pass_flows_next_waiting (passthrough->flows)
+                 : dp_pass_flows_any_waiting (passthrough->flows);
   if (flow == NULL)
     return FALSE;
   *key = flow->key;
@@ -403,19 +314,19 @@
   segment.seq = flow->client_seq;
   if (now >= flow->give_up_at)
     {
-      remove_ (passthrough, flow, now);
+      dp_pass_flows_remove (passthrough->flows, flow);
       *decision = decide_ (DP_PASS_DROP, DP_PASS_EXPIRED, &hop);
       return TRUE;
     }
   if (serving)
     {
-      observe_ (passthrough->times.wait, now - flow->used_at);
-      release_ (passthrough, flow, now);
+      dp_pass_flows_observe (passthrough->flows->times.wait, now - flow->used_at);
+      dp_pass_flows_release (passthrough->flows, flow);
       offer_ (passthrough, flow, now);
       *decision = decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, &hop);
       return TRUE;
     }
-  remove_ (passthrough, flow, now);
+  dp_pass_flows_remove (passthrough->flows, flow);
   *decision = pass_or_reject_ (passthrough, &segment, &hop, DP_PASS_NOT_SERVING,
                                DP_PASS_NOT_SERVING, now);
   return TRUE;
@@ -425,23 +336,7 @@
 void
 dp_passthrough_tick (DpPassthrough *passthrough, gint64 now)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  check_work_ (passthrough, now);
-  if (now - passthrough->swept_at < SWEEP_US)
-    return;
-  passthrough->swept_at = now;
-  g_hash_table_iter_init (&iter, passthrough->flows);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Flow *flow = value;
-
-      if (!has_expired_ (passthrough, flow, now))
-        continue;
-      abandon_work_ (passthrough, flow);
-      g_hash_table_iter_remove (&iter);
-    }
+  dp_pass_flows_tick (passthrough->flows, now);
 }
 
 /* Returns whether the server has not answered several SYNs for SILENT_US. */
@@ -456,21 +351,21 @@
 guint
 dp_passthrough_in_flight (const DpPassthrough *passthrough)
 {
-  return passthrough->in_flight;
+  return passthrough->flows->in_flight;
 }
 
 /* Returns the number of flows that wait for a slot. */
 guint
 dp_passthrough_waiting (const DpPassthrough *passthrough)
 {
-  return dp_handle_table_count (passthrough->waiting);
+  return dp_pass_flows_n_waiting (passthrough->flows);
 }
 
 /* Returns the number of flows that are remembered. */
 guint
 dp_passthrough_n_flows (const DpPassthrough *passthrough)
 {
-  return g_hash_table_size (passthrough->flows);
+  return dp_pass_flows_count (passthrough->flows);
 }
 
 /* Returns the action's name. */
@@ -489,141 +384,20 @@
   return reason_strings_[reason];
 }
 
-static guint
-flow_hash_ (gconstpointer flow)
-{
-  return (guint) ((const Flow *) flow)->hash;
-}
-
-static gboolean
-flow_equal_ (gconstpointer a, gconstpointer b)
-{
-  return dp_flow_key_equal (&((const Flow *) a)->key, &((const Flow *) b)->key);
-}
-
-static Flow *
-find_ (DpPassthrough *passthrough, const DpSegment *segment)
-{
-  const Flow wanted = { .key = segment->key, .hash = segment->hash };
-
-  return g_hash_table_lookup (passthrough->flows, &wanted);
-}
-
 /* NULL if too many flows are remembered: the server is asked for further ones. */
-static Flow *
+static DpPassFlow *
 add_ (DpPassthrough *passthrough, const DpSegment *segment, gint64 now)
 {
-  Flow *flow;
+  DpPassFlow *flow = dp_pass_flows_add (passthrough->flows, segment, now);
 
-  if (g_hash_table_size (passthrough->flows) >= FLOWS_MAX)
+  if (flow == NULL)
     {
       passthrough->complete = FALSE;
       passthrough->started_at = now;
-      return NULL;
     }
-  flow = g_new0 (Flow, 1);
-  flow->key = segment->key;
-  flow->hash = segment->hash;
-  flow->used_at = now;
-  g_hash_table_add (passthrough->flows, flow);
   return flow;
 }
 
-static void
-remove_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
-{
-  release_ (passthrough, flow, now);
-  abandon_work_ (passthrough, flow);
-  g_hash_table_remove (passthrough->flows, flow);
-}
-
-/* Takes the flow out of those that wait. One that was chosen by dp_slots_next () has its
- * slot already. */
-static void
-release_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
-{
-  if (flow->waiting == DP_HANDLE_NONE)
-    return;
-  dp_slots_cancel (passthrough->slots, flow->ticket);
-  dp_handle_table_remove (passthrough->waiting, flow->waiting);
-  flow->waiting = DP_HANDLE_NONE;
-  flow->ticket = DP_HANDLE_NONE;
-}
-
-/* slot: the flow has taken one. */
-static void
-begin_work_ (DpPassthrough *passthrough, Flow *flow, gboolean slot, gint64 now)
-{
-  if (flow->working)
-    return;
-  flow->work = dp_handle_table_add (passthrough->working);
-  if (flow->work != DP_HANDLE_NONE)
-    *(Flow **) dp_handle_table_get (passthrough->working, flow->work) = flow;
-  flow->working = TRUE;
-  flow->has_slot = slot;
-  flow->offered_at = now;
-  passthrough->in_flight++;
-  if (slot)
-    dp_slots_begin (passthrough->slots, flow->class, now);
-}
-
-/* The server has answered the flow's request. */
-static void
-end_work_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
-{
-  if (flow->working)
-    observe_ (passthrough->times.work, now - flow->offered_at);
-  if (flow->working && flow->has_slot)
-    dp_slots_end (passthrough->slots, flow->class, flow->offered_at, now);
-  abandon_work_ (passthrough, flow);
-}
-
-/* The flow no longer counts as in flight, whatever the server does with it. */
-static void
-abandon_work_ (DpPassthrough *passthrough, Flow *flow)
-{
-  if (flow->working)
-    {
-      passthrough->in_flight--;
-      dp_handle_table_remove (passthrough->working, flow->work);
-    }
-  if (flow->working && flow->has_slot)
-    dp_slots_abandon (passthrough->slots, flow->class, flow->offered_at);
-  if (flow->has_slot)
-    dp_slots_give_back (passthrough->slots, flow->class);
-  flow->working = FALSE;
-  flow->has_slot = FALSE;
-  flow->work = DP_HANDLE_NONE;
-}
-
-static void
-observe_ (DpHistogram *histogram, gint64 time)
-{
-  if (histogram != NULL)
-    dp_histogram_observe (histogram, time);
-}
-
-/* Ends the work of flows that were answered some time ago, as on a connection that stays
- * open, and of those that nobody goes on with. */
-static void
-check_work_ (DpPassthrough *passthrough, gint64 now)
-{
-  DpHandle next;
-
-  for (DpHandle h = dp_handle_table_next (passthrough->working, DP_HANDLE_NONE);
-       h != DP_HANDLE_NONE; h = next)
-    {
-      Flow *flow = *(Flow **) dp_handle_table_get (passthrough->working, h);
-      gint64 bound = flow->requested ? WORK_MAX_US : HANDSHAKE_US;
-
-      next = dp_handle_table_next (passthrough->working, h);
-      if (flow->answered_at != 0 && now - flow->answered_at > ANSWERED_US)
-        end_work_ (passthrough, flow, now);
-      else if (flow->answered_at == 0 && now - flow->offered_at > bound)
-        abandon_work_ (passthrough, flow);
-    }
-}
-
 static DpPassDecision
 decide_ (DpPassAction action, DpPassReason reason, const DpHop *hop)
 {
@@ -637,26 +411,26 @@
            const DpHop *hop,
            gint64 now)
 {
-  Flow *flow = find_ (passthrough, segment);
+  DpPassFlow *flow = dp_pass_flows_find (passthrough->flows, segment);
   const gboolean copy = flow != NULL && flow->client_seq == segment->seq;
   gboolean around;
 
-  if (copy && flow->state != FLOW_WAITING)
+  if (copy && flow->state != DP_PASS_FLOW_WAITING)
     flow->used_at = now;
   /* A SYN that has come around after it was passed on is not a copy. The client's last
    * copy is decided here: nobody has answered the others. */
-  if (copy && flow->state == FLOW_PASSED && hop->visited <= flow->visited
+  if (copy && flow->state == DP_PASS_FLOW_PASSED && hop->visited <= flow->visited
       && segment->syn_age_ms < LAST_COPY_MS)
     return to_member_ (&flow->passed_to, DP_PASS_PASSED_BEFORE, hop);
-  if (copy && flow->state == FLOW_WAITING)
+  if (copy && flow->state == DP_PASS_FLOW_WAITING)
     return decide_ (DP_PASS_DROP, DP_PASS_WAITING, hop);
-  if (copy && flow->state != FLOW_FOREIGN && flow->state != FLOW_PASSED
-      && !(flow->state == FLOW_OFFERED
+  if (copy && flow->state != DP_PASS_FLOW_FOREIGN && flow->state != DP_PASS_FLOW_PASSED
+      && !(flow->state == DP_PASS_FLOW_OFFERED
            && dp_passthrough_server_is_silent (passthrough, now)))
     return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
-  around = copy && flow->state == FLOW_PASSED;
+  around = copy && flow->state == DP_PASS_FLOW_PASSED;
   if (flow != NULL)
-    remove_ (passthrough, flow, now);
+    dp_pass_flows_remove (passthrough->flows, flow);
   return place_ (passthrough, segment, hop, around, now);
 }
 
@@ -676,14 +450,14 @@
   const DpMember *next = NULL;
   gboolean near = FALSE;
 
-  if (serving && passthrough->in_flight < passthrough->limits.slots
-      && dp_handle_table_count (passthrough->waiting) == 0)
+  if (serving && passthrough->flows->in_flight < passthrough->limits.slots
+      && dp_pass_flows_n_waiting (passthrough->flows) == 0)
     return offer_or_wait_ (passthrough, segment, hop, now);
   if (!around && hop->visited + 1 < DP_PASS_VISITS_MAX)
     next = next_for_new_flow_ (passthrough, segment->hash, hop->visited + 1u, &near);
   if (next != NULL && near)
     return pass_new_flow_ (passthrough, segment, hop, next, reason, now);
-  if (serving && dp_slots_can_take (passthrough->slots, (DpClass) hop->class))
+  if (serving && dp_slots_can_take (passthrough->flows->slots, (DpClass) hop->class))
     return offer_or_wait_ (passthrough, segment, hop, now);
   if (next != NULL)
     return pass_new_flow_ (passthrough, segment, hop, next, reason, now);
@@ -700,28 +474,28 @@
                 gint64 now)
 {
   const DpClass class = (DpClass) hop->class;
-  const gint64 wait = dp_slots_expected_wait (passthrough->slots, class, now);
+  const gint64 wait = dp_slots_expected_wait (passthrough->flows->slots, class, now);
   const gint64 age = segment->syn_age_ms * DP_US_PER_MS;
-  Flow *flow;
+  DpPassFlow *flow;
 
-  if (dp_slots_can_take (passthrough->slots, class))
+  if (dp_slots_can_take (passthrough->flows->slots, class))
     {
-      flow = add_new_flow_ (passthrough, segment, hop, FLOW_OFFERED, now);
+      flow = add_new_flow_ (passthrough, segment, hop, DP_PASS_FLOW_OFFERED, now);
       if (flow == NULL)
         return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
-      flow->has_slot = dp_slots_take (passthrough->slots, class);
+      flow->has_slot = dp_slots_take (passthrough->flows->slots, class);
       offer_ (passthrough, flow, now);
       return decide_ (DP_PASS_TO_SERVER, DP_PASS_OWNED, hop);
     }
   if (wait + age > hop->wait_limit_ms * DP_US_PER_MS)
     return reject_ (passthrough, hop, now);
-  flow = add_new_flow_ (passthrough, segment, hop, FLOW_WAITING, now);
+  flow = add_new_flow_ (passthrough, segment, hop, DP_PASS_FLOW_WAITING, now);
   if (flow == NULL)
     return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
   flow->give_up_at = now + SYN_LIFE_US - age;
-  if (wait_ (passthrough, flow, now))
+  if (dp_pass_flows_wait (passthrough->flows, flow))
     return decide_ (DP_PASS_HOLD, DP_PASS_WAITING, hop);
-  remove_ (passthrough, flow, now);
+  dp_pass_flows_remove (passthrough->flows, flow);
   return decide_ (DP_PASS_RESET, DP_PASS_OVERLOADED, hop);
 }
 
@@ -741,23 +515,23 @@
 
 /* The SYN goes to the server; the flow has its slot. */
 static void
-offer_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
+offer_ (DpPassthrough *passthrough, DpPassFlow *flow, gint64 now)
 {
-  flow->state = FLOW_OFFERED;
+  flow->state = DP_PASS_FLOW_OFFERED;
   flow->used_at = now;
-  begin_work_ (passthrough, flow, flow->has_slot, now);
+  dp_pass_flows_begin_work (passthrough->flows, flow, flow->has_slot, now);
   if (passthrough->unanswered++ == 0)
     passthrough->silent_from = now;
 }
 
-static Flow *
+static DpPassFlow *
 add_new_flow_ (DpPassthrough *passthrough,
                const DpSegment *segment,
                const DpHop *hop,
-               FlowState state,
+               DpPassFlowState state,
                gint64 now)
 {
-  Flow *flow = add_ (passthrough, segment, now);
+  DpPassFlow *flow = add_ (passthrough, segment, now);
 
   if (flow == NULL)
     return NULL;
@@ -768,36 +542,6 @@
   return flow;
 }
 
-/* FALSE if too many flows wait. */
-static gboolean
-wait_ (DpPassthrough *passthrough, Flow *flow, gint64 now)
-{
-  Flow **row;
-
-  flow->waiting = dp_handle_table_add (passthrough->waiting);
-  row = dp_handle_table_get (passthrough->waiting, flow->waiting);
-  if (row == NULL)
-    return FALSE;
-  *row = flow;
-  flow->ticket = dp_slots_wait (passthrough->slots, flow->waiting, flow->class);
-  return flow->ticket != DP_HANDLE_NONE;
-}
-
-/* Returns the flow whose turn it is, with its slot; NULL if no slot is free. */
-static Flow *
-next_waiting_ (DpPassthrough *passthrough)
-{
-  DpHandle handle = dp_slots_next (passthrough->slots);
-  Flow *flow;
-
-  if (handle == DP_HANDLE_NONE)
-    return NULL;
-  flow = *(Flow **) dp_handle_table_get (passthrough->waiting, handle);
-  flow->has_slot = TRUE;
-  flow->ticket = DP_HANDLE_NONE;
-  return flow;
-}
-
 static gboolean
 is_serving_ (const DpPassthrough *passthrough, gint64 now)
 {
@@ -813,7 +557,7 @@
                 DpPassReason reason,
                 gint64 now)
 {
-  Flow *flow = add_new_flow_ (passthrough, segment, hop, FLOW_PASSED, now);
+  DpPassFlow *flow = add_new_flow_ (passthrough, segment, hop, DP_PASS_FLOW_PASSED, now);
 
   if (flow != NULL)
     flow->passed_to = next->address;
@@ -923,27 +667,27 @@
 /* A client's packet after its SYN, of a flow that is remembered. */
 static DpPassDecision
 take_client_packet_ (DpPassthrough *passthrough,
-                     Flow *flow,
+                     DpPassFlow *flow,
                      const DpSegment *segment,
                      const DpHop *hop,
                      gint64 now)
 {
   switch (flow->state)
     {
-    case FLOW_PASSED:
+    case DP_PASS_FLOW_PASSED:
       flow->used_at = now;
       return to_member_ (&flow->passed_to, DP_PASS_PASSED_BEFORE, hop);
-    case FLOW_ANSWERED:
+    case DP_PASS_FLOW_ANSWERED:
       /* Two servers may have answered copies of the SYN; the client acknowledges one. */
       if (segment->ack != flow->server_seq + 1)
         return search_ (passthrough, segment, hop, DP_PASS_SEARCHING);
       break;
-    case FLOW_WAITING:
-    case FLOW_OFFERED:
-    case FLOW_FOREIGN:
+    case DP_PASS_FLOW_WAITING:
+    case DP_PASS_FLOW_OFFERED:
+    case DP_PASS_FLOW_FOREIGN:
       return search_ (passthrough, segment, hop, DP_PASS_SEARCHING);
-    case FLOW_OPEN:
-    case FLOW_CLOSED:
+    case DP_PASS_FLOW_OPEN:
+    case DP_PASS_FLOW_CLOSED:
     default:
       break;
     }
@@ -953,31 +697,32 @@
 
 static void
 note_client_packet_ (DpPassthrough *passthrough,
-                     Flow *flow,
+                     DpPassFlow *flow,
                      const DpSegment *segment,
                      gint64 now)
 {
   flow->used_at = now;
   flow->requested = flow->requested || segment->payload_length > 0;
-  if (flow->state == FLOW_ANSWERED)
-    flow->state = FLOW_OPEN;
+  if (flow->state == DP_PASS_FLOW_ANSWERED)
+    flow->state = DP_PASS_FLOW_OPEN;
   if (segment->payload_length > 0 && !flow->server_finished && flow->working)
     flow->answered_at = 0;
   else if (segment->payload_length > 0 && !flow->server_finished)
     {
       flow->answered_at = 0;
-      begin_work_ (passthrough, flow, dp_slots_take (passthrough->slots, flow->class),
-                   now);
+      dp_pass_flows_begin_work (passthrough->flows, flow,
+                                dp_slots_take (passthrough->flows->slots, flow->class),
+                                now);
     }
   if ((segment->flags & DP_TCP_FIN) != 0)
     flow->client_finished = TRUE;
   if ((segment->flags & DP_TCP_RST) != 0)
     {
       flow->client_finished = flow->server_finished = TRUE;
-      abandon_work_ (passthrough, flow);
+      dp_pass_flows_abandon_work (passthrough->flows, flow);
     }
   if (flow->client_finished && flow->server_finished)
-    flow->state = FLOW_CLOSED;
+    flow->state = DP_PASS_FLOW_CLOSED;
 }
 
 /* Flows from before the companion's start have expired after their time to live. */
@@ -987,25 +732,3 @@
   return passthrough->complete
          || now - passthrough->started_at > passthrough->limits.flow_ttl;
 }
-
-static gboolean
-has_expired_ (const DpPassthrough *passthrough, const Flow *flow, gint64 now)
-{
-  const gint64 unused = now - flow->used_at;
-
-  switch (flow->state)
-    {
-    case FLOW_WAITING:
-      return FALSE; /* dp_passthrough_next () ends it */
-    case FLOW_OFFERED:
-    case FLOW_ANSWERED:
-      return unused > OFFER_US;
-    case FLOW_CLOSED:
-      return unused > LINGER_US;
-    case FLOW_OPEN:
-    case FLOW_PASSED:
-    case FLOW_FOREIGN:
-    default:
-      return unused > passthrough->limits.flow_ttl;
-    }
-}
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -495,6 +495,26 @@
   CU_ASSERT_EQUAL (send_data (p, 4101, 212 * MS), DP_PASS_OWNED);
 }
 
+/* The clock of a host that has been up for long. */
+static void
+test_gathering_late_clock (void)
+{
+  const gint64 start = 100000 * S;
+  g_autoptr (DpPassthrough) p = dp_passthrough_new (SERVICE, "a-1", start);
+  const DpPassLimits limits = { 1, 60 * S };
+  DpPassDecision decision = { 0 };
+
+  dp_passthrough_set_limits (p, &limits);
+  dp_passthrough_set_serving (p, TRUE);
+  for (guint i = 0; i < 20; i++)
+    decision = send_syn (p, i, DP_CLASS_INTERACTIVE, 0, start + MS);
+  CU_ASSERT_EQUAL (decision.reason, DP_PASS_GATHERING);
+  send_server (p, 0, DP_TCP_SYN | DP_TCP_ACK, 0, start + 2 * S);
+  for (guint i = 20; i < 40; i++)
+    decision = send_syn (p, i, DP_CLASS_INTERACTIVE, 0, start + 2 * S);
+  CU_ASSERT_EQUAL (decision.reason, DP_PASS_OVERLOADED);
+}
+
 static const DpTestCase cases_[] = {
   { "a flow from its SYN to its end", test_whole_flow },
   { "packets of another service or sender are dropped", test_foreign_packets },
@@ -514,6 +534,7 @@
   { "SYNs do not wait at a leaving server", test_waiting_at_a_leaving_server },
   { "a short wait near before a slot far away", test_near_before_far },
   { "just after a start nothing is rejected for lack of others", test_gathering },
+  { "likewise by a clock that runs for long", test_gathering_late_clock },
   { "data that the server sends again is told from reordering", test_repeated_data },
 };
 
