--- a/src/dogwoodpaddle/explain_command.c
+++ b/src/dogwoodpaddle/explain_command.c
@@ -38,6 +38,8 @@
   { "drop", "no_route", "dropped: no service has this address, as far as is known" },
   { "drop", "no_member", "dropped: no member of the service is known yet" },
   { "drop", "expired", "its SYN waited until its client had given up; nothing has run" },
+  { "drop", "gathering",
+    "dropped just after a start, when no other member was known yet; nothing has run" },
   { "drop", "not_found",
     "no member has the flow: its server has crashed, or is cut off" },
   { "drop", "wrong_service", "a packet of another service arrived at the member" },
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -267,6 +267,8 @@
 def test_explain_rejected_flow(site):
     start(site, n_balancers=1, n_servers=1, slots=1, work_s=0.4)
     client = site.client()
+    # Just after a start nothing is rejected for lack of other members.
+    client.run(time.monotonic() + 1.5)
     flows = ask(client, REPORTS, 40, "report", 0.001)
     finish(client, flows)
     rejected = [f for f in flows if f["result"] == "reset"]
