--- a/src/libdogwoodpaddle/feed.c
+++ b/src/libdogwoodpaddle/feed.c
@@ -79,6 +79,8 @@
 void
 dp_feed_free (DpFeed *feed)
 {
+  if (feed == NULL)
+    return;
   if (feed == NULL)
     return;
   if (feed->replica_listener != 0)
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/passmembers.h
@@ -0,0 +1,20 @@
+/* The members of a companion's service in passthrough mode, from the lists of all
+ * balancers. No I/O. A balancer that has just started, or is cut off, lists only those
+ * that it has heard: a member is gone only when it is absent for some time from all lists
+ * that come. */
+#pragma once
+
+#include "protected/report.h"
+
+typedef struct _DpPassMembers DpPassMembers;
+
+DpPassMembers *dp_pass_members_new (const char *service);
+void dp_pass_members_free (DpPassMembers *members);
+/* Takes a list over. Returns the new view if that changes the members or their state,
+ * NULL otherwise. */
+DpView *
+dp_pass_members_take (DpPassMembers *members, const DpMemberList *list, gint64 now);
+/* dp_member_list_hash () of the members. */
+guint64 dp_pass_members_hash (const DpPassMembers *members);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpPassMembers, dp_pass_members_free)
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -1,10 +1,6 @@
 #include "protected/passbalancer.h"
 
-#include "private/balancerentry.h"
-#include "private/feed.h"
-#include "private/upstream.h"
-#include "private/watch.h"
-#include "protected/fleet.h"
+#include "private/passservices.h"
 #include "protected/flowcache.h"
 #include "protected/flowlog.h"
 #include "protected/packetport.h"
@@ -17,11 +13,6 @@
 #define TICK_MS 250
 /* A member that has not reported for so long is probably down or cut off. */
 #define STALL_US (1500 * DP_US_PER_MS)
-/* A watch of the registered balancers; half of the history that the platform keeps. */
-#define BALANCERS_WATCH_MS 10000
-/* A read of the platform takes 4 ms, or 240 ms when it is slow. One that is not answered
- * for longer is asked of another balancer. */
-#define PLATFORM_PATIENCE_US (400 * DP_US_PER_MS)
 /* Clients send copies of a SYN 200 and 600 ms after it and give up after 1.4 s. */
 #define COPIES_MS 1500
 /* Within this time after a start nobody is rejected because there is no member: reports
@@ -45,31 +36,16 @@
   DpPassBalancerOptions options;
   char *name;
   char *zone;
-  char *region;
-  DpReplica *services;  /* of the collection services */
-  DpReplica *balancers; /* for the own registration only */
-  DpWatch *watch;
-  DpWatch *balancers_watch;
-  DpFeed *feed;         /* of the services, for other balancers */
-  DpUpstream *upstream; /* another balancer, while the platform is not reachable */
-  DpChannelMetrics channel_metrics;
-  GArray *peers;            /* DpAddress, of the settings */
-  gint64 unreachable_since; /* us, 0: the platform is reachable */
-  DpBalancerEntry *entry;
+  DpPassServices *services;
   DpRouter *router;
   DpPlacement *placement;
   DpFlowCache *cache;
   DpFlowLog *log;
   DpPacketPort *data;
   DpPacketPort *report;
-  GHashTable *stale;  /* names of services to take over */
-  GHashTable *taken;  /* name of a service to the text of its record in force */
   GHashTable *listed; /* member's name to the time of its last list, gint64 us */
-  guint update;       /* source id */
   guint tick;         /* source id */
-  guint replica_listener;
-  gint64 started_at;   /* us */
-  gboolean configured; /* the services have been read */
+  gint64 started_at;  /* us */
   gboolean stopping;
   DpMetric *forwarded;
   DpMetric *placed;
@@ -85,22 +61,7 @@
 G_STATIC_ASSERT (G_N_ELEMENTS (drop_strings_) == N_DROPS);
 
 static void add_metrics_ (DpPassBalancer *balancer);
-static gboolean start_feed_ (DpPassBalancer *balancer, GError **error);
-static void ask_peers_ (DpPassBalancer *balancer, gint64 now);
-static void add_peer_ (DpPassBalancer *balancer, GArray *peers, const DpAddress *peer);
-static void upstream_changed_ (DpUpstream *upstream, gpointer user_data);
-static void upstream_progressed_ (DpUpstream *upstream, gpointer user_data);
-static void heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data);
-static void heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data);
-static void balancers_reachable_ (gboolean reachable, gpointer user_data);
-static void balancers_progressed_ (gpointer user_data);
 static void create_parts_ (DpPassBalancer *balancer);
-static void services_reachable_ (gboolean reachable, gpointer user_data);
-static void services_progressed_ (gpointer user_data);
-static void entry_settled_ (gpointer user_data);
-static void service_changed_ (const DpRecord *record, gpointer user_data);
-static gboolean update_now_ (gpointer user_data);
-static void take_service_ (DpPassBalancer *balancer, const char *name);
 static void received_packet_ (const DpAddress *source,
                               guint8 *data,
                               gsize length,
@@ -145,11 +106,7 @@
   balancer->options = *options;
   balancer->name = g_strdup (options->name);
   balancer->zone = g_strdup (options->zone);
-  balancer->region = g_strdup (options->region);
   balancer->started_at = dp_clock_now (options->clock);
-  balancer->unreachable_since = balancer->started_at;
-  balancer->peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
-  g_array_append_vals (balancer->peers, options->peers, options->n_peers);
   add_metrics_ (balancer);
   create_parts_ (balancer);
   return balancer;
@@ -166,11 +123,8 @@
     return FALSE;
   balancer->data = dp_udp_port_new (&balancer->options.data, received_packet_, balancer,
                                     error);
-  if (balancer->data == NULL || !start_feed_ (balancer, error))
+  if (balancer->data == NULL || !dp_pass_services_start (balancer->services, error))
     return FALSE;
-  dp_watch_set_active (balancer->watch, TRUE);
-  dp_watch_set_active (balancer->balancers_watch, TRUE);
-  dp_balancer_entry_want (balancer->entry, TRUE);
   balancer->tick = g_timeout_add (TICK_MS, tick_, balancer);
   g_message ("balancer %s of availability zone %s started", balancer->name,
              balancer->zone);
@@ -192,28 +146,16 @@
   if (balancer == NULL)
     return;
   g_clear_handle_id (&balancer->tick, g_source_remove);
-  g_clear_handle_id (&balancer->update, g_source_remove);
-  dp_replica_remove_listener (balancer->services, balancer->replica_listener);
-  dp_balancer_entry_free (balancer->entry);
-  dp_watch_free (balancer->watch);
-  dp_watch_free (balancer->balancers_watch);
-  dp_upstream_free (balancer->upstream);
-  dp_feed_free (balancer->feed);
-  g_array_unref (balancer->peers);
+  dp_pass_services_free (balancer->services);
   dp_packet_port_free (balancer->data);
   dp_packet_port_free (balancer->report);
   dp_flow_cache_free (balancer->cache);
   dp_flow_log_free (balancer->log);
   dp_placement_free (balancer->placement);
   dp_router_free (balancer->router);
-  dp_replica_free (balancer->services);
-  dp_replica_free (balancer->balancers);
-  g_hash_table_unref (balancer->stale);
-  g_hash_table_unref (balancer->taken);
   g_hash_table_unref (balancer->listed);
   g_free (balancer->name);
   g_free (balancer->zone);
-  g_free (balancer->region);
   g_free (balancer);
 }
 
@@ -224,7 +166,7 @@
 {
   gint64 age = dp_clock_now (balancer->options.clock) - balancer->started_at;
 
-  return balancer->configured && !balancer->stopping
+  return dp_pass_services_known (balancer->services) && !balancer->stopping
          && (dp_placement_n_members (balancer->placement) > 0 || age > GATHER_US);
 }
 
@@ -260,257 +202,16 @@
 static void
 create_parts_ (DpPassBalancer *balancer)
 {
-  static const DpWatchListener listener = {
-    .reachable = services_reachable_,
-    .progressed = services_progressed_,
-  };
-  static const DpWatchListener balancers_listener = {
-    .reachable = balancers_reachable_,
-    .progressed = balancers_progressed_,
-  };
   const DpPassBalancerOptions *options = &balancer->options;
-  const DpTopologyBalancer self = {
-    .name = balancer->name,
-    .zone = balancer->zone,
-    .region = balancer->region,
-    .data = options->data,
-    .control = options->report,
-    .http = options->report,
-    /* Later than that of an earlier process, as long as the host's clock does not go
-     * back; the registration corrects it otherwise. */
-    .incarnation = (guint64) g_get_real_time (),
-  };
-
-  balancer->services = dp_replica_new ();
-  balancer->balancers = dp_replica_new ();
-  balancer->replica_listener = dp_replica_add_listener (balancer->services,
-                                                        service_changed_, balancer);
-  balancer->watch = dp_watch_new (options->platform, options->services, options->watch_ms,
-                                  balancer->services, options->metrics, &listener,
-                                  balancer);
-  balancer->balancers_watch = dp_watch_new (
-      options->platform, options->balancers, BALANCERS_WATCH_MS, balancer->balancers,
-      options->metrics, &balancers_listener, balancer);
-  balancer->entry = dp_balancer_entry_new (&self, balancer->balancers, options->platform,
-                                           entry_settled_, balancer);
+
   balancer->router = dp_router_new ();
+  balancer->services = dp_pass_services_new (options, balancer->router);
   balancer->placement = dp_placement_new (balancer->zone);
   balancer->cache = dp_flow_cache_new (CACHED_FLOWS);
   balancer->log = dp_flow_log_new (options->clock, options->metrics);
-  balancer->stale = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  balancer->taken = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   balancer->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
-/* Serves the services to other balancers, and gets them from one if need be. */
-static gboolean
-start_feed_ (DpPassBalancer *balancer, GError **error)
-{
-  static const DpFeedListener feed_listener = { heard_heartbeat_, heard_suspicion_ };
-  static const DpUpstreamListener upstream_listener = { upstream_changed_,
-                                                        upstream_progressed_ };
-  /* The platform's network lets only its own hosts reach this port. */
-  static const DpNetwork everyone = { 0, 0 };
-  const DpFeedOptions feed = {
-    .name = balancer->name,
-    .zone = balancer->zone,
-    .address = &balancer->options.report,
-    .trusted = &everyone,
-    .n_trusted = 1,
-    .replica = balancer->services,
-    .metrics = &balancer->channel_metrics,
-  };
-  const DpUpstreamOptions upstream = {
-    .role = DP_ROLE_BALANCER,
-    .name = balancer->name,
-    .zone = balancer->zone,
-    .service = "",
-    .subscribe = TRUE,
-    .replica = balancer->services,
-    .metrics = &balancer->channel_metrics,
-  };
-
-  dp_channel_metrics_init (&balancer->channel_metrics, balancer->options.metrics);
-  balancer->feed = dp_feed_new (&feed, &feed_listener, balancer, error);
-  if (balancer->feed == NULL)
-    return FALSE;
-  balancer->upstream = dp_upstream_new (&upstream, &upstream_listener, balancer);
-  return TRUE;
-}
-
-/* Connects to another balancer while the platform does not answer. */
-static void
-ask_peers_ (DpPassBalancer *balancer, gint64 now)
-{
-  g_autoptr (GArray) peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
-  g_autoptr (DpTopology) topology = NULL;
-
-  if (balancer->unreachable_since == 0
-      || now - balancer->unreachable_since < PLATFORM_PATIENCE_US)
-    {
-      dp_upstream_set_peers (balancer->upstream, NULL, 0);
-      return;
-    }
-  topology = dp_topology_new (balancer->balancers);
-  for (guint i = 0; i < dp_topology_size (topology); i++)
-    add_peer_ (balancer, peers, &dp_topology_at (topology, i)->control);
-  for (guint i = 0; i < balancer->peers->len; i++)
-    add_peer_ (balancer, peers, &g_array_index (balancer->peers, DpAddress, i));
-  dp_upstream_set_peers (balancer->upstream, (const DpAddress *) (void *) peers->data,
-                         peers->len);
-}
-
-/* Adds a peer that is not this balancer itself and not in the list yet. */
-static void
-add_peer_ (DpPassBalancer *balancer, GArray *peers, const DpAddress *peer)
-{
-  if (dp_address_equal (peer, &balancer->options.report))
-    return;
-  for (guint i = 0; i < peers->len; i++)
-    if (dp_address_equal (peer, &g_array_index (peers, DpAddress, i)))
-      return;
-  g_array_append_val (peers, *peer);
-}
-
-static void
-upstream_changed_ (DpUpstream *upstream, gpointer user_data)
-{
-  const DpPassBalancer *balancer = user_data;
-
-  g_message ("services from another balancer: %s, revision %" G_GUINT64_FORMAT,
-             dp_upstream_synced (upstream) ? "complete" : "connection lost",
-             dp_replica_revision (balancer->services));
-}
-
-static void
-upstream_progressed_ (DpUpstream *upstream, gpointer user_data)
-{
-  if (dp_upstream_synced (upstream))
-    services_progressed_ (user_data);
-}
-
-/* Members report by datagrams; no process of this mode sends heartbeats here. */
-static void
-heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data)
-{
-  g_debug ("heartbeat of %s ignored", heartbeat->member);
-}
-
-static void
-heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data)
-{
-  g_debug ("suspicion of %s ignored", suspicion->member);
-}
-
-static void
-balancers_reachable_ (gboolean reachable, gpointer user_data)
-{
-  g_debug ("registered balancers: %s", reachable ? "reachable" : "not reachable");
-}
-
-static void
-balancers_progressed_ (gpointer user_data)
-{
-  const DpPassBalancer *balancer = user_data;
-
-  g_debug ("registered balancers of revision %" G_GUINT64_FORMAT,
-           dp_replica_revision (balancer->balancers));
-}
-
-static void
-services_reachable_ (gboolean reachable, gpointer user_data)
-{
-  DpPassBalancer *balancer = user_data;
-
-  balancer->unreachable_since = reachable ? 0 : dp_clock_now (balancer->options.clock);
-  g_message ("platform: %s", reachable ? "reachable" : "not reachable");
-}
-
-/* Taken over at once: the balancer must not be ready before its services are in force. */
-static void
-services_progressed_ (gpointer user_data)
-{
-  DpPassBalancer *balancer = user_data;
-  g_autoptr (GPtrArray) services = NULL;
-
-  if (!balancer->configured)
-    {
-      g_clear_handle_id (&balancer->update, g_source_remove);
-      while (g_hash_table_size (balancer->stale) > 0)
-        update_now_ (balancer);
-    }
-  dp_feed_flush (balancer->feed);
-  if (balancer->configured)
-    return;
-  services = dp_replica_list (balancer->services, DP_KIND_SERVICE);
-  balancer->configured = services->len > 0;
-}
-
-static void
-entry_settled_ (gpointer user_data)
-{
-  const DpPassBalancer *balancer = user_data;
-
-  g_message ("balancer %s is registered", balancer->name);
-}
-
-static void
-service_changed_ (const DpRecord *record, gpointer user_data)
-{
-  DpPassBalancer *balancer = user_data;
-
-  if (record->kind != DP_KIND_SERVICE)
-    return;
-  g_hash_table_add (balancer->stale, g_strdup (record->name));
-  if (balancer->update == 0)
-    balancer->update = g_idle_add_full (G_PRIORITY_DEFAULT, update_now_, balancer, NULL);
-}
-
-static gboolean
-update_now_ (gpointer user_data)
-{
-  DpPassBalancer *balancer = user_data;
-  GHashTableIter iter;
-  gpointer name;
-
-  g_hash_table_iter_init (&iter, balancer->stale);
-  if (g_hash_table_iter_next (&iter, &name, NULL))
-    {
-      take_service_ (balancer, name);
-      g_hash_table_iter_remove (&iter);
-    }
-  if (g_hash_table_size (balancer->stale) > 0)
-    return G_SOURCE_CONTINUE;
-  g_message ("services of revision %" G_GUINT64_FORMAT " are in force",
-             dp_replica_revision (balancer->services));
-  balancer->update = 0;
-  return G_SOURCE_REMOVE;
-}
-
-/* Takes a service's addresses over, unless they are as before: each configuration repeats
- * all of them, and reading some hundred takes milliseconds. */
-static void
-take_service_ (DpPassBalancer *balancer, const char *name)
-{
-  const DpRecord *record = dp_replica_get (balancer->services, DP_KIND_SERVICE, name);
-  const char *taken = g_hash_table_lookup (balancer->taken, name);
-  g_autoptr (GArray) addresses = NULL;
-
-  if (record == NULL)
-    {
-      dp_router_remove_service (balancer->router, name);
-      g_hash_table_remove (balancer->taken, name);
-      return;
-    }
-  if (g_strcmp0 (taken, record->json) == 0)
-    return;
-  addresses = dp_fleet_addresses (balancer->services, name, NULL);
-  dp_router_set_addresses (balancer->router, name,
-                           (const DpServiceAddress *) (void *) addresses->data,
-                           addresses->len);
-  g_hash_table_replace (balancer->taken, g_strdup (name), g_strdup (record->json));
-}
-
 static void
 received_packet_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
 {
@@ -597,7 +298,7 @@
   address = dp_router_find (balancer->router, &segment->key.service, &service_id);
   if (address == NULL)
     {
-      gboolean certain = balancer->configured && dp_watch_reachable (balancer->watch);
+      gboolean certain = dp_pass_services_are_current (balancer->services);
 
       dp_metric_increment (balancer->drops[DROP_NO_ROUTE]);
       log_failure_ (balancer, segment, certain, DROP_NO_ROUTE);
@@ -631,7 +332,7 @@
                          "member=%s class=%s services_revision=%" G_GUINT64_FORMAT,
                          dp_address_format (&target, text),
                          dp_class_string (address->class),
-                         dp_replica_revision (balancer->services));
+                         dp_pass_services_revision (balancer->services));
     }
   dp_placement_opened (balancer->placement, member);
   dp_metric_increment (balancer->placed);
@@ -721,9 +422,9 @@
     dp_flow_log_write (segment, rejected ? "reset" : "drop", drop_strings_[reason],
                        "services_revision=%" G_GUINT64_FORMAT
                        " members=%u platform_reachable=%d",
-                       dp_replica_revision (balancer->services),
+                       dp_pass_services_revision (balancer->services),
                        dp_placement_n_members (balancer->placement),
-                       dp_watch_reachable (balancer->watch));
+                       dp_pass_services_are_current (balancer->services));
 }
 
 /* Answers a SYN with a reset: nothing has run. */
@@ -794,7 +495,7 @@
 
   gint64 now = dp_clock_now (balancer->options.clock);
 
-  ask_peers_ (balancer, now);
+  dp_pass_services_tick (balancer->services);
   if (dp_placement_expire (balancer->placement, now))
     g_hash_table_remove_all (balancer->listed);
   balancer->members->value = dp_placement_n_members (balancer->placement);
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -6,6 +6,7 @@
 #include "private/watch.h"
 #include "protected/flowlog.h"
 #include "protected/packetport.h"
+#include "protected/passmembers.h"
 #include "protected/passthrough.h"
 #include "protected/report.h"
 #include "protected/topology.h"
@@ -20,9 +21,6 @@
 #define WATCH_MS 10000
 /* A server that misses more of its heartbeats than this no longer takes new flows. */
 #define HEARTBEATS_MISSED 3
-/* A member that is absent from the lists of all balancers for so long is no longer one.
- * A balancer that has just started, or is cut off, lists only those that it has heard. */
-#define ABSENT_US (1500 * DP_US_PER_MS)
 /* So that every balancer hears that this member is leaving before it ends. */
 #define STOP_MIN_MS 500
 /* Platforms kill a process some seconds after they ask it to stop; 6 s is the shortest.
@@ -37,14 +35,6 @@
   gboolean near;
 } Balancer;
 
-/* A member of the service that a balancer has listed. */
-typedef struct
-{
-  DpMember member;     /* owns its texts */
-  gint64 listed_at;    /* us */
-  gint64 absent_since; /* us of the first list without it since then, 0: none */
-} KnownMember;
-
 struct _DpPassCompanion
 {
   DpPassCompanionOptions options;
@@ -53,8 +43,8 @@
   char *zone;
   GArray *first_balancers; /* Balancer, until the platform lists some */
   GArray *balancers;       /* Balancer */
-  GHashTable *members;     /* KnownMember by its name */
-  GHashTable *held;        /* GBytes of the SYNs of waiting flows by DpFlowKey */
+  DpPassMembers *members;
+  GHashTable *held; /* GBytes of the SYNs of waiting flows by DpFlowKey */
   DpPassthrough *passthrough;
   DpFlowLog *log;
   DpReplica *replica; /* of the collection balancers */
@@ -66,7 +56,6 @@
   DpAnnouncement state; /* of the last announcement; id is not set */
   gint64 announced_at;  /* us */
   gint64 warm_at;       /* us */
-  guint64 list_hash;    /* of the members known */
   guint n_reports;
   guint report_timer; /* source id */
   guint tick;         /* source id */
@@ -107,11 +96,6 @@
                            const DpSegment *segment);
 static void
 received_list_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data);
-static void
-take_members_ (DpPassCompanion *companion, const DpMemberList *list, gint64 now);
-static void take_member_ (DpPassCompanion *companion, const DpMember *listed, gint64 now);
-static void update_view_ (DpPassCompanion *companion);
-static void known_member_free_ (gpointer data);
 static gboolean is_serving_ (const DpPassCompanion *companion, gint64 now);
 static DpMemberState state_ (const DpPassCompanion *companion, gint64 now);
 static void update_serving_ (DpPassCompanion *companion);
@@ -131,8 +115,7 @@
   companion->zone = g_strdup (options->zone);
   companion->first_balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
   companion->balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
-  companion->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                              known_member_free_);
+  companion->members = dp_pass_members_new (companion->service);
   companion->held = g_hash_table_new_full (key_hash_, key_equal_, g_free,
                                            (GDestroyNotify) g_bytes_unref);
   for (guint i = 0; i < options->n_first_balancers; i++)
@@ -209,7 +192,7 @@
   dp_announced_clear (&companion->announced);
   g_array_unref (companion->first_balancers);
   g_array_unref (companion->balancers);
-  g_hash_table_unref (companion->members);
+  dp_pass_members_free (companion->members);
   g_hash_table_unref (companion->held);
   g_free (companion->service);
   g_free (companion->name);
@@ -530,85 +513,16 @@
 
   if (dp_report_decode (&message, data, length) && message.type == DP_REPORT_MEMBERS
       && g_str_equal (message.list.service, companion->service))
-    take_members_ (companion, &message.list, dp_clock_now (companion->options.clock));
-  else
-    dp_metric_increment (companion->malformed);
-  dp_report_message_clear (&message);
-}
-
-/* Adds what one balancer lists to what others have listed. */
-static void
-take_members_ (DpPassCompanion *companion, const DpMemberList *list, gint64 now)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  for (guint i = 0; i < list->members->len; i++)
-    take_member_ (companion, &g_array_index (list->members, DpMember, i), now);
-  g_hash_table_iter_init (&iter, companion->members);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      KnownMember *known = value;
-
-      if (known->listed_at == now)
-        known->absent_since = 0;
-      else if (known->absent_since == 0)
-        known->absent_since = now;
-      else if (now - known->absent_since > ABSENT_US)
-        g_hash_table_iter_remove (&iter);
-    }
-  update_view_ (companion);
-}
+      g_autoptr (DpView) view = dp_pass_members_take (
+          companion->members, &message.list, dp_clock_now (companion->options.clock));
 
-static void
-take_member_ (DpPassCompanion *companion, const DpMember *listed, gint64 now)
-{
-  KnownMember *known = g_hash_table_lookup (companion->members, listed->name);
-
-  if (known == NULL)
-    {
-      known = g_new0 (KnownMember, 1);
-      known->member.name = g_strdup (listed->name);
-      known->member.id = listed->id;
-      g_hash_table_insert (companion->members, known->member.name, known);
+      if (view != NULL)
+        dp_passthrough_set_view (companion->passthrough, view);
     }
-  g_free (known->member.zone);
-  known->member.zone = g_strdup (listed->zone);
-  known->member.address = listed->address;
-  known->member.slots = listed->slots;
-  known->member.state = listed->state;
-  known->listed_at = now;
-}
-
-static void
-update_view_ (DpPassCompanion *companion)
-{
-  g_autoptr (GArray) members = g_array_new (FALSE, FALSE, sizeof (DpMember));
-  g_autoptr (DpView) view = NULL;
-  GHashTableIter iter;
-  gpointer value;
-  guint64 hash;
-
-  g_hash_table_iter_init (&iter, companion->members);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_array_append_val (members, ((KnownMember *) value)->member);
-  hash = dp_member_list_hash ((const DpMember *) (void *) members->data, members->len);
-  if (hash == companion->list_hash)
-    return;
-  companion->list_hash = hash;
-  view = dp_view_new (companion->service, 0, (const DpMember *) (void *) members->data,
-                      members->len);
-  dp_passthrough_set_view (companion->passthrough, view);
-}
-
-static void
-known_member_free_ (gpointer data)
-{
-  KnownMember *known = data;
-
-  g_free (known->member.name);
-  g_free (known->member.zone);
-  g_free (known);
+  else
+    dp_metric_increment (companion->malformed);
+  dp_report_message_clear (&message);
 }
 
 /* Whether the server is known, takes new flows and has not fallen silent. */
@@ -657,7 +571,7 @@
     .in_flight = dp_passthrough_in_flight (companion->passthrough)
                  + dp_passthrough_waiting (companion->passthrough),
     .warm_left_ms = (guint32) (warm_left / DP_US_PER_MS),
-    .list_hash = companion->list_hash,
+    .list_hash = dp_pass_members_hash (companion->members),
   };
 
   gboolean far = companion->n_reports++ % FAR_EVERY == 0;
--- /dev/null
+++ b/src/libdogwoodpaddle/passmembers.c
@@ -0,0 +1,128 @@
+#include "protected/passmembers.h"
+
+#include "protected/clock.h"
+
+/* Lists come every 250 ms as long as a balancer knows others than this companion. */
+#define ABSENT_US (1500 * DP_US_PER_MS)
+
+/* A member that a balancer has listed. */
+typedef struct
+{
+  DpMember member;     /* owns its texts */
+  gint64 listed_at;    /* us */
+  gint64 absent_since; /* us of the first list without it since then, 0: none */
+} Known;
+
+struct _DpPassMembers
+{
+  char *service;
+  GHashTable *by_name; /* Known; the key is the member's own name */
+  guint64 hash;
+};
+
+static void take_member_ (DpPassMembers *members, const DpMember *listed, gint64 now);
+static void drop_absent_ (DpPassMembers *members, gint64 now);
+static void known_free_ (gpointer data);
+
+/* Creates an empty set. */
+DpPassMembers *
+dp_pass_members_new (const char *service)
+{
+  DpPassMembers *members = g_new0 (DpPassMembers, 1);
+
+  members->service = g_strdup (service);
+  members->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, known_free_);
+  return members;
+}
+
+/* Frees the set. */
+void
+dp_pass_members_free (DpPassMembers *members)
+{
+  if (members == NULL)
+    return;
+  g_hash_table_unref (members->by_name);
+  g_free (members->service);
+  g_free (members);
+}
+
+/* Adds what one balancer lists to what others have listed; the newest state holds. */
+DpView *
+dp_pass_members_take (DpPassMembers *members, const DpMemberList *list, gint64 now)
+{
+  g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (DpMember));
+  const DpMember *data;
+  GHashTableIter iter;
+  gpointer value;
+  guint64 hash;
+
+  for (guint i = 0; i < list->members->len; i++)
+    take_member_ (members, &g_array_index (list->members, DpMember, i), now);
+  drop_absent_ (members, now);
+  g_hash_table_iter_init (&iter, members->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_val (all, ((Known *) value)->member);
+  data = (const DpMember *) (void *) all->data;
+  hash = dp_member_list_hash (data, all->len);
+  if (hash == members->hash)
+    return NULL;
+  members->hash = hash;
+  return dp_view_new (members->service, 0, data, all->len);
+}
+
+/* Returns the hash of the members as they were taken over last; 0 before that. */
+guint64
+dp_pass_members_hash (const DpPassMembers *members)
+{
+  return members->hash;
+}
+
+static void
+take_member_ (DpPassMembers *members, const DpMember *listed, gint64 now)
+{
+  Known *known = g_hash_table_lookup (members->by_name, listed->name);
+
+  if (known == NULL)
+    {
+      known = g_new0 (Known, 1);
+      known->member.name = g_strdup (listed->name);
+      known->member.id = listed->id;
+      g_hash_table_insert (members->by_name, known->member.name, known);
+    }
+  g_free (known->member.zone);
+  known->member.zone = g_strdup (listed->zone);
+  known->member.address = listed->address;
+  known->member.slots = listed->slots;
+  known->member.state = listed->state;
+  known->listed_at = now;
+}
+
+static void
+drop_absent_ (DpPassMembers *members, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members->by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Known *known = value;
+
+      if (known->listed_at == now)
+        known->absent_since = 0;
+      else if (known->absent_since == 0)
+        known->absent_since = now;
+      else if (now - known->absent_since > ABSENT_US)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+known_free_ (gpointer data)
+{
+  Known *known = data;
+
+  g_free (known->member.name);
+  g_free (known->member.zone);
+  g_free (known);
+}
--- /dev/null
+++ b/src/libdogwoodpaddle/passservices.c
@@ -0,0 +1,382 @@
+#include "private/passservices.h"
+
+#include "private/balancerentry.h"
+#include "private/feed.h"
+#include "private/upstream.h"
+#include "private/watch.h"
+#include "protected/fleet.h"
+
+/* A watch of the registered balancers; half of the history that the platform keeps. */
+#define BALANCERS_WATCH_MS 10000
+/* A read of the platform takes 4 ms, or 240 ms when it is slow. One that is not answered
+ * for longer is asked of another balancer. */
+#define PLATFORM_PATIENCE_US (400 * DP_US_PER_MS)
+
+struct _DpPassServices
+{
+  char *name; /* of this balancer */
+  char *zone;
+  char *region;
+  DpAddress report; /* of this balancer */
+  GArray *peers;    /* DpAddress: report addresses of others, of the settings */
+  DpClock *clock;
+  DpMetrics *metrics;
+  DpRouter *router;
+  DpReplica *replica;   /* of the services */
+  DpReplica *balancers; /* of the registered balancers */
+  DpWatch *watch;
+  DpWatch *balancers_watch;
+  DpBalancerEntry *entry;
+  DpFeed *feed;         /* of the services, for other balancers */
+  DpUpstream *upstream; /* another balancer, while the platform is not reachable */
+  DpChannelMetrics channel_metrics;
+  gint64 unreachable_since; /* us, 0: the platform is reachable */
+  gboolean known;           /* the services have been read */
+  GHashTable *stale;        /* names of services to take over */
+  GHashTable *taken;        /* name of a service to the text of its record in force */
+  guint update;             /* source id */
+  guint replica_listener;
+};
+
+static void create_entry_ (DpPassServices *services,
+                           const DpPassBalancerOptions *options);
+static gboolean start_feed_ (DpPassServices *services, GError **error);
+static void ask_peers_ (DpPassServices *services, gint64 now);
+static void add_peer_ (DpPassServices *services, GArray *peers, const DpAddress *peer);
+static void upstream_changed_ (DpUpstream *upstream, gpointer user_data);
+static void upstream_progressed_ (DpUpstream *upstream, gpointer user_data);
+static void heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data);
+static void heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data);
+static void balancers_reachable_ (gboolean reachable, gpointer user_data);
+static void balancers_progressed_ (gpointer user_data);
+static void services_reachable_ (gboolean reachable, gpointer user_data);
+static void services_progressed_ (gpointer user_data);
+static void entry_settled_ (gpointer user_data);
+static void service_changed_ (const DpRecord *record, gpointer user_data);
+static gboolean update_now_ (gpointer user_data);
+static void take_service_ (DpPassServices *services, const char *name);
+
+/* Creates them without any call to the platform. */
+DpPassServices *
+dp_pass_services_new (const DpPassBalancerOptions *options, DpRouter *router)
+{
+  static const DpWatchListener listener = { services_reachable_, services_progressed_ };
+  static const DpWatchListener balancers_listener = { balancers_reachable_,
+                                                      balancers_progressed_ };
+  DpPassServices *services = g_new0 (DpPassServices, 1);
+
+  services->name = g_strdup (options->name);
+  services->zone = g_strdup (options->zone);
+  services->region = g_strdup (options->region);
+  services->report = options->report;
+  services->peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  g_array_append_vals (services->peers, options->peers, options->n_peers);
+  services->clock = options->clock;
+  services->metrics = options->metrics;
+  services->router = router;
+  services->unreachable_since = dp_clock_now (options->clock);
+  services->stale = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  services->taken = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  services->replica = dp_replica_new ();
+  services->balancers = dp_replica_new ();
+  services->replica_listener = dp_replica_add_listener (services->replica,
+                                                        service_changed_, services);
+  services->watch = dp_watch_new (options->platform, options->services, options->watch_ms,
+                                  services->replica, options->metrics, &listener,
+                                  services);
+  services->balancers_watch = dp_watch_new (
+      options->platform, options->balancers, BALANCERS_WATCH_MS, services->balancers,
+      options->metrics, &balancers_listener, services);
+  create_entry_ (services, options);
+  return services;
+}
+
+/* Closes all connections and frees the services. */
+void
+dp_pass_services_free (DpPassServices *services)
+{
+  g_clear_handle_id (&services->update, g_source_remove);
+  dp_replica_remove_listener (services->replica, services->replica_listener);
+  dp_balancer_entry_free (services->entry);
+  dp_watch_free (services->watch);
+  dp_watch_free (services->balancers_watch);
+  dp_upstream_free (services->upstream);
+  dp_feed_free (services->feed);
+  dp_replica_free (services->replica);
+  dp_replica_free (services->balancers);
+  g_hash_table_unref (services->stale);
+  g_hash_table_unref (services->taken);
+  g_array_unref (services->peers);
+  g_free (services->name);
+  g_free (services->zone);
+  g_free (services->region);
+  g_free (services);
+}
+
+/* Reads the services, serves them to other balancers and registers this one. */
+gboolean
+dp_pass_services_start (DpPassServices *services, GError **error)
+{
+  if (!start_feed_ (services, error))
+    return FALSE;
+  dp_watch_set_active (services->watch, TRUE);
+  dp_watch_set_active (services->balancers_watch, TRUE);
+  dp_balancer_entry_want (services->entry, TRUE);
+  return TRUE;
+}
+
+/* Turns to another balancer or back to the platform. */
+void
+dp_pass_services_tick (DpPassServices *services)
+{
+  ask_peers_ (services, dp_clock_now (services->clock));
+}
+
+/* Returns whether the services have been read. */
+gboolean
+dp_pass_services_known (const DpPassServices *services)
+{
+  return services->known;
+}
+
+/* Returns whether the platform answered the last call and the services are known. */
+gboolean
+dp_pass_services_are_current (const DpPassServices *services)
+{
+  return services->known && dp_watch_reachable (services->watch);
+}
+
+/* Returns the revision up to which the services are known. */
+guint64
+dp_pass_services_revision (const DpPassServices *services)
+{
+  return dp_replica_revision (services->replica);
+}
+
+static void
+create_entry_ (DpPassServices *services, const DpPassBalancerOptions *options)
+{
+  const DpTopologyBalancer self = {
+    .name = services->name,
+    .zone = services->zone,
+    .region = services->region,
+    .data = options->data,
+    .control = options->report,
+    .http = options->report,
+    /* Later than that of an earlier process, as long as the host's clock does not go
+     * back; the registration corrects it otherwise. */
+    .incarnation = (guint64) g_get_real_time (),
+  };
+
+  services->entry = dp_balancer_entry_new (&self, services->balancers, options->platform,
+                                           entry_settled_, services);
+}
+
+/* Serves the services to other balancers, and gets them from one if need be. */
+static gboolean
+start_feed_ (DpPassServices *services, GError **error)
+{
+  static const DpFeedListener feed_listener = { heard_heartbeat_, heard_suspicion_ };
+  static const DpUpstreamListener upstream_listener = { upstream_changed_,
+                                                        upstream_progressed_ };
+  /* The platform's network lets only its own hosts reach this port. */
+  static const DpNetwork everyone = { 0, 0 };
+  const DpFeedOptions feed = {
+    .name = services->name,
+    .zone = services->zone,
+    .address = &services->report,
+    .trusted = &everyone,
+    .n_trusted = 1,
+    .replica = services->replica,
+    .metrics = &services->channel_metrics,
+  };
+  const DpUpstreamOptions upstream = {
+    .role = DP_ROLE_BALANCER,
+    .name = services->name,
+    .zone = services->zone,
+    .service = "",
+    .subscribe = TRUE,
+    .replica = services->replica,
+    .metrics = &services->channel_metrics,
+  };
+
+  dp_channel_metrics_init (&services->channel_metrics, services->metrics);
+  services->feed = dp_feed_new (&feed, &feed_listener, services, error);
+  if (services->feed == NULL)
+    return FALSE;
+  services->upstream = dp_upstream_new (&upstream, &upstream_listener, services);
+  return TRUE;
+}
+
+/* Connects to another balancer while the platform does not answer. */
+static void
+ask_peers_ (DpPassServices *services, gint64 now)
+{
+  g_autoptr (GArray) peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  g_autoptr (DpTopology) topology = NULL;
+
+  if (services->unreachable_since == 0
+      || now - services->unreachable_since < PLATFORM_PATIENCE_US)
+    {
+      dp_upstream_set_peers (services->upstream, NULL, 0);
+      return;
+    }
+  topology = dp_topology_new (services->balancers);
+  for (guint i = 0; i < dp_topology_size (topology); i++)
+    add_peer_ (services, peers, &dp_topology_at (topology, i)->control);
+  for (guint i = 0; i < services->peers->len; i++)
+    add_peer_ (services, peers, &g_array_index (services->peers, DpAddress, i));
+  dp_upstream_set_peers (services->upstream, (const DpAddress *) (void *) peers->data,
+                         peers->len);
+}
+
+/* Adds a peer that is not this balancer itself and not in the list yet. */
+static void
+add_peer_ (DpPassServices *services, GArray *peers, const DpAddress *peer)
+{
+  if (dp_address_equal (peer, &services->report))
+    return;
+  for (guint i = 0; i < peers->len; i++)
+    if (dp_address_equal (peer, &g_array_index (peers, DpAddress, i)))
+      return;
+  g_array_append_val (peers, *peer);
+}
+
+static void
+upstream_changed_ (DpUpstream *upstream, gpointer user_data)
+{
+  const DpPassServices *services = user_data;
+
+  g_message ("services from another balancer: %s, revision %" G_GUINT64_FORMAT,
+             dp_upstream_synced (upstream) ? "complete" : "connection lost",
+             dp_replica_revision (services->replica));
+}
+
+static void
+upstream_progressed_ (DpUpstream *upstream, gpointer user_data)
+{
+  if (dp_upstream_synced (upstream))
+    services_progressed_ (user_data);
+}
+
+/* Members report by datagrams; no process of this mode sends heartbeats here. */
+static void
+heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data)
+{
+  g_debug ("heartbeat of %s ignored", heartbeat->member);
+}
+
+static void
+heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data)
+{
+  g_debug ("suspicion of %s ignored", suspicion->member);
+}
+
+static void
+balancers_reachable_ (gboolean reachable, gpointer user_data)
+{
+  g_debug ("registered balancers: %s", reachable ? "reachable" : "not reachable");
+}
+
+static void
+balancers_progressed_ (gpointer user_data)
+{
+  const DpPassServices *services = user_data;
+
+  g_debug ("registered balancers of revision %" G_GUINT64_FORMAT,
+           dp_replica_revision (services->balancers));
+}
+
+static void
+services_reachable_ (gboolean reachable, gpointer user_data)
+{
+  DpPassServices *services = user_data;
+
+  services->unreachable_since = reachable ? 0 : dp_clock_now (services->clock);
+  g_message ("platform: %s", reachable ? "reachable" : "not reachable");
+}
+
+/* Taken over at once: the balancer must not be ready before its services are in force. */
+static void
+services_progressed_ (gpointer user_data)
+{
+  DpPassServices *services = user_data;
+  g_autoptr (GPtrArray) records = NULL;
+
+  if (!services->known)
+    {
+      g_clear_handle_id (&services->update, g_source_remove);
+      while (g_hash_table_size (services->stale) > 0)
+        update_now_ (services);
+    }
+  dp_feed_flush (services->feed);
+  if (services->known)
+    return;
+  records = dp_replica_list (services->replica, DP_KIND_SERVICE);
+  services->known = records->len > 0;
+}
+
+static void
+entry_settled_ (gpointer user_data)
+{
+  const DpPassServices *services = user_data;
+
+  g_message ("balancer %s is registered", services->name);
+}
+
+static void
+service_changed_ (const DpRecord *record, gpointer user_data)
+{
+  DpPassServices *services = user_data;
+
+  if (record->kind != DP_KIND_SERVICE)
+    return;
+  g_hash_table_add (services->stale, g_strdup (record->name));
+  if (services->update == 0)
+    services->update = g_idle_add_full (G_PRIORITY_DEFAULT, update_now_, services, NULL);
+}
+
+static gboolean
+update_now_ (gpointer user_data)
+{
+  DpPassServices *services = user_data;
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, services->stale);
+  if (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      take_service_ (services, name);
+      g_hash_table_iter_remove (&iter);
+    }
+  if (g_hash_table_size (services->stale) > 0)
+    return G_SOURCE_CONTINUE;
+  g_message ("services of revision %" G_GUINT64_FORMAT " are in force",
+             dp_replica_revision (services->replica));
+  services->update = 0;
+  return G_SOURCE_REMOVE;
+}
+
+/* Takes a service's addresses over, unless they are as before: each configuration repeats
+ * all of them, and reading some hundred takes milliseconds. */
+static void
+take_service_ (DpPassServices *services, const char *name)
+{
+  const DpRecord *record = dp_replica_get (services->replica, DP_KIND_SERVICE, name);
+  const char *taken = g_hash_table_lookup (services->taken, name);
+  g_autoptr (GArray) addresses = NULL;
+
+  if (record == NULL)
+    {
+      dp_router_remove_service (services->router, name);
+      g_hash_table_remove (services->taken, name);
+      return;
+    }
+  if (g_strcmp0 (taken, record->json) == 0)
+    return;
+  addresses = dp_fleet_addresses (services->replica, name, NULL);
+  dp_router_set_addresses (services->router, name,
+                           (const DpServiceAddress *) (void *) addresses->data,
+                           addresses->len);
+  g_hash_table_replace (services->taken, g_strdup (name), g_strdup (record->json));
+}
--- a/src/libdogwoodpaddle/segment.c
+++ b/src/libdogwoodpaddle/segment.c
@@ -5,6 +5,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "protected/bytes.h"
 #include "protected/error.h"
 
 #define IP_HEADER_MIN 20
@@ -34,10 +35,6 @@
   TCP_CHECKSUM = 16
 };
 
-static guint16 get16_ (const guint8 *data);
-static guint32 get32_ (const guint8 *data);
-static void put16_ (guint8 *data, guint16 value);
-static void put32_ (guint8 *data, guint32 value);
 static gboolean invalid_ (GError **error, const char *text);
 static guint32 sum_ (const guint8 *data, gsize length, guint32 sum);
 static guint16 fold_ (guint32 sum);
@@ -58,25 +55,25 @@
   if (packet[0] >> 4 != IP_VERSION_4)
     return invalid_ (error, "not an IPv4 packet");
   ip_header = (gsize) (packet[0] & 0x0f) * 4;
-  total = get16_ (packet + IP_TOTAL_LENGTH);
+  total = dp_get16 (packet + IP_TOTAL_LENGTH);
   if (ip_header < IP_HEADER_MIN || total > length || total < ip_header + TCP_HEADER_MIN)
     return invalid_ (error, "the IPv4 header's lengths are wrong");
   if (packet[IP_PROTOCOL] != IP_PROTOCOL_TCP)
     return invalid_ (error, "not a TCP packet");
-  if ((get16_ (packet + IP_FRAGMENT) & IP_FRAGMENT_MASK) != 0)
+  if ((dp_get16 (packet + IP_FRAGMENT) & IP_FRAGMENT_MASK) != 0)
     return invalid_ (error, "the packet is a fragment");
   tcp = packet + ip_header;
   tcp_header = (gsize) (tcp[TCP_OFFSET] >> 4) * 4;
   if (tcp_header < TCP_HEADER_MIN || ip_header + tcp_header > total)
     return invalid_ (error, "the TCP header's length is wrong");
 
-  segment->key.client.ip = get32_ (packet + IP_SOURCE);
-  segment->key.client.port = get16_ (tcp + TCP_SOURCE_PORT);
-  segment->key.service.ip = get32_ (packet + IP_DESTINATION);
-  segment->key.service.port = get16_ (tcp + TCP_DESTINATION_PORT);
+  segment->key.client.ip = dp_get32 (packet + IP_SOURCE);
+  segment->key.client.port = dp_get16 (tcp + TCP_SOURCE_PORT);
+  segment->key.service.ip = dp_get32 (packet + IP_DESTINATION);
+  segment->key.service.port = dp_get16 (tcp + TCP_DESTINATION_PORT);
   segment->hash = dp_flow_key_hash (&segment->key);
-  segment->seq = get32_ (tcp + TCP_SEQ);
-  segment->ack = get32_ (tcp + TCP_ACK);
+  segment->seq = dp_get32 (tcp + TCP_SEQ);
+  segment->ack = dp_get32 (tcp + TCP_ACK);
   segment->flags = tcp[TCP_FLAGS];
   segment->payload_length = (guint16) (total - ip_header - tcp_header);
   segment->ip_header_length = (guint8) ip_header;
@@ -97,10 +94,10 @@
 {
   guint8 bytes[12];
 
-  put32_ (bytes, key->client.ip);
-  put16_ (bytes + 4, key->client.port);
-  put32_ (bytes + 6, key->service.ip);
-  put16_ (bytes + 10, key->service.port);
+  dp_put32 (bytes, key->client.ip);
+  dp_put16 (bytes + 4, key->client.port);
+  dp_put32 (bytes + 6, key->service.ip);
+  dp_put16 (bytes + 10, key->service.port);
   return XXH3_64bits (bytes, sizeof bytes);
 }
 
@@ -125,20 +122,20 @@
     return 0;
   memset (packet, 0, length);
   packet[0] = IP_VERSION_4 << 4 | IP_HEADER_MIN / 4;
-  put16_ (packet + IP_TOTAL_LENGTH, (guint16) length);
-  put16_ (packet + IP_FRAGMENT, IP_DONT_FRAGMENT);
+  dp_put16 (packet + IP_TOTAL_LENGTH, (guint16) length);
+  dp_put16 (packet + IP_FRAGMENT, IP_DONT_FRAGMENT);
   packet[IP_TTL] = DEFAULT_TTL;
   packet[IP_PROTOCOL] = IP_PROTOCOL_TCP;
-  put32_ (packet + IP_SOURCE, segment->key.service.ip);
-  put32_ (packet + IP_DESTINATION, segment->key.client.ip);
-  put16_ (packet + IP_CHECKSUM, (guint16) ~fold_ (sum_ (packet, IP_HEADER_MIN, 0)));
+  dp_put32 (packet + IP_SOURCE, segment->key.service.ip);
+  dp_put32 (packet + IP_DESTINATION, segment->key.client.ip);
+  dp_put16 (packet + IP_CHECKSUM, (guint16) ~fold_ (sum_ (packet, IP_HEADER_MIN, 0)));
 
-  put16_ (tcp + TCP_SOURCE_PORT, segment->key.service.port);
-  put16_ (tcp + TCP_DESTINATION_PORT, segment->key.client.port);
+  dp_put16 (tcp + TCP_SOURCE_PORT, segment->key.service.port);
+  dp_put16 (tcp + TCP_DESTINATION_PORT, segment->key.client.port);
   tcp[TCP_OFFSET] = TCP_HEADER_MIN / 4 << 4;
   if ((segment->flags & DP_TCP_ACK) != 0)
     {
-      put32_ (tcp + TCP_SEQ, segment->ack);
+      dp_put32 (tcp + TCP_SEQ, segment->ack);
       tcp[TCP_FLAGS] = DP_TCP_RST;
     }
   else
@@ -147,11 +144,11 @@
 
       end += (segment->flags & DP_TCP_SYN) != 0 ? 1 : 0;
       end += (segment->flags & DP_TCP_FIN) != 0 ? 1 : 0;
-      put32_ (tcp + TCP_ACK, end);
+      dp_put32 (tcp + TCP_ACK, end);
       tcp[TCP_FLAGS] = DP_TCP_RST | DP_TCP_ACK;
     }
   sum = sum_ (packet + IP_SOURCE, 8, IP_PROTOCOL_TCP + TCP_HEADER_MIN);
-  put16_ (tcp + TCP_CHECKSUM, (guint16) ~fold_ (sum_ (tcp, TCP_HEADER_MIN, sum)));
+  dp_put16 (tcp + TCP_CHECKSUM, (guint16) ~fold_ (sum_ (tcp, TCP_HEADER_MIN, sum)));
   return length;
 }
 
@@ -173,32 +170,6 @@
   replace32_ (packet, tcp + TCP_ACK, tcp + TCP_CHECKSUM, segment->ack + delta);
 }
 
-static guint16
-get16_ (const guint8 *data)
-{
-  return (guint16) (data[0] << 8 | data[1]);
-}
-
-static guint32
-get32_ (const guint8 *data)
-{
-  return (guint32) get16_ (data) << 16 | get16_ (data + 2);
-}
-
-static void
-put16_ (guint8 *data, guint16 value)
-{
-  data[0] = (guint8) (value >> 8);
-  data[1] = (guint8) value;
-}
-
-static void
-put32_ (guint8 *data, guint32 value)
-{
-  put16_ (data, (guint16) (value >> 16));
-  put16_ (data + 2, (guint16) value);
-}
-
 static gboolean
 invalid_ (GError **error, const char *text)
 {
@@ -210,7 +181,7 @@
 sum_ (const guint8 *data, gsize length, guint32 sum)
 {
   for (gsize i = 0; i + 1 < length; i += 2)
-    sum += get16_ (data + i);
+    sum += dp_get16 (data + i);
   return sum;
 }
 
@@ -226,11 +197,11 @@
 static void
 replace32_ (guint8 *packet, guint offset, guint checksum, guint32 value)
 {
-  guint32 old = get32_ (packet + offset);
-  guint32 sum = (guint16) ~get16_ (packet + checksum);
+  guint32 old = dp_get32 (packet + offset);
+  guint32 sum = (guint16) ~dp_get16 (packet + checksum);
 
   sum += (guint16) ~(old >> 16) + (guint16) ~(old & 0xffff);
   sum += (value >> 16) + (value & 0xffff);
-  put32_ (packet + offset, value);
-  put16_ (packet + checksum, (guint16) ~fold_ (sum));
+  dp_put32 (packet + offset, value);
+  dp_put16 (packet + checksum, (guint16) ~fold_ (sum));
 }
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_passmembers.c
@@ -0,0 +1,73 @@
+/* Guards against members that are lost since one balancer does not know them, and against
+ * members that are gone and stay. */
+#include "protected/clock.h"
+#include "protected/passmembers.h"
+#include "runner.h"
+
+#define MS DP_US_PER_MS
+
+/* Takes a list of members named by the letters; capitals are leaving. Returns the number
+ * of members in the new view, or -1 if nothing changed. */
+static int
+take (DpPassMembers *members, const char *letters, gint64 now)
+{
+  g_autoptr (GArray) list_members = g_array_new (FALSE, TRUE, sizeof (DpMember));
+  g_autoptr (GArray) balancers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  const DpMemberList list = { "darbnica", list_members, balancers };
+  g_autoptr (DpView) view = NULL;
+  char names[8][2] = { { 0 } };
+
+  for (guint i = 0; letters[i] != '\0'; i++)
+    {
+      DpMember member = { .zone = (char *) "riga-a", .address = { 1, 2 }, .slots = 4 };
+
+      names[i][0] = g_ascii_tolower (letters[i]);
+      member.name = names[i];
+      member.id = dp_member_id (names[i]);
+      member.state = g_ascii_isupper (letters[i]) ? DP_MEMBER_LEAVING : DP_MEMBER_ACTIVE;
+      g_array_append_val (list_members, member);
+    }
+  view = dp_pass_members_take (members, &list, now);
+  return view == NULL ? -1 : (int) view->n_members;
+}
+
+/* Found on lgkaa-serviss scale-2: the list of a balancer that had just started replaced
+ * the whole one, and new flows were rejected for lack of other members. */
+static void
+test_partial_list (void)
+{
+  g_autoptr (DpPassMembers) members = dp_pass_members_new ("darbnica");
+
+  CU_ASSERT_EQUAL (take (members, "abc", 0), 3);
+  CU_ASSERT_EQUAL (take (members, "a", 100 * MS), -1);
+  CU_ASSERT_EQUAL (take (members, "ab", 350 * MS), -1);
+  CU_ASSERT_EQUAL (take (members, "abc", 600 * MS), -1);
+  CU_ASSERT_EQUAL (take (members, "ab", 900 * MS), -1);
+  /* Listed again meanwhile, so that its absence counts from 900 ms on. */
+  CU_ASSERT_EQUAL (take (members, "ab", 2400 * MS), -1);
+  CU_ASSERT_EQUAL (take (members, "ab", 2401 * MS), 2);
+}
+
+static void
+test_states (void)
+{
+  g_autoptr (DpPassMembers) members = dp_pass_members_new ("darbnica");
+  guint64 hash;
+
+  CU_ASSERT_EQUAL (dp_pass_members_hash (members), 0);
+  CU_ASSERT_EQUAL (take (members, "ab", 0), 2);
+  hash = dp_pass_members_hash (members);
+  CU_ASSERT_EQUAL (take (members, "ba", MS), -1);
+  CU_ASSERT_EQUAL (take (members, "aB", 2 * MS), 2);
+  CU_ASSERT_NOT_EQUAL (dp_pass_members_hash (members), hash);
+  CU_ASSERT_EQUAL (take (members, "ab", 3 * MS), 2);
+  CU_ASSERT_EQUAL (dp_pass_members_hash (members), hash);
+  CU_ASSERT_EQUAL (take (members, "abd", 4 * MS), 3);
+}
+
+static const DpTestCase cases_[] = {
+  { "a list of a part of the members", test_partial_list },
+  { "states and new members", test_states },
+};
+
+DP_TEST_MAIN ("passmembers", cases_)
