Skip a malformed object of the store instead of crashing; fuzz what the platform sends

Cause, found by the new fuzz_hosted within milliseconds: the error of a registration whose spec is no JSON was read before the call that sets it, so that one bad entry of another writer ended every process that reads the list.

--- /dev/null
+++ b/fuzzing/fuzz_hosted.c
@@ -0,0 +1,104 @@
+/* What the users' platform sends: packets, the store's answers and heartbeats. The first
+ * byte chooses. */
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include "announcements.h"
+#include "packet.h"
+#include "protected/fleet.h"
+#include "protected/json.h"
+#include "protected/passthrough.h"
+#include "store.h"
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+take_packets (const guint8 *data, gsize size)
+{
+  g_autoptr (DpPassthrough) passthrough = dp_passthrough_new ("darbnica", "a", 0);
+  gint64 now = 0;
+
+  dp_passthrough_set_serving (passthrough, TRUE);
+  /* Packets without data, one after the other, from all three sides. */
+  for (gsize at = 0; at + 36 <= size; at += 36, now += 50000)
+    {
+      guint8 packet[36];
+      DpPassDecision decision;
+      DpSegment segment;
+      gboolean returned;
+      DpFlowKey key;
+      DpHop hop;
+
+      memcpy (packet, data + at, sizeof packet);
+      if (!platform_packet_format.parse (packet, sizeof packet, &segment, &returned))
+        continue;
+      platform_packet_format.read_hop (packet, &hop);
+      if (returned)
+        dp_passthrough_returned (passthrough, &segment, &hop, now);
+      else if (at % 72 == 0)
+        {
+          hop.service_tag = dp_service_tag (dp_service_id ("darbnica"));
+          dp_passthrough_from_peer (passthrough, &segment, &hop, now);
+        }
+      else
+        dp_passthrough_from_server (passthrough, &segment, now);
+      while (dp_passthrough_next (passthrough, &key, &decision, now))
+        ;
+      dp_passthrough_tick (passthrough, now);
+    }
+}
+
+static void
+take_answer (const guint8 *data, gsize size, guint collection, gboolean list)
+{
+  g_autoptr (GBytes) body = g_bytes_new (data, size);
+  g_autoptr (GPtrArray)
+      records = g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
+  g_autoptr (DpReplica) replica = dp_replica_new ();
+  g_autofree char *after = NULL;
+  guint64 revision = 0;
+
+  if (list)
+    store_dialect.read_list (body, collection, records, &revision, &after, NULL);
+  else
+    store_dialect.read_events (body, collection, records, &revision, NULL);
+  for (guint i = 0; i < records->len; i++)
+    {
+      DpRecord *record = g_ptr_array_index (records, i);
+
+      dp_replica_apply (replica, record);
+      if (record->kind == DP_KIND_SERVICE)
+        g_array_unref (dp_fleet_addresses (replica, record->name, NULL));
+    }
+}
+
+static void
+take_heartbeat (const guint8 *data, gsize size)
+{
+  g_autoptr (JsonNode) node = dp_json_parse ((const char *) data, size, NULL);
+  DpAnnouncement announcement = { .id = "i-1" };
+
+  if (node != NULL)
+    announcements_parse (node, "darbnica", &announcement, NULL);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  if (size < 1)
+    return 0;
+  switch (data[0] % 6)
+    {
+    case 0:
+      take_packets (data + 1, size - 1);
+      break;
+    case 5:
+      take_heartbeat (data + 1, size - 1);
+      break;
+    default:
+      take_answer (data + 1, size - 1, data[0] % 2, data[0] % 6 < 3);
+      break;
+    }
+  return 0;
+}
--- a/src/test_platform/test_hosted_store.c
+++ b/src/test_platform/test_hosted_store.c
@@ -143,6 +143,26 @@
   CU_ASSERT_EQUAL (record->revision, 12);
 }
 
+/* Found by fuzz_hosted: an entry of another writer whose spec is no JSON ended the
+ * process. */
+static void
+test_malformed_spec (void)
+{
+  guint64 revision = 0;
+  char *after = NULL;
+  g_autoptr (GPtrArray) records = read_list (
+      STORE_BALANCERS,
+      "{\"items\":[{\"meta\":{\"name\":\"b-1\",\"revision\":4},\"spec\":{\"ip\":\"1\"}I},"
+      "{\"meta\":{\"name\":\"b/2\",\"revision\":5},\"spec\":{}},"
+      "{\"meta\":{\"name\":\"b-3\",\"revision\":6},\"spec\":{}}],\"has_more\":false,"
+      "\"as_of\":9}",
+      &revision, &after, NULL);
+
+  CU_ASSERT_EQUAL (records->len, 1);
+  CU_ASSERT_STRING_EQUAL (((const DpRecord *) g_ptr_array_index (records, 0))->name,
+                          "b-3");
+}
+
 static void
 test_malformed_answers (void)
 {
@@ -208,6 +228,7 @@
   { "a configuration becomes services", test_configuration },
   { "a service that a new configuration lacks", test_service_removed },
   { "balancers' registrations", test_balancers },
+  { "malformed objects are skipped, the others hold", test_malformed_spec },
   { "malformed answers are errors", test_malformed_answers },
   { "writes are conditional", test_writes },
 };
