--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -12,7 +12,7 @@
 /* Of a read's first attempt; doubled for each further one. A platform answers in
  * milliseconds, or a quarter of a second when it is slow; after a power failure the first
  * packet of a connection may be lost, which TCP repeats after a second only. */
-#define FIRST_READ_TIMEOUT_MS 400
+#define FIRST_READ_TIMEOUT_MS 400u
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 2000
 #define MAX_CONNECTIONS 8
