Check the counts of a report before it is unpacked

Found by fuzz_report: seven bytes announce an array of four billion elements, for which the library reserves memory at once.

--- /dev/null
+++ b/src/libdogwoodpaddle/include/private/msgpackcheck.h
@@ -0,0 +1,6 @@
+/* A check of msgpack from outside before the library unpacks it. */
+#pragma once
+
+#include <glib.h>
+
+gboolean dp_msgpack_is_bounded (const guint8 *data, gsize length);
--- /dev/null
+++ b/src/libdogwoodpaddle/msgpackcheck.c
@@ -0,0 +1,93 @@
+#include "private/msgpackcheck.h"
+
+static gsize
+item_size_ (const guint8 *data, gsize length, guint64 *contained, gsize *skipped);
+static gsize sized_item_ (const guint8 *data, gsize length, guint width, guint64 *count);
+
+/* Returns whether every container's count can be met by the bytes that follow it. The
+ * library allocates a container before it has seen its elements, so that a few bytes
+ * could ask for gigabytes. */
+gboolean
+dp_msgpack_is_bounded (const guint8 *data, gsize length)
+{
+  guint64 expected = 1;
+  gsize offset = 0;
+
+  while (expected > 0)
+    {
+      guint64 contained = 0;
+      gsize skipped = 0;
+      gsize size = item_size_ (data + offset, length - offset, &contained, &skipped);
+
+      if (size == 0)
+        return FALSE;
+      offset += size;
+      if (skipped > length - offset)
+        return FALSE;
+      offset += skipped;
+      expected = expected - 1 + contained;
+      if (expected > length - offset)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Returns the size in bytes of the item's header (msgpack specification, formats), 0 if
+ * it is cut off or not used by control messages. contained: elements that follow it;
+ * skipped: bytes of its body. */
+static gsize
+item_size_ (const guint8 *data, gsize length, guint64 *contained, gsize *skipped)
+{
+  guint64 count = 0;
+  gsize size;
+  guint8 tag;
+
+  if (length == 0)
+    return 0;
+  tag = data[0];
+  if (tag <= 0x7f || tag >= 0xe0 || tag == 0xc0 || tag == 0xc2 || tag == 0xc3)
+    return 1;
+  if (tag >= 0x90 && tag <= 0x9f)
+    {
+      *contained = tag & 0x0f;
+      return 1;
+    }
+  if (tag >= 0xa0 && tag <= 0xbf)
+    {
+      *skipped = tag & 0x1f;
+      return 1;
+    }
+  switch (tag)
+    {
+    case 0xcc: /* uint 8 to 64 */
+    case 0xcd:
+    case 0xce:
+    case 0xcf:
+      *skipped = (gsize) 1 << (tag - 0xcc);
+      return 1;
+    case 0xd9: /* str 8 to 32 */
+    case 0xda:
+    case 0xdb:
+      size = sized_item_ (data, length, 1u << (tag - 0xd9), &count);
+      *skipped = count;
+      return size;
+    case 0xdc: /* array 16 and 32 */
+    case 0xdd:
+      size = sized_item_ (data, length, 2u << (tag - 0xdc), &count);
+      *contained = count;
+      return size;
+    default:
+      return 0;
+    }
+}
+
+static gsize
+sized_item_ (const guint8 *data, gsize length, guint width, guint64 *count)
+{
+  if (length < 1 + (gsize) width)
+    return 0;
+  *count = 0;
+  for (guint i = 1; i <= width; i++)
+    *count = *count << 8 | data[i];
+  return 1 + (gsize) width;
+}
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -6,6 +6,8 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "private/msgpackcheck.h"
+
 #define VERSION 1
 #define TEXT_MAX 255     /* bytes of a name */
 #define MEMBERS_MAX 100  /* of one list, so that it fits into a datagram */
@@ -141,8 +143,9 @@
 
   memset (message, 0, sizeof *message);
   msgpack_unpacked_init (&unpacked);
-  if (msgpack_unpack_next (&unpacked, (const char *) data, length, &offset)
-          == MSGPACK_UNPACK_SUCCESS
+  if (dp_msgpack_is_bounded (data, length)
+      && msgpack_unpack_next (&unpacked, (const char *) data, length, &offset)
+             == MSGPACK_UNPACK_SUCCESS
       && offset == length && unpacked.data.type == MSGPACK_OBJECT_ARRAY
       && unpacked.data.via.array.size > REPORT_VERSION)
     {
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -1,5 +1,6 @@
 /* Guards against reports that change on their way, and against datagrams from elsewhere
  * that are taken for one. */
+#include "private/msgpackcheck.h"
 #include "protected/report.h"
 #include "runner.h"
 
@@ -116,11 +117,30 @@
       }
 }
 
+/* Found by fuzz_report: a few bytes that announce an array of four billion elements. */
+static void
+test_huge_count (void)
+{
+  static const guint8 huge[] = { 0xdd, 0xff, 0xff, 0xff, 0xff, 0x01, 0x01 };
+  static const guint8 nested[] = { 0x95, 0x02, 0x01, 0xa1, 'a', 0xdd,
+                                   0x7f, 0xff, 0xff, 0xff, 0x90 };
+  DpReportMessage message;
+
+  /* Refused before the library reserves memory for it. */
+  CU_ASSERT_FALSE (dp_msgpack_is_bounded (huge, sizeof huge));
+  CU_ASSERT_FALSE (dp_msgpack_is_bounded (nested, sizeof nested));
+  CU_ASSERT_FALSE (dp_report_decode (&message, huge, sizeof huge));
+  dp_report_message_clear (&message);
+  CU_ASSERT_FALSE (dp_report_decode (&message, nested, sizeof nested));
+  dp_report_message_clear (&message);
+}
+
 static const DpTestCase cases_[] = {
   { "a report there and back", test_report },
   { "a list there and back", test_list },
   { "a list that does not fit", test_too_long },
   { "malformed datagrams", test_malformed },
+  { "a count that the bytes can't meet", test_huge_count },
 };
 
 DP_TEST_MAIN ("report", cases_)
