--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -9,10 +9,6 @@
 
 #define DEFAULT_TIMEOUT_MS 5000
 #define MAX_ATTEMPTS 4 /* of one read or write */
-/* Of a read's first attempt; doubled for each further one. A platform answers in
- * milliseconds, or a quarter of a second when it is slow; after a power failure the first
- * packet of a connection may be lost, which TCP repeats after a second only. */
-#define FIRST_READ_TIMEOUT_MS 400u
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 2000
 #define MAX_CONNECTIONS 8
@@ -69,6 +65,12 @@
   gboolean sent; /* a call is in progress */
 } Request;
 
+/* Timeouts of a read's attempts. A platform answers in milliseconds, or in a quarter of a
+ * second when it is slow. After a power failure the first packet of a connection may be
+ * lost, which TCP repeats after a second only; and a call that was made while the
+ * platform was silent is not answered when it returns. */
+static const guint read_timeouts_ms_[MAX_ATTEMPTS] = { 300, 300, 600, 1200 };
+
 static const char *const write_result_strings_[] = {
   "done",
   "conflict",
@@ -380,7 +382,7 @@
     return bound + request->wait_ms;
   if (request->type == REQUEST_WRITE && !request->reading_back)
     return bound;
-  return MIN (bound, FIRST_READ_TIMEOUT_MS << (request->attempts - 1));
+  return MIN (bound, read_timeouts_ms_[MIN (request->attempts, MAX_ATTEMPTS) - 1]);
 }
 
 static SoupMessage *
