Bound reports to other availability zones; give a read's last attempt the whole timeout

A companion sends at most 100 a second there and tells each balancer when the next one is due, from which the balancer works out when a member is silent.

--- a/microbench/model_passthrough.c
+++ b/microbench/model_passthrough.c
@@ -448,7 +448,11 @@
                                     / DP_US_PER_MS);
   for (guint z = 0; z < N_ZONES; z++)
     if (z == server->zone || server->reports % (REPORT_FAR / REPORT_NEAR) == 0)
-      dp_placement_report (model->placements[z], &message, model->now);
+      {
+        message.interval_ms = (guint32) ((z == server->zone ? REPORT_NEAR : REPORT_FAR)
+                                         / DP_US_PER_MS);
+        dp_placement_report (model->placements[z], &message, model->now);
+      }
   server->reports++;
   if (model->policy >= POLICY_ARRIVAL)
     dp_passthrough_tick (server->passthrough, model->now);
--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -7,6 +7,8 @@
 #include "protected/address.h"
 #include "protected/view.h"
 
+#define DP_REPORT_INTERVAL_MAX_MS 60000
+
 #define DP_REPORT_MAX 8192 /* bytes of one encoded datagram */
 
 typedef struct
@@ -20,6 +22,7 @@
   guint32 in_flight;    /* flows whose server works on a request or is about to */
   guint32 warm_left_ms; /* for which the server is still slow after its start */
   guint64 list_hash;    /* of the members that the companion knows */
+  guint32 interval_ms;  /* after which this balancer gets the next report */
 } DpReport;
 
 /* The present members of one service. */
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -14,8 +14,12 @@
 /* Between two reports to balancers of the own availability zone, whose choices depend on
  * them. Half a dozen flows are placed on a server of two slots in this time. */
 #define REPORT_NEAR_MS 100
-/* Others hear of every fourth report only: they send flows here when theirs is full. */
+/* Others hear of every fourth report at most: they send flows here when theirs is full.
+ */
 #define FAR_EVERY 4
+/* Reports a second to all of them together, since bytes between availability zones are
+ * dear; above 40 of them each gets fewer. */
+#define FAR_PER_S 100
 #define TICK_MS 1000
 /* Half of the history that the platform keeps. */
 #define WATCH_MS 10000
@@ -57,6 +61,7 @@
   gint64 announced_at;  /* us */
   gint64 warm_at;       /* us */
   guint n_reports;
+  guint far_every;    /* of so many reports one goes to other availability zones */
   guint report_timer; /* source id */
   guint tick;         /* source id */
   guint replica_listener;
@@ -100,6 +105,10 @@
 static DpMemberState state_ (const DpPassCompanion *companion, gint64 now);
 static void update_serving_ (DpPassCompanion *companion);
 static gboolean report_ (gpointer user_data);
+static void send_report_ (DpPassCompanion *companion,
+                          const DpReport *report,
+                          gboolean near,
+                          guint interval_ms);
 static gboolean tick_ (gpointer user_data);
 static gboolean check_stop_ (gpointer user_data);
 
@@ -326,6 +335,7 @@
 read_balancers_ (DpPassCompanion *companion)
 {
   g_autoptr (DpTopology) topology = dp_topology_new (companion->replica);
+  guint n_far = 0;
 
   g_array_set_size (companion->balancers, 0);
   for (guint i = 0; i < dp_topology_size (topology); i++)
@@ -338,6 +348,11 @@
   if (companion->balancers->len == 0)
     g_array_append_vals (companion->balancers, companion->first_balancers->data,
                          companion->first_balancers->len);
+  for (guint i = 0; i < companion->balancers->len; i++)
+    n_far += g_array_index (companion->balancers, Balancer, i).near ? 0 : 1;
+  companion->far_every = MAX (n_far * 1000 / FAR_PER_S / REPORT_NEAR_MS, FAR_EVERY);
+  companion->far_every = MIN (companion->far_every,
+                              DP_REPORT_INTERVAL_MAX_MS / REPORT_NEAR_MS);
 }
 
 static void
@@ -574,25 +589,38 @@
     .list_hash = dp_pass_members_hash (companion->members),
   };
 
-  gboolean far = companion->n_reports++ % FAR_EVERY == 0;
-  guint8 buffer[DP_REPORT_MAX];
-  gsize length;
-
   dp_passthrough_tick (companion->passthrough, now);
   /* Ends the wait of SYNs whose server fell silent. */
   release_held_ (companion, now);
   companion->in_flight->value = report.in_flight;
   if (!companion->announced.known)
     return G_SOURCE_CONTINUE;
-  length = dp_report_encode (&report, buffer);
+  send_report_ (companion, &report, TRUE, REPORT_NEAR_MS);
+  if (companion->n_reports++ % companion->far_every == 0)
+    send_report_ (companion, &report, FALSE, companion->far_every * REPORT_NEAR_MS);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Sends the report to the balancers of the own availability zone, or to the others. */
+static void
+send_report_ (DpPassCompanion *companion,
+              const DpReport *report,
+              gboolean near,
+              guint interval_ms)
+{
+  guint8 buffer[DP_REPORT_MAX];
+  DpReport message = *report;
+  gsize length;
+
+  message.interval_ms = interval_ms;
+  length = dp_report_encode (&message, buffer);
   for (guint i = 0; i < companion->balancers->len; i++)
     {
       const Balancer *balancer = &g_array_index (companion->balancers, Balancer, i);
 
-      if (far || balancer->near)
+      if (balancer->near == near)
         dp_packet_port_send (companion->report, &balancer->address, buffer, length);
     }
-  return G_SOURCE_CONTINUE;
 }
 
 static gboolean
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -4,11 +4,10 @@
 
 #include "protected/clock.h"
 
-/* A member that is silent for longer takes no new flows while others live. Reports of
- * members in the balancer's own availability zone are 100 ms apart, others 400 ms
- * (passcompanion.c); either bound leaves room for two lost ones. */
-#define SILENT_NEAR_US (350 * DP_US_PER_MS)
-#define SILENT_FAR_US (1300 * DP_US_PER_MS)
+/* A member that is silent for longer takes no new flows while others live: three of its
+ * reports are missing, and some milliseconds for their way. */
+#define SILENT_REPORTS 3.25
+#define SILENT_SLACK_US (25 * DP_US_PER_MS)
 /* A member that is silent for longer is listed as leaving, so that others no longer pass
  * new flows on to it. */
 #define SILENT_LIST_US (1300 * DP_US_PER_MS)
@@ -34,6 +33,7 @@
   DpMemberState state;
   gboolean near;
   gboolean silent;    /* listed as one that takes no new flows */
+  gint64 interval;    /* us between its reports */
   gint64 reported_at; /* us */
   gint64 warm_at;     /* us */
   guint own;          /* flows in flight that this balancer placed */
@@ -66,6 +66,7 @@
 static void clear_member_ (Member *member);
 static void rebuild_ (DpPlacement *placement, Service *service);
 static gboolean is_fresh_ (const Member *member, gint64 now);
+static gint64 silence_bound_ (const Member *member);
 static double
 cost_ (const DpPlacement *placement, const Member *member, DpClass class, gint64 now);
 
@@ -129,6 +130,7 @@
   member->silent = FALSE;
   member->state = report->state;
   member->slots = report->slots;
+  member->interval = report->interval_ms * DP_US_PER_MS;
   member->reported_at = now;
   member->warm_at = now + report->warm_left_ms * DP_US_PER_MS;
   /* A flow whose end was not seen here is forgotten by this. One that was placed within
@@ -154,12 +156,13 @@
       Member *member = dp_handle_table_get (placement->members, h);
 
       next = dp_handle_table_next (placement->members, h);
-      if (now - member->reported_at > SILENT_LIST_US && !member->silent)
+      if (now - member->reported_at > MAX (SILENT_LIST_US, silence_bound_ (member))
+          && !member->silent)
         {
           member->silent = TRUE;
           rebuild_ (placement, find_service_ (placement, member->service_id));
         }
-      if (now - member->reported_at <= FORGET_US)
+      if (now - member->reported_at <= MAX (FORGET_US, 2 * silence_bound_ (member)))
         continue;
       remove_member_ (placement, h);
       removed = TRUE;
@@ -416,7 +419,14 @@
 static gboolean
 is_fresh_ (const Member *member, gint64 now)
 {
-  return now - member->reported_at <= (member->near ? SILENT_NEAR_US : SILENT_FAR_US);
+  return now - member->reported_at <= silence_bound_ (member);
+}
+
+/* Returns the silence in us after which a member is probably down or cut off. */
+static gint64
+silence_bound_ (const Member *member)
+{
+  return (gint64) (SILENT_REPORTS * (double) member->interval) + SILENT_SLACK_US;
 }
 
 /* Flows in flight for each slot with the new one, plus what its distance costs. */
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -65,11 +65,12 @@
   gboolean sent; /* a call is in progress */
 } Request;
 
-/* Timeouts of a read's attempts. A platform answers in milliseconds, or in a quarter of a
- * second when it is slow. After a power failure the first packet of a connection may be
- * lost, which TCP repeats after a second only; and a call that was made while the
- * platform was silent is not answered when it returns. */
-static const guint read_timeouts_ms_[MAX_ATTEMPTS] = { 300, 300, 600, 1200 };
+/* Timeouts of a read's attempts; the last one has the client's whole timeout. A platform
+ * answers in milliseconds, or in a quarter of a second when it is slow. After a power
+ * failure the first packet of a connection may be lost, which TCP repeats after a second
+ * only; and a call that was made while the platform was silent is not answered when it
+ * returns. */
+static const guint read_timeouts_ms_[MAX_ATTEMPTS] = { 300, 300, 600, G_MAXUINT };
 
 static const char *const write_result_strings_[] = {
   "done",
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -29,6 +29,7 @@
   REPORT_IN_FLIGHT,
   REPORT_WARM_LEFT,
   REPORT_LIST_HASH,
+  REPORT_INTERVAL,
   N_REPORT_FIELDS
 };
 
@@ -87,6 +88,7 @@
   msgpack_pack_uint32 (&packer, report->in_flight);
   msgpack_pack_uint32 (&packer, report->warm_left_ms);
   msgpack_pack_uint64 (&packer, report->list_hash);
+  msgpack_pack_uint32 (&packer, report->interval_ms);
   return finish_ (&out, buffer);
 }
 
@@ -218,6 +220,7 @@
   guint64 state;
   guint64 in_flight;
   guint64 warm_left;
+  guint64 interval;
 
   if (!get_text_ (message, &fields[REPORT_SERVICE], &report->service)
       || !get_text_ (message, &fields[REPORT_NAME], &report->name)
@@ -227,12 +230,15 @@
       || !get_uint_ (&fields[REPORT_STATE], DP_N_MEMBER_STATES - 1, &state)
       || !get_uint_ (&fields[REPORT_IN_FLIGHT], G_MAXUINT32, &in_flight)
       || !get_uint_ (&fields[REPORT_WARM_LEFT], G_MAXUINT32, &warm_left)
-      || !get_uint_ (&fields[REPORT_LIST_HASH], G_MAXUINT64, &report->list_hash))
+      || !get_uint_ (&fields[REPORT_LIST_HASH], G_MAXUINT64, &report->list_hash)
+      || !get_uint_ (&fields[REPORT_INTERVAL], DP_REPORT_INTERVAL_MAX_MS, &interval)
+      || interval == 0)
     return FALSE;
   report->slots = (guint32) slots;
   report->state = (DpMemberState) state;
   report->in_flight = (guint32) in_flight;
   report->warm_left_ms = (guint32) warm_left;
+  report->interval_ms = (guint32) interval;
   return TRUE;
 }
 
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -16,7 +16,8 @@
                      .address = { ip, 7000 },
                      .slots = 2,
                      .state = DP_MEMBER_ACTIVE,
-                     .in_flight = in_flight };
+                     .in_flight = in_flight,
+                     .interval_ms = g_str_equal (zone, "riga-a") ? 100 : 400 };
 }
 
 /* a-1 and a-2 in the balancer's availability zone, b-1 in another. */
@@ -150,6 +151,22 @@
   CU_ASSERT_EQUAL (silent->state, DP_MEMBER_ACTIVE);
 }
 
+/* Where there are many balancers, each hears of a far member less often. */
+static void
+test_rare_reports (void)
+{
+  g_autoptr (DpPlacement) placement = make (5, 5, 0);
+  DpReport rare = make_report ("b-1", "riga-b", 3, 0);
+
+  rare.interval_ms = 6000;
+  dp_placement_report (placement, &rare, 0);
+  CU_ASSERT_EQUAL (choose (placement, DP_CLASS_INTERACTIVE, 19000 * MS), 3);
+  dp_placement_expire (placement, 19000 * MS);
+  CU_ASSERT_EQUAL (dp_placement_n_members (placement), 1);
+  CU_ASSERT_FALSE (dp_placement_expire (placement, 39000 * MS));
+  CU_ASSERT_TRUE (dp_placement_expire (placement, 40000 * MS));
+}
+
 static void
 test_leaving_member (void)
 {
@@ -205,6 +222,7 @@
   { "a report corrects what was not seen to end", test_report_corrects },
   { "a silent member takes no new flows", test_silent_member },
   { "a silent member is listed as one that takes no flows", test_silent_member_listed },
+  { "a member that reports rarely is not silent", test_rare_reports },
   { "a leaving member takes no new flows and stays listed", test_leaving_member },
   { "an address that another service uses again", test_address_used_again },
   { "a cold member takes less", test_cold_member },
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -14,6 +14,7 @@
   .in_flight = 3,
   .warm_left_ms = 1500,
   .list_hash = G_GUINT64_CONSTANT (0xfedcba9876543210),
+  .interval_ms = 400,
 };
 
 static void
@@ -34,6 +35,7 @@
   CU_ASSERT_EQUAL (message.report.in_flight, 3);
   CU_ASSERT_EQUAL (message.report.warm_left_ms, 1500);
   CU_ASSERT_EQUAL (message.report.list_hash, report_.list_hash);
+  CU_ASSERT_EQUAL (message.report.interval_ms, 400);
   dp_report_message_clear (&message);
 }
 
