Keep the SYN of a waiting flow when an older copy comes back

Cause, found by reading: a companion forgot the kept SYN of a waiting flow when the server returned an older copy of it, as a server that was frozen does, or when a SYN of the same key but of another service was dropped. The assertion in release_held_ () then ended the companion when the flow's turn came. A late answer of such a server left the flow in the table of waiting flows, where its entry outlived the flow.

A dropped SYN no longer touches the kept one, and an answer ends the wait. Both new cases of test_passthrough failed before.

--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -405,6 +405,8 @@
       segment.key = key;
       segment.hash = dp_flow_key_hash (&key);
       decision = dp_passthrough_from_server (companion->passthrough, &segment, now);
+      /* A flow that its server answers no longer waits. */
+      g_hash_table_remove (companion->held, &key);
     }
   carry_out_ (companion, &decision, &segment, data, length);
   release_held_ (companion, now);
@@ -422,8 +424,9 @@
   guint8 reset[DP_PACKET_MAX];
 
   dp_metric_increment (companion->decisions[decision->reason]);
-  /* A new flow of the same key takes the place of one whose SYN was kept. */
-  if (dp_segment_opens_flow (segment) && decision->reason != DP_PASS_WAITING)
+  /* A new flow of the same key takes the place of one whose SYN was kept. A dropped SYN,
+   * as a copy or one of another service, takes nobody's. */
+  if (dp_segment_opens_flow (segment) && decision->action != DP_PASS_DROP)
     g_hash_table_remove (companion->held, &segment->key);
   log_decision_ (companion, decision, segment);
   switch (decision->action)
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -214,6 +214,8 @@
     {
       if (flow != NULL && flow->state == DP_PASS_FLOW_OFFERED)
         dp_pass_flows_remove (passthrough->flows, flow);
+      else if (flow != NULL && flow->state == DP_PASS_FLOW_WAITING)
+        return decide_ (DP_PASS_DROP, DP_PASS_WAITING, &hop); /* an older copy */
       else if (flow != NULL)
         return decide_ (DP_PASS_DROP, DP_PASS_RETURNED, &hop);
       return pass_or_reject_ (passthrough, segment, &hop, DP_PASS_RETURNED,
@@ -253,6 +255,8 @@
   if (flow == NULL)
     return decide_ (DP_PASS_TO_CLIENT, DP_PASS_OWNED, &hop);
   flow->used_at = now;
+  /* A server that was frozen answers a copy of the SYN that waits. */
+  dp_pass_flows_release (passthrough->flows, flow);
   if ((segment->flags & handshake) == handshake)
     {
       if (flow->state == DP_PASS_FLOW_OFFERED)
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -417,6 +417,41 @@
   CU_ASSERT_FALSE (dp_passthrough_server_is_silent (p, 260 * MS));
 }
 
+/* A server that was frozen gives back the first SYN of a flow whose copy waits: the kept
+ * SYN must stay until the flow's turn. */
+static void
+test_waiting_syn_returned (void)
+{
+  g_autoptr (DpPassthrough) p = make (1);
+  const DpSegment syn = make_segment (9, DP_TCP_SYN, 100, 0, 0);
+  const DpHop hop = make_hop (DP_CLASS_INTERACTIVE, 0);
+  DpPassDecision decision;
+
+  fill (p, 0, 0);
+  CU_ASSERT_EQUAL (send_syn (p, 9, DP_CLASS_INTERACTIVE, 0, 0).action, DP_PASS_HOLD);
+  decision = dp_passthrough_returned (p, &syn, &hop, MS);
+  CU_ASSERT_EQUAL (decision.action, DP_PASS_DROP);
+  CU_ASSERT_EQUAL (decision.reason, DP_PASS_WAITING);
+  CU_ASSERT_EQUAL (dp_passthrough_waiting (p), 1);
+}
+
+/* The same server answers the first SYN instead. The flow no longer waits, and none that
+ * has expired is left among those that do. */
+static void
+test_waiting_syn_answered (void)
+{
+  g_autoptr (DpPassthrough) p = make (1);
+  DpPassDecision decision;
+  DpFlowKey key;
+
+  fill (p, 0, 0);
+  CU_ASSERT_EQUAL (send_syn (p, 9, DP_CLASS_INTERACTIVE, 0, 0).action, DP_PASS_HOLD);
+  send_server (p, 9, DP_TCP_SYN | DP_TCP_ACK, 0, MS);
+  CU_ASSERT_EQUAL (dp_passthrough_waiting (p), 0);
+  dp_passthrough_tick (p, 100 * S);
+  CU_ASSERT_FALSE (dp_passthrough_next (p, &key, &decision, 100 * S));
+}
+
 /* SYNs that wait when the server leaves are not lost with it. */
 static void
 test_waiting_at_a_leaving_server (void)
@@ -531,6 +566,8 @@
   { "a SYN whose turn comes too late is rejected", test_rejects_what_comes_too_late },
   { "abandoned flows give their slots back", test_slots_do_not_leak },
   { "a silent server gets no further flows", test_silent_server },
+  { "a waiting SYN is kept when an older copy returns", test_waiting_syn_returned },
+  { "an answer ends the wait of its flow", test_waiting_syn_answered },
   { "SYNs do not wait at a leaving server", test_waiting_at_a_leaving_server },
   { "a short wait near before a slot far away", test_near_before_far },
   { "just after a start nothing is rejected for lack of others", test_gathering },
