--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -354,6 +354,29 @@
         check(process.process.poll() is None, f"{process.name} ended")
 
 
+def test_waiting_syn_and_older_copy(site):
+    """A kept SYN was forgotten when its copy came back, and the companion then ended."""
+    start(site, n_balancers=1, n_servers=1, slots=1, work_s=0.4)
+    client = site.client()
+    server = site.servers[0]
+    flows = ask(client, REPORTS, 4, "report", 0.002)
+    # One flow has the slot, two are offered ahead; the fourth waits for 0.4 s.
+    end = time.monotonic() + 2
+    while sum(f["peer"] is not None for f in flows) < 3 and time.monotonic() < end:
+        client.run(time.monotonic() + 0.005)
+    waiting = [f for f in flows if f["peer"] is None]
+    check(len(waiting) == 1, f"{len(waiting)} flows wait")
+    for flow in waiting:
+        # As a server that was frozen does, and a balancer that knows another service there.
+        server._return(standins.Packet(*flow["key"], standins.SYN, flow["seq"]))
+        foreign = standins.Packet(*flow["key"], standins.SYN, flow["seq"])
+        foreign.pad = b"\x55\xaa\x55\0\0"
+        client.socket.sendto(foreign.pack(), (server.ip, standins.PACKET_PORT))
+    results = finish(client, flows)
+    check(site.companions[0].process.poll() is None, "the companion ended")
+    check(results == ["ok"] * 4, f"results {results}")
+
+
 def test_reload(site):
     """SIGHUP, with good settings and bad ones, ends no process."""
     start(site, n_servers=1)
