Open a circuit breaker at the companion of a server that fails its requests

Cause: placement goes by load, and a server that fails each request at once is never busy.

The companion judges requests by what it sees of their flows, without reading them (serverhealth, chart breaker.json): resets, answers that are overdue, and answers that are much shorter and sooner than the address's usual ones, in a cumulative sum against the usual share of failures. Reports carry an optional field, which earlier versions do without.

--- a/src/libdogwoodpaddle/chart.c
+++ b/src/libdogwoodpaddle/chart.c
@@ -5,6 +5,7 @@
 #include "private/charts_resources.h"
 #include "protected/document.h"
 #include "protected/error.h"
+#include "protected/serverhealth.h"
 
 #define MAX_NAMES 64
 #define RESOURCE_PATH "/dogwoodpaddle/charts/%s.json"
@@ -42,6 +43,13 @@
 static const char *const watched_actions_[] = { "none",   "suspect", "clear",
                                                 "remove", "restart", "forget" };
 
+static const char *const breaker_states_[] = { "closed", "open", "half_open" };
+static const char *const breaker_events_[] = { "failing", "retry", "failed", "proven" };
+static const char *const breaker_actions_[] = { "none", "trip", "probe", "reset" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (breaker_states_) == DP_N_BREAKER_STATES);
+G_STATIC_ASSERT (G_N_ELEMENTS (breaker_events_) == DP_N_BREAKER_EVENTS);
+G_STATIC_ASSERT (G_N_ELEMENTS (breaker_actions_) == DP_N_BREAKER_ACTIONS);
 G_STATIC_ASSERT (G_N_ELEMENTS (member_states_) == DP_N_MEMBER_CHART_STATES);
 G_STATIC_ASSERT (G_N_ELEMENTS (member_events_) == DP_N_MEMBER_EVENTS);
 G_STATIC_ASSERT (G_N_ELEMENTS (member_actions_) == DP_N_MEMBER_ACTIONS);
@@ -61,6 +69,9 @@
 } Names;
 
 static const Names names_[] = {
+  { "breaker", breaker_states_, breaker_events_, breaker_actions_,
+    G_N_ELEMENTS (breaker_states_), G_N_ELEMENTS (breaker_events_),
+    G_N_ELEMENTS (breaker_actions_) },
   { "member", member_states_, member_events_, member_actions_,
     G_N_ELEMENTS (member_states_), G_N_ELEMENTS (member_events_),
     G_N_ELEMENTS (member_actions_) },
--- a/src/libdogwoodpaddle/include/private/passflows.h
+++ b/src/libdogwoodpaddle/include/private/passflows.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "protected/passthrough.h"
+#include "protected/serverhealth.h"
 
 typedef enum
 {
@@ -20,9 +21,10 @@
   DpFlowKey key;
   guint64 hash;
   DpPassFlowState state;
-  guint32 client_seq; /* of the SYN */
-  guint32 server_seq; /* of the SYN-ACK */
-  gboolean working;   /* counts as in flight */
+  guint32 client_seq;  /* of the SYN */
+  gboolean handshaken; /* the SYN-ACK was seen */
+  guint32 server_seq;  /* of the SYN-ACK */
+  gboolean working;    /* counts as in flight */
   gboolean has_slot;
   gboolean requested; /* the client has sent data */
   DpHandle work;      /* row in the table of working flows */
@@ -31,11 +33,15 @@
   DpHandle ticket;    /* in the slots' queue */
   gboolean client_finished;
   gboolean server_finished;
-  gint64 offered_at;  /* us */
-  gint64 used_at;     /* us */
-  gint64 answered_at; /* us of the server's last data, 0: none since the last request */
-  guint32 server_end; /* behind the last data that the server has sent */
-  gint64 progress_at; /* us, when it last sent data beyond that */
+  gint64 offered_at;    /* us */
+  gint64 used_at;       /* us */
+  gint64 answered_at;   /* us of the server's last data, 0: none since the last request */
+  gint64 requested_at;  /* us of the present request's first data */
+  gint64 first_byte_at; /* us of its answer's first data */
+  gboolean overdue;     /* its answer is, which the server's health knows */
+  guint32 answer_from;  /* sequence number at which its answer begins */
+  guint32 server_end;   /* behind the last data that the server has sent */
+  gint64 progress_at;   /* us, when it last sent data beyond that */
   DpAddress passed_to;
   DpHop hop;         /* of the SYN when it came here */
   GBytes *packet;    /* the SYN while it waits, owned; NULL if it was not kept */
@@ -47,6 +53,7 @@
 typedef struct
 {
   DpSlots *slots;
+  DpServerHealth *health;
   DpPassTimes times;
   GHashTable *by_key;     /* DpPassFlow by its key, which comes first */
   DpHandleTable *waiting; /* DpPassFlow pointers */
@@ -54,6 +61,7 @@
   guint in_flight;        /* flows whose server works on a request or is about to */
   gint64 flow_ttl;        /* us */
   gint64 swept_at;        /* us */
+  gint64 ticked_at;       /* us */
 } DpPassFlows;
 
 DpPassFlows *dp_pass_flows_new (gint64 flow_ttl);
@@ -71,7 +79,11 @@
                                DpPassFlow *flow,
                                gboolean slot,
                                gint64 now);
+/* The client's data begin a request that the server works on. */
+void dp_pass_flows_begin_request (DpPassFlow *flow, guint32 answer_from, gint64 now);
+/* The server has answered the request, or has ended the flow without an answer. */
 void dp_pass_flows_end_work (DpPassFlows *flows, DpPassFlow *flow, gint64 now);
+/* The flow no longer counts as in flight, and says nothing about the server. */
 void dp_pass_flows_abandon_work (DpPassFlows *flows, DpPassFlow *flow);
 void dp_pass_flows_abandon_all (DpPassFlows *flows);
 
--- a/src/libdogwoodpaddle/include/protected/chart.h
+++ b/src/libdogwoodpaddle/include/protected/chart.h
@@ -82,7 +82,27 @@
   DP_N_WATCHED_ACTIONS
 } DpWatchedAction;
 
-/* name: "member" or "watched". DP_ERROR_INVALID names the fault. */
+/* The chart "breaker": whether a backend server gets new flows; its states are those of
+ * serverhealth.h. */
+typedef enum
+{
+  DP_BREAKER_EVENT_FAILING, /* too many requests have failed */
+  DP_BREAKER_EVENT_RETRY,   /* it is time to try the server again */
+  DP_BREAKER_EVENT_FAILED,  /* one request has failed */
+  DP_BREAKER_EVENT_PROVEN,  /* enough requests in a row were good */
+  DP_N_BREAKER_EVENTS
+} DpBreakerEvent;
+
+typedef enum
+{
+  DP_BREAKER_ACTION_NONE,
+  DP_BREAKER_ACTION_TRIP,  /* begin the time without flows */
+  DP_BREAKER_ACTION_PROBE, /* begin to count good requests */
+  DP_BREAKER_ACTION_RESET, /* forget the failures */
+  DP_N_BREAKER_ACTIONS
+} DpBreakerAction;
+
+/* name: "breaker", "member" or "watched". DP_ERROR_INVALID names the fault. */
 DpChart *dp_chart_load (const char *name, GError **error);
 /* Parses a chart from JSON text. */
 DpChart *
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -18,6 +18,7 @@
 #include "protected/candidates.h"
 #include "protected/metrics.h"
 #include "protected/packetformat.h"
+#include "protected/serverhealth.h"
 #include "protected/slots.h"
 
 typedef struct _DpPassthrough DpPassthrough;
@@ -42,6 +43,7 @@
   DP_PASS_SEARCHING,     /* another member may have the flow */
   DP_PASS_BUSY,          /* all slots are taken here */
   DP_PASS_NOT_SERVING,   /* the server is leaving, down or not known yet */
+  DP_PASS_FAILING,       /* the server fails too many of its requests */
   DP_PASS_RETURNED,      /* the server returned the packet */
   DP_PASS_PASSED_BEFORE, /* the flow's SYN went to another member */
   DP_PASS_WAITING,       /* the flow waits for a slot */
@@ -128,6 +130,7 @@
 /* Whether the server has left SYNs unanswered for longer than it takes to accept one. */
 gboolean dp_passthrough_server_is_silent (const DpPassthrough *passthrough, gint64 now);
 
+DpBreakerState dp_passthrough_server_health (const DpPassthrough *passthrough);
 guint dp_passthrough_load (const DpPassthrough *passthrough);
 guint dp_passthrough_in_flight (const DpPassthrough *passthrough);
 guint dp_passthrough_waiting (const DpPassthrough *passthrough);
--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -23,6 +23,7 @@
   guint32 warm_left_ms; /* for which the server is still slow after its start */
   guint64 list_hash;    /* of the members that the companion knows */
   guint32 interval_ms;  /* after which this balancer gets the next report */
+  gboolean failing;     /* the server fails too many requests to get new flows */
 } DpReport;
 
 /* The present members of one service. */
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -57,8 +57,9 @@
   DpPacketPort *report;
   DpAnnounced announced;
   DpAnnouncement state; /* of the last announcement; id is not set */
-  gint64 announced_at;  /* us */
-  gint64 warm_at;       /* us */
+  DpBreakerState health;
+  gint64 announced_at; /* us */
+  gint64 warm_at;      /* us */
   guint n_reports;
   guint far_every;    /* of so many reports one goes to other availability zones */
   guint report_timer; /* source id */
@@ -71,6 +72,7 @@
   gpointer stopped_data;
   DpMetric *decisions[DP_N_PASS_REASONS];
   DpMetric *in_flight;
+  DpMetric *failing;
   DpMetric *lost_lines;
   DpMetric *malformed;
 };
@@ -105,7 +107,9 @@
 static gboolean is_serving_ (const DpPassCompanion *companion, gint64 now);
 static DpMemberState state_ (const DpPassCompanion *companion, gint64 now);
 static void update_serving_ (DpPassCompanion *companion);
-static gboolean report_ (gpointer user_data);
+static gboolean report_timer_ (gpointer user_data);
+static void watch_health_ (DpPassCompanion *companion);
+static void report_ (DpPassCompanion *companion, gint64 now);
 static void send_report_ (DpPassCompanion *companion,
                           const DpReport *report,
                           gboolean near,
@@ -155,7 +159,7 @@
   if (companion->report == NULL)
     return FALSE;
   dp_watch_set_active (companion->watch, TRUE);
-  companion->report_timer = g_timeout_add (REPORT_NEAR_MS, report_, companion);
+  companion->report_timer = g_timeout_add (REPORT_NEAR_MS, report_timer_, companion);
   companion->tick = g_timeout_add (TICK_MS, tick_, companion);
   g_message ("companion %s of service %s started", companion->name, companion->service);
   return TRUE;
@@ -177,7 +181,7 @@
   g_message ("companion %s is stopping, %u flows in flight", companion->name,
              dp_passthrough_in_flight (companion->passthrough));
   update_serving_ (companion);
-  report_ (companion);
+  report_ (companion, companion->stop_at);
 }
 
 /* Closes the ports and frees the companion. */
@@ -236,7 +240,7 @@
   dp_passthrough_set_limits (companion->passthrough, &limits);
   update_serving_ (companion);
   if (first || result == DP_ANNOUNCED_STARTED || left != announcement->leaving)
-    report_ (companion);
+    report_ (companion, now);
   return TRUE;
 }
 
@@ -248,7 +252,7 @@
     return;
   g_message ("server %s has signed off", id);
   update_serving_ (companion);
-  report_ (companion);
+  report_ (companion, dp_clock_now (companion->options.clock));
 }
 
 static void
@@ -271,6 +275,9 @@
   companion->in_flight = dp_metrics_add (metrics, DP_METRIC_GAUGE,
                                          "dogwoodpaddle_flows_in_flight", "",
                                          "Flows that the server works on");
+  companion->failing = dp_metrics_add (metrics, DP_METRIC_GAUGE,
+                                       "dogwoodpaddle_server_failing", "",
+                                       "Whether the server fails too many requests");
   companion->malformed = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                          "dogwoodpaddle_datagrams_malformed_total", "",
                                          "Datagrams that could not be read");
@@ -558,13 +565,42 @@
       is_serving_ (companion, dp_clock_now (companion->options.clock)));
 }
 
-/* Tells the balancers the server's state and load. Before its first heartbeat the
- * server's capacity is not known, and a report would say nothing. */
+/* Ends what has taken too long, and reports. */
 static gboolean
-report_ (gpointer user_data)
+report_timer_ (gpointer user_data)
 {
   DpPassCompanion *companion = user_data;
   gint64 now = dp_clock_now (companion->options.clock);
+
+  dp_passthrough_tick (companion->passthrough, now);
+  /* Ends the wait of SYNs whose server fell silent. */
+  release_held_ (companion, now);
+  companion->in_flight->value = dp_passthrough_in_flight (companion->passthrough);
+  watch_health_ (companion);
+  report_ (companion, now);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Logs when the server begins or ends to fail its requests. */
+static void
+watch_health_ (DpPassCompanion *companion)
+{
+  const DpBreakerState health = dp_passthrough_server_health (companion->passthrough);
+
+  if (health == companion->health)
+    return;
+  companion->health = health;
+  companion->failing->value = health == DP_BREAKER_CLOSED ? 0 : 1;
+  g_message ("server of companion %s: breaker %s, %u flows in flight", companion->name,
+             dp_breaker_state_string (health),
+             dp_passthrough_in_flight (companion->passthrough));
+}
+
+/* Tells the balancers the server's state and load. Before its first heartbeat the
+ * server's capacity is not known, and a report would say nothing. */
+static void
+report_ (DpPassCompanion *companion, gint64 now)
+{
   gint64 warm_left = MAX (companion->warm_at - now, 0);
   const DpReport report = {
     .service = companion->service,
@@ -576,18 +612,14 @@
     .in_flight = dp_passthrough_load (companion->passthrough),
     .warm_left_ms = (guint32) (warm_left / DP_US_PER_MS),
     .list_hash = dp_pass_members_hash (companion->members),
+    .failing = companion->health == DP_BREAKER_OPEN,
   };
 
-  dp_passthrough_tick (companion->passthrough, now);
-  /* Ends the wait of SYNs whose server fell silent. */
-  release_held_ (companion, now);
-  companion->in_flight->value = dp_passthrough_in_flight (companion->passthrough);
   if (!companion->announced.known)
-    return G_SOURCE_CONTINUE;
+    return;
   send_report_ (companion, &report, TRUE, REPORT_NEAR_MS);
   if (companion->n_reports++ % companion->far_every == 0)
     send_report_ (companion, &report, FALSE, companion->far_every * REPORT_NEAR_MS);
-  return G_SOURCE_CONTINUE;
 }
 
 /* Sends the report to the balancers of the own availability zone, or to the others. */
--- a/src/libdogwoodpaddle/passflows.c
+++ b/src/libdogwoodpaddle/passflows.c
@@ -14,6 +14,9 @@
 /* A request without an answer no longer keeps its slot: the slowest ones run for 280 ms
  * on a cold server, and five times as long on a slow one. */
 #define WORK_MAX_US (2 * DP_US_PER_S)
+/* Ticks come every 100 ms. After a longer pause of the whole process, as when its host
+ * was frozen, requests that seem to be without an answer say nothing about the server. */
+#define PAUSE_US (500 * DP_US_PER_MS)
 #define SWEEP_US DP_US_PER_S /* between two searches for flows that have expired */
 /* Retransmissions of the last packets come up to 1.6 s apart. */
 #define LINGER_US (4 * DP_US_PER_S)
@@ -27,8 +30,11 @@
 static gboolean equal_ (gconstpointer a, gconstpointer b);
 static DpPassFlow *flow_at_ (DpHandleTable *table, DpHandle handle);
 static DpHandle add_to_ (DpHandleTable *table, DpPassFlow *flow);
+static void judge_ (DpPassFlows *flows, const DpPassFlow *flow, gint64 now);
 static void check_work_ (DpPassFlows *flows, gint64 now);
 static gboolean
+is_overdue_ (const DpPassFlows *flows, const DpPassFlow *flow, gint64 now);
+static gboolean
 has_expired_ (const DpPassFlows *flows, const DpPassFlow *flow, gint64 now);
 
 /* Creates an empty table with one slot. */
@@ -39,6 +45,7 @@
 
   flows->by_key = g_hash_table_new_full (hash_, equal_, NULL, flow_free_);
   flows->slots = dp_slots_new (WAITING_MAX);
+  flows->health = dp_server_health_new ();
   flows->waiting = dp_handle_table_new (sizeof (DpPassFlow *), WAITING_MAX);
   flows->working = dp_handle_table_new (sizeof (DpPassFlow *), FLOWS_MAX);
   dp_pass_flows_set_limits (flows, 1, flow_ttl);
@@ -50,6 +57,7 @@
 dp_pass_flows_free (DpPassFlows *flows)
 {
   dp_slots_free (flows->slots);
+  dp_server_health_free (flows->health);
   dp_handle_table_free (flows->waiting);
   dp_handle_table_free (flows->working);
   g_hash_table_unref (flows->by_key);
@@ -122,12 +130,26 @@
     dp_slots_begin (flows->slots, flow->class, now);
 }
 
-/* The server has answered the flow's request. */
+/* Notes when the request came and where its answer begins. */
+void
+dp_pass_flows_begin_request (DpPassFlow *flow, guint32 answer_from, gint64 now)
+{
+  flow->requested = TRUE;
+  flow->requested_at = now;
+  flow->first_byte_at = 0;
+  flow->overdue = FALSE;
+  flow->answer_from = answer_from;
+}
+
+/* Ends the work of a flow whose server has answered or has finished. */
 void
 dp_pass_flows_end_work (DpPassFlows *flows, DpPassFlow *flow, gint64 now)
 {
   if (flow->working)
-    dp_pass_flows_observe (flows->times.work, now - flow->offered_at);
+    {
+      dp_pass_flows_observe (flows->times.work, now - flow->offered_at);
+      judge_ (flows, flow, now);
+    }
   if (flow->working && flow->has_slot)
     dp_slots_end (flows->slots, flow->class, flow->offered_at, now);
   dp_pass_flows_abandon_work (flows, flow);
@@ -231,6 +253,8 @@
   gpointer value;
 
   check_work_ (flows, now);
+  dp_server_health_tick (flows->health, now);
+  flows->ticked_at = now;
   if (now - flows->swept_at < SWEEP_US)
     return;
   flows->swept_at = now;
@@ -294,11 +318,27 @@
   return handle;
 }
 
+/* Tells the server's health how its work on a request has ended. */
+static void
+judge_ (DpPassFlows *flows, const DpPassFlow *flow, gint64 now)
+{
+  if (!flow->requested || !flow->handshaken)
+    return;
+  /* A client that finishes first has given up; an answer that is overdue was counted. */
+  if (flow->first_byte_at == 0 && !flow->overdue && !flow->client_finished)
+    dp_server_health_failed (flows->health, now);
+  else if (flow->first_byte_at != 0)
+    dp_server_health_answered (flows->health, &flow->key.service,
+                               flow->first_byte_at - flow->requested_at,
+                               flow->server_end - flow->answer_from, now);
+}
+
 /* Ends the work of flows that were answered some time ago, as on a connection that stays
  * open, and of those that nobody goes on with. */
 static void
 check_work_ (DpPassFlows *flows, gint64 now)
 {
+  const gboolean paused = now - flows->ticked_at > PAUSE_US;
   DpHandle next;
 
   for (DpHandle h = dp_handle_table_next (flows->working, DP_HANDLE_NONE);
@@ -308,6 +348,11 @@
       gint64 bound = flow->requested ? WORK_MAX_US : HANDSHAKE_US;
 
       next = dp_handle_table_next (flows->working, h);
+      if (!paused && !flow->overdue && is_overdue_ (flows, flow, now))
+        {
+          flow->overdue = TRUE;
+          dp_server_health_failed (flows->health, now);
+        }
       if (flow->answered_at != 0 && now - flow->answered_at > ANSWERED_US)
         dp_pass_flows_end_work (flows, flow, now);
       else if (flow->answered_at == 0 && now - flow->offered_at > bound)
@@ -315,6 +360,18 @@
     }
 }
 
+/* Returns whether the server has left the SYN or the request without an answer for too
+ * long. A client that doesn't complete the handshake is not the server's fault. */
+static gboolean
+is_overdue_ (const DpPassFlows *flows, const DpPassFlow *flow, gint64 now)
+{
+  if (flow->state == DP_PASS_FLOW_OFFERED)
+    return now - flow->offered_at > HANDSHAKE_US;
+  return flow->requested && flow->handshaken && flow->first_byte_at == 0
+         && now - flow->requested_at
+                > dp_server_health_patience (flows->health, &flow->key.service);
+}
+
 static gboolean
 has_expired_ (const DpPassFlows *flows, const DpPassFlow *flow, gint64 now)
 {
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -48,9 +48,9 @@
                                                "reset",     "hold",      "drop" };
 
 static const char *const reason_strings_[] = {
-  "owned",         "asked",   "searching", "busy",          "not_serving", "returned",
-  "passed_before", "waiting", "late",      "expired",       "gathering",   "overloaded",
-  "repeated",      "lost",    "not_found", "wrong_service", "unexpected"
+  "owned",      "asked",         "searching", "busy",      "not_serving",   "failing",
+  "returned",   "passed_before", "waiting",   "late",      "expired",       "gathering",
+  "overloaded", "repeated",      "lost",      "not_found", "wrong_service", "unexpected"
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (action_strings_) == DP_N_PASS_ACTIONS);
@@ -124,6 +124,7 @@
                                  DpPassFlow *flow,
                                  const DpSegment *segment,
                                  gint64 now);
+static gboolean note_answer_ (DpPassFlow *flow, const DpSegment *segment, gint64 now);
 static gboolean knows_all_ (const DpPassthrough *passthrough, gint64 now);
 
 /* Creates the decisions of a member that serves nothing yet. */
@@ -190,6 +191,7 @@
   passthrough->complete = TRUE;
   passthrough->unanswered = 0;
   dp_pass_flows_abandon_all (passthrough->flows);
+  dp_server_health_restarted (passthrough->flows->health);
 }
 
 /* Decides about a client's packet from a balancer or another member. */
@@ -283,30 +285,18 @@
       if (flow->state != DP_PASS_FLOW_OPEN)
         flow->state = DP_PASS_FLOW_ANSWERED;
       flow->server_seq = segment->seq;
+      flow->handshaken = TRUE;
     }
   else if (flow->state != DP_PASS_FLOW_CLOSED)
     flow->state = DP_PASS_FLOW_OPEN;
-  if (segment->payload_length > 0)
-    {
-      const guint32 end = segment->seq + segment->payload_length;
-
-      const gboolean newer = flow->progress_at == 0
-                             || (gint32) (end - flow->server_end) > 0;
-
-      repeated = !newer && now - flow->progress_at > REPEATED_US;
-      if (newer)
-        {
-          flow->server_end = end;
-          flow->progress_at = now;
-        }
-      flow->answered_at = now;
-    }
-  if ((segment->flags & DP_TCP_FIN) != 0)
+  if (segment->payload_length > 0 || (segment->flags & DP_TCP_FIN) != 0)
+    repeated = note_answer_ (flow, segment, now);
+  if ((segment->flags & (DP_TCP_FIN | DP_TCP_RST)) != 0)
     flow->server_finished = TRUE;
-  if ((segment->flags & DP_TCP_RST) != 0)
-    flow->server_finished = flow->client_finished = TRUE;
   if (flow->server_finished)
     dp_pass_flows_end_work (passthrough->flows, flow, now);
+  if ((segment->flags & DP_TCP_RST) != 0)
+    flow->client_finished = TRUE;
   if (flow->server_finished && flow->client_finished)
     flow->state = DP_PASS_FLOW_CLOSED;
   return decide_ (DP_PASS_TO_CLIENT, repeated ? DP_PASS_REPEATED : DP_PASS_OWNED, &hop);
@@ -397,6 +387,13 @@
   return dp_pass_flows_count (passthrough->flows);
 }
 
+/* Returns whether the server gets new flows, by how it has done its work. */
+DpBreakerState
+dp_passthrough_server_health (const DpPassthrough *passthrough)
+{
+  return dp_server_health_state (passthrough->flows->health);
+}
+
 /* Returns the action's name. */
 const char *
 dp_pass_action_string (DpPassAction action)
@@ -465,8 +462,9 @@
 
 /* Takes a new flow, passes it on or rejects it. A free slot is looked for in the own
  * availability zone first; then a short wait behind a slot here is preferred to one
- * elsewhere, since bytes between availability zones are dear. around: the SYN was passed
- * on from here before, and no member that it visited since took it. */
+ * elsewhere, since bytes between availability zones are dear. A server that fails its
+ * requests takes the flow only if no other member does. around: the SYN was passed on
+ * from here before, and no member that it visited since took it. */
 static DpPassDecision
 place_ (DpPassthrough *passthrough,
         const DpSegment *segment,
@@ -475,18 +473,23 @@
         gint64 now)
 {
   const gboolean serving = is_serving_ (passthrough, now);
-  const DpPassReason reason = serving ? DP_PASS_BUSY : DP_PASS_NOT_SERVING;
+  const gboolean wanted = serving
+                          && dp_server_health_admits (passthrough->flows->health,
+                                                      passthrough->flows->in_flight);
+  const DpPassReason reason = !serving  ? DP_PASS_NOT_SERVING
+                              : !wanted ? DP_PASS_FAILING
+                                        : DP_PASS_BUSY;
   const DpMember *next = NULL;
   gboolean near = FALSE;
 
-  if (serving && passthrough->flows->in_flight < passthrough->limits.slots
+  if (wanted && passthrough->flows->in_flight < passthrough->limits.slots
       && !dp_slots_contended (passthrough->flows->slots, (DpClass) hop->class))
     return offer_or_wait_ (passthrough, segment, hop, now);
   if (!around)
     next = next_for_new_flow_ (passthrough, segment->hash, hop->visited, &near);
   if (next != NULL && near)
     return pass_new_flow_ (passthrough, segment, hop, next, reason, now);
-  if (serving && dp_slots_can_take (passthrough->flows->slots, (DpClass) hop->class))
+  if (wanted && dp_slots_can_take (passthrough->flows->slots, (DpClass) hop->class))
     return offer_or_wait_ (passthrough, segment, hop, now);
   if (next != NULL)
     return pass_new_flow_ (passthrough, segment, hop, next, reason, now);
@@ -820,9 +823,12 @@
                      gint64 now)
 {
   flow->used_at = now;
-  flow->requested = flow->requested || segment->payload_length > 0;
   if (flow->state == DP_PASS_FLOW_ANSWERED)
     flow->state = DP_PASS_FLOW_OPEN;
+  if (segment->payload_length > 0 && !flow->requested)
+    dp_pass_flows_begin_request (flow, flow->server_seq + 1, now);
+  else if (segment->payload_length > 0 && !flow->working && flow->first_byte_at != 0)
+    dp_pass_flows_begin_request (flow, flow->server_end, now);
   if (segment->payload_length > 0 && !flow->server_finished && flow->working)
     flow->answered_at = 0;
   else if (segment->payload_length > 0 && !flow->server_finished)
@@ -843,6 +849,29 @@
     flow->state = DP_PASS_FLOW_CLOSED;
 }
 
+/* Notes how far the server's answer has come. Its last packet, which often overtakes the
+ * others of its burst, tells by its sequence number how long the answer is. Returns
+ * whether the server has sent the data before. */
+static gboolean
+note_answer_ (DpPassFlow *flow, const DpSegment *segment, gint64 now)
+{
+  const guint32 end = segment->seq + segment->payload_length;
+  const gboolean newer = flow->progress_at == 0 || (gint32) (end - flow->server_end) > 0;
+  const gboolean repeated = segment->payload_length > 0 && !newer
+                            && now - flow->progress_at > REPEATED_US;
+
+  if (newer)
+    {
+      flow->server_end = end;
+      flow->progress_at = now;
+    }
+  if (flow->first_byte_at == 0 && (gint32) (end - flow->answer_from) > 0)
+    flow->first_byte_at = now;
+  if (segment->payload_length > 0)
+    flow->answered_at = now;
+  return repeated;
+}
+
 /* Flows from before the companion's start have expired after their time to live. */
 static gboolean
 knows_all_ (const DpPassthrough *passthrough, gint64 now)
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -19,6 +19,10 @@
  * than one elsewhere, by class: bytes between availability zones cost more than a short
  * wait, and those of a download are the most. */
 static const double zone_preference_[DP_N_CLASSES] = { 1.0, 1.0, 4.0 };
+/* Flows in flight for each slot that other members may have more than one whose server
+ * fails its requests. A failing server that is chosen nevertheless is better than none.
+ */
+#define FAILING_COST 16.0
 /* Part of its slots that a server uses well while it is cold. */
 #define COLD_CAPACITY 0.6
 
@@ -33,6 +37,7 @@
   DpMemberState state;
   gboolean near;
   gboolean silent;    /* listed as one that takes no new flows */
+  gboolean failing;   /* its server fails too many requests */
   gint64 interval;    /* us between its reports */
   gint64 reported_at; /* us */
   gint64 warm_at;     /* us */
@@ -133,6 +138,7 @@
   member->interval = report->interval_ms * DP_US_PER_MS;
   member->reported_at = now;
   member->warm_at = now + report->warm_left_ms * DP_US_PER_MS;
+  member->failing = report->failing;
   /* A flow whose end was not seen here is forgotten by this. One that was placed within
    * the last millisecond may be missing in the report. */
   member->own = MIN (member->own, report->in_flight + 1);
@@ -439,5 +445,6 @@
   if (now < member->warm_at)
     slots *= COLD_CAPACITY;
   cost = (member->own + member->others + 1) / slots;
+  cost += member->failing ? FAILING_COST : 0.0;
   return member->near ? cost : cost + zone_preference_[class];
 }
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -30,6 +30,8 @@
   REPORT_WARM_LEFT,
   REPORT_LIST_HASH,
   REPORT_INTERVAL,
+  N_REQUIRED_REPORT_FIELDS,
+  REPORT_FAILING = N_REQUIRED_REPORT_FIELDS, /* not sent by earlier versions */
   N_REPORT_FIELDS
 };
 
@@ -56,7 +58,8 @@
 
 static void pack_text_ (msgpack_packer *packer, const char *text);
 static gsize finish_ (msgpack_sbuffer *buffer, guint8 *data);
-static gboolean decode_report_ (DpReportMessage *message, const msgpack_object *fields);
+static gboolean
+decode_report_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields);
 static gboolean decode_list_ (DpReportMessage *message, const msgpack_object *fields);
 static gboolean
 decode_member_ (DpReportMessage *message, const msgpack_object *object, DpMember *member);
@@ -89,6 +92,7 @@
   msgpack_pack_uint32 (&packer, report->warm_left_ms);
   msgpack_pack_uint64 (&packer, report->list_hash);
   msgpack_pack_uint32 (&packer, report->interval_ms);
+  msgpack_pack_uint8 (&packer, report->failing ? 1 : 0);
   return finish_ (&out, buffer);
 }
 
@@ -158,8 +162,9 @@
       valid = get_uint_ (&fields[REPORT_TYPE], DP_N_REPORT_TYPES - 1, &type)
               && get_uint_ (&fields[REPORT_VERSION], VERSION, &version)
               && version == VERSION;
-      if (valid && type == DP_REPORT_LOAD && n == N_REPORT_FIELDS)
-        valid = decode_report_ (message, fields);
+      /* While hosts are updated in turn, other versions may send fewer or more fields. */
+      if (valid && type == DP_REPORT_LOAD && n >= N_REQUIRED_REPORT_FIELDS)
+        valid = decode_report_ (message, fields, n);
       else if (valid && type == DP_REPORT_MEMBERS && n == N_LIST_FIELDS)
         valid = decode_list_ (message, fields);
       else
@@ -213,7 +218,7 @@
 }
 
 static gboolean
-decode_report_ (DpReportMessage *message, const msgpack_object *fields)
+decode_report_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields)
 {
   DpReport *report = &message->report;
   guint64 slots;
@@ -221,6 +226,7 @@
   guint64 in_flight;
   guint64 warm_left;
   guint64 interval;
+  guint64 failing = 0;
 
   if (!get_text_ (message, &fields[REPORT_SERVICE], &report->service)
       || !get_text_ (message, &fields[REPORT_NAME], &report->name)
@@ -232,13 +238,15 @@
       || !get_uint_ (&fields[REPORT_WARM_LEFT], G_MAXUINT32, &warm_left)
       || !get_uint_ (&fields[REPORT_LIST_HASH], G_MAXUINT64, &report->list_hash)
       || !get_uint_ (&fields[REPORT_INTERVAL], DP_REPORT_INTERVAL_MAX_MS, &interval)
-      || interval == 0)
+      || interval == 0
+      || (n_fields > REPORT_FAILING && !get_uint_ (&fields[REPORT_FAILING], 1, &failing)))
     return FALSE;
   report->slots = (guint32) slots;
   report->state = (DpMemberState) state;
   report->in_flight = (guint32) in_flight;
   report->warm_left_ms = (guint32) warm_left;
   report->interval_ms = (guint32) interval;
+  report->failing = failing != 0;
   return TRUE;
 }
 
--- /dev/null
+++ b/src/libdogwoodpaddle/serverhealth.c
@@ -0,0 +1,264 @@
+#include "protected/serverhealth.h"
+
+#include <math.h>
+
+#include "protected/chart.h"
+#include "protected/clock.h"
+
+/* Failures are told from the usual ones by a cumulative sum (CUSUM) of log-likelihood
+ * ratios: of a server that fails this share of its requests against one that fails as
+ * many as usual. By request and not by time, since a server that hangs fails only as many
+ * requests as it has slots. */
+#define FAILING_SHARE 0.4
+/* The breaker opens when the sum exceeds this: at three failures in a row if 1 request in
+ * 100 fails usually, at five if 5 in 100 do, and never if 40 in 100 do. */
+#define CUSUM_MAX 8.0
+/* The usual share is learnt from so many requests, and begins with this one; a server
+ * that has never failed is not expected to be perfect. */
+#define USUAL_SHARE_OF 512
+#define USUAL_SHARE_FIRST 0.01
+#define USUAL_SHARE_FIRST_OF 64
+/* Time between two probes of a failing server. At one request each, a server that would
+ * get ten requests a second or more gets less than a tenth of them. */
+#define RETRY_US (3 * DP_US_PER_S)
+/* Good requests in a row after which the server counts as well again. One that fails 45%
+ * of its requests gets there in 9 of 100 attempts. */
+#define PROOFS 4
+/* An answer is suspicious if it has less than this part of the usual bytes and came in
+ * less than this part of the usual time. Both spread by a factor of 2 to 3 among good
+ * answers; fewer than 1 in 100 of them fall short in both. */
+#define SHORT_BYTES 4
+#define SHORT_TIME 2
+/* Answers of an address from which its usual ones are learnt first. */
+#define LEARN_MIN 16
+/* Weight of a further answer in the mean, and of one that is suspicious: a service whose
+ * answers really have become short is well again after some hundred requests. */
+#define LEARN_WEIGHT 16
+#define LEARN_WEIGHT_SUSPICIOUS 64
+
+/* A request has failed if its answer does not begin within so many times the usual time.
+ * A straggler takes ten times as long; the bounds are for times that are not known yet
+ * and for servers that have become slow. */
+#define PATIENCE 20
+#define PATIENCE_MIN_US (500 * DP_US_PER_MS)
+#define PATIENCE_MAX_US (2 * DP_US_PER_S)
+
+/* Addresses of the service whose usual answers are learnt, 48 bytes each. Requests to one
+ * address are of one kind; those to further addresses are judged by resets and missing
+ * answers alone. */
+#define ADDRESSES_MAX 256
+
+/* The usual answers of one address. */
+typedef struct
+{
+  double time;  /* us, moving mean */
+  double bytes; /* moving mean */
+  guint n;      /* answers in it, LEARN_WEIGHT at most */
+} Usual;
+
+struct _DpServerHealth
+{
+  DpChart *chart;
+  DpChartInstance breaker;
+  GHashTable *usual;  /* Usual by the address's key, gint64 */
+  double usual_share; /* of failed requests */
+  guint n_requests;   /* in it, USUAL_SHARE_OF at most */
+  double cusum;
+  gint64 opened_at; /* us */
+  guint n_proofs;
+};
+
+static const char *const state_strings_[] = { "closed", "open", "half_open" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (state_strings_) == DP_N_BREAKER_STATES);
+
+static gboolean is_suspicious_ (const Usual *usual, gint64 time, guint32 bytes);
+static Usual *
+find_usual_ (const DpServerHealth *health, const DpAddress *address, gboolean add);
+static void learn_ (Usual *usual, gint64 time, guint32 bytes, guint weight);
+static void count_ (DpServerHealth *health, gboolean good, gint64 now);
+static void step_ (DpServerHealth *health, DpBreakerEvent event, gint64 now);
+
+/* Creates the health of a server of which nothing is known yet: the breaker is closed. */
+DpServerHealth *
+dp_server_health_new (void)
+{
+  DpServerHealth *health = g_new0 (DpServerHealth, 1);
+  g_autoptr (GError) error = NULL;
+
+  health->chart = dp_chart_load ("breaker", &error);
+  /* The chart is compiled in; test_chart checks it. */
+  if (health->chart == NULL)
+    g_error ("%s", error->message);
+  dp_chart_start (&health->breaker, health->chart);
+  health->usual = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  health->usual_share = USUAL_SHARE_FIRST;
+  health->n_requests = USUAL_SHARE_FIRST_OF;
+  return health;
+}
+
+/* Frees it. */
+void
+dp_server_health_free (DpServerHealth *health)
+{
+  if (health == NULL)
+    return;
+  dp_chart_free (health->chart);
+  g_hash_table_unref (health->usual);
+  g_free (health);
+}
+
+/* Notes an answer, which may be a failure by its time and size. */
+void
+dp_server_health_answered (DpServerHealth *health,
+                           const DpAddress *address,
+                           gint64 time,
+                           guint32 bytes,
+                           gint64 now)
+{
+  Usual *usual = find_usual_ (health, address, TRUE);
+  const gboolean suspicious = usual != NULL && is_suspicious_ (usual, time, bytes);
+
+  if (usual != NULL)
+    learn_ (usual, time, bytes, suspicious ? LEARN_WEIGHT_SUSPICIOUS : LEARN_WEIGHT);
+  count_ (health, !suspicious, now);
+}
+
+/* Notes a request that got a reset or no answer. */
+void
+dp_server_health_failed (DpServerHealth *health, gint64 now)
+{
+  count_ (health, FALSE, now);
+}
+
+/* Returns after how many us without an answer a request to the address has failed. */
+gint64
+dp_server_health_patience (const DpServerHealth *health, const DpAddress *address)
+{
+  const Usual *usual = find_usual_ (health, address, FALSE);
+
+  if (usual == NULL || usual->n < LEARN_MIN)
+    return PATIENCE_MAX_US;
+  return CLAMP ((gint64) (usual->time * PATIENCE), PATIENCE_MIN_US, PATIENCE_MAX_US);
+}
+
+/* Lets the server have a flow again some time after the breaker has opened. */
+void
+dp_server_health_tick (DpServerHealth *health, gint64 now)
+{
+  if (health->breaker.state == DP_BREAKER_OPEN && now - health->opened_at >= RETRY_US)
+    step_ (health, DP_BREAKER_EVENT_RETRY, now);
+}
+
+/* Forgets what a server did before it was started again, but not what its service's
+ * answers are like. */
+void
+dp_server_health_restarted (DpServerHealth *health)
+{
+  dp_chart_start (&health->breaker, health->chart);
+  health->cusum = 0;
+  health->n_proofs = 0;
+}
+
+/* Returns whether the server should get a new flow beside those in flight. */
+gboolean
+dp_server_health_admits (const DpServerHealth *health, guint in_flight)
+{
+  switch (dp_server_health_state (health))
+    {
+    case DP_BREAKER_OPEN:
+      return FALSE;
+    case DP_BREAKER_HALF_OPEN:
+      return in_flight == 0;
+    case DP_BREAKER_CLOSED:
+    case DP_N_BREAKER_STATES:
+    default:
+      return TRUE;
+    }
+}
+
+/* Returns the breaker's state. */
+DpBreakerState
+dp_server_health_state (const DpServerHealth *health)
+{
+  return (DpBreakerState) health->breaker.state;
+}
+
+/* Returns the state's name. */
+const char *
+dp_breaker_state_string (DpBreakerState state)
+{
+  g_assert (state < DP_N_BREAKER_STATES);
+  return state_strings_[state];
+}
+
+static gboolean
+is_suspicious_ (const Usual *usual, gint64 time, guint32 bytes)
+{
+  return usual->n >= LEARN_MIN && (double) bytes * SHORT_BYTES < usual->bytes
+         && (double) time * SHORT_TIME < usual->time;
+}
+
+/* NULL if the address is not known and is not added. */
+static Usual *
+find_usual_ (const DpServerHealth *health, const DpAddress *address, gboolean add)
+{
+  const gint64 key = (gint64) address->ip << 16 | address->port;
+  Usual *usual = g_hash_table_lookup (health->usual, &key);
+
+  if (usual != NULL || !add || g_hash_table_size (health->usual) >= ADDRESSES_MAX)
+    return usual;
+  usual = g_new0 (Usual, 1);
+  g_hash_table_insert (health->usual, g_memdup2 (&key, sizeof key), usual);
+  return usual;
+}
+
+/* The first answers count evenly. */
+static void
+learn_ (Usual *usual, gint64 time, guint32 bytes, guint weight)
+{
+  usual->n = MIN (usual->n + 1, LEARN_WEIGHT);
+  weight = usual->n < LEARN_WEIGHT ? usual->n : weight;
+  usual->time += ((double) time - usual->time) / weight;
+  usual->bytes += ((double) bytes - usual->bytes) / weight;
+}
+
+static void
+count_ (DpServerHealth *health, gboolean good, gint64 now)
+{
+  const double usual = MIN (health->usual_share, FAILING_SHARE);
+  const double ratio = good ? (1.0 - FAILING_SHARE) / (1.0 - usual)
+                            : FAILING_SHARE / usual;
+
+  health->cusum = MAX (health->cusum + log (ratio), 0.0);
+  health->n_requests = MIN (health->n_requests + 1, USUAL_SHARE_OF);
+  health->usual_share += ((good ? 0.0 : 1.0) - health->usual_share) / health->n_requests;
+  health->usual_share = MAX (health->usual_share, USUAL_SHARE_FIRST);
+  if (!good)
+    step_ (health, DP_BREAKER_EVENT_FAILED, now);
+  else if (health->breaker.state == DP_BREAKER_HALF_OPEN && ++health->n_proofs >= PROOFS)
+    step_ (health, DP_BREAKER_EVENT_PROVEN, now);
+  if (health->cusum > CUSUM_MAX)
+    step_ (health, DP_BREAKER_EVENT_FAILING, now);
+}
+
+static void
+step_ (DpServerHealth *health, DpBreakerEvent event, gint64 now)
+{
+  switch ((DpBreakerAction) dp_chart_step (&health->breaker, event))
+    {
+    case DP_BREAKER_ACTION_TRIP:
+      health->opened_at = now;
+      break;
+    case DP_BREAKER_ACTION_PROBE:
+      health->n_proofs = 0;
+      break;
+    case DP_BREAKER_ACTION_RESET:
+      health->cusum = 0;
+      break;
+    case DP_BREAKER_ACTION_NONE:
+    case DP_N_BREAKER_ACTIONS:
+    default:
+      break;
+    }
+}
--- a/src/test_libdogwoodpaddle/test_chart.c
+++ b/src/test_libdogwoodpaddle/test_chart.c
@@ -5,6 +5,7 @@
 
 #include "private/charts_resources.h"
 #include "protected/chart.h"
+#include "protected/serverhealth.h"
 #include "runner.h"
 
 #define CHART(states, initial, transitions)                                              \
@@ -27,7 +28,7 @@
   guint action;
 } Step;
 
-static const char *const charts_[] = { "member", "watched" };
+static const char *const charts_[] = { "breaker", "member", "watched" };
 
 static void
 test_faults (void)
@@ -203,12 +204,31 @@
   run ("watched", steps, G_N_ELEMENTS (steps));
 }
 
+static void
+test_breaker (void)
+{
+  static const Step steps[] = {
+    { DP_BREAKER_EVENT_FAILED, DP_BREAKER_CLOSED, DP_CHART_NONE },
+    { DP_BREAKER_EVENT_FAILING, DP_BREAKER_OPEN, DP_BREAKER_ACTION_TRIP },
+    /* Flows that were in flight end while it is open. */
+    { DP_BREAKER_EVENT_FAILED, DP_BREAKER_OPEN, DP_CHART_NONE },
+    { DP_BREAKER_EVENT_FAILING, DP_BREAKER_OPEN, DP_CHART_NONE },
+    { DP_BREAKER_EVENT_RETRY, DP_BREAKER_HALF_OPEN, DP_BREAKER_ACTION_PROBE },
+    { DP_BREAKER_EVENT_FAILED, DP_BREAKER_OPEN, DP_BREAKER_ACTION_TRIP },
+    { DP_BREAKER_EVENT_RETRY, DP_BREAKER_HALF_OPEN, DP_BREAKER_ACTION_PROBE },
+    { DP_BREAKER_EVENT_PROVEN, DP_BREAKER_CLOSED, DP_BREAKER_ACTION_RESET },
+  };
+
+  run ("breaker", steps, G_N_ELEMENTS (steps));
+}
+
 static const DpTestCase cases_[] = {
   { "faulty charts are refused", test_faults },
   { "the compiled-in charts match the JSON files", test_compiled_in },
   { "the compiled-in charts match the enums", test_load },
   { "a member's registration", test_member },
   { "a watched member", test_watched },
+  { "a server's breaker", test_breaker },
 };
 
 DP_TEST_MAIN ("chart", cases_)
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -647,6 +647,104 @@
                    DP_PASS_TO_MEMBER);
 }
 
+/* One request that the server answers, with a packet for its data and one for its end in
+ * the order given. */
+static void
+serve (DpPassthrough *p, guint flow, guint16 bytes, gint64 time, gint64 now)
+{
+  const DpSegment data = make_segment (flow, DP_TCP_ACK, 501, 301, bytes);
+  const DpSegment end = make_segment (flow, DP_TCP_ACK | DP_TCP_FIN, 501 + bytes, 301, 0);
+
+  open_flow (p, flow, now);
+  /* Packets of one burst overtake each other. */
+  dp_passthrough_from_server (p, flow % 2 == 0 ? &data : &end, now + time);
+  dp_passthrough_from_server (p, flow % 2 == 0 ? &end : &data, now + time);
+}
+
+typedef enum
+{
+  ERRORS,   /* short answers at once */
+  RESETS,   /* instead of answers */
+  HANGS,    /* no answers */
+  GIVES_UP, /* the client ends the flow before the answer */
+  PAUSED,   /* the process was paused while answers came */
+  UNKNOWN,  /* flows from before the companion's start */
+} Trouble;
+
+/* Found on vrtina-lb-grown: five servers that failed each request at once got 6% of all
+ * flows, and each request three times. */
+static void
+test_failing_server (void)
+{
+  static const struct
+  {
+    Trouble trouble;
+    DpBreakerState expected;
+  } cases[] = {
+    { ERRORS, DP_BREAKER_OPEN },   { RESETS, DP_BREAKER_OPEN },
+    { HANGS, DP_BREAKER_OPEN },    { GIVES_UP, DP_BREAKER_CLOSED },
+    { PAUSED, DP_BREAKER_CLOSED }, { UNKNOWN, DP_BREAKER_CLOSED },
+  };
+
+  for (guint c = 0; c < G_N_ELEMENTS (cases); c++)
+    {
+      g_autoptr (DpPassthrough) p = make (3);
+      gint64 now = 0;
+
+      for (guint i = 0; i < 100; i++, now += 50 * MS)
+        {
+          serve (p, 1000 + i, 1100, 20 * MS, now);
+          dp_passthrough_tick (p, now + 40 * MS);
+        }
+      CU_ASSERT_EQUAL (dp_passthrough_server_health (p), DP_BREAKER_CLOSED);
+      for (guint i = 0; i < 4; i++)
+        {
+          const DpSegment reset = make_segment (2000 + i, DP_TCP_RST, 501, 301, 0);
+          const DpSegment late = make_segment (3000 + i, DP_TCP_ACK, 777777, 301, 1100);
+
+          if (cases[c].trouble == ERRORS)
+            {
+              if (dp_passthrough_server_health (p) == DP_BREAKER_CLOSED)
+                serve (p, 2000 + i, 200, MS, now);
+              continue;
+            }
+          if (cases[c].trouble == UNKNOWN)
+            {
+              dp_passthrough_from_server (p, &late, now);
+              send_client (p, 3000 + i, DP_TCP_ACK, 778877, 200, now + MS);
+              continue;
+            }
+          if (cases[c].trouble == RESETS
+              && dp_passthrough_server_health (p) != DP_BREAKER_CLOSED)
+            continue;
+          send_syn (p, 2000 + i, DP_CLASS_INTERACTIVE, DP_PASS_VISITS_MAX - 1, now);
+          send_server (p, 2000 + i, DP_TCP_SYN | DP_TCP_ACK, 0, now);
+          send_client (p, 2000 + i, DP_TCP_ACK, 501, 200, now);
+          if (cases[c].trouble == GIVES_UP)
+            {
+              send_client (p, 2000 + i, DP_TCP_ACK | DP_TCP_FIN, 501, 0, now + 100 * MS);
+              send_server (p, 2000 + i, DP_TCP_ACK | DP_TCP_FIN, 0, now + 101 * MS);
+            }
+          if (cases[c].trouble == RESETS)
+            dp_passthrough_from_server (p, &reset, now + MS);
+        }
+      dp_passthrough_tick (p, now + 100 * MS);
+      if (cases[c].trouble != PAUSED)
+        dp_passthrough_tick (p, now + 550 * MS);
+      dp_passthrough_tick (p, now + 900 * MS);
+      CU_ASSERT_EQUAL (dp_passthrough_server_health (p), cases[c].expected);
+      if (cases[c].expected != DP_BREAKER_OPEN)
+        continue;
+      /* Others get its flows, if there are any. */
+      CU_ASSERT_EQUAL (send_syn (p, 9, DP_CLASS_URGENT, 0, now + S).reason,
+                       DP_PASS_FAILING);
+      CU_ASSERT_EQUAL (
+          send_syn (p, 10, DP_CLASS_URGENT, DP_PASS_VISITS_MAX - 1, now + S).reason
+              == DP_PASS_FAILING,
+          FALSE);
+    }
+}
+
 static DpPassReason
 send_data (DpPassthrough *p, guint32 seq, gint64 now)
 {
@@ -710,6 +808,7 @@
   { "a kept SYN is given back or freed", test_kept_packet },
   { "abandoned flows give their slots back", test_slots_do_not_leak },
   { "a silent server gets no further flows", test_silent_server },
+  { "a failing server's flows go elsewhere", test_failing_server },
   { "a waiting SYN is kept when an older copy returns", test_waiting_syn_returned },
   { "an answer ends the wait of its flow", test_waiting_syn_answered },
   { "SYNs do not wait at a leaving server", test_waiting_at_a_leaving_server },
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -216,7 +216,39 @@
   CU_ASSERT_PTR_NULL (dp_placement_view (placement, 42));
 }
 
+/* A server that fails at once is never busy. Without a mark it would get more flows than
+ * any other; a whole service that fails is still used. */
+static void
+test_failing (void)
+{
+  g_autoptr (DpPlacement) placement = make (0, 3, 3);
+  static const struct
+  {
+    const char *name;
+    const char *zone;
+    guint32 ip;
+    guint32 in_flight;
+    guint32 expected; /* after this member has begun to fail, too */
+  } cases[] = {
+    { "a-1", "riga-a", 1, 0, 2 },
+    { "a-2", "riga-a", 2, 3, 3 },
+    { "b-1", "riga-b", 3, 3, 1 },
+  };
+
+  CU_ASSERT_EQUAL (choose (placement, DP_CLASS_INTERACTIVE, 0), 1);
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      DpReport report = make_report (cases[i].name, cases[i].zone, cases[i].ip,
+                                     cases[i].in_flight);
+
+      report.failing = TRUE;
+      dp_placement_report (placement, &report, 0);
+      CU_ASSERT_EQUAL (choose (placement, DP_CLASS_INTERACTIVE, 0), cases[i].expected);
+    }
+}
+
 static const DpTestCase cases_[] = {
+  { "a failing server comes last", test_failing },
   { "the least loaded member, near ones first", test_choice },
   { "flows placed since the report count", test_own_flows },
   { "a report corrects what was not seen to end", test_report_corrects },
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -15,6 +15,7 @@
   .warm_left_ms = 1500,
   .list_hash = G_GUINT64_CONSTANT (0xfedcba9876543210),
   .interval_ms = 400,
+  .failing = TRUE,
 };
 
 static void
@@ -36,6 +37,32 @@
   CU_ASSERT_EQUAL (message.report.warm_left_ms, 1500);
   CU_ASSERT_EQUAL (message.report.list_hash, report_.list_hash);
   CU_ASSERT_EQUAL (message.report.interval_ms, 400);
+  CU_ASSERT_TRUE (message.report.failing);
+  dp_report_message_clear (&message);
+}
+
+/* While hosts are updated in turn, reports of the version before, without their last
+ * field, and of a later one, with a further field, must be understood. */
+static void
+test_other_versions (void)
+{
+  guint8 buffer[DP_REPORT_MAX];
+  gsize length = dp_report_encode (&report_, buffer);
+  DpReportMessage message;
+
+  CU_ASSERT_EQUAL (buffer[0], 0x90 | 14); /* msgpack: an array of 14 */
+  buffer[0] = 0x90 | 13;
+  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length - 1));
+  CU_ASSERT_FALSE (message.report.failing);
+  CU_ASSERT_EQUAL (message.report.interval_ms, 400);
+  dp_report_message_clear (&message);
+  buffer[0] = 0x90 | 15;
+  buffer[length] = 7;
+  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length + 1));
+  CU_ASSERT_TRUE (message.report.failing);
+  dp_report_message_clear (&message);
+  buffer[0] = 0x90 | 12;
+  CU_ASSERT_FALSE (dp_report_decode (&message, buffer, length - 2));
   dp_report_message_clear (&message);
 }
 
@@ -138,6 +165,7 @@
 }
 
 static const DpTestCase cases_[] = {
+  { "reports of other versions are understood", test_other_versions },
   { "a report there and back", test_report },
   { "a list there and back", test_list },
   { "a list that does not fit", test_too_long },
