--- a/src/libdogwoodpaddle/include/private/passflows.h
+++ b/src/libdogwoodpaddle/include/private/passflows.h
@@ -60,11 +60,13 @@
   DpHandleTable *working; /* DpPassFlow pointers */
   guint in_flight;        /* flows whose server works on a request or is about to */
   gint64 flow_ttl;        /* us */
+  gboolean complete;      /* every flow of the server is known */
+  gint64 complete_from;   /* us, otherwise: since when no flow was left out */
   gint64 swept_at;        /* us */
   gint64 ticked_at;       /* us */
 } DpPassFlows;
 
-DpPassFlows *dp_pass_flows_new (gint64 flow_ttl);
+DpPassFlows *dp_pass_flows_new (gint64 flow_ttl, gint64 now);
 void dp_pass_flows_free (DpPassFlows *flows);
 void dp_pass_flows_set_limits (DpPassFlows *flows, guint slots, gint64 flow_ttl);
 
@@ -72,6 +74,7 @@
 /* NULL if too many are remembered. */
 DpPassFlow *dp_pass_flows_add (DpPassFlows *flows, const DpSegment *segment, gint64 now);
 void dp_pass_flows_remove (DpPassFlows *flows, DpPassFlow *flow);
+gboolean dp_pass_flows_know_all (const DpPassFlows *flows, gint64 now);
 guint dp_pass_flows_count (const DpPassFlows *flows);
 
 /* slot: the flow has taken one. */
--- a/src/libdogwoodpaddle/include/private/passservices.h
+++ b/src/libdogwoodpaddle/include/private/passservices.h
@@ -21,4 +21,10 @@
 /* Whether they are known and the platform answers: an address that is missing has no
  * service. */
 gboolean dp_pass_services_are_current (const DpPassServices *services);
+/* Calls func with each service's id until it returns FALSE; returns whether it never
+ * did. */
+typedef gboolean (*DpPassServiceFunc) (guint64 service_id, gpointer user_data);
+gboolean dp_pass_services_all (const DpPassServices *services,
+                               DpPassServiceFunc func,
+                               gpointer user_data);
 guint64 dp_pass_services_revision (const DpPassServices *services);
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -60,6 +60,7 @@
 
 G_STATIC_ASSERT (G_N_ELEMENTS (drop_strings_) == N_DROPS);
 
+static gboolean has_member_ (guint64 service_id, gpointer user_data);
 static void add_metrics_ (DpPassBalancer *balancer);
 static void create_parts_ (DpPassBalancer *balancer);
 static void received_packet_ (const DpAddress *source,
@@ -160,14 +161,22 @@
 }
 
 /* Returns whether the fabric may send packets here: the services are known, and so is a
- * member, or there has been time to hear of one. */
+ * member of each, or there has been time to hear of one. */
 gboolean
 dp_pass_balancer_is_ready (const DpPassBalancer *balancer)
 {
   gint64 age = dp_clock_now (balancer->options.clock) - balancer->started_at;
 
-  return dp_pass_services_known (balancer->services) && !balancer->stopping
-         && (dp_placement_n_members (balancer->placement) > 0 || age > GATHER_US);
+  if (!dp_pass_services_known (balancer->services) || balancer->stopping)
+    return FALSE;
+  return age > GATHER_US
+         || dp_pass_services_all (balancer->services, has_member_, balancer->placement);
+}
+
+static gboolean
+has_member_ (guint64 service_id, gpointer user_data)
+{
+  return dp_placement_view (user_data, service_id) != NULL;
 }
 
 static void
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -45,7 +45,7 @@
   char *service;
   char *name;
   char *zone;
-  GArray *first_balancers; /* Balancer, until the platform lists some */
+  GArray *first_balancers; /* Balancer, of the settings */
   GArray *balancers;       /* Balancer */
   DpPassMembers *members;
   DpPassthrough *passthrough;
@@ -83,6 +83,8 @@
 static void balancers_progressed_ (gpointer user_data);
 static void balancer_changed_ (const DpRecord *record, gpointer user_data);
 static void read_balancers_ (DpPassCompanion *companion);
+static gboolean knows_balancer_ (const DpPassCompanion *companion,
+                                 const DpAddress *address);
 static void received_packet_ (const DpAddress *source,
                               guint8 *data,
                               gsize length,
@@ -335,11 +337,14 @@
              companion->balancers->len);
 }
 
-/* Takes the registered balancers over; without any, those of the settings. */
+/* Takes the registered balancers over, and those of the settings, which may not have
+ * registered yet. Where these are is not known; once others are registered, they hear of
+ * this member as seldom as if they were elsewhere, since they may also be gone. */
 static void
 read_balancers_ (DpPassCompanion *companion)
 {
   g_autoptr (DpTopology) topology = dp_topology_new (companion->replica);
+  const gboolean registered = dp_topology_size (topology) > 0;
   guint n_far = 0;
 
   g_array_set_size (companion->balancers, 0);
@@ -350,9 +355,14 @@
 
       g_array_append_val (companion->balancers, balancer);
     }
-  if (companion->balancers->len == 0)
-    g_array_append_vals (companion->balancers, companion->first_balancers->data,
-                         companion->first_balancers->len);
+  for (guint i = 0; i < companion->first_balancers->len; i++)
+    {
+      const Balancer *first = &g_array_index (companion->first_balancers, Balancer, i);
+      const Balancer balancer = { first->address, !registered };
+
+      if (!knows_balancer_ (companion, &first->address))
+        g_array_append_val (companion->balancers, balancer);
+    }
   for (guint i = 0; i < companion->balancers->len; i++)
     n_far += g_array_index (companion->balancers, Balancer, i).near ? 0 : 1;
   companion->far_every = MAX (n_far * 1000 / FAR_PER_S / REPORT_NEAR_MS, FAR_EVERY);
@@ -360,6 +370,16 @@
                               DP_REPORT_INTERVAL_MAX_MS / REPORT_NEAR_MS);
 }
 
+static gboolean
+knows_balancer_ (const DpPassCompanion *companion, const DpAddress *address)
+{
+  for (guint i = 0; i < companion->balancers->len; i++)
+    if (dp_address_equal (&g_array_index (companion->balancers, Balancer, i).address,
+                          address))
+      return TRUE;
+  return FALSE;
+}
+
 static void
 received_packet_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
 {
--- /dev/null
+++ b/src/libdogwoodpaddle/passdecision.c
@@ -0,0 +1,49 @@
+#include "private/passdecision.h"
+
+static const char *const action_strings_[] = { "to_server", "to_client", "to_member",
+                                               "reset",     "hold",      "drop" };
+
+static const char *const reason_strings_[] = {
+  "owned",      "asked",         "searching", "busy",      "not_serving",   "failing",
+  "returned",   "passed_before", "waiting",   "late",      "expired",       "gathering",
+  "overloaded", "repeated",      "lost",      "not_found", "wrong_service", "unexpected"
+};
+
+G_STATIC_ASSERT (G_N_ELEMENTS (action_strings_) == DP_N_PASS_ACTIONS);
+G_STATIC_ASSERT (G_N_ELEMENTS (reason_strings_) == DP_N_PASS_REASONS);
+
+/* Returns the action's name. */
+const char *
+dp_pass_action_string (DpPassAction action)
+{
+  g_assert (action < DP_N_PASS_ACTIONS);
+  return action_strings_[action];
+}
+
+/* Returns the reason's name. */
+const char *
+dp_pass_reason_string (DpPassReason reason)
+{
+  g_assert (reason < DP_N_PASS_REASONS);
+  return reason_strings_[reason];
+}
+
+/* Returns the decision without a member. */
+DpPassDecision
+dp_pass_decide (DpPassAction action, DpPassReason reason, const DpHop *hop)
+{
+  return (DpPassDecision){ .action = action, .reason = reason, .hop = *hop };
+}
+
+/* Returns the decision to send the packet to a member, unless it has been to too many. */
+DpPassDecision
+dp_pass_to_member (const DpAddress *member, DpPassReason reason, const DpHop *hop)
+{
+  DpPassDecision decision = dp_pass_decide (DP_PASS_TO_MEMBER, reason, hop);
+
+  decision.member = *member;
+  if (decision.hop.visited == G_MAXUINT8)
+    return dp_pass_decide (DP_PASS_DROP, DP_PASS_NOT_FOUND, hop);
+  decision.hop.visited++;
+  return decision;
+}
--- a/src/libdogwoodpaddle/passflows.c
+++ b/src/libdogwoodpaddle/passflows.c
@@ -39,7 +39,7 @@
 
 /* Creates an empty table with one slot. */
 DpPassFlows *
-dp_pass_flows_new (gint64 flow_ttl)
+dp_pass_flows_new (gint64 flow_ttl, gint64 now)
 {
   DpPassFlows *flows = g_new0 (DpPassFlows, 1);
 
@@ -48,6 +48,7 @@
   flows->health = dp_server_health_new ();
   flows->waiting = dp_handle_table_new (sizeof (DpPassFlow *), WAITING_MAX);
   flows->working = dp_handle_table_new (sizeof (DpPassFlow *), FLOWS_MAX);
+  flows->complete_from = now;
   dp_pass_flows_set_limits (flows, 1, flow_ttl);
   return flows;
 }
@@ -83,14 +84,19 @@
   return g_hash_table_lookup (flows->by_key, &wanted);
 }
 
-/* Adds the segment's flow, which isn't remembered yet. */
+/* Adds the segment's flow, which isn't remembered yet. If there are too many, the server
+ * has to be asked for flows that are not found. */
 DpPassFlow *
 dp_pass_flows_add (DpPassFlows *flows, const DpSegment *segment, gint64 now)
 {
   DpPassFlow *flow;
 
   if (g_hash_table_size (flows->by_key) >= FLOWS_MAX)
-    return NULL;
+    {
+      flows->complete = FALSE;
+      flows->complete_from = now;
+      return NULL;
+    }
   flow = g_new0 (DpPassFlow, 1);
   flow->key = segment->key;
   flow->hash = segment->hash;
@@ -99,6 +105,14 @@
   return flow;
 }
 
+/* Returns whether every flow of the server is remembered: it was seen to start, or flows
+ * from before have expired after their time to live. */
+gboolean
+dp_pass_flows_know_all (const DpPassFlows *flows, gint64 now)
+{
+  return flows->complete || now - flows->complete_from > flows->flow_ttl;
+}
+
 /* Forgets the flow; it no longer waits and gives its slot back. */
 void
 dp_pass_flows_remove (DpPassFlows *flows, DpPassFlow *flow)
--- a/src/libdogwoodpaddle/passservices.c
+++ b/src/libdogwoodpaddle/passservices.c
@@ -146,6 +146,24 @@
   return services->known && dp_watch_reachable (services->watch);
 }
 
+/* Returns whether func holds for all services. */
+gboolean
+dp_pass_services_all (const DpPassServices *services,
+                      DpPassServiceFunc func,
+                      gpointer user_data)
+{
+  g_autoptr (GPtrArray) records = dp_replica_list (services->replica, DP_KIND_SERVICE);
+
+  for (guint i = 0; i < records->len; i++)
+    {
+      const DpRecord *record = g_ptr_array_index (records, i);
+
+      if (!func (dp_service_id (record->name), user_data))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 /* Returns the revision up to which the services are known. */
 guint64
 dp_pass_services_revision (const DpPassServices *services)
--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -85,6 +85,7 @@
         self.changed = threading.Condition()
         self.down = False  # answers 503, also to watches that are waiting
         self.lose_answers = False
+        self.refused_names = set()  # objects whose changes are answered with 503
         self.calls = 0
         store = self
 
@@ -207,6 +208,8 @@
     def _change(self, method, parts, body, arguments):
         kind = parts[0]
         name = body["meta"]["name"] if method == "POST" else parts[1]
+        if name in self.refused_names:
+            return 503, {"error": "refused"}
         present = self.objects.get((kind, name))
         if method == "POST":
             if present:
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -200,6 +200,39 @@
     check(results == ["ok"] * 10, f"results {set(results)}")
 
 
+def test_balancer_that_cannot_register(site):
+    """Members report to the balancers of their settings, too, while these may not have
+    registered yet. Seen beside load: a balancer that took 1.2 s to register knew no member
+    of one service, and dropped its flows although it was ready."""
+    site.store.refused_names.add("balancer-2")
+    start(site)
+    # What it heard before the others had registered is lost.
+    site.balancers[1].kill()
+    site.balancers[1].start()
+    time.sleep(0.8)
+    client = site.client()
+    client.balancers = [site.balancers[1].settings["ip"]]
+    results = finish(client, ask(client, REPORTS, 10, "report"))
+    check(results == ["ok"] * 10, f"results {set(results)}")
+
+
+def test_ready_with_a_member_of_each_service(site):
+    """A balancer that knows the members of one service only is not ready yet, since all
+    flows of the others would fail."""
+    site.configure([REPORTS, MANUALS])
+    site.add_server("rokasgramata", answer=b"m" * 40000)
+    time.sleep(0.6)
+    balancer = site.add_balancer()
+    time.sleep(0.8)
+    check("of service rokasgramata joined" in balancer.log(), "no member")
+    check(not balancer.is_ready(), "ready without a member of the reports' service")
+    site.add_server("darbnica")
+    end = time.monotonic() + 0.6
+    while not balancer.is_ready() and time.monotonic() < end:
+        time.sleep(0.05)
+    check(balancer.is_ready(), "not ready with members of all services")
+
+
 def test_lost_answers(site):
     """A registration whose answer is lost is read back, not written twice."""
     start(site, n_balancers=1)
