Send long member lists in parts instead of cutting them off at 100

Cause: a list was encoded with its first 100 members and no word about the rest. With more members in a service, a companion's list never matches the balancer's: each balancer sends its list again every 250 ms, and companions don't know the members that are left out, so that their packets are not found. A list is split by members' ids now, so that each part tells by itself who is gone; test_passmembers and test_report fail without it.

Traced: the stand-in store takes 5 connections in its queue, six processes connect at once, and the one whose SYN is dropped begins its watch a second late (registered 1.2 s after its start in the same log).

--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -26,12 +26,21 @@
   gboolean failing;     /* the server fails too many requests to get new flows */
 } DpReport;
 
-/* The present members of one service. */
+#define DP_LIST_PARTS_MAX 256
+/* Members of one part, with some room, since members are spread over parts by their ids.
+ */
+#define DP_LIST_PART_MEMBERS 64
+
+/* The present members of one service, or a part of them: those whose id modulo n_parts is
+ * part. Parts need not arrive together, as each tells who is absent of its own members.
+ */
 typedef struct
 {
   const char *service;
   GArray *members;   /* DpMember; id, name, zone, address, slots and state are set */
   GArray *balancers; /* DpAddress of the balancers' report ports */
+  guint part;
+  guint n_parts; /* 0 or 1: the list is whole */
 } DpMemberList;
 
 typedef enum
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -96,6 +96,10 @@
                         const DpAddress *destination,
                         const DpReport *report,
                         gint64 now);
+static void send_part_ (DpPassBalancer *balancer,
+                        const DpAddress *destination,
+                        const DpView *view,
+                        DpMemberList *list);
 static gboolean tick_ (gpointer user_data);
 
 /* Creates a balancer that does nothing yet. */
@@ -479,9 +483,7 @@
 {
   DpView *view = dp_placement_view (balancer->placement, dp_service_id (report->service));
   gint64 *listed_at = g_hash_table_lookup (balancer->listed, report->name);
-  guint8 buffer[DP_REPORT_MAX];
   DpMemberList list = { .service = report->service };
-  gsize length;
 
   if (view == NULL || (listed_at != NULL && now - *listed_at < LIST_INTERVAL_US))
     return;
@@ -489,14 +491,34 @@
                         g_memdup2 (&now, sizeof now));
   list.members = g_array_new (FALSE, FALSE, sizeof (DpMember));
   list.balancers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
-  g_array_append_vals (list.members, view->members, view->n_members);
-  length = dp_member_list_encode (&list, buffer);
-  if (length > 0)
-    dp_packet_port_send (balancer->report, destination, buffer, length);
+  list.n_parts = MIN (1 + view->n_members / DP_LIST_PART_MEMBERS, DP_LIST_PARTS_MAX);
+  for (list.part = 0; list.part < list.n_parts; list.part++)
+    send_part_ (balancer, destination, view, &list);
   g_array_unref (list.members);
   g_array_unref (list.balancers);
 }
 
+static void
+send_part_ (DpPassBalancer *balancer,
+            const DpAddress *destination,
+            const DpView *view,
+            DpMemberList *list)
+{
+  guint8 buffer[DP_REPORT_MAX];
+  gsize length;
+
+  g_array_set_size (list->members, 0);
+  for (guint i = 0; i < view->n_members; i++)
+    if (view->members[i].id % list->n_parts == list->part)
+      g_array_append_val (list->members, view->members[i]);
+  length = dp_member_list_encode (list, buffer);
+  if (length > 0)
+    dp_packet_port_send (balancer->report, destination, buffer, length);
+  else
+    g_warning ("members of service %s not sent: part %u of %u has %u of them",
+               list->service, list->part, list->n_parts, list->members->len);
+}
+
 static gboolean
 tick_ (gpointer user_data)
 {
--- a/src/libdogwoodpaddle/passmembers.c
+++ b/src/libdogwoodpaddle/passmembers.c
@@ -21,7 +21,7 @@
 };
 
 static void take_member_ (DpPassMembers *members, const DpMember *listed, gint64 now);
-static void drop_absent_ (DpPassMembers *members, gint64 now);
+static void drop_absent_ (DpPassMembers *members, const DpMemberList *list, gint64 now);
 static void known_free_ (gpointer data);
 
 /* Creates an empty set. */
@@ -58,7 +58,7 @@
 
   for (guint i = 0; i < list->members->len; i++)
     take_member_ (members, &g_array_index (list->members, DpMember, i), now);
-  drop_absent_ (members, now);
+  drop_absent_ (members, list, now);
   g_hash_table_iter_init (&iter, members->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_array_append_val (all, ((Known *) value)->member);
@@ -97,8 +97,9 @@
   known->listed_at = now;
 }
 
+/* Drops members that the list should name and doesn't, if that lasts. */
 static void
-drop_absent_ (DpPassMembers *members, gint64 now)
+drop_absent_ (DpPassMembers *members, const DpMemberList *list, gint64 now)
 {
   GHashTableIter iter;
   gpointer value;
@@ -108,6 +109,8 @@
     {
       Known *known = value;
 
+      if (known->member.id % MAX (list->n_parts, 1) != list->part)
+        continue;
       if (known->listed_at == now)
         known->absent_since = 0;
       else if (known->absent_since == 0)
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -10,7 +10,7 @@
 
 #define VERSION 1
 #define TEXT_MAX 255     /* bytes of a name */
-#define MEMBERS_MAX 100  /* of one list, so that it fits into a datagram */
+#define MEMBERS_MAX 160  /* of one list, so that it fits into a datagram */
 #define BALANCERS_MAX 32 /* likewise */
 #define CHUNK 512        /* bytes of the texts' first block */
 
@@ -42,6 +42,9 @@
   LIST_SERVICE,
   LIST_MEMBERS,
   LIST_BALANCERS,
+  N_REQUIRED_LIST_FIELDS,
+  LIST_PART = N_REQUIRED_LIST_FIELDS, /* not sent by earlier versions, as LIST_PARTS */
+  LIST_PARTS,
   N_LIST_FIELDS
 };
 
@@ -60,7 +63,8 @@
 static gsize finish_ (msgpack_sbuffer *buffer, guint8 *data);
 static gboolean
 decode_report_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields);
-static gboolean decode_list_ (DpReportMessage *message, const msgpack_object *fields);
+static gboolean
+decode_list_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields);
 static gboolean
 decode_member_ (DpReportMessage *message, const msgpack_object *object, DpMember *member);
 static gboolean get_uint_ (const msgpack_object *object, guint64 max, guint64 *value);
@@ -97,15 +101,17 @@
 }
 
 /* Encodes a list of at most MEMBERS_MAX members; returns its length in bytes, 0 if it
- * does not fit. */
+ * does not fit. A longer list is to be sent in parts. */
 gsize
 dp_member_list_encode (const DpMemberList *list, guint8 buffer[DP_REPORT_MAX])
 {
-  guint n_members = MIN (list->members->len, MEMBERS_MAX);
+  guint n_members = list->members->len;
   guint n_balancers = MIN (list->balancers->len, BALANCERS_MAX);
   msgpack_sbuffer out;
   msgpack_packer packer;
 
+  if (n_members > MEMBERS_MAX)
+    return 0;
   msgpack_sbuffer_init (&out);
   msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
   msgpack_pack_array (&packer, N_LIST_FIELDS);
@@ -133,6 +139,8 @@
       msgpack_pack_uint32 (&packer, address->ip);
       msgpack_pack_uint16 (&packer, address->port);
     }
+  msgpack_pack_uint32 (&packer, list->part);
+  msgpack_pack_uint32 (&packer, MAX (list->n_parts, 1));
   return finish_ (&out, buffer);
 }
 
@@ -165,8 +173,8 @@
       /* While hosts are updated in turn, other versions may send fewer or more fields. */
       if (valid && type == DP_REPORT_LOAD && n >= N_REQUIRED_REPORT_FIELDS)
         valid = decode_report_ (message, fields, n);
-      else if (valid && type == DP_REPORT_MEMBERS && n == N_LIST_FIELDS)
-        valid = decode_list_ (message, fields);
+      else if (valid && type == DP_REPORT_MEMBERS && n >= N_REQUIRED_LIST_FIELDS)
+        valid = decode_list_ (message, fields, n);
       else
         valid = FALSE;
     }
@@ -251,18 +259,26 @@
 }
 
 static gboolean
-decode_list_ (DpReportMessage *message, const msgpack_object *fields)
+decode_list_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields)
 {
   DpMemberList *list = &message->list;
   const msgpack_object_array *members = &fields[LIST_MEMBERS].via.array;
   const msgpack_object_array *balancers = &fields[LIST_BALANCERS].via.array;
+  guint64 part = 0;
+  guint64 n_parts = 1;
 
   if (fields[LIST_MEMBERS].type != MSGPACK_OBJECT_ARRAY
       || fields[LIST_BALANCERS].type != MSGPACK_OBJECT_ARRAY
       || members->size > MEMBERS_MAX || balancers->size > 2 * BALANCERS_MAX
       || balancers->size % 2 != 0
-      || !get_text_ (message, &fields[LIST_SERVICE], &list->service))
+      || !get_text_ (message, &fields[LIST_SERVICE], &list->service)
+      || (n_fields > LIST_PARTS
+          && (!get_uint_ (&fields[LIST_PART], DP_LIST_PARTS_MAX - 1, &part)
+              || !get_uint_ (&fields[LIST_PARTS], DP_LIST_PARTS_MAX, &n_parts)))
+      || part >= n_parts)
     return FALSE;
+  list->part = (guint) part;
+  list->n_parts = (guint) n_parts;
   list->members = g_array_sized_new (FALSE, TRUE, sizeof (DpMember), members->size);
   list->balancers = g_array_new (FALSE, TRUE, sizeof (DpAddress));
   for (guint i = 0; i < members->size; i++)
--- a/src/test_libdogwoodpaddle/test_passmembers.c
+++ b/src/test_libdogwoodpaddle/test_passmembers.c
@@ -9,11 +9,15 @@
 /* Takes a list of members named by the letters; capitals are leaving. Returns the number
  * of members in the new view, or -1 if nothing changed. */
 static int
-take (DpPassMembers *members, const char *letters, gint64 now)
+take_part (DpPassMembers *members,
+           const char *letters,
+           guint part,
+           guint n_parts,
+           gint64 now)
 {
   g_autoptr (GArray) list_members = g_array_new (FALSE, TRUE, sizeof (DpMember));
   g_autoptr (GArray) balancers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
-  const DpMemberList list = { "darbnica", list_members, balancers };
+  const DpMemberList list = { "darbnica", list_members, balancers, part, n_parts };
   g_autoptr (DpView) view = NULL;
   char names[8][2] = { { 0 } };
 
@@ -31,6 +35,12 @@
   return view == NULL ? -1 : (int) view->n_members;
 }
 
+static int
+take (DpPassMembers *members, const char *letters, gint64 now)
+{
+  return take_part (members, letters, 0, 1, now);
+}
+
 /* Found on lgkaa-serviss scale-2: the list of a balancer that had just started replaced
  * the whole one, and new flows were rejected for lack of other members. */
 static void
@@ -65,7 +75,35 @@
   CU_ASSERT_EQUAL (take (members, "abd", 4 * MS), 3);
 }
 
+/* A list of many members comes in parts, of which any may be lost: members of the others
+ * must stay, and one that is gone from its own part must go. Lists of over 100 members
+ * used to be cut off without a word, so that balancers and companions never agreed. */
+static void
+test_parts (void)
+{
+  g_autoptr (DpPassMembers) members = dp_pass_members_new ("darbnica");
+  char part[2][8] = { { 0 } };
+  guint n[2] = { 0 };
+
+  for (const char *letter = "abcdefg"; *letter != '\0'; letter++)
+    {
+      const char name[2] = { *letter, '\0' };
+      guint p = dp_member_id (name) % 2;
+
+      part[p][n[p]++] = *letter;
+    }
+  CU_ASSERT_TRUE_FATAL (n[0] > 1 && n[1] > 1);
+  CU_ASSERT_EQUAL (take_part (members, part[0], 0, 2, 0), (int) n[0]);
+  CU_ASSERT_EQUAL (take_part (members, part[1], 1, 2, 0), 7);
+  /* One part alone for a long time. */
+  for (guint i = 1; i <= 40; i++)
+    CU_ASSERT_EQUAL (take_part (members, part[1], 1, 2, i * 250 * MS), -1);
+  CU_ASSERT_EQUAL (take_part (members, part[1] + 1, 1, 2, 11000 * MS), -1);
+  CU_ASSERT_EQUAL (take_part (members, part[1] + 1, 1, 2, 12600 * MS), 6);
+}
+
 static const DpTestCase cases_[] = {
+  { "a list in parts", test_parts },
   { "a list of a part of the members", test_partial_list },
   { "states and new members", test_states },
 };
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -121,6 +121,36 @@
   CU_ASSERT_EQUAL (dp_member_list_encode (&list, buffer), 0);
 }
 
+/* Parts are told apart, and a datagram with more members than the receiver takes is not
+ * sent with some of them left out. */
+static void
+test_parts (void)
+{
+  const DpMember member = { .name = (char *) "a",
+                            .zone = (char *) "z",
+                            .address = { 1, 2 } };
+  g_autoptr (GArray) members = g_array_new (FALSE, FALSE, sizeof (DpMember));
+  g_autoptr (GArray) balancers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  DpMemberList list = { "darbnica", members, balancers, 2, 3 };
+  guint8 buffer[DP_REPORT_MAX];
+  DpReportMessage message;
+
+  while (members->len < 160)
+    g_array_append_val (members, member);
+  CU_ASSERT_TRUE (
+      dp_report_decode (&message, buffer, dp_member_list_encode (&list, buffer)));
+  CU_ASSERT_EQUAL (message.list.members->len, 160);
+  CU_ASSERT_EQUAL (message.list.part, 2);
+  CU_ASSERT_EQUAL (message.list.n_parts, 3);
+  dp_report_message_clear (&message);
+  list.part = 3;
+  CU_ASSERT_FALSE (
+      dp_report_decode (&message, buffer, dp_member_list_encode (&list, buffer)));
+  dp_report_message_clear (&message);
+  g_array_append_val (members, member);
+  CU_ASSERT_EQUAL (dp_member_list_encode (&list, buffer), 0);
+}
+
 static void
 test_malformed (void)
 {
@@ -165,6 +195,7 @@
 }
 
 static const DpTestCase cases_[] = {
+  { "a list in parts", test_parts },
   { "reports of other versions are understood", test_other_versions },
   { "a report there and back", test_report },
   { "a list there and back", test_list },
--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -107,6 +107,8 @@
             def do_DELETE(self):
                 store.handle(self, "DELETE")
 
+        # All processes connect at once; a full queue would delay some by a second.
+        ThreadingHTTPServer.request_queue_size = 128
         self.server = ThreadingHTTPServer((ip, STORE_PORT), Handler)
         self.server.daemon_threads = True
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
