Keep a balancer out of rotation until it knows a member

A balancer without any member is not ready now, whatever its age. The new case of test_hosted fails without the change.

--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -165,13 +165,15 @@
 }
 
 /* Returns whether the fabric may send packets here: the services are known, and so is a
- * member of each, or there has been time to hear of one. */
+ * member of each, or there has been time to hear of one. Without any member all flows
+ * would be rejected, so that other balancers serve them better. */
 gboolean
 dp_pass_balancer_is_ready (const DpPassBalancer *balancer)
 {
   gint64 age = dp_clock_now (balancer->options.clock) - balancer->started_at;
 
-  if (!dp_pass_services_known (balancer->services) || balancer->stopping)
+  if (!dp_pass_services_known (balancer->services) || balancer->stopping
+      || dp_placement_n_members (balancer->placement) == 0)
     return FALSE;
   return age > GATHER_US
          || dp_pass_services_all (balancer->services, has_member_, balancer->placement);
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -233,6 +233,22 @@
     check(balancer.is_ready(), "not ready with members of all services")
 
 
+def test_not_ready_without_members(site):
+    """Found in an incident of vrtina-lb-grown: balancers that had been added while the store
+    had lost its history were not known to any companion, were ready after 1.5 s and
+    rejected every flow."""
+    site.configure([REPORTS, MANUALS])
+    balancer = site.add_balancer()
+    time.sleep(2.2)
+    check("are in force" in balancer.log(), "no services")
+    check(not balancer.is_ready(), "ready without a member")
+    site.add_server("darbnica")
+    end = time.monotonic() + 2.0
+    while not balancer.is_ready() and time.monotonic() < end:
+        time.sleep(0.05)
+    check(balancer.is_ready(), "not ready with a member")
+
+
 def test_lost_answers(site):
     """A registration whose answer is lost is read back, not written twice."""
     start(site, n_balancers=1)
