Give a companion's reports a module of their own

In newflows.c flows that 'wait in vain' are flows that should no longer wait here. No change of behaviour.

--- a/src/libdogwoodpaddle/include/protected/passcompanion.h
+++ b/src/libdogwoodpaddle/include/protected/passcompanion.h
@@ -24,7 +24,7 @@
   DpAddress outbound;  /* the server's packets arrive here */
   DpAddress report;    /* reports leave from here */
   guint16 client_port; /* UDP port of all clients */
-  const DpAddress *first_balancers; /* report ports to try until others are known */
+  const DpAddress *first_balancers; /* report ports, of the settings */
   guint n_first_balancers;
   guint heartbeat_ms; /* of the server */
   gint64 flow_ttl;    /* us */
--- a/src/libdogwoodpaddle/newflows.c
+++ b/src/libdogwoodpaddle/newflows.c
@@ -13,7 +13,7 @@
 /* A late flow waits only if its turn is expected in this part of the time that it has,
  * since newcomers that can be served in time go first. */
 #define LATE_SHARE 2
-/* Between two searches for flows that wait in vain. */
+/* Between two searches for flows that should no longer wait here. */
 #define REVIEW_US (100 * DP_US_PER_MS)
 /* Members report every 100 to 400 ms, and lists are sent at most every 250 ms. */
 #define GATHER_US (1500 * DP_US_PER_MS)
@@ -30,7 +30,7 @@
   DpPassFlows *flows;       /* not owned */
   gboolean serving;
   gboolean relocating; /* late flows may go to members that were not known before */
-  gint64 reviewed_at;  /* us, last search for flows that wait in vain */
+  gint64 reviewed_at;  /* us, last search for flows that should no longer wait here */
   gint64 created_at;   /* us */
   guint unanswered;    /* SYNs since the server's last packet */
   gint64 silent_from;  /* us of the first of them */
@@ -47,7 +47,7 @@
                              gint64 now);
 static gint64 useful_wait_ (const DpSegment *segment, const DpHop *hop);
 static DpHop hop_after_wait_ (const DpPassFlow *flow, gint64 now);
-static DpPassFlow *next_in_vain_ (DpNewFlows *new_flows, gboolean serving, gint64 now);
+static DpPassFlow *next_to_leave_ (DpNewFlows *new_flows, gboolean serving, gint64 now);
 static DpPassDecision
 end_wait_ (DpNewFlows *new_flows, DpPassFlow *flow, gboolean serving, gint64 now);
 static DpPassDecision reject_ (const DpNewFlows *new_flows, const DpHop *hop, gint64 now);
@@ -199,8 +199,8 @@
   flow->packet = g_bytes_ref (packet);
 }
 
-/* Releases the flow whose turn it is, or one that waits in vain. When the server takes no
- * new flows, all of them go to other members. */
+/* Releases the flow whose turn it is, or one that should no longer wait here. When the
+ * server takes no new flows, all of them go to other members. */
 gboolean
 dp_new_flows_next (DpNewFlows *new_flows, DpReleasedSyn *released, gint64 now)
 {
@@ -211,7 +211,7 @@
   if (serving)
     flow = dp_pass_flows_next_waiting (new_flows->flows);
   if (flow == NULL)
-    flow = next_in_vain_ (new_flows, serving, now);
+    flow = next_to_leave_ (new_flows, serving, now);
   if (flow == NULL)
     return FALSE;
   released->key = flow->key;
@@ -308,11 +308,12 @@
   return hop;
 }
 
-/* Returns a flow that waits in vain: its client has given up by now, the server takes no
- * new flows, or a member that was not known before may have a free slot for a late one.
+/* Returns a flow that should no longer wait here: its client has given up by now, the
+ * server takes no new flows, or a member that was not known before may have a free slot
+ * for a late one.
  */
 static DpPassFlow *
-next_in_vain_ (DpNewFlows *new_flows, gboolean serving, gint64 now)
+next_to_leave_ (DpNewFlows *new_flows, gboolean serving, gint64 now)
 {
   DpHandle cursor = DP_HANDLE_NONE;
   DpPassFlow *flow;
@@ -333,7 +334,7 @@
   return NULL;
 }
 
-/* Passes a flow that waits in vain on, or gives it up. */
+/* Passes a flow that has no slot on, or gives it up. */
 static DpPassDecision
 end_wait_ (DpNewFlows *new_flows, DpPassFlow *flow, gboolean serving, gint64 now)
 {
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -3,26 +3,14 @@
 #include <string.h>
 
 #include "dogwoodpaddle/logging.h"
-#include "private/watch.h"
+#include "private/passreporter.h"
 #include "protected/flowlog.h"
 #include "protected/packetport.h"
 #include "protected/passmembers.h"
 #include "protected/passthrough.h"
 #include "protected/report.h"
-#include "protected/topology.h"
 
-/* Between two reports to balancers of the own availability zone, whose choices depend on
- * them. Half a dozen flows are placed on a server of two slots in this time. */
-#define REPORT_NEAR_MS 100
-/* Others hear of every fourth report at most: they send flows here when theirs is full.
- */
-#define FAR_EVERY 4
-/* Reports a second to all of them together, since bytes between availability zones are
- * dear; above 40 of them each gets fewer. */
-#define FAR_PER_S 100
 #define TICK_MS 1000
-/* Half of the history that the platform keeps. */
-#define WATCH_MS 10000
 /* A server that misses more of its heartbeats than this no longer takes new flows. */
 #define HEARTBEATS_MISSED 3
 /* So that every balancer hears that this member is leaving before it ends. */
@@ -32,26 +20,16 @@
 #define STOP_MAX_MS 4500
 #define STOP_CHECK_MS 50
 
-/* A balancer that reports go to. */
-typedef struct
-{
-  DpAddress address; /* of its report port */
-  gboolean near;
-} Balancer;
-
 struct _DpPassCompanion
 {
   DpPassCompanionOptions options;
   char *service;
   char *name;
   char *zone;
-  GArray *first_balancers; /* Balancer, of the settings */
-  GArray *balancers;       /* Balancer */
   DpPassMembers *members;
+  DpPassReporter *reporter;
   DpPassthrough *passthrough;
   DpFlowLog *log;
-  DpReplica *replica; /* of the collection balancers */
-  DpWatch *watch;
   DpPacketPort *data;
   DpPacketPort *outbound;
   DpPacketPort *report;
@@ -60,11 +38,8 @@
   DpBreakerState health;
   gint64 announced_at; /* us */
   gint64 warm_at;      /* us */
-  guint n_reports;
-  guint far_every;    /* of so many reports one goes to other availability zones */
-  guint report_timer; /* source id */
-  guint tick;         /* source id */
-  guint replica_listener;
+  guint report_timer;  /* source id */
+  guint tick;          /* source id */
   gboolean stopping;
   gint64 stop_at;   /* us, when the stop began */
   guint stop_timer; /* source id */
@@ -79,12 +54,6 @@
 
 static void add_metrics_ (DpPassCompanion *companion);
 static void create_parts_ (DpPassCompanion *companion);
-static void platform_reachable_ (gboolean reachable, gpointer user_data);
-static void balancers_progressed_ (gpointer user_data);
-static void balancer_changed_ (const DpRecord *record, gpointer user_data);
-static void read_balancers_ (DpPassCompanion *companion);
-static gboolean knows_balancer_ (const DpPassCompanion *companion,
-                                 const DpAddress *address);
 static void received_packet_ (const DpAddress *source,
                               guint8 *data,
                               gsize length,
@@ -112,10 +81,6 @@
 static gboolean report_timer_ (gpointer user_data);
 static void watch_health_ (DpPassCompanion *companion);
 static void report_ (DpPassCompanion *companion, gint64 now);
-static void send_report_ (DpPassCompanion *companion,
-                          const DpReport *report,
-                          gboolean near,
-                          guint interval_ms);
 static gboolean tick_ (gpointer user_data);
 static gboolean check_stop_ (gpointer user_data);
 
@@ -129,15 +94,7 @@
   companion->service = g_strdup (options->service);
   companion->name = g_strdup (options->name);
   companion->zone = g_strdup (options->zone);
-  companion->first_balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
-  companion->balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
   companion->members = dp_pass_members_new (companion->service);
-  for (guint i = 0; i < options->n_first_balancers; i++)
-    {
-      const Balancer balancer = { options->first_balancers[i], TRUE };
-
-      g_array_append_val (companion->first_balancers, balancer);
-    }
   add_metrics_ (companion);
   create_parts_ (companion);
   return companion;
@@ -160,8 +117,8 @@
                                        error);
   if (companion->report == NULL)
     return FALSE;
-  dp_watch_set_active (companion->watch, TRUE);
-  companion->report_timer = g_timeout_add (REPORT_NEAR_MS, report_timer_, companion);
+  dp_pass_reporter_start (companion->reporter, companion->report);
+  companion->report_timer = g_timeout_add (DP_REPORT_NEAR_MS, report_timer_, companion);
   companion->tick = g_timeout_add (TICK_MS, tick_, companion);
   g_message ("companion %s of service %s started", companion->name, companion->service);
   return TRUE;
@@ -195,17 +152,13 @@
   g_clear_handle_id (&companion->report_timer, g_source_remove);
   g_clear_handle_id (&companion->tick, g_source_remove);
   g_clear_handle_id (&companion->stop_timer, g_source_remove);
-  dp_replica_remove_listener (companion->replica, companion->replica_listener);
-  dp_watch_free (companion->watch);
+  dp_pass_reporter_free (companion->reporter);
   dp_packet_port_free (companion->data);
   dp_packet_port_free (companion->outbound);
   dp_packet_port_free (companion->report);
   dp_passthrough_free (companion->passthrough);
   dp_flow_log_free (companion->log);
-  dp_replica_free (companion->replica);
   dp_announced_clear (&companion->announced);
-  g_array_unref (companion->first_balancers);
-  g_array_unref (companion->balancers);
   dp_pass_members_free (companion->members);
   g_free (companion->service);
   g_free (companion->name);
@@ -288,11 +241,14 @@
 static void
 create_parts_ (DpPassCompanion *companion)
 {
-  static const DpWatchListener listener = {
-    .reachable = platform_reachable_,
-    .progressed = balancers_progressed_,
-  };
   const DpPassCompanionOptions *options = &companion->options;
+  const DpPassReporterOptions reporter = {
+    .zone = companion->zone,
+    .first_balancers = options->first_balancers,
+    .n_first_balancers = options->n_first_balancers,
+    .platform = options->platform,
+    .balancers = options->balancers,
+  };
   const DpPassTimes times = {
     .wait = dp_metrics_add_histogram (options->metrics, "dogwoodpaddle_wait_seconds",
                                       "Waits of new flows for a slot"),
@@ -306,78 +262,7 @@
                                                dp_clock_now (options->clock));
   dp_passthrough_set_times (companion->passthrough, &times);
   companion->log = dp_flow_log_new (options->clock, options->metrics);
-  companion->replica = dp_replica_new ();
-  companion->replica_listener = dp_replica_add_listener (companion->replica,
-                                                         balancer_changed_, companion);
-  companion->watch = dp_watch_new (options->platform, options->balancers, WATCH_MS,
-                                   companion->replica, options->metrics, &listener,
-                                   companion);
-  read_balancers_ (companion);
-}
-
-static void
-platform_reachable_ (gboolean reachable, gpointer user_data)
-{
-  g_message ("platform: %s", reachable ? "reachable" : "not reachable");
-}
-
-static void
-balancers_progressed_ (gpointer user_data)
-{
-  read_balancers_ (user_data);
-}
-
-static void
-balancer_changed_ (const DpRecord *record, gpointer user_data)
-{
-  const DpPassCompanion *companion = user_data;
-
-  g_message ("balancer %s is %s, %u known", record->name,
-             record->deleted ? "no longer registered" : "registered",
-             companion->balancers->len);
-}
-
-/* Takes the registered balancers over, and those of the settings, which may not have
- * registered yet. Where these are is not known; once others are registered, they hear of
- * this member as seldom as if they were elsewhere, since they may also be gone. */
-static void
-read_balancers_ (DpPassCompanion *companion)
-{
-  g_autoptr (DpTopology) topology = dp_topology_new (companion->replica);
-  const gboolean registered = dp_topology_size (topology) > 0;
-  guint n_far = 0;
-
-  g_array_set_size (companion->balancers, 0);
-  for (guint i = 0; i < dp_topology_size (topology); i++)
-    {
-      const DpTopologyBalancer *b = dp_topology_at (topology, i);
-      const Balancer balancer = { b->control, g_str_equal (b->zone, companion->zone) };
-
-      g_array_append_val (companion->balancers, balancer);
-    }
-  for (guint i = 0; i < companion->first_balancers->len; i++)
-    {
-      const Balancer *first = &g_array_index (companion->first_balancers, Balancer, i);
-      const Balancer balancer = { first->address, !registered };
-
-      if (!knows_balancer_ (companion, &first->address))
-        g_array_append_val (companion->balancers, balancer);
-    }
-  for (guint i = 0; i < companion->balancers->len; i++)
-    n_far += g_array_index (companion->balancers, Balancer, i).near ? 0 : 1;
-  companion->far_every = MAX (n_far * 1000 / FAR_PER_S / REPORT_NEAR_MS, FAR_EVERY);
-  companion->far_every = MIN (companion->far_every,
-                              DP_REPORT_INTERVAL_MAX_MS / REPORT_NEAR_MS);
-}
-
-static gboolean
-knows_balancer_ (const DpPassCompanion *companion, const DpAddress *address)
-{
-  for (guint i = 0; i < companion->balancers->len; i++)
-    if (dp_address_equal (&g_array_index (companion->balancers, Balancer, i).address,
-                          address))
-      return TRUE;
-  return FALSE;
+  companion->reporter = dp_pass_reporter_new (&reporter, options->metrics);
 }
 
 static void
@@ -635,33 +520,8 @@
     .failing = companion->health == DP_BREAKER_OPEN,
   };
 
-  if (!companion->announced.known)
-    return;
-  send_report_ (companion, &report, TRUE, REPORT_NEAR_MS);
-  if (companion->n_reports++ % companion->far_every == 0)
-    send_report_ (companion, &report, FALSE, companion->far_every * REPORT_NEAR_MS);
-}
-
-/* Sends the report to the balancers of the own availability zone, or to the others. */
-static void
-send_report_ (DpPassCompanion *companion,
-              const DpReport *report,
-              gboolean near,
-              guint interval_ms)
-{
-  guint8 buffer[DP_REPORT_MAX];
-  DpReport message = *report;
-  gsize length;
-
-  message.interval_ms = interval_ms;
-  length = dp_report_encode (&message, buffer);
-  for (guint i = 0; i < companion->balancers->len; i++)
-    {
-      const Balancer *balancer = &g_array_index (companion->balancers, Balancer, i);
-
-      if (balancer->near == near)
-        dp_packet_port_send (companion->report, &balancer->address, buffer, length);
-    }
+  if (companion->announced.known)
+    dp_pass_reporter_send (companion->reporter, &report);
 }
 
 static gboolean
--- /dev/null
+++ b/src/libdogwoodpaddle/passreporter.c
@@ -0,0 +1,189 @@
+#include "private/passreporter.h"
+
+#include "private/watch.h"
+#include "protected/topology.h"
+
+/* Others hear of every fourth report at most: they send flows here when theirs is full.
+ */
+#define FAR_EVERY 4
+/* Reports a second to all of them together, since bytes between availability zones are
+ * dear; above 40 of them each gets fewer. */
+#define FAR_PER_S 100
+/* Half of the history that the platform keeps. */
+#define WATCH_MS 10000
+
+/* A balancer that reports go to. */
+typedef struct
+{
+  DpAddress address; /* of its report port */
+  gboolean near;
+} Balancer;
+
+struct _DpPassReporter
+{
+  char *zone;
+  GArray *first_balancers; /* Balancer, of the settings */
+  GArray *balancers;       /* Balancer */
+  DpReplica *replica;      /* of the collection balancers */
+  guint replica_listener;
+  DpWatch *watch;
+  DpPacketPort *port; /* not owned */
+  guint n_reports;
+  guint far_every; /* of so many reports one goes to other availability zones */
+};
+
+static void platform_reachable_ (gboolean reachable, gpointer user_data);
+static void balancers_progressed_ (gpointer user_data);
+static void balancer_changed_ (const DpRecord *record, gpointer user_data);
+static void read_balancers_ (DpPassReporter *reporter);
+static gboolean knows_balancer_ (const DpPassReporter *reporter,
+                                 const DpAddress *address);
+static void send_to_ (DpPassReporter *reporter,
+                      const DpReport *report,
+                      gboolean near,
+                      guint interval_ms);
+
+/* Creates a reporter that makes no call to the platform yet. */
+DpPassReporter *
+dp_pass_reporter_new (const DpPassReporterOptions *options, DpMetrics *metrics)
+{
+  static const DpWatchListener listener = {
+    .reachable = platform_reachable_,
+    .progressed = balancers_progressed_,
+  };
+  DpPassReporter *reporter = g_new0 (DpPassReporter, 1);
+
+  reporter->zone = g_strdup (options->zone);
+  reporter->first_balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
+  reporter->balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
+  for (guint i = 0; i < options->n_first_balancers; i++)
+    {
+      const Balancer balancer = { options->first_balancers[i], TRUE };
+
+      g_array_append_val (reporter->first_balancers, balancer);
+    }
+  reporter->replica = dp_replica_new ();
+  reporter->replica_listener = dp_replica_add_listener (reporter->replica,
+                                                        balancer_changed_, reporter);
+  reporter->watch = dp_watch_new (options->platform, options->balancers, WATCH_MS,
+                                  reporter->replica, metrics, &listener, reporter);
+  read_balancers_ (reporter);
+  return reporter;
+}
+
+/* Frees the reporter. */
+void
+dp_pass_reporter_free (DpPassReporter *reporter)
+{
+  dp_replica_remove_listener (reporter->replica, reporter->replica_listener);
+  dp_watch_free (reporter->watch);
+  dp_replica_free (reporter->replica);
+  g_array_unref (reporter->first_balancers);
+  g_array_unref (reporter->balancers);
+  g_free (reporter->zone);
+  g_free (reporter);
+}
+
+/* Begins to watch the registered balancers. */
+void
+dp_pass_reporter_start (DpPassReporter *reporter, DpPacketPort *port)
+{
+  reporter->port = port;
+  dp_watch_set_active (reporter->watch, TRUE);
+}
+
+/* Sends the report to the balancers whose turn it is. */
+void
+dp_pass_reporter_send (DpPassReporter *reporter, const DpReport *report)
+{
+  send_to_ (reporter, report, TRUE, DP_REPORT_NEAR_MS);
+  if (reporter->n_reports++ % reporter->far_every == 0)
+    send_to_ (reporter, report, FALSE, reporter->far_every * DP_REPORT_NEAR_MS);
+}
+
+static void
+platform_reachable_ (gboolean reachable, gpointer user_data)
+{
+  g_message ("platform: %s", reachable ? "reachable" : "not reachable");
+}
+
+static void
+balancers_progressed_ (gpointer user_data)
+{
+  read_balancers_ (user_data);
+}
+
+static void
+balancer_changed_ (const DpRecord *record, gpointer user_data)
+{
+  const DpPassReporter *reporter = user_data;
+
+  g_message ("balancer %s is %s, %u known", record->name,
+             record->deleted ? "no longer registered" : "registered",
+             reporter->balancers->len);
+}
+
+/* Takes the registered balancers over, and those of the settings, which may not have
+ * registered yet. Where these are is not known; once others are registered, they hear of
+ * this member as seldom as if they were elsewhere, since they may also be gone. */
+static void
+read_balancers_ (DpPassReporter *reporter)
+{
+  g_autoptr (DpTopology) topology = dp_topology_new (reporter->replica);
+  const gboolean registered = dp_topology_size (topology) > 0;
+  guint n_far = 0;
+
+  g_array_set_size (reporter->balancers, 0);
+  for (guint i = 0; i < dp_topology_size (topology); i++)
+    {
+      const DpTopologyBalancer *b = dp_topology_at (topology, i);
+      const Balancer balancer = { b->control, g_str_equal (b->zone, reporter->zone) };
+
+      g_array_append_val (reporter->balancers, balancer);
+    }
+  for (guint i = 0; i < reporter->first_balancers->len; i++)
+    {
+      const Balancer *first = &g_array_index (reporter->first_balancers, Balancer, i);
+      const Balancer balancer = { first->address, !registered };
+
+      if (!knows_balancer_ (reporter, &first->address))
+        g_array_append_val (reporter->balancers, balancer);
+    }
+  for (guint i = 0; i < reporter->balancers->len; i++)
+    n_far += g_array_index (reporter->balancers, Balancer, i).near ? 0 : 1;
+  reporter->far_every = MAX (n_far * 1000 / FAR_PER_S / DP_REPORT_NEAR_MS, FAR_EVERY);
+  reporter->far_every = MIN (reporter->far_every,
+                             DP_REPORT_INTERVAL_MAX_MS / DP_REPORT_NEAR_MS);
+}
+
+static gboolean
+knows_balancer_ (const DpPassReporter *reporter, const DpAddress *address)
+{
+  for (guint i = 0; i < reporter->balancers->len; i++)
+    if (dp_address_equal (&g_array_index (reporter->balancers, Balancer, i).address,
+                          address))
+      return TRUE;
+  return FALSE;
+}
+
+/* Sends the report to the balancers of the own availability zone, or to the others. */
+static void
+send_to_ (DpPassReporter *reporter,
+          const DpReport *report,
+          gboolean near,
+          guint interval_ms)
+{
+  guint8 buffer[DP_REPORT_MAX];
+  DpReport message = *report;
+  gsize length;
+
+  message.interval_ms = interval_ms;
+  length = dp_report_encode (&message, buffer);
+  for (guint i = 0; i < reporter->balancers->len; i++)
+    {
+      const Balancer *balancer = &g_array_index (reporter->balancers, Balancer, i);
+
+      if (balancer->near == near)
+        dp_packet_port_send (reporter->port, &balancer->address, buffer, length);
+    }
+}
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -219,7 +219,7 @@
   dp_new_flows_keep (passthrough->new_flows, segment, packet);
 }
 
-/* Releases the flow whose turn it is, or one that waits in vain. */
+/* Releases the flow whose turn it is, or one that should no longer wait here. */
 gboolean
 dp_passthrough_next (DpPassthrough *passthrough, DpReleasedSyn *released, gint64 now)
 {
