Send member lists in parts that fit into datagrams

The codec now finds the lowest number of parts that fit, what the port refuses is counted, and long lists go less often. Services of up to 74 members or so get their lists as before. test_report checks services of up to 3,000 members; lists cut off at 100 and parts that drop others' members fail in test_report and test_passmembers (run as variants).

--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -5,11 +5,12 @@
 #include <glib.h>
 
 #include "protected/address.h"
+#include "protected/packetport.h"
 #include "protected/view.h"
 
 #define DP_REPORT_INTERVAL_MAX_MS 60000
 
-#define DP_REPORT_MAX 8192 /* bytes of one encoded datagram */
+#define DP_REPORT_MAX DP_DATAGRAM_MAX /* bytes of one encoded datagram */
 
 typedef struct
 {
@@ -26,10 +27,7 @@
   gboolean failing;     /* the server fails too many requests to get new flows */
 } DpReport;
 
-#define DP_LIST_PARTS_MAX 256
-/* Members of one part, with some room, since members are spread over parts by their ids.
- */
-#define DP_LIST_PART_MEMBERS 64
+#define DP_LIST_PARTS_MAX 256 /* a power of two */
 
 /* The present members of one service, or a part of them: those whose id modulo n_parts is
  * part. Parts need not arrive together, as each tells who is absent of its own members.
@@ -62,6 +60,9 @@
 
 gsize dp_report_encode (const DpReport *report, guint8 buffer[DP_REPORT_MAX]);
 gsize dp_member_list_encode (const DpMemberList *list, guint8 buffer[DP_REPORT_MAX]);
+/* The members in as many datagrams, GBytes, as it takes for each part to fit into one;
+ * empty if they would be more than DP_LIST_PARTS_MAX. */
+GPtrArray *dp_member_list_encode_parts (const DpView *view);
 gboolean dp_report_decode (DpReportMessage *message, const guint8 *data, gsize length);
 void dp_report_message_clear (DpReportMessage *message);
 guint64 dp_member_list_hash (const DpMember *members, guint n_members);
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -18,8 +18,11 @@
 /* Within this time after a start nobody is rejected because there is no member: reports
  * come every 100 to 400 ms. Clients repeat their SYN after 200 and 600 ms. */
 #define GATHER_US (1500 * DP_US_PER_MS)
-/* A member's list is sent at most once in this time. */
+/* A member's list is sent at most once in this time, for each of its parts. */
 #define LIST_INTERVAL_US (250 * DP_US_PER_MS)
+/* Times as long for a list of several parts that goes to another availability zone, where
+ * bytes are dear and balancers of the own one send it, too. */
+#define FAR_LIST_FACTOR 4
 
 typedef enum
 {
@@ -31,6 +34,12 @@
   N_DROPS
 } Drop;
 
+/* A member that was sent a list. */
+typedef struct
+{
+  gint64 next_at; /* us, when it may get the next one */
+} Listed;
+
 struct _DpPassBalancer
 {
   DpPassBalancerOptions options;
@@ -43,7 +52,7 @@
   DpFlowLog *log;
   DpPacketPort *data;
   DpPacketPort *report;
-  GHashTable *listed; /* member's name to the time of its last list, gint64 us */
+  GHashTable *listed; /* member's name to Listed */
   guint tick;         /* source id */
   gint64 started_at;  /* us */
   gboolean stopping;
@@ -96,10 +105,8 @@
                         const DpAddress *destination,
                         const DpReport *report,
                         gint64 now);
-static void send_part_ (DpPassBalancer *balancer,
-                        const DpAddress *destination,
-                        const DpView *view,
-                        DpMemberList *list);
+static gint64
+list_interval_ (const DpPassBalancer *balancer, const DpReport *report, guint n_parts);
 static gboolean tick_ (gpointer user_data);
 
 /* Creates a balancer that does nothing yet. */
@@ -484,41 +491,39 @@
             gint64 now)
 {
   DpView *view = dp_placement_view (balancer->placement, dp_service_id (report->service));
-  gint64 *listed_at = g_hash_table_lookup (balancer->listed, report->name);
-  DpMemberList list = { .service = report->service };
+  Listed *listed = g_hash_table_lookup (balancer->listed, report->name);
+  g_autoptr (GPtrArray) parts = NULL;
 
-  if (view == NULL || (listed_at != NULL && now - *listed_at < LIST_INTERVAL_US))
+  if (view == NULL || (listed != NULL && now < listed->next_at))
     return;
-  g_hash_table_replace (balancer->listed, g_strdup (report->name),
-                        g_memdup2 (&now, sizeof now));
-  list.members = g_array_new (FALSE, FALSE, sizeof (DpMember));
-  list.balancers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
-  list.n_parts = MIN (1 + view->n_members / DP_LIST_PART_MEMBERS, DP_LIST_PARTS_MAX);
-  for (list.part = 0; list.part < list.n_parts; list.part++)
-    send_part_ (balancer, destination, view, &list);
-  g_array_unref (list.members);
-  g_array_unref (list.balancers);
+  parts = dp_member_list_encode_parts (view);
+  if (parts->len == 0)
+    g_warning ("%u members of service %s don't fit into lists", view->n_members,
+               report->service);
+  for (guint i = 0; i < parts->len; i++)
+    {
+      gsize length;
+      const guint8 *data = g_bytes_get_data (g_ptr_array_index (parts, i), &length);
+
+      if (!dp_packet_port_send (balancer->report, destination, data, length))
+        dp_metric_increment (balancer->drops[DROP_UNSENT]);
+    }
+  if (listed == NULL)
+    {
+      listed = g_new0 (Listed, 1);
+      g_hash_table_insert (balancer->listed, g_strdup (report->name), listed);
+    }
+  listed->next_at = now + list_interval_ (balancer, report, MAX (parts->len, 1));
 }
 
-static void
-send_part_ (DpPassBalancer *balancer,
-            const DpAddress *destination,
-            const DpView *view,
-            DpMemberList *list)
+/* Returns for how many us the member gets no further list. A list of many parts is sent
+ * less often, above all to other availability zones. */
+static gint64
+list_interval_ (const DpPassBalancer *balancer, const DpReport *report, guint n_parts)
 {
-  guint8 buffer[DP_REPORT_MAX];
-  gsize length;
-
-  g_array_set_size (list->members, 0);
-  for (guint i = 0; i < view->n_members; i++)
-    if (view->members[i].id % list->n_parts == list->part)
-      g_array_append_val (list->members, view->members[i]);
-  length = dp_member_list_encode (list, buffer);
-  if (length > 0)
-    dp_packet_port_send (balancer->report, destination, buffer, length);
-  else
-    g_warning ("members of service %s not sent: part %u of %u has %u of them",
-               list->service, list->part, list->n_parts, list->members->len);
+  const gboolean far = !g_str_equal (report->zone, balancer->zone);
+
+  return LIST_INTERVAL_US * n_parts * (far && n_parts > 1 ? FAR_LIST_FACTOR : 1);
 }
 
 static gboolean
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -10,7 +10,7 @@
 
 #define VERSION 1
 #define TEXT_MAX 255     /* bytes of a name */
-#define MEMBERS_MAX 160  /* of one list, so that it fits into a datagram */
+#define MEMBERS_MAX 160  /* of one list; the shortest names fill a datagram */
 #define BALANCERS_MAX 32 /* likewise */
 #define CHUNK 512        /* bytes of the texts' first block */
 
@@ -59,6 +59,7 @@
   N_MEMBER_FIELDS
 };
 
+static GBytes *encode_part_ (const DpView *view, guint part, guint n_parts);
 static void pack_text_ (msgpack_packer *packer, const char *text);
 static gsize finish_ (msgpack_sbuffer *buffer, guint8 *data);
 static gboolean
@@ -144,6 +145,31 @@
   return finish_ (&out, buffer);
 }
 
+/* Encodes the members in the lowest number of parts, a power of two, of which each fits
+ * into a datagram. */
+GPtrArray *
+dp_member_list_encode_parts (const DpView *view)
+{
+  GPtrArray *parts = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
+
+  for (guint n_parts = 1; n_parts <= DP_LIST_PARTS_MAX; n_parts *= 2)
+    {
+      GBytes *bytes = NULL;
+
+      for (guint part = 0; part < n_parts; part++)
+        {
+          bytes = encode_part_ (view, part, n_parts);
+          if (bytes == NULL)
+            break;
+          g_ptr_array_add (parts, bytes);
+        }
+      if (bytes != NULL)
+        break;
+      g_ptr_array_set_size (parts, 0);
+    }
+  return parts;
+}
+
 /* Decodes a datagram; FALSE if it is malformed. The message is to be cleared either way.
  */
 gboolean
@@ -205,6 +231,23 @@
   return hash;
 }
 
+/* NULL if the part doesn't fit into a datagram. */
+static GBytes *
+encode_part_ (const DpView *view, guint part, guint n_parts)
+{
+  g_autoptr (GArray) members = g_array_new (FALSE, FALSE, sizeof (DpMember));
+  g_autoptr (GArray) balancers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  const DpMemberList list = { view->service, members, balancers, part, n_parts };
+  guint8 buffer[DP_REPORT_MAX];
+  gsize length;
+
+  for (guint i = 0; i < view->n_members; i++)
+    if (view->members[i].id % n_parts == part)
+      g_array_append_val (members, view->members[i]);
+  length = dp_member_list_encode (&list, buffer);
+  return length == 0 ? NULL : g_bytes_new (buffer, length);
+}
+
 static void
 pack_text_ (msgpack_packer *packer, const char *text)
 {
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -1,6 +1,7 @@
 /* Guards against reports that change on their way, and against datagrams from elsewhere
  * that are taken for one. */
 #include "private/msgpackcheck.h"
+#include "protected/passmembers.h"
 #include "protected/report.h"
 #include "runner.h"
 
@@ -121,8 +122,9 @@
   CU_ASSERT_EQUAL (dp_member_list_encode (&list, buffer), 0);
 }
 
-/* Parts are told apart, and a datagram with more members than the receiver takes is not
- * sent with some of them left out. */
+/* Parts are told apart, and a list that doesn't fit into a datagram is not cut off. Lists
+ * were encoded into up to 8,192 bytes, which the port refused to send: companions of a
+ * service of more than 74 members or so knew no member at all. */
 static void
 test_parts (void)
 {
@@ -135,11 +137,11 @@
   guint8 buffer[DP_REPORT_MAX];
   DpReportMessage message;
 
-  while (members->len < 160)
+  while (members->len < 100)
     g_array_append_val (members, member);
   CU_ASSERT_TRUE (
       dp_report_decode (&message, buffer, dp_member_list_encode (&list, buffer)));
-  CU_ASSERT_EQUAL (message.list.members->len, 160);
+  CU_ASSERT_EQUAL (message.list.members->len, 100);
   CU_ASSERT_EQUAL (message.list.part, 2);
   CU_ASSERT_EQUAL (message.list.n_parts, 3);
   dp_report_message_clear (&message);
@@ -147,8 +149,60 @@
   CU_ASSERT_FALSE (
       dp_report_decode (&message, buffer, dp_member_list_encode (&list, buffer)));
   dp_report_message_clear (&message);
-  g_array_append_val (members, member);
-  CU_ASSERT_EQUAL (dp_member_list_encode (&list, buffer), 0);
+  list.part = 2;
+  while (dp_member_list_encode (&list, buffer) > 0)
+    {
+      CU_ASSERT_TRUE (dp_member_list_encode (&list, buffer) <= DP_DATAGRAM_MAX);
+      CU_ASSERT_TRUE_FATAL (members->len < 1000);
+      g_array_append_val (members, member);
+    }
+  CU_ASSERT_TRUE (members->len > 100);
+}
+
+/* Every member of a service of any size reaches the receiver, in datagrams that the port
+ * takes, and the receiver's hash is the sender's: otherwise the list is sent for ever. */
+static void
+test_all_members_arrive (void)
+{
+  static const guint sizes[] = { 1, 10, 54, 74, 75, 135, 400, 3000 };
+
+  for (guint c = 0; c < G_N_ELEMENTS (sizes); c++)
+    {
+      g_autoptr (DpPassMembers) received = dp_pass_members_new ("darbnica");
+      g_autoptr (GArray) members = g_array_new (FALSE, TRUE, sizeof (DpMember));
+      g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+      g_autoptr (GPtrArray) parts = NULL;
+      g_autoptr (DpView) view = NULL;
+
+      for (guint i = 0; i < sizes[c]; i++)
+        {
+          DpMember member = { .zone = (char *) "riga-a", .address = { i + 1, 8172 } };
+
+          g_ptr_array_add (names, g_strdup_printf ("10.%u.%u.%u:8172", 1 + i % 3, i / 250,
+                                                   10 + i % 250));
+          member.name = g_ptr_array_index (names, i);
+          member.state = i % 7 == 0 ? DP_MEMBER_LEAVING : DP_MEMBER_ACTIVE;
+          g_array_append_val (members, member);
+        }
+      view = dp_view_new ("darbnica", 1, (const DpMember *) (void *) members->data,
+                          members->len);
+      parts = dp_member_list_encode_parts (view);
+      CU_ASSERT_TRUE (parts->len > 0);
+      for (guint i = 0; i < parts->len; i++)
+        {
+          gsize length;
+          const guint8 *data = g_bytes_get_data (g_ptr_array_index (parts, i), &length);
+          g_autoptr (DpView) taken = NULL;
+          DpReportMessage message;
+
+          CU_ASSERT_TRUE (length <= DP_DATAGRAM_MAX);
+          CU_ASSERT_TRUE (dp_report_decode (&message, data, length));
+          taken = dp_pass_members_take (received, &message.list, 0);
+          dp_report_message_clear (&message);
+        }
+      CU_ASSERT_EQUAL (dp_pass_members_hash (received),
+                       dp_member_list_hash (view->members, view->n_members));
+    }
 }
 
 static void
@@ -196,6 +250,7 @@
 
 static const DpTestCase cases_[] = {
   { "a list in parts", test_parts },
+  { "all members of a large service arrive", test_all_members_arrive },
   { "reports of other versions are understood", test_other_versions },
   { "a report there and back", test_report },
   { "a list there and back", test_list },
