--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -198,6 +198,7 @@
           CU_ASSERT_TRUE (length <= DP_DATAGRAM_MAX);
           CU_ASSERT_TRUE (dp_report_decode (&message, data, length));
           taken = dp_pass_members_take (received, &message.list, 0);
+          CU_ASSERT_PTR_NOT_NULL (taken);
           dp_report_message_clear (&message);
         }
       CU_ASSERT_EQUAL (dp_pass_members_hash (received),
