Relay the configuration between balancers, keep registrations at a restart, space watches of balancers

Each of 107 balancers kept its own watch, 3.6 s each, and each restart of a balancer changed its registration, which wakes 323 watching processes.

Two balancers of an availability zone watch the store, as in the product's own mode; others get records from them along the tree and rely on that as long as a confirmation of the last 0.4 of the time for configurations is there. A parent that is frozen, cut off or gone confirms nothing, and its children list the store themselves. A balancer that finds its own registration under its name, but for the incarnation, keeps it.

Ruled out: reading the services with the cheaper, stale calls (seconds old, the bound is 3 s); one root a zone (a single failure would make all others list at once).

Tests: test_freshness and six cases of test_hosted; with a bound of 40 times the time and with registrations of processes test_frozen_roots, test_roots_cut_off_from_the_store and test_restart_changes_no_registration fail.

--- a/src/libdogwoodpaddle/balancer.c
+++ b/src/libdogwoodpaddle/balancer.c
@@ -173,7 +173,8 @@
   balancer->relay = dp_relay_new (&relay, balancer->replica, balancer->platform,
                                   balancer->clock, balancer->metrics);
   dp_relay_set_listener (balancer->relay, &listener, balancer);
-  balancer->entry = dp_balancer_entry_new (&self, balancer->replica, balancer->platform,
+  balancer->entry = dp_balancer_entry_new (&self, DP_ENTRY_OF_A_PROCESS,
+                                           balancer->replica, balancer->platform,
                                            entry_written_, balancer);
 }
 
--- a/src/libdogwoodpaddle/balancerentry.c
+++ b/src/libdogwoodpaddle/balancerentry.c
@@ -9,6 +9,7 @@
 struct _DpBalancerEntry
 {
   DpTopologyBalancer self; /* owns its texts */
+  DpBalancerEntryOwner owner;
   DpReplica *replica;
   DpPlatform *platform;
   DpBalancerEntryFunc settled;
@@ -39,11 +40,13 @@
                           gpointer user_data);
 static void settle_ (DpBalancerEntry *entry, gboolean present);
 static guint64 incarnation_of_ (const DpRecord *record);
+static gboolean fits_ (const DpTopologyBalancer *self, const DpRecord *record);
 static JsonNode *make_value_ (const DpTopologyBalancer *self);
 
 /* Creates a registration that is to be absent and writes nothing. Copies self. */
 DpBalancerEntry *
 dp_balancer_entry_new (const DpTopologyBalancer *self,
+                       DpBalancerEntryOwner owner,
                        DpReplica *replica,
                        DpPlatform *platform,
                        DpBalancerEntryFunc settled,
@@ -55,6 +58,7 @@
   entry->self.name = g_strdup (self->name);
   entry->self.zone = g_strdup (self->zone);
   entry->self.region = g_strdup (self->region);
+  entry->owner = owner;
   entry->replica = replica;
   entry->platform = platform;
   entry->settled = settled;
@@ -189,6 +193,12 @@
   guint64 incarnation = record == NULL ? 0 : incarnation_of_ (record);
   DpTopologyBalancer *self = &entry->self;
 
+  if (record != NULL && entry->owner == DP_ENTRY_OF_A_HOST && !entry->attempted
+      && entry->wanted && fits_ (self, record))
+    {
+      self->incarnation = incarnation;
+      entry->attempted = TRUE;
+    }
   *present = record != NULL && entry->attempted && incarnation == self->incarnation;
   if (record == NULL && entry->present && entry->wanted)
     {
@@ -253,6 +263,23 @@
   return incarnation;
 }
 
+/* Returns whether the record says of the balancer what it says of itself, but for the
+ * incarnation. A change of that alone would wake everyone who watches the balancers at
+ * each restart. */
+static gboolean
+fits_ (const DpTopologyBalancer *self, const DpRecord *record)
+{
+  DpTopologyBalancer same = *self;
+  g_autoptr (JsonNode) expected = NULL;
+  g_autoptr (JsonNode) value = dp_record_value (record);
+
+  if (value == NULL)
+    return FALSE;
+  same.incarnation = incarnation_of_ (record);
+  expected = make_value_ (&same);
+  return json_node_equal (expected, value);
+}
+
 static JsonNode *
 make_value_ (const DpTopologyBalancer *self)
 {
--- a/src/libdogwoodpaddle/feed.c
+++ b/src/libdogwoodpaddle/feed.c
@@ -121,6 +121,29 @@
     feed->flush = g_idle_add_full (G_PRIORITY_DEFAULT, flush_now_, feed, NULL);
 }
 
+/* Sends an empty answer with the age to each subscriber that has all records. */
+void
+dp_feed_confirm (DpFeed *feed, guint32 age_ms)
+{
+  const guint64 revision = dp_replica_revision (feed->options.replica);
+  g_autoptr (GPtrArray) none = g_ptr_array_new ();
+  const DpMessage message = {
+    .type = DP_MESSAGE_RECORDS,
+    .records = { .through = revision, .items = none, .dated = TRUE, .age_ms = age_ms },
+  };
+
+  for (guint i = 0; i < feed->subscribers->len; i++)
+    {
+      Subscriber *subscriber = g_ptr_array_index (feed->subscribers, i);
+
+      if (dp_channel_queued (subscriber->channel) > 0)
+        continue; /* what it was sent before is on its way */
+      push_ (subscriber);
+      if (subscriber->answered && subscriber->through >= revision)
+        dp_channel_send (subscriber->channel, &message);
+    }
+}
+
 static gboolean
 listen_ (DpFeed *feed, GError **error)
 {
--- a/src/libdogwoodpaddle/include/private/balancerentry.h
+++ b/src/libdogwoodpaddle/include/private/balancerentry.h
@@ -6,10 +6,18 @@
 
 typedef struct _DpBalancerEntry DpBalancerEntry;
 
+/* Whose registration an entry is that stands under the name already. */
+typedef enum
+{
+  DP_ENTRY_OF_A_PROCESS, /* of the process that wrote it; the next one writes it anew */
+  DP_ENTRY_OF_A_HOST     /* of whoever runs there: kept if all but the incarnation fits */
+} DpBalancerEntryOwner;
+
 /* Called when the registration was written or removed as wanted. */
 typedef void (*DpBalancerEntryFunc) (gpointer user_data);
 
 DpBalancerEntry *dp_balancer_entry_new (const DpTopologyBalancer *self,
+                                        DpBalancerEntryOwner owner,
                                         DpReplica *replica,
                                         DpPlatform *platform,
                                         DpBalancerEntryFunc settled,
--- a/src/libdogwoodpaddle/include/private/feed.h
+++ b/src/libdogwoodpaddle/include/private/feed.h
@@ -35,3 +35,6 @@
 guint dp_feed_subscribers (const DpFeed *feed);
 /* Sends new records and the replica's revision soon. */
 void dp_feed_flush (DpFeed *feed);
+/* Tells all subscribers that have every record how long ago the platform, in ms, was
+ * known to have nothing newer. */
+void dp_feed_confirm (DpFeed *feed, guint32 age_ms);
--- a/src/libdogwoodpaddle/include/private/watch.h
+++ b/src/libdogwoodpaddle/include/private/watch.h
@@ -24,6 +24,9 @@
                        const DpWatchListener *listener,
                        gpointer user_data);
 void dp_watch_free (DpWatch *watch);
+void dp_watch_set_wait (DpWatch *watch, guint wait_ms);
+void dp_watch_set_spacing (DpWatch *watch, guint spacing_ms);
+void dp_watch_relist (DpWatch *watch);
 void dp_watch_set_active (DpWatch *watch, gboolean active);
 gboolean dp_watch_active (const DpWatch *watch);
 gboolean dp_watch_reachable (const DpWatch *watch);
--- a/src/libdogwoodpaddle/include/protected/message.h
+++ b/src/libdogwoodpaddle/include/protected/message.h
@@ -49,6 +49,8 @@
 {
   guint64 through;  /* revision up to which this completes the answer, 0: more follow */
   GPtrArray *items; /* DpRecord */
+  gboolean dated;   /* age_ms is set; older versions don't send it */
+  guint32 age_ms;   /* since the platform told that nothing newer than through exists */
 } DpRecords;
 
 /* One heartbeat as sent by a companion (or a balancer, whose service is "") or heard by a
--- a/src/libdogwoodpaddle/include/protected/passbalancer.h
+++ b/src/libdogwoodpaddle/include/protected/passbalancer.h
@@ -25,9 +25,11 @@
   guint16 client_port; /* UDP port of all clients */
   const DpPacketFormat *format;
   DpPlatform *platform;
-  guint services;  /* the platform's collection with the services */
-  guint balancers; /* the one with the balancers */
-  guint watch_ms;  /* longest wait of a watch of the services */
+  guint services;       /* the platform's collection with the services */
+  guint balancers;      /* the one with the balancers */
+  guint watch_ms;       /* longest wait of a watch of the services */
+  guint relay_watch_ms; /* the same while other balancers rely on this one */
+  guint relay_bound_ms; /* oldest confirmation of another balancer to rely on */
   DpClock *clock;
   DpMetrics *metrics;
 } DpPassBalancerOptions;
--- a/src/libdogwoodpaddle/message.c
+++ b/src/libdogwoodpaddle/message.c
@@ -67,7 +67,10 @@
   g_assert (message->type > DP_MESSAGE_NONE && message->type < DP_N_MESSAGES);
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, element_counts_[message->type]);
+  msgpack_pack_array (
+      &packer,
+      element_counts_[message->type]
+          + (message->type == DP_MESSAGE_RECORDS && message->records.dated ? 1 : 0));
   msgpack_pack_uint32 (&packer, message->type);
   switch (message->type)
     {
@@ -196,6 +199,8 @@
         msgpack_pack_false (packer);
       pack_string_ (packer, record->json);
     }
+  if (records->dated)
+    msgpack_pack_uint32 (packer, records->age_ms);
 }
 
 static gboolean
@@ -300,7 +305,15 @@
         return FALSE;
       g_ptr_array_add (records->items, record);
     }
-  return TRUE;
+  reader->next++;
+  reader->left--;
+  if (reader->left == 0)
+    return TRUE;
+  records->dated = TRUE;
+  records->age_ms = (guint32) read_uint_ (reader, G_MAXUINT32);
+  if (!reader->ok)
+    dp_error_set (error, DP_ERROR_INVALID, STEP, "records", "the age is malformed");
+  return reader->ok;
 }
 
 static DpRecord *
--- a/src/libdogwoodpaddle/passreporter.c
+++ b/src/libdogwoodpaddle/passreporter.c
@@ -11,6 +11,8 @@
 #define FAR_PER_S 100
 /* Half of the history that the platform keeps. */
 #define WATCH_MS 10000
+/* Between two watches, so that registrations that come in a burst share an answer. */
+#define WATCH_SPACING_MS 1000
 
 /* A balancer that reports go to. */
 typedef struct
@@ -67,6 +69,7 @@
                                                         balancer_changed_, reporter);
   reporter->watch = dp_watch_new (options->platform, options->balancers, WATCH_MS,
                                   reporter->replica, metrics, &listener, reporter);
+  dp_watch_set_spacing (reporter->watch, WATCH_SPACING_MS);
   read_balancers_ (reporter);
   return reporter;
 }
--- a/src/libdogwoodpaddle/passservices.c
+++ b/src/libdogwoodpaddle/passservices.c
@@ -2,6 +2,7 @@
 
 #include "private/balancerentry.h"
 #include "private/feed.h"
+#include "private/freshness.h"
 #include "private/upstream.h"
 #include "private/watch.h"
 #include "protected/fleet.h"
@@ -11,6 +12,11 @@
 /* A read of the platform takes 4 ms, or 240 ms when it is slow. One that is not answered
  * for longer is asked of another balancer. */
 #define PLATFORM_PATIENCE_US (400 * DP_US_PER_MS)
+/* Between two watches of the registered balancers, so that registrations that come in a
+ * burst share an answer. */
+#define BALANCERS_SPACING_MS 1000
+/* A parent that confirms nothing for so many times the bound is left for the next one. */
+#define PARENT_PATIENCE 4
 
 struct _DpPassServices
 {
@@ -29,7 +35,12 @@
   DpBalancerEntry *entry;
   DpFeed *feed;         /* of the services, for other balancers */
   DpUpstream *upstream; /* another balancer, while the platform is not reachable */
+  DpFreshness freshness;
+  guint watch_ms;       /* of a watch, as long as no other balancer relies on this one */
+  guint relay_watch_ms; /* otherwise */
+  gint64 parent_at;     /* us of the last confirmation or change of the parent */
   DpChannelMetrics channel_metrics;
+  DpMetric *relayed;
   gint64 unreachable_since; /* us, 0: the platform is reachable */
   gboolean known;           /* the services have been read */
   GHashTable *stale;        /* names of services to take over */
@@ -41,16 +52,23 @@
 static void create_entry_ (DpPassServices *services,
                            const DpPassBalancerOptions *options);
 static gboolean start_feed_ (DpPassServices *services, GError **error);
-static void ask_peers_ (DpPassServices *services, gint64 now);
+static void choose_source_ (DpPassServices *services, gint64 now);
+static void choose_parents_ (DpPassServices *services, gint64 now);
+static void
+add_other_peers_ (DpPassServices *services, const DpTopology *topology, GArray *peers);
 static void add_peer_ (DpPassServices *services, GArray *peers, const DpAddress *peer);
 static void upstream_changed_ (DpUpstream *upstream, gpointer user_data);
 static void upstream_progressed_ (DpUpstream *upstream, gpointer user_data);
+static void
+upstream_confirmed_ (DpUpstream *upstream, guint32 age_ms, gpointer user_data);
+static void confirm_ (DpPassServices *services, gint64 now);
 static void heard_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data);
 static void heard_suspicion_ (const DpSuspicion *suspicion, gpointer user_data);
 static void balancers_reachable_ (gboolean reachable, gpointer user_data);
 static void balancers_progressed_ (gpointer user_data);
 static void services_reachable_ (gboolean reachable, gpointer user_data);
 static void services_progressed_ (gpointer user_data);
+static void take_progress_ (DpPassServices *services);
 static void entry_settled_ (gpointer user_data);
 static void service_changed_ (const DpRecord *record, gpointer user_data);
 static gboolean update_now_ (gpointer user_data);
@@ -72,6 +90,9 @@
   services->peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
   g_array_append_vals (services->peers, options->peers, options->n_peers);
   services->clock = options->clock;
+  services->watch_ms = options->watch_ms;
+  services->relay_watch_ms = options->relay_watch_ms;
+  dp_freshness_init (&services->freshness, options->relay_bound_ms * DP_US_PER_MS);
   services->metrics = options->metrics;
   services->router = router;
   services->unreachable_since = dp_clock_now (options->clock);
@@ -87,6 +108,10 @@
   services->balancers_watch = dp_watch_new (
       options->platform, options->balancers, BALANCERS_WATCH_MS, services->balancers,
       options->metrics, &balancers_listener, services);
+  dp_watch_set_spacing (services->balancers_watch, BALANCERS_SPACING_MS);
+  services->relayed = dp_metrics_add (
+      options->metrics, DP_METRIC_GAUGE, "dogwoodpaddle_services_relayed", "",
+      "1 while the services come from another balancer, without calls to the platform");
   create_entry_ (services, options);
   return services;
 }
@@ -129,7 +154,10 @@
 void
 dp_pass_services_tick (DpPassServices *services)
 {
-  ask_peers_ (services, dp_clock_now (services->clock));
+  const gint64 now = dp_clock_now (services->clock);
+
+  choose_parents_ (services, now);
+  choose_source_ (services, now);
 }
 
 /* Returns whether the services have been read. */
@@ -139,11 +167,15 @@
   return services->known;
 }
 
-/* Returns whether the platform answered the last call and the services are known. */
+/* Returns whether the platform answered the last call, of this process or of the one that
+ * it relies on, and the services are known. */
 gboolean
 dp_pass_services_are_current (const DpPassServices *services)
 {
-  return services->known && dp_watch_reachable (services->watch);
+  return services->known
+         && (dp_watch_reachable (services->watch)
+             || dp_freshness_by_parent (&services->freshness,
+                                        dp_clock_now (services->clock)));
 }
 
 /* Returns whether func holds for all services. */
@@ -186,8 +218,8 @@
     .incarnation = (guint64) g_get_real_time (),
   };
 
-  services->entry = dp_balancer_entry_new (&self, services->balancers, options->platform,
-                                           entry_settled_, services);
+  services->entry = dp_balancer_entry_new (&self, DP_ENTRY_OF_A_HOST, services->balancers,
+                                           options->platform, entry_settled_, services);
 }
 
 /* Serves the services to other balancers, and gets them from one if need be. */
@@ -196,7 +228,8 @@
 {
   static const DpFeedListener feed_listener = { heard_heartbeat_, heard_suspicion_ };
   static const DpUpstreamListener upstream_listener = { upstream_changed_,
-                                                        upstream_progressed_ };
+                                                        upstream_progressed_,
+                                                        upstream_confirmed_ };
   /* The platform's network lets only its own hosts reach this port. */
   static const DpNetwork everyone = { 0, 0 };
   const DpFeedOptions feed = {
@@ -226,26 +259,72 @@
   return TRUE;
 }
 
-/* Connects to another balancer while the platform does not answer. */
+/* Watches the platform unless a parent in the relay tree may be relied on. A watch that
+ * begins anew starts with a list: the history since the last one may be gone, which the
+ * platform does not tell a waiting watch. */
 static void
-ask_peers_ (DpPassServices *services, gint64 now)
+choose_source_ (DpPassServices *services, gint64 now)
+{
+  const gboolean relayed = dp_freshness_by_parent (&services->freshness, now);
+
+  dp_watch_set_wait (services->watch, dp_feed_subscribers (services->feed) > 0
+                                          ? services->relay_watch_ms
+                                          : services->watch_ms);
+  if (relayed != dp_watch_active (services->watch))
+    return;
+  services->relayed->value = relayed ? 1 : 0;
+  g_message ("services: %s, revision %" G_GUINT64_FORMAT,
+             relayed ? "from another balancer" : "from the platform",
+             dp_replica_revision (services->replica));
+  if (!relayed)
+    dp_watch_relist (services->watch);
+  dp_watch_set_active (services->watch, !relayed);
+  services->unreachable_since = 0;
+}
+
+/* Connects to the parents in the relay tree; a root of the tree has none, and connects to
+ * any other balancer only while the platform does not answer. */
+static void
+choose_parents_ (DpPassServices *services, gint64 now)
 {
   g_autoptr (GArray) peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
-  g_autoptr (DpTopology) topology = NULL;
+  g_autoptr (DpTopology) topology = dp_topology_new (services->balancers);
+  const gboolean alone = services->unreachable_since != 0
+                         && now - services->unreachable_since >= PLATFORM_PATIENCE_US;
+  const gboolean child = dp_topology_rank (topology, services->name, services->zone)
+                         >= DP_TOPOLOGY_ROOTS;
 
-  if (services->unreachable_since == 0
-      || now - services->unreachable_since < PLATFORM_PATIENCE_US)
+  if (child)
     {
-      dp_upstream_set_peers (services->upstream, NULL, 0);
-      return;
+      g_autoptr (GPtrArray)
+          parents = dp_topology_upstreams (topology, services->name, services->zone);
+
+      for (guint i = 0; i < parents->len; i++)
+        add_peer_ (
+            services, peers,
+            &((const DpTopologyBalancer *) g_ptr_array_index (parents, i))->control);
+    }
+  if (alone)
+    add_other_peers_ (services, topology, peers);
+  dp_upstream_set_peers (services->upstream, (const DpAddress *) (void *) peers->data,
+                         peers->len);
+  if (!child || !dp_upstream_connected (services->upstream))
+    services->parent_at = now;
+  else if (now - services->parent_at > PARENT_PATIENCE * services->freshness.bound)
+    {
+      services->parent_at = now;
+      dp_upstream_skip (services->upstream);
     }
-  topology = dp_topology_new (services->balancers);
+}
+
+/* Adds all other balancers that are registered, and those of the settings. */
+static void
+add_other_peers_ (DpPassServices *services, const DpTopology *topology, GArray *peers)
+{
   for (guint i = 0; i < dp_topology_size (topology); i++)
     add_peer_ (services, peers, &dp_topology_at (topology, i)->control);
   for (guint i = 0; i < services->peers->len; i++)
     add_peer_ (services, peers, &g_array_index (services->peers, DpAddress, i));
-  dp_upstream_set_peers (services->upstream, (const DpAddress *) (void *) peers->data,
-                         peers->len);
 }
 
 /* Adds a peer that is not this balancer itself and not in the list yet. */
@@ -263,8 +342,13 @@
 static void
 upstream_changed_ (DpUpstream *upstream, gpointer user_data)
 {
-  const DpPassServices *services = user_data;
+  DpPassServices *services = user_data;
 
+  if (!dp_upstream_synced (upstream))
+    {
+      dp_freshness_parent_lost (&services->freshness);
+      choose_source_ (services, dp_clock_now (services->clock));
+    }
   g_message ("services from another balancer: %s, revision %" G_GUINT64_FORMAT,
              dp_upstream_synced (upstream) ? "complete" : "connection lost",
              dp_replica_revision (services->replica));
@@ -274,7 +358,29 @@
 upstream_progressed_ (DpUpstream *upstream, gpointer user_data)
 {
   if (dp_upstream_synced (upstream))
-    services_progressed_ (user_data);
+    take_progress_ (user_data);
+}
+
+/* The parent knows of nothing newer; this balancer's own subscribers hear of that, too.
+ */
+static void
+upstream_confirmed_ (DpUpstream *upstream, guint32 age_ms, gpointer user_data)
+{
+  DpPassServices *services = user_data;
+  const gint64 now = dp_clock_now (services->clock);
+
+  services->parent_at = now;
+  dp_freshness_confirmed (&services->freshness, age_ms * DP_US_PER_MS, now);
+  if (!dp_watch_active (services->watch))
+    confirm_ (services, now);
+}
+
+static void
+confirm_ (DpPassServices *services, gint64 now)
+{
+  const gint64 age = dp_freshness_age (&services->freshness, now);
+
+  dp_feed_confirm (services->feed, (guint32) MIN (age / DP_US_PER_MS, G_MAXUINT32));
 }
 
 /* Members report by datagrams; no process of this mode sends heartbeats here. */
@@ -314,11 +420,22 @@
   g_message ("platform: %s", reachable ? "reachable" : "not reachable");
 }
 
-/* Taken over at once: the balancer must not be ready before its services are in force. */
+/* An answer of the platform to this process. */
 static void
 services_progressed_ (gpointer user_data)
 {
   DpPassServices *services = user_data;
+  const gint64 now = dp_clock_now (services->clock);
+
+  take_progress_ (services);
+  dp_freshness_answered (&services->freshness, now);
+  confirm_ (services, now);
+}
+
+/* Taken over at once: the balancer must not be ready before its services are in force. */
+static void
+take_progress_ (DpPassServices *services)
+{
   g_autoptr (GPtrArray) records = NULL;
 
   if (!services->known)
--- a/src/libdogwoodpaddle/upstream.c
+++ b/src/libdogwoodpaddle/upstream.c
@@ -263,6 +263,9 @@
       dp_backoff_reset (&upstream->backoff);
     }
   upstream->listener.progressed (upstream, upstream->user_data);
+  if (message->records.dated && message->records.through > 0
+      && upstream->listener.confirmed != NULL)
+    upstream->listener.confirmed (upstream, message->records.age_ms, upstream->user_data);
   if (newly_synced)
     upstream->listener.changed (upstream, upstream->user_data);
 }
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -12,6 +12,7 @@
   DpPlatform *platform;
   guint collection;
   guint wait_ms;
+  guint spacing_ms;
   DpReplica *replica;
   DpWatchListener listener;
   gpointer user_data;
@@ -52,6 +53,7 @@
   watch->platform = platform;
   watch->collection = collection;
   watch->wait_ms = wait_ms;
+  watch->spacing_ms = SPACING_MS;
   watch->replica = replica;
   watch->listener = *listener;
   watch->user_data = user_data;
@@ -75,6 +77,28 @@
   g_free (watch);
 }
 
+/* Sets for how many ms later calls are held open. */
+void
+dp_watch_set_wait (DpWatch *watch, guint wait_ms)
+{
+  watch->wait_ms = wait_ms;
+}
+
+/* Sets the ms between the end of a call and the next one: changes that come in a burst
+ * share an answer then. */
+void
+dp_watch_set_spacing (DpWatch *watch, guint spacing_ms)
+{
+  watch->spacing_ms = spacing_ms;
+}
+
+/* Makes the next call a list. */
+void
+dp_watch_relist (DpWatch *watch)
+{
+  watch->listed = FALSE;
+}
+
 /* Starts or stops the watch. It starts with a list unless it was active before. */
 void
 dp_watch_set_active (DpWatch *watch, gboolean active)
@@ -142,7 +166,7 @@
 answered_ (GPtrArray *records, guint64 revision, const GError *error, gpointer user_data)
 {
   DpWatch *watch = user_data;
-  guint delay = SPACING_MS;
+  guint delay = watch->spacing_ms;
 
   if (error != NULL && g_error_matches (error, DP_ERROR, DP_ERROR_LIMIT))
     {
--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -3,6 +3,7 @@
 They speak the platform's published protocol with a sum of their own, on loopback addresses.
 """
 
+import collections
 import http.client
 import json
 import os
@@ -11,6 +12,7 @@
 import signal
 import socket
 import struct
+import sys
 import subprocess
 import threading
 import time
@@ -74,6 +76,13 @@
                    echo, pad, total)
 
 
+class StoreServer(ThreadingHTTPServer):
+    def handle_error(self, request, client_address):
+        """Says nothing of callers that cancel a call; all other faults are printed."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
+
 class Store:
     """Objects by kind and name with revisions, conditional updates and watches."""
 
@@ -87,6 +96,10 @@
         self.lose_answers = False
         self.refused_names = set()  # objects whose changes are answered with 503
         self.calls = 0
+        self.reads = collections.Counter()  # by the address called and the kind
+        self.silent = set()  # addresses at which calls get no answer
+        self.closed = False
+        self.servers = []
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -108,14 +121,22 @@
                 store.handle(self, "DELETE")
 
         # All processes connect at once; a full queue would delay some by a second.
-        ThreadingHTTPServer.request_queue_size = 128
-        self.server = ThreadingHTTPServer((ip, STORE_PORT), Handler)
-        self.server.daemon_threads = True
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        StoreServer.request_queue_size = 128
+        self.handler = Handler
+        self.listen(ip)
+
+    def listen(self, ip):
+        """Serves the store at a further address."""
+        server = StoreServer((ip, STORE_PORT), self.handler)
+        server.daemon_threads = True
+        self.servers.append(server)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
 
     def close(self):
-        self.server.shutdown()
-        self.server.server_close()
+        self.closed = True
+        for server in self.servers:
+            server.shutdown()
+            server.server_close()
 
     def set_down(self, down):
         with self.changed:
@@ -159,8 +180,11 @@
         path, _, query = request.path.partition("?")
         arguments = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
         parts = path.strip("/").split("/")[1:]
+        ip = request.server.server_address[0]
         with self.changed:
             self.calls += 1
+            if method == "GET" and len(parts) == 1:
+                self.reads[ip, parts[0]] += 1
             if self.down:
                 status, answer = 503, {"error": "down"}
             elif method == "GET" and "watch" in arguments:
@@ -180,6 +204,8 @@
             request.close_connection = True
             request.connection.shutdown(socket.SHUT_RDWR)
             return
+        while ip in self.silent and not self.closed:
+            time.sleep(0.05)
         text = json.dumps(answer).encode()
         try:
             request.send_response(status)
@@ -468,6 +494,7 @@
         self.path = os.path.join(folder, self.name + ".json")
         self.log_path = os.path.join(folder, self.name + ".log")
         self.process = None
+        self.store_ip = None
         self.start()
 
     def start(self):
@@ -530,7 +557,8 @@
             "listen": {"datagram_addr": f"{ip}:{PACKET_PORT}",
                        "ready": f"{ip}:{READY_PORT}"},
             "internal_port_range": [7720, 7735], "seeds": seeds, "heartbeat_ms": 200,
-            "bounds": {"flow_ttl_s": 60, "stable_window_ms": 4000},
+            "bounds": {"flow_ttl_s": 60, "stable_window_ms": 4000,
+                       "config_apply_ms": 3000},
             "platform": {"address": f"{self.prefix}.200.1:{STORE_PORT}"}}
         settings.update(extra or {})
         return settings
@@ -538,8 +566,13 @@
     def add_balancer(self, zone="riga-a"):
         number = len(self.balancers) + 1
         ip = f"{self.prefix}.1.{number}"
-        balancer = Process(self.program, "balancer", self.folder,
-                           self.settings("balancer", f"balancer-{number}", ip, zone))
+        # Each balancer calls the store at an address of its own, which can fall silent.
+        store_ip = f"{self.prefix}.200.{number + 1}"
+        self.store.listen(store_ip)
+        settings = self.settings("balancer", f"balancer-{number}", ip, zone,
+                                 {"platform": {"address": f"{store_ip}:{STORE_PORT}"}})
+        balancer = Process(self.program, "balancer", self.folder, settings)
+        balancer.store_ip = store_ip
         self.balancers.append(balancer)
         return balancer
 
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -9,6 +9,7 @@
 import os
 import random
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -184,6 +185,116 @@
     check(flow["result"] == "ok", f"result {flow['result']}")
 
 
+def start_relay(site):
+    """Four balancers of an availability zone; returns the two roots and their children."""
+    start(site, n_balancers=4, n_servers=2)
+    end = time.monotonic() + 10.0
+    while True:
+        children = [b for b in site.balancers if is_relayed(b)]
+        if len(children) == 2 or time.monotonic() > end:
+            break
+        time.sleep(0.1)
+    check(len(children) == 2, f"{len(children)} balancers rely on another one")
+    return [b for b in site.balancers if b not in children], children
+
+
+def is_relayed(balancer):
+    lines = [line for line in balancer.log().splitlines() if '"services: from' in line]
+    return bool(lines) and "from another balancer" in lines[-1]
+
+
+def check_in_force(site, balancers, within_s):
+    """Adds a route and asks each balancer for it."""
+    added = ("198.18.0.3", 80 + site.version, "darbnica", "idempotent")
+    site.configure([REPORTS, MANUALS, added])
+    clients = []
+    for balancer in balancers:
+        client = site.client()
+        client.balancers = [balancer.settings["ip"]]
+        clients.append(client)
+    time.sleep(within_s)
+    for balancer, client in zip(balancers, clients):
+        check_route(client, added, f"{balancer.name}-{site.version}")
+
+
+def check_route(client, route, tag):
+    flow = client.start(route[:2], tag.encode())
+    client.run(time.monotonic() + 1.0, [flow])
+    check(flow["result"] == "ok", f"{tag}: {flow['result']}")
+
+
+def test_configuration_by_relay(site):
+    roots, children = start_relay(site)
+    before = dict(site.store.reads)
+    time.sleep(3.0)
+    for child in children:
+        key = (child.store_ip, "config")
+        check(site.store.reads[key] == before[key], "a child asked the store")
+    for root in roots:
+        check(site.store.reads[root.store_ip, "config"] > before[root.store_ip, "config"],
+              "a root does not watch the store")
+    check_in_force(site, site.balancers, 0.3)
+
+
+def test_frozen_roots(site):
+    """Children must not rely on roots that say nothing."""
+    roots, children = start_relay(site)
+    for root in roots:
+        root.process.send_signal(signal.SIGSTOP)
+    try:
+        check_in_force(site, children, CONFIG_APPLY_S - 0.5)
+    finally:
+        for root in roots:
+            root.process.send_signal(signal.SIGCONT)
+    check_in_force(site, site.balancers, 0.5)
+
+
+def test_killed_roots(site):
+    roots, children = start_relay(site)
+    for root in roots:
+        root.kill()
+    check_in_force(site, children, 0.5)
+    for root in roots:
+        root.start()
+    site.wait_ready()
+    check_in_force(site, site.balancers, 0.5)
+
+
+def test_roots_cut_off_from_the_store(site):
+    """Roots that live and answer their children, but hear nothing from the store."""
+    roots, children = start_relay(site)
+    for root in roots:
+        site.store.silent.add(root.store_ip)
+    time.sleep(0.2)
+    check_in_force(site, children, CONFIG_APPLY_S - 0.5)
+    site.store.silent.clear()
+    time.sleep(1.5)
+    check_in_force(site, site.balancers, 0.5)
+
+
+def test_compacted_store_and_relay(site):
+    """The roots' waiting watches are told nothing of the change."""
+    start_relay(site)
+    added = ("198.18.0.4", 80, "darbnica", "idempotent")
+    site.store.compact(("config", "main", site.configuration([REPORTS, added])))
+    time.sleep(CONFIG_APPLY_S - 0.5)
+    for balancer in site.balancers:
+        client = site.client()
+        client.balancers = [balancer.settings["ip"]]
+        check_route(client, added, balancer.name)
+
+
+def test_restart_changes_no_registration(site):
+    """Each change of a registration wakes every process that watches the balancers."""
+    start(site)
+    revision = site.store.revision
+    for balancer in site.balancers:
+        balancer.kill()
+        balancer.start()
+    site.wait_ready()
+    check(site.store.revision == revision, "a restart has written to the store")
+
+
 def test_balancer_started_without_the_store(site):
     """Found on lgkaa-serviss trouble-1: no services until the store returned."""
     start(site)
