Rely on a parent as soon as it confirms again; create registrations without reading them first

A parent was on probation for the length of the bound after a silence. A gap in a working parent's confirmations costs one list a bound, no more than an own watch.

--- a/src/libdogwoodpaddle/balancerentry.c
+++ b/src/libdogwoodpaddle/balancerentry.c
@@ -19,6 +19,7 @@
   gboolean present;    /* as last known to be in the platform */
   gboolean attempted;  /* a write with our incarnation was sent */
   gboolean superseded; /* another process has registered this name */
+  gboolean tried;      /* what the replica tells has been used */
   gboolean busy;
   gboolean again;  /* something changed meanwhile */
   gboolean adding; /* the write in progress adds the registration */
@@ -28,6 +29,8 @@
 
 static void replica_changed_ (const DpRecord *record, gpointer user_data);
 static void start_ (DpBalancerEntry *entry);
+static gboolean start_from_replica_ (DpBalancerEntry *entry);
+static void use_record_ (DpBalancerEntry *entry, const DpRecord *record, guint64 version);
 static gboolean start_now_ (gpointer user_data);
 static void start_later_ (DpBalancerEntry *entry);
 static void
@@ -119,6 +122,26 @@
     start_ (entry);
 }
 
+/* Of a host's entry the replica tells enough: whoever wrote it, it is kept if it fits,
+ * and one that is missing is created on the condition that it doesn't exist. */
+static gboolean
+start_from_replica_ (DpBalancerEntry *entry)
+{
+  const DpRecord *record = dp_replica_get (entry->replica, DP_KIND_BALANCER,
+                                           entry->self.name);
+
+  if (entry->owner != DP_ENTRY_OF_A_HOST || entry->tried || !entry->wanted
+      || dp_replica_revision (entry->replica) == 0)
+    return FALSE;
+  entry->tried = TRUE;
+  if (record != NULL && !record->deleted && !fits_ (&entry->self, record))
+    return FALSE;
+  entry->busy = TRUE;
+  entry->again = FALSE;
+  use_record_ (entry, record != NULL && !record->deleted ? record : NULL, 0);
+  return TRUE;
+}
+
 static void
 start_ (DpBalancerEntry *entry)
 {
@@ -130,6 +153,8 @@
       return;
     }
   g_clear_handle_id (&entry->timer, g_source_remove);
+  if (start_from_replica_ (entry))
+    return;
   entry->busy = TRUE;
   entry->again = FALSE;
   dp_platform_get (entry->platform, DP_KIND_BALANCER, entry->self.name, was_read_, entry);
@@ -157,9 +182,6 @@
 was_read_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data)
 {
   DpBalancerEntry *entry = user_data;
-  const DpRecord *record = records->len == 0 ? NULL : g_ptr_array_index (records, 0);
-  g_autoptr (JsonNode) value = NULL;
-  gboolean present;
 
   if (error != NULL)
     {
@@ -168,6 +190,16 @@
       start_later_ (entry);
       return;
     }
+  use_record_ (entry, records->len == 0 ? NULL : g_ptr_array_index (records, 0), version);
+}
+
+/* Writes what differs from the record, NULL: there is none. */
+static void
+use_record_ (DpBalancerEntry *entry, const DpRecord *record, guint64 version)
+{
+  g_autoptr (JsonNode) value = NULL;
+  gboolean present;
+
   if (!take_record_ (entry, record, &present))
     {
       settle_ (entry, FALSE);
--- a/src/libdogwoodpaddle/freshness.c
+++ b/src/libdogwoodpaddle/freshness.c
@@ -18,11 +18,6 @@
 void
 dp_freshness_confirmed (DpFreshness *freshness, gint64 age, gint64 now)
 {
-  /* A parent that was silent for too long or says that it is out of date is on probation:
-   * one whose packets are lost would otherwise cause a list at each gap. */
-  if (age > freshness->bound
-      || (freshness->parent != 0 && now - freshness->parent > freshness->bound))
-    freshness->reliable_at = now + freshness->bound;
   freshness->parent = MAX (freshness->parent, now - age);
 }
 
@@ -31,15 +26,13 @@
 dp_freshness_parent_lost (DpFreshness *freshness)
 {
   freshness->parent = 0;
-  freshness->reliable_at = 0;
 }
 
 /* Returns whether the parent may be relied on. */
 gboolean
 dp_freshness_by_parent (const DpFreshness *freshness, gint64 now)
 {
-  return freshness->parent != 0 && now - freshness->parent <= freshness->bound
-         && now >= freshness->reliable_at;
+  return freshness->parent != 0 && now - freshness->parent <= freshness->bound;
 }
 
 /* Returns how long ago, in us, nothing newer existed. */
--- a/src/libdogwoodpaddle/include/private/freshness.h
+++ b/src/libdogwoodpaddle/include/private/freshness.h
@@ -11,10 +11,9 @@
 
 typedef struct
 {
-  gint64 bound;       /* us, oldest confirmation to rely on */
-  gint64 platform;    /* us, when the platform last answered this process, 0: never */
-  gint64 parent;      /* us, as of when the parent knew of nothing newer, 0: never */
-  gint64 reliable_at; /* us, before which the parent is not relied on */
+  gint64 bound;    /* us, oldest confirmation to rely on */
+  gint64 platform; /* us, when the platform last answered this process, 0: never */
+  gint64 parent;   /* us, as of when the parent knew of nothing newer, 0: never */
 } DpFreshness;
 
 void dp_freshness_init (DpFreshness *freshness, gint64 bound);
--- a/src/libdogwoodpaddle/passservices.c
+++ b/src/libdogwoodpaddle/passservices.c
@@ -33,6 +33,7 @@
   DpWatch *watch;
   DpWatch *balancers_watch;
   DpBalancerEntry *entry;
+  gboolean registering; /* the entry is wanted */
   DpFeed *feed;         /* of the services, for other balancers */
   DpUpstream *upstream; /* another balancer, while the platform is not reachable */
   DpFreshness freshness;
@@ -146,7 +147,6 @@
     return FALSE;
   dp_watch_set_active (services->watch, TRUE);
   dp_watch_set_active (services->balancers_watch, TRUE);
-  dp_balancer_entry_want (services->entry, TRUE);
   return TRUE;
 }
 
@@ -405,8 +405,12 @@
 static void
 balancers_progressed_ (gpointer user_data)
 {
-  const DpPassServices *services = user_data;
+  DpPassServices *services = user_data;
 
+  /* What is registered tells whether this balancer has to write. */
+  if (!services->registering)
+    dp_balancer_entry_want (services->entry, TRUE);
+  services->registering = TRUE;
   g_debug ("registered balancers of revision %" G_GUINT64_FORMAT,
            dp_replica_revision (services->balancers));
 }
