Forget a member as soon as its server has signed off

A packet of a flow whose balancer has changed goes along the flow's order of members, and was lost at each of its retransmissions if a host that was gone stood before the owner. A companion whose server has signed off says so in its reports.

Open: a host that crashes stays in the order for 15 s, as it may only be cut off.

--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -25,6 +25,7 @@
   guint64 list_hash;    /* of the members that the companion knows */
   guint32 interval_ms;  /* after which this balancer gets the next report */
   gboolean failing;     /* the server fails too many requests to get new flows */
+  gboolean ended;       /* the server has signed off: none of its flows is left */
 } DpReport;
 
 #define DP_LIST_PARTS_MAX 256 /* a power of two */
--- a/src/libdogwoodpaddle/passcompanion.c
+++ b/src/libdogwoodpaddle/passcompanion.c
@@ -519,6 +519,7 @@
     .warm_left_ms = (guint32) (warm_left / DP_US_PER_MS),
     .list_hash = dp_pass_members_hash (companion->members),
     .failing = companion->health == DP_BREAKER_OPEN,
+    .ended = companion->announced.gone,
   };
 
   if (companion->announced.known)
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -119,7 +119,9 @@
 }
 
 /* Takes over what a member says of itself. A name that comes back with another service
- * leaves the former one. */
+ * leaves the former one. A member whose server has signed off has no flows: it is gone at
+ * once, since packets that look for their flow would be lost at its host when that goes.
+ */
 gboolean
 dp_placement_report (DpPlacement *placement, const DpReport *report, gint64 now)
 {
@@ -135,6 +137,14 @@
       remove_member_ (placement, handle);
       member = NULL;
     }
+  if (report->ended)
+    {
+      if (member == NULL)
+        return FALSE;
+      note_gone_ (placement, member, now);
+      remove_member_ (placement, handle);
+      return TRUE;
+    }
   if (member == NULL)
     {
       handle = add_member_ (placement, report);
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -33,6 +33,7 @@
   REPORT_INTERVAL,
   N_REQUIRED_REPORT_FIELDS,
   REPORT_FAILING = N_REQUIRED_REPORT_FIELDS, /* not sent by earlier versions */
+  REPORT_ENDED,                              /* likewise */
   N_REPORT_FIELDS
 };
 
@@ -102,6 +103,7 @@
   msgpack_pack_uint64 (&packer, report->list_hash);
   msgpack_pack_uint32 (&packer, report->interval_ms);
   msgpack_pack_uint8 (&packer, report->failing ? 1 : 0);
+  msgpack_pack_uint8 (&packer, report->ended ? 1 : 0);
   return finish_ (&out, buffer);
 }
 
@@ -297,6 +299,7 @@
   guint64 warm_left;
   guint64 interval;
   guint64 failing = 0;
+  guint64 ended = 0;
 
   if (!get_text_ (message, &fields[REPORT_SERVICE], &report->service)
       || !get_text_ (message, &fields[REPORT_NAME], &report->name)
@@ -309,7 +312,8 @@
       || !get_uint_ (&fields[REPORT_LIST_HASH], G_MAXUINT64, &report->list_hash)
       || !get_uint_ (&fields[REPORT_INTERVAL], DP_REPORT_INTERVAL_MAX_MS, &interval)
       || interval == 0
-      || (n_fields > REPORT_FAILING && !get_uint_ (&fields[REPORT_FAILING], 1, &failing)))
+      || (n_fields > REPORT_FAILING && !get_uint_ (&fields[REPORT_FAILING], 1, &failing))
+      || (n_fields > REPORT_ENDED && !get_uint_ (&fields[REPORT_ENDED], 1, &ended)))
     return FALSE;
   report->slots = (guint32) slots;
   report->state = (DpMemberState) state;
@@ -317,6 +321,7 @@
   report->warm_left_ms = (guint32) warm_left;
   report->interval_ms = (guint32) interval;
   report->failing = failing != 0;
+  report->ended = ended != 0;
   return TRUE;
 }
 
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -247,8 +247,43 @@
     }
 }
 
+/* Found on lgkaa-serviss-large quiet-1: the hosts of servers that had signed off stayed
+ * on the way of packets that look for their flow for 15 s, and downloads stalled. */
+static void
+test_ended (void)
+{
+  g_autoptr (DpPlacement) placement = make (0, 0, 0);
+  const guint64 service = dp_service_id (SERVICE);
+  DpReport report = make_report ("a-2", "riga-a", 2, 0);
+
+  report.state = DP_MEMBER_LEAVING;
+  CU_ASSERT_TRUE (dp_placement_report (placement, &report, MS));
+  CU_ASSERT_EQUAL (dp_placement_view (placement, service)->n_members, 3);
+  report.ended = TRUE;
+  for (guint i = 0; i < 2; i++)
+    {
+      g_autoptr (GArray) gone = NULL;
+
+      CU_ASSERT_EQUAL (dp_placement_report (placement, &report, 2 * MS), i == 0);
+      CU_ASSERT_EQUAL (dp_placement_view (placement, service)->n_members, 2);
+      gone = dp_placement_gone (placement, service, 2 * MS);
+      CU_ASSERT_EQUAL_FATAL (gone->len, 1);
+      CU_ASSERT_EQUAL (g_array_index (gone, guint32, 0), dp_member_id ("a-2"));
+    }
+  /* Another server starts on the same host. */
+  report = make_report ("a-2", "riga-a", 2, 0);
+  CU_ASSERT_TRUE (dp_placement_report (placement, &report, 3 * MS));
+  CU_ASSERT_EQUAL (dp_placement_view (placement, service)->n_members, 3);
+  {
+    g_autoptr (GArray) gone = dp_placement_gone (placement, service, 3 * MS);
+
+    CU_ASSERT_EQUAL (gone->len, 0);
+  }
+}
+
 static const DpTestCase cases_[] = {
   { "a failing server comes last", test_failing },
+  { "a server that has signed off is gone", test_ended },
   { "the least loaded member, near ones first", test_choice },
   { "flows placed since the report count", test_own_flows },
   { "a report corrects what was not seen to end", test_report_corrects },
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -1,6 +1,8 @@
 /* Guards against reports that change on their way, and against datagrams from elsewhere
  * that are taken for one. */
 #include "private/msgpackcheck.h"
+#include <string.h>
+
 #include "protected/passmembers.h"
 #include "protected/report.h"
 #include "runner.h"
@@ -17,6 +19,7 @@
   .list_hash = G_GUINT64_CONSTANT (0xfedcba9876543210),
   .interval_ms = 400,
   .failing = TRUE,
+  .ended = TRUE,
 };
 
 static void
@@ -39,31 +42,37 @@
   CU_ASSERT_EQUAL (message.report.list_hash, report_.list_hash);
   CU_ASSERT_EQUAL (message.report.interval_ms, 400);
   CU_ASSERT_TRUE (message.report.failing);
+  CU_ASSERT_TRUE (message.report.ended);
   dp_report_message_clear (&message);
 }
 
-/* While hosts are updated in turn, reports of the version before, without their last
- * field, and of a later one, with a further field, must be understood. */
+/* While hosts are updated in turn, reports of the versions before, without their last
+ * fields, and of a later one, with a further field, must be understood. */
 static void
 test_other_versions (void)
 {
   guint8 buffer[DP_REPORT_MAX];
+  guint8 later[DP_REPORT_MAX + 3] = { 0xdc, 0, 16 }; /* msgpack: a longer array of 16 */
   gsize length = dp_report_encode (&report_, buffer);
   DpReportMessage message;
 
-  CU_ASSERT_EQUAL (buffer[0], 0x90 | 14); /* msgpack: an array of 14 */
-  buffer[0] = 0x90 | 13;
+  CU_ASSERT_EQUAL (buffer[0], 0x90 | 15); /* msgpack: an array of 15 */
+  memcpy (later + 3, buffer + 1, length - 1);
+  later[length + 2] = 7;
+  CU_ASSERT_TRUE (dp_report_decode (&message, later, length + 3));
+  CU_ASSERT_TRUE (message.report.failing && message.report.ended);
+  dp_report_message_clear (&message);
+  buffer[0] = 0x90 | 14;
   CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length - 1));
+  CU_ASSERT_TRUE (message.report.failing && !message.report.ended);
+  dp_report_message_clear (&message);
+  buffer[0] = 0x90 | 13;
+  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length - 2));
   CU_ASSERT_FALSE (message.report.failing);
   CU_ASSERT_EQUAL (message.report.interval_ms, 400);
   dp_report_message_clear (&message);
-  buffer[0] = 0x90 | 15;
-  buffer[length] = 7;
-  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length + 1));
-  CU_ASSERT_TRUE (message.report.failing);
-  dp_report_message_clear (&message);
   buffer[0] = 0x90 | 12;
-  CU_ASSERT_FALSE (dp_report_decode (&message, buffer, length - 2));
+  CU_ASSERT_FALSE (dp_report_decode (&message, buffer, length - 3));
   dp_report_message_clear (&message);
 }
 
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -123,6 +123,20 @@
     check(not late, f"{len(late)} new flows after the acknowledgement")
 
 
+def test_signed_off_server_is_gone(site):
+    """Its host, which ends soon, must not stay on the way of packets that are searched."""
+    start(site)
+    leaving, companion = site.servers[0], site.companions[0]
+    leaving.state = "draining"
+    time.sleep(0.5)
+    leaving.stop(sign_off=True)
+    time.sleep(0.6)
+    name = f"{companion.settings['ip']}:{standins.PACKET_PORT}"
+    for balancer in site.balancers:
+        check(f"member {name} of service darbnica is gone" in balancer.log(),
+              f"{balancer.name} still lists it")
+
+
 def test_server_returns_syns(site):
     start(site, n_servers=2)
     site.servers[0].taking = False
