Keep an added balancer out of rotation until the members have heard of it

Members hear of registrations that come in a burst up to 1 s late since the watches are spaced, so that a balancer was ready with one member of each service and sent all its flows there; a leaving member counted, too.

--- a/src/libdogwoodpaddle/balancerentry.c
+++ b/src/libdogwoodpaddle/balancerentry.c
@@ -20,6 +20,7 @@
   gboolean attempted;  /* a write with our incarnation was sent */
   gboolean superseded; /* another process has registered this name */
   gboolean tried;      /* what the replica tells has been used */
+  gboolean kept;       /* the registration stood there already */
   gboolean busy;
   gboolean again;  /* something changed meanwhile */
   gboolean adding; /* the write in progress adds the registration */
@@ -101,6 +102,13 @@
   return entry->present;
 }
 
+/* Returns whether the registration of an earlier process was kept. */
+gboolean
+dp_balancer_entry_kept (const DpBalancerEntry *entry)
+{
+  return entry->kept;
+}
+
 /* Returns the registration's incarnation. */
 guint64
 dp_balancer_entry_incarnation (const DpBalancerEntry *entry)
@@ -230,6 +238,7 @@
     {
       self->incarnation = incarnation;
       entry->attempted = TRUE;
+      entry->kept = TRUE;
     }
   *present = record != NULL && entry->attempted && incarnation == self->incarnation;
   if (record == NULL && entry->present && entry->wanted)
--- a/src/libdogwoodpaddle/include/private/balancerentry.h
+++ b/src/libdogwoodpaddle/include/private/balancerentry.h
@@ -25,4 +25,5 @@
 void dp_balancer_entry_free (DpBalancerEntry *entry);
 void dp_balancer_entry_want (DpBalancerEntry *entry, gboolean present);
 gboolean dp_balancer_entry_present (const DpBalancerEntry *entry);
+gboolean dp_balancer_entry_kept (const DpBalancerEntry *entry);
 guint64 dp_balancer_entry_incarnation (const DpBalancerEntry *entry);
--- a/src/libdogwoodpaddle/include/protected/placement.h
+++ b/src/libdogwoodpaddle/include/protected/placement.h
@@ -43,6 +43,7 @@
 void dp_placement_closed (DpPlacement *placement, DpHandle member);
 
 /* The members of a service as they stand; NULL if there are none. */
+gboolean dp_placement_has_active (DpPlacement *placement, guint64 service_id);
 DpView *dp_placement_view (DpPlacement *placement, guint64 service_id);
 /* Ids of members that are listed as gone, guint32. */
 GArray *dp_placement_gone (DpPlacement *placement, guint64 service_id, gint64 now);
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -19,6 +19,9 @@
 /* Within this time after a start nobody is rejected because there is no member: reports
  * come every 100 to 400 ms. Clients repeat their SYN after 200 and 600 ms. */
 #define GATHER_US (1500 * DP_US_PER_MS)
+/* From this time on after its start a balancer that can't register, or that knows no
+ * member of some service, is ready nevertheless. */
+#define GATHER_MAX_US (3 * DP_US_PER_S)
 typedef enum
 {
   DROP_MALFORMED,
@@ -158,9 +161,12 @@
   g_free (balancer);
 }
 
-/* Returns whether the fabric may send packets here: the services are known, and so is a
- * member of each, or there has been time to hear of one. Without any member all flows
- * would be rejected, so that other balancers serve them better. */
+/* Returns whether the fabric may send packets here: the services are known, and the
+ * members have heard of this balancer, one that takes new flows of each service among
+ * them, or there has been time enough. Without any member all flows would be rejected,
+ * and with few of them these would be overloaded, so that other balancers serve them
+ * better.
+ */
 gboolean
 dp_pass_balancer_is_ready (const DpPassBalancer *balancer)
 {
@@ -169,14 +175,16 @@
   if (!dp_pass_services_known (balancer->services) || balancer->stopping
       || dp_placement_n_members (balancer->placement) == 0)
     return FALSE;
-  return age > GATHER_US
-         || dp_pass_services_all (balancer->services, has_member_, balancer->placement);
+  return age > GATHER_MAX_US
+         || (dp_pass_services_announced (balancer->services)
+             && dp_pass_services_all (balancer->services, has_member_,
+                                      balancer->placement));
 }
 
 static gboolean
 has_member_ (guint64 service_id, gpointer user_data)
 {
-  return dp_placement_view (user_data, service_id) != NULL;
+  return dp_placement_has_active (user_data, service_id);
 }
 
 static void
--- a/src/libdogwoodpaddle/passservices.c
+++ b/src/libdogwoodpaddle/passservices.c
@@ -15,6 +15,8 @@
 /* Between two watches of the registered balancers, so that registrations that come in a
  * burst share an answer. */
 #define BALANCERS_SPACING_MS 1000
+/* That, and two reports of a member in the own availability zone. */
+#define ANNOUNCED_US (1200 * DP_US_PER_MS)
 /* A parent that confirms nothing for so many times the bound is left for the next one. */
 #define PARENT_PATIENCE 4
 
@@ -34,6 +36,7 @@
   DpWatch *balancers_watch;
   DpBalancerEntry *entry;
   gboolean registering; /* the entry is wanted */
+  gint64 registered_at; /* us, 0: not yet */
   DpFeed *feed;         /* of the services, for other balancers */
   DpUpstream *upstream; /* another balancer, while the platform is not reachable */
   DpFreshness freshness;
@@ -196,6 +199,19 @@
   return TRUE;
 }
 
+/* Returns whether the members have had time to hear of this balancer: they watch the
+ * registrations, and changes that come in a burst reach them BALANCERS_SPACING_MS late.
+ */
+gboolean
+dp_pass_services_announced (const DpPassServices *services)
+{
+  const gint64 now = dp_clock_now (services->clock);
+
+  return services->registered_at != 0
+         && (dp_balancer_entry_kept (services->entry)
+             || now - services->registered_at > ANNOUNCED_US);
+}
+
 /* Returns the revision up to which the services are known. */
 guint64
 dp_pass_services_revision (const DpPassServices *services)
@@ -458,9 +474,12 @@
 static void
 entry_settled_ (gpointer user_data)
 {
-  const DpPassServices *services = user_data;
+  DpPassServices *services = user_data;
 
-  g_message ("balancer %s is registered", services->name);
+  if (services->registered_at == 0)
+    services->registered_at = dp_clock_now (services->clock);
+  g_message ("balancer %s is registered%s", services->name,
+             dp_balancer_entry_kept (services->entry) ? ", as before" : "");
 }
 
 static void
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -312,6 +312,18 @@
              : dp_candidates_view (service->candidates);
 }
 
+/* Returns whether a member of the service takes new flows. */
+gboolean
+dp_placement_has_active (DpPlacement *placement, guint64 service_id)
+{
+  const DpView *view = dp_placement_view (placement, service_id);
+
+  for (guint i = 0; view != NULL && i < view->n_members; i++)
+    if (view->members[i].state == DP_MEMBER_ACTIVE)
+      return TRUE;
+  return FALSE;
+}
+
 /* Returns the ids of members of the service that were forgotten lately; the caller frees
  * the array. */
 GArray *
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -258,6 +258,7 @@
 
   report.state = DP_MEMBER_LEAVING;
   CU_ASSERT_TRUE (dp_placement_report (placement, &report, MS));
+  CU_ASSERT_TRUE (dp_placement_has_active (placement, service));
   CU_ASSERT_EQUAL (dp_placement_view (placement, service)->n_members, 3);
   report.ended = TRUE;
   for (guint i = 0; i < 2; i++)
@@ -281,9 +282,28 @@
   }
 }
 
+/* Found on tempo-bc (inc-9b59): a balancer that knew one member, which was leaving, was
+ * ready and rejected all flows. */
+static void
+test_leaving_only (void)
+{
+  g_autoptr (DpPlacement) placement = dp_placement_new ("riga-a");
+  const guint64 service = dp_service_id (SERVICE);
+  DpReport report = make_report ("a-1", "riga-a", 1, 0);
+
+  CU_ASSERT_FALSE (dp_placement_has_active (placement, service));
+  report.state = DP_MEMBER_LEAVING;
+  dp_placement_report (placement, &report, 0);
+  CU_ASSERT_FALSE (dp_placement_has_active (placement, service));
+  report.state = DP_MEMBER_ACTIVE;
+  dp_placement_report (placement, &report, MS);
+  CU_ASSERT_TRUE (dp_placement_has_active (placement, service));
+}
+
 static const DpTestCase cases_[] = {
   { "a failing server comes last", test_failing },
   { "a server that has signed off is gone", test_ended },
+  { "leaving members don't make a balancer ready", test_leaving_only },
   { "the least loaded member, near ones first", test_choice },
   { "flows placed since the report count", test_own_flows },
   { "a report corrects what was not seen to end", test_report_corrects },
