--- a/src/libdogwoodpaddle/include/private/passservices.h
+++ b/src/libdogwoodpaddle/include/private/passservices.h
@@ -27,6 +27,7 @@
 gboolean dp_pass_services_all (const DpPassServices *services,
                                DpPassServiceFunc func,
                                gpointer user_data);
-/* Whether the members know of this balancer by now, if it could register. */
+/* Whether the members know of this balancer by now. */
 gboolean dp_pass_services_announced (const DpPassServices *services);
+gboolean dp_pass_services_registered (const DpPassServices *services);
 guint64 dp_pass_services_revision (const DpPassServices *services);
--- a/src/libdogwoodpaddle/passbalancer.c
+++ b/src/libdogwoodpaddle/passbalancer.c
@@ -19,8 +19,8 @@
 /* Within this time after a start nobody is rejected because there is no member: reports
  * come every 100 to 400 ms. Clients repeat their SYN after 200 and 600 ms. */
 #define GATHER_US (1500 * DP_US_PER_MS)
-/* From this time on after its start a balancer that can't register, or that knows no
- * member of some service, is ready nevertheless. */
+/* From this time on after its start a balancer that knows no member of some service is
+ * ready nevertheless. */
 #define GATHER_MAX_US (3 * DP_US_PER_S)
 typedef enum
 {
@@ -161,22 +161,24 @@
   g_free (balancer);
 }
 
-/* Returns whether the fabric may send packets here: the services are known, and the
- * members have heard of this balancer, one that takes new flows of each service among
- * them, or there has been time enough. Without any member all flows would be rejected,
- * and with few of them these would be overloaded, so that other balancers serve them
- * better.
- */
+/* Returns whether the fabric may send packets here: the services are known, the members
+ * have heard of this balancer or it can't register, and one that takes new flows is known
+ * of each service, or there has been time enough. Without any member all flows would be
+ * rejected, and with few of them these would be overloaded, so that other balancers serve
+ * them better. */
 gboolean
 dp_pass_balancer_is_ready (const DpPassBalancer *balancer)
 {
   gint64 age = dp_clock_now (balancer->options.clock) - balancer->started_at;
+  gboolean heard = dp_pass_services_announced (balancer->services)
+                   || (age > GATHER_US
+                       && !dp_pass_services_registered (balancer->services));
 
   if (!dp_pass_services_known (balancer->services) || balancer->stopping
       || dp_placement_n_members (balancer->placement) == 0)
     return FALSE;
   return age > GATHER_MAX_US
-         || (dp_pass_services_announced (balancer->services)
+         || (heard
              && dp_pass_services_all (balancer->services, has_member_,
                                       balancer->placement));
 }
--- a/src/libdogwoodpaddle/passservices.c
+++ b/src/libdogwoodpaddle/passservices.c
@@ -207,11 +207,18 @@
 {
   const gint64 now = dp_clock_now (services->clock);
 
-  return services->registered_at != 0
+  return dp_pass_services_registered (services)
          && (dp_balancer_entry_kept (services->entry)
              || now - services->registered_at > ANNOUNCED_US);
 }
 
+/* Returns whether the platform holds this balancer's registration. */
+gboolean
+dp_pass_services_registered (const DpPassServices *services)
+{
+  return services->registered_at != 0;
+}
+
 /* Returns the revision up to which the services are known. */
 guint64
 dp_pass_services_revision (const DpPassServices *services)
