--- a/src/libdogwoodpaddle/passservices.c
+++ b/src/libdogwoodpaddle/passservices.c
@@ -32,6 +32,8 @@
   DpRouter *router;
   DpReplica *replica;   /* of the services */
   DpReplica *balancers; /* of the registered balancers */
+  DpTopology *topology; /* of them; NULL: they have changed */
+  guint balancers_listener;
   DpWatch *watch;
   DpWatch *balancers_watch;
   DpBalancerEntry *entry;
@@ -60,6 +62,8 @@
 static void choose_parents_ (DpPassServices *services, gint64 now);
 static void
 add_other_peers_ (DpPassServices *services, const DpTopology *topology, GArray *peers);
+static const DpTopology *topology_ (DpPassServices *services);
+static void balancer_changed_ (const DpRecord *record, gpointer user_data);
 static void add_peer_ (DpPassServices *services, GArray *peers, const DpAddress *peer);
 static void upstream_changed_ (DpUpstream *upstream, gpointer user_data);
 static void upstream_progressed_ (DpUpstream *upstream, gpointer user_data);
@@ -104,6 +108,8 @@
   services->taken = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   services->replica = dp_replica_new ();
   services->balancers = dp_replica_new ();
+  services->balancers_listener = dp_replica_add_listener (services->balancers,
+                                                          balancer_changed_, services);
   services->replica_listener = dp_replica_add_listener (services->replica,
                                                         service_changed_, services);
   services->watch = dp_watch_new (options->platform, options->services, options->watch_ms,
@@ -126,6 +132,8 @@
 {
   g_clear_handle_id (&services->update, g_source_remove);
   dp_replica_remove_listener (services->replica, services->replica_listener);
+  dp_replica_remove_listener (services->balancers, services->balancers_listener);
+  dp_topology_free (services->topology);
   dp_balancer_entry_free (services->entry);
   dp_watch_free (services->watch);
   dp_watch_free (services->balancers_watch);
@@ -311,7 +319,7 @@
 choose_parents_ (DpPassServices *services, gint64 now)
 {
   g_autoptr (GArray) peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
-  g_autoptr (DpTopology) topology = dp_topology_new (services->balancers);
+  const DpTopology *topology = topology_ (services);
   const gboolean alone = services->unreachable_since != 0
                          && now - services->unreachable_since >= PLATFORM_PATIENCE_US;
   const gboolean child = dp_topology_rank (topology, services->name, services->zone)
@@ -340,6 +348,24 @@
     }
 }
 
+/* Reading some hundred registrations takes milliseconds, a large part of what a small
+ * host has between two ticks. */
+static const DpTopology *
+topology_ (DpPassServices *services)
+{
+  if (services->topology == NULL)
+    services->topology = dp_topology_new (services->balancers);
+  return services->topology;
+}
+
+static void
+balancer_changed_ (const DpRecord *record, gpointer user_data)
+{
+  DpPassServices *services = user_data;
+
+  g_clear_pointer (&services->topology, dp_topology_free);
+}
+
 /* Adds all other balancers that are registered, and those of the settings. */
 static void
 add_other_peers_ (DpPassServices *services, const DpTopology *topology, GArray *peers)
