--- a/src/libdogwoodpaddle/servicebound.c
+++ b/src/libdogwoodpaddle/servicebound.c
@@ -88,7 +88,7 @@
 dp_bound_scenario_parse (const char *text, gsize length, GError **error)
 {
   g_autoptr (JsonNode) root = dp_json_parse (text, length, error);
-  g_autoptr (DpBoundScenario) scenario = NULL;
+  DpBoundScenario *scenario;
   JsonObject *object;
 
   if (root == NULL)
@@ -107,8 +107,12 @@
                       scenario, error)
       || !read_classes_ (scenario, object, error)
       || !read_phases_ (scenario, object, error))
-    return NULL;
-  return g_steal_pointer (&scenario);
+    goto fault;
+  return scenario;
+
+fault:
+  dp_bound_scenario_free (scenario);
+  return NULL;
 }
 
 /* Frees the scenario. */
@@ -251,8 +255,9 @@
 static void
 pool_init_ (Pool *pool, const DpBoundScenario *scenario)
 {
-  const guint n_steps = (guint) ceil (scenario->length_s * 1000.0 / STEP_MS);
+  const guint n_steps = MAX ((guint) ceil (scenario->length_s * 1000.0 / STEP_MS), 1);
 
+  g_assert (scenario->classes->len > 0);
   pool->scenario = scenario;
   pool->n_steps = n_steps;
   pool->n_capacity = n_steps;
--- a/src/test_libdogwoodpaddle/test_freshness.c
+++ b/src/test_libdogwoodpaddle/test_freshness.c
@@ -10,33 +10,33 @@
 
 typedef enum
 {
-  CONFIRMED, /* value: age in ms */
+  CONFIRMED,
   ANSWERED,
   LOST
 } Event;
 
 typedef struct
 {
-  gint64 at; /* ms */
+  gint64 at;    /* ms */
+  gint64 value; /* age in ms */
   Event event;
-  gint64 value;
   gboolean by_parent; /* expected after the event */
 } Step;
 
 /* Times at which nothing happens are given as an answer of the platform. */
 static const Step steps_[] = {
-  { 1000, ANSWERED, 0, FALSE },
-  { 1100, CONFIRMED, 10, TRUE }, /* a new parent is relied on at once */
-  { 2200, CONFIRMED, 0, TRUE },
-  { 3400, ANSWERED, 0, TRUE },
-  { 3401, ANSWERED, 0, FALSE }, /* silent for longer than the bound */
-  { 3500, CONFIRMED, 0, TRUE },
-  { 4600, CONFIRMED, 2000, TRUE }, /* it has fallen behind, what it said before holds */
-  { 4701, ANSWERED, 0, FALSE },
-  { 4800, CONFIRMED, 100, TRUE },
-  { 4801, LOST, 0, FALSE },
-  { 4900, CONFIRMED, 2000, FALSE }, /* the next parent is out of date */
-  { 5000, CONFIRMED, 0, TRUE },
+  { 1000, 0, ANSWERED, FALSE },
+  { 1100, 10, CONFIRMED, TRUE }, /* a new parent is relied on at once */
+  { 2200, 0, CONFIRMED, TRUE },
+  { 3400, 0, ANSWERED, TRUE },
+  { 3401, 0, ANSWERED, FALSE }, /* silent for longer than the bound */
+  { 3500, 0, CONFIRMED, TRUE },
+  { 4600, 2000, CONFIRMED, TRUE }, /* it has fallen behind, what it said before holds */
+  { 4701, 0, ANSWERED, FALSE },
+  { 4800, 100, CONFIRMED, TRUE },
+  { 4801, 0, LOST, FALSE },
+  { 4900, 2000, CONFIRMED, FALSE }, /* the next parent is out of date */
+  { 5000, 0, CONFIRMED, TRUE },
 };
 
 static void
