--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -527,6 +527,18 @@
         finally:
             connection.close()
 
+    def metric(self, name):
+        """Value of a counter, named with its labels as on the metrics page."""
+        connection = http.client.HTTPConnection(self.settings["ip"], READY_PORT, timeout=1)
+        try:
+            connection.request("GET", "/metrics")
+            for line in connection.getresponse().read().decode().splitlines():
+                if line.startswith(name + " "):
+                    return float(line.rsplit(" ", 1)[1])
+        finally:
+            connection.close()
+        raise KeyError(name)
+
 
 class Site:
     """A whole deployment below one loopback prefix, as "127.33"."""
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -26,6 +26,8 @@
 CONFIG_APPLY_S = 3.0
 DRAIN_S = 3.0
 SEPARATE = ["test_waiting_syn_and_older_copy"]  # run by test_hosted_waiting_syn.sh
+# Counter of a companion: SYNs that it holds, and retransmissions of these.
+WAITING_PACKETS = 'dogwoodpaddle_packets_total{reason="waiting"}'
 
 
 def check(condition, text):
@@ -541,6 +543,10 @@
         client.run(time.monotonic() + 0.005)
     waiting = [f for f in flows if f["peer"] is None]
     check(len(waiting) == 1, f"{len(waiting)} flows wait")
+    # A copy that overtakes the SYN is no copy of a waiting one, and is answered by itself.
+    while site.companions[0].metric(WAITING_PACKETS) < 1 and time.monotonic() < end:
+        client.run(time.monotonic() + 0.005)
+    check(site.companions[0].metric(WAITING_PACKETS) >= 1, "the companion holds no SYN")
     for flow in waiting:
         # As a server that was frozen does, and a balancer that knows another service there.
         server._return(standins.Packet(*flow["key"], standins.SYN, flow["seq"]))
@@ -548,7 +554,8 @@
         foreign.pad = b"\x55\xaa\x55\0\0"
         client.socket.sendto(foreign.pack(), (server.ip, standins.PACKET_PORT))
     results = finish(client, flows)
-    check(site.companions[0].process.poll() is None, "the companion ended")
+    status = site.companions[0].process.poll()
+    check(status is None, f"the companion ended with status {status}")
     check(results == ["ok"] * 4, f"results {results}")
 
 
