Keep the expected wait of late flows while their queue is empty

Cause: the least expected wait of a late flow was the time since one got a slot, counted from when the queue had last become non-empty.

Change: the time is counted from when a late flow of the class got a slot or could have got one, whether one waits or not.

--- a/src/libdogwoodpaddle/include/protected/slots.h
+++ b/src/libdogwoodpaddle/include/protected/slots.h
@@ -40,8 +40,7 @@
 void dp_slots_request_abandoned (DpSlots *slots, DpTrafficClass class, gint64 started_at);
 
 DpHandle dp_slots_enqueue (DpSlots *slots, DpHandle flow, DpTrafficClass class);
-DpHandle
-dp_slots_enqueue_late (DpSlots *slots, DpHandle flow, DpTrafficClass class, gint64 now);
+DpHandle dp_slots_enqueue_late (DpSlots *slots, DpHandle flow, DpTrafficClass class);
 void dp_slots_cancel (DpSlots *slots, DpHandle ticket);
 DpHandle dp_slots_acquire_next (DpSlots *slots, gint64 now);
 
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -227,7 +227,7 @@
   if (flow->waiting_row == DP_HANDLE_NONE)
     return FALSE;
   flow->ticket = late ? dp_slots_enqueue_late (flows->slots, flow->waiting_row,
-                                               flow->class, now)
+                                               flow->class)
                       : dp_slots_enqueue (flows->slots, flow->waiting_row, flow->class);
   return flow->ticket != DP_HANDLE_NONE;
 }
--- a/src/libdogwoodpaddle/slots.c
+++ b/src/libdogwoodpaddle/slots.c
@@ -9,6 +9,8 @@
 /* Samples after which the newest service time has a fixed weight in the moving mean: 1/8.
  * Earlier ones are averaged evenly, so that a new process soon has a usable mean. */
 #define MEAN_SAMPLES 8
+/* Value of late_turn_at until a late flow of the class is considered. */
+#define LATE_TURN_UNKNOWN G_MININT64
 
 typedef struct
 {
@@ -27,8 +29,6 @@
   guint n_busy;
   gint64 service_time; /* us, moving mean */
   guint n_samples;     /* samples in the mean, MEAN_SAMPLES at most */
-  gint64 last_turn_at; /* us; when a late flow last got a slot or the queue last became
-                        * non-empty */
 } Queue;
 
 /* A request that the server is working on. */
@@ -44,6 +44,8 @@
   DpHandleTable *waiters;
   Queue queues[DP_N_TRAFFIC_CLASSES];
   Queue late_queues[DP_N_TRAFFIC_CLASSES]; /* n_busy and service_time are not used */
+  /* us; when a late flow of the class last got a slot, or could have got one */
+  gint64 late_turn_at[DP_N_TRAFFIC_CLASSES];
   guint capacity;
   guint late_capacity; /* late non-urgent flows get slots while fewer slots are busy */
   gboolean late_urgent_had_turn; /* the next turn is that of the other classes */
@@ -57,7 +59,10 @@
 static void prepend_ (DpSlots *slots, Queue *queue, DpHandle ticket);
 static Queue *get_queue_ (DpSlots *slots, DpTrafficClass class, gboolean late);
 static DpHandle acquire_in_time_ (DpSlots *slots, DpTrafficClass class);
-static DpHandle acquire_late_ (DpSlots *slots, DpTrafficClass class, gint64 now);
+static DpHandle acquire_late_ (DpSlots *slots, DpTrafficClass class);
+static guint late_capacity_ (const DpSlots *slots, DpTrafficClass class);
+static void note_late_turns_ (DpSlots *slots, DpTrafficClass class, gint64 now);
+static void note_idle_slots_ (DpSlots *slots, gint64 now);
 static DpHandle acquire_for_first_ (DpSlots *slots,
                                     const Queue *queue,
                                     DpTrafficClass class,
@@ -103,7 +108,10 @@
   slots->running = g_array_new (FALSE, FALSE, sizeof (RunningRequest));
   slots->service_time = INITIAL_SERVICE_TIME;
   for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
-    slots->queues[i].service_time = INITIAL_SERVICE_TIME;
+    {
+      slots->queues[i].service_time = INITIAL_SERVICE_TIME;
+      slots->late_turn_at[i] = LATE_TURN_UNKNOWN;
+    }
   return slots;
 }
 
@@ -222,12 +230,10 @@
  * other classes. Of the late flows of a class the newest goes first: those that have
  * waited longest are near their deadline, and their clients may have given up. */
 DpHandle
-dp_slots_enqueue_late (DpSlots *slots, DpHandle flow, DpTrafficClass class, gint64 now)
+dp_slots_enqueue_late (DpSlots *slots, DpHandle flow, DpTrafficClass class)
 {
   const Waiter waiter = { .class = class, .late = TRUE };
 
-  if (slots->late_queues[class].n_waiting == 0)
-    slots->late_queues[class].last_turn_at = now;
   return enqueue_ (slots, flow, &waiter);
 }
 
@@ -270,19 +276,30 @@
     return flow;
   if (!slots->late_urgent_had_turn)
     {
-      flow = acquire_late_ (slots, DP_TRAFFIC_URGENT, now);
+      flow = acquire_late_ (slots, DP_TRAFFIC_URGENT);
       slots->late_urgent_had_turn = flow != DP_HANDLE_NONE;
+      if (slots->late_urgent_had_turn)
+        slots->late_turn_at[DP_TRAFFIC_URGENT] = now;
     }
   for (guint i = DP_TRAFFIC_URGENT + 1;
        i < DP_N_TRAFFIC_CLASSES && flow == DP_HANDLE_NONE; i++)
     {
       flow = acquire_in_time_ (slots, (DpTrafficClass) i);
-      if (flow != DP_HANDLE_NONE)
-        slots->late_urgent_had_turn = FALSE;
+      if (flow == DP_HANDLE_NONE)
+        continue;
+      /* The slot would have gone to a late urgent flow, had one been waiting. */
+      slots->late_turn_at[DP_TRAFFIC_URGENT] = now;
+      slots->late_urgent_had_turn = FALSE;
     }
   for (guint i = DP_TRAFFIC_URGENT; i < DP_N_TRAFFIC_CLASSES && flow == DP_HANDLE_NONE;
        i++)
-    flow = acquire_late_ (slots, (DpTrafficClass) i, now);
+    {
+      flow = acquire_late_ (slots, (DpTrafficClass) i);
+      if (flow != DP_HANDLE_NONE)
+        note_late_turns_ (slots, (DpTrafficClass) i, now);
+    }
+  if (flow == DP_HANDLE_NONE)
+    note_idle_slots_ (slots, now);
   return flow;
 }
 
@@ -305,23 +322,25 @@
 
 /* Returns how long a new late flow of the class is expected to wait, in us. Flows that
  * arrive later may go first, so that an estimate from the queue alone would be too low
- * under lasting overload. While late flows of the class are waiting, the result is
- * therefore at least the time for which none of them has got a slot. */
+ * under lasting overload. The result is therefore at least the time for which no late
+ * flow of the class has got a slot, or could have got one. It keeps growing while the
+ * queue is empty because all late flows have given up or been rejected. */
 gint64
 dp_slots_expected_late_wait (DpSlots *slots, DpTrafficClass class, gint64 now)
 {
-  const Queue *queue = &slots->late_queues[class];
   /* In-time flows of all classes go before late ones, except that only those of the
    * urgent class go before late urgent ones. */
   gint64 work = queued_work_ (
       slots, class == DP_TRAFFIC_URGENT ? class : DP_N_TRAFFIC_CLASSES - 1);
   gint64 wait;
 
+  if (slots->late_turn_at[class] == LATE_TURN_UNKNOWN)
+    slots->late_turn_at[class] = now;
   for (guint i = 0; i <= class; i++)
     work += slots->late_queues[i].n_waiting * slots->queues[i].service_time;
   wait = time_until_free_ (slots, class, now)
          + work / MAX (class_limit_ (slots, class), 1);
-  return queue->n_waiting == 0 ? wait : MAX (wait, now - queue->last_turn_at);
+  return MAX (wait, now - slots->late_turn_at[class]);
 }
 
 /* Returns whether an in-time flow of the same or a higher class is waiting. */
@@ -427,18 +446,37 @@
   return acquire_for_first_ (slots, &slots->queues[class], class, slots->capacity);
 }
 
+static DpHandle
+acquire_late_ (DpSlots *slots, DpTrafficClass class)
+{
+  return acquire_for_first_ (slots, &slots->late_queues[class], class,
+                             late_capacity_ (slots, class));
+}
+
 /* Late urgent flows may have any slot, other late flows only those within
  * late_capacity. */
-static DpHandle
-acquire_late_ (DpSlots *slots, DpTrafficClass class, gint64 now)
+static guint
+late_capacity_ (const DpSlots *slots, DpTrafficClass class)
 {
-  const guint capacity = class == DP_TRAFFIC_URGENT ? slots->capacity
-                                                    : slots->late_capacity;
-  DpHandle flow = acquire_for_first_ (slots, &slots->late_queues[class], class, capacity);
+  return class == DP_TRAFFIC_URGENT ? slots->capacity : slots->late_capacity;
+}
 
-  if (flow != DP_HANDLE_NONE)
-    slots->late_queues[class].last_turn_at = now;
-  return flow;
+/* Records that a late flow of the class got a slot, as late flows of higher classes could
+ * have. */
+static void
+note_late_turns_ (DpSlots *slots, DpTrafficClass class, gint64 now)
+{
+  for (guint i = 0; i <= class; i++)
+    slots->late_turn_at[i] = now;
+}
+
+/* Records slots that no waiting flow wants, which any late flow could have got. */
+static void
+note_idle_slots_ (DpSlots *slots, gint64 now)
+{
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    if (dp_slots_busy (slots) < late_capacity_ (slots, (DpTrafficClass) i))
+      slots->late_turn_at[i] = now;
 }
 
 static DpHandle
--- a/src/test_libdogwoodpaddle/test_slots.c
+++ b/src/test_libdogwoodpaddle/test_slots.c
@@ -61,9 +61,9 @@
   static const DpHandle order[] = { 1, 2, 3, 4, 5 };
 
   dp_slots_set_capacity (slots, 1, FALSE);
-  dp_slots_enqueue_late (slots, 5, DP_TRAFFIC_BULK, 0);
-  dp_slots_enqueue_late (slots, 4, DP_TRAFFIC_INTERACTIVE, 0);
-  dp_slots_enqueue_late (slots, 2, DP_TRAFFIC_URGENT, 0);
+  dp_slots_enqueue_late (slots, 5, DP_TRAFFIC_BULK);
+  dp_slots_enqueue_late (slots, 4, DP_TRAFFIC_INTERACTIVE);
+  dp_slots_enqueue_late (slots, 2, DP_TRAFFIC_URGENT);
   dp_slots_enqueue (slots, 3, DP_TRAFFIC_INTERACTIVE);
   dp_slots_enqueue (slots, 1, DP_TRAFFIC_URGENT);
   CU_ASSERT_EQUAL (dp_slots_waiting_in_time (slots), 2);
@@ -92,9 +92,9 @@
 
   dp_slots_set_capacity (slots, 3, FALSE);
   dp_slots_set_late_capacity (slots, 1);
-  dp_slots_enqueue_late (slots, 3, DP_TRAFFIC_INTERACTIVE, 0);
-  dp_slots_enqueue_late (slots, 2, DP_TRAFFIC_INTERACTIVE, 0);
-  ticket = dp_slots_enqueue_late (slots, 1, DP_TRAFFIC_INTERACTIVE, 0);
+  dp_slots_enqueue_late (slots, 3, DP_TRAFFIC_INTERACTIVE);
+  dp_slots_enqueue_late (slots, 2, DP_TRAFFIC_INTERACTIVE);
+  ticket = dp_slots_enqueue_late (slots, 1, DP_TRAFFIC_INTERACTIVE);
   dp_slots_cancel (slots, ticket);
   CU_ASSERT_EQUAL (dp_slots_acquire_next (slots, 0), 2);
   CU_ASSERT_EQUAL (dp_slots_acquire_next (slots, 0), DP_HANDLE_NONE);
@@ -115,7 +115,7 @@
   dp_slots_set_capacity (slots, 10, FALSE);
   dp_slots_set_late_capacity (slots, 10);
   for (guint i = 1; i <= 4; i++)
-    dp_slots_enqueue_late (slots, i, DP_TRAFFIC_INTERACTIVE, i * 100 * DP_US_PER_MS);
+    dp_slots_enqueue_late (slots, i, DP_TRAFFIC_INTERACTIVE);
   for (guint i = 4; i >= 1; i--)
     CU_ASSERT_EQUAL (dp_slots_acquire_next (slots, 500 * DP_US_PER_MS), i);
 }
@@ -135,7 +135,7 @@
   for (guint i = 1; i <= 3; i++)
     {
       dp_slots_enqueue (slots, i, DP_TRAFFIC_INTERACTIVE);
-      dp_slots_enqueue_late (slots, 10 + i, DP_TRAFFIC_URGENT, 0);
+      dp_slots_enqueue_late (slots, 10 + i, DP_TRAFFIC_URGENT);
     }
   for (guint i = 0; i < G_N_ELEMENTS (order); i++)
     {
@@ -155,10 +155,10 @@
 
   dp_slots_set_capacity (slots, 1, FALSE);
   dp_slots_acquire (slots, DP_TRAFFIC_INTERACTIVE);
-  dp_slots_enqueue_late (slots, 1, DP_TRAFFIC_URGENT, 0);
+  dp_slots_enqueue_late (slots, 1, DP_TRAFFIC_URGENT);
   alone = dp_slots_expected_wait (slots, DP_TRAFFIC_INTERACTIVE, 0);
   for (guint i = 2; i <= 20; i++)
-    dp_slots_enqueue_late (slots, i, DP_TRAFFIC_URGENT, 0);
+    dp_slots_enqueue_late (slots, i, DP_TRAFFIC_URGENT);
   CU_ASSERT_EQUAL (dp_slots_expected_wait (slots, DP_TRAFFIC_INTERACTIVE, 0), alone);
 }
 
@@ -173,14 +173,14 @@
   dp_slots_set_capacity (slots, 2, FALSE);
   dp_slots_acquire (slots, DP_TRAFFIC_INTERACTIVE);
   dp_slots_acquire (slots, DP_TRAFFIC_INTERACTIVE);
-  dp_slots_enqueue_late (slots, 1, DP_TRAFFIC_INTERACTIVE, 0);
+  dp_slots_enqueue_late (slots, 1, DP_TRAFFIC_INTERACTIVE);
   wait = dp_slots_expected_late_wait (slots, DP_TRAFFIC_INTERACTIVE, 0);
   CU_ASSERT_TRUE (wait > 0 && wait <= 150 * DP_US_PER_MS);
   CU_ASSERT_TRUE (dp_slots_expected_late_wait (slots, DP_TRAFFIC_URGENT, 0) < wait);
   CU_ASSERT_TRUE (
       dp_slots_expected_late_wait (slots, DP_TRAFFIC_INTERACTIVE, 600 * DP_US_PER_MS)
       >= 600 * DP_US_PER_MS);
-  dp_slots_enqueue_late (slots, 2, DP_TRAFFIC_INTERACTIVE, 600 * DP_US_PER_MS);
+  dp_slots_enqueue_late (slots, 2, DP_TRAFFIC_INTERACTIVE);
   dp_slots_release (slots, DP_TRAFFIC_INTERACTIVE);
   CU_ASSERT_EQUAL (dp_slots_acquire_next (slots, 700 * DP_US_PER_MS), 2);
   CU_ASSERT_TRUE (
@@ -188,6 +188,39 @@
       <= 150 * DP_US_PER_MS);
 }
 
+/* Under lasting overload the clients of late flows give up, which empties the queue. New
+ * late flows must not be queued as if an overload had only begun: their clients would
+ * spend their attempts on waits, and be late when they are served. */
+static void
+test_late_wait_outlasts_the_queue (void)
+{
+  g_autoptr (DpSlots) slots = dp_slots_new (10);
+  const gint64 second = DP_US_PER_S;
+  DpHandle ticket;
+
+  dp_slots_set_capacity (slots, 1, FALSE);
+  dp_slots_acquire (slots, DP_TRAFFIC_INTERACTIVE);
+  ticket = dp_slots_enqueue_late (slots, 1, DP_TRAFFIC_INTERACTIVE);
+  dp_slots_expected_late_wait (slots, DP_TRAFFIC_INTERACTIVE, second);
+  for (guint i = 2; i <= 9; i++)
+    {
+      dp_slots_enqueue (slots, i, DP_TRAFFIC_INTERACTIVE);
+      dp_slots_release (slots, DP_TRAFFIC_INTERACTIVE);
+      CU_ASSERT_EQUAL (dp_slots_acquire_next (slots, second + i * second / 10), i);
+    }
+  dp_slots_cancel (slots, ticket);
+  CU_ASSERT_TRUE (dp_slots_expected_late_wait (slots, DP_TRAFFIC_INTERACTIVE, 2 * second)
+                  >= second);
+  /* A late urgent flow would have got one of these slots. */
+  CU_ASSERT_TRUE (dp_slots_expected_late_wait (slots, DP_TRAFFIC_URGENT, 2 * second)
+                  < second / 2);
+  dp_slots_release (slots, DP_TRAFFIC_INTERACTIVE);
+  CU_ASSERT_EQUAL (dp_slots_acquire_next (slots, 2 * second), DP_HANDLE_NONE);
+  dp_slots_acquire (slots, DP_TRAFFIC_INTERACTIVE);
+  CU_ASSERT_TRUE (dp_slots_expected_late_wait (slots, DP_TRAFFIC_INTERACTIVE, 2 * second)
+                  < second / 2);
+}
+
 static void
 test_bulk_leaves_a_slot (void)
 {
@@ -326,6 +359,8 @@
   { "a new flow waits for one late urgent flow", test_late_urgent_backlog_counts_once },
   { "the expected wait of late flows grows while none gets a slot",
     test_late_wait_grows },
+  { "clients that give up don't make the expected wait of late flows short again",
+    test_late_wait_outlasts_the_queue },
   { "bulk leaves one of several slots free", test_bulk_leaves_a_slot },
   { "the slot of a long request is not expected soon", test_long_request },
   { "the expected wait follows the queue", test_expected_wait },
