Halve the wait limit while a server has had no idle slot for long

Cause: under lasting overload the queue of each member stood at its wait limit, a third of the objective. With the work itself every eighth request came out late; a queue that never runs empty doesn't absorb a burst.

Change: once no slot has been idle for three times the wait limit, the limit is halved.

--- a/src/libdogwoodpaddle/passthroughadmission.c
+++ b/src/libdogwoodpaddle/passthroughadmission.c
@@ -14,6 +14,10 @@
  * for which a wait is of use to its client, since new flows that can be served in time go
  * first. */
 #define LATE_WAIT_FACTOR 2
+/* An overload that has lasted for this many times the wait limit is no burst, and the
+ * wait limit is divided by SATURATED_WAIT_DIVISOR. */
+#define BURST_WAIT_LIMITS 3
+#define SATURATED_WAIT_DIVISOR 2
 /* When clients retransmit a SYN, in ms after sending it first. */
 static const guint32 syn_retransmissions_ms_[] = { 200, 600 };
 /* Delay allowed for a retransmission, which passes through a balancer, which may have
@@ -53,6 +57,8 @@
                                           const DpHop *hop,
                                           gboolean late,
                                           gint64 now);
+static gint64
+wait_limit_ (DpPassthroughAdmission *admission, const DpHop *hop, gint64 now);
 static gint64 longest_useful_wait_ (const DpSegment *segment, const DpHop *hop);
 static void
 expect_retransmission_ (DpPassthroughFlow *flow, const DpSegment *syn, gint64 now);
@@ -297,7 +303,7 @@
       return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_OWNED,
                                            hop);
     }
-  if (wait + age <= hop->wait_limit_ms * DP_US_PER_MS)
+  if (wait + age <= wait_limit_ (admission, hop, now))
     return queue_flow_ (admission, segment, hop, FALSE, now);
   /* A client that is rejected tries again within milliseconds and soon has no attempts
    * left. A late answer serves it better than none. */
@@ -307,6 +313,19 @@
   return reject_ (admission, hop, now);
 }
 
+/* Returns the longest wait, in us, after which a new flow is still expected to be in
+ * time. A queue that never runs empty no longer absorbs a burst. It only makes every flow
+ * in it wait, and a shorter one keeps the slots as busy. */
+static gint64
+wait_limit_ (DpPassthroughAdmission *admission, const DpHop *hop, gint64 now)
+{
+  const gint64 limit = hop->wait_limit_ms * DP_US_PER_MS;
+  const gint64 saturated = dp_slots_saturated_time (admission->flows->slots,
+                                                    (DpTrafficClass) hop->class, now);
+
+  return saturated > BURST_WAIT_LIMITS * limit ? limit / SATURATED_WAIT_DIVISOR : limit;
+}
+
 /* Queues a new flow for a slot. */
 static DpPassthroughDecision
 queue_flow_ (DpPassthroughAdmission *admission,
--- a/src/libdogwoodpaddle/slots.c
+++ b/src/libdogwoodpaddle/slots.c
@@ -334,13 +334,21 @@
       slots, class == DP_TRAFFIC_URGENT ? class : DP_N_TRAFFIC_CLASSES - 1);
   gint64 wait;
 
-  if (slots->late_turn_at[class] == LATE_TURN_UNKNOWN)
-    slots->late_turn_at[class] = now;
   for (guint i = 0; i <= class; i++)
     work += slots->late_queues[i].n_waiting * slots->queues[i].service_time;
   wait = time_until_free_ (slots, class, now)
          + work / MAX (class_limit_ (slots, class), 1);
-  return MAX (wait, now - slots->late_turn_at[class]);
+  return MAX (wait, dp_slots_saturated_time (slots, class, now));
+}
+
+/* Returns for how long, in us, no late flow of the class has got a slot or could have got
+ * one: since then, flows that go before it have kept all slots busy. */
+gint64
+dp_slots_saturated_time (DpSlots *slots, DpTrafficClass class, gint64 now)
+{
+  if (slots->late_turn_at[class] == LATE_TURN_UNKNOWN)
+    slots->late_turn_at[class] = now;
+  return now - slots->late_turn_at[class];
 }
 
 /* Returns whether an in-time flow of the same or a higher class is waiting. */
