Expect of late flows what has become of earlier ones

Cause: a late flow was held if the queue promised it a turn within half of its client's time, but newer late flows and arriving ones go first.

Change: the expected wait counts the measured time between turns of late flows, and is weighed with the share of late flows that have got a slot of late.

test_overload replays 1.3, 2 and 3 times what the slots can do against one member, with the bounds of 5% late, 1% of attempts that end by the client's limit and 95% of the slots' work in time.

--- a/src/libdogwoodpaddle/passthroughadmission.c
+++ b/src/libdogwoodpaddle/passthroughadmission.c
@@ -14,6 +14,11 @@
  * for which a wait is of use to its client, since new flows that can be served in time go
  * first. */
 #define LATE_WAIT_FACTOR 2
+/* Late flows over which the share of those that get a slot is averaged. */
+#define LATE_OUTCOMES 8
+/* The share doesn't fall below this value, so that late flows with a short expected wait
+ * go on showing what becomes of them. */
+#define LATE_SERVED_SHARE_MIN 0.02
 /* An overload that has lasted for this many times the wait limit is no burst, and the
  * wait limit is divided by SATURATED_WAIT_DIVISOR. */
 #define BURST_WAIT_LIMITS 3
@@ -42,9 +47,10 @@
   gboolean serving;
   gboolean view_changed; /* the view has changed: late flows may go to new members */
   gint64
-      waiting_checked_at;  /* us, last search for flows that should no longer wait here */
-  gint64 created_at;       /* us */
-  guint n_unanswered_syns; /* SYNs sent to the server since its last packet */
+      waiting_checked_at; /* us, last search for flows that should no longer wait here */
+  gint64 created_at;      /* us */
+  double late_served_share;   /* share of late flows that got a slot, moving mean */
+  guint n_unanswered_syns;    /* SYNs sent to the server since its last packet */
   gint64 first_unanswered_at; /* us, when the first of these SYNs was sent */
 };
 
@@ -66,6 +72,7 @@
 static DpHop hop_after_wait_ (const DpPassthroughFlow *flow, gint64 now);
 static DpPassthroughFlow *
 next_to_remove_ (DpPassthroughAdmission *admission, gboolean serving, gint64 now);
+static void record_late_outcome_ (DpPassthroughAdmission *admission, gboolean served);
 static DpPassthroughDecision end_wait_ (DpPassthroughAdmission *admission,
                                         DpPassthroughFlow *flow,
                                         gboolean serving,
@@ -101,6 +108,7 @@
   admission->slots = 1;
   admission->flows = flows;
   admission->created_at = now;
+  admission->late_served_share = 1.0;
   return admission;
 }
 
@@ -268,6 +276,8 @@
       released->decision = end_wait_ (admission, flow, serving, now);
       return TRUE;
     }
+  if (flow->late)
+    record_late_outcome_ (admission, TRUE);
   hop = hop_after_wait_ (flow, now);
   dp_passthrough_flows_observe_time (admission->flows->histograms.wait,
                                      now - flow->waiting_since);
@@ -308,7 +318,8 @@
   /* A client that is rejected tries again within milliseconds and soon has no attempts
    * left. A late answer serves it better than none. */
   late_wait = dp_slots_expected_late_wait (admission->flows->slots, class, now);
-  if (late_wait * LATE_WAIT_FACTOR <= longest_useful_wait_ (segment, hop))
+  if ((double) late_wait * LATE_WAIT_FACTOR
+      <= admission->late_served_share * (double) longest_useful_wait_ (segment, hop))
     return queue_flow_ (admission, segment, hop, TRUE, now);
   return reject_ (admission, hop, now);
 }
@@ -433,6 +444,16 @@
   return NULL;
 }
 
+/* Records whether a late flow got a slot before its client gave up. */
+static void
+record_late_outcome_ (DpPassthroughAdmission *admission, gboolean served)
+{
+  double *share = &admission->late_served_share;
+
+  *share += ((served ? 1.0 : 0.0) - *share) / LATE_OUTCOMES;
+  *share = MAX (*share, LATE_SERVED_SHARE_MIN);
+}
+
 /* Forwards or rejects a flow that has no slot, or drops its SYN if the client has given
  * up. */
 static DpPassthroughDecision
@@ -449,6 +470,8 @@
     .key = flow->key, .hash = flow->hash, .seq = flow->syn_seq, .flags = DP_TCP_SYN
   };
 
+  if (expired && flow->late)
+    record_late_outcome_ (admission, FALSE);
   dp_passthrough_flows_remove (admission->flows, flow);
   if (expired)
     return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_EXPIRED,
--- a/src/libdogwoodpaddle/slots.c
+++ b/src/libdogwoodpaddle/slots.c
@@ -46,6 +46,7 @@
   Queue late_queues[DP_N_TRAFFIC_CLASSES]; /* n_busy and service_time are not used */
   /* us; when a late flow of the class last got a slot, or could have got one */
   gint64 late_turn_at[DP_N_TRAFFIC_CLASSES];
+  gint64 late_interval[DP_N_TRAFFIC_CLASSES]; /* us, between such turns, moving mean */
   guint capacity;
   guint late_capacity; /* late non-urgent flows get slots while fewer slots are busy */
   gboolean late_urgent_had_turn; /* the next turn is that of the other classes */
@@ -63,6 +64,7 @@
 static guint late_capacity_ (const DpSlots *slots, DpTrafficClass class);
 static void note_late_turns_ (DpSlots *slots, DpTrafficClass class, gint64 now);
 static void note_idle_slots_ (DpSlots *slots, gint64 now);
+static void note_turn_ (DpSlots *slots, DpTrafficClass class, gint64 now);
 static DpHandle acquire_for_first_ (DpSlots *slots,
                                     const Queue *queue,
                                     DpTrafficClass class,
@@ -279,7 +281,7 @@
       flow = acquire_late_ (slots, DP_TRAFFIC_URGENT);
       slots->late_urgent_had_turn = flow != DP_HANDLE_NONE;
       if (slots->late_urgent_had_turn)
-        slots->late_turn_at[DP_TRAFFIC_URGENT] = now;
+        note_turn_ (slots, DP_TRAFFIC_URGENT, now);
     }
   for (guint i = DP_TRAFFIC_URGENT + 1;
        i < DP_N_TRAFFIC_CLASSES && flow == DP_HANDLE_NONE; i++)
@@ -288,7 +290,7 @@
       if (flow == DP_HANDLE_NONE)
         continue;
       /* The slot would have gone to a late urgent flow, had one been waiting. */
-      slots->late_turn_at[DP_TRAFFIC_URGENT] = now;
+      note_turn_ (slots, DP_TRAFFIC_URGENT, now);
       slots->late_urgent_had_turn = FALSE;
     }
   for (guint i = DP_TRAFFIC_URGENT; i < DP_N_TRAFFIC_CLASSES && flow == DP_HANDLE_NONE;
@@ -338,6 +340,8 @@
     work += slots->late_queues[i].n_waiting * slots->queues[i].service_time;
   wait = time_until_free_ (slots, class, now)
          + work / MAX (class_limit_ (slots, class), 1);
+  wait = MAX (wait,
+              (gint64) slots->late_queues[class].n_waiting * slots->late_interval[class]);
   return MAX (wait, dp_slots_saturated_time (slots, class, now));
 }
 
@@ -475,7 +479,16 @@
 note_late_turns_ (DpSlots *slots, DpTrafficClass class, gint64 now)
 {
   for (guint i = 0; i <= class; i++)
-    slots->late_turn_at[i] = now;
+    note_turn_ (slots, (DpTrafficClass) i, now);
+}
+
+static void
+note_turn_ (DpSlots *slots, DpTrafficClass class, gint64 now)
+{
+  const gint64 interval = dp_slots_saturated_time (slots, class, now);
+
+  slots->late_interval[class] += (interval - slots->late_interval[class]) / MEAN_SAMPLES;
+  slots->late_turn_at[class] = now;
 }
 
 /* Records slots that no waiting flow wants, which any late flow could have got. */
@@ -484,7 +497,7 @@
 {
   for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
     if (dp_slots_busy (slots) < late_capacity_ (slots, (DpTrafficClass) i))
-      slots->late_turn_at[i] = now;
+      note_turn_ (slots, (DpTrafficClass) i, now);
 }
 
 static DpHandle
