Let flows that wait use the slot of a handshake that takes much longer than usual

Cause: after an outage slots are offered to clients that have given up in the meantime; each stayed idle for 300 ms.

Change: while flows wait, a slot whose handshake takes more than four times the usual time is given back. A client whose packet was lost is still served when it sends again.

--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -70,6 +70,8 @@
                             missed; not used if complete */
   gint64 swept_at;       /* us, last search for expired flows */
   gint64 ticked_at;      /* us, last tick */
+  gint64 handshake_time; /* us, from a SYN to its client's request, moving mean */
+  guint n_handshakes;    /* samples in the mean, HANDSHAKE_SAMPLES at most */
 } DpPassthroughFlows;
 
 DpPassthroughFlows *dp_passthrough_flows_new (gint64 flow_ttl, gint64 now);
@@ -94,7 +96,8 @@
                                       gint64 now);
 /* Records that the client's data begin a new request, whose answer starts at the sequence
  * number answer_start_seq. */
-void dp_passthrough_flows_begin_request (DpPassthroughFlow *flow,
+void dp_passthrough_flows_begin_request (DpPassthroughFlows *flows,
+                                         DpPassthroughFlow *flow,
                                          guint32 answer_start_seq,
                                          gint64 now);
 /* Stops counting the flow as in flight, as the server has answered the request or has
@@ -114,6 +117,9 @@
                                        gboolean late,
                                        gint64 now);
 void dp_passthrough_flows_dequeue (DpPassthroughFlows *flows, DpPassthroughFlow *flow);
+/* Gives back the slots of flows whose clients have probably left. */
+void dp_passthrough_flows_reclaim_slots (DpPassthroughFlows *flows, gint64 now);
+
 /* Gives a free slot to the next flow in the queue and returns that flow; NULL if none
  * waits or no slot is free. */
 DpPassthroughFlow *dp_passthrough_flows_assign_slot (DpPassthroughFlows *flows,
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -422,9 +422,11 @@
   if (flow->state == DP_PASSTHROUGH_FLOW_ANSWERED)
     flow->state = DP_PASSTHROUGH_FLOW_OPEN;
   if (segment->payload_length > 0 && !flow->request_seen)
-    dp_passthrough_flows_begin_request (flow, flow->syn_ack_seq + 1, now);
+    dp_passthrough_flows_begin_request (passthrough->flows, flow, flow->syn_ack_seq + 1,
+                                        now);
   else if (segment->payload_length > 0 && !flow->in_flight && flow->first_byte_at != 0)
-    dp_passthrough_flows_begin_request (flow, flow->server_next_seq, now);
+    dp_passthrough_flows_begin_request (passthrough->flows, flow, flow->server_next_seq,
+                                        now);
   if (segment->payload_length > 0 && !flow->server_finished && flow->in_flight)
     flow->last_answer_at = 0;
   else if (segment->payload_length > 0 && !flow->server_finished)
--- a/src/libdogwoodpaddle/passthroughadmission.c
+++ b/src/libdogwoodpaddle/passthroughadmission.c
@@ -264,7 +264,10 @@
   DpHop hop;
 
   if (serving)
-    flow = dp_passthrough_flows_assign_slot (admission->flows, now);
+    {
+      dp_passthrough_flows_reclaim_slots (admission->flows, now);
+      flow = dp_passthrough_flows_assign_slot (admission->flows, now);
+    }
   if (flow == NULL)
     flow = next_to_remove_ (admission, serving, now);
   if (flow == NULL)
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -12,6 +12,12 @@
 /* Time for the handshake and the first data of a request, after which a flow loses its
  * slot. A client whose first packet was lost retransmits it after 200 ms. */
 #define HANDSHAKE_TIMEOUT_US (300 * DP_US_PER_MS)
+/* A handshake that takes more than this many times the usual time leaves its slot to
+ * flows that wait. */
+#define SLOW_HANDSHAKE_FACTOR 4
+/* Samples after which the newest handshake has a fixed weight in the moving mean, and the
+ * mean counts. */
+#define HANDSHAKE_SAMPLES 8
 /* Time after which a request without an answer loses its slot. The slowest requests take
  * 280 ms on a cold server, and five times as long on a slow one. */
 #define REQUEST_TIMEOUT_US (2 * DP_US_PER_S)
@@ -35,6 +41,7 @@
 static DpHandle add_to_table_ (DpHandleTable *table, DpPassthroughFlow *flow);
 static void
 record_result_ (DpPassthroughFlows *flows, const DpPassthroughFlow *flow, gint64 now);
+static void observe_handshake_ (DpPassthroughFlows *flows, gint64 time);
 static void check_in_flight_ (DpPassthroughFlows *flows, gint64 now);
 static gboolean
 is_overdue_ (const DpPassthroughFlows *flows, const DpPassthroughFlow *flow, gint64 now);
@@ -154,10 +161,13 @@
 
 /* Records when the request came and where its answer begins. */
 void
-dp_passthrough_flows_begin_request (DpPassthroughFlow *flow,
+dp_passthrough_flows_begin_request (DpPassthroughFlows *flows,
+                                    DpPassthroughFlow *flow,
                                     guint32 answer_start_seq,
                                     gint64 now)
 {
+  if (!flow->request_seen && flow->in_flight)
+    observe_handshake_ (flows, now - flow->offered_at);
   flow->request_seen = TRUE;
   flow->requested_at = now;
   flow->first_byte_at = 0;
@@ -246,6 +256,31 @@
   flow->ticket = DP_HANDLE_NONE;
 }
 
+/* Gives back the slots of flows whose handshake takes much longer than usual. Their
+ * clients have given up, or a packet was lost and comes again after 200 ms; until then
+ * the slot can serve another flow. */
+void
+dp_passthrough_flows_reclaim_slots (DpPassthroughFlows *flows, gint64 now)
+{
+  const gint64 limit = MIN (flows->handshake_time * SLOW_HANDSHAKE_FACTOR,
+                            HANDSHAKE_TIMEOUT_US);
+  DpHandle next;
+
+  if (flows->n_handshakes < HANDSHAKE_SAMPLES
+      || dp_handle_table_count (flows->waiting_flows) == 0)
+    return;
+  for (DpHandle h = dp_handle_table_next (flows->in_flight_flows, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = next)
+    {
+      DpPassthroughFlow *flow = flow_at_ (flows->in_flight_flows, h);
+
+      next = dp_handle_table_next (flows->in_flight_flows, h);
+      if (flow->state == DP_PASSTHROUGH_FLOW_ANSWERED && !flow->request_seen
+          && now - flow->offered_at > limit)
+        dp_passthrough_flows_abandon_work (flows, flow);
+    }
+}
+
 /* Gives a free slot to the next flow in the queue, by class and then by arrival. */
 DpPassthroughFlow *
 dp_passthrough_flows_assign_slot (DpPassthroughFlows *flows, gint64 now)
@@ -365,6 +400,15 @@
                                     flow->server_next_seq - flow->answer_start_seq, now);
 }
 
+/* Adds the time from a SYN to its client's request to the moving mean. The first samples
+ * weigh the same. */
+static void
+observe_handshake_ (DpPassthroughFlows *flows, gint64 time)
+{
+  flows->n_handshakes = MIN (flows->n_handshakes + 1, HANDSHAKE_SAMPLES);
+  flows->handshake_time += (time - flows->handshake_time) / flows->n_handshakes;
+}
+
 /* Stops counting flows as in flight whose answer is complete, as on a connection that
  * stays open, and those that make no progress. Records answers that are overdue as
  * failures. */
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -538,6 +538,44 @@
   CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 1);
 }
 
+/* After an outage many clients have given up while their SYNs waited. A slot that is
+ * offered to one of them must not stay idle for the whole handshake timeout while other
+ * flows wait. A client whose packet was only lost is still served when it comes again. */
+static void
+test_slow_handshake_leaves_its_slot (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (1);
+  const guint last_visit = DP_PASSTHROUGH_VISITS_MAX - 1;
+  const DpSegment syn = make_segment (50, DP_TCP_SYN, 100, 0, 0);
+  const guint8 byte = 0;
+  g_autoptr (GBytes) packet = g_bytes_new (&byte, 1);
+  DpReleasedSyn released = { 0 };
+  guint n;
+
+  /* The usual handshake takes 6 ms. */
+  for (guint i = 0; i < 8; i++)
+    {
+      send_syn (p, 100 + i, DP_TRAFFIC_INTERACTIVE, last_visit, 2 * S);
+      send_server (p, 100 + i, DP_TCP_SYN | DP_TCP_ACK, 0, 2 * S);
+      send_client (p, 100 + i, DP_TCP_ACK, 501, 200, 2 * S + 6 * MS);
+      send_server (p, 100 + i, DP_TCP_ACK | DP_TCP_FIN, 600, 2 * S + 30 * MS);
+    }
+  n = fill_slots (p, 1, 3 * S);
+  for (guint i = 1; i <= n; i++)
+    send_server (p, i, DP_TCP_SYN | DP_TCP_ACK, 0, 3 * S);
+  CU_ASSERT_EQUAL (
+      send_syn (p, 50, DP_TRAFFIC_INTERACTIVE, last_visit, 3 * S + MS).action,
+      DP_PASSTHROUGH_HOLD);
+  dp_passthrough_hold_packet (p, &syn, packet);
+  CU_ASSERT_FALSE (dp_passthrough_next_released (p, &released, 3 * S + 20 * MS));
+  CU_ASSERT_TRUE (dp_passthrough_next_released (p, &released, 3 * S + 50 * MS));
+  CU_ASSERT_EQUAL (released.decision.action, DP_PASSTHROUGH_TO_SERVER);
+  g_clear_pointer (&released.packet, g_bytes_unref);
+  CU_ASSERT_EQUAL (send_client (p, 1, DP_TCP_ACK, 501, 200, 3 * S + 200 * MS).action,
+                   DP_PASSTHROUGH_TO_SERVER);
+  CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 2);
+}
+
 /* After a power failure, the first member that is up gets all flows. Its late flows are
  * forwarded to members that are listed later, with the time that remains. */
 static void
@@ -878,6 +916,8 @@
   { "a client that doesn't retransmit loses its place",
     test_client_without_retransmissions },
   { "a late SYN whose client has given up is dropped", test_late_flow_expires },
+  { "a slow handshake leaves its slot to waiting flows",
+    test_slow_handshake_leaves_its_slot },
   { "late SYNs go to members that are listed later", test_late_flows_forwarded },
   { "a held SYN is returned or freed", test_held_packet },
   { "abandoned flows give their slots back", test_slots_are_freed },
