--- a/src/test_libdogwoodpaddle/test_overload.c
+++ b/src/test_libdogwoodpaddle/test_overload.c
@@ -21,7 +21,7 @@
 /* Replays of each load, whose results are added up. */
 #define N_SEEDS 8
 
-/* A load from the start of the second `from` to the end of the second `to`. */
+/* An overload between from_s and to_s, and what is expected while it lasts. */
 typedef struct
 {
   const char *name;
@@ -133,7 +133,7 @@
            const DpSegment *syn,
            const DpPassthroughDecision *decision)
 {
-  const guint8 byte = (guint8) 0;
+  const guint8 byte = 0;
   g_autoptr (GBytes) packet = NULL;
 
   switch (decision->action)
@@ -377,6 +377,7 @@
       CU_ASSERT_TRUE (result.n_late <= load->late_share_max * n_served);
       CU_ASSERT_TRUE (result.n_expired <= load->expired_share_max * result.n_attempts);
       CU_ASSERT_TRUE (result.n_in_time >= load->work_share_min * work);
+      /* Shows by how much a changed policy keeps or misses the bounds. */
       if (g_getenv ("DP_TEST_VERBOSE") != NULL)
         g_print ("%s: in time %u of %.0f, late %u, attempts %u, expired %u\n", load->name,
                  result.n_in_time, work, result.n_late, result.n_attempts,
