Log what decisions about flows of unknown owner are based on

Logs could not tell by which way a packet of an open flow reached another server, or on what a reset was based: packets after the SYN were not logged unless dropped, and no line gave the age of a SYN or of the state that decided.

Lines of companions now have the copy of the SYN, the flow's state there with the time since its last packet, the age of the member list, and whether all flows of the server are known. Searches, packets that a server is asked about and repeated SYNs get lines of their own, for all flows, with a rate limit of their own so that they displace no failure. Balancers log the choice for repeated SYNs and searches, with the age of the member's report. No decision changes.

--- a/microbench/model_passthrough.c
+++ b/microbench/model_passthrough.c
@@ -525,7 +525,7 @@
   g_autoptr (DpMemberView) view = make_view (model);
 
   for (guint i = 0; i < N_SERVERS; i++)
-    dp_passthrough_set_view (model->servers[i].passthrough, view);
+    dp_passthrough_set_view (model->servers[i].passthrough, view, 0);
 }
 
 static void
--- a/src/libdogwoodpaddle/flowlog.c
+++ b/src/libdogwoodpaddle/flowlog.c
@@ -2,9 +2,8 @@
 
 #include <stdarg.h>
 
-/* Maximum lines per second and kind in one process. A line takes about 10 us, so failures
- * take at most 0.1% of a core and 7 KB/s of log, and lines about sampled flows take as
- * much again. */
+/* Maximum lines per second and kind in one process. A line takes about 10 us, so each
+ * kind takes at most 0.1% of a core and 7 KB/s of log. */
 #define LINES_PER_S_MAX 20
 /* Normal decisions are logged for one flow in this many. Every process selects the same
  * flows, as they are chosen by their hash. */
--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -13,7 +13,8 @@
   DP_PASSTHROUGH_FLOW_OPEN,      /* the client has acknowledged the SYN-ACK */
   DP_PASSTHROUGH_FLOW_CLOSED,    /* both ends have sent a FIN, or one has sent a reset */
   DP_PASSTHROUGH_FLOW_FORWARDED, /* the SYN was forwarded to another member */
-  DP_PASSTHROUGH_FLOW_NOT_OWNED  /* the server does not have the flow */
+  DP_PASSTHROUGH_FLOW_NOT_OWNED, /* the server does not have the flow */
+  DP_N_PASSTHROUGH_FLOW_STATES
 } DpPassthroughFlowState;
 
 typedef struct
@@ -130,6 +131,9 @@
                                                       DpHandle *cursor);
 guint dp_passthrough_flows_n_waiting (const DpPassthroughFlows *flows);
 
+/* Returns the name of the flow's state for logs; "none" for NULL. */
+const char *dp_passthrough_flow_state_string (const DpPassthroughFlow *flow);
+
 void dp_passthrough_flows_tick (DpPassthroughFlows *flows, gint64 now);
 /* Records a time in us; histogram may be NULL. */
 void dp_passthrough_flows_observe_time (DpHistogram *histogram, gint64 time);
--- a/src/libdogwoodpaddle/include/protected/flowlog.h
+++ b/src/libdogwoodpaddle/include/protected/flowlog.h
@@ -1,5 +1,5 @@
-/* Rate-limited log lines about decisions on single flows. Failures have a limit of their
- * own, so that they aren't displaced by lines about normal decisions. */
+/* Rate-limited log lines about decisions on single flows. Each kind has a limit of its
+ * own, so that failures aren't displaced by lines about searches or normal decisions. */
 #pragma once
 
 #include <glib.h>
@@ -13,6 +13,7 @@
 typedef enum
 {
   DP_FLOW_LOG_FAILURE, /* a flow was rejected or reset, or its packet dropped */
+  DP_FLOW_LOG_SEARCH,  /* a packet whose owner is not known for certain */
   DP_FLOW_LOG_NORMAL,  /* logged for a sample of the flows only */
   DP_N_FLOW_LOG_KINDS
 } DpFlowLogKind;
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -64,12 +64,23 @@
   DP_N_PASSTHROUGH_REASONS
 } DpPassthroughReason;
 
+/* What a decision was based on, for logs. */
+typedef struct
+{
+  const char *flow_state;   /* of the packet's flow as it was known here, "none" if it was
+                               not */
+  gint64 flow_age;          /* us, since the flow's last packet; 0: not known here */
+  gint64 view_age;          /* us, since the list of members last changed; -1: none yet */
+  gboolean all_flows_known; /* every flow of the server is known */
+} DpPassthroughBasis;
+
 typedef struct
 {
   DpPassthroughAction action;
   DpPassthroughReason reason;
   DpAddress member; /* with DP_PASSTHROUGH_TO_MEMBER */
   DpHop hop; /* hop metadata to be written into the packet for the server or a member */
+  DpPassthroughBasis basis;
 } DpPassthroughDecision;
 
 /* A held SYN that no longer waits. */
@@ -104,7 +115,7 @@
 void dp_passthrough_set_limits (DpPassthrough *passthrough,
                                 const DpPassthroughLimits *limits);
 /* Sets the members of the service; takes a reference to the view. */
-void dp_passthrough_set_view (DpPassthrough *passthrough, DpMemberView *view);
+void dp_passthrough_set_view (DpPassthrough *passthrough, DpMemberView *view, gint64 now);
 /* Sets whether the server takes new flows. */
 void dp_passthrough_set_serving (DpPassthrough *passthrough, gboolean serving);
 /* Records that a server without any flow has started: from now on the companion sees
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -19,11 +19,25 @@
 {
   guint32 service_tag;
   guint32 member_id;
+  gint64 view_set_at; /* us */
   DpPassthroughFlows *flows;
   DpPassthroughAdmission *admission;
 };
 
+static DpPassthroughBasis
+make_basis_ (DpPassthrough *passthrough, const DpPassthroughFlow *flow, gint64 now);
+static DpPassthroughDecision decide_from_peer_ (DpPassthrough *passthrough,
+                                                DpPassthroughFlow *flow,
+                                                const DpSegment *segment,
+                                                const DpHop *hop,
+                                                gint64 now);
+static DpPassthroughDecision decide_returned_ (DpPassthrough *passthrough,
+                                               DpPassthroughFlow *flow,
+                                               const DpSegment *segment,
+                                               const DpHop *returned,
+                                               gint64 now);
 static DpPassthroughDecision decide_syn_ (DpPassthrough *passthrough,
+                                          DpPassthroughFlow *flow,
                                           const DpSegment *segment,
                                           const DpHop *hop,
                                           gint64 now);
@@ -84,8 +98,9 @@
 
 /* Sets the members to which flows can be forwarded. */
 void
-dp_passthrough_set_view (DpPassthrough *passthrough, DpMemberView *view)
+dp_passthrough_set_view (DpPassthrough *passthrough, DpMemberView *view, gint64 now)
 {
+  passthrough->view_set_at = now;
   dp_passthrough_admission_set_view (passthrough->admission, view);
 }
 
@@ -114,23 +129,14 @@
                           const DpHop *hop,
                           gint64 now)
 {
-  DpPassthroughFlow *flow;
+  DpPassthroughFlow *flow = dp_passthrough_flows_find (passthrough->flows, segment);
+  /* The decision may change or remove the flow. */
+  const DpPassthroughBasis basis = make_basis_ (passthrough, flow, now);
+  DpPassthroughDecision decision = decide_from_peer_ (passthrough, flow, segment, hop,
+                                                      now);
 
-  if (hop->service_tag != passthrough->service_tag || hop->class >= DP_N_TRAFFIC_CLASSES)
-    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP,
-                                         DP_PASSTHROUGH_WRONG_SERVICE, hop);
-  if ((segment->flags & (DP_TCP_SYN | DP_TCP_ACK)) == (DP_TCP_SYN | DP_TCP_ACK))
-    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_UNEXPECTED,
-                                         hop);
-  if (dp_segment_opens_flow (segment))
-    return decide_syn_ (passthrough, segment, hop, now);
-  flow = dp_passthrough_flows_find (passthrough->flows, segment);
-  if (flow != NULL)
-    return decide_client_packet_ (passthrough, flow, segment, hop, now);
-  if (dp_passthrough_flows_is_complete (passthrough->flows, now))
-    return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING);
-  return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
-                                       hop);
+  decision.basis = basis;
+  return decision;
 }
 
 /* Decides about a client's packet that the server returned. */
@@ -141,46 +147,12 @@
                          gint64 now)
 {
   DpPassthroughFlow *flow = dp_passthrough_flows_find (passthrough->flows, segment);
-  DpHop hop = *returned;
+  const DpPassthroughBasis basis = make_basis_ (passthrough, flow, now);
+  DpPassthroughDecision decision = decide_returned_ (passthrough, flow, segment, returned,
+                                                     now);
 
-  hop.service_tag = passthrough->service_tag;
-  dp_passthrough_admission_note_server_packet (passthrough->admission);
-  if (hop.class >= DP_N_TRAFFIC_CLASSES)
-    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_UNEXPECTED,
-                                         &hop);
-  if (dp_segment_opens_flow (segment))
-    {
-      if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_OFFERED)
-        dp_passthrough_flows_remove (passthrough->flows, flow);
-      else if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_WAITING)
-        /* The server returned an earlier copy of the SYN. A retransmission of it is held
-         * here until a slot is free. */
-        return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_WAITING,
-                                             &hop);
-      else if (flow != NULL)
-        return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_RETURNED,
-                                             &hop);
-      return dp_passthrough_admission_forward_or_reject (passthrough->admission, segment,
-                                                         &hop, DP_PASSTHROUGH_RETURNED,
-                                                         DP_PASSTHROUGH_OVERLOADED, now);
-    }
-  if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_OPEN)
-    {
-      /* The server had this flow and no longer does: it has crashed since. */
-      dp_passthrough_flows_remove (passthrough->flows, flow);
-      if ((segment->flags & DP_TCP_RST) != 0)
-        return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_LOST,
-                                             &hop);
-      return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET, DP_PASSTHROUGH_LOST,
-                                           &hop);
-    }
-  if (flow == NULL)
-    {
-      flow = dp_passthrough_flows_add (passthrough->flows, segment, now);
-      if (flow != NULL)
-        flow->state = DP_PASSTHROUGH_FLOW_NOT_OWNED;
-    }
-  return search_owner_ (passthrough, segment, &hop, DP_PASSTHROUGH_RETURNED);
+  decision.basis = basis;
+  return decision;
 }
 
 /* Decides about a packet of the server, and updates the state of its flow. A packet of
@@ -314,15 +286,102 @@
   return dp_server_health_state (passthrough->flows->health);
 }
 
+/* Returns what is known here of the packet's flow, which may be NULL. */
+static DpPassthroughBasis
+make_basis_ (DpPassthrough *passthrough, const DpPassthroughFlow *flow, gint64 now)
+{
+  const gboolean has_view = dp_passthrough_admission_candidates (passthrough->admission)
+                            != NULL;
+
+  return (DpPassthroughBasis){
+    .flow_state = dp_passthrough_flow_state_string (flow),
+    .flow_age = flow == NULL ? 0 : now - flow->used_at,
+    .view_age = has_view ? now - passthrough->view_set_at : -1,
+    .all_flows_known = dp_passthrough_flows_is_complete (passthrough->flows, now),
+  };
+}
+
+static DpPassthroughDecision
+decide_from_peer_ (DpPassthrough *passthrough,
+                   DpPassthroughFlow *flow,
+                   const DpSegment *segment,
+                   const DpHop *hop,
+                   gint64 now)
+{
+  if (hop->service_tag != passthrough->service_tag || hop->class >= DP_N_TRAFFIC_CLASSES)
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP,
+                                         DP_PASSTHROUGH_WRONG_SERVICE, hop);
+  if ((segment->flags & (DP_TCP_SYN | DP_TCP_ACK)) == (DP_TCP_SYN | DP_TCP_ACK))
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_UNEXPECTED,
+                                         hop);
+  if (dp_segment_opens_flow (segment))
+    return decide_syn_ (passthrough, flow, segment, hop, now);
+  if (flow != NULL)
+    return decide_client_packet_ (passthrough, flow, segment, hop, now);
+  if (dp_passthrough_flows_is_complete (passthrough->flows, now))
+    return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING);
+  return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
+                                       hop);
+}
+
+static DpPassthroughDecision
+decide_returned_ (DpPassthrough *passthrough,
+                  DpPassthroughFlow *flow,
+                  const DpSegment *segment,
+                  const DpHop *returned,
+                  gint64 now)
+{
+  DpHop hop = *returned;
+
+  hop.service_tag = passthrough->service_tag;
+  dp_passthrough_admission_note_server_packet (passthrough->admission);
+  if (hop.class >= DP_N_TRAFFIC_CLASSES)
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_UNEXPECTED,
+                                         &hop);
+  if (dp_segment_opens_flow (segment))
+    {
+      if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_OFFERED)
+        dp_passthrough_flows_remove (passthrough->flows, flow);
+      else if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_WAITING)
+        /* The server returned an earlier copy of the SYN. A retransmission of it is held
+         * here until a slot is free. */
+        return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_WAITING,
+                                             &hop);
+      else if (flow != NULL)
+        return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_RETURNED,
+                                             &hop);
+      return dp_passthrough_admission_forward_or_reject (passthrough->admission, segment,
+                                                         &hop, DP_PASSTHROUGH_RETURNED,
+                                                         DP_PASSTHROUGH_OVERLOADED, now);
+    }
+  if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_OPEN)
+    {
+      /* The server had this flow and no longer does: it has crashed since. */
+      dp_passthrough_flows_remove (passthrough->flows, flow);
+      if ((segment->flags & DP_TCP_RST) != 0)
+        return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_LOST,
+                                             &hop);
+      return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET, DP_PASSTHROUGH_LOST,
+                                           &hop);
+    }
+  if (flow == NULL)
+    {
+      flow = dp_passthrough_flows_add (passthrough->flows, segment, now);
+      if (flow != NULL)
+        flow->state = DP_PASSTHROUGH_FLOW_NOT_OWNED;
+    }
+  return search_owner_ (passthrough, segment, &hop, DP_PASSTHROUGH_RETURNED);
+}
+
 /* Decides about a SYN. A retransmission goes where the first SYN went, so that only one
  * server answers. */
 static DpPassthroughDecision
 decide_syn_ (DpPassthrough *passthrough,
+             DpPassthroughFlow *flow,
              const DpSegment *segment,
              const DpHop *hop,
              gint64 now)
 {
-  DpPassthroughFlow *flow = dp_passthrough_flows_find (passthrough->flows, segment);
   const gboolean retransmission = flow != NULL && flow->syn_seq == segment->seq;
   gboolean came_back;
 
@@ -404,6 +463,7 @@
       return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING);
     case DP_PASSTHROUGH_FLOW_OPEN:
     case DP_PASSTHROUGH_FLOW_CLOSED:
+    case DP_N_PASSTHROUGH_FLOW_STATES:
     default:
       break;
     }
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -86,6 +86,12 @@
                                     DpHandle member,
                                     gint64 now);
 static void end_flow_ (DpPassthroughBalancer *balancer, DpCachedFlow *flow);
+static void log_choice_ (DpPassthroughBalancer *balancer,
+                         const DpSegment *segment,
+                         DpHandle member,
+                         const char *reason,
+                         DpTrafficClass class,
+                         gint64 now);
 static void log_silent_member_ (DpPassthroughBalancer *balancer,
                                 const DpSegment *segment,
                                 DpHandle handle,
@@ -357,18 +363,7 @@
   hop->class = (guint8) address->class;
   flow = add_to_cache_ (balancer, segment, hop, member, now);
   flow->in_flight = TRUE;
-  if (dp_flow_log_admits (balancer->log, DP_FLOW_LOG_NORMAL, segment))
-    {
-      char text[DP_ADDRESS_STRLEN];
-      DpAddress target = { 0 };
-
-      dp_placement_address (balancer->placement, member, &target);
-      dp_flow_log_write (segment, "to_member", "placed",
-                         "member=%s class=%s services_revision=%" G_GUINT64_FORMAT,
-                         dp_address_format (&target, text),
-                         dp_traffic_class_string (address->class),
-                         dp_passthrough_services_revision (balancer->services));
-    }
+  log_choice_ (balancer, segment, member, "placed", address->class, now);
   dp_placement_flow_opened (balancer->placement, member);
   dp_metric_increment (balancer->placed);
   return flow;
@@ -401,6 +396,7 @@
   hop->service_tag = dp_service_tag (service_id);
   hop->class = (guint8) address->class;
   dp_metric_increment (balancer->searched);
+  log_choice_ (balancer, segment, member, "searched", address->class, now);
   return add_to_cache_ (balancer, segment, hop, member, now);
 }
 
@@ -433,6 +429,34 @@
   flow->in_flight = FALSE;
 }
 
+/* Logs the member that was chosen for a flow without a row in the cache: of the sampled
+ * flows, and of all flows whose SYN may have gone to another member before. */
+static void
+log_choice_ (DpPassthroughBalancer *balancer,
+             const DpSegment *segment,
+             DpHandle member,
+             const char *reason,
+             DpTrafficClass class,
+             gint64 now)
+{
+  const gboolean new_flow = dp_segment_opens_flow (segment) && segment->syn_age_ms == 0;
+  const DpFlowLogKind kind = new_flow ? DP_FLOW_LOG_NORMAL : DP_FLOW_LOG_SEARCH;
+  char text[DP_ADDRESS_STRLEN];
+  DpAddress address = { 0 };
+
+  if (!dp_flow_log_admits (balancer->log, kind, segment))
+    return;
+  dp_placement_address (balancer->placement, member, &address);
+  dp_flow_log_write (
+      segment, "to_member", reason,
+      "member=%s class=%s services_revision=%" G_GUINT64_FORMAT
+      " syn_age_ms=%u report_ms=%" G_GINT64_FORMAT " up_ms=%" G_GINT64_FORMAT,
+      dp_address_format (&address, text), dp_traffic_class_string (class),
+      dp_passthrough_services_revision (balancer->services), segment->syn_age_ms,
+      dp_placement_report_age (balancer->placement, member, now) / DP_US_PER_MS,
+      (now - balancer->started_at) / DP_US_PER_MS);
+}
+
 /* Logs a packet of a flow whose member has not reported for a while. The flow stalls if
  * the member is down or cut off. */
 static void
@@ -462,10 +486,11 @@
   if (dp_flow_log_admits (balancer->log, DP_FLOW_LOG_FAILURE, segment))
     dp_flow_log_write (segment, rejected ? "reset" : "drop", drop_reason_strings_[reason],
                        "services_revision=%" G_GUINT64_FORMAT
-                       " members=%u platform_reachable=%d",
+                       " members=%u platform_reachable=%d syn_age_ms=%u",
                        dp_passthrough_services_revision (balancer->services),
                        dp_placement_n_members (balancer->placement),
-                       dp_passthrough_services_are_current (balancer->services));
+                       dp_passthrough_services_are_current (balancer->services),
+                       segment->syn_age_ms);
 }
 
 /* Answers a SYN with a reset. The server has not seen the flow. */
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -72,6 +72,8 @@
                        const guint8 *data,
                        gsize length);
 static void release_held_syns_ (DpPassthroughCompanion *companion, gint64 now);
+static DpFlowLogKind log_kind_ (const DpPassthroughDecision *decision,
+                                const DpSegment *segment);
 static void log_decision_ (DpPassthroughCompanion *companion,
                            const DpPassthroughDecision *decision,
                            const DpSegment *segment);
@@ -406,36 +408,56 @@
     }
 }
 
-/* Logs each packet that is answered with a reset, dropped, late or repeated by the
- * server, but not the retransmissions of a held SYN; and the SYNs of the sampled flows.
- */
+/* Returns the kind of log line about the decision; DP_N_FLOW_LOG_KINDS if it gets none.
+ * Logged are each packet that is answered with a reset, dropped, late or repeated by the
+ * server, but not the retransmissions of a held SYN; packets whose owner is searched; and
+ * the SYNs of the sampled flows. */
+static DpFlowLogKind
+log_kind_ (const DpPassthroughDecision *decision, const DpSegment *segment)
+{
+  if (decision->action == DP_PASSTHROUGH_RESET
+      || (decision->action == DP_PASSTHROUGH_DROP
+          && decision->reason != DP_PASSTHROUGH_WAITING)
+      || decision->reason == DP_PASSTHROUGH_LATE
+      || decision->reason == DP_PASSTHROUGH_REPEATED)
+    return DP_FLOW_LOG_FAILURE;
+  if (decision->reason == DP_PASSTHROUGH_ASKED
+      || decision->reason == DP_PASSTHROUGH_SEARCHING
+      || decision->reason == DP_PASSTHROUGH_RETURNED
+      || decision->reason == DP_PASSTHROUGH_PASSED_BEFORE
+      || (dp_segment_opens_flow (segment) && segment->syn_age_ms > 0))
+    return DP_FLOW_LOG_SEARCH;
+  return (segment->flags & DP_TCP_SYN) != 0 ? DP_FLOW_LOG_NORMAL : DP_N_FLOW_LOG_KINDS;
+}
+
+/* Logs the decision with what it was based on, so that the logs of all processes tell
+ * which way a packet took and why. */
 static void
 log_decision_ (DpPassthroughCompanion *companion,
                const DpPassthroughDecision *decision,
                const DpSegment *segment)
 {
-  gboolean failure = decision->action == DP_PASSTHROUGH_RESET
-                     || (decision->action == DP_PASSTHROUGH_DROP
-                         && decision->reason != DP_PASSTHROUGH_WAITING)
-                     || decision->reason == DP_PASSTHROUGH_LATE
-                     || decision->reason == DP_PASSTHROUGH_REPEATED;
-  gboolean syn = (segment->flags & DP_TCP_SYN) != 0;
+  const DpFlowLogKind kind = log_kind_ (decision, segment);
+  const DpPassthroughBasis *basis = &decision->basis;
   char member[DP_ADDRESS_STRLEN];
 
-  if ((!failure && !syn)
-      || !dp_flow_log_admits (
-          companion->log, failure ? DP_FLOW_LOG_FAILURE : DP_FLOW_LOG_NORMAL, segment))
+  if (kind == DP_N_FLOW_LOG_KINDS || !dp_flow_log_admits (companion->log, kind, segment))
     return;
-  dp_flow_log_write (segment, dp_passthrough_action_string (decision->action),
-                     dp_passthrough_reason_string (decision->reason),
-                     "member=%s visited=%u members=%u in_flight=%u slots=%u flags=%u",
-                     decision->action == DP_PASSTHROUGH_TO_MEMBER
-                         ? dp_address_format (&decision->member, member)
-                         : companion->name,
-                     decision->hop.n_visited,
-                     dp_passthrough_n_members (companion->passthrough),
-                     dp_passthrough_in_flight (companion->passthrough),
-                     companion->announcement.slots, segment->flags);
+  dp_flow_log_write (
+      segment, dp_passthrough_action_string (decision->action),
+      dp_passthrough_reason_string (decision->reason),
+      "member=%s visited=%u members=%u in_flight=%u slots=%u flags=%u syn_age_ms=%u "
+      "state=%s state_ms=%" G_GINT64_FORMAT " view_ms=%" G_GINT64_FORMAT
+      " all_flows_known=%d",
+      decision->action == DP_PASSTHROUGH_TO_MEMBER
+          ? dp_address_format (&decision->member, member)
+          : companion->name,
+      decision->hop.n_visited, dp_passthrough_n_members (companion->passthrough),
+      dp_passthrough_in_flight (companion->passthrough), companion->announcement.slots,
+      segment->flags, segment->syn_age_ms,
+      basis->flow_state == NULL ? "released" : basis->flow_state,
+      basis->flow_age / DP_US_PER_MS,
+      basis->view_age < 0 ? -1 : basis->view_age / DP_US_PER_MS, basis->all_flows_known);
 }
 
 static void
@@ -451,7 +473,8 @@
           companion->members, &message.list, dp_clock_now (companion->options.clock));
 
       if (view != NULL)
-        dp_passthrough_set_view (companion->passthrough, view);
+        dp_passthrough_set_view (companion->passthrough, view,
+                                 dp_clock_now (companion->options.clock));
     }
   else
     dp_metric_increment (companion->malformed);
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -34,6 +34,11 @@
 #define ANSWER_COMPLETE_US (100 * DP_US_PER_MS)
 #define FLOWS_MAX 65536
 
+static const char *const state_strings_[] = { "waiting", "offered",   "answered", "open",
+                                              "closed",  "forwarded", "not_owned" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (state_strings_) == DP_N_PASSTHROUGH_FLOW_STATES);
+
 static void flow_free_ (gpointer data);
 static guint hash_ (gconstpointer flow);
 static gboolean equal_ (gconstpointer a, gconstpointer b);
@@ -312,6 +317,13 @@
   return dp_handle_table_count (flows->waiting_flows);
 }
 
+/* Returns the name of the flow's state as it appears in logs. */
+const char *
+dp_passthrough_flow_state_string (const DpPassthroughFlow *flow)
+{
+  return flow == NULL ? "none" : state_strings_[flow->state];
+}
+
 /* Frees the slots of flows that make no progress, and removes expired flows. */
 void
 dp_passthrough_flows_tick (DpPassthroughFlows *flows, gint64 now)
@@ -467,6 +479,7 @@
     case DP_PASSTHROUGH_FLOW_OPEN:
     case DP_PASSTHROUGH_FLOW_FORWARDED:
     case DP_PASSTHROUGH_FLOW_NOT_OWNED:
+    case DP_N_PASSTHROUGH_FLOW_STATES:
     default:
       return unused > flows->flow_ttl;
     }
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -49,7 +49,7 @@
   const DpPassthroughLimits limits = { 2, 60 * S };
 
   dp_passthrough_set_limits (p, &limits);
-  dp_passthrough_set_view (p, view);
+  dp_passthrough_set_view (p, view, 0);
   dp_passthrough_set_serving (p, TRUE);
   dp_passthrough_server_started (p);
   return p;
@@ -215,7 +215,7 @@
   const DpHop hop = make_hop (DP_TRAFFIC_INTERACTIVE, 0);
   DpPassthroughDecision decision;
 
-  dp_passthrough_set_view (p, view);
+  dp_passthrough_set_view (p, view, 0);
   CU_ASSERT_EQUAL (send_client (p, 1, DP_TCP_ACK, 501, 0, MS).action,
                    DP_PASSTHROUGH_TO_SERVER);
   send_server (p, 1, DP_TCP_ACK, 600, 2 * MS);
@@ -590,7 +590,7 @@
     decision = send_syn (p, 2000 + dp_passthrough_n_waiting (p), DP_TRAFFIC_INTERACTIVE,
                          0, MS);
   CU_ASSERT_EQUAL (next_flow (p, &decision, 50 * MS), 0);
-  dp_passthrough_set_view (p, all);
+  dp_passthrough_set_view (p, all, 0);
   CU_ASSERT_NOT_EQUAL (next_flow (p, &decision, 51 * MS), 0);
   CU_ASSERT_EQUAL (decision.action, DP_PASSTHROUGH_TO_MEMBER);
   CU_ASSERT_EQUAL (decision.hop.n_visited, 1);
@@ -750,7 +750,7 @@
     decision = send_syn (p, i, DP_TRAFFIC_INTERACTIVE, 0, MS);
   CU_ASSERT_EQUAL (decision.action, DP_PASSTHROUGH_DROP);
   CU_ASSERT_EQUAL (decision.reason, DP_PASSTHROUGH_GATHERING);
-  dp_passthrough_set_view (p, all);
+  dp_passthrough_set_view (p, all, 0);
   CU_ASSERT_EQUAL (send_syn (p, 99, DP_TRAFFIC_INTERACTIVE, 0, 200 * MS).action,
                    DP_PASSTHROUGH_TO_MEMBER);
 }
