Reproduce resets and strays of open flows with real processes

A copy of a SYN that another member has accepted goes through another balancer to members without a free slot.

A companion that was killed and has just started gets a copy of the SYN of a flow that its server has open.

A balancer has lost its cache, six of nine companions were restarted by SIGTERM and one is paused.

--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -593,8 +593,9 @@
         shutil.rmtree(folder)
 
 
-def main():
-    tests = [value for name, value in sorted(globals().items())
+def main(namespace):
+    """Runs the tests of a module, or those named on the command line."""
+    tests = [value for name, value in sorted(namespace.items())
              if name.startswith("test_") and callable(value)]
     wanted = sys.argv[1:]
     results = [run(test, i + 1) for i, test in enumerate(tests)
@@ -604,4 +605,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(globals()))
--- /dev/null
+++ b/test/test_open_flows.py
@@ -0,0 +1,151 @@
+#!/usr/bin/env python3
+"""Guards against open flows that are reset, or whose packets reach other servers, although
+their own server is sound. Runs the platform's program as processes."""
+
+import signal
+import sys
+import time
+
+import test_hosted as hosted
+from test_hosted import REPORTS, check, standins
+
+REORDER_S = 2.0  # time in which packets of a flow may reach other servers only
+STRAYS_MAX = 2  # packets at other servers in that time
+SYN_COPIES = (1, 2)
+
+
+class ResetLog:
+    """Records the resets that reach a client, also those that it ignores."""
+
+    def __init__(self, client):
+        self.client = client
+        self.ports = []
+        self.take = client._take
+        client._take = self._take
+
+    def _take(self, packet):
+        if packet.flags & standins.RST:
+            self.ports.append(packet.dst[1])
+        self.take(packet)
+
+
+class Arrivals:
+    """Times at which packets of each flow reach its own server and others."""
+
+    def __init__(self, servers):
+        self.own = {}
+        self.strays = {}
+        for server in servers:
+            self._watch(server)
+
+    def _watch(self, server):
+        take, send_back = server._take, server._return
+
+        def record_stray(packet):
+            if not packet.flags & standins.SYN:
+                self.strays.setdefault((packet.src, packet.dst), []).append(
+                    time.monotonic())
+            send_back(packet)
+
+        def record(packet):
+            key = (packet.src, packet.dst)
+            take(packet)
+            if server.flows.get(key, {}).get("state") == "open":
+                self.own.setdefault(key, []).append(time.monotonic())
+
+        server._take, server._return = record, record_stray
+
+    def has_strayed(self, key):
+        """Whether too many packets reached other servers, and none its own meanwhile."""
+        strays = self.strays.get(key, [])
+        for i, first in enumerate(strays):
+            window = [t for t in strays[i:] if t <= first + REORDER_S]
+            if len(window) > STRAYS_MAX and not any(
+                    first <= t <= first + REORDER_S for t in self.own.get(key, [])):
+                return True
+        return False
+
+
+def send_copies(site, client, flow, balancer):
+    for copy in SYN_COPIES:
+        packet = standins.Packet(flow["key"][0], flow["key"][1], standins.SYN,
+                                 flow["seq"], copy)
+        client.socket.sendto(packet.pack(), (balancer.settings["ip"],
+                                             standins.PACKET_PORT))
+        client.run(time.monotonic() + 0.02)
+
+
+def open_flows(site, client, n, tag):
+    flows = hosted.ask(client, REPORTS, n, tag)
+    client.run(time.monotonic() + 0.3)
+    opened = [f for f in flows if owner(site, f) is not None]
+    check(opened, "no flow was opened")
+    return opened
+
+
+def owner(site, flow):
+    for server in site.servers:
+        if server.flows.get(flow["key"], {}).get("state") == "open":
+            return server
+    return None
+
+
+def test_rejected_copy_of_an_accepted_syn_resets_no_flow(site):
+    """The copy takes another balancer, to members that have no slot left."""
+    hosted.start(site, n_balancers=2, n_servers=4, slots=1, work_s=3.0)
+    client, crowd = site.client(), site.client()
+    client.balancers = client.balancers[:1]
+    crowd.run(time.monotonic() + 1.5)  # just after a start nothing is rejected
+    resets = ResetLog(client)
+    flows = open_flows(site, client, 4, "open")
+    rejected = ResetLog(crowd)
+    hosted.ask(crowd, REPORTS, 80, "crowd", 0.001)
+    crowd.run(time.monotonic() + 0.1)
+    check(rejected.ports, "nothing was rejected")
+    for flow in flows:
+        send_copies(site, client, flow, site.balancers[1])
+    client.run(time.monotonic() + 0.3)
+    check(not resets.ports, f"{len(resets.ports)} of {2 * len(flows)} copies were reset")
+
+
+def test_syn_copy_at_a_restarted_companion_resets_no_flow(site):
+    """The companion doesn't know yet that its server has the flow."""
+    hosted.start(site, n_balancers=1, n_servers=1, work_s=1.5)
+    client = site.client()
+    resets = ResetLog(client)
+    flows = open_flows(site, client, 1, "open")
+    site.companions[0].kill()
+    site.companions[0].start()
+    for _ in range(15):
+        send_copies(site, client, flows[0], site.balancers[0])
+    check(not resets.ports, f"{len(resets.ports)} copies were reset")
+    results = hosted.finish(client, flows)
+    check(results == ["ok"], f"results {results}")
+
+
+def test_search_past_restarted_companions_reaches_the_owner(site):
+    """All balancers have lost their caches, most companions their flows; one is paused."""
+    hosted.start(site, n_balancers=1, n_servers=9, slots=4, work_s=6.0)
+    client = site.client()
+    flows = open_flows(site, client, 30, "open")
+    arrivals = Arrivals(site.servers)
+    paused = site.companions[8]
+    for companion in site.companions[:6]:
+        companion.process.send_signal(signal.SIGTERM)
+    for companion in site.companions[:6]:
+        companion.process.wait(6)
+        companion.start()
+    client.run(time.monotonic() + 1.0)
+    paused.process.send_signal(signal.SIGSTOP)
+    site.balancers[0].kill()
+    site.balancers[0].start()
+    client.run(time.monotonic() + 4.0)
+    paused.process.send_signal(signal.SIGCONT)
+    sound = [f for f in flows if owner(site, f) not in (None, site.servers[8])]
+    strayed = [f["key"][0][1] for f in sound if arrivals.has_strayed(f["key"])]
+    check(sound, "every flow was at the paused host")
+    check(not strayed, f"{len(strayed)} of {len(sound)} flows strayed: {strayed}")
+
+
+if __name__ == "__main__":
+    sys.exit(hosted.main(globals()))
