--- /dev/null
+++ b/src/libdogwoodpaddle/flowdirectory.c
@@ -0,0 +1,212 @@
+#include "protected/flowdirectory.h"
+
+#include "protected/clock.h"
+
+/* Delay of a copy of a SYN on its way to the directory; queues of busy hosts hold packets
+ * for up to half a second. */
+#define SYN_DELAY_US (500 * DP_US_PER_MS)
+#define ENTRIES_MAX 65536
+
+typedef struct
+{
+  DpFlowOwner owner; /* the most likely one */
+  DpFlowOwner other; /* has taken another copy of the SYN; port 0: none */
+  gint64 used_at;    /* us */
+} Entry;
+
+struct _DpFlowDirectory
+{
+  GHashTable *entries; /* set of Entry, compared by key */
+  gint64 created_at;   /* us */
+};
+
+static guint hash_ (gconstpointer entry);
+static gboolean equal_ (gconstpointer a, gconstpointer b);
+static Entry *find_ (const DpFlowDirectory *directory, const DpFlowKey *key, gint64 now);
+static gboolean is_new_flow_ (const DpFlowOwner *owner, const DpFlowOwner *present);
+static void owner_update_ (DpFlowOwner *present, const DpFlowOwner *owner);
+
+/* Creates an empty directory. */
+DpFlowDirectory *
+dp_flow_directory_new (gint64 now)
+{
+  DpFlowDirectory *directory = g_new0 (DpFlowDirectory, 1);
+
+  directory->entries = g_hash_table_new_full (hash_, equal_, NULL, g_free);
+  directory->created_at = now;
+  return directory;
+}
+
+void
+dp_flow_directory_free (DpFlowDirectory *directory)
+{
+  if (directory == NULL)
+    return;
+  g_hash_table_unref (directory->entries);
+  g_free (directory);
+}
+
+/* A full directory takes no new entries; flows without one are searched. */
+void
+dp_flow_directory_register (DpFlowDirectory *directory,
+                            const DpFlowOwner *owner,
+                            gint64 now)
+{
+  Entry *entry = find_ (directory, &owner->key, now);
+
+  if (entry == NULL)
+    {
+      if (g_hash_table_size (directory->entries) >= ENTRIES_MAX)
+        return;
+      entry = g_new (Entry, 1);
+      *entry = (Entry){ .owner = *owner, .used_at = now };
+      g_hash_table_add (directory->entries, entry);
+    }
+  else if (owner->open || is_new_flow_ (owner, &entry->owner)
+           || dp_address_equal (&owner->member, &entry->owner.member))
+    {
+      entry->other.member.port = owner->open ? 0 : entry->other.member.port;
+      owner_update_ (&entry->owner, owner);
+    }
+  else if (!entry->owner.open && owner->syn_age_ms < entry->owner.syn_age_ms)
+    {
+      entry->other = entry->owner;
+      entry->owner = *owner;
+    }
+  else if (!entry->owner.open)
+    entry->other = *owner;
+}
+
+/* Returns the flow's most likely owner. */
+const DpFlowOwner *
+dp_flow_directory_find (DpFlowDirectory *directory, const DpFlowKey *key, gint64 now)
+{
+  Entry *entry = find_ (directory, key, now);
+
+  return entry == NULL ? NULL : &entry->owner;
+}
+
+const DpFlowOwner *
+dp_flow_directory_find_other (DpFlowDirectory *directory,
+                              const DpFlowKey *key,
+                              gint64 now)
+{
+  Entry *entry = find_ (directory, key, now);
+
+  return entry == NULL || entry->other.member.port == 0 ? NULL : &entry->other;
+}
+
+/* Returns whether no owner of the SYN's flow can have been missed. */
+gboolean
+dp_flow_directory_covers (const DpFlowDirectory *directory,
+                          guint16 syn_age_ms,
+                          gint64 now)
+{
+  return now - directory->created_at > syn_age_ms * DP_US_PER_MS + SYN_DELAY_US;
+}
+
+/* Removes entries that are not in use. */
+void
+dp_flow_directory_expire (DpFlowDirectory *directory, gint64 ttl, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer entry;
+
+  g_hash_table_iter_init (&iter, directory->entries);
+  while (g_hash_table_iter_next (&iter, &entry, NULL))
+    if (now - ((const Entry *) entry)->used_at > ttl)
+      g_hash_table_iter_remove (&iter);
+}
+
+/* Returns the number of entries. */
+guint
+dp_flow_directory_size (const DpFlowDirectory *directory)
+{
+  return g_hash_table_size (directory->entries);
+}
+
+/* Sets members to the first ones in the flow's order, whatever their state, so that a
+ * change of state doesn't move entries. */
+guint
+dp_flow_directory_members (const DpCandidates *candidates,
+                           guint64 flow_hash,
+                           const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS])
+{
+  guint32 visited[DP_FLOW_DIRECTORY_MEMBERS] = { 0 };
+  guint n = 0;
+
+  while (n < DP_FLOW_DIRECTORY_MEMBERS)
+    {
+      members[n] = dp_candidates_next (candidates, flow_hash, DP_CANDIDATES_ALL, visited,
+                                       n);
+      if (members[n] == NULL)
+        break;
+      visited[n] = members[n]->id;
+      n++;
+    }
+  return n;
+}
+
+/* Returns the member to ask for the flow's entry. */
+const DpMember *
+dp_flow_directory_active_member (const DpCandidates *candidates,
+                                 guint64 flow_hash,
+                                 guint32 self_id)
+{
+  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
+  const guint n = dp_flow_directory_members (candidates, flow_hash, members);
+
+  for (guint i = 0; i < n; i++)
+    if (members[i]->state == DP_MEMBER_ACTIVE || members[i]->id == self_id)
+      return members[i];
+  return n > 0 ? members[0] : NULL;
+}
+
+static guint
+hash_ (gconstpointer entry)
+{
+  return (guint) dp_flow_key_hash (&((const Entry *) entry)->owner.key);
+}
+
+static gboolean
+equal_ (gconstpointer a, gconstpointer b)
+{
+  return dp_flow_key_equal (&((const Entry *) a)->owner.key,
+                            &((const Entry *) b)->owner.key);
+}
+
+/* Returns the flow's entry and records that it is in use. */
+static Entry *
+find_ (const DpFlowDirectory *directory, const DpFlowKey *key, gint64 now)
+{
+  const Entry wanted = { .owner = { .key = *key } };
+  Entry *entry = g_hash_table_lookup (directory->entries, &wanted);
+
+  if (entry != NULL)
+    entry->used_at = now;
+  return entry;
+}
+
+/* Returns whether owner has taken the SYN of a later flow with the same key. */
+static gboolean
+is_new_flow_ (const DpFlowOwner *owner, const DpFlowOwner *present)
+{
+  return present->syn_seq != 0 && owner->syn_seq != 0
+         && owner->syn_seq != present->syn_seq;
+}
+
+/* Replaces the present owner. A member that has restarted doesn't know the flow's SYN any
+ * more, and a delayed registration doesn't close a flow that is open. */
+static void
+owner_update_ (DpFlowOwner *present, const DpFlowOwner *owner)
+{
+  const DpFlowOwner before = *present;
+
+  *present = *owner;
+  if (is_new_flow_ (owner, &before))
+    return;
+  if (owner->syn_seq == 0)
+    present->syn_seq = before.syn_seq;
+  if (dp_address_equal (&owner->member, &before.member))
+    present->open = owner->open || before.open;
+}
--- a/src/libdogwoodpaddle/include/private/passthroughadmission.h
+++ b/src/libdogwoodpaddle/include/private/passthroughadmission.h
@@ -4,15 +4,20 @@
 #pragma once
 
 #include "private/passthroughflows.h"
+#include "protected/flowdirectory.h"
 
 typedef struct _DpPassthroughAdmission DpPassthroughAdmission;
 
-/* flows is not owned and has to outlive the admission. member: name of this companion's
- * member. now: in us, as everywhere below. */
-DpPassthroughAdmission *
-dp_passthrough_admission_new (DpPassthroughFlows *flows, const char *member, gint64 now);
+/* flows and directory are not owned and have to outlive the admission. member: name of
+ * this companion's member. now: in us, as everywhere below. */
+DpPassthroughAdmission *dp_passthrough_admission_new (DpPassthroughFlows *flows,
+                                                      DpFlowDirectory *directory,
+                                                      const char *member,
+                                                      gint64 now);
 void dp_passthrough_admission_free (DpPassthroughAdmission *admission);
 void dp_passthrough_admission_set_slots (DpPassthroughAdmission *admission, guint slots);
+void dp_passthrough_admission_set_address (DpPassthroughAdmission *admission,
+                                           const DpAddress *address);
 void dp_passthrough_admission_set_view (DpPassthroughAdmission *admission,
                                         DpMemberView *view);
 void dp_passthrough_admission_set_serving (DpPassthroughAdmission *admission,
@@ -39,6 +44,12 @@
                                             DpPassthroughReason forward_reason,
                                             DpPassthroughReason reject_reason,
                                             gint64 now);
+/* Decides about a SYN that another member has rejected and whose flow is not here. */
+DpPassthroughDecision
+dp_passthrough_admission_confirm_rejection (const DpPassthroughAdmission *admission,
+                                            const DpSegment *segment,
+                                            const DpHop *hop,
+                                            gint64 now);
 void dp_passthrough_admission_hold_packet (DpPassthroughAdmission *admission,
                                            const DpSegment *segment,
                                            GBytes *packet);
--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -2,6 +2,7 @@
  * for a slot and which have a pending request. */
 #pragma once
 
+#include "protected/flowdirectory.h"
 #include "protected/passthrough.h"
 #include "protected/serverhealth.h"
 
@@ -22,7 +23,12 @@
   DpFlowKey key;
   guint64 hash;
   DpPassthroughFlowState state;
-  guint32 syn_seq;       /* sequence number of the SYN */
+  guint32 syn_seq;      /* sequence number of the SYN; 0: not seen */
+  guint16 syn_age_ms;   /* of the copy of the SYN that this member has taken */
+  gint64 syn_at;        /* us, arrival of that copy */
+  gint64 registered_at; /* us, last registration in the flow directory, 0: none yet */
+  guint32 registered_with[DP_FLOW_DIRECTORY_MEMBERS]; /* member ids, 0: none */
+  gboolean server_asked; /* the server has returned a packet of the flow */
   gboolean syn_ack_seen; /* the server's SYN-ACK was seen */
   guint32 syn_ack_seq;   /* sequence number of the SYN-ACK */
   gboolean in_flight;    /* counted in n_in_flight */
@@ -131,6 +137,11 @@
                                                       DpHandle *cursor);
 guint dp_passthrough_flows_n_waiting (const DpPassthroughFlows *flows);
 
+/* Returns whether the flow is taken here: its SYN waits for the server or was sent to it,
+ * or the server has sent packets of it. */
+gboolean dp_passthrough_flow_is_owned (const DpPassthroughFlow *flow);
+/* Iterates over all flows; iter as in GLib. Returns NULL at the end. */
+DpPassthroughFlow *dp_passthrough_flows_next (GHashTableIter *iter);
 /* Returns the name of the flow's state for logs; "none" for NULL. */
 const char *dp_passthrough_flow_state_string (const DpPassthroughFlow *flow);
 
--- /dev/null
+++ b/src/libdogwoodpaddle/include/protected/flowdirectory.h
@@ -0,0 +1,62 @@
+/* Directory of the flows' owners. The members of a service share it: the first
+ * DP_FLOW_DIRECTORY_MEMBERS members in a flow's order keep an entry that names the member
+ * that has taken the flow's SYN, the owner. Any process can compute them from the flow's
+ * hash. A packet of an unknown flow thus reaches its owner in two hops, however many
+ * members the service has, and a SYN is rejected only if no member has taken another copy
+ * of it. Performs no I/O. */
+#pragma once
+
+#include <glib.h>
+
+#include "protected/candidates.h"
+#include "protected/segment.h"
+
+#define DP_FLOW_DIRECTORY_MEMBERS 2
+
+typedef struct
+{
+  DpFlowKey key;
+  guint32 syn_seq;    /* sequence number of the SYN; 0: not known */
+  guint16 syn_age_ms; /* of the copy of the SYN that the owner has taken */
+  gboolean open;      /* the client has acknowledged the SYN-ACK of the owner's server */
+  DpAddress member;   /* the owner's packet port */
+} DpFlowOwner;
+
+typedef struct _DpFlowDirectory DpFlowDirectory;
+
+/* now: in us, as everywhere below. */
+DpFlowDirectory *dp_flow_directory_new (gint64 now);
+void dp_flow_directory_free (DpFlowDirectory *directory);
+/* Registers the owner of a flow. Two members may have taken copies of one SYN; the entry
+ * then names both until the flow is open. */
+void dp_flow_directory_register (DpFlowDirectory *directory,
+                                 const DpFlowOwner *owner,
+                                 gint64 now);
+/* Returns the flow's most likely owner, valid until the next change; NULL if none is
+ * registered. */
+const DpFlowOwner *
+dp_flow_directory_find (DpFlowDirectory *directory, const DpFlowKey *key, gint64 now);
+/* Returns the other member that has taken a copy of the flow's SYN, in the same way. */
+const DpFlowOwner *dp_flow_directory_find_other (DpFlowDirectory *directory,
+                                                 const DpFlowKey *key,
+                                                 gint64 now);
+/* Returns whether the directory existed already when the client sent the first copy of a
+ * SYN of this age, so that no owner of the flow can have registered before. */
+gboolean dp_flow_directory_covers (const DpFlowDirectory *directory,
+                                   guint16 syn_age_ms,
+                                   gint64 now);
+/* Removes the entries that were not used for the time to live. */
+void dp_flow_directory_expire (DpFlowDirectory *directory, gint64 ttl, gint64 now);
+guint dp_flow_directory_size (const DpFlowDirectory *directory);
+
+/* Sets members to those that keep the entry of a flow; returns their number. */
+guint dp_flow_directory_members (const DpCandidates *candidates,
+                                 guint64 flow_hash,
+                                 const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS]);
+/* Returns the first active one of these members, where self counts as active, or else the
+ * first one; NULL if the service has no members. */
+const DpMember *dp_flow_directory_active_member (const DpCandidates *candidates,
+                                                 guint64 flow_hash,
+                                                 guint32 self_id);
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpFlowDirectory, dp_flow_directory_free)
--- a/src/libdogwoodpaddle/include/protected/packetformat.h
+++ b/src/libdogwoodpaddle/include/protected/packetformat.h
@@ -16,6 +16,8 @@
   guint32 service_tag;   /* dp_service_tag () of the service that the packet belongs to */
   guint8 class;          /* DpTrafficClass */
   guint8 n_visited;      /* number of members that the packet has visited before */
+  guint8 reject_reason;  /* of a SYN that a member rejects: its DpPassthroughReason + 1;
+                            0: not rejected */
   guint16 wait_limit_ms; /* of a SYN: longest wait that still meets the objective */
   guint16 deadline_ms;   /* of a SYN: time until the client gives up, 0: not known */
 } DpHop;
@@ -32,7 +34,7 @@
                      DpSegment *segment,
                      gboolean *returned);
   /* Reads the hop metadata. In a packet that the server returned, all fields but the
-   * service tag are as they were written. */
+   * service tag and the reject reason are as they were written. */
   void (*read_hop) (const guint8 *data, DpHop *hop);
   /* Writes the hop metadata, and marks the packet as not returned. */
   void (*write_hop) (guint8 *data, const DpHop *hop);
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -18,6 +18,7 @@
 #include <glib.h>
 
 #include "protected/candidates.h"
+#include "protected/flowdirectory.h"
 #include "protected/metrics.h"
 #include "protected/packetformat.h"
 #include "protected/serverhealth.h"
@@ -50,6 +51,7 @@
   DP_PASSTHROUGH_FAILING,       /* the server fails too many of its requests */
   DP_PASSTHROUGH_RETURNED,      /* the server returned the packet */
   DP_PASSTHROUGH_PASSED_BEFORE, /* the flow's SYN was forwarded to another member */
+  DP_PASSTHROUGH_REGISTERED,    /* the flow directory names another member as the owner */
   DP_PASSTHROUGH_WAITING,       /* the flow waits for a slot */
   DP_PASSTHROUGH_LATE,       /* the flow waits behind those that can be served in time */
   DP_PASSTHROUGH_EXPIRED,    /* the client of a waiting flow has given up */
@@ -92,6 +94,13 @@
   DpPassthroughDecision decision;
 } DpReleasedSyn;
 
+/* The owner of a flow, to be sent to a member that keeps the flow's directory entry. */
+typedef struct
+{
+  DpAddress member; /* packet port of the receiver */
+  DpFlowOwner owner;
+} DpOwnerRegistration;
+
 typedef struct
 {
   guint slots;
@@ -114,6 +123,8 @@
 void dp_passthrough_free (DpPassthrough *passthrough);
 void dp_passthrough_set_limits (DpPassthrough *passthrough,
                                 const DpPassthroughLimits *limits);
+/* Sets the packet port of this companion, under which it registers its server's flows. */
+void dp_passthrough_set_address (DpPassthrough *passthrough, const DpAddress *address);
 /* Sets the members of the service; takes a reference to the view. */
 void dp_passthrough_set_view (DpPassthrough *passthrough, DpMemberView *view, gint64 now);
 /* Sets whether the server takes new flows. */
@@ -148,6 +159,18 @@
 gboolean dp_passthrough_next_released (DpPassthrough *passthrough,
                                        DpReleasedSyn *released,
                                        gint64 now);
+/* Sets registration to the next one to be sent; returns FALSE if there is none. To be
+ * called after each packet, tick and change of the members until it returns FALSE. */
+gboolean dp_passthrough_next_registration (DpPassthrough *passthrough,
+                                           DpOwnerRegistration *registration);
+/* Enters the owner of a flow in this member's part of the flow directory. */
+void dp_passthrough_register_owner (DpPassthrough *passthrough,
+                                    const DpFlowOwner *owner,
+                                    gint64 now);
+/* Registers the flows of this server again whose entries the member at this packet port
+ * keeps. */
+void dp_passthrough_repeat_registrations (DpPassthrough *passthrough,
+                                          const DpAddress *member);
 /* Frees the slots of flows that make no progress, and forgets flows that have expired. To
  * be called about every 100 ms. */
 void dp_passthrough_tick (DpPassthrough *passthrough, gint64 now);
--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -1,10 +1,12 @@
-/* Datagrams between companions and balancers in passthrough mode: a companion reports the
- * state and load of its server; a balancer answers with the members of the service. */
+/* Datagrams of passthrough mode. Between companions and balancers: a companion reports
+ * the state and load of its server; a balancer answers with the members of the service.
+ * Between companions: the entries of the flow directory. */
 #pragma once
 
 #include <glib.h>
 
 #include "protected/address.h"
+#include "protected/flowdirectory.h"
 #include "protected/packetport.h"
 #include "protected/memberview.h"
 
@@ -51,6 +53,9 @@
   DP_REPORT_NONE, /* malformed */
   DP_REPORT_LOAD,
   DP_REPORT_MEMBERS,
+  DP_REPORT_OWNER,         /* the owner of a flow, to be entered in the flow directory */
+  DP_REPORT_OWNERS_WANTED, /* the sender knows no entry, and asks for those that it is to
+                              keep */
   DP_N_REPORT_TYPES
 } DpReportType;
 
@@ -60,6 +65,9 @@
   DpReportType type;
   DpReport report;
   DpMemberList list;
+  DpFlowOwner owner;   /* with DP_REPORT_OWNER */
+  DpAddress wanted_by; /* with DP_REPORT_OWNERS_WANTED: the sender's packet port */
+  const char *service; /* with both: the service of the flow, or of the sender */
   GStringChunk *strings;
 } DpReportMessage;
 
@@ -69,6 +77,13 @@
  * many datagrams as needed for each part to fit into one. Returns the datagrams as
  * GBytes; empty if there would be more than DP_LIST_PARTS_MAX. */
 GPtrArray *dp_member_list_encode_parts (const DpMemberView *view, const GArray *removed);
+gsize dp_flow_owner_encode (const DpFlowOwner *owner,
+                            const char *service,
+                            guint8 buffer[DP_REPORT_MAX]);
+/* member: the sender's packet port. */
+gsize dp_owners_wanted_encode (const DpAddress *member,
+                               const char *service,
+                               guint8 buffer[DP_REPORT_MAX]);
 /* Returns FALSE if the datagram is malformed. The message is to be cleared either way. */
 gboolean dp_report_decode (DpReportMessage *message, const guint8 *data, gsize length);
 void dp_report_message_clear (DpReportMessage *message);
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -1,6 +1,7 @@
 #include "protected/passthrough.h"
 
 #include "private/passthroughadmission.h"
+#include "private/ownerregistrar.h"
 #include "private/passthroughdecision.h"
 #include "private/passthroughflows.h"
 #include "protected/clock.h"
@@ -11,6 +12,16 @@
  * if it arrives more than this time after the newest data. The server retransmits after
  * 200 ms; reordered packets are closer together. */
 #define RETRANSMISSION_MIN_US (150 * DP_US_PER_MS)
+/* Visits up to which a packet that is searched follows the flow directory. While lists of
+ * members differ, members may refer to each other; from then on the packet visits one
+ * member after the other. */
+#define DIRECTORY_VISITS_MAX 4
+/* A flow that was opened later than this after its SYN may have been taken by another
+ * member as well, as the first copy of the SYN comes after 200 ms. */
+#define UNCONTESTED_OPEN_US (150 * DP_US_PER_MS)
+/* Minimum interval between two registrations of a flow whose packets are searched. */
+#define REGISTRATION_INTERVAL_US DP_US_PER_S
+#define DIRECTORY_SWEEP_INTERVAL_US DP_US_PER_S
 /* Default until the limits are set: the longest lifetime of flows on current platforms.
  */
 #define DEFAULT_FLOW_TTL_US (60 * DP_US_PER_S)
@@ -21,6 +32,9 @@
   guint32 member_id;
   gint64 view_set_at; /* us */
   DpPassthroughFlows *flows;
+  DpFlowDirectory *directory; /* this member's part */
+  gint64 directory_swept_at;  /* us, last search for expired entries */
+  DpOwnerRegistrar *registrar;
   DpPassthroughAdmission *admission;
 };
 
@@ -41,10 +55,23 @@
                                           const DpSegment *segment,
                                           const DpHop *hop,
                                           gint64 now);
+static DpPassthroughDecision decide_unowned_ (DpPassthrough *passthrough,
+                                              DpPassthroughFlow *flow,
+                                              const DpSegment *segment,
+                                              const DpHop *hop,
+                                              DpPassthroughReason reason,
+                                              gint64 now);
+static const DpFlowOwner *registered_owner_ (DpPassthrough *passthrough,
+                                             const DpSegment *segment,
+                                             const DpHop *hop,
+                                             gint64 now);
 static DpPassthroughDecision search_owner_ (DpPassthrough *passthrough,
                                             const DpSegment *segment,
                                             const DpHop *hop,
                                             DpPassthroughReason reason);
+static void
+register_flow_ (DpPassthrough *passthrough, DpPassthroughFlow *flow, gint64 now);
+static void update_registrations_ (DpPassthrough *passthrough, gint64 now);
 static DpPassthroughDecision decide_client_packet_ (DpPassthrough *passthrough,
                                                     DpPassthroughFlow *flow,
                                                     const DpSegment *segment,
@@ -65,8 +92,12 @@
 
   passthrough->service_tag = dp_service_tag (dp_service_id (service));
   passthrough->flows = dp_passthrough_flows_new (DEFAULT_FLOW_TTL_US, now);
-  passthrough->admission = dp_passthrough_admission_new (passthrough->flows, member, now);
   passthrough->member_id = dp_member_id (member);
+  passthrough->directory = dp_flow_directory_new (now);
+  passthrough->registrar = dp_owner_registrar_new (passthrough->directory,
+                                                   passthrough->member_id);
+  passthrough->admission = dp_passthrough_admission_new (
+      passthrough->flows, passthrough->directory, member, now);
   return passthrough;
 }
 
@@ -76,6 +107,8 @@
   if (passthrough == NULL)
     return;
   dp_passthrough_admission_free (passthrough->admission);
+  dp_owner_registrar_free (passthrough->registrar);
+  dp_flow_directory_free (passthrough->directory);
   dp_passthrough_flows_free (passthrough->flows);
   g_free (passthrough);
 }
@@ -96,12 +129,21 @@
   passthrough->flows->histograms = *histograms;
 }
 
+/* Sets the packet port of this companion. */
+void
+dp_passthrough_set_address (DpPassthrough *passthrough, const DpAddress *address)
+{
+  dp_owner_registrar_set_address (passthrough->registrar, address);
+  dp_passthrough_admission_set_address (passthrough->admission, address);
+}
+
 /* Sets the members to which flows can be forwarded. */
 void
 dp_passthrough_set_view (DpPassthrough *passthrough, DpMemberView *view, gint64 now)
 {
   passthrough->view_set_at = now;
   dp_passthrough_admission_set_view (passthrough->admission, view);
+  update_registrations_ (passthrough, now);
 }
 
 /* Sets whether new flows are offered to the server. */
@@ -136,6 +178,12 @@
                                                       now);
 
   decision.basis = basis;
+  if (dp_segment_opens_flow (segment)
+      && (decision.action == DP_PASSTHROUGH_TO_SERVER
+          || decision.action == DP_PASSTHROUGH_HOLD
+          || decision.reason == DP_PASSTHROUGH_WAITING))
+    register_flow_ (passthrough, dp_passthrough_flows_find (passthrough->flows, segment),
+                    now);
   return decision;
 }
 
@@ -165,6 +213,7 @@
   const guint8 handshake = DP_TCP_SYN | DP_TCP_ACK;
   const DpHop hop = { passthrough->service_tag, 0, 0 };
   DpPassthroughFlow *flow = dp_passthrough_flows_find (passthrough->flows, segment);
+  const gboolean found = flow == NULL || !dp_passthrough_flow_is_owned (flow);
   gboolean repeated = FALSE;
 
   dp_passthrough_admission_note_server_packet (passthrough->admission);
@@ -184,6 +233,7 @@
                                            now - flow->offered_at);
       if (flow->state != DP_PASSTHROUGH_FLOW_OPEN)
         flow->state = DP_PASSTHROUGH_FLOW_ANSWERED;
+      flow->syn_seq = segment->ack - 1;
       flow->syn_ack_seq = segment->seq;
       flow->syn_ack_seen = TRUE;
     }
@@ -199,6 +249,8 @@
     flow->client_finished = TRUE;
   if (flow->server_finished && flow->client_finished)
     flow->state = DP_PASSTHROUGH_FLOW_CLOSED;
+  if (found)
+    register_flow_ (passthrough, flow, now);
   return dp_passthrough_decision_make (
       DP_PASSTHROUGH_TO_CLIENT, repeated ? DP_PASSTHROUGH_REPEATED : DP_PASSTHROUGH_OWNED,
       &hop);
@@ -230,12 +282,54 @@
   return dp_passthrough_admission_server_is_silent (passthrough->admission, now);
 }
 
+/* Returns the next registration to be sent. */
+gboolean
+dp_passthrough_next_registration (DpPassthrough *passthrough,
+                                  DpOwnerRegistration *registration)
+{
+  return dp_owner_registrar_next (passthrough->registrar, registration);
+}
+
+/* Enters the owner of a flow in this member's part of the flow directory. */
+void
+dp_passthrough_register_owner (DpPassthrough *passthrough,
+                               const DpFlowOwner *owner,
+                               gint64 now)
+{
+  dp_flow_directory_register (passthrough->directory, owner, now);
+}
+
+/* Registers flows again with a member that has lost its part of the flow directory. */
+void
+dp_passthrough_repeat_registrations (DpPassthrough *passthrough, const DpAddress *member)
+{
+  DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
+  const DpMember *receiver = NULL;
+  DpPassthroughFlow *flow;
+  GHashTableIter iter;
+
+  for (guint i = 0; candidates != NULL && i < dp_candidates_view (candidates)->n_members;
+       i++)
+    if (dp_address_equal (&dp_candidates_view (candidates)->members[i].address, member))
+      receiver = &dp_candidates_view (candidates)->members[i];
+  if (receiver == NULL)
+    return;
+  g_hash_table_iter_init (&iter, passthrough->flows->by_key);
+  while ((flow = dp_passthrough_flows_next (&iter)) != NULL)
+    if (dp_passthrough_flow_is_owned (flow) && flow->state != DP_PASSTHROUGH_FLOW_CLOSED)
+      dp_owner_registrar_repeat (passthrough->registrar, flow, receiver);
+}
+
 /* Removes expired flows, and stops counting flows as in flight whose request was
  * answered or has timed out. */
 void
 dp_passthrough_tick (DpPassthrough *passthrough, gint64 now)
 {
   dp_passthrough_flows_tick (passthrough->flows, now);
+  if (now - passthrough->directory_swept_at < DIRECTORY_SWEEP_INTERVAL_US)
+    return;
+  passthrough->directory_swept_at = now;
+  dp_flow_directory_expire (passthrough->directory, passthrough->flows->flow_ttl, now);
 }
 
 /* Returns the number of flows that are served before a new one: those in flight and those
@@ -316,12 +410,9 @@
                                          hop);
   if (dp_segment_opens_flow (segment))
     return decide_syn_ (passthrough, flow, segment, hop, now);
-  if (flow != NULL)
+  if (flow != NULL && dp_passthrough_flow_is_owned (flow))
     return decide_client_packet_ (passthrough, flow, segment, hop, now);
-  if (dp_passthrough_flows_is_complete (passthrough->flows, now))
-    return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING);
-  return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
-                                       hop);
+  return decide_unowned_ (passthrough, flow, segment, hop, DP_PASSTHROUGH_SEARCHING, now);
 }
 
 static DpPassthroughDecision
@@ -370,7 +461,9 @@
       if (flow != NULL)
         flow->state = DP_PASSTHROUGH_FLOW_NOT_OWNED;
     }
-  return search_owner_ (passthrough, segment, &hop, DP_PASSTHROUGH_RETURNED);
+  if (flow != NULL)
+    flow->server_asked = TRUE;
+  return decide_unowned_ (passthrough, flow, segment, &hop, DP_PASSTHROUGH_RETURNED, now);
 }
 
 /* Decides about a SYN. A retransmission goes where the first SYN went, so that only one
@@ -382,19 +475,15 @@
              const DpHop *hop,
              gint64 now)
 {
-  const gboolean retransmission = flow != NULL && flow->syn_seq == segment->seq;
+  const gboolean retransmission =
+      flow != NULL
+      && (flow->syn_seq == segment->seq
+          || (flow->syn_seq == 0 && dp_passthrough_flow_is_owned (flow)));
+  const DpFlowOwner *owner;
   gboolean came_back;
 
   if (retransmission && flow->state != DP_PASSTHROUGH_FLOW_WAITING)
     flow->used_at = now;
-  /* A SYN that has visited more members than the first one is no retransmission, but the
-   * forwarded SYN that has come back. The client's last retransmission is decided here,
-   * as no member has answered the earlier ones. */
-  if (retransmission && flow->state == DP_PASSTHROUGH_FLOW_FORWARDED
-      && hop->n_visited <= flow->hop.n_visited
-      && segment->syn_age_ms < LAST_SYN_RETRANSMISSION_MS)
-    return dp_passthrough_decision_forward (&flow->forwarded_to,
-                                            DP_PASSTHROUGH_PASSED_BEFORE, hop);
   if (retransmission && flow->state == DP_PASSTHROUGH_FLOW_WAITING)
     {
       dp_passthrough_admission_note_retransmission (passthrough->admission, flow, segment,
@@ -402,12 +491,26 @@
       return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_WAITING,
                                            hop);
     }
-  if (retransmission && flow->state != DP_PASSTHROUGH_FLOW_NOT_OWNED
-      && flow->state != DP_PASSTHROUGH_FLOW_FORWARDED
+  if (retransmission && dp_passthrough_flow_is_owned (flow)
       && !(flow->state == DP_PASSTHROUGH_FLOW_OFFERED
            && dp_passthrough_server_is_silent (passthrough, now)))
     return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_OWNED,
                                          hop);
+  if (hop->reject_reason != 0)
+    return dp_passthrough_admission_confirm_rejection (passthrough->admission, segment,
+                                                       hop, now);
+  owner = registered_owner_ (passthrough, segment, hop, now);
+  if (owner != NULL && segment->syn_age_ms > 0 && owner->syn_seq == segment->seq)
+    return dp_passthrough_decision_forward (&owner->member, DP_PASSTHROUGH_REGISTERED,
+                                            hop);
+  /* A SYN that has visited more members than the first one is no retransmission, but the
+   * forwarded SYN that has come back. The client's last retransmission is decided here,
+   * as no member has answered the earlier ones. */
+  if (retransmission && flow->state == DP_PASSTHROUGH_FLOW_FORWARDED
+      && hop->n_visited <= flow->hop.n_visited
+      && segment->syn_age_ms < LAST_SYN_RETRANSMISSION_MS)
+    return dp_passthrough_decision_forward (&flow->forwarded_to,
+                                            DP_PASSTHROUGH_PASSED_BEFORE, hop);
   came_back = retransmission && flow->state == DP_PASSTHROUGH_FLOW_FORWARDED;
   if (flow != NULL)
     dp_passthrough_flows_remove (passthrough->flows, flow);
@@ -415,9 +518,61 @@
                                           now);
 }
 
-/* Forwards a packet whose flow is not here to the next member, or drops it if all have
- * been visited. It is never answered with a reset, since a member that is cut off may
- * still have the flow. */
+/* Decides about a client's packet after the SYN, of a flow that is not known to be this
+ * server's. flow may be NULL. After a restart the companion doesn't know its server's
+ * flows; the server is then asked once for each flow that the directory doesn't name. */
+static DpPassthroughDecision
+decide_unowned_ (DpPassthrough *passthrough,
+                 DpPassthroughFlow *flow,
+                 const DpSegment *segment,
+                 const DpHop *hop,
+                 DpPassthroughReason reason,
+                 gint64 now)
+{
+  const DpFlowOwner *owner = registered_owner_ (passthrough, segment, hop, now);
+
+  if (flow != NULL)
+    flow->used_at = now;
+  if (owner != NULL)
+    return dp_passthrough_decision_forward (&owner->member, DP_PASSTHROUGH_REGISTERED,
+                                            hop);
+  if ((flow == NULL || !flow->server_asked)
+      && !dp_passthrough_flows_is_complete (passthrough->flows, now))
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
+                                         hop);
+  /* A packet that has visited more members than the SYN has come back from a search. */
+  if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_FORWARDED
+      && hop->n_visited <= flow->hop.n_visited)
+    return dp_passthrough_decision_forward (&flow->forwarded_to,
+                                            DP_PASSTHROUGH_PASSED_BEFORE, hop);
+  return search_owner_ (passthrough, segment, hop, reason);
+}
+
+/* Returns the other member that is registered as the flow's owner, NULL if there is none.
+ * A packet that comes a second time has not found its flow at the more likely one. */
+static const DpFlowOwner *
+registered_owner_ (DpPassthrough *passthrough,
+                   const DpSegment *segment,
+                   const DpHop *hop,
+                   gint64 now)
+{
+  const DpAddress *self = dp_owner_registrar_address (passthrough->registrar);
+  const DpFlowOwner *owner = NULL;
+
+  if (hop->n_visited < DIRECTORY_VISITS_MAX / 2)
+    owner = dp_flow_directory_find (passthrough->directory, &segment->key, now);
+  if (owner == NULL || dp_address_equal (&owner->member, self))
+    owner = dp_flow_directory_find_other (passthrough->directory, &segment->key, now);
+  if (owner == NULL || dp_address_equal (&owner->member, self)
+      || hop->n_visited >= DIRECTORY_VISITS_MAX)
+    return NULL;
+  return owner;
+}
+
+/* Forwards a packet whose flow is not here: first to a member that keeps the flow's
+ * directory entry, then from one member to the next. Drops it if all have been visited.
+ * It is never answered with a reset, since a member that is cut off may still have the
+ * flow. */
 static DpPassthroughDecision
 search_owner_ (DpPassthrough *passthrough,
                const DpSegment *segment,
@@ -425,10 +580,21 @@
                DpPassthroughReason reason)
 {
   DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
+  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
   const DpMember *next = NULL;
+  gboolean is_directory_member = FALSE;
+  guint n;
 
-  if (candidates != NULL
-      && hop->n_visited + 1u < dp_candidates_view (candidates)->n_members)
+  if (candidates == NULL || hop->n_visited >= dp_candidates_view (candidates)->n_members)
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_NOT_FOUND,
+                                         hop);
+  n = dp_flow_directory_members (candidates, segment->hash, members);
+  for (guint i = 0; i < n; i++)
+    is_directory_member |= members[i]->id == passthrough->member_id;
+  if (!is_directory_member && hop->n_visited < DIRECTORY_VISITS_MAX - 1)
+    next = dp_flow_directory_active_member (candidates, segment->hash,
+                                            passthrough->member_id);
+  if (next == NULL)
     next = dp_candidates_after (candidates, segment->hash, DP_CANDIDATES_ALL,
                                 passthrough->member_id);
   if (next == NULL)
@@ -437,7 +603,32 @@
   return dp_passthrough_decision_forward (&next->address, reason, hop);
 }
 
-/* Decides about a client's packet after the SYN, of a flow in the table. */
+/* Registers a flow that this member has taken. */
+static void
+register_flow_ (DpPassthrough *passthrough, DpPassthroughFlow *flow, gint64 now)
+{
+  if (flow != NULL && dp_passthrough_flow_is_owned (flow))
+    dp_owner_registrar_register (
+        passthrough->registrar,
+        dp_passthrough_admission_candidates (passthrough->admission), flow, now);
+}
+
+/* Registers the flows whose directory members have changed. */
+static void
+update_registrations_ (DpPassthrough *passthrough, gint64 now)
+{
+  DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
+  DpPassthroughFlow *flow;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, passthrough->flows->by_key);
+  while ((flow = dp_passthrough_flows_next (&iter)) != NULL)
+    if (dp_passthrough_flow_is_owned (flow) && flow->state != DP_PASSTHROUGH_FLOW_CLOSED)
+      dp_owner_registrar_update (passthrough->registrar, candidates, flow, now);
+}
+
+/* Decides about a client's packet after the SYN, of a flow that this server has or was
+ * offered. */
 static DpPassthroughDecision
 decide_client_packet_ (DpPassthrough *passthrough,
                        DpPassthroughFlow *flow,
@@ -445,29 +636,25 @@
                        const DpHop *hop,
                        gint64 now)
 {
-  switch (flow->state)
+  const gboolean opens = flow->state == DP_PASSTHROUGH_FLOW_ANSWERED;
+
+  /* Two servers may have answered the SYN and its retransmission; the client acknowledges
+   * one of them. */
+  if (flow->state == DP_PASSTHROUGH_FLOW_WAITING
+      || flow->state == DP_PASSTHROUGH_FLOW_OFFERED
+      || (opens && segment->ack != flow->syn_ack_seq + 1))
     {
-    case DP_PASSTHROUGH_FLOW_FORWARDED:
-      flow->used_at = now;
-      return dp_passthrough_decision_forward (&flow->forwarded_to,
-                                              DP_PASSTHROUGH_PASSED_BEFORE, hop);
-    case DP_PASSTHROUGH_FLOW_ANSWERED:
-      /* Two servers may have answered the SYN and its retransmission; the client
-       * acknowledges one of them. */
-      if (segment->ack != flow->syn_ack_seq + 1)
-        return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING);
-      break;
-    case DP_PASSTHROUGH_FLOW_WAITING:
-    case DP_PASSTHROUGH_FLOW_OFFERED:
-    case DP_PASSTHROUGH_FLOW_NOT_OWNED:
+      const DpFlowOwner *owner = registered_owner_ (passthrough, segment, hop, now);
+
+      if (owner != NULL)
+        return dp_passthrough_decision_forward (&owner->member, DP_PASSTHROUGH_REGISTERED,
+                                                hop);
       return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING);
-    case DP_PASSTHROUGH_FLOW_OPEN:
-    case DP_PASSTHROUGH_FLOW_CLOSED:
-    case DP_N_PASSTHROUGH_FLOW_STATES:
-    default:
-      break;
     }
   record_client_packet_ (passthrough, flow, segment, now);
+  if ((opens && (flow->syn_age_ms > 0 || now - flow->syn_at > UNCONTESTED_OPEN_US))
+      || (hop->n_visited > 0 && now - flow->registered_at > REGISTRATION_INTERVAL_US))
+    register_flow_ (passthrough, flow, now);
   return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_OWNED,
                                        hop);
 }
--- a/src/libdogwoodpaddle/passthroughadmission.c
+++ b/src/libdogwoodpaddle/passthroughadmission.c
@@ -1,6 +1,7 @@
 #include "private/passthroughadmission.h"
 
 #include "private/passthroughdecision.h"
+#include "private/synrejection.h"
 #include "protected/clock.h"
 
 /* Maximum age of a SYN that is still answered. A client gives up an unanswered SYN after
@@ -30,9 +31,6 @@
 #define RETRANSMISSION_SLACK_US (100 * DP_US_PER_MS)
 /* Interval between searches for flows that should no longer wait here. */
 #define WAITING_CHECK_INTERVAL_US (100 * DP_US_PER_MS)
-/* Time after the start in which the other members may not be known yet. Members report
- * every 100 to 400 ms, and lists are sent at most every 250 ms. */
-#define MEMBER_DISCOVERY_US (1500 * DP_US_PER_MS)
 /* A server answers a SYN within a millisecond unless it is frozen or gone. */
 #define SYN_ANSWER_TIMEOUT_US (150 * DP_US_PER_MS)
 /* Unanswered SYNs after which the server counts as silent; a single one may be lost. */
@@ -41,6 +39,7 @@
 struct _DpPassthroughAdmission
 {
   guint32 member_id;
+  DpSynRejecter rejecter;
   guint slots;
   DpCandidates *candidates;  /* NULL: no view yet */
   DpPassthroughFlows *flows; /* not owned */
@@ -48,7 +47,6 @@
   gboolean view_changed; /* the view has changed: late flows may go to new members */
   gint64
       waiting_checked_at; /* us, last search for flows that should no longer wait here */
-  gint64 created_at;      /* us */
   double late_served_share;   /* share of late flows that got a slot, moving mean */
   guint n_unanswered_syns;    /* SYNs sent to the server since its last packet */
   gint64 first_unanswered_at; /* us, when the first of these SYNs was sent */
@@ -77,8 +75,11 @@
                                         DpPassthroughFlow *flow,
                                         gboolean serving,
                                         gint64 now);
-static DpPassthroughDecision
-reject_ (const DpPassthroughAdmission *admission, const DpHop *hop, gint64 now);
+static DpPassthroughDecision reject_ (const DpPassthroughAdmission *admission,
+                                      const DpSegment *segment,
+                                      const DpHop *hop,
+                                      DpPassthroughReason reason,
+                                      gint64 now);
 static void
 record_offer_ (DpPassthroughAdmission *admission, DpPassthroughFlow *flow, gint64 now);
 static DpPassthroughFlow *add_flow_ (DpPassthroughAdmission *admission,
@@ -100,14 +101,19 @@
 
 /* Creates the admission of a member that isn't serving yet. */
 DpPassthroughAdmission *
-dp_passthrough_admission_new (DpPassthroughFlows *flows, const char *member, gint64 now)
+dp_passthrough_admission_new (DpPassthroughFlows *flows,
+                              DpFlowDirectory *directory,
+                              const char *member,
+                              gint64 now)
 {
   DpPassthroughAdmission *admission = g_new0 (DpPassthroughAdmission, 1);
 
   admission->member_id = dp_member_id (member);
   admission->slots = 1;
   admission->flows = flows;
-  admission->created_at = now;
+  admission->rejecter = (DpSynRejecter){ .id = admission->member_id,
+                                         .directory = directory,
+                                         .created_at = now };
   admission->late_served_share = 1.0;
   return admission;
 }
@@ -126,12 +132,21 @@
   admission->slots = slots;
 }
 
+/* Sets the packet port of this member. */
+void
+dp_passthrough_admission_set_address (DpPassthroughAdmission *admission,
+                                      const DpAddress *address)
+{
+  admission->rejecter.address = *address;
+}
+
 /* Sets the members to which flows can be forwarded. */
 void
 dp_passthrough_admission_set_view (DpPassthroughAdmission *admission, DpMemberView *view)
 {
   dp_candidates_free (admission->candidates);
   admission->candidates = dp_candidates_new (view);
+  admission->rejecter.candidates = admission->candidates;
   admission->view_changed = TRUE;
 }
 
@@ -204,8 +219,7 @@
     return forward_new_flow_ (admission, segment, hop, next, reason, now);
   if (serving)
     return offer_or_queue_ (admission, segment, hop, now);
-  return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET, DP_PASSTHROUGH_NOT_SERVING,
-                                       hop);
+  return reject_ (admission, segment, hop, DP_PASSTHROUGH_NOT_SERVING, now);
 }
 
 /* Forwards a SYN that this member can't take, or rejects it if it has visited as many
@@ -223,10 +237,20 @@
                                        &same_zone);
 
   if (next == NULL)
-    return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET, reject_reason, hop);
+    return reject_ (admission, segment, hop, reject_reason, now);
   return forward_new_flow_ (admission, segment, hop, next, forward_reason, now);
 }
 
+/* Decides about a SYN that another member has rejected. */
+DpPassthroughDecision
+dp_passthrough_admission_confirm_rejection (const DpPassthroughAdmission *admission,
+                                            const DpSegment *segment,
+                                            const DpHop *hop,
+                                            gint64 now)
+{
+  return dp_syn_rejection_confirm (&admission->rejecter, segment, hop, now);
+}
+
 /* Stores the packet of a flow whose SYN is to be held; takes a reference to it. */
 void
 dp_passthrough_admission_hold_packet (DpPassthroughAdmission *admission,
@@ -309,8 +333,7 @@
     {
       flow = add_flow_ (admission, segment, hop, DP_PASSTHROUGH_FLOW_OFFERED, now);
       if (flow == NULL)
-        return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET,
-                                             DP_PASSTHROUGH_OVERLOADED, hop);
+        return reject_ (admission, segment, hop, DP_PASSTHROUGH_OVERLOADED, now);
       flow->has_slot = dp_slots_acquire (admission->flows->slots, class);
       record_offer_ (admission, flow, now);
       return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_OWNED,
@@ -324,7 +347,7 @@
   if ((double) late_wait * LATE_WAIT_FACTOR
       <= admission->late_served_share * (double) longest_useful_wait_ (segment, hop))
     return queue_flow_ (admission, segment, hop, TRUE, now);
-  return reject_ (admission, hop, now);
+  return reject_ (admission, segment, hop, DP_PASSTHROUGH_OVERLOADED, now);
 }
 
 /* Returns the longest wait, in us, after which a new flow is still expected to be in
@@ -352,16 +375,14 @@
                                        DP_PASSTHROUGH_FLOW_WAITING, now);
 
   if (flow == NULL)
-    return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET, DP_PASSTHROUGH_OVERLOADED,
-                                         hop);
+    return reject_ (admission, segment, hop, DP_PASSTHROUGH_OVERLOADED, now);
   flow->client_gives_up_at = now + longest_useful_wait_ (segment, hop);
   expect_retransmission_ (flow, segment, now);
   if (dp_passthrough_flows_enqueue (admission->flows, flow, late, now))
     return dp_passthrough_decision_make (
         DP_PASSTHROUGH_HOLD, late ? DP_PASSTHROUGH_LATE : DP_PASSTHROUGH_WAITING, hop);
   dp_passthrough_flows_remove (admission->flows, flow);
-  return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET, DP_PASSTHROUGH_OVERLOADED,
-                                       hop);
+  return reject_ (admission, segment, hop, DP_PASSTHROUGH_OVERLOADED, now);
 }
 
 /* Returns the time in us, from now on, for which a SYN can wait and still be of use to
@@ -483,21 +504,15 @@
                                                      reason, now);
 }
 
-/* Rejects a new flow that is not expected to be served here in time. Just after a start,
- * other members may have free slots without being known yet; the SYN is then dropped, and
- * its retransmission 200 ms later is decided anew. */
+/* Rejects a SYN that this member can't take. */
 static DpPassthroughDecision
-reject_ (const DpPassthroughAdmission *admission, const DpHop *hop, gint64 now)
+reject_ (const DpPassthroughAdmission *admission,
+         const DpSegment *segment,
+         const DpHop *hop,
+         DpPassthroughReason reason,
+         gint64 now)
 {
-  const gboolean no_other_member =
-      admission->candidates == NULL
-      || dp_candidates_view (admission->candidates)->n_members < 2;
-
-  if (no_other_member && now - admission->created_at < MEMBER_DISCOVERY_US)
-    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_GATHERING,
-                                         hop);
-  return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET, DP_PASSTHROUGH_OVERLOADED,
-                                       hop);
+  return dp_syn_rejection_start (&admission->rejecter, segment, hop, reason, now);
 }
 
 /* Records that the SYN is sent to the server. The flow already has its slot. */
@@ -524,6 +539,8 @@
     return NULL;
   flow->state = state;
   flow->syn_seq = segment->seq;
+  flow->syn_age_ms = segment->syn_age_ms;
+  flow->syn_at = now;
   flow->class = (DpTrafficClass) hop->class;
   flow->hop = *hop;
   return flow;
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -27,6 +27,8 @@
   char *name;
   char *zone;
   DpPassthroughMembers *members;
+  GHashTable
+      *asked_members; /* ids of the members asked for entries of the flow directory */
   DpPassthroughReporter *reporter;
   DpPassthrough *passthrough;
   DpFlowLog *log;
@@ -50,6 +52,7 @@
   DpMetric *failing;
   DpMetric *lost_lines;
   DpMetric *malformed;
+  DpMetric *registrations;
 };
 
 static void add_metrics_ (DpPassthroughCompanion *companion);
@@ -77,8 +80,19 @@
 static void log_decision_ (DpPassthroughCompanion *companion,
                            const DpPassthroughDecision *decision,
                            const DpSegment *segment);
+static void received_message_ (const DpAddress *source,
+                               guint8 *data,
+                               gsize length,
+                               gpointer user_data);
 static void
-received_list_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data);
+apply_list_ (DpPassthroughCompanion *companion, const DpMemberList *list, gint64 now);
+static void ask_new_members_ (DpPassthroughCompanion *companion,
+                              const DpMemberView *view);
+static void send_registrations_ (DpPassthroughCompanion *companion);
+static void send_to_member_ (DpPassthroughCompanion *companion,
+                             const DpAddress *member,
+                             const guint8 *data,
+                             gsize length);
 static gboolean is_serving_ (const DpPassthroughCompanion *companion, gint64 now);
 static DpMemberState member_state_ (const DpPassthroughCompanion *companion, gint64 now);
 static void update_serving_ (DpPassthroughCompanion *companion);
@@ -99,6 +113,7 @@
   companion->name = g_strdup (options->name);
   companion->zone = g_strdup (options->zone);
   companion->members = dp_passthrough_members_new (companion->service);
+  companion->asked_members = g_hash_table_new (NULL, NULL);
   add_metrics_ (companion);
   create_components_ (companion);
   return companion;
@@ -119,7 +134,7 @@
                                      error);
   if (companion->data == NULL)
     return FALSE;
-  companion->report = dp_udp_port_new (&options->report_address, received_list_,
+  companion->report = dp_udp_port_new (&options->report_address, received_message_,
                                        companion, error);
   if (companion->report == NULL)
     return FALSE;
@@ -169,6 +184,7 @@
   dp_flow_log_free (companion->log);
   dp_announcement_tracker_clear (&companion->announcements);
   dp_passthrough_members_free (companion->members);
+  g_hash_table_unref (companion->asked_members);
   g_free (companion->service);
   g_free (companion->name);
   g_free (companion->zone);
@@ -244,6 +260,9 @@
   companion->failing = dp_metrics_add (metrics, DP_METRIC_GAUGE,
                                        "dogwoodpaddle_server_failing", "",
                                        "Whether the server fails too many requests");
+  companion->registrations = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                             "dogwoodpaddle_flow_registrations_total", "",
+                                             "Owners of flows sent to other members");
   companion->malformed = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                          "dogwoodpaddle_datagrams_malformed_total", "",
                                          "Datagrams that could not be read");
@@ -272,6 +291,7 @@
   companion->passthrough = dp_passthrough_new (companion->service, companion->name,
                                                dp_clock_now (options->clock));
   dp_passthrough_set_histograms (companion->passthrough, &times);
+  dp_passthrough_set_address (companion->passthrough, &options->data_address);
   companion->log = dp_flow_log_new (options->clock, options->metrics);
   companion->reporter = dp_passthrough_reporter_new (&reporter, options->metrics);
 }
@@ -295,6 +315,7 @@
   decision = dp_passthrough_from_peer (companion->passthrough, &segment, &hop,
                                        dp_clock_now (companion->options.clock));
   execute_ (companion, &decision, &segment, data, length);
+  send_registrations_ (companion);
 }
 
 /* Handles a packet of the server itself, or a client's packet that the server returned.
@@ -333,6 +354,7 @@
     }
   execute_ (companion, &decision, &segment, data, length);
   release_held_syns_ (companion, now);
+  send_registrations_ (companion);
 }
 
 static void
@@ -425,6 +447,7 @@
       || decision->reason == DP_PASSTHROUGH_SEARCHING
       || decision->reason == DP_PASSTHROUGH_RETURNED
       || decision->reason == DP_PASSTHROUGH_PASSED_BEFORE
+      || decision->reason == DP_PASSTHROUGH_REGISTERED || decision->hop.reject_reason != 0
       || (dp_segment_opens_flow (segment) && segment->syn_age_ms > 0))
     return DP_FLOW_LOG_SEARCH;
   return (segment->flags & DP_TCP_SYN) != 0 ? DP_FLOW_LOG_NORMAL : DP_N_FLOW_LOG_KINDS;
@@ -460,25 +483,92 @@
       basis->view_age < 0 ? -1 : basis->view_age / DP_US_PER_MS, basis->all_flows_known);
 }
 
+/* Handles a member list of a balancer, or a message of another member about the flow
+ * directory. */
 static void
-received_list_ (const DpAddress *source, guint8 *data, gsize length, gpointer user_data)
+received_message_ (const DpAddress *source,
+                   guint8 *data,
+                   gsize length,
+                   gpointer user_data)
 {
   DpPassthroughCompanion *companion = user_data;
+  gint64 now = dp_clock_now (companion->options.clock);
+  const char *service = NULL;
   DpReportMessage message;
 
-  if (dp_report_decode (&message, data, length) && message.type == DP_REPORT_MEMBERS
-      && g_str_equal (message.list.service, companion->service))
+  if (dp_report_decode (&message, data, length))
+    service = message.type == DP_REPORT_MEMBERS ? message.list.service : message.service;
+  if (g_strcmp0 (service, companion->service) != 0)
+    dp_metric_increment (companion->malformed);
+  else if (message.type == DP_REPORT_MEMBERS)
+    apply_list_ (companion, &message.list, now);
+  else if (message.type == DP_REPORT_OWNER)
+    dp_passthrough_register_owner (companion->passthrough, &message.owner, now);
+  else if (message.type == DP_REPORT_OWNERS_WANTED)
+    dp_passthrough_repeat_registrations (companion->passthrough, &message.wanted_by);
+  dp_report_message_clear (&message);
+  send_registrations_ (companion);
+}
+
+static void
+apply_list_ (DpPassthroughCompanion *companion, const DpMemberList *list, gint64 now)
+{
+  g_autoptr (DpMemberView)
+      view = dp_passthrough_members_update (companion->members, list, now);
+
+  if (view == NULL)
+    return;
+  dp_passthrough_set_view (companion->passthrough, view, now);
+  ask_new_members_ (companion, view);
+}
+
+/* Asks each member that this process has not known before for the flows whose directory
+ * entries are to be kept here: a predecessor of this process may have had them. */
+static void
+ask_new_members_ (DpPassthroughCompanion *companion, const DpMemberView *view)
+{
+  guint8 buffer[DP_REPORT_MAX];
+  const gsize length = dp_owners_wanted_encode (&companion->options.data_address,
+                                                companion->service, buffer);
+
+  for (guint i = 0; i < view->n_members; i++)
     {
-      g_autoptr (DpMemberView) view = dp_passthrough_members_update (
-          companion->members, &message.list, dp_clock_now (companion->options.clock));
+      const DpMember *m = &view->members[i];
 
-      if (view != NULL)
-        dp_passthrough_set_view (companion->passthrough, view,
-                                 dp_clock_now (companion->options.clock));
+      if (g_hash_table_add (companion->asked_members, GUINT_TO_POINTER (m->id)))
+        send_to_member_ (companion, &m->address, buffer, length);
     }
-  else
-    dp_metric_increment (companion->malformed);
-  dp_report_message_clear (&message);
+}
+
+/* Sends what is to be entered in the flow directory at other members. */
+static void
+send_registrations_ (DpPassthroughCompanion *companion)
+{
+  DpOwnerRegistration registration;
+  guint8 buffer[DP_REPORT_MAX];
+
+  while (dp_passthrough_next_registration (companion->passthrough, &registration))
+    {
+      gsize length = dp_flow_owner_encode (&registration.owner, companion->service,
+                                           buffer);
+
+      send_to_member_ (companion, &registration.member, buffer, length);
+      dp_metric_increment (companion->registrations);
+    }
+}
+
+/* Sends a datagram to the report port of the member at this packet port. The ports are
+ * the same on all hosts. */
+static void
+send_to_member_ (DpPassthroughCompanion *companion,
+                 const DpAddress *member,
+                 const guint8 *data,
+                 gsize length)
+{
+  const DpAddress address = { member->ip, companion->options.report_address.port };
+
+  if (!dp_address_equal (member, &companion->options.data_address))
+    dp_packet_port_send (companion->report, &address, data, length);
 }
 
 /* Returns whether the server is known, takes new flows and sends its heartbeats. */
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -317,6 +317,23 @@
   return dp_handle_table_count (flows->waiting_flows);
 }
 
+gboolean
+dp_passthrough_flow_is_owned (const DpPassthroughFlow *flow)
+{
+  return flow->state != DP_PASSTHROUGH_FLOW_FORWARDED
+         && flow->state != DP_PASSTHROUGH_FLOW_NOT_OWNED;
+}
+
+/* Returns the next flow of an iteration that g_hash_table_iter_init () on by_key has
+ * started. */
+DpPassthroughFlow *
+dp_passthrough_flows_next (GHashTableIter *iter)
+{
+  gpointer flow;
+
+  return g_hash_table_iter_next (iter, &flow, NULL) ? flow : NULL;
+}
+
 /* Returns the name of the flow's state as it appears in logs. */
 const char *
 dp_passthrough_flow_state_string (const DpPassthroughFlow *flow)
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -53,6 +53,33 @@
   N_LIST_FIELDS
 };
 
+enum
+{
+  OWNER_TYPE,
+  OWNER_VERSION,
+  OWNER_SERVICE,
+  OWNER_CLIENT_IP,
+  OWNER_CLIENT_PORT,
+  OWNER_SERVICE_IP,
+  OWNER_SERVICE_PORT,
+  OWNER_SYN_SEQ,
+  OWNER_SYN_AGE,
+  OWNER_OPEN,
+  OWNER_MEMBER_IP,
+  OWNER_MEMBER_PORT,
+  N_OWNER_FIELDS
+};
+
+enum
+{
+  WANTED_TYPE,
+  WANTED_VERSION,
+  WANTED_SERVICE,
+  WANTED_IP,
+  WANTED_PORT,
+  N_WANTED_FIELDS
+};
+
 enum
 {
   MEMBER_NAME,
@@ -73,6 +100,9 @@
 decode_report_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields);
 static gboolean
 decode_list_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields);
+static gboolean decode_owner_ (DpReportMessage *message, const msgpack_object *fields);
+static gboolean decode_owners_wanted_ (DpReportMessage *message,
+                                       const msgpack_object *fields);
 static gboolean
 decode_member_ (DpReportMessage *message, const msgpack_object *object, DpMember *member);
 static gboolean get_uint_ (const msgpack_object *object, guint64 max, guint64 *value);
@@ -186,6 +216,54 @@
   return parts;
 }
 
+/* Encodes the owner of a flow. Returns its length in bytes. */
+gsize
+dp_flow_owner_encode (const DpFlowOwner *owner,
+                      const char *service,
+                      guint8 buffer[DP_REPORT_MAX])
+{
+  msgpack_sbuffer out;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, N_OWNER_FIELDS);
+  msgpack_pack_uint8 (&packer, DP_REPORT_OWNER);
+  msgpack_pack_uint8 (&packer, VERSION);
+  pack_string_ (&packer, service);
+  msgpack_pack_uint32 (&packer, owner->key.client.ip);
+  msgpack_pack_uint16 (&packer, owner->key.client.port);
+  msgpack_pack_uint32 (&packer, owner->key.service.ip);
+  msgpack_pack_uint16 (&packer, owner->key.service.port);
+  msgpack_pack_uint32 (&packer, owner->syn_seq);
+  msgpack_pack_uint16 (&packer, owner->syn_age_ms);
+  msgpack_pack_uint8 (&packer, owner->open ? 1 : 0);
+  msgpack_pack_uint32 (&packer, owner->member.ip);
+  msgpack_pack_uint16 (&packer, owner->member.port);
+  return finish_ (&out, buffer);
+}
+
+/* Encodes the request of a member that has lost its part of the flow directory. Returns
+ * its length in bytes. */
+gsize
+dp_owners_wanted_encode (const DpAddress *member,
+                         const char *service,
+                         guint8 buffer[DP_REPORT_MAX])
+{
+  msgpack_sbuffer out;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, N_WANTED_FIELDS);
+  msgpack_pack_uint8 (&packer, DP_REPORT_OWNERS_WANTED);
+  msgpack_pack_uint8 (&packer, VERSION);
+  pack_string_ (&packer, service);
+  msgpack_pack_uint32 (&packer, member->ip);
+  msgpack_pack_uint16 (&packer, member->port);
+  return finish_ (&out, buffer);
+}
+
 /* Decodes a datagram. Returns FALSE if it is malformed; the message is to be cleared
  * either way. */
 gboolean
@@ -217,6 +295,10 @@
         valid = decode_report_ (message, fields, n);
       else if (valid && type == DP_REPORT_MEMBERS && n >= N_REQUIRED_LIST_FIELDS)
         valid = decode_list_ (message, fields, n);
+      else if (valid && type == DP_REPORT_OWNER && n >= N_OWNER_FIELDS)
+        valid = decode_owner_ (message, fields);
+      else if (valid && type == DP_REPORT_OWNERS_WANTED && n >= N_WANTED_FIELDS)
+        valid = decode_owners_wanted_ (message, fields);
       else
         valid = FALSE;
     }
@@ -387,6 +469,38 @@
   return TRUE;
 }
 
+static gboolean
+decode_owner_ (DpReportMessage *message, const msgpack_object *fields)
+{
+  DpFlowOwner *owner = &message->owner;
+  guint64 syn_seq;
+  guint64 syn_age_ms;
+  guint64 open;
+
+  if (!get_string_ (message, &fields[OWNER_SERVICE], &message->service)
+      || !get_address_ (&fields[OWNER_CLIENT_IP], &fields[OWNER_CLIENT_PORT],
+                        &owner->key.client)
+      || !get_address_ (&fields[OWNER_SERVICE_IP], &fields[OWNER_SERVICE_PORT],
+                        &owner->key.service)
+      || !get_uint_ (&fields[OWNER_SYN_SEQ], G_MAXUINT32, &syn_seq)
+      || !get_uint_ (&fields[OWNER_SYN_AGE], G_MAXUINT16, &syn_age_ms)
+      || !get_uint_ (&fields[OWNER_OPEN], 1, &open)
+      || !get_address_ (&fields[OWNER_MEMBER_IP], &fields[OWNER_MEMBER_PORT],
+                        &owner->member))
+    return FALSE;
+  owner->syn_seq = (guint32) syn_seq;
+  owner->syn_age_ms = (guint16) syn_age_ms;
+  owner->open = open != 0;
+  return TRUE;
+}
+
+static gboolean
+decode_owners_wanted_ (DpReportMessage *message, const msgpack_object *fields)
+{
+  return get_string_ (message, &fields[WANTED_SERVICE], &message->service)
+         && get_address_ (&fields[WANTED_IP], &fields[WANTED_PORT], &message->wanted_by);
+}
+
 static gboolean
 decode_member_ (DpReportMessage *message, const msgpack_object *object, DpMember *member)
 {
--- /dev/null
+++ b/src/libdogwoodpaddle/synrejection.c
@@ -0,0 +1,92 @@
+#include "private/synrejection.h"
+
+#include "private/passthroughdecision.h"
+#include "protected/clock.h"
+
+/* Members that a rejected SYN visits at most: those that could not take it, the one with
+ * the directory entry, and the owner. While lists of members differ, owner and entry may
+ * refer to each other. */
+#define REJECTED_VISITS_MAX (DP_PASSTHROUGH_VISITS_MAX + DP_FLOW_DIRECTORY_MEMBERS)
+
+/* Time after the start in which the other members may not be known yet. Members report
+ * every 100 to 400 ms, and lists are sent at most every 250 ms. */
+#define MEMBER_DISCOVERY_US (1500 * DP_US_PER_MS)
+
+static const DpFlowOwner *
+find_owner_ (const DpSynRejecter *rejecter, const DpSegment *syn, gint64 now);
+static gboolean knows_other_member_ (const DpSynRejecter *rejecter);
+
+/* Passes the SYN to the flow's directory member, or decides here if this is one. */
+DpPassthroughDecision
+dp_syn_rejection_start (const DpSynRejecter *rejecter,
+                        const DpSegment *syn,
+                        const DpHop *hop,
+                        DpPassthroughReason reason,
+                        gint64 now)
+{
+  DpHop rejected = *hop;
+  const DpMember *member = NULL;
+
+  rejected.reject_reason = (guint8) (reason + 1);
+  if (knows_other_member_ (rejecter))
+    member = dp_flow_directory_active_member (rejecter->candidates, syn->hash,
+                                              rejecter->id);
+  if (member == NULL || member->id == rejecter->id)
+    return dp_syn_rejection_confirm (rejecter, syn, &rejected, now);
+  return dp_passthrough_decision_forward (&member->address, reason, &rejected);
+}
+
+/* Just after a start, owners that registered before and other members may not be known.
+ * The SYN is then dropped, and its next copy is decided anew. */
+DpPassthroughDecision
+dp_syn_rejection_confirm (const DpSynRejecter *rejecter,
+                          const DpSegment *syn,
+                          const DpHop *hop,
+                          gint64 now)
+{
+  const DpFlowOwner *owner = find_owner_ (rejecter, syn, now);
+  const guint reason = hop->reject_reason - 1u;
+
+  if (reason >= DP_N_PASSTHROUGH_REASONS)
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_UNEXPECTED,
+                                         hop);
+  if (owner != NULL)
+    {
+      if (hop->n_visited >= REJECTED_VISITS_MAX)
+        return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP,
+                                             DP_PASSTHROUGH_NOT_FOUND, hop);
+      return dp_passthrough_decision_forward (&owner->member, DP_PASSTHROUGH_REGISTERED,
+                                              hop);
+    }
+  if (!dp_flow_directory_covers (rejecter->directory, syn->syn_age_ms, now)
+      || (!knows_other_member_ (rejecter)
+          && now - rejecter->created_at < MEMBER_DISCOVERY_US))
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_GATHERING,
+                                         hop);
+  return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET, (DpPassthroughReason) reason,
+                                       hop);
+}
+
+/* Returns another member that has taken a copy of the SYN, NULL if none is known. */
+static const DpFlowOwner *
+find_owner_ (const DpSynRejecter *rejecter, const DpSegment *syn, gint64 now)
+{
+  const DpFlowOwner *owner = dp_flow_directory_find (rejecter->directory, &syn->key, now);
+
+  if (owner != NULL && dp_address_equal (&owner->member, &rejecter->address))
+    owner = dp_flow_directory_find_other (rejecter->directory, &syn->key, now);
+  if (owner == NULL || (!owner->open && owner->syn_seq != syn->seq))
+    return NULL;
+  return dp_address_equal (&owner->member, &rejecter->address) ? NULL : owner;
+}
+
+static gboolean
+knows_other_member_ (const DpSynRejecter *rejecter)
+{
+  const DpMemberView *view;
+
+  if (rejecter->candidates == NULL)
+    return FALSE;
+  view = dp_candidates_view (rejecter->candidates);
+  return view->n_members > (dp_member_view_find (view, rejecter->id) == NULL ? 0 : 1);
+}
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -241,6 +241,36 @@
       }
 }
 
+static void
+test_flow_directory (void)
+{
+  const DpFlowOwner owner = { .key = { { 0x64400001, 40001 }, { 0xc6120001, 443 } },
+                              .syn_seq = 4211003924,
+                              .syn_age_ms = 600,
+                              .open = TRUE,
+                              .member = { 0x0a010024, 8652 } };
+  DpReportMessage message;
+  guint8 buffer[DP_REPORT_MAX];
+  gsize length = dp_flow_owner_encode (&owner, "darbnica", buffer);
+
+  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length));
+  CU_ASSERT_EQUAL (message.type, DP_REPORT_OWNER);
+  CU_ASSERT_STRING_EQUAL (message.service, "darbnica");
+  CU_ASSERT_TRUE (dp_flow_key_equal (&message.owner.key, &owner.key));
+  CU_ASSERT_EQUAL (message.owner.syn_seq, owner.syn_seq);
+  CU_ASSERT_EQUAL (message.owner.syn_age_ms, owner.syn_age_ms);
+  CU_ASSERT_TRUE (message.owner.open);
+  CU_ASSERT_TRUE (dp_address_equal (&message.owner.member, &owner.member));
+  dp_report_message_clear (&message);
+  CU_ASSERT_FALSE (dp_report_decode (&message, buffer, length - 1));
+  dp_report_message_clear (&message);
+  length = dp_owners_wanted_encode (&owner.member, "darbnica", buffer);
+  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length));
+  CU_ASSERT_EQUAL (message.type, DP_REPORT_OWNERS_WANTED);
+  CU_ASSERT_TRUE (dp_address_equal (&message.wanted_by, &owner.member));
+  dp_report_message_clear (&message);
+}
+
 /* Found by fuzz_report: a few bytes that declare an array of four billion elements. */
 static void
 test_huge_count (void)
@@ -265,6 +295,7 @@
   { "reports of other versions are understood", test_other_versions },
   { "a report is encoded and decoded", test_report },
   { "a list is encoded and decoded", test_list },
+  { "messages of the flow directory", test_flow_directory },
   { "a list that does not fit", test_too_long },
   { "malformed datagrams", test_malformed },
   { "an array count that exceeds the data", test_huge_count },
