Answer no copy of a SYN with a reset at a balancer, and search at live members

A balancer that doesn't know a route or a member yet rejected copies of SYNs whose first one may have opened the flow through another balancer: the same fault as at companions. It now drops copies; a first SYN is rejected as before.

A search started at the first member in the flow's order, also while that one did not report. It now starts at the first one that keeps the flow's directory entry and still reports.

--- a/microbench/model_passthrough.c
+++ b/microbench/model_passthrough.c
@@ -302,7 +302,7 @@
   flow->segment.hash = dp_flow_key_hash (&flow->segment.key);
   if (model->policy == POLICY_HASH)
     flow->member = dp_placement_first_candidate (placement, dp_service_id (SERVICE),
-                                                 flow->segment.hash);
+                                                 flow->segment.hash, model->now);
   else
     flow->member = dp_placement_choose (placement, dp_service_id (SERVICE), flow->class,
                                         flow->segment.hash, model->now);
--- a/src/libdogwoodpaddle/include/protected/placement.h
+++ b/src/libdogwoodpaddle/include/protected/placement.h
@@ -32,7 +32,8 @@
 /* Returns the member at which the search for the owner of an unknown flow starts. */
 DpHandle dp_placement_first_candidate (DpPlacement *placement,
                                        guint64 service_id,
-                                       guint64 flow_hash);
+                                       guint64 flow_hash,
+                                       gint64 now);
 /* Returns whether the member takes new flows and has reported recently. */
 gboolean dp_placement_is_live (DpPlacement *placement, DpHandle member, gint64 now);
 /* Returns the time since the member's last report, in us. */
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -324,7 +324,8 @@
 }
 
 /* Chooses a member for a new flow and returns its row in the cache. Returns NULL if the
- * flow is rejected or the packet dropped. */
+ * flow is rejected or the packet dropped. A copy of a SYN is dropped in place of a reset,
+ * since the first one may have opened the flow through another balancer. */
 static DpCachedFlow *
 place_flow_ (DpPassthroughBalancer *balancer,
              const DpSegment *segment,
@@ -339,7 +340,8 @@
   address = dp_router_find (balancer->router, &segment->key.service, &service_id);
   if (address == NULL)
     {
-      gboolean certain = dp_passthrough_services_are_current (balancer->services);
+      gboolean certain = dp_passthrough_services_are_current (balancer->services)
+                         && segment->syn_age_ms == 0;
 
       dp_metric_increment (balancer->drops[DROP_NO_ROUTE]);
       log_failure_ (balancer, segment, certain, DROP_NO_ROUTE);
@@ -351,7 +353,8 @@
                                 segment->hash, now);
   if (member == DP_HANDLE_NONE)
     {
-      gboolean certain = now - balancer->started_at > MEMBER_DISCOVERY_US;
+      gboolean certain = now - balancer->started_at > MEMBER_DISCOVERY_US
+                         && segment->syn_age_ms == 0;
 
       dp_metric_increment (balancer->drops[DROP_NO_MEMBER]);
       log_failure_ (balancer, segment, certain, DROP_NO_MEMBER);
@@ -369,8 +372,8 @@
   return flow;
 }
 
-/* Starts the search for the owner of an unknown flow at the first member in the flow's
- * order. Returns NULL if the packet is dropped. */
+/* Starts the search for the owner of an unknown flow at a member that keeps the flow's
+ * directory entry. Returns NULL if the packet is dropped. */
 static DpCachedFlow *
 start_search_ (DpPassthroughBalancer *balancer,
                const DpSegment *segment,
@@ -387,7 +390,8 @@
       dp_metric_increment (balancer->drops[DROP_NO_ROUTE]);
       return NULL;
     }
-  member = dp_placement_first_candidate (balancer->placement, service_id, segment->hash);
+  member = dp_placement_first_candidate (balancer->placement, service_id, segment->hash,
+                                         now);
   if (member == DP_HANDLE_NONE)
     {
       dp_metric_increment (balancer->drops[DROP_NO_MEMBER]);
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "protected/clock.h"
+#include "protected/flowdirectory.h"
 
 /* After this many report intervals without a report, plus the margin, a member gets no
  * new flows while others are live: three of its reports are missing, plus some
@@ -244,21 +245,34 @@
   return best;
 }
 
-/* Returns the first member in the flow's rendezvous order, whatever its state;
- * DP_HANDLE_NONE if the service has no members. */
+/* Returns the first member in the flow's rendezvous order, whatever its state. If that
+ * one has stopped reporting, returns the next one that also keeps the flow's directory
+ * entry and still reports. Returns DP_HANDLE_NONE if the service has no members. */
 DpHandle
 dp_placement_first_candidate (DpPlacement *placement,
                               guint64 service_id,
-                              guint64 flow_hash)
+                              guint64 flow_hash,
+                              gint64 now)
 {
   const Service *service = find_service_ (placement, service_id);
-  const DpMember *first = NULL;
+  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
+  DpHandle first = DP_HANDLE_NONE;
+  guint n = 0;
 
   if (service != NULL && service->candidates != NULL)
-    first = dp_candidates_first (service->candidates, flow_hash, DP_CANDIDATES_ALL);
-  if (first == NULL)
-    return DP_HANDLE_NONE;
-  return GPOINTER_TO_UINT (g_hash_table_lookup (placement->by_name, first->name));
+    n = dp_flow_directory_members (service->candidates, flow_hash, members);
+  for (guint i = 0; i < n; i++)
+    {
+      const DpHandle handle = GPOINTER_TO_UINT (
+          g_hash_table_lookup (placement->by_name, members[i]->name));
+      const Member *member = dp_handle_table_get (placement->members, handle);
+
+      if (first == DP_HANDLE_NONE)
+        first = handle;
+      if (member != NULL && has_reported_recently_ (member, now))
+        return handle;
+    }
+  return first;
 }
 
 /* Returns whether the member is active and has reported recently at now, in us. */
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -108,8 +108,9 @@
   const DpReport idle = make_report ("a-1", "riga-a", 1, 0);
 
   for (guint i = 0; i < 50; i++)
-    dp_placement_flow_opened (placement, dp_placement_first_candidate (
-                                             placement, dp_service_id (SERVICE), 7 + i));
+    dp_placement_flow_opened (
+        placement,
+        dp_placement_first_candidate (placement, dp_service_id (SERVICE), 7 + i, 0));
   CU_ASSERT_FALSE (dp_placement_apply_report (placement, &idle, 100 * MS));
   CU_ASSERT_EQUAL (choose (placement, DP_TRAFFIC_INTERACTIVE, 100 * MS), 1);
 }
@@ -217,7 +218,7 @@
 
   CU_ASSERT_EQUAL (dp_placement_choose (placement, 42, DP_TRAFFIC_URGENT, 1, MS),
                    DP_HANDLE_NONE);
-  CU_ASSERT_EQUAL (dp_placement_first_candidate (placement, 42, 1), DP_HANDLE_NONE);
+  CU_ASSERT_EQUAL (dp_placement_first_candidate (placement, 42, 1, 0), DP_HANDLE_NONE);
   CU_ASSERT_PTR_NULL (dp_placement_view (placement, 42));
 }
 
