Start a search anew when its first member stops reporting

A balancer kept the member at which it had started a search, so that the packets of an open flow whose owner it didn't know were lost while that member was down: 4 of 20 flows were cut off for 2 s while a companion that didn't have them was paused (test_open_flows, the new case).

The acknowledgements in test_open_flows are sent explicitly, since the stand-in client sends nothing while it waits for an answer.

--- a/src/libdogwoodpaddle/include/protected/flowcache.h
+++ b/src/libdogwoodpaddle/include/protected/flowcache.h
@@ -14,7 +14,8 @@
   DpHandle member;      /* DP_HANDLE_NONE: the row is free */
   guint32 last_used_ms; /* time of the last use on the caller's clock, low 32 bits */
   guint32 service_tag : 24;
-  guint32 class : 7;     /* DpTrafficClass */
+  guint32 class : 6;     /* DpTrafficClass */
+  guint32 searched : 1;  /* the member is the first one of a search, not the owner */
   guint32 in_flight : 1; /* counted as a flow in flight at the member */
 } DpCachedFlow;
 
--- a/src/libdogwoodpaddle/include/protected/placement.h
+++ b/src/libdogwoodpaddle/include/protected/placement.h
@@ -36,6 +36,8 @@
                                        gint64 now);
 /* Returns whether the member takes new flows and has reported recently. */
 gboolean dp_placement_is_live (DpPlacement *placement, DpHandle member, gint64 now);
+/* Returns whether the member has reported recently, whatever its state. */
+gboolean dp_placement_is_reporting (DpPlacement *placement, DpHandle member, gint64 now);
 /* Returns the time since the member's last report, in us. */
 gint64 dp_placement_report_age (DpPlacement *placement, DpHandle member, gint64 now);
 /* Returns FALSE if the member is gone. */
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -288,6 +288,13 @@
       flow->member = DP_HANDLE_NONE;
       flow = NULL;
     }
+  /* A search is started anew at another member if its first one is probably down. */
+  if (flow != NULL && !opens_flow && flow->searched
+      && !dp_placement_is_reporting (balancer->placement, flow->member, now))
+    {
+      flow->member = DP_HANDLE_NONE;
+      flow = NULL;
+    }
   if (flow == NULL)
     flow = opens_flow ? place_flow_ (balancer, &segment, &hop, now)
                       : start_search_ (balancer, &segment, &hop, now);
@@ -382,6 +389,7 @@
 {
   const DpServiceAddress *address;
   guint64 service_id;
+  DpCachedFlow *flow;
   DpHandle member;
 
   address = dp_router_find (balancer->router, &segment->key.service, &service_id);
@@ -401,7 +409,9 @@
   hop->class = (guint8) address->class;
   dp_metric_increment (balancer->searched);
   log_choice_ (balancer, segment, member, "searched", address->class, now);
-  return add_to_cache_ (balancer, segment, hop, member, now);
+  flow = add_to_cache_ (balancer, segment, hop, member, now);
+  flow->searched = TRUE;
+  return flow;
 }
 
 static DpCachedFlow *
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -285,6 +285,15 @@
          && has_reported_recently_ (member, now);
 }
 
+/* Returns whether the member has reported recently at now, in us. */
+gboolean
+dp_placement_is_reporting (DpPlacement *placement, DpHandle handle, gint64 now)
+{
+  const Member *member = dp_handle_table_get (placement->members, handle);
+
+  return member != NULL && has_reported_recently_ (member, now);
+}
+
 /* Returns the time since the member's last report, in us; 0 if the member is gone. */
 gint64
 dp_placement_report_age (DpPlacement *placement, DpHandle handle, gint64 now)
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -417,13 +417,13 @@
 {
   static const struct
   {
-    guint16 syn_age_ms;
     gint64 now;
     DpPassthroughAction action;
+    guint16 syn_age_ms;
   } cases[] = {
-    { 0, 100 * MS, DP_PASSTHROUGH_DROP },   { 0, 600 * MS, DP_PASSTHROUGH_RESET },
-    { 200, 600 * MS, DP_PASSTHROUGH_DROP }, { 200, 800 * MS, DP_PASSTHROUGH_RESET },
-    { 600, S, DP_PASSTHROUGH_DROP },        { 600, 1200 * MS, DP_PASSTHROUGH_RESET },
+    { 100 * MS, DP_PASSTHROUGH_DROP, 0 },   { 600 * MS, DP_PASSTHROUGH_RESET, 0 },
+    { 600 * MS, DP_PASSTHROUGH_DROP, 200 }, { 800 * MS, DP_PASSTHROUGH_RESET, 200 },
+    { S, DP_PASSTHROUGH_DROP, 600 },        { 1200 * MS, DP_PASSTHROUGH_RESET, 600 },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -48,6 +48,14 @@
   return address.ip;
 }
 
+static gboolean
+is_member (DpPlacement *placement, DpHandle handle, guint32 ip)
+{
+  DpAddress address = { 0 };
+
+  return dp_placement_address (placement, handle, &address) && address.ip == ip;
+}
+
 static void
 test_choice (void)
 {
@@ -130,6 +138,35 @@
   CU_ASSERT_EQUAL (dp_placement_n_members (placement), 1);
 }
 
+/* A search that starts at a member that is down ends there. */
+static void
+test_search_starts_at_a_reporting_member (void)
+{
+  g_autoptr (DpPlacement) placement = make_placement (0, 0, 0);
+  const guint64 service = dp_service_id (SERVICE);
+  const DpReport first = make_report ("a-1", "riga-a", 1, 0);
+  guint64 hash = 0;
+  DpHandle member;
+  DpHandle next;
+
+  do
+    member = dp_placement_first_candidate (placement, service, ++hash << 40, 0);
+  while (!is_member (placement, member, 1));
+  for (guint ip = 2; ip <= 3; ip++)
+    {
+      const DpReport report = make_report (ip == 2 ? "a-2" : "b-1",
+                                           ip == 2 ? "riga-a" : "riga-b", ip, 0);
+
+      dp_placement_apply_report (placement, &report, 400 * MS);
+    }
+  CU_ASSERT_FALSE (dp_placement_is_reporting (placement, member, 400 * MS));
+  next = dp_placement_first_candidate (placement, service, hash << 40, 400 * MS);
+  CU_ASSERT_NOT_EQUAL (next, member);
+  dp_placement_apply_report (placement, &first, 500 * MS);
+  next = dp_placement_first_candidate (placement, service, hash << 40, 500 * MS);
+  CU_ASSERT_EQUAL (next, member);
+}
+
 /* Guards against companions that forward new flows to members that have crashed. */
 static void
 test_silent_member_listed (void)
@@ -316,6 +353,8 @@
   { "flows placed since the report count", test_own_flows },
   { "a report corrects the count of flows", test_report_corrects },
   { "a silent member takes no new flows", test_silent_member },
+  { "a search starts at a member that reports",
+    test_search_starts_at_a_reporting_member },
   { "a silent member is listed as leaving", test_silent_member_listed },
   { "a member with a long report interval is not silent", test_rare_reports },
   { "a leaving member takes no new flows and stays listed", test_leaving_member },
--- a/test/test_open_flows.py
+++ b/test/test_open_flows.py
@@ -83,6 +83,16 @@
     return opened
 
 
+def acknowledge(client, flows, seconds):
+    """Sends an acknowledgement of each flow every 200 ms."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for flow in flows:
+            client._send(flow, standins.ACK, flow["seq"] + 1 + len(flow["request"]),
+                         flow["peer"] + 1)
+        client.run(time.monotonic() + 0.2)
+
+
 def owner(site, flow):
     for server in site.servers:
         if server.flows.get(flow["key"], {}).get("state") == "open":
@@ -139,7 +149,7 @@
     paused.process.send_signal(signal.SIGSTOP)
     site.balancers[0].kill()
     site.balancers[0].start()
-    client.run(time.monotonic() + 4.0)
+    acknowledge(client, flows, 4.0)
     paused.process.send_signal(signal.SIGCONT)
     sound = [f for f in flows if owner(site, f) not in (None, site.servers[8])]
     strayed = [f["key"][0][1] for f in sound if arrivals.has_strayed(f["key"])]
@@ -147,5 +157,24 @@
     check(not strayed, f"{len(strayed)} of {len(sound)} flows strayed: {strayed}")
 
 
+def test_search_goes_on_while_a_companion_is_paused(site):
+    """It is the first one of some searches, and the owner of none of the flows judged."""
+    hosted.start(site, n_balancers=1, n_servers=5, slots=6, work_s=6.0)
+    client = site.client()
+    flows = open_flows(site, client, 25, "open")
+    site.balancers[0].kill()
+    site.balancers[0].start()
+    acknowledge(client, flows, 1.5)
+    arrivals = Arrivals(site.servers)
+    site.companions[4].process.send_signal(signal.SIGSTOP)
+    acknowledge(client, flows, REORDER_S)
+    end = time.monotonic()
+    site.companions[4].process.send_signal(signal.SIGCONT)
+    sound = [f for f in flows if owner(site, f) not in (None, site.servers[4])]
+    cut_off = [f["key"][0][1] for f in sound
+               if not [t for t in arrivals.own.get(f["key"], []) if t > end - 1.0]]
+    check(sound and not cut_off, f"{len(cut_off)} of {len(sound)} flows cut off: {cut_off}")
+
+
 if __name__ == "__main__":
     sys.exit(hosted.main(globals()))
