Reject no SYN just after a pause of the process

A companion that wakes from a pause reads the SYNs that came meanwhile before the registrations of their owners. The companion now notices that it has not run for 300 ms or more, and its part of the flow directory counts as incomplete for SYNs sent before that.

--- a/src/libdogwoodpaddle/flowdirectory.c
+++ b/src/libdogwoodpaddle/flowdirectory.c
@@ -17,7 +17,7 @@
 struct _DpFlowDirectory
 {
   GHashTable *entries; /* set of Entry, compared by key */
-  gint64 created_at;   /* us */
+  gint64 covers_since; /* us, creation or end of the last pause */
 };
 
 static guint hash_ (gconstpointer entry);
@@ -33,7 +33,7 @@
   DpFlowDirectory *directory = g_new0 (DpFlowDirectory, 1);
 
   directory->entries = g_hash_table_new_full (hash_, equal_, NULL, g_free);
-  directory->created_at = now;
+  directory->covers_since = now;
   return directory;
 }
 
@@ -96,13 +96,19 @@
   return entry == NULL || entry->other.member.port == 0 ? NULL : &entry->other;
 }
 
+void
+dp_flow_directory_note_pause (DpFlowDirectory *directory, gint64 now)
+{
+  directory->covers_since = now;
+}
+
 /* Returns whether no owner of the SYN's flow can have been missed. */
 gboolean
 dp_flow_directory_covers (const DpFlowDirectory *directory,
                           guint16 syn_age_ms,
                           gint64 now)
 {
-  return now - directory->created_at > syn_age_ms * DP_US_PER_MS + SYN_DELAY_US;
+  return now - directory->covers_since > syn_age_ms * DP_US_PER_MS + SYN_DELAY_US;
 }
 
 /* Removes entries that are not in use. */
--- a/src/libdogwoodpaddle/include/protected/flowdirectory.h
+++ b/src/libdogwoodpaddle/include/protected/flowdirectory.h
@@ -40,8 +40,12 @@
 const DpFlowOwner *dp_flow_directory_find_other (DpFlowDirectory *directory,
                                                  const DpFlowKey *key,
                                                  gint64 now);
-/* Returns whether the directory existed already when the client sent the first copy of a
- * SYN of this age, so that no owner of the flow can have registered before. */
+/* Records that the process has not run for a while. Registrations that came meanwhile may
+ * not have been read yet. */
+void dp_flow_directory_note_pause (DpFlowDirectory *directory, gint64 now);
+/* Returns whether the directory has taken registrations ever since the client sent the
+ * first copy of a SYN of this age, so that it knows the owner of the flow if there is
+ * one. */
 gboolean dp_flow_directory_covers (const DpFlowDirectory *directory,
                                    guint16 syn_age_ms,
                                    gint64 now);
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -163,6 +163,8 @@
  * called after each packet, tick and change of the members until it returns FALSE. */
 gboolean dp_passthrough_next_registration (DpPassthrough *passthrough,
                                            DpOwnerRegistration *registration);
+/* Records that the process has not run for a while, as when its host was frozen. */
+void dp_passthrough_note_pause (DpPassthrough *passthrough, gint64 now);
 /* Enters the owner of a flow in this member's part of the flow directory. */
 void dp_passthrough_register_owner (DpPassthrough *passthrough,
                                     const DpFlowOwner *owner,
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -290,6 +290,13 @@
   return dp_owner_registrar_next (passthrough->registrar, registration);
 }
 
+/* Records a pause: for some time this member knows less than others. */
+void
+dp_passthrough_note_pause (DpPassthrough *passthrough, gint64 now)
+{
+  dp_flow_directory_note_pause (passthrough->directory, now);
+}
+
 /* Enters the owner of a flow in this member's part of the flow directory. */
 void
 dp_passthrough_register_owner (DpPassthrough *passthrough,
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -19,6 +19,9 @@
  * stop; the shortest time is 6 s. */
 #define STOP_MAX_MS 4500
 #define STOP_CHECK_INTERVAL_MS 50
+/* Reports are sent every 100 ms. A process that has done nothing for this time was paused
+ * or kept from running. */
+#define PAUSE_MIN_US (300 * DP_US_PER_MS)
 
 struct _DpPassthroughCompanion
 {
@@ -40,6 +43,7 @@
   DpBreakerState breaker;
   gint64 heartbeat_at;   /* us, last heartbeat that was accepted */
   gint64 warmup_ends_at; /* us, when the server's warm-up ends */
+  gint64 active_at;      /* us, last time at which this process did anything */
   guint report_source;   /* source id */
   guint tick_source;     /* source id */
   gboolean stopping;
@@ -55,6 +59,7 @@
   DpMetric *registrations;
 };
 
+static gint64 note_activity_ (DpPassthroughCompanion *companion);
 static void add_metrics_ (DpPassthroughCompanion *companion);
 static void create_components_ (DpPassthroughCompanion *companion);
 static void received_packet_ (const DpAddress *source,
@@ -237,6 +242,23 @@
   send_report_ (companion, dp_clock_now (companion->options.clock));
 }
 
+/* Returns the current time; to be called at the begin of each callback. Detects a pause
+ * of the process before anything that came meanwhile is decided. */
+static gint64
+note_activity_ (DpPassthroughCompanion *companion)
+{
+  const gint64 now = dp_clock_now (companion->options.clock);
+
+  if (companion->active_at != 0 && now - companion->active_at > PAUSE_MIN_US)
+    {
+      g_message ("companion %s did not run for %" G_GINT64_FORMAT " ms", companion->name,
+                 (now - companion->active_at) / DP_US_PER_MS);
+      dp_passthrough_note_pause (companion->passthrough, now);
+    }
+  companion->active_at = now;
+  return now;
+}
+
 static void
 add_metrics_ (DpPassthroughCompanion *companion)
 {
@@ -301,6 +323,7 @@
 {
   DpPassthroughCompanion *companion = user_data;
   const DpPacketFormat *format = companion->options.format;
+  const gint64 now = note_activity_ (companion);
   DpPassthroughDecision decision;
   DpSegment segment;
   gboolean returned;
@@ -312,8 +335,7 @@
       return;
     }
   format->read_hop (data, &hop);
-  decision = dp_passthrough_from_peer (companion->passthrough, &segment, &hop,
-                                       dp_clock_now (companion->options.clock));
+  decision = dp_passthrough_from_peer (companion->passthrough, &segment, &hop, now);
   execute_ (companion, &decision, &segment, data, length);
   send_registrations_ (companion);
 }
@@ -328,7 +350,7 @@
 {
   DpPassthroughCompanion *companion = user_data;
   const DpPacketFormat *format = companion->options.format;
-  gint64 now = dp_clock_now (companion->options.clock);
+  const gint64 now = note_activity_ (companion);
   DpPassthroughDecision decision;
   DpSegment segment;
   gboolean returned;
@@ -492,7 +514,7 @@
                    gpointer user_data)
 {
   DpPassthroughCompanion *companion = user_data;
-  gint64 now = dp_clock_now (companion->options.clock);
+  const gint64 now = note_activity_ (companion);
   const char *service = NULL;
   DpReportMessage message;
 
@@ -604,7 +626,7 @@
 report_timeout_ (gpointer user_data)
 {
   DpPassthroughCompanion *companion = user_data;
-  gint64 now = dp_clock_now (companion->options.clock);
+  const gint64 now = note_activity_ (companion);
 
   dp_passthrough_tick (companion->passthrough, now);
   /* Releases the SYNs that wait for a server that has become silent. */
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -434,6 +434,11 @@
 
       CU_ASSERT_EQUAL (send_rejected (p, flow, cases[i].syn_age_ms, cases[i].now).action,
                        cases[i].action);
+      /* After a pause it may not have read yet what was registered meanwhile. */
+      dp_passthrough_note_pause (p, 10 * S);
+      CU_ASSERT_EQUAL (
+          send_rejected (p, flow, cases[i].syn_age_ms, 10 * S + cases[i].now).action,
+          cases[i].action);
       /* It doesn't know its server or any other member yet. */
       CU_ASSERT_EQUAL (send_syn (alone, flow, DP_TRAFFIC_URGENT, 0, cases[i].now).action,
                        DP_PASSTHROUGH_DROP);
