Check rule FLOW whole in the soak, with kept flows and series of planned work

The soak looked for resets of flows whose request ran, and for nothing else of rule FLOW. It now judges every reset that a client gets on an open flow, and packets of an open flow that reach other servers only. Clients keep flows open and download in windows, restarts and changes come in series, and a router takes balancers out of rotation.

--- a/test/hosted/soak.py
+++ b/test/hosted/soak.py
@@ -1,126 +1,232 @@
 #!/usr/bin/env python3
 """Fault soak: the platform's program as processes, with random faults from outside.
 
-    soak.py [--seeds N] [--first SEED] [--seconds S]
+    soak.py [--seeds N] [--first SEED] [--seconds S] [--balancers N] [--companions N] [--rate R]
 
-Each seed draws a site and a series of faults that overlap: processes that are killed, stopped by
-SIGTERM, paused and started again; servers that drain, crash, return SYNs or are added; a store that
-is down, loses answers or its history; configurations that change; a network that loses, delays and
-repeats packets. Clients go on meanwhile. What they and the servers see must keep the promises:
+Each seed draws a site, faults and planned work that overlap: processes that are killed, stopped by
+SIGTERM, paused and started again, one by one and in series; servers that drain and are replaced,
+crash, return SYNs or are added; a store that is down, loses answers or its history; configurations
+that change; a network that loses, delays and repeats packets. Clients go on meanwhile, on flows of
+one request, on flows that stay open for many, and with downloads. What they and the servers see
+must keep the promises:
 
   * every answer is whole and the request's own, every packet as its sender wrote it;
   * a request runs at most once, at a server of the route's service;
   * a server gets no new flow three seconds after its leaving was acknowledged;
-  * no flow is reset while its server lives, but for SYNs that nobody could serve;
+  * no open flow gets a reset that its server didn't send while that server lives (rule FLOW, a);
+  * the packets of an open flow don't go to other servers only (rule FLOW, b);
+  * no client is told by a reset that a request has not run that runs;
   * once the faults are over, requests are served again.
 
 Seeds that ever failed are in REGRESSIONS and are always run first.
 """
 
 import argparse
+import collections
+import datetime
+import glob
+import heapq
+import itertools
 import os
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
+import threading
 import time
+import zlib
 
 import standins
 
-PROGRAM = os.path.join(os.environ.get("DP_BINARY_DIR", "build"), "dogwoodpaddle-platform")
+BINARIES = os.environ.get("DP_BINARY_DIR", "build")
+PROGRAM = os.path.join(BINARIES, "dogwoodpaddle-platform")
 ROUTES = [("198.18.0.1", 443, "darbnica", "non_idempotent"),
           ("198.18.0.1", 8443, "darbnica", "idempotent"),
           ("198.18.0.2", 443, "rokasgramata", "download")]
+ZONES = ["riga-a", "riga-b", "riga-c"]
 DRAIN_S = 3.0
 RECOVERY_S = 4.0  # after the last fault; the platform's bound is 12 s
-RATE = 25  # requests a second
-REGRESSIONS = []  # (seed, cause)
+REORDER_S = 2.0  # reorder_ms of rule FLOW
+STABLE_S = 4.0  # stable_window_ms: a process is in touch again so long after a fault
+STRAYS_MAX = 2  # packets that may reach other servers within REORDER_S
+PROBE_S = 0.5  # between two calls of /readyz
+KEPT_MAX = 24  # flows that stay open at a time
+KEPT_S = 45.0  # their longest life, shorter than flow_ttl_s
+REGRESSIONS = []  # (seed, options, cause)
 
+Disturbance = collections.namedtuple("Disturbance", "process since until planned what")
 
-class LossyClients(standins.Clients):
-    """Clients behind a network that loses, delays and repeats packets."""
 
-    def __init__(self, ip, balancers, rng):
-        super().__init__(ip, balancers)
-        self.rng = rng
+class Disturbances:
+    """What the soak did to which process, and when."""
+
+    def __init__(self):
+        self.table = []
+
+    def begin(self, process, what, planned):
+        self.table.append(Disturbance(process, time.monotonic(), None, planned, what))
+
+    def end(self, process, what):
+        now = time.monotonic()
+        self.table = [d._replace(until=now)
+                      if (d.process, d.what, d.until) == (process, what, None) else d
+                      for d in self.table]
+
+    def happened(self, process, what, planned):
+        self.begin(process, what, planned)
+        self.end(process, what)
+
+    def in_touch(self, processes, since, until):
+        """Whether no fault disturbed a process in this time or STABLE_S before.
+
+        Planned work disturbs nothing: under it rule FLOW always counts.
+        """
+        return not any(d.process in processes and not d.planned and d.since <= until
+                       and (d.until is None or d.until > since - STABLE_S)
+                       for d in self.table)
+
+    def near(self, since, until):
+        return [d for d in self.table if d.since <= until
+                and (d.until is None or d.until > since - STABLE_S)]
+
+
+class Router:
+    """The platform's router, which calls /readyz of each balancer."""
+
+    def __init__(self, balancers, by_hash, rng):
+        self.balancers, self.by_hash, self.rng = balancers, by_hash, rng
+        self.misses = dict.fromkeys((b.settings["ip"] for b in balancers), 0)
+        self.closed = False
+        for balancer in balancers:
+            threading.Thread(target=self._probe, args=(balancer,), daemon=True).start()
+
+    def _probe(self, balancer):
+        ip = balancer.settings["ip"]
+        while not self.closed:
+            began = time.monotonic()
+            ready = balancer.is_ready(timeout=PROBE_S)
+            self.misses[ip] = 0 if ready else self.misses[ip] + 1
+            time.sleep(max(0.0, began + PROBE_S - time.monotonic()))
+
+    def choose(self, key):
+        ips = [ip for ip, misses in self.misses.items() if misses < 2]
+        if 2 * len(ips) < len(self.misses):
+            ips = list(self.misses)
+        if self.by_hash:
+            return ips[zlib.crc32(repr(key).encode()) % len(ips)]
+        return self.rng.choice(ips)
+
+
+class RoutedClients(standins.Clients):
+    """Clients behind a router and a network that loses, delays and repeats packets."""
+
+    def __init__(self, site, router, rng):
+        super().__init__(f"{site.prefix}.9.1", [])
+        self.site, self.router, self.rng = site, router, rng
         self.loss = self.repeat = self.delay = 0.0
-        self.late = []  # (time, datagram, balancer)
+        self.late = []  # (time, number, datagram, balancer)
+        self.sent = collections.defaultdict(list)  # flow to (time, balancer)
+        self.numbers = itertools.count()
+
+    def is_open(self, flow):
+        return any(flow["key"] in server.opened for server in self.site.servers)
 
     def _send(self, flow, flags, seq, ack=0, data=b""):
         datagram = standins.Packet(flow["key"][0], flow["key"][1], flags, seq, ack,
                                    data).pack()
+        now = time.monotonic()
         for _ in range(2 if self.rng.random() < self.repeat else 1):
+            balancer = self.router.choose(flow["key"])
+            self.sent[flow["key"]].append((now, balancer))
             if self.rng.random() < self.loss:
                 continue
-            due = time.monotonic() + self.rng.random() * self.delay
-            self.late.append((due, datagram, self.rng.choice(self.balancers)))
-
-    def run(self, until, wanted=None):
-        while time.monotonic() < until:
-            now = time.monotonic()
-            for due, datagram, balancer in [p for p in self.late if p[0] <= now]:
-                self.socket.sendto(datagram, (balancer, standins.PACKET_PORT))
-            self.late = [p for p in self.late if p[0] > now]
-            super().run(min(until, now + 0.01), wanted)
-            if wanted is not None and all(f["result"] for f in wanted):
-                return
+            heapq.heappush(self.late, (now + self.rng.random() * self.delay,
+                                       next(self.numbers), datagram, balancer))
+        self._deliver()
+
+    def _deliver(self):
+        while self.late and self.late[0][0] <= time.monotonic():
+            _, _, datagram, balancer = heapq.heappop(self.late)
+            self.socket.sendto(datagram, (balancer, standins.PACKET_PORT))
+
+    def _go_on(self, flow, now):
+        self._deliver()
+        super()._go_on(flow, now)
 
 
 class Soak:
-    def __init__(self, seed, folder):
-        self.rng = random.Random(seed)
+    def __init__(self, seed, options, folder):
+        random.seed(seed)  # the stand-ins' sequence numbers
+        self.seed, self.folder = seed, folder
+        # The times of packets differ from run to run; faults must not depend on them.
+        self.rng, self.load_rng, network_rng = [random.Random(f"{seed} {use}") for use in
+                                                ("faults", "load", "network")]
+        self.rate, self.seconds = options.rate, options.seconds
         self.site = standins.Site(PROGRAM, folder)
         self.site.configure(ROUTES)
-        self.repairs = []  # (time, function)
-        self.crashed = set()  # identities of servers that have crashed
-        self.left = {}  # server to the time of its acknowledgement
+        self.disturbances = Disturbances()
+        self.planned_work = []  # heap of (time, number, function)
+        self.numbers = itertools.count()
+        self.n_added = 0
         self.log = []
-        zones = ["riga-a", "riga-b", "riga-c"]
-        for i in range(self.rng.randint(2, 4)):
-            self.site.add_balancer(zones[i % 3])
-        for i in range(self.rng.randint(3, 5)):
-            self.site.add_server("darbnica", zones[i % 3], work_s=0.02)
+        n_balancers = options.balancers or self.rng.randint(4, 8)
+        n_companions = options.companions or self.rng.randint(10, 14)
+        for i in range(n_balancers):
+            self.site.add_balancer(ZONES[i % 3])
+        for i in range(n_companions - 2):
+            self.site.add_server("darbnica", ZONES[i % 3], work_s=0.02)
         for i in range(2):
-            self.site.add_server("rokasgramata", zones[i], answer=b"m" * 20000)
-        self.site.wait_ready()
-        ips = [b.settings["ip"] for b in self.site.balancers]
-        self.client = LossyClients(f"{self.site.prefix}.9.1", ips, self.rng)
+            self.site.add_server("rokasgramata", ZONES[i], answer=b"m" * 60000)
+        self.site.wait_ready(20.0)
+        self.router = Router(self.site.balancers, self.rng.random() < 0.5, network_rng)
+        self.client = RoutedClients(self.site, self.router, network_rng)
         self.site.clients.append(self.client)
+        self.began = time.monotonic()
+        self.note(f"{n_balancers} balancers, {n_companions} companions, router "
+                  f"{'by hash' if self.router.by_hash else 'at random'}, now is "
+                  f"{datetime.datetime.now(datetime.timezone.utc):%H:%M:%S.%f}")
 
     def note(self, text):
         self.log.append(f"{time.monotonic() - self.began:7.3f} {text}")
 
     def later(self, delay, function):
-        self.repairs.append((time.monotonic() + delay, function))
+        heapq.heappush(self.planned_work,
+                       (time.monotonic() + delay, next(self.numbers), function))
 
-    def repair(self, everything=False):
-        now = time.monotonic()
-        due = [r for r in self.repairs if everything or r[0] <= now]
-        self.repairs = [r for r in self.repairs if r not in due]
-        for _, function in sorted(due, key=lambda r: r[0]):
-            function()
+    def do_planned_work(self):
+        while self.planned_work and self.planned_work[0][0] <= time.monotonic():
+            heapq.heappop(self.planned_work)[2]()
 
-    # Faults. Each plans its own repair.
+    # Faults and planned work. Each plans its own repair.
 
-    def kill_process(self):
+    def choose_process(self):
         process = self.rng.choice(self.site.balancers + self.site.companions)
-        if process.process.poll() is not None:
-            return
-        self.note(f"kill {process.name}")
-        process.kill()
-        self.later(self.rng.uniform(0.1, 1.0), lambda: self.start(process))
+        return process if process.process.poll() is None else None
+
+    def kill_process(self):
+        process = self.choose_process()
+        delay = self.rng.uniform(0.1, 1.0)
+        if process is not None:
+            self.note(f"kill {process.name}")
+            self.disturbances.begin(process.name, "killed", False)
+            process.kill()
+            self.later(delay, lambda: self.start(process))
 
     def start(self, process):
         if process.process.poll() is not None:
             self.note(f"start {process.name}")
             process.start()
+            self.disturbances.end(process.name, "killed")
+            self.disturbances.end(process.name, "stopped")
 
-    def stop_process(self):
-        process = self.rng.choice(self.site.balancers + self.site.companions)
-        if process.process.poll() is not None:
+    def stop_process(self, process=None):
+        process = process or self.choose_process()
+        if process is None or process.process.poll() is not None:
             return
         self.note(f"SIGTERM {process.name}")
+        self.disturbances.begin(process.name, "stopped", True)
         stopped = process.process
         stopped.send_signal(signal.SIGTERM)
 
@@ -135,68 +241,121 @@
 
         self.later(0.5, restart)
 
+    def restart_series(self):
+        """Restarts up to half of the balancers or companions, one after the other."""
+        processes = self.rng.choice([self.site.balancers, self.site.companions])
+        delay = 0.0
+        for process in self.rng.sample(processes, self.rng.randint(2, len(processes) // 2)):
+            self.later(delay, lambda process=process: self.stop_process(process))
+            delay += self.rng.uniform(0.3, 1.2)
+
     def pause_process(self):
-        process = self.rng.choice(self.site.balancers + self.site.companions)
-        if process.process.poll() is not None:
+        process = self.choose_process()
+        delay = self.rng.uniform(0.2, 2.0)
+        if process is None:
             return
         self.note(f"pause {process.name}")
-        process.process.send_signal(signal.SIGSTOP)
-        self.later(self.rng.uniform(0.2, 2.0),
-                   lambda: process.process.send_signal(signal.SIGCONT))
+        self.disturbances.begin(process.name, "paused", False)
+        paused = process.process
+        paused.send_signal(signal.SIGSTOP)
+
+        def resume():
+            if paused.poll() is None:
+                paused.send_signal(signal.SIGCONT)
+            self.disturbances.end(process.name, "paused")
+
+        self.later(delay, resume)
 
     def reload_process(self):
-        process = self.rng.choice(self.site.balancers + self.site.companions)
-        if process.process.poll() is None:
+        process = self.choose_process()
+        if process is not None:
             self.note(f"SIGHUP {process.name}")
+            self.disturbances.happened(process.name, "SIGHUP", True)
             process.process.send_signal(signal.SIGHUP)
 
-    def living(self, service):
-        return [s for s in self.site.servers if s.service == service and not s.stopping
-                and s.state == "ready"]
+    def reload_series(self):
+        for i in range(self.rng.randint(3, 8)):
+            self.later(0.2 * i, self.reload_process)
 
-    def crash_server(self):
-        servers = self.living("darbnica")
-        if len(servers) < 3:
-            return
-        old = self.rng.choice(servers)
-        self.note(f"crash {old.identity}")
-        self.crashed.add(old.identity)
-        old.stop()
+    def choose_server(self):
+        servers = [s for s in self.site.servers if s.service == "darbnica"
+                   and not s.stopping and s.state == "ready" and s.taking]
+        return self.rng.choice(servers) if len(servers) >= 3 else None
 
+    def replace_server(self, old, delay):
         def replace():
-            self.note(f"restart {old.identity}")
-            self.site.servers.append(
-                standins.Server(old.ip, old.service, old.zone, old.identity + "x",
-                                work_s=old.work_s))
+            self.note(f"start {old.identity}x")
+            self.site.servers.append(standins.Server(old.ip, old.service, old.zone,
+                                                     old.identity + "x", work_s=old.work_s))
 
-        self.later(self.rng.uniform(0.2, 1.5), replace)
+        self.later(delay, replace)
+
+    def stop_server(self, server, sign_off):
+        # Its last call waits for a companion that is paused.
+        threading.Thread(target=server.stop, args=(sign_off,), daemon=True).start()
+
+    def crash_server(self):
+        server, delay = self.choose_server(), self.rng.uniform(0.2, 1.5)
+        if server is not None:
+            self.note(f"crash {server.identity}")
+            self.disturbances.happened(server.identity, "crashed", False)
+            self.stop_server(server, False)
+            self.replace_server(server, delay)
 
     def drain_server(self):
-        servers = self.living("darbnica")
-        if len(servers) < 3:
+        server, delay = self.choose_server(), self.rng.uniform(0.3, 1.2)
+        if server is None:
             return
-        server = self.rng.choice(servers)
         self.note(f"drain {server.identity}")
+        self.disturbances.happened(server.identity, "drains", True)
         server.state = "draining"
 
+        def end():
+            self.note(f"sign off {server.identity}")
+            self.stop_server(server, True)
+            self.replace_server(server, delay)
+
+        self.later(DRAIN_S + delay, end)
+
+    def drain_series(self):
+        for i in range(self.rng.randint(2, 4)):
+            self.later(self.rng.uniform(0.3, 1.2) * i, self.drain_server)
+
+    def add_server(self):
+        if self.n_added < 3:
+            self.n_added += 1
+            companion, server = self.site.add_server(
+                "darbnica", self.rng.choice(ZONES), work_s=0.02)
+            self.note(f"add {companion.name} and {server.identity}")
+            self.disturbances.happened(companion.name, "added", True)
+
     def refuse_syns(self):
-        servers = self.living("darbnica")
-        if len(servers) < 3:
-            return
-        server = self.rng.choice(servers)
-        self.note(f"{server.identity} returns SYNs")
-        server.taking = False
-        self.later(1.0, lambda: setattr(server, "taking", True))
+        server = self.choose_server()
+        if server is not None:
+            self.note(f"{server.identity} returns SYNs")
+            server.taking = False
+            self.later(1.0, lambda: setattr(server, "taking", True))
+
+    def disturb(self, name, what, seconds, begin, end):
+        self.note(f"{name} {what}")
+        self.disturbances.begin(name, what, False)
+        begin()
+
+        def repair():
+            end()
+            self.disturbances.end(name, what)
+
+        self.later(seconds, repair)
 
     def store_down(self):
-        self.note("store down")
-        self.site.store.set_down(True)
-        self.later(self.rng.uniform(0.5, 3.0), lambda: self.site.store.set_down(False))
+        self.disturb("store", "is down", self.rng.uniform(0.5, 3.0),
+                     lambda: self.site.store.set_down(True),
+                     lambda: self.site.store.set_down(False))
 
     def store_loses_answers(self):
-        self.note("store loses answers")
-        self.site.store.lose_answers = True
-        self.later(1.0, lambda: setattr(self.site.store, "lose_answers", False))
+        self.disturb("store", "loses answers", 1.0,
+                     lambda: setattr(self.site.store, "lose_answers", True),
+                     lambda: setattr(self.site.store, "lose_answers", False))
 
     def store_compacts(self):
         self.note("store compacts")
@@ -206,56 +365,84 @@
         extra = [(f"198.18.1.{i}", 80, "darbnica", "idempotent")
                  for i in range(self.rng.randint(0, 200))]
         self.note(f"configuration with {len(extra)} routes more")
+        self.disturbances.happened("store", "has a new configuration", True)
         self.site.configure(ROUTES + extra)
 
+    def configuration_series(self):
+        for i in range(self.rng.randint(3, 6)):
+            self.later(self.rng.uniform(0.1, 0.5) * i, self.change_configuration)
+
     def bad_network(self):
-        self.note("bad network")
-        self.client.loss, self.client.repeat, self.client.delay = 0.03, 0.05, 0.02
+        loss, repeat, delay = self.rng.choice([(0.03, 0.05, 0.02), (0.05, 0.2, 0.5)])
 
-        def mend():
-            self.client.loss = self.client.repeat = self.client.delay = 0.0
+        def set_network(loss, repeat, delay):
+            self.client.loss, self.client.repeat, self.client.delay = loss, repeat, delay
 
-        self.later(1.5, mend)
+        self.disturb("network", f"delays up to {delay} s", 1.5,
+                     lambda: set_network(loss, repeat, delay), lambda: set_network(0, 0, 0))
 
     FAULTS = [kill_process, stop_process, pause_process, reload_process, crash_server,
               drain_server, refuse_syns, store_down, store_loses_answers, store_compacts,
               change_configuration, bad_network]
-
-    def run(self, seconds):
-        self.began = time.monotonic()
-        end = self.began + seconds
-        next_fault = self.began + 0.5
-        flows = []
-        while time.monotonic() < end:
-            route = self.rng.choice(ROUTES[:2] * 5 + ROUTES[2:])
-            flows.append(self.client.start(route[:2], f"request-{len(flows)}".encode()))
-            self.client.run(time.monotonic() + 1 / RATE)
-            self.repair()
-            if time.monotonic() >= next_fault:
+    SERIES = [restart_series, restart_series, reload_series, drain_series,
+              configuration_series, add_server]
+
+    def requests_of_kept_flow(self, number):
+        began = time.monotonic()
+        for i in itertools.count(1):
+            if time.monotonic() > min(self.load_ends_at, began + KEPT_S):
+                break
+            yield self.load_rng.uniform(0.1, 2.0), b"+request-%d-%d" % (number, i)
+        yield 0.1, b"request-%d-last" % number
+
+    def start_flow(self, number):
+        """Starts a flow of one request, a download, or a flow that stays open."""
+        route = self.load_rng.choice(ROUTES[:2] * 10 + ROUTES[2:])
+        kept = sum(1 for f in self.kept if not f["result"])
+        if route is ROUTES[2] or self.load_rng.random() > 0.15 or kept >= KEPT_MAX:
+            return self.client.start(route[:2], b"request-%d" % number)
+        self.kept.append(self.client.start(route[:2], b"+request-%d-0" % number,
+                                           self.requests_of_kept_flow(number)))
+        return self.kept[-1]
+
+    def run(self):
+        next_flow = next_fault = next_series = time.monotonic() + 0.5
+        end = time.monotonic() + self.seconds
+        # Work that was begun is finished, at its own times and under load.
+        self.load_ends_at = end + RECOVERY_S + 8
+        flows, self.kept = [], []
+        while time.monotonic() < end or self.planned_work:
+            flows.append(self.start_flow(len(flows)))
+            next_flow += 1 / self.rate
+            self.client.run(max(next_flow, time.monotonic() + 0.001))
+            self.do_planned_work()
+            if next_fault <= time.monotonic() < end:
                 self.rng.choice(self.FAULTS)(self)
                 next_fault += self.rng.expovariate(1 / 0.5)
-        while self.repairs:
-            self.repair(everything=True)
-            self.client.run(time.monotonic() + 0.05)
+            if next_series <= time.monotonic() < end:
+                self.rng.choice(self.SERIES)(self)
+                next_series += self.rng.expovariate(1 / 2.0)
         self.note("all faults are over")
         self.client.run(time.monotonic() + RECOVERY_S)
-        last = [self.client.start(ROUTES[i % 3][:2], f"last-{i}".encode())
-                for i in range(12)]
-        for i, flow in enumerate(last):
+        self.load_ends_at = time.monotonic()
+        last = []
+        for i in range(12):
+            last.append(self.client.start(ROUTES[i % 3][:2], b"last-%d" % i))
             self.client.run(time.monotonic() + 0.1)
         self.client.run(time.monotonic() + 8, flows + last)
         return self.check(flows, last)
 
     def check(self, flows, last):
+        self.checked_at = time.monotonic()
         faults = []
         runs = {}
         for server in self.site.servers:
             faults += [f"{server.identity}: {v}" for v in server.violations]
             for key, request, _ in server.runs:
                 if request in runs:
-                    faults.append(f"{request!r} ran at {runs[request]} and "
+                    faults.append(f"{request!r} ran at {runs[request].identity} and "
                                   f"{server.identity}")
-                runs[request] = server.identity
+                runs[request] = server
                 if (*key[1], server.service) not in self.site.declared:
                     faults.append(f"{server.identity} ran a request of {key[1]}")
             if server.acknowledged_at is not None:
@@ -264,39 +451,117 @@
                 if late:
                     faults.append(f"{server.identity}: {len(late)} flows after draining")
         for flow in flows + last:
-            faults += self.check_flow(flow, runs)
+            found = self.check_flow(flow, runs)
+            faults += [self.describe(flow, text) for text in found]
         if [f["result"] for f in last].count("ok") < len(last):
             faults.append(f"not served after the faults: {[f['result'] for f in last]}")
         return faults
 
     def check_flow(self, flow, runs):
-        request = flow["request"]
         if flow["result"] in ("wrong answer", "changed packet"):
-            return [f"{request!r}: {flow['result']}"]
-        if flow["result"] == "reset" and flow["genuine_reset"]:
-            return [f"{request!r}: a reset of the server's own"]
-        # A reset after the handshake is allowed only if the flow's server crashed.
-        server = runs.get(request)
-        if flow["result"] == "reset" and server and server not in self.crashed:
-            return [f"{request!r}: reset while {server} works on it"]
-        return []
+            return [flow["result"]]
+        faults = []
+        key = flow["key"]
+        for server in self.site.servers:
+            if key in server.opened:
+                faults += self.check_resets(flow, server)
+                faults += self.check_strays(flow, server)
+        for at, seq, genuine, taken in flow["resets"]:
+            if genuine and not any(key in s.resets for s in self.site.servers):
+                faults.append("a reset as of the server, which sent none")
+            # A reset says that nothing has run; one of a crashed server's flow is allowed.
+            server = runs.get(flow["request"])
+            if taken and not genuine and server and (server.stopped_at or at) >= at:
+                faults.append(f"told at {at - self.began:.3f} by a reset with seq {seq} that "
+                              f"nothing has run, while {server.identity} works on it")
+        return faults
 
+    def open_until(self, flow, server):
+        """Until both ends have sent their FIN, or the server has stopped."""
+        finished = self.checked_at
+        if flow["fin_at"] is not None and flow["key"] in server.fins:
+            finished = max(flow["fin_at"], server.fins[flow["key"]])
+        return min(finished, server.stopped_at or finished)
+
+    def check_resets(self, flow, server):
+        """Half (a) of rule FLOW."""
+        key = flow["key"]
+        return [f"FLOW (a): a reset with seq {seq}, "
+                f"{'taken' if taken else 'ignored'} by the client at {at - self.began:.3f}"
+                for at, seq, genuine, taken in flow["resets"]
+                if not (genuine and key in server.resets)
+                and server.opened[key] < at < self.open_until(flow, server)]
+
+    def check_strays(self, flow, server):
+        """Half (b) of rule FLOW."""
+        key = flow["key"]
+        opened = server.opened[key]
+        # The times of sending are known in steps.
+        step = 1 / standins.STAMPS_PER_S
+        strays = sorted((arrived, sent, other.identity) for other in self.site.servers
+                        if other is not server for arrived, sent in other.strays.get(key, [])
+                        if sent > opened + step)
+        for i, (since, sent, _) in enumerate(strays):
+            until = since + REORDER_S
+            found = [s for s in strays[i:] if s[0] <= until]
+            if (len(found) <= STRAYS_MAX or until > self.open_until(flow, server)
+                    or any(since <= t <= until for t in server.own[key])):
+                continue
+            takers = {balancer for t, balancer in self.client.sent[key]
+                      if sent - step <= t <= until}
+            involved = {b.name for b in self.site.balancers if b.settings["ip"] in takers}
+            involved |= {c.name for c in self.site.companions
+                         if c.settings["ip"] == server.ip} | {server.identity}
+            if self.disturbances.in_touch(involved, since, until):
+                return [f"FLOW (b): {len(found)} packets at other servers from "
+                        f"{since - self.began:.3f} on, taken by {sorted(involved)}"]
+        return []
 
-def run_seed(seed, seconds):
+    def describe(self, flow, text):
+        """The fault with what the stand-ins and the processes know of its flow."""
+        key = flow["key"]
+        lines = [f"{text}: seed {self.seed}, {key}, {flow['request']!r}, {flow['result']}",
+                 f"  started {flow['started'] - self.began:.3f}, resets "
+                 f"{[(round(r[0] - self.began, 3), *r[1:]) for r in flow['resets']]}"]
+        times = [flow["started"]] + [r[0] for r in flow["resets"]]
+        for server in self.site.servers:
+            for name in ("opened", "own", "strays", "fins"):
+                seen = getattr(server, name).get(key)
+                if seen:
+                    seen = seen if isinstance(seen, list) else [seen]
+                    seen = [s if isinstance(s, float) else s[0] for s in seen]
+                    times += seen
+                    lines.append(f"  {server.identity} {name}: {len(seen)} "
+                                 f"{[round(t - self.began, 3) for t in seen[-12:]]}")
+        for d in self.disturbances.near(min(times), max(times)):
+            end = "on" if d.until is None else f"{d.until - self.began:.3f}"
+            lines.append(f"  {d.since - self.began:.3f} to {end}: {d.process} {d.what}"
+                         f"{' (planned)' if d.planned else ''}")
+        done = subprocess.run([os.path.join(BINARIES, "dogwoodpaddle"), "explain",
+                               f"{key[0][0]}:{key[0][1]}",
+                               *sorted(glob.glob(os.path.join(self.folder, "*.log")))],
+                              capture_output=True, text=True, timeout=60, check=False)
+        lines += ["  " + line for line in (done.stdout + done.stderr).splitlines()]
+        return "\n".join(lines)
+
+
+def run_seed(seed, options):
     folder = tempfile.mkdtemp(prefix="soak-")
-    soak = Soak(seed, folder)
+    soak = Soak(seed, options, folder)
     try:
-        faults = soak.run(seconds)
-        results = [f["result"] for f in soak.client.flows.values()]
-        print(f"seed {seed}: {len(results)} requests, {results.count('ok')} ok, "
-              f"{results.count('reset')} reset, {len(faults)} faults", flush=True)
+        faults = soak.run()
+        results = collections.Counter(f["result"] for f in soak.client.flows.values())
+        print(f"seed {seed}: {len(soak.client.flows)} flows, "
+              f"{sum(len(s.runs) for s in soak.site.servers)} requests run, "
+              f"{dict(results)}, {len(faults)} faults", flush=True)
         if faults:
-            print("\n".join(faults[:10] + soak.log))
+            print("\n".join(faults[:10] + soak.log), flush=True)
             keep = os.path.join(tempfile.gettempdir(), f"soak-{seed}")
             shutil.copytree(folder, keep, dirs_exist_ok=True)
-            print(f"logs of the processes: {keep}")
+            print(f"logs of the processes: {keep}", flush=True)
         return not faults
     finally:
+        soak.router.closed = True
         for process in soak.site.balancers + soak.site.companions:
             if process.process.poll() is None:
                 process.process.send_signal(signal.SIGCONT)
@@ -304,17 +569,24 @@
         shutil.rmtree(folder)
 
 
-def main():
+def parse(arguments):
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=8.0)
-    arguments = parser.parse_args()
-    seeds = [seed for seed, _ in REGRESSIONS]
-    seeds += range(arguments.first, arguments.first + arguments.seeds)
-    passed = sum(run_seed(seed, arguments.seconds) for seed in seeds)
-    print(f"{passed} passed, {len(seeds) - passed} failed")
-    return 0 if passed == len(seeds) else 1
+    parser.add_argument("--balancers", type=int, help="4 to 8 by the seed")
+    parser.add_argument("--companions", type=int, help="10 to 14 by the seed")
+    parser.add_argument("--rate", type=float, default=60.0, help="new flows a second")
+    return parser.parse_args(arguments)
+
+
+def main():
+    options = parse(None)
+    runs = [(seed, parse(text.split())) for seed, text, _ in REGRESSIONS]
+    runs += [(options.first + i, options) for i in range(options.seeds)]
+    passed = sum(run_seed(seed, options) for seed, options in runs)
+    print(f"{passed} passed, {len(runs) - passed} failed")
+    return 0 if passed == len(runs) else 1
 
 
 if __name__ == "__main__":
--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -30,7 +30,14 @@
 STORE_PORT = 8169
 COPY_DELAYS_S = (0.0, 0.2, 0.6)
 RETRANSMIT_S = 0.2
+RETRANSMIT_MAX_S = 1.6  # the interval doubles up to this
+RETRANSMISSIONS_MAX = 8  # of a server, which then gives the flow up
 DATA_MAX = 1200
+IN_FLIGHT_MAX = 16  # packets that one end has in flight
+RESET_WINDOW = 76800  # from the client's last ack; other resets of an open flow are ignored
+REQUEST_DEADLINE_S = 10
+KEEP = b"+"  # first byte of a request after which its server keeps the flow open
+STAMPS_PER_S = 100
 
 
 def ip_number(text):
@@ -42,22 +49,32 @@
 
 
 class Packet:
-    """One datagram: a head of 36 bytes and the data."""
+    """One datagram: a head of 36 bytes and the data.
+
+    The sum's lower half is the time of sending, which its upper half covers: a server can tell
+    whether a packet was sent before a flow opened.
+    """
 
     def __init__(self, src, dst, flags, seq=0, ack=0, data=b"", echo=b"\0" * 4,
                  pad=b"\0" * 5, total=None):
         self.src, self.dst = src, dst  # (ip text, port)
         self.flags, self.seq, self.ack, self.data = flags, seq, ack, data
         self.echo, self.pad = echo, pad
-        self.total = self.expected_sum() if total is None else total
+        stamp = int(time.monotonic() * STAMPS_PER_S) & 0xffff
+        self.total = self.expected_sum(stamp) if total is None else total
 
-    def expected_sum(self):
+    def expected_sum(self, stamp):
         flags = self.flags & ~RETURNED
-        covered = repr((self.src, self.dst, flags, self.seq, self.ack)).encode()
-        return zlib.crc32(KEY + covered + self.data) or 1
+        covered = repr((self.src, self.dst, flags, self.seq, self.ack, stamp)).encode()
+        total = zlib.crc32(KEY + covered + self.data) & 0xffff0000 | stamp
+        return total or 1 << 16
 
     def is_genuine(self):
-        return self.total == self.expected_sum()
+        return self.total == self.expected_sum(self.total & 0xffff)
+
+    def sent_at(self, now):
+        """Time of sending, up to a step of the stamp too early or too late."""
+        return now - ((int(now * STAMPS_PER_S) - self.total) & 0xffff) / STAMPS_PER_S
 
     def pack(self):
         return HEAD.pack(self.echo, self.flags, self.pad, len(self.data),
@@ -265,12 +282,20 @@
         self.born = int(time.time() * 1000)
         self.flows = {}
         self.runs = []  # (flow, request, time)
+        self.opened = {}  # flow to the time when this server had the end of its handshake
+        self.own = collections.defaultdict(list)  # flow to the times of its packets here
+        self.strays = collections.defaultdict(list)  # flow to (arrival, sending) of packets
+        self.fins = {}  # flow to the time when this server first sent its FIN
+        self.resets = {}  # flow to the time of a reset that this server sent
+        self.active = set()  # flows with work to do or data to send
+        self.stopped_at = None
         self.syns = []  # (flow, time)
         self.violations = []
         self.taking = True  # FALSE: returns SYNs
         self.sequence = 0
         self.stopping = False
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
         self.socket.bind((ip, SERVER_PORT))
         self.threads = [threading.Thread(target=self._serve, daemon=True),
                         threading.Thread(target=self._announce, daemon=True)]
@@ -278,12 +303,14 @@
             thread.start()
 
     def stop(self, sign_off=False):
+        self.stopped_at = time.monotonic()
         self.stopping = True
+        # The address is free at once, though a companion may hold up the last call.
+        self.threads[0].join(5)
+        self.socket.close()
         if sign_off:
             self._call("deregister", None)
-        for thread in self.threads:
-            thread.join(5)
-        self.socket.close()
+        self.threads[1].join(5)
 
     def _call(self, call, body):
         connection = http.client.HTTPConnection(self.ip, ANNOUNCE_PORT, timeout=1)
@@ -311,12 +338,17 @@
 
     def _serve(self):
         while not self.stopping:
-            ready, _, _ = select.select([self.socket], [], [], 0.02)
-            if ready:
-                self._take(Packet.unpack(self.socket.recv(4096)))
+            ready, _, _ = select.select([self.socket], [], [],
+                                        0.005 if self.active else 0.02)
+            for _ in range(32 if ready else 0):
+                try:
+                    datagram = self.socket.recv(4096, socket.MSG_DONTWAIT)
+                except BlockingIOError:
+                    break
+                self._take(Packet.unpack(datagram))
             now = time.monotonic()
-            for key, flow in list(self.flows.items()):
-                self._go_on(key, flow, now)
+            self.active = {key for key in self.active
+                           if self._go_on(key, self.flows[key], now)}
 
     def _send(self, packet):
         self.socket.sendto(packet.pack(), (self.ip, OUTBOUND_PORT))
@@ -341,57 +373,116 @@
                 return
             if flow is None:
                 flow = {"state": "half", "seq": random.getrandbits(31), "in": b"",
-                        "client": packet.seq + 1, "out": None, "acked": 0, "fin": False,
-                        "due": None, "sent_at": 0.0}
+                        "client": packet.seq + 1, "request": None, "due": None,
+                        "out": b"", "sent": 0, "acked": 0, "end": None, "fin": False,
+                        "fin_sent": False, "sent_at": 0.0, "interval": RETRANSMIT_S,
+                        "retransmissions": 0}
                 self.flows[key] = flow
                 self.syns.append((key, time.monotonic()))
             self._send(Packet(packet.dst, packet.src, SYN | ACK, flow["seq"],
                               packet.seq + 1))
             return
+        now = time.monotonic()
         if flow is None or (flow["state"] == "half" and packet.ack != flow["seq"] + 1):
+            self.strays[key].append((now, packet.sent_at(now)))
             self._return(packet)
             return
+        self.opened.setdefault(key, now)
+        self.own[key].append(now)
+        self._take_of_flow(key, flow, packet, now)
+
+    def _take_of_flow(self, key, flow, packet, now):
         if packet.flags & RST:
-            del self.flows[key]
+            flow["state"] = "closed"
+            return
+        if flow["state"] == "closed":
+            if packet.data:
+                self.resets[key] = now
+                self._send(Packet(key[1], key[0], RST, packet.ack))
+            elif packet.flags & FIN:
+                self._acknowledge(key, flow)
             return
         flow["state"] = "open"
-        flow["acked"] = max(flow["acked"], packet.ack - flow["seq"] - 1)
+        acked = packet.ack - flow["seq"] - 1
+        if acked > flow["acked"]:
+            flow["acked"] = acked
+            flow["sent"] = max(flow["sent"], min(acked, len(flow["out"])))
+            flow["interval"], flow["retransmissions"] = RETRANSMIT_S, 0
         if packet.data and packet.seq == flow["client"]:
             flow["in"] += packet.data
             flow["client"] += len(packet.data)
-        if flow["in"].endswith(b"\n") and flow["due"] is None:
-            flow["due"] = time.monotonic() + self.work_s
-            self.runs.append((key, flow["in"], time.monotonic()))
-        if packet.flags & FIN:
+        if packet.flags & FIN and packet.seq + len(packet.data) == flow["client"]:
             flow["fin"] = True
+        self._begin_request(key, flow, now)
         if packet.data or packet.flags & FIN:
-            self._send(Packet(packet.dst, packet.src, ACK, flow["seq"] + 1,
-                              flow["client"] + (1 if flow["fin"] else 0)))
+            self._acknowledge(key, flow)
+        if flow["fin"] and flow["end"] is not None and flow["acked"] > flow["end"]:
+            flow["state"] = "closed"
+        self.active.add(key)
 
-    def _go_on(self, key, flow, now):
-        if flow["due"] is None or now < flow["due"]:
-            return
-        if flow["out"] is None:
-            flow["out"] = flow["in"].strip() + b":" + self.answer
-        if flow["acked"] >= len(flow["out"]) + 1:
-            return
-        if now - flow["sent_at"] < RETRANSMIT_S:
+    def _acknowledge(self, key, flow):
+        self._send(Packet(key[1], key[0], ACK, flow["seq"] + 1 + flow["sent"],
+                          flow["client"] + (1 if flow["fin"] else 0)))
+
+    def _begin_request(self, key, flow, now):
+        if flow["request"] is not None or flow["end"] is not None:
             return
-        flow["sent_at"] = now
-        for start in range(0, len(flow["out"]), DATA_MAX):
-            data = flow["out"][start:start + DATA_MAX]
-            last = start + DATA_MAX >= len(flow["out"])
-            self._send(Packet(key[1], key[0], ACK | (FIN if last else 0),
-                              flow["seq"] + 1 + start, flow["client"], data))
+        if b"\n" in flow["in"]:
+            line, _, flow["in"] = flow["in"].partition(b"\n")
+            flow["request"] = line
+            flow["due"] = now + self.work_s
+            self.runs.append((key, line + b"\n", now))
+        elif flow["fin"]:
+            flow["end"] = len(flow["out"])
+
+    def _go_on(self, key, flow, now):
+        """Returns whether the flow needs this server's attention later on."""
+        if flow["state"] == "closed":
+            return False
+        if flow["request"] is not None and now >= flow["due"]:
+            flow["out"] += flow["request"] + b":" + self.answer + b"\n"
+            # A server that drains closes each flow after its next response.
+            if not flow["request"].startswith(KEEP) or self.state == "draining":
+                flow["end"] = len(flow["out"])
+            flow["request"] = None
+            self._begin_request(key, flow, now)
+        in_flight = flow["sent"] > flow["acked"] or (
+            flow["fin_sent"] and flow["acked"] <= flow["end"])
+        if in_flight and now - flow["sent_at"] >= flow["interval"]:
+            if flow["retransmissions"] == RETRANSMISSIONS_MAX:
+                flow["state"] = "closed"
+                return False
+            flow["retransmissions"] += 1
+            flow["interval"] = min(2 * flow["interval"], RETRANSMIT_MAX_S)
+            flow["sent"], flow["fin_sent"] = min(flow["acked"], len(flow["out"])), False
+        self._send_window(key, flow, now)
+        return (flow["request"] is not None or flow["sent"] > flow["acked"]
+                or flow["sent"] < len(flow["out"])
+                or (flow["end"] is not None and flow["acked"] <= flow["end"]))
+
+    def _send_window(self, key, flow, now):
+        window_end = flow["acked"] + IN_FLIGHT_MAX * DATA_MAX
+        while flow["sent"] < min(len(flow["out"]), window_end) or (
+                flow["sent"] == flow["end"] and not flow["fin_sent"]
+                and flow["acked"] <= flow["end"]):
+            data = flow["out"][flow["sent"]:flow["sent"] + DATA_MAX]
+            flow["fin_sent"] = flow["sent"] + len(data) == flow["end"]
+            self._send(Packet(key[1], key[0], ACK | (FIN if flow["fin_sent"] else 0),
+                              flow["seq"] + 1 + flow["sent"], flow["client"], data))
+            flow["sent"] += len(data)
+            flow["sent_at"] = now
+            if flow["fin_sent"]:
+                self.fins.setdefault(key, now)
 
 
 class Clients:
-    """Requests of one client address, each on a flow of its own, sprayed over balancers."""
+    """Flows of one client address, sprayed over balancers, each with one or more requests."""
 
     def __init__(self, ip, balancers):
         self.ip = ip
         self.balancers = balancers  # addresses; each packet takes any of them
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)
         self.socket.bind((ip, PACKET_PORT))
         self.next_port = 20000
         self.flows = {}
@@ -399,13 +490,18 @@
     def close(self):
         self.socket.close()
 
-    def start(self, route, request):
+    def start(self, route, request, more=()):
+        """more: (pause in s, request) in turn, sent on the same flow after each answer."""
         self.next_port += 1
         seq = random.getrandbits(31)
+        now = time.monotonic()
         flow = {"key": ((self.ip, self.next_port), route), "request": request + b"\n",
-                "seq": seq, "started": time.monotonic(), "copies": 0, "peer": None,
-                "in": {}, "result": None, "sent_at": 0.0, "finished_at": None,
-                "end": None}
+                "seq": seq, "started": now, "copies": 0, "peer": None, "in": {},
+                "result": None, "sent_at": 0.0, "finished_at": None, "end": None,
+                "more": iter(more), "offset": 0, "acked": 0, "asked_at": now,
+                "next_at": None, "interval": RETRANSMIT_S, "got": 0, "text": b"",
+                "unacknowledged": 0, "last_ack": 0, "fin_at": None, "answers": 0,
+                "resets": []}  # resets: (time, seq, genuine, taken)
         self.flows[self.next_port] = flow
         return flow
 
@@ -414,25 +510,62 @@
         balancer = random.choice(self.balancers)
         self.socket.sendto(packet.pack(), (balancer, PACKET_PORT))
 
+    def _send_request(self, flow, now):
+        flow["sent_at"] = now
+        self._acknowledge(flow, flow["request"])
+
+    def _acknowledge(self, flow, data=b""):
+        seq = flow["seq"] + 1 + flow["offset"]
+        if flow["next_at"] is None and not data and flow["acked"] > flow["offset"]:
+            seq += len(flow["request"])
+        flow["unacknowledged"] = 0
+        flow["last_ack"] = flow["peer"] + 1 + flow["got"]
+        self._send(flow, ACK, seq, flow["last_ack"], data)
+
+    def _finish(self, flow):
+        """Answers the server's FIN; again if the answer was lost."""
+        flow["last_ack"] = flow["peer"] + 2 + flow["got"]
+        self._send(flow, ACK | FIN, flow["seq"] + 1 + flow["offset"], flow["last_ack"])
+
+    def is_open(self, flow):
+        """Whether resets of this flow need a sequence number near the last ack."""
+        return flow["peer"] is not None
+
     def run(self, until, wanted=None):
         """Goes on until the time, or until all wanted flows have a result."""
-        while time.monotonic() < until:
-            ready, _, _ = select.select([self.socket], [], [], 0.01)
-            if ready:
-                self._take(Packet.unpack(self.socket.recv(4096)))
+        timers_at = 0.0
+        while True:
             now = time.monotonic()
-            for flow in self.flows.values():
-                self._go_on(flow, now)
+            if now >= until and timers_at:
+                return
+            ready, _, _ = select.select([self.socket], [], [],
+                                        max(0.0, min(0.01, until - now)))
+            for _ in range(64 if ready else 0):
+                try:
+                    datagram = self.socket.recv(4096, socket.MSG_DONTWAIT)
+                except BlockingIOError:
+                    break
+                self._take(Packet.unpack(datagram))
+            now = time.monotonic()
+            if now >= timers_at:
+                timers_at = now + 0.005
+                for flow in self.flows.values():
+                    if not flow["result"]:
+                        self._go_on(flow, now)
             if wanted is not None and all(f["result"] for f in wanted):
                 return
 
     def _take(self, packet):
         flow = self.flows.get(packet.dst[1])
-        if flow is None or flow["result"]:
+        if flow is None:
             return
+        now = time.monotonic()
         if packet.flags & RST:
-            flow["result"] = "reset"
-            flow["genuine_reset"] = packet.is_genuine()
+            self._take_reset(flow, packet, now)
+            return
+        if flow["result"]:
+            if flow["fin_at"] is not None and (packet.data or packet.flags & FIN):
+                self._finish(flow)
             return
         if not packet.is_genuine():
             flow["result"] = "changed packet"
@@ -440,36 +573,67 @@
         if packet.flags & SYN:
             if flow["peer"] is None:
                 flow["peer"] = packet.seq
-            self._send(flow, ACK, flow["seq"] + 1, flow["peer"] + 1, flow["request"])
-            flow["sent_at"] = time.monotonic()
-            return
-        if flow["peer"] is None:
+                self._send_request(flow, now)
+            else:
+                self._acknowledge(flow)
             return
-        flow["in"][packet.seq - flow["peer"] - 1] = packet.data
+        if flow["peer"] is not None:
+            flow["acked"] = max(flow["acked"], packet.ack - flow["seq"] - 1)
+            self._take_answer(flow, packet, now)
+
+    def _take_reset(self, flow, packet, now):
+        distance = (packet.seq - flow["last_ack"] + (1 << 31)) % (1 << 32) - (1 << 31)
+        taken = not flow["result"] and (not self.is_open(flow)
+                                        or abs(distance) <= RESET_WINDOW)
+        flow["resets"].append((now, packet.seq, packet.is_genuine(), taken))
+        if taken:
+            flow["result"] = "reset"
+            flow["genuine_reset"] = packet.is_genuine()
+
+    def _take_answer(self, flow, packet, now):
+        offset = packet.seq - flow["peer"] - 1
         if packet.flags & FIN:
-            flow["end"] = packet.seq - flow["peer"] - 1 + len(packet.data)
-        whole = self._whole(flow)
-        self._send(flow, ACK, flow["seq"] + 1 + len(flow["request"]),
-                   flow["peer"] + 1 + len(whole))
-        if flow["end"] is not None and len(whole) == flow["end"]:
-            self._send(flow, ACK | FIN, flow["seq"] + 1 + len(flow["request"]),
-                       flow["peer"] + 2 + len(whole))
-            good = whole.startswith(flow["request"].strip() + b":")
-            flow["result"] = "ok" if good else "wrong answer"
-            flow["finished_at"] = time.monotonic()
+            flow["end"] = offset + len(packet.data)
+        if packet.data and offset >= flow["got"]:
+            flow["in"][offset] = packet.data
+        before = flow["got"]
+        while flow["got"] in flow["in"]:
+            data = flow["in"].pop(flow["got"])
+            flow["text"] += data
+            flow["got"] += len(data)
+        if flow["text"].endswith(b"\n") and flow["next_at"] is None:
+            self._take_whole_answer(flow, now)
+        if flow["got"] == flow["end"]:
+            flow["fin_at"] = flow["finished_at"] = now
+            self._finish(flow)
+            if not flow["result"]:
+                whole = flow["answers"] and not flow["text"]
+                flow["result"] = "ok" if whole else "wrong answer"
+        elif packet.data:
+            # Every second packet is acknowledged, and one that leaves a gap at once.
+            flow["unacknowledged"] += 1
+            if flow["unacknowledged"] >= 2 or flow["in"] or flow["got"] == before:
+                self._acknowledge(flow)
 
     @staticmethod
-    def _whole(flow):
-        text = b""
-        while len(text) in flow["in"] and flow["in"][len(text)]:
-            text += flow["in"][len(text)]
-        return text
+    def _take_whole_answer(flow, now):
+        request = flow["request"].strip()
+        body = flow["text"][len(request) + 1:-1]
+        if not flow["text"].startswith(request + b":") or len(set(body)) != 1:
+            flow["result"] = "wrong answer"
+            return
+        flow["text"] = b""
+        flow["answers"] += 1
+        following = next(flow["more"], None) if flow["end"] is None else None
+        flow["offset"] += len(flow["request"])
+        flow["acked"] = max(flow["acked"], flow["offset"])
+        if following is not None:
+            flow["request"] = following[1] + b"\n"
+        flow["next_at"] = now + following[0] if following else float("inf")
 
     def _go_on(self, flow, now):
-        if flow["result"]:
-            return
-        age = now - flow["started"]
         if flow["peer"] is None:
+            age = now - flow["started"]
             if flow["copies"] < len(COPY_DELAYS_S) and age >= COPY_DELAYS_S[
                     flow["copies"]]:
                 # A SYN's acknowledgement number counts its copies.
@@ -477,10 +641,18 @@
                 flow["copies"] += 1
             elif age > 1.4:
                 flow["result"] = "no answer"
-        elif now - flow["sent_at"] > RETRANSMIT_S and not flow["in"]:
-            flow["sent_at"] = now
-            self._send(flow, ACK, flow["seq"] + 1, flow["peer"] + 1, flow["request"])
-        elif age > 10:
+            return
+        if flow["next_at"] is not None and now >= flow["next_at"]:
+            flow["next_at"], flow["asked_at"] = None, now
+            flow["interval"] = RETRANSMIT_S
+            self._send_request(flow, now)
+        elif (flow["next_at"] is None and flow["acked"] <= flow["offset"]
+              and not flow["text"] and now - flow["sent_at"] > flow["interval"]):
+            flow["interval"] = min(2 * flow["interval"], RETRANSMIT_MAX_S)
+            self._send_request(flow, now)
+        elif flow["unacknowledged"]:
+            self._acknowledge(flow)
+        if flow["next_at"] is None and now - flow["asked_at"] > REQUEST_DEADLINE_S:
             flow["result"] = "deadline"
 
 
@@ -517,8 +689,9 @@
         with open(self.log_path, encoding="utf-8") as file:
             return file.read()
 
-    def is_ready(self):
-        connection = http.client.HTTPConnection(self.settings["ip"], READY_PORT, timeout=1)
+    def is_ready(self, timeout=1.0):
+        connection = http.client.HTTPConnection(self.settings["ip"], READY_PORT,
+                                                timeout=timeout)
         try:
             connection.request("GET", "/readyz")
             return connection.getresponse().status == 200
