--- a/test/hosted/soak.py
+++ b/test/hosted/soak.py
@@ -36,7 +36,6 @@
 import tempfile
 import threading
 import time
-import zlib
 
 import standins
 
@@ -51,7 +50,6 @@
 REORDER_S = 2.0  # reorder_ms of rule FLOW
 STABLE_S = 4.0  # stable_window_ms: a process is in touch again so long after a fault
 STRAYS_MAX = 2  # packets that may reach other servers within REORDER_S
-PROBE_S = 0.5  # between two calls of /readyz
 KEPT_MAX = 24  # flows that stay open at a time
 KEPT_S = 45.0  # their longest life, shorter than flow_ttl_s
 REGRESSIONS = []  # (seed, options, cause)
@@ -92,70 +90,6 @@
                 and (d.until is None or d.until > since - STABLE_S)]
 
 
-class Router:
-    """The platform's router, which calls /readyz of each balancer."""
-
-    def __init__(self, balancers, by_hash, rng):
-        self.balancers, self.by_hash, self.rng = balancers, by_hash, rng
-        self.misses = dict.fromkeys((b.settings["ip"] for b in balancers), 0)
-        self.closed = False
-        for balancer in balancers:
-            threading.Thread(target=self._probe, args=(balancer,), daemon=True).start()
-
-    def _probe(self, balancer):
-        ip = balancer.settings["ip"]
-        while not self.closed:
-            began = time.monotonic()
-            ready = balancer.is_ready(timeout=PROBE_S)
-            self.misses[ip] = 0 if ready else self.misses[ip] + 1
-            time.sleep(max(0.0, began + PROBE_S - time.monotonic()))
-
-    def choose(self, key):
-        ips = [ip for ip, misses in self.misses.items() if misses < 2]
-        if 2 * len(ips) < len(self.misses):
-            ips = list(self.misses)
-        if self.by_hash:
-            return ips[zlib.crc32(repr(key).encode()) % len(ips)]
-        return self.rng.choice(ips)
-
-
-class RoutedClients(standins.Clients):
-    """Clients behind a router and a network that loses, delays and repeats packets."""
-
-    def __init__(self, site, router, rng):
-        super().__init__(f"{site.prefix}.9.1", [])
-        self.site, self.router, self.rng = site, router, rng
-        self.loss = self.repeat = self.delay = 0.0
-        self.late = []  # (time, number, datagram, balancer)
-        self.sent = collections.defaultdict(list)  # flow to (time, balancer)
-        self.numbers = itertools.count()
-
-    def is_open(self, flow):
-        return any(flow["key"] in server.opened for server in self.site.servers)
-
-    def _send(self, flow, flags, seq, ack=0, data=b""):
-        datagram = standins.Packet(flow["key"][0], flow["key"][1], flags, seq, ack,
-                                   data).pack()
-        now = time.monotonic()
-        for _ in range(2 if self.rng.random() < self.repeat else 1):
-            balancer = self.router.choose(flow["key"])
-            self.sent[flow["key"]].append((now, balancer))
-            if self.rng.random() < self.loss:
-                continue
-            heapq.heappush(self.late, (now + self.rng.random() * self.delay,
-                                       next(self.numbers), datagram, balancer))
-        self._deliver()
-
-    def _deliver(self):
-        while self.late and self.late[0][0] <= time.monotonic():
-            _, _, datagram, balancer = heapq.heappop(self.late)
-            self.socket.sendto(datagram, (balancer, standins.PACKET_PORT))
-
-    def _go_on(self, flow, now):
-        self._deliver()
-        super()._go_on(flow, now)
-
-
 class Soak:
     def __init__(self, seed, options, folder):
         random.seed(seed)  # the stand-ins' sequence numbers
@@ -180,8 +114,8 @@
         for i in range(2):
             self.site.add_server("rokasgramata", ZONES[i], answer=b"m" * 60000)
         self.site.wait_ready(20.0)
-        self.router = Router(self.site.balancers, self.rng.random() < 0.5, network_rng)
-        self.client = RoutedClients(self.site, self.router, network_rng)
+        self.router = standins.Router(self.site.balancers, self.rng.random() < 0.5, network_rng)
+        self.client = standins.RoutedClients(self.site, self.router, network_rng)
         self.site.clients.append(self.client)
         self.began = time.monotonic()
         self.note(f"{n_balancers} balancers, {n_companions} companions, router "
--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -4,7 +4,9 @@
 """
 
 import collections
+import heapq
 import http.client
+import itertools
 import json
 import os
 import random
@@ -28,6 +30,7 @@
 OUTBOUND_PORT = 8162
 SERVER_PORT = 8165
 STORE_PORT = 8169
+PROBE_S = 0.5  # between two calls of /readyz
 COPY_DELAYS_S = (0.0, 0.2, 0.6)
 RETRANSMIT_S = 0.2
 RETRANSMIT_MAX_S = 1.6  # the interval doubles up to this
@@ -656,6 +659,73 @@
             flow["result"] = "deadline"
 
 
+class Router:
+    """The platform's router, which calls /readyz of each balancer.
+
+    A packet goes to a balancer in rotation, by the flow's hash modulo their number or to any.
+    """
+
+    def __init__(self, balancers, by_hash, rng):
+        self.balancers, self.by_hash, self.rng = balancers, by_hash, rng
+        self.misses = dict.fromkeys((b.settings["ip"] for b in balancers), 0)
+        self.closed = False
+        for balancer in balancers:
+            threading.Thread(target=self._probe, args=(balancer,), daemon=True).start()
+
+    def _probe(self, balancer):
+        ip = balancer.settings["ip"]
+        while not self.closed:
+            began = time.monotonic()
+            ready = balancer.is_ready(timeout=PROBE_S)
+            self.misses[ip] = 0 if ready else self.misses[ip] + 1
+            time.sleep(max(0.0, began + PROBE_S - time.monotonic()))
+
+    def choose(self, key):
+        ips = [ip for ip, misses in self.misses.items() if misses < 2]
+        if 2 * len(ips) < len(self.misses):
+            ips = list(self.misses)
+        if self.by_hash:
+            return ips[zlib.crc32(repr(key).encode()) % len(ips)]
+        return self.rng.choice(ips)
+
+
+class RoutedClients(Clients):
+    """Clients behind a router and a network that loses, delays and repeats packets."""
+
+    def __init__(self, site, router, rng):
+        super().__init__(f"{site.prefix}.9.1", [])
+        self.site, self.router, self.rng = site, router, rng
+        self.loss = self.repeat = self.delay = 0.0
+        self.late = []  # (time, number, datagram, balancer)
+        self.sent = collections.defaultdict(list)  # flow to (time, balancer)
+        self.numbers = itertools.count()
+
+    def is_open(self, flow):
+        return any(flow["key"] in server.opened for server in self.site.servers)
+
+    def _send(self, flow, flags, seq, ack=0, data=b""):
+        datagram = Packet(flow["key"][0], flow["key"][1], flags, seq, ack,
+                                   data).pack()
+        now = time.monotonic()
+        for _ in range(2 if self.rng.random() < self.repeat else 1):
+            balancer = self.router.choose(flow["key"])
+            self.sent[flow["key"]].append((now, balancer))
+            if self.rng.random() < self.loss:
+                continue
+            heapq.heappush(self.late, (now + self.rng.random() * self.delay,
+                                       next(self.numbers), datagram, balancer))
+        self._deliver()
+
+    def _deliver(self):
+        while self.late and self.late[0][0] <= time.monotonic():
+            _, _, datagram, balancer = heapq.heappop(self.late)
+            self.socket.sendto(datagram, (balancer, PACKET_PORT))
+
+    def _go_on(self, flow, now):
+        self._deliver()
+        super()._go_on(flow, now)
+
+
 class Process:
     """One process of the system, with its settings file and its log."""
 
