Judge flows that stay open for the whole test in test_open_flows

Flows that had ended were left out of the judgement without a word, so that the test passed on flows that strayed.

--- a/test/test_open_flows.py
+++ b/test/test_open_flows.py
@@ -11,6 +11,7 @@
 
 REORDER_S = 2.0  # time in which packets of a flow may reach other servers only
 STRAYS_MAX = 2  # packets at other servers in that time
+KEPT_OPEN_S = 60.0  # work of a request whose flow stays open for a whole test
 SYN_COPIES = (1, 2)
 
 
@@ -135,7 +136,7 @@
 
 def test_search_past_restarted_companions_reaches_the_owner(site):
     """All balancers have lost their caches, most companions their flows; one is paused."""
-    hosted.start(site, n_balancers=1, n_servers=9, slots=4, work_s=6.0)
+    hosted.start(site, n_balancers=1, n_servers=9, slots=4, work_s=KEPT_OPEN_S)
     client = site.client()
     flows = open_flows(site, client, 30, "open")
     arrivals = Arrivals(site.servers)
@@ -159,7 +160,7 @@
 
 def test_search_goes_on_while_a_companion_is_paused(site):
     """It is the first one of some searches, and the owner of none of the flows judged."""
-    hosted.start(site, n_balancers=1, n_servers=5, slots=6, work_s=6.0)
+    hosted.start(site, n_balancers=1, n_servers=5, slots=6, work_s=KEPT_OPEN_S)
     client = site.client()
     flows = open_flows(site, client, 25, "open")
     site.balancers[0].kill()
