Read registrations of flows before the packets that they decide about

Callers could be reset although a server had their flow: a companion that had not run for 0.15 s read a rejected SYN from its packet port before the registration of the flow's owner, which had come earlier and waited at its report port.

The report port now has a higher priority in the main loop, so that all waiting registrations are read first.

--- a/src/libdogwoodpaddle/include/protected/packetport.h
+++ b/src/libdogwoodpaddle/include/protected/packetport.h
@@ -43,6 +43,9 @@
                                DpPacketFunc received,
                                gpointer user_data,
                                GError **error);
+/* Sets the priority in the main loop; G_PRIORITY_DEFAULT at first. While datagrams of a
+ * port wait, those of ports with a lower priority aren't handled. */
+void dp_udp_port_set_priority (DpPacketPort *port, int priority);
 DpAddress dp_udp_port_address (DpPacketPort *port);
 const DpPacketPortStats *dp_udp_port_stats (DpPacketPort *port);
 gboolean dp_packet_port_send (DpPacketPort *port,
--- a/src/libdogwoodpaddle/packetport.c
+++ b/src/libdogwoodpaddle/packetport.c
@@ -96,6 +96,12 @@
   return &port->base;
 }
 
+void
+dp_udp_port_set_priority (DpPacketPort *base, int priority)
+{
+  g_source_set_priority (((UdpPort *) base)->source, priority);
+}
+
 /* Returns the address that a UDP port is bound to. */
 DpAddress
 dp_udp_port_address (DpPacketPort *base)
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -143,6 +143,8 @@
                                        companion, error);
   if (companion->report == NULL)
     return FALSE;
+  /* A registration that has come is read before the packets that it decides about. */
+  dp_udp_port_set_priority (companion->report, G_PRIORITY_HIGH);
   dp_passthrough_reporter_start (companion->reporter, companion->report);
   companion->report_source = g_timeout_add (DP_REPORT_SAME_ZONE_INTERVAL_MS,
                                             report_timeout_, companion);
--- a/test/test_open_flows.py
+++ b/test/test_open_flows.py
@@ -13,6 +13,7 @@
 STRAYS_MAX = 2  # packets at other servers in that time
 KEPT_OPEN_S = 60.0  # work of a request whose flow stays open for a whole test
 SYN_COPIES = (1, 2)
+VISITS_MAX = 4  # members that forward a SYN that they can't take
 
 
 class ResetLog:
@@ -76,6 +77,32 @@
         client.run(time.monotonic() + 0.02)
 
 
+def record_service_tags(servers):
+    """Returns a set that receives the service's tag from the SYNs at the servers."""
+    tags = set()
+
+    def watch(server):
+        take = server._take
+
+        def record(packet):
+            if packet.flags & standins.SYN:
+                tags.add(packet.pad[:3])
+            take(packet)
+
+        server._take = record
+
+    for server in servers:
+        watch(server)
+    return tags
+
+
+def rejectable_copy(flow, tags):
+    """A copy of the flow's SYN that has visited as many members as may forward it."""
+    (tag,) = tags
+    return standins.Packet(flow["key"][0], flow["key"][1], standins.SYN, flow["seq"], 1,
+                           echo=bytes([VISITS_MAX, 0, 0, 0]), pad=tag + b"\0\0")
+
+
 def open_flows(site, client, n, tag):
     flows = hosted.ask(client, REPORTS, n, tag)
     client.run(time.monotonic() + 0.3)
@@ -119,6 +146,31 @@
     check(not resets.ports, f"{len(resets.ports)} of {2 * len(flows)} copies were reset")
 
 
+def test_unread_registrations_reset_no_flow(site):
+    """A companion was kept from running for 0.15 s: rejected SYNs and the registrations of
+    the flows' owners have come meanwhile."""
+    hosted.start(site, n_balancers=1, n_servers=4, slots=8, work_s=1.0)
+    client = site.client()
+    tags = record_service_tags(site.servers[:4])
+    hosted.finish(client, hosted.ask(client, REPORTS, 8, "before"))
+    leaving, paused = site.companions[0], site.companions[3]
+    site.servers[0].state = "draining"
+    client.run(time.monotonic() + 1.5)
+    resets = ResetLog(client)
+    paused.process.send_signal(signal.SIGSTOP)
+    end = time.monotonic() + 0.15
+    flows = hosted.ask(client, REPORTS, 16, "open", 0.002)
+    for flow in flows:
+        client.socket.sendto(rejectable_copy(flow, tags).pack(),
+                             (leaving.settings["ip"], standins.PACKET_PORT))
+    client.run(end)
+    paused.process.send_signal(signal.SIGCONT)
+    client.run(time.monotonic() + 0.3)
+    opened = [f for f in flows if owner(site, f) not in (None, site.servers[3])]
+    told = [f["key"][0][1] for f in opened if f["key"][0][1] in resets.ports]
+    check(opened and not told, f"{len(told)} of {len(opened)} open flows were reset: {told}")
+
+
 def test_syn_copy_at_a_restarted_companion_resets_no_flow(site):
     """The companion doesn't know yet that its server has the flow."""
     hosted.start(site, n_balancers=1, n_servers=1, work_s=1.5)
