Disturb links and clocks in the fault soak

The soak left the links between balancers and companions, between companions and between balancers alone, and clocks right. Processes bind and call fixed loopback addresses, so no proxy can stand between them; linkfaults.c is loaded by LD_PRELOAD and overrides sendmmsg, send, connect, poll, clock_gettime and gettimeofday. Its rules are in a file that the soak changes while the process runs: links cut, lossy or slow by destination, connections to reset, and an offset of the wall clock.

The new faults are drawn from a random sequence of their own, every 2 s on the mean (--links). The other faults of a seed stay as they were; the seeds in REGRESSIONS play without the new ones. Faults of links are recorded as unplanned disturbances of the processes at both ends. The checks are the same; the report of a reset names its sender and the processes that were not in touch.

--- a/test/hosted/soak.py
+++ b/test/hosted/soak.py
@@ -2,12 +2,14 @@
 """Fault soak: the platform's program as processes, with random faults from outside.
 
     soak.py [--seeds N] [--first SEED] [--seconds S] [--balancers N] [--companions N] [--rate R]
-            [--regressions N] [--jobs N]
+            [--regressions N] [--jobs N] [--links S]
 
 Each seed draws a site, faults and planned work that overlap: processes that are killed, stopped by
 SIGTERM, paused and started again, one by one and in series; servers that drain and are replaced,
 crash, return SYNs or are added; a store that is down, loses answers or its history; configurations
-that change; a network that loses, delays and repeats packets. Clients go on meanwhile, on flows of
+that change; a network that loses, delays and repeats packets; links between processes that are
+cut one way or both, lose or delay datagrams, and connections that are reset; wall clocks that jump
+(linkfaults.c). Clients go on meanwhile, on flows of
 one request, on flows that stay open for many, and with downloads. What they and the servers see
 must keep the promises:
 
@@ -44,6 +46,7 @@
 
 BINARIES = os.environ.get("DP_BINARY_DIR", "build")
 PROGRAM = os.path.join(BINARIES, "dogwoodpaddle-platform")
+FAULTS_LIBRARY = os.path.join(BINARIES, "linkfaults.so")
 ROUTES = [("198.18.0.1", 443, "darbnica", "non_idempotent"),
           ("198.18.0.1", 8443, "darbnica", "idempotent"),
           ("198.18.0.2", 443, "rokasgramata", "download")]
@@ -117,10 +120,10 @@
         random.seed(seed)  # the stand-ins' sequence numbers
         self.seed, self.folder = seed, folder
         # The times of packets differ from run to run; faults must not depend on them.
-        self.rng, self.load_rng, network_rng = [random.Random(f"{seed} {use}") for use in
-                                                ("faults", "load", "network")]
-        self.rate, self.seconds = options.rate, options.seconds
-        self.site = standins.Site(PROGRAM, folder)
+        self.rng, self.load_rng, network_rng, self.links_rng = [
+            random.Random(f"{seed} {use}") for use in ("faults", "load", "network", "links")]
+        self.rate, self.seconds, self.links = options.rate, options.seconds, options.links
+        self.site = standins.Site(PROGRAM, folder, FAULTS_LIBRARY if self.links else None)
         self.site.configure(ROUTES)
         self.disturbances = Disturbances()
         self.planned_work = []  # heap of (time, number, function)
@@ -338,6 +341,75 @@
         self.disturb("network", f"delays up to {delay} s", 1.5,
                      lambda: set_network(loss, repeat, delay), lambda: set_network(0, 0, 0))
 
+    # Faults of links and clocks have a random sequence of their own.
+
+    def processes(self):
+        return self.site.balancers + self.site.companions
+
+    def disturb_links(self, pairs, what, rule):
+        """The rule holds for what the first process of each pair sends to the second."""
+        what = f"{what} ({next(self.numbers)})"  # faults of one kind may overlap
+        names = sorted({process.name for pair in pairs for process in pair})
+        self.note(f"{what}: {', '.join(f'{a.name} > {b.name}' for a, b in pairs)}")
+        for name in names:
+            self.disturbances.begin(name, what, False)
+        for sender, receiver in pairs:
+            sender.faults.begin(receiver.settings["ip"], rule)
+
+        def repair():
+            for sender, receiver in pairs:
+                sender.faults.end(receiver.settings["ip"], rule)
+            for name in names:
+                self.disturbances.end(name, what)
+
+        self.later(self.links_rng.uniform(0.3, 3.0), repair)
+
+    def choose_pairs(self, n):
+        """A process and n others: from it, to it, or both."""
+        one, *others = self.links_rng.sample(self.processes(), n + 1)
+        there, back = [(one, other) for other in others], [(other, one) for other in others]
+        return self.links_rng.choice([there, back, there + back])
+
+    def cut_link(self):
+        self.disturb_links(self.choose_pairs(1), "link cut", standins.LinkRule(cut=1))
+
+    def cut_off_process(self):
+        n = self.links_rng.randint(2, len(self.processes()) // 2)
+        self.disturb_links(self.choose_pairs(n), "cut off", standins.LinkRule(cut=1))
+
+    def bad_links(self):
+        n = self.links_rng.randint(1, len(self.processes()) // 2)
+        rule = standins.LinkRule(loss=self.links_rng.choice([0, 10, 50]),
+                                 delay_ms=self.links_rng.choice([20, 200, 1000]))
+        self.disturb_links(self.choose_pairs(n), f"{rule.loss}% lost, the rest delayed up to "
+                           f"{rule.delay_ms} ms", rule)
+
+    def cut_off_store(self):
+        """A balancer's calls to the store wait."""
+        balancer = self.links_rng.choice(self.site.balancers)
+        rule = standins.LinkRule(cut=1)
+        self.disturb(balancer.name, f"cut off from the store ({next(self.numbers)})",
+                     self.links_rng.uniform(0.3, 3.0),
+                     lambda: balancer.faults.begin(balancer.store_ip, rule),
+                     lambda: balancer.faults.end(balancer.store_ip, rule))
+
+    def reset_connections(self):
+        one, other = self.links_rng.sample(self.site.balancers, 2)
+        ip = self.links_rng.choice([one.store_ip, other.settings["ip"]])
+        self.note(f"connections of {one.name} with {ip} reset")
+        one.faults.reset(ip)
+        for name in [one.name] + [other.name] * (ip == other.settings["ip"]):
+            self.disturbances.happened(name, "connections reset", False)
+
+    def jump_clock(self):
+        process = self.links_rng.choice(self.processes())
+        offset = self.links_rng.choice([-1, 0, 1]) * int(10 ** self.links_rng.uniform(0, 4.5))
+        self.note(f"clock of {process.name} is {offset} s ahead")
+        self.disturbances.happened(process.name, "clock set", False)
+        process.faults.set_clock(offset)
+
+    LINK_FAULTS = [cut_link, cut_link, cut_off_process, bad_links, cut_off_store,
+                   reset_connections, jump_clock]
     FAULTS = [kill_process, stop_process, pause_process, reload_process, crash_server,
               drain_server, refuse_syns, store_down, store_loses_answers, store_compacts,
               change_configuration, bad_network]
@@ -363,7 +435,7 @@
         return self.kept[-1]
 
     def run(self):
-        next_flow = next_fault = next_series = time.monotonic() + 0.5
+        next_flow = next_fault = next_series = next_links = time.monotonic() + 0.5
         end = time.monotonic() + self.seconds
         # Work that was begun is finished, at its own times and under load.
         self.load_ends_at = end + RECOVERY_S + 8
@@ -379,6 +451,9 @@
             if next_series <= time.monotonic() < end:
                 self.rng.choice(self.SERIES)(self)
                 next_series += self.rng.expovariate(1 / 2.0)
+            if self.links and next_links <= time.monotonic() < end:
+                self.links_rng.choice(self.LINK_FAULTS)(self)
+                next_links += self.links_rng.expovariate(1 / self.links)
         self.note("all faults are over")
         self.client.run(time.monotonic() + RECOVERY_S)
         self.load_ends_at = time.monotonic()
@@ -423,7 +498,7 @@
             if key in server.opened:
                 faults += self.check_resets(flow, server)
                 faults += self.check_strays(flow, server)
-        for at, seq, genuine, taken in flow["resets"]:
+        for at, seq, genuine, taken, _ in flow["resets"]:
             if genuine and not any(key in s.resets for s in self.site.servers):
                 faults.append("a reset as of the server, which sent none")
             # A reset says that nothing has run; one of a crashed server's flow is allowed.
@@ -433,6 +508,13 @@
                               f"nothing has run, while {server.identity} works on it")
         return faults
 
+    def describe_touch(self, key, server, sender, at):
+        """Which processes of a reset were not in touch; it counts all the same."""
+        names = self.involved(key, server, at - REORDER_S, at)
+        names |= {p.name for p in self.processes() if p.settings["ip"] == sender}
+        names = [n for n in sorted(names) if not self.disturbances.in_touch([n], at, at)]
+        return f"not in touch: {', '.join(names)}" if names else "all in touch"
+
     def open_until(self, flow, server):
         """Until both ends have sent their FIN, or the server has stopped."""
         finished = self.checked_at
@@ -443,9 +525,10 @@
     def check_resets(self, flow, server):
         """Half (a) of rule FLOW."""
         key = flow["key"]
-        return [f"FLOW (a): a reset with seq {seq}, "
-                f"{'taken' if taken else 'ignored'} by the client at {at - self.began:.3f}"
-                for at, seq, genuine, taken in flow["resets"]
+        return [f"FLOW (a): a reset with seq {seq} from {sender}, "
+                f"{'taken' if taken else 'ignored'} by the client at {at - self.began:.3f}, "
+                f"{self.describe_touch(key, server, sender, at)}"
+                for at, seq, genuine, taken, sender in flow["resets"]
                 if not (genuine and key in server.resets)
                 and server.opened[key] < at < self.open_until(flow, server)]
 
@@ -538,13 +621,15 @@
     parser.add_argument("--companions", type=int, help="10 to 14 by the seed")
     parser.add_argument("--regressions", type=int, default=len(REGRESSIONS))
     parser.add_argument("--jobs", type=int, default=1, help="seeds at a time")
+    parser.add_argument("--links", type=float, default=2.0,
+                        help="mean time between faults of links and clocks in s, 0: none")
     parser.add_argument("--rate", type=float, default=60.0, help="new flows a second")
     return parser.parse_args(arguments)
 
 
 def main():
     options = parse(None)
-    runs = [(seed, parse(text.split())) for seed, text, _ in
+    runs = [(seed, parse(["--links", "0", *text.split()])) for seed, text, _ in
             REGRESSIONS[:options.regressions]]
     runs += [(options.first + i, options) for i in range(options.seeds)]
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -8,6 +8,7 @@
 import http.client
 import itertools
 import json
+import mmap
 import os
 import random
 import select
@@ -63,6 +64,7 @@
         self.src, self.dst = src, dst  # (ip text, port)
         self.flags, self.seq, self.ack, self.data = flags, seq, ack, data
         self.echo, self.pad = echo, pad
+        self.sender = None  # address of the process that it came from, at clients
         stamp = int(time.monotonic() * STAMPS_PER_S) & 0xffff
         self.total = self.expected_sum(stamp) if total is None else total
 
@@ -504,7 +506,7 @@
                 "more": iter(more), "offset": 0, "acked": 0, "asked_at": now,
                 "next_at": None, "interval": RETRANSMIT_S, "got": 0, "text": b"",
                 "unacknowledged": 0, "last_ack": 0, "fin_at": None, "answers": 0,
-                "resets": []}  # resets: (time, seq, genuine, taken)
+                "resets": []}  # resets: (time, seq, genuine, taken, sender)
         self.flows[self.next_port] = flow
         return flow
 
@@ -545,10 +547,12 @@
                                         max(0.0, min(0.01, until - now)))
             for _ in range(64 if ready else 0):
                 try:
-                    datagram = self.socket.recv(4096, socket.MSG_DONTWAIT)
+                    datagram, sender = self.socket.recvfrom(4096, socket.MSG_DONTWAIT)
                 except BlockingIOError:
                     break
-                self._take(Packet.unpack(datagram))
+                packet = Packet.unpack(datagram)
+                packet.sender = sender[0]
+                self._take(packet)
             now = time.monotonic()
             if now >= timers_at:
                 timers_at = now + 0.005
@@ -588,7 +592,8 @@
         distance = (packet.seq - flow["last_ack"] + (1 << 31)) % (1 << 32) - (1 << 31)
         taken = not flow["result"] and (not self.is_open(flow)
                                         or abs(distance) <= RESET_WINDOW)
-        flow["resets"].append((now, packet.seq, packet.is_genuine(), taken))
+        flow["resets"].append((now, packet.seq, packet.is_genuine(), taken,
+                               packet.sender))
         if taken:
             flow["result"] = "reset"
             flow["genuine_reset"] = packet.is_genuine()
@@ -726,15 +731,71 @@
         super()._go_on(flow, now)
 
 
+LinkRule = collections.namedtuple("LinkRule", "cut loss delay_ms", defaults=(0, 0, 0))
+
+
+class LinkFaults:
+    """Rules of one process for linkfaults.c, in a file that the process maps."""
+
+    HEAD = struct.Struct("=q4sIII")  # clock offset, address, links, resets, host to reset
+    LINK = struct.Struct("=BBH")
+
+    def __init__(self, library, path, ip, new=True):
+        self.environment = {"LD_PRELOAD": os.path.abspath(library), "LINKFAULTS_FILE": path}
+        self.ip, self.clock_offset, self.n_resets, self.reset_host = ip, 0, 0, 0
+        self.rules = collections.defaultdict(list)  # host to the rules in force
+        with open(path, "wb+" if new else "rb+") as file:
+            if new:
+                file.truncate(self.HEAD.size + self.LINK.size * (1 << 16))
+            self.map = mmap.mmap(file.fileno(), 0)
+        self._write_head()
+
+    @staticmethod
+    def _host(ip):
+        return ip_number(ip) % (1 << 16)
+
+    def _write_head(self):
+        self.HEAD.pack_into(self.map, 0, self.clock_offset, socket.inet_aton(self.ip),
+                            sum(map(bool, self.rules.values())), self.n_resets,
+                            self.reset_host)
+
+    def _write_link(self, ip):
+        # The worst of rules that overlap.
+        worst = map(max, zip(LinkRule(), *self.rules[ip]))
+        self.LINK.pack_into(self.map, self.HEAD.size + self.LINK.size * self._host(ip), *worst)
+        self._write_head()
+
+    def begin(self, ip, rule):
+        """From now on the rule holds for what the process sends to this address."""
+        self.rules[ip].append(rule)
+        self._write_link(ip)
+
+    def end(self, ip, rule):
+        self.rules[ip].remove(rule)
+        self._write_link(ip)
+
+    def reset(self, ip):
+        """Resets the process's connections with this address, when it next wakes up."""
+        self.n_resets, self.reset_host = self.n_resets + 1, self._host(ip)
+        self._write_head()
+
+    def set_clock(self, offset):
+        """Sets the wall clock this many seconds ahead."""
+        self.clock_offset = offset
+        self._write_head()
+
+
 class Process:
     """One process of the system, with its settings file and its log."""
 
-    def __init__(self, program, role, folder, settings):
+    def __init__(self, program, role, folder, settings, faults_library=None):
         self.program, self.role = program, role
         self.settings = settings
         self.name = settings["node_name"]
         self.path = os.path.join(folder, self.name + ".json")
         self.log_path = os.path.join(folder, self.name + ".log")
+        self.faults = faults_library and LinkFaults(
+            faults_library, os.path.join(folder, self.name + ".faults"), settings["ip"])
         self.process = None
         self.store_ip = None
         self.start()
@@ -745,7 +806,8 @@
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [self.program, self.role], stdout=log, stderr=log,
-                env={"DOGWOODPADDLE_CONFIG": self.path, "PATH": os.environ["PATH"]})
+                env={"DOGWOODPADDLE_CONFIG": self.path, "PATH": os.environ["PATH"],
+                     **(self.faults.environment if self.faults else {})})
 
     def kill(self):
         self.process.kill()
@@ -786,8 +848,9 @@
 class Site:
     """A whole deployment below one loopback prefix, as "127.33"."""
 
-    def __init__(self, program, folder):
+    def __init__(self, program, folder, faults_library=None):
         self.program, self.folder = program, folder
+        self.faults_library = faults_library
         self.prefix, self.store = self._open_store()
         self.balancers, self.companions, self.servers = [], [], []
         self.clients = []
@@ -826,7 +889,8 @@
         self.store.listen(store_ip)
         settings = self.settings("balancer", f"balancer-{number}", ip, zone,
                                  {"platform": {"address": f"{store_ip}:{STORE_PORT}"}})
-        balancer = Process(self.program, "balancer", self.folder, settings)
+        balancer = Process(self.program, "balancer", self.folder, settings,
+                           self.faults_library)
         balancer.store_ip = store_ip
         self.balancers.append(balancer)
         return balancer
@@ -838,7 +902,8 @@
                                  {"service": service, "app": f"{ip}:{SERVER_PORT}"})
         settings["listen"]["outbound"] = f"{ip}:{OUTBOUND_PORT}"
         settings["listen"]["control_plane"] = f"{ip}:{ANNOUNCE_PORT}"
-        companion = Process(self.program, "companion", self.folder, settings)
+        companion = Process(self.program, "companion", self.folder, settings,
+                            self.faults_library)
         server = Server(ip, service, zone, f"i-{service}-{number}", **options)
         self.companions.append(companion)
         self.servers.append(server)
