Hand the flow directory over when a companion stops

Packets of open flows went to other servers only, though their own server was sound: after a planned restart of several companions within a short time, of a flow's owner and of both members that keep its directory entry, nobody knew the owner any more. Each restarted companion handed the packet to its own server, until one that was paused swallowed it: 3 of 27 and 3 of 26 flows in test_open_flows, with six of nine companions restarted together.

A companion that stops now passes on its entries, and the flows of its own server, to the next active member in each flow's order, which a search visits right after those that keep the entry. A member that asks for its entries after a start gets them from every member that has them, not only from the owners, who may have restarted too. Such copies replace no registration of an owner itself.

A packet counts the owners that it has been sent to, in place of the members that it has visited, so that the directory is followed at the third member as well and a wrong entry is followed only once.

Unit tests of the handover, the copies and the hop field.

--- a/src/libdogwoodpaddle/flowdirectory.c
+++ b/src/libdogwoodpaddle/flowdirectory.c
@@ -77,6 +77,34 @@
     entry->other = *owner;
 }
 
+void
+dp_flow_directory_register_copy (DpFlowDirectory *directory,
+                                 const DpFlowOwner *owner,
+                                 gint64 now)
+{
+  if (dp_flow_directory_find (directory, &owner->key, now) == NULL)
+    dp_flow_directory_register (directory, owner, now);
+}
+
+void
+dp_flow_directory_foreach (const DpFlowDirectory *directory,
+                           DpFlowOwnerFunc func,
+                           gpointer user_data)
+{
+  GHashTableIter iter;
+  gpointer entry;
+
+  g_hash_table_iter_init (&iter, directory->entries);
+  while (g_hash_table_iter_next (&iter, &entry, NULL))
+    {
+      const Entry *e = entry;
+
+      func (&e->owner, user_data);
+      if (e->other.member.port != 0)
+        func (&e->other, user_data);
+    }
+}
+
 /* Returns the flow's most likely owner. */
 const DpFlowOwner *
 dp_flow_directory_find (DpFlowDirectory *directory, const DpFlowKey *key, gint64 now)
@@ -157,17 +185,38 @@
 const DpMember *
 dp_flow_directory_active_member (const DpCandidates *candidates,
                                  guint64 flow_hash,
+                                 guint first,
                                  guint32 self_id)
 {
   const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
   const guint n = dp_flow_directory_members (candidates, flow_hash, members);
 
   for (guint i = 0; i < n; i++)
-    if (members[i]->state == DP_MEMBER_ACTIVE || members[i]->id == self_id)
-      return members[i];
+    {
+      const DpMember *m = members[(first + i) % n];
+
+      if (m->state == DP_MEMBER_ACTIVE || m->id == self_id)
+        return m;
+    }
   return n > 0 ? members[0] : NULL;
 }
 
+const DpMember *
+dp_flow_directory_successor (const DpCandidates *candidates,
+                             guint64 flow_hash,
+                             guint32 self_id)
+{
+  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
+  guint32 excluded[DP_FLOW_DIRECTORY_MEMBERS + 1];
+  const guint n = dp_flow_directory_members (candidates, flow_hash, members);
+
+  for (guint i = 0; i < n; i++)
+    excluded[i] = members[i]->id;
+  excluded[n] = self_id;
+  return dp_candidates_next (candidates, flow_hash, DP_CANDIDATES_ACTIVE, excluded,
+                             n + 1);
+}
+
 static guint
 hash_ (gconstpointer entry)
 {
--- a/src/libdogwoodpaddle/include/private/ownerregistrar.h
+++ b/src/libdogwoodpaddle/include/private/ownerregistrar.h
@@ -29,6 +29,19 @@
 void dp_owner_registrar_repeat (DpOwnerRegistrar *registrar,
                                 const DpPassthroughFlow *flow,
                                 const DpMember *member);
+/* Passes on the owners in this member's part of the directory whose entries the member
+ * keeps as well. */
+void dp_owner_registrar_repeat_entries (DpOwnerRegistrar *registrar,
+                                        const DpCandidates *candidates,
+                                        const DpMember *member);
+/* Registers the flow with the member that keeps its entry while those that should may
+ * have lost it, as this process stops. */
+void dp_owner_registrar_hand_over (DpOwnerRegistrar *registrar,
+                                   const DpCandidates *candidates,
+                                   const DpPassthroughFlow *flow);
+/* Passes on this member's part of the directory in the same way. */
+void dp_owner_registrar_hand_over_entries (DpOwnerRegistrar *registrar,
+                                           const DpCandidates *candidates);
 /* Sets registration to the next one to be sent; returns FALSE if there is none. */
 gboolean dp_owner_registrar_next (DpOwnerRegistrar *registrar,
                                   DpOwnerRegistration *registration);
--- a/src/libdogwoodpaddle/include/protected/flowdirectory.h
+++ b/src/libdogwoodpaddle/include/protected/flowdirectory.h
@@ -24,6 +24,8 @@
 
 typedef struct _DpFlowDirectory DpFlowDirectory;
 
+typedef void (*DpFlowOwnerFunc) (const DpFlowOwner *owner, gpointer user_data);
+
 /* now: in us, as everywhere below. */
 DpFlowDirectory *dp_flow_directory_new (gint64 now);
 void dp_flow_directory_free (DpFlowDirectory *directory);
@@ -32,6 +34,14 @@
 void dp_flow_directory_register (DpFlowDirectory *directory,
                                  const DpFlowOwner *owner,
                                  gint64 now);
+/* Registers an owner that another member names, unless the flow has an entry. */
+void dp_flow_directory_register_copy (DpFlowDirectory *directory,
+                                      const DpFlowOwner *owner,
+                                      gint64 now);
+/* Calls func with each owner in the directory. */
+void dp_flow_directory_foreach (const DpFlowDirectory *directory,
+                                DpFlowOwnerFunc func,
+                                gpointer user_data);
 /* Returns the flow's most likely owner, valid until the next change; NULL if none is
  * registered. */
 const DpFlowOwner *
@@ -57,10 +67,17 @@
 guint dp_flow_directory_members (const DpCandidates *candidates,
                                  guint64 flow_hash,
                                  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS]);
-/* Returns the first active one of these members, where self counts as active, or else the
- * first one; NULL if the service has no members. */
+/* Returns the first active one of these members from first on, where self counts as
+ * active, or else the first one; NULL if the service has no members. */
 const DpMember *dp_flow_directory_active_member (const DpCandidates *candidates,
                                                  guint64 flow_hash,
+                                                 guint first,
                                                  guint32 self_id);
+/* Returns the member that takes over a flow's entry from a member that stops: the first
+ * active one that doesn't keep the entry anyway. A search visits it right after those.
+ * Returns NULL if there is none. */
+const DpMember *dp_flow_directory_successor (const DpCandidates *candidates,
+                                             guint64 flow_hash,
+                                             guint32 self_id);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpFlowDirectory, dp_flow_directory_free)
--- a/src/libdogwoodpaddle/include/protected/packetformat.h
+++ b/src/libdogwoodpaddle/include/protected/packetformat.h
@@ -9,6 +9,7 @@
 #include "protected/slots.h"
 
 #define DP_SERVICE_TAG_BITS 24
+#define DP_OWNERS_TRIED_MAX 2
 
 /* Hop-by-hop metadata: what one process of the system tells the next about a packet. */
 typedef struct
@@ -16,6 +17,8 @@
   guint32 service_tag;   /* dp_service_tag () of the service that the packet belongs to */
   guint8 class;          /* DpTrafficClass */
   guint8 n_visited;      /* number of members that the packet has visited before */
+  guint8 n_owners_tried; /* number of registered owners that the packet has been sent to;
+                            DP_OWNERS_TRIED_MAX at most */
   guint8 reject_reason;  /* of a SYN that a member rejects: its DpPassthroughReason + 1;
                             0: not rejected */
   guint16 wait_limit_ms; /* of a SYN: longest wait that still meets the objective */
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -170,10 +170,16 @@
 void dp_passthrough_register_owner (DpPassthrough *passthrough,
                                     const DpFlowOwner *owner,
                                     gint64 now);
-/* Registers the flows of this server again whose entries the member at this packet port
- * keeps. */
+/* Registers an owner that another member than the owner itself names. */
+void dp_passthrough_register_copy (DpPassthrough *passthrough,
+                                   const DpFlowOwner *owner,
+                                   gint64 now);
+/* Registers all flows again that are known here and whose entries the member at this
+ * packet port keeps. */
 void dp_passthrough_repeat_registrations (DpPassthrough *passthrough,
                                           const DpAddress *member);
+/* Passes on what is known of flows and their owners, as the process is about to end. */
+void dp_passthrough_hand_over (DpPassthrough *passthrough);
 /* Frees the slots of flows that make no progress, and forgets flows that have expired. To
  * be called about every 100 ms. */
 void dp_passthrough_tick (DpPassthrough *passthrough, gint64 now);
--- a/src/libdogwoodpaddle/ownerregistrar.c
+++ b/src/libdogwoodpaddle/ownerregistrar.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /* Registrations that wait to be sent; more are dropped, and their flows are searched. */
-#define PENDING_MAX 8192
+#define PENDING_MAX 32768
 
 struct _DpOwnerRegistrar
 {
@@ -14,6 +14,14 @@
   guint n_taken;              /* of the pending ones */
 };
 
+/* To whom entries of the directory are passed on. */
+typedef struct
+{
+  DpOwnerRegistrar *registrar;
+  const DpCandidates *candidates;
+  const DpMember *receiver; /* NULL: the successor of each entry */
+} EntryTransfer;
+
 static void register_ (DpOwnerRegistrar *registrar,
                        const DpCandidates *candidates,
                        DpPassthroughFlow *flow,
@@ -22,9 +30,11 @@
 static gboolean has_member_ (const DpPassthroughFlow *flow, guint32 member_id);
 static DpFlowOwner make_owner_ (const DpOwnerRegistrar *registrar,
                                 const DpPassthroughFlow *flow);
-static void append_ (DpOwnerRegistrar *registrar,
-                     const DpPassthroughFlow *flow,
-                     const DpMember *member);
+static void
+append_ (DpOwnerRegistrar *registrar, const DpFlowOwner *owner, const DpMember *member);
+static void transfer_entry_ (const DpFlowOwner *owner, gpointer user_data);
+static gboolean
+keeps_entry_ (const DpCandidates *candidates, guint64 flow_hash, guint32 member_id);
 
 /* Creates a registrar that registers nothing before the member's address is set. */
 DpOwnerRegistrar *
@@ -83,8 +93,42 @@
                            const DpPassthroughFlow *flow,
                            const DpMember *member)
 {
+  const DpFlowOwner owner = make_owner_ (registrar, flow);
+
   if (has_member_ (flow, member->id))
-    append_ (registrar, flow, member);
+    append_ (registrar, &owner, member);
+}
+
+void
+dp_owner_registrar_repeat_entries (DpOwnerRegistrar *registrar,
+                                   const DpCandidates *candidates,
+                                   const DpMember *member)
+{
+  EntryTransfer transfer = { registrar, candidates, member };
+
+  dp_flow_directory_foreach (registrar->directory, transfer_entry_, &transfer);
+}
+
+void
+dp_owner_registrar_hand_over (DpOwnerRegistrar *registrar,
+                              const DpCandidates *candidates,
+                              const DpPassthroughFlow *flow)
+{
+  const DpFlowOwner owner = make_owner_ (registrar, flow);
+  const DpMember *successor = dp_flow_directory_successor (candidates, flow->hash,
+                                                           registrar->member_id);
+
+  if (successor != NULL)
+    append_ (registrar, &owner, successor);
+}
+
+void
+dp_owner_registrar_hand_over_entries (DpOwnerRegistrar *registrar,
+                                      const DpCandidates *candidates)
+{
+  EntryTransfer transfer = { registrar, candidates, NULL };
+
+  dp_flow_directory_foreach (registrar->directory, transfer_entry_, &transfer);
 }
 
 /* Takes the oldest pending registration. */
@@ -110,6 +154,7 @@
            gint64 now)
 {
   const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
+  const DpFlowOwner owner = make_owner_ (registrar, flow);
   guint32 ids[DP_FLOW_DIRECTORY_MEMBERS] = { 0 };
   guint n;
 
@@ -122,13 +167,9 @@
       if (only_new_members && has_member_ (flow, ids[i]))
         continue;
       if (ids[i] == registrar->member_id)
-        {
-          const DpFlowOwner owner = make_owner_ (registrar, flow);
-
-          dp_flow_directory_register (registrar->directory, &owner, now);
-        }
+        dp_flow_directory_register (registrar->directory, &owner, now);
       else
-        append_ (registrar, flow, members[i]);
+        append_ (registrar, &owner, members[i]);
     }
   memcpy (flow->registered_with, ids, sizeof ids);
   flow->registered_at = now;
@@ -157,13 +198,38 @@
 }
 
 static void
-append_ (DpOwnerRegistrar *registrar,
-         const DpPassthroughFlow *flow,
-         const DpMember *member)
+append_ (DpOwnerRegistrar *registrar, const DpFlowOwner *owner, const DpMember *member)
 {
-  const DpOwnerRegistration registration = { member->address,
-                                             make_owner_ (registrar, flow) };
+  const DpOwnerRegistration registration = { member->address, *owner };
 
   if (registrar->pending->len < PENDING_MAX)
     g_array_append_val (registrar->pending, registration);
 }
+
+static void
+transfer_entry_ (const DpFlowOwner *owner, gpointer user_data)
+{
+  const EntryTransfer *transfer = user_data;
+  const guint64 hash = dp_flow_key_hash (&owner->key);
+  const DpMember *receiver = transfer->receiver;
+
+  if (receiver == NULL)
+    receiver = dp_flow_directory_successor (transfer->candidates, hash,
+                                            transfer->registrar->member_id);
+  else if (!keeps_entry_ (transfer->candidates, hash, receiver->id))
+    receiver = NULL;
+  if (receiver != NULL)
+    append_ (transfer->registrar, owner, receiver);
+}
+
+static gboolean
+keeps_entry_ (const DpCandidates *candidates, guint64 flow_hash, guint32 member_id)
+{
+  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
+  const guint n = dp_flow_directory_members (candidates, flow_hash, members);
+
+  for (guint i = 0; i < n; i++)
+    if (members[i]->id == member_id)
+      return TRUE;
+  return FALSE;
+}
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -12,10 +12,10 @@
  * if it arrives more than this time after the newest data. The server retransmits after
  * 200 ms; reordered packets are closer together. */
 #define RETRANSMISSION_MIN_US (150 * DP_US_PER_MS)
-/* Visits up to which a packet that is searched follows the flow directory. While lists of
- * members differ, members may refer to each other; from then on the packet visits one
- * member after the other. */
-#define DIRECTORY_VISITS_MAX 4
+/* Visits up to which a packet that is searched goes to a member with the directory entry.
+ * While lists of members differ, members may refer to each other; from then on the packet
+ * visits one member after the other. */
+#define DIRECTORY_VISITS_MAX 3
 /* A flow that was opened later than this after its SYN may have been taken by another
  * member as well, as the first copy of the SYN comes after 200 ms. */
 #define UNCONTESTED_OPEN_US (150 * DP_US_PER_MS)
@@ -65,6 +65,8 @@
                                              const DpSegment *segment,
                                              const DpHop *hop,
                                              gint64 now);
+static DpPassthroughDecision forward_to_owner_ (const DpFlowOwner *owner,
+                                                const DpHop *hop);
 static DpPassthroughDecision search_owner_ (DpPassthrough *passthrough,
                                             const DpSegment *segment,
                                             const DpHop *hop,
@@ -72,6 +74,7 @@
 static void
 register_flow_ (DpPassthrough *passthrough, DpPassthroughFlow *flow, gint64 now);
 static void update_registrations_ (DpPassthrough *passthrough, gint64 now);
+static gboolean is_registered_ (const DpPassthroughFlow *flow);
 static DpPassthroughDecision decide_client_packet_ (DpPassthrough *passthrough,
                                                     DpPassthroughFlow *flow,
                                                     const DpSegment *segment,
@@ -306,6 +309,14 @@
   dp_flow_directory_register (passthrough->directory, owner, now);
 }
 
+void
+dp_passthrough_register_copy (DpPassthrough *passthrough,
+                              const DpFlowOwner *owner,
+                              gint64 now)
+{
+  dp_flow_directory_register_copy (passthrough->directory, owner, now);
+}
+
 /* Registers flows again with a member that has lost its part of the flow directory. */
 void
 dp_passthrough_repeat_registrations (DpPassthrough *passthrough, const DpAddress *member)
@@ -323,8 +334,27 @@
     return;
   g_hash_table_iter_init (&iter, passthrough->flows->by_key);
   while ((flow = dp_passthrough_flows_next (&iter)) != NULL)
-    if (dp_passthrough_flow_is_owned (flow) && flow->state != DP_PASSTHROUGH_FLOW_CLOSED)
+    if (is_registered_ (flow))
       dp_owner_registrar_repeat (passthrough->registrar, flow, receiver);
+  dp_owner_registrar_repeat_entries (passthrough->registrar, candidates, receiver);
+}
+
+/* A planned restart must lose no knowledge of flows: those that keep a flow's entry, and
+ * its owner, may be restarted one after the other or together. */
+void
+dp_passthrough_hand_over (DpPassthrough *passthrough)
+{
+  DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
+  DpPassthroughFlow *flow;
+  GHashTableIter iter;
+
+  if (candidates == NULL)
+    return;
+  g_hash_table_iter_init (&iter, passthrough->flows->by_key);
+  while ((flow = dp_passthrough_flows_next (&iter)) != NULL)
+    if (is_registered_ (flow))
+      dp_owner_registrar_hand_over (passthrough->registrar, candidates, flow);
+  dp_owner_registrar_hand_over_entries (passthrough->registrar, candidates);
 }
 
 /* Removes expired flows, and stops counting flows as in flight whose request was
@@ -508,8 +538,7 @@
                                                        hop, now);
   owner = registered_owner_ (passthrough, segment, hop, now);
   if (owner != NULL && segment->syn_age_ms > 0 && owner->syn_seq == segment->seq)
-    return dp_passthrough_decision_forward (&owner->member, DP_PASSTHROUGH_REGISTERED,
-                                            hop);
+    return forward_to_owner_ (owner, hop);
   /* A SYN that has visited more members than the first one is no retransmission, but the
    * forwarded SYN that has come back. The client's last retransmission is decided here,
    * as no member has answered the earlier ones. */
@@ -541,8 +570,7 @@
   if (flow != NULL)
     flow->used_at = now;
   if (owner != NULL)
-    return dp_passthrough_decision_forward (&owner->member, DP_PASSTHROUGH_REGISTERED,
-                                            hop);
+    return forward_to_owner_ (owner, hop);
   if ((flow == NULL || !flow->server_asked)
       && !dp_passthrough_flows_is_complete (passthrough->flows, now))
     return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
@@ -556,7 +584,8 @@
 }
 
 /* Returns the other member that is registered as the flow's owner, NULL if there is none.
- * A packet that comes a second time has not found its flow at the more likely one. */
+ * A packet that has been sent to an owner has not found its flow at the more likely one.
+ */
 static const DpFlowOwner *
 registered_owner_ (DpPassthrough *passthrough,
                    const DpSegment *segment,
@@ -564,16 +593,33 @@
                    gint64 now)
 {
   const DpAddress *self = dp_owner_registrar_address (passthrough->registrar);
-  const DpFlowOwner *owner = NULL;
-
-  if (hop->n_visited < DIRECTORY_VISITS_MAX / 2)
-    owner = dp_flow_directory_find (passthrough->directory, &segment->key, now);
-  if (owner == NULL || dp_address_equal (&owner->member, self))
-    owner = dp_flow_directory_find_other (passthrough->directory, &segment->key, now);
-  if (owner == NULL || dp_address_equal (&owner->member, self)
-      || hop->n_visited >= DIRECTORY_VISITS_MAX)
+  const DpFlowOwner *owners[] = {
+    dp_flow_directory_find (passthrough->directory, &segment->key, now),
+    dp_flow_directory_find_other (passthrough->directory, &segment->key, now),
+  };
+  const guint n = G_N_ELEMENTS (owners);
+
+  if (hop->n_owners_tried >= DP_OWNERS_TRIED_MAX)
     return NULL;
-  return owner;
+  for (guint i = 0; i < n; i++)
+    {
+      const DpFlowOwner *owner = owners[(hop->n_owners_tried + i) % n];
+
+      if (owner != NULL && !dp_address_equal (&owner->member, self))
+        return owner;
+    }
+  return NULL;
+}
+
+/* Forwards a packet to the registered owner of its flow. */
+static DpPassthroughDecision
+forward_to_owner_ (const DpFlowOwner *owner, const DpHop *hop)
+{
+  DpHop next = *hop;
+
+  next.n_owners_tried++;
+  return dp_passthrough_decision_forward (&owner->member, DP_PASSTHROUGH_REGISTERED,
+                                          &next);
 }
 
 /* Forwards a packet whose flow is not here: first to a member that keeps the flow's
@@ -598,9 +644,9 @@
   n = dp_flow_directory_members (candidates, segment->hash, members);
   for (guint i = 0; i < n; i++)
     is_directory_member |= members[i]->id == passthrough->member_id;
-  if (!is_directory_member && hop->n_visited < DIRECTORY_VISITS_MAX - 1)
+  if (!is_directory_member && hop->n_visited < DIRECTORY_VISITS_MAX)
     next = dp_flow_directory_active_member (candidates, segment->hash,
-                                            passthrough->member_id);
+                                            hop->n_owners_tried, passthrough->member_id);
   if (next == NULL)
     next = dp_candidates_after (candidates, segment->hash, DP_CANDIDATES_ALL,
                                 passthrough->member_id);
@@ -630,10 +676,17 @@
 
   g_hash_table_iter_init (&iter, passthrough->flows->by_key);
   while ((flow = dp_passthrough_flows_next (&iter)) != NULL)
-    if (dp_passthrough_flow_is_owned (flow) && flow->state != DP_PASSTHROUGH_FLOW_CLOSED)
+    if (is_registered_ (flow))
       dp_owner_registrar_update (passthrough->registrar, candidates, flow, now);
 }
 
+/* Returns whether the flow is to be found through the flow directory. */
+static gboolean
+is_registered_ (const DpPassthroughFlow *flow)
+{
+  return dp_passthrough_flow_is_owned (flow) && flow->state != DP_PASSTHROUGH_FLOW_CLOSED;
+}
+
 /* Decides about a client's packet after the SYN, of a flow that this server has or was
  * offered. */
 static DpPassthroughDecision
@@ -654,8 +707,7 @@
       const DpFlowOwner *owner = registered_owner_ (passthrough, segment, hop, now);
 
       if (owner != NULL)
-        return dp_passthrough_decision_forward (&owner->member, DP_PASSTHROUGH_REGISTERED,
-                                                hop);
+        return forward_to_owner_ (owner, hop);
       return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING);
     }
   record_client_packet_ (passthrough, flow, segment, now);
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -89,6 +89,10 @@
                                guint8 *data,
                                gsize length,
                                gpointer user_data);
+static void register_owner_ (DpPassthroughCompanion *companion,
+                             const DpAddress *source,
+                             const DpFlowOwner *owner,
+                             gint64 now);
 static void
 apply_list_ (DpPassthroughCompanion *companion, const DpMemberList *list, gint64 now);
 static void ask_new_members_ (DpPassthroughCompanion *companion,
@@ -527,13 +531,26 @@
   else if (message.type == DP_REPORT_MEMBERS)
     apply_list_ (companion, &message.list, now);
   else if (message.type == DP_REPORT_OWNER)
-    dp_passthrough_register_owner (companion->passthrough, &message.owner, now);
+    register_owner_ (companion, source, &message.owner, now);
   else if (message.type == DP_REPORT_OWNERS_WANTED)
     dp_passthrough_repeat_registrations (companion->passthrough, &message.wanted_by);
   dp_report_message_clear (&message);
   send_registrations_ (companion);
 }
 
+/* A member other than the owner may name one that has changed since. */
+static void
+register_owner_ (DpPassthroughCompanion *companion,
+                 const DpAddress *source,
+                 const DpFlowOwner *owner,
+                 gint64 now)
+{
+  if (source->ip == owner->member.ip)
+    dp_passthrough_register_owner (companion->passthrough, owner, now);
+  else
+    dp_passthrough_register_copy (companion->passthrough, owner, now);
+}
+
 static void
 apply_list_ (DpPassthroughCompanion *companion, const DpMemberList *list, gint64 now)
 {
@@ -698,6 +715,8 @@
   if (age < STOP_MIN_MS * DP_US_PER_MS
       || (in_flight > 0 && age < STOP_MAX_MS * DP_US_PER_MS))
     return G_SOURCE_CONTINUE;
+  dp_passthrough_hand_over (companion->passthrough);
+  send_registrations_ (companion);
   g_message ("companion %s stopped, %u flows in flight", companion->name, in_flight);
   companion->stop_source = 0;
   companion->stopped_func (companion->stopped_data);
--- a/src/libdogwoodpaddle/synrejection.c
+++ b/src/libdogwoodpaddle/synrejection.c
@@ -29,7 +29,7 @@
 
   rejected.reject_reason = (guint8) (reason + 1);
   if (knows_other_member_ (rejecter))
-    member = dp_flow_directory_active_member (rejecter->candidates, syn->hash,
+    member = dp_flow_directory_active_member (rejecter->candidates, syn->hash, 0,
                                               rejecter->id);
   if (member == NULL || member->id == rejecter->id)
     return dp_syn_rejection_confirm (rejecter, syn, &rejected, now);
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -465,13 +465,15 @@
   CU_ASSERT_EQUAL (decision.reason, DP_PASSTHROUGH_REGISTERED);
   CU_ASSERT_TRUE (dp_address_equal (&decision.member, &owner_));
   /* The member with the earlier copy of the SYN did not open the flow. */
-  hop.n_visited = 3;
-  decision = dp_passthrough_from_peer (p, &segment, &hop, 0);
+  CU_ASSERT_EQUAL (decision.hop.n_owners_tried, 1);
+  decision = dp_passthrough_from_peer (p, &segment, &decision.hop, 0);
   CU_ASSERT_TRUE (dp_address_equal (&decision.member, &other.member));
+  /* While members disagree, they may refer to each other. */
+  decision = dp_passthrough_from_peer (p, &segment, &decision.hop, 0);
+  CU_ASSERT_EQUAL (decision.reason, DP_PASSTHROUGH_SEARCHING);
   other.open = TRUE;
   dp_passthrough_register_owner (p, &other, 0);
   dp_passthrough_register_owner (p, &owner, 0);
-  hop.n_visited = 0;
   decision = dp_passthrough_from_peer (p, &segment, &hop, 0);
   CU_ASSERT_TRUE (dp_address_equal (&decision.member, &other.member));
   segment = make_segment (flow_of (DIRECTORY_ELSEWHERE), DP_TCP_ACK, 101, 1, 0);
@@ -509,6 +511,98 @@
                    DP_PASSTHROUGH_TO_SERVER);
 }
 
+/* Returns the member that keeps no entry of the flow, among three members. */
+static guint32
+successor_ip (guint flow)
+{
+  g_autoptr (DpMemberView) view = make_view (3, DP_MEMBER_ACTIVE);
+  g_autoptr (DpCandidates) candidates = dp_candidates_new (view);
+  const DpSegment syn = make_segment (flow, DP_TCP_SYN, 100, 0, 0);
+
+  return dp_flow_directory_successor (candidates, syn.hash, dp_member_id (hosts_[0].name))
+      ->address.ip;
+}
+
+/* If all members that know a flow's owner restart together, its packets are handed to the
+ * servers of members that have restarted, one after the other. */
+static void
+test_planned_restart_hands_over_owners (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint here = flow_of (DIRECTORY_HERE);
+  const DpFlowOwner owner = make_owner (here, 0, TRUE);
+  DpOwnerRegistration registration;
+
+  dp_passthrough_set_address (p, &self_);
+  dp_passthrough_register_owner (p, &owner, 0);
+  dp_passthrough_hand_over (p);
+  CU_ASSERT_TRUE (dp_passthrough_next_registration (p, &registration));
+  CU_ASSERT_EQUAL (registration.member.ip, successor_ip (here));
+  CU_ASSERT_TRUE (dp_address_equal (&registration.owner.member, &owner_));
+  CU_ASSERT_TRUE (registration.owner.open);
+  CU_ASSERT_FALSE (dp_passthrough_next_registration (p, &registration));
+}
+
+static void
+test_planned_restart_hands_over_own_flows (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint here = flow_of (DIRECTORY_HERE);
+  DpOwnerRegistration registration;
+
+  dp_passthrough_set_address (p, &self_);
+  open_flow (p, here, 0);
+  while (dp_passthrough_next_registration (p, &registration))
+    ;
+  dp_passthrough_hand_over (p);
+  CU_ASSERT_TRUE (dp_passthrough_next_registration (p, &registration));
+  CU_ASSERT_EQUAL (registration.member.ip, successor_ip (here));
+  CU_ASSERT_TRUE (dp_address_equal (&registration.owner.member, &self_));
+}
+
+/* A member that has restarted gets its entries from the one that has kept them, even if
+ * the owner has restarted as well. */
+static void
+test_entries_are_passed_on_after_a_restart (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint flow = flow_of (DIRECTORY_ELSEWHERE);
+  const DpFlowOwner owner = make_owner (flow, 0, TRUE);
+  const DpAddress keeper =
+      owner_; /* one of the other two members, which keep the entry */
+  DpOwnerRegistration registration;
+
+  dp_passthrough_set_address (p, &self_);
+  dp_passthrough_register_copy (p, &owner, 0);
+  dp_passthrough_repeat_registrations (p, &keeper);
+  CU_ASSERT_TRUE (dp_passthrough_next_registration (p, &registration));
+  CU_ASSERT_TRUE (dp_address_equal (&registration.member, &keeper));
+  CU_ASSERT_TRUE (dp_flow_key_equal (&registration.owner.key, &owner.key));
+  dp_passthrough_repeat_registrations (p, &self_);
+  CU_ASSERT_FALSE (dp_passthrough_next_registration (p, &registration));
+}
+
+/* What another member remembers of a flow may be older than what is registered here. */
+static void
+test_copied_entry_replaces_none (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint flow = flow_of (DIRECTORY_HERE);
+  const DpFlowOwner owner = make_owner (flow, 0, FALSE);
+  const DpSegment segment = make_segment (flow, DP_TCP_ACK, 101, 1, 0);
+  const DpHop hop = make_hop (DP_TRAFFIC_INTERACTIVE, 0);
+  DpFlowOwner earlier = make_owner (flow, 0, TRUE);
+  DpPassthroughDecision decision;
+
+  earlier.syn_seq = 7;
+  earlier.member.port++;
+  dp_passthrough_set_address (p, &self_);
+  dp_passthrough_register_owner (p, &owner, 0);
+  dp_passthrough_register_copy (p, &earlier, 0);
+  decision = dp_passthrough_from_peer (p, &segment, &hop, 0);
+  CU_ASSERT_TRUE (dp_address_equal (&decision.member, &owner_));
+}
+
 /* Two rows that refer to each other would pass a packet round until it is dropped. */
 static void
 test_searched_packet_that_comes_back (void)
@@ -1141,6 +1235,13 @@
   { "a search goes by the flow directory", test_search_by_directory },
   { "a flow's owner is registered, and again after a restart of the directory member",
     test_registration },
+  { "a planned restart hands over the flow directory",
+    test_planned_restart_hands_over_owners },
+  { "a planned restart hands over the server's flows",
+    test_planned_restart_hands_over_own_flows },
+  { "entries are passed on to a member that has restarted",
+    test_entries_are_passed_on_after_a_restart },
+  { "a copied entry replaces none", test_copied_entry_replaces_none },
   { "a searched packet that comes back goes on", test_searched_packet_that_comes_back },
   { "a copy of a SYN forwarded after a restart hides no flow",
     test_copy_forwarded_after_a_restart },
--- a/src/test_platform/test_hosted_packet.c
+++ b/src/test_platform/test_hosted_packet.c
@@ -118,6 +118,7 @@
   const DpHop hop = { .service_tag = 0xabcdef,
                       .class = DP_TRAFFIC_BULK,
                       .n_visited = 7,
+                      .n_owners_tried = DP_OWNERS_TRIED_MAX,
                       .wait_limit_ms = 75,
                       .deadline_ms = 2500 };
   guint8 packet[sizeof syn_];
@@ -139,6 +140,7 @@
   platform_packet_format.read_hop (packet, &read);
   CU_ASSERT_EQUAL (read.n_visited, 7);
   CU_ASSERT_EQUAL (read.class, DP_TRAFFIC_BULK);
+  CU_ASSERT_EQUAL (read.n_owners_tried, DP_OWNERS_TRIED_MAX);
 }
 
 static void
