Let each active directory member confirm a rejected SYN

A member that was added is the first one in the order of some flows as soon as one process knows it. While lists of members differ, which takes some seconds where they come in several parts, a flow's owner may have registered with the members that follow, and a rejected copy of its SYN goes to the new one, which knows of no owner and answers with a reset although the flow is open at a sound server.

--- a/src/libdogwoodpaddle/include/private/synrejection.h
+++ b/src/libdogwoodpaddle/include/private/synrejection.h
@@ -1,7 +1,8 @@
 /* Rejection of SYNs in passthrough mode. A member that can't take a SYN doesn't know
  * whether another member has taken another copy of it. It passes the SYN, marked as
- * rejected, to a member that keeps the flow's directory entry. That one passes the SYN on
- * to the flow's owner, or answers it with a reset if there is none. */
+ * rejected, to the members that keep the flow's directory entry, one after the other.
+ * Each passes the SYN on to the flow's owner if it knows one; else the last one answers
+ * it with a reset. */
 #pragma once
 
 #include "protected/flowdirectory.h"
--- a/src/libdogwoodpaddle/include/protected/packetformat.h
+++ b/src/libdogwoodpaddle/include/protected/packetformat.h
@@ -21,6 +21,8 @@
                             DP_OWNERS_TRIED_MAX at most */
   guint8 reject_reason;  /* of a SYN that a member rejects: its DpPassthroughReason + 1;
                             0: not rejected */
+  guint8 n_confirmed;    /* of a rejected SYN: number of members that know no owner of its
+                            flow */
   guint16 wait_limit_ms; /* of a SYN: longest wait that still meets the objective */
   guint16 deadline_ms;   /* of a SYN: time until the client gives up, 0: not known */
 } DpHop;
@@ -37,7 +39,7 @@
                      DpSegment *segment,
                      gboolean *returned);
   /* Reads the hop metadata. In a packet that the server returned, all fields but the
-   * service tag and the reject reason are as they were written. */
+   * service tag and those of a rejected SYN are as they were written. */
   void (*read_hop) (const guint8 *data, DpHop *hop);
   /* Writes the hop metadata, and marks the packet as not returned. */
   void (*write_hop) (guint8 *data, const DpHop *hop);
--- a/src/libdogwoodpaddle/synrejection.c
+++ b/src/libdogwoodpaddle/synrejection.c
@@ -3,10 +3,10 @@
 #include "private/passthroughdecision.h"
 #include "protected/clock.h"
 
-/* Members that a rejected SYN visits at most: those that could not take it, the one with
- * the directory entry, and the owner. While lists of members differ, owner and entry may
- * refer to each other. */
-#define REJECTED_VISITS_MAX (DP_PASSTHROUGH_VISITS_MAX + DP_FLOW_DIRECTORY_MEMBERS)
+/* Members that a rejected SYN visits at most: those that could not take it, those with
+ * the directory entry, and the owners that they name. While lists of members differ,
+ * owner and entry may refer to each other. */
+#define REJECTED_VISITS_MAX (DP_PASSTHROUGH_VISITS_MAX + 2 * DP_FLOW_DIRECTORY_MEMBERS)
 
 /* Time after the start in which the other members may not be known yet. Members report
  * every 100 to 400 ms, and lists are sent at most every 250 ms. */
@@ -14,6 +14,9 @@
 
 static const DpFlowOwner *
 find_owner_ (const DpSynRejecter *rejecter, const DpSegment *syn, gint64 now);
+static const DpMember *next_directory_member_ (const DpSynRejecter *rejecter,
+                                               const DpSegment *syn,
+                                               guint n_confirmed);
 static gboolean knows_other_member_ (const DpSynRejecter *rejecter);
 
 /* Passes the SYN to the flow's directory member, or decides here if this is one. */
@@ -36,7 +39,11 @@
   return dp_passthrough_decision_forward (&member->address, reason, &rejected);
 }
 
-/* Just after a start, owners that registered before and other members may not be known.
+/* A single member may not know the owner although it is registered: owners register with
+ * the members that they know, and lists of members differ for some seconds when members
+ * are added. The SYN thus visits all active members that keep the entry.
+ *
+ * Just after a start, owners that registered before and other members may not be known.
  * The SYN is then dropped, and its next copy is decided anew. */
 DpPassthroughDecision
 dp_syn_rejection_confirm (const DpSynRejecter *rejecter,
@@ -46,6 +53,8 @@
 {
   const DpFlowOwner *owner = find_owner_ (rejecter, syn, now);
   const guint reason = hop->reject_reason - 1u;
+  DpHop confirmed = *hop;
+  const DpMember *next;
 
   if (reason >= DP_N_PASSTHROUGH_REASONS)
     return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_UNEXPECTED,
@@ -63,8 +72,32 @@
           && now - rejecter->created_at < MEMBER_DISCOVERY_US))
     return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_GATHERING,
                                          hop);
+  confirmed.n_confirmed++;
+  next = next_directory_member_ (rejecter, syn, confirmed.n_confirmed);
+  if (next != NULL)
+    return dp_passthrough_decision_forward (&next->address, (DpPassthroughReason) reason,
+                                            &confirmed);
   return dp_passthrough_decision_make (DP_PASSTHROUGH_RESET, (DpPassthroughReason) reason,
-                                       hop);
+                                       &confirmed);
+}
+
+/* Returns the other active member that keeps the directory entry; NULL if there is none
+ * or if enough members have confirmed the rejection. */
+static const DpMember *
+next_directory_member_ (const DpSynRejecter *rejecter,
+                        const DpSegment *syn,
+                        guint n_confirmed)
+{
+  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
+  guint n;
+
+  if (rejecter->candidates == NULL || n_confirmed >= DP_FLOW_DIRECTORY_MEMBERS)
+    return NULL;
+  n = dp_flow_directory_members (rejecter->candidates, syn->hash, members);
+  for (guint i = 0; i < n; i++)
+    if (members[i]->id != rejecter->id && members[i]->state == DP_MEMBER_ACTIVE)
+      return members[i];
+  return NULL;
 }
 
 /* Returns another member that has taken a copy of the SYN, NULL if none is known. */
--- a/src/test_platform/test_hosted_packet.c
+++ b/src/test_platform/test_hosted_packet.c
@@ -119,6 +119,8 @@
                       .class = DP_TRAFFIC_BULK,
                       .n_visited = 7,
                       .n_owners_tried = DP_OWNERS_TRIED_MAX,
+                      .reject_reason = 3,
+                      .n_confirmed = 1,
                       .wait_limit_ms = 75,
                       .deadline_ms = 2500 };
   guint8 packet[sizeof syn_];
@@ -131,6 +133,8 @@
   CU_ASSERT_EQUAL (read.service_tag, hop.service_tag);
   CU_ASSERT_EQUAL (read.class, hop.class);
   CU_ASSERT_EQUAL (read.n_visited, hop.n_visited);
+  CU_ASSERT_EQUAL (read.reject_reason, 3);
+  CU_ASSERT_EQUAL (read.n_confirmed, 1);
   CU_ASSERT_EQUAL (read.wait_limit_ms, 75);
   CU_ASSERT_EQUAL (read.deadline_ms, 2500);
   CU_ASSERT_EQUAL (memcmp (packet + 10, syn_ + 10, sizeof syn_ - 10), 0);
