Withdraw the registration of a SYN that is passed on after a wait

Packets of open flows went to members that don't have them, and from there on a search. A member that holds a SYN registers as the flow's owner, and stayed registered when it passed the SYN on or rejected it: the directory kept the first of two members that had taken the same copy.

A member now withdraws a flow that it passes on, rejects or drops after a wait, and one that its server returned. Of two members that have taken the same copy the later one counts, as the withdrawal may be late. Unit tests; the one of the same copy failed before (test_passthrough, line 560).

--- a/src/libdogwoodpaddle/flowdirectory.c
+++ b/src/libdogwoodpaddle/flowdirectory.c
@@ -23,6 +23,8 @@
 static guint hash_ (gconstpointer entry);
 static gboolean equal_ (gconstpointer a, gconstpointer b);
 static Entry *find_ (const DpFlowDirectory *directory, const DpFlowKey *key, gint64 now);
+static void
+withdraw_ (DpFlowDirectory *directory, Entry *entry, const DpFlowOwner *owner);
 static gboolean is_new_flow_ (const DpFlowOwner *owner, const DpFlowOwner *present);
 static void owner_update_ (DpFlowOwner *present, const DpFlowOwner *owner);
 
@@ -54,7 +56,9 @@
 {
   Entry *entry = find_ (directory, &owner->key, now);
 
-  if (entry == NULL)
+  if (owner->withdrawn)
+    withdraw_ (directory, entry, owner);
+  else if (entry == NULL)
     {
       if (g_hash_table_size (directory->entries) >= ENTRIES_MAX)
         return;
@@ -68,7 +72,9 @@
       entry->other.member.port = owner->open ? 0 : entry->other.member.port;
       owner_update_ (&entry->owner, owner);
     }
-  else if (!entry->owner.open && owner->syn_age_ms < entry->owner.syn_age_ms)
+  /* A member that passes on a SYN that it has held is still registered: of the members
+   * that have taken the same copy, the last one has it. */
+  else if (!entry->owner.open && owner->syn_age_ms <= entry->owner.syn_age_ms)
     {
       entry->other = entry->owner;
       entry->owner = *owner;
@@ -230,6 +236,26 @@
                             &((const Entry *) b)->owner.key);
 }
 
+/* Removes the member from the entry, which may be NULL, unless it has the flow. */
+static void
+withdraw_ (DpFlowDirectory *directory, Entry *entry, const DpFlowOwner *owner)
+{
+  if (entry == NULL || entry->owner.open)
+    return;
+  if (entry->other.member.port != 0
+      && dp_address_equal (&entry->other.member, &owner->member))
+    entry->other.member.port = 0;
+  else if (!dp_address_equal (&entry->owner.member, &owner->member))
+    return;
+  else if (entry->other.member.port == 0)
+    g_hash_table_remove (directory->entries, entry);
+  else
+    {
+      entry->owner = entry->other;
+      entry->other.member.port = 0;
+    }
+}
+
 /* Returns the flow's entry and records that it is in use. */
 static Entry *
 find_ (const DpFlowDirectory *directory, const DpFlowKey *key, gint64 now)
--- a/src/libdogwoodpaddle/include/private/ownerregistrar.h
+++ b/src/libdogwoodpaddle/include/private/ownerregistrar.h
@@ -25,6 +25,11 @@
                                 const DpCandidates *candidates,
                                 DpPassthroughFlow *flow,
                                 gint64 now);
+/* Ends the registration of a flow whose SYN was passed on or rejected. */
+void dp_owner_registrar_withdraw (DpOwnerRegistrar *registrar,
+                                  const DpCandidates *candidates,
+                                  const DpFlowKey *key,
+                                  gint64 now);
 /* Registers the flow again if the member keeps its entry, as the member has restarted. */
 void dp_owner_registrar_repeat (DpOwnerRegistrar *registrar,
                                 const DpPassthroughFlow *flow,
--- a/src/libdogwoodpaddle/include/protected/flowdirectory.h
+++ b/src/libdogwoodpaddle/include/protected/flowdirectory.h
@@ -19,6 +19,7 @@
   guint32 syn_seq;    /* sequence number of the SYN; 0: not known */
   guint16 syn_age_ms; /* of the copy of the SYN that the owner has taken */
   gboolean open;      /* the client has acknowledged the SYN-ACK of the owner's server */
+  gboolean withdrawn; /* the member has passed the SYN on or rejected it since */
   DpAddress member;   /* the owner's packet port */
 } DpFlowOwner;
 
@@ -29,7 +30,8 @@
 /* now: in us, as everywhere below. */
 DpFlowDirectory *dp_flow_directory_new (gint64 now);
 void dp_flow_directory_free (DpFlowDirectory *directory);
-/* Registers the owner of a flow. Two members may have taken copies of one SYN; the entry
+/* Registers the owner of a flow, or ends its registration if it is withdrawn. Two members
+ * may have taken copies of one SYN; the entry
  * then names both until the flow is open. */
 void dp_flow_directory_register (DpFlowDirectory *directory,
                                  const DpFlowOwner *owner,
--- a/src/libdogwoodpaddle/ownerregistrar.c
+++ b/src/libdogwoodpaddle/ownerregistrar.c
@@ -27,6 +27,10 @@
                        DpPassthroughFlow *flow,
                        gboolean only_new_members,
                        gint64 now);
+static void register_with_ (DpOwnerRegistrar *registrar,
+                            const DpFlowOwner *owner,
+                            const DpMember *member,
+                            gint64 now);
 static gboolean has_member_ (const DpPassthroughFlow *flow, guint32 member_id);
 static DpFlowOwner make_owner_ (const DpOwnerRegistrar *registrar,
                                 const DpPassthroughFlow *flow);
@@ -88,6 +92,26 @@
   register_ (registrar, candidates, flow, TRUE, now);
 }
 
+void
+dp_owner_registrar_withdraw (DpOwnerRegistrar *registrar,
+                             const DpCandidates *candidates,
+                             const DpFlowKey *key,
+                             gint64 now)
+{
+  const DpFlowOwner owner = { .key = *key,
+                              .withdrawn = TRUE,
+                              .member = registrar->address };
+
+  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
+  guint n;
+
+  if (registrar->address.port == 0 || candidates == NULL)
+    return;
+  n = dp_flow_directory_members (candidates, dp_flow_key_hash (key), members);
+  for (guint i = 0; i < n; i++)
+    register_with_ (registrar, &owner, members[i], now);
+}
+
 void
 dp_owner_registrar_repeat (DpOwnerRegistrar *registrar,
                            const DpPassthroughFlow *flow,
@@ -166,15 +190,24 @@
       ids[i] = members[i]->id;
       if (only_new_members && has_member_ (flow, ids[i]))
         continue;
-      if (ids[i] == registrar->member_id)
-        dp_flow_directory_register (registrar->directory, &owner, now);
-      else
-        append_ (registrar, &owner, members[i]);
+      register_with_ (registrar, &owner, members[i], now);
     }
   memcpy (flow->registered_with, ids, sizeof ids);
   flow->registered_at = now;
 }
 
+static void
+register_with_ (DpOwnerRegistrar *registrar,
+                const DpFlowOwner *owner,
+                const DpMember *member,
+                gint64 now)
+{
+  if (member->id == registrar->member_id)
+    dp_flow_directory_register (registrar->directory, owner, now);
+  else
+    append_ (registrar, owner, member);
+}
+
 static gboolean
 has_member_ (const DpPassthroughFlow *flow, guint32 member_id)
 {
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -73,6 +73,7 @@
                                             DpPassthroughReason reason);
 static void
 register_flow_ (DpPassthrough *passthrough, DpPassthroughFlow *flow, gint64 now);
+static void withdraw_flow_ (DpPassthrough *passthrough, const DpFlowKey *key, gint64 now);
 static void update_registrations_ (DpPassthrough *passthrough, gint64 now);
 static gboolean is_registered_ (const DpPassthroughFlow *flow);
 static DpPassthroughDecision decide_client_packet_ (DpPassthrough *passthrough,
@@ -275,7 +276,11 @@
                               DpReleasedSyn *released,
                               gint64 now)
 {
-  return dp_passthrough_admission_next_released (passthrough->admission, released, now);
+  if (!dp_passthrough_admission_next_released (passthrough->admission, released, now))
+    return FALSE;
+  if (released->decision.action != DP_PASSTHROUGH_TO_SERVER)
+    withdraw_flow_ (passthrough, &released->key, now);
+  return TRUE;
 }
 
 /* Returns whether the server has left several SYNs unanswered. */
@@ -469,7 +474,10 @@
   if (dp_segment_opens_flow (segment))
     {
       if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_OFFERED)
-        dp_passthrough_flows_remove (passthrough->flows, flow);
+        {
+          dp_passthrough_flows_remove (passthrough->flows, flow);
+          withdraw_flow_ (passthrough, &segment->key, now);
+        }
       else if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_WAITING)
         /* The server returned an earlier copy of the SYN. A retransmission of it is held
          * here until a slot is free. */
@@ -666,6 +674,15 @@
         dp_passthrough_admission_candidates (passthrough->admission), flow, now);
 }
 
+/* Ends the registration of a flow whose SYN this member doesn't take after all. */
+static void
+withdraw_flow_ (DpPassthrough *passthrough, const DpFlowKey *key, gint64 now)
+{
+  dp_owner_registrar_withdraw (
+      passthrough->registrar,
+      dp_passthrough_admission_candidates (passthrough->admission), key, now);
+}
+
 /* Registers the flows whose directory members have changed. */
 static void
 update_registrations_ (DpPassthrough *passthrough, gint64 now)
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -53,6 +53,14 @@
   N_LIST_FIELDS
 };
 
+typedef enum
+{
+  OWNER_HAS_SYN,
+  OWNER_HAS_OPEN_FLOW,
+  OWNER_IS_WITHDRAWN,
+  N_OWNER_STATES
+} OwnerState;
+
 enum
 {
   OWNER_TYPE,
@@ -64,7 +72,7 @@
   OWNER_SERVICE_PORT,
   OWNER_SYN_SEQ,
   OWNER_SYN_AGE,
-  OWNER_OPEN,
+  OWNER_STATE, /* OwnerState */
   OWNER_MEMBER_IP,
   OWNER_MEMBER_PORT,
   N_OWNER_FIELDS
@@ -237,7 +245,9 @@
   msgpack_pack_uint16 (&packer, owner->key.service.port);
   msgpack_pack_uint32 (&packer, owner->syn_seq);
   msgpack_pack_uint16 (&packer, owner->syn_age_ms);
-  msgpack_pack_uint8 (&packer, owner->open ? 1 : 0);
+  msgpack_pack_uint8 (&packer, owner->withdrawn ? OWNER_IS_WITHDRAWN
+                               : owner->open    ? OWNER_HAS_OPEN_FLOW
+                                                : OWNER_HAS_SYN);
   msgpack_pack_uint32 (&packer, owner->member.ip);
   msgpack_pack_uint16 (&packer, owner->member.port);
   return finish_ (&out, buffer);
@@ -475,7 +485,7 @@
   DpFlowOwner *owner = &message->owner;
   guint64 syn_seq;
   guint64 syn_age_ms;
-  guint64 open;
+  guint64 state;
 
   if (!get_string_ (message, &fields[OWNER_SERVICE], &message->service)
       || !get_address_ (&fields[OWNER_CLIENT_IP], &fields[OWNER_CLIENT_PORT],
@@ -484,13 +494,14 @@
                         &owner->key.service)
       || !get_uint_ (&fields[OWNER_SYN_SEQ], G_MAXUINT32, &syn_seq)
       || !get_uint_ (&fields[OWNER_SYN_AGE], G_MAXUINT16, &syn_age_ms)
-      || !get_uint_ (&fields[OWNER_OPEN], 1, &open)
+      || !get_uint_ (&fields[OWNER_STATE], N_OWNER_STATES - 1, &state)
       || !get_address_ (&fields[OWNER_MEMBER_IP], &fields[OWNER_MEMBER_PORT],
                         &owner->member))
     return FALSE;
   owner->syn_seq = (guint32) syn_seq;
   owner->syn_age_ms = (guint16) syn_age_ms;
-  owner->open = open != 0;
+  owner->open = state == OWNER_HAS_OPEN_FLOW;
+  owner->withdrawn = state == OWNER_IS_WITHDRAWN;
   return TRUE;
 }
 
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -540,6 +540,60 @@
                    DP_PASSTHROUGH_TO_SERVER);
 }
 
+/* A member that has held the SYN and passed it on doesn't have the flow. */
+static void
+test_owner_is_the_last_one_that_takes_a_copy (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint flow = flow_of (DIRECTORY_HERE);
+  const DpSegment segment = make_segment (flow, DP_TCP_ACK, 101, 1, 0);
+  const DpHop hop = make_hop (DP_TRAFFIC_INTERACTIVE, 0);
+  const DpFlowOwner owner = make_owner (flow, 0, FALSE);
+  DpFlowOwner held = make_owner (flow, 0, FALSE);
+  DpPassthroughDecision decision;
+
+  held.member.port++;
+  dp_passthrough_set_address (p, &self_);
+  dp_passthrough_register_owner (p, &held, 0);
+  dp_passthrough_register_owner (p, &owner, 50 * MS);
+  decision = dp_passthrough_from_peer (p, &segment, &hop, 60 * MS);
+  CU_ASSERT_TRUE (dp_address_equal (&decision.member, &owner_));
+}
+
+/* Directory members would pass a rejected SYN back to the member that has held it, or the
+ * packets of the flow to a member that has passed its SYN on. */
+static void
+test_flow_that_is_not_taken_is_withdrawn (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint flow = flow_of (DIRECTORY_ELSEWHERE);
+  const guint here = flow_of (DIRECTORY_HERE);
+  DpFlowOwner owner = make_owner (here, 0, FALSE);
+  DpOwnerRegistration registration;
+  DpReleasedSyn released;
+
+  dp_passthrough_set_address (p, &self_);
+  fill_slots (p, 1000, 2 * S);
+  CU_ASSERT_EQUAL (
+      send_syn (p, flow, DP_TRAFFIC_URGENT, DP_PASSTHROUGH_VISITS_MAX - 1, 2 * S).action,
+      DP_PASSTHROUGH_HOLD);
+  while (dp_passthrough_next_registration (p, &registration))
+    CU_ASSERT_FALSE (registration.owner.withdrawn);
+  dp_passthrough_set_serving (p, FALSE);
+  CU_ASSERT_TRUE (dp_passthrough_next_released (p, &released, 2 * S + MS));
+  CU_ASSERT_EQUAL (released.decision.action, DP_PASSTHROUGH_TO_MEMBER);
+  for (guint i = 0; i < DP_FLOW_DIRECTORY_MEMBERS; i++)
+    {
+      CU_ASSERT_TRUE (dp_passthrough_next_registration (p, &registration));
+      CU_ASSERT_TRUE (registration.owner.withdrawn);
+    }
+  dp_passthrough_register_owner (p, &owner, 2 * S);
+  CU_ASSERT_EQUAL (send_rejected (p, here, 0, 2 * S).action, DP_PASSTHROUGH_TO_MEMBER);
+  owner.withdrawn = TRUE;
+  dp_passthrough_register_owner (p, &owner, 2 * S);
+  CU_ASSERT_EQUAL (send_rejected (p, here, 0, 2 * S).action, DP_PASSTHROUGH_RESET);
+}
+
 /* Returns the member that keeps no entry of the flow, among three members. */
 static guint32
 successor_ip (guint flow)
@@ -1264,6 +1318,10 @@
   { "a member that has just started rejects no earlier SYN",
     test_rejected_syn_just_after_a_start },
   { "a search goes by the flow directory", test_search_by_directory },
+  { "a flow that is not taken after all is withdrawn",
+    test_flow_that_is_not_taken_is_withdrawn },
+  { "the owner is the last one that takes a copy of the SYN",
+    test_owner_is_the_last_one_that_takes_a_copy },
   { "a flow's owner is registered, and again after a restart of the directory member",
     test_registration },
   { "a planned restart hands over the flow directory",
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -249,6 +249,9 @@
                               .syn_age_ms = 600,
                               .open = TRUE,
                               .member = { 0x0a010024, 8652 } };
+  const DpFlowOwner withdrawn = { .key = owner.key,
+                                  .withdrawn = TRUE,
+                                  .member = owner.member };
   DpReportMessage message;
   guint8 buffer[DP_REPORT_MAX];
   gsize length = dp_flow_owner_encode (&owner, "darbnica", buffer);
@@ -264,6 +267,11 @@
   dp_report_message_clear (&message);
   CU_ASSERT_FALSE (dp_report_decode (&message, buffer, length - 1));
   dp_report_message_clear (&message);
+  length = dp_flow_owner_encode (&withdrawn, "darbnica", buffer);
+  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length));
+  CU_ASSERT_TRUE (message.owner.withdrawn);
+  CU_ASSERT_FALSE (message.owner.open);
+  dp_report_message_clear (&message);
   length = dp_owners_wanted_encode (&owner.member, "darbnica", buffer);
   CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length));
   CU_ASSERT_EQUAL (message.type, DP_REPORT_OWNERS_WANTED);
