Follow the flow directory before other servers are asked

Packets of open flows reached the servers of companions that had just been restarted, one after the other along the way of a SYN that had been forwarded several times or of a search, and the flow stood still when a companion on that way went down, though the directory named a sound owner.

A restarted companion now asks its server only about packets that a balancer has placed there, that the directory sends there, or of which no directory member knows the owner. A forwarded row is followed only while its member is listed as active.

--- a/src/libdogwoodpaddle/include/protected/packetformat.h
+++ b/src/libdogwoodpaddle/include/protected/packetformat.h
@@ -10,6 +10,9 @@
 
 #define DP_SERVICE_TAG_BITS 24
 #define DP_OWNERS_TRIED_MAX 2
+/* Visits that a search begins with, to tell its packets from those that a balancer sends
+ * to the member that it has chosen for their flow. */
+#define DP_SEARCH_FIRST_VISIT 1
 
 /* Hop-by-hop metadata: what one process of the system tells the next about a packet. */
 typedef struct
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -14,7 +14,8 @@
 #define RETRANSMISSION_MIN_US (150 * DP_US_PER_MS)
 /* Visits up to which a packet that is searched goes to a member with the directory entry.
  * While lists of members differ, members may refer to each other; from then on the packet
- * visits one member after the other. */
+ * visits one member after the other, and at the end those again that have not asked their
+ * servers. */
 #define DIRECTORY_VISITS_MAX 3
 /* A flow that was opened later than this after its SYN may have been taken by another
  * member as well, as the first copy of the SYN comes after 200 ms. */
@@ -67,6 +68,8 @@
                                              gint64 now);
 static DpPassthroughDecision forward_to_owner_ (const DpFlowOwner *owner,
                                                 const DpHop *hop);
+static gboolean may_have_flow_ (const DpHop *hop);
+static gboolean is_active_ (const DpPassthrough *passthrough, const DpAddress *member);
 static DpPassthroughDecision search_owner_ (DpPassthrough *passthrough,
                                             const DpSegment *segment,
                                             const DpHop *hop,
@@ -574,21 +577,52 @@
                  gint64 now)
 {
   const DpFlowOwner *owner = registered_owner_ (passthrough, segment, hop, now);
+  const gboolean may_ask = (flow == NULL || !flow->server_asked)
+                           && !dp_passthrough_flows_is_complete (passthrough->flows, now);
+  DpPassthroughDecision decision;
 
   if (flow != NULL)
     flow->used_at = now;
   if (owner != NULL)
     return forward_to_owner_ (owner, hop);
-  if ((flow == NULL || !flow->server_asked)
-      && !dp_passthrough_flows_is_complete (passthrough->flows, now))
+  if (may_ask && may_have_flow_ (hop))
     return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
                                          hop);
   /* A packet that has visited more members than the SYN has come back from a search. */
   if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_FORWARDED
-      && hop->n_visited <= flow->hop.n_visited)
+      && hop->n_visited <= flow->hop.n_visited
+      && is_active_ (passthrough, &flow->forwarded_to))
     return dp_passthrough_decision_forward (&flow->forwarded_to,
                                             DP_PASSTHROUGH_PASSED_BEFORE, hop);
-  return search_owner_ (passthrough, segment, hop, reason);
+  decision = search_owner_ (passthrough, segment, hop, reason);
+  if (decision.action == DP_PASSTHROUGH_DROP && may_ask)
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
+                                         hop);
+  return decision;
+}
+
+/* Returns whether the packet's flow is likely to be this server's, or can only be found
+ * by asking one server after the other: a balancer has placed it here, the directory
+ * names this member, or no member with the directory entry knows the owner. Other packets
+ * are not handed to the server, as it may not have the flow. */
+static gboolean
+may_have_flow_ (const DpHop *hop)
+{
+  return hop->n_visited == 0 || hop->n_owners_tried > 0
+         || hop->n_visited >= DIRECTORY_VISITS_MAX;
+}
+
+/* Returns whether the member at this packet port is known to be active. */
+static gboolean
+is_active_ (const DpPassthrough *passthrough, const DpAddress *member)
+{
+  DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
+  const DpMemberView *view = candidates == NULL ? NULL : dp_candidates_view (candidates);
+
+  for (guint i = 0; view != NULL && i < view->n_members; i++)
+    if (dp_address_equal (&view->members[i].address, member))
+      return view->members[i].state == DP_MEMBER_ACTIVE;
+  return FALSE;
 }
 
 /* Returns the other member that is registered as the flow's owner, NULL if there is none.
@@ -646,7 +680,9 @@
   gboolean is_directory_member = FALSE;
   guint n;
 
-  if (candidates == NULL || hop->n_visited >= dp_candidates_view (candidates)->n_members)
+  if (candidates == NULL
+      || hop->n_visited
+             >= dp_candidates_view (candidates)->n_members + DIRECTORY_VISITS_MAX)
     return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_NOT_FOUND,
                                          hop);
   n = dp_flow_directory_members (candidates, segment->hash, members);
