--- a/test/test_open_flows.py
+++ b/test/test_open_flows.py
@@ -171,6 +171,27 @@
     check(opened and not told, f"{len(told)} of {len(opened)} open flows were reset: {told}")
 
 
+def test_rejected_copy_at_a_former_owner_resets_no_flow(site):
+    """A server has returned the SYNs that its companion had registered, and other members'
+    servers have taken them."""
+    hosted.start(site, n_balancers=1, n_servers=6, slots=8, work_s=1.0)
+    client = site.client()
+    tags = record_service_tags(site.servers[:6])
+    hosted.finish(client, hosted.ask(client, REPORTS, 8, "before"))
+    leaving = site.companions[0]
+    site.servers[0].state = "draining"
+    site.servers[1].taking = False
+    client.run(time.monotonic() + 1.5)
+    resets = ResetLog(client)
+    flows = open_flows(site, client, 40, "open")
+    for flow in flows:
+        client.socket.sendto(rejectable_copy(flow, tags).pack(),
+                             (leaving.settings["ip"], standins.PACKET_PORT))
+    client.run(time.monotonic() + 0.3)
+    told = [f["key"][0][1] for f in flows if f["key"][0][1] in resets.ports]
+    check(not told, f"{len(told)} of {len(flows)} open flows were reset: {told}")
+
+
 def test_syn_copy_at_a_restarted_companion_resets_no_flow(site):
     """The companion doesn't know yet that its server has the flow."""
     hosted.start(site, n_balancers=1, n_servers=1, work_s=1.5)
