--- a/src/libdogwoodpaddle/include/protected/flowdirectory.h
+++ b/src/libdogwoodpaddle/include/protected/flowdirectory.h
@@ -19,19 +19,31 @@
   guint32 syn_seq;    /* sequence number of the SYN; 0: not known */
   guint16 syn_age_ms; /* of the copy of the SYN that the owner has taken */
   gboolean open;      /* the client has acknowledged the SYN-ACK of the owner's server */
+  gboolean withdrawn; /* the member has passed the SYN on or rejected it since */
   DpAddress member;   /* the owner's packet port */
 } DpFlowOwner;
 
 typedef struct _DpFlowDirectory DpFlowDirectory;
 
+typedef void (*DpFlowOwnerFunc) (const DpFlowOwner *owner, gpointer user_data);
+
 /* now: in us, as everywhere below. */
 DpFlowDirectory *dp_flow_directory_new (gint64 now);
 void dp_flow_directory_free (DpFlowDirectory *directory);
-/* Registers the owner of a flow. Two members may have taken copies of one SYN; the entry
+/* Registers the owner of a flow, or ends its registration if it is withdrawn. Two members
+ * may have taken copies of one SYN; the entry
  * then names both until the flow is open. */
 void dp_flow_directory_register (DpFlowDirectory *directory,
                                  const DpFlowOwner *owner,
                                  gint64 now);
+/* Registers an owner that another member names, unless the flow has an entry. */
+void dp_flow_directory_register_copy (DpFlowDirectory *directory,
+                                      const DpFlowOwner *owner,
+                                      gint64 now);
+/* Calls func with each owner in the directory. */
+void dp_flow_directory_foreach (const DpFlowDirectory *directory,
+                                DpFlowOwnerFunc func,
+                                gpointer user_data);
 /* Returns the flow's most likely owner, valid until the next change; NULL if none is
  * registered. */
 const DpFlowOwner *
@@ -57,10 +69,17 @@
 guint dp_flow_directory_members (const DpCandidates *candidates,
                                  guint64 flow_hash,
                                  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS]);
-/* Returns the first active one of these members, where self counts as active, or else the
- * first one; NULL if the service has no members. */
+/* Returns the first active one of these members from first on, where self counts as
+ * active, or else the first one; NULL if the service has no members. */
 const DpMember *dp_flow_directory_active_member (const DpCandidates *candidates,
                                                  guint64 flow_hash,
+                                                 guint first,
                                                  guint32 self_id);
+/* Returns the member that takes over a flow's entry from a member that stops: the first
+ * active one that doesn't keep the entry anyway. A search visits it right after those.
+ * Returns NULL if there is none. */
+const DpMember *dp_flow_directory_successor (const DpCandidates *candidates,
+                                             guint64 flow_hash,
+                                             guint32 self_id);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpFlowDirectory, dp_flow_directory_free)
