Release the claim of a loopback prefix last in the stand-in store

A test of test_open_flows failed with "Address already in use" beside other runs: a run that ends closed the address by which others see that its prefix is taken first, and the other addresses up to half a second each later. Shown with two stores that follow each other: the second could not listen at the second address before, and can now.

--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -154,7 +154,8 @@
 
     def close(self):
         self.closed = True
-        for server in self.servers:
+        # The first address claims the site's prefix, so it is released last.
+        for server in reversed(self.servers):
             server.shutdown()
             server.server_close()
 
