Confirm rejections only with the flow's entry, and with the SYN's whole age

Open flows were reset when a copy of their SYN was rejected.

A directory member passed the rejected copy to a member that was registered but had passed the SYN on; that one knew of no owner, counted as a confirmation, and reset.

A member that has no list of members yet, or has just got its first one, cannot know of owners, who register with listed members only; it drops the SYN. The time for which a SYN was held counts in its age, which decides whether a member has been there since its first copy; it travels in the hop.

Packets whose acknowledgement does not fit the flow known here, as of a later flow from the same client port, are searched, and their return by the server is no loss of the flow known here.

test_overload and test_member_discovery_late_clock ran without any list of members; they now get the list of one member that a balancer sends, and the latter also checks the drop without it.

--- a/src/libdogwoodpaddle/flowdirectory.c
+++ b/src/libdogwoodpaddle/flowdirectory.c
@@ -17,7 +17,7 @@
 struct _DpFlowDirectory
 {
   GHashTable *entries; /* set of Entry, compared by key */
-  gint64 covers_since; /* us, creation or end of the last pause */
+  gint64 covers_since; /* us, creation or end of the last gap */
 };
 
 static guint hash_ (gconstpointer entry);
@@ -131,7 +131,7 @@
 }
 
 void
-dp_flow_directory_note_pause (DpFlowDirectory *directory, gint64 now)
+dp_flow_directory_note_gap (DpFlowDirectory *directory, gint64 now)
 {
   directory->covers_since = now;
 }
@@ -139,7 +139,7 @@
 /* Returns whether no owner of the SYN's flow can have been missed. */
 gboolean
 dp_flow_directory_covers (const DpFlowDirectory *directory,
-                          guint16 syn_age_ms,
+                          guint32 syn_age_ms,
                           gint64 now)
 {
   return now - directory->covers_since > syn_age_ms * DP_US_PER_MS + SYN_DELAY_US;
--- a/src/libdogwoodpaddle/include/protected/flowdirectory.h
+++ b/src/libdogwoodpaddle/include/protected/flowdirectory.h
@@ -54,12 +54,12 @@
                                                  gint64 now);
 /* Records that the process has not run for a while. Registrations that came meanwhile may
  * not have been read yet. */
-void dp_flow_directory_note_pause (DpFlowDirectory *directory, gint64 now);
+void dp_flow_directory_note_gap (DpFlowDirectory *directory, gint64 now);
 /* Returns whether the directory has taken registrations ever since the client sent the
  * first copy of a SYN of this age, so that it knows the owner of the flow if there is
  * one. */
 gboolean dp_flow_directory_covers (const DpFlowDirectory *directory,
-                                   guint16 syn_age_ms,
+                                   guint32 syn_age_ms,
                                    gint64 now);
 /* Removes the entries that were not used for the time to live. */
 void dp_flow_directory_expire (DpFlowDirectory *directory, gint64 ttl, gint64 now);
--- a/src/libdogwoodpaddle/include/protected/packetformat.h
+++ b/src/libdogwoodpaddle/include/protected/packetformat.h
@@ -26,6 +26,7 @@
                             0: not rejected */
   guint8 n_confirmed;    /* of a rejected SYN: number of members that know no owner of its
                             flow */
+  guint16 held_ms;       /* of a SYN: time for which members have held it */
   guint16 wait_limit_ms; /* of a SYN: longest wait that still meets the objective */
   guint16 deadline_ms;   /* of a SYN: time until the client gives up, 0: not known */
 } DpHop;
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -20,6 +20,9 @@
 /* A flow that was opened later than this after its SYN may have been taken by another
  * member as well, as the first copy of the SYN comes after 200 ms. */
 #define UNCONTESTED_OPEN_US (150 * DP_US_PER_MS)
+/* Distance between a client's acknowledgement and the server's newest data, at most: 16
+ * packets of 1,200 bytes are in flight, and earlier packets may be repeated. */
+#define ACKNOWLEDGED_BYTES_MAX 76800
 /* Minimum interval between two registrations of a flow whose packets are searched. */
 #define REGISTRATION_INTERVAL_US DP_US_PER_S
 #define DIRECTORY_SWEEP_INTERVAL_US DP_US_PER_S
@@ -66,8 +69,6 @@
                                              const DpSegment *segment,
                                              const DpHop *hop,
                                              gint64 now);
-static DpPassthroughDecision forward_to_owner_ (const DpFlowOwner *owner,
-                                                const DpHop *hop);
 static gboolean may_have_flow_ (const DpHop *hop);
 static gboolean is_active_ (const DpPassthrough *passthrough, const DpAddress *member);
 static DpPassthroughDecision search_owner_ (DpPassthrough *passthrough,
@@ -84,6 +85,8 @@
                                                     const DpSegment *segment,
                                                     const DpHop *hop,
                                                     gint64 now);
+static gboolean acknowledges_server_ (const DpPassthroughFlow *flow,
+                                      const DpSegment *segment);
 static void record_client_packet_ (DpPassthrough *passthrough,
                                    DpPassthroughFlow *flow,
                                    const DpSegment *segment,
@@ -148,6 +151,9 @@
 void
 dp_passthrough_set_view (DpPassthrough *passthrough, DpMemberView *view, gint64 now)
 {
+  /* Owners register only with members that are listed. */
+  if (dp_passthrough_admission_candidates (passthrough->admission) == NULL)
+    dp_flow_directory_note_gap (passthrough->directory, now);
   passthrough->view_set_at = now;
   dp_passthrough_admission_set_view (passthrough->admission, view);
   update_registrations_ (passthrough, now);
@@ -305,7 +311,7 @@
 void
 dp_passthrough_note_pause (DpPassthrough *passthrough, gint64 now)
 {
-  dp_flow_directory_note_pause (passthrough->directory, now);
+  dp_flow_directory_note_gap (passthrough->directory, now);
 }
 
 /* Enters the owner of a flow in this member's part of the flow directory. */
@@ -493,7 +499,8 @@
                                                          &hop, DP_PASSTHROUGH_RETURNED,
                                                          DP_PASSTHROUGH_OVERLOADED, now);
     }
-  if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_OPEN)
+  if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_OPEN
+      && acknowledges_server_ (flow, segment))
     {
       /* The server had this flow and no longer does: it has crashed since. */
       dp_passthrough_flows_remove (passthrough->flows, flow);
@@ -545,11 +552,16 @@
     return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_OWNED,
                                          hop);
   if (hop->reject_reason != 0)
-    return dp_passthrough_admission_confirm_rejection (passthrough->admission, segment,
-                                                       hop, now);
+    {
+      /* The directory names this member, but the SYN was passed on from here. */
+      if (hop->n_owners_tried > 0)
+        withdraw_flow_ (passthrough, &segment->key, now);
+      return dp_passthrough_admission_confirm_rejection (passthrough->admission, segment,
+                                                         hop, now);
+    }
   owner = registered_owner_ (passthrough, segment, hop, now);
   if (owner != NULL && segment->syn_age_ms > 0 && owner->syn_seq == segment->seq)
-    return forward_to_owner_ (owner, hop);
+    return dp_passthrough_decision_forward_to_owner (&owner->member, hop);
   /* A SYN that has visited more members than the first one is no retransmission, but the
    * forwarded SYN that has come back. The client's last retransmission is decided here,
    * as no member has answered the earlier ones. */
@@ -584,7 +596,7 @@
   if (flow != NULL)
     flow->used_at = now;
   if (owner != NULL)
-    return forward_to_owner_ (owner, hop);
+    return dp_passthrough_decision_forward_to_owner (&owner->member, hop);
   if (may_ask && may_have_flow_ (hop))
     return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
                                          hop);
@@ -653,17 +665,6 @@
   return NULL;
 }
 
-/* Forwards a packet to the registered owner of its flow. */
-static DpPassthroughDecision
-forward_to_owner_ (const DpFlowOwner *owner, const DpHop *hop)
-{
-  DpHop next = *hop;
-
-  next.n_owners_tried++;
-  return dp_passthrough_decision_forward (&owner->member, DP_PASSTHROUGH_REGISTERED,
-                                          &next);
-}
-
 /* Forwards a packet whose flow is not here: first to a member that keeps the flow's
  * directory entry, then from one member to the next. Drops it if all have been visited.
  * It is never answered with a reset, since a member that is cut off may still have the
@@ -751,6 +752,10 @@
 {
   const gboolean opens = flow->state == DP_PASSTHROUGH_FLOW_ANSWERED;
 
+  /* Ports are used again: the packet may be of a later flow that another member has. */
+  if (!opens && flow->syn_ack_seen && !acknowledges_server_ (flow, segment))
+    return decide_unowned_ (passthrough, flow, segment, hop, DP_PASSTHROUGH_SEARCHING,
+                            now);
   /* Two servers may have answered the SYN and its retransmission; the client acknowledges
    * one of them. */
   if (flow->state == DP_PASSTHROUGH_FLOW_WAITING
@@ -760,7 +765,7 @@
       const DpFlowOwner *owner = registered_owner_ (passthrough, segment, hop, now);
 
       if (owner != NULL)
-        return forward_to_owner_ (owner, hop);
+        return dp_passthrough_decision_forward_to_owner (&owner->member, hop);
       return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING);
     }
   record_client_packet_ (passthrough, flow, segment, now);
@@ -771,6 +776,19 @@
                                        hop);
 }
 
+/* Returns whether the packet acknowledges data that this server may have sent on the
+ * flow. FALSE as well if nothing is known of that. */
+static gboolean
+acknowledges_server_ (const DpPassthroughFlow *flow, const DpSegment *segment)
+{
+  const guint32 last = flow->new_data_at != 0 ? flow->server_next_seq
+                                              : flow->syn_ack_seq + 1;
+  const gint32 distance = (gint32) (segment->ack - last);
+
+  return (flow->syn_ack_seen || flow->new_data_at != 0)
+         && ABS (distance) <= ACKNOWLEDGED_BYTES_MAX;
+}
+
 static void
 record_client_packet_ (DpPassthrough *passthrough,
                        DpPassthroughFlow *flow,
--- a/src/libdogwoodpaddle/passthroughadmission.c
+++ b/src/libdogwoodpaddle/passthroughadmission.c
@@ -434,6 +434,7 @@
   const gint64 left_ms = (flow->client_gives_up_at - now) / DP_US_PER_MS;
   DpHop hop = flow->hop;
 
+  hop.held_ms = (guint16) MIN (hop.held_ms + waited_ms, G_MAXUINT16);
   hop.wait_limit_ms = (guint16) MAX (hop.wait_limit_ms - waited_ms, 0);
   if (hop.deadline_ms > 0)
     hop.deadline_ms = (guint16) MAX (hop.deadline_ms - waited_ms, 1);
@@ -491,7 +492,11 @@
   const DpHop hop = hop_after_wait_ (flow, now);
   const gboolean expired = has_expired_ (flow, now);
   const DpSegment segment = {
-    .key = flow->key, .hash = flow->hash, .seq = flow->syn_seq, .flags = DP_TCP_SYN
+    .key = flow->key,
+    .hash = flow->hash,
+    .seq = flow->syn_seq,
+    .flags = DP_TCP_SYN,
+    .syn_age_ms = flow->syn_age_ms,
   };
 
   if (expired && flow->late)
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -288,10 +288,12 @@
       flow->member = DP_HANDLE_NONE;
       flow = NULL;
     }
-  /* A search is started anew at another member if its first one is probably down. */
-  if (flow != NULL && !opens_flow && flow->searched
+  /* The member is probably down. If it has only passed the SYN on, another member has the
+   * flow. */
+  if (flow != NULL && !opens_flow
       && !dp_placement_is_reporting (balancer->placement, flow->member, now))
     {
+      end_flow_ (balancer, flow);
       flow->member = DP_HANDLE_NONE;
       flow = NULL;
     }
--- a/src/libdogwoodpaddle/passthroughdecision.c
+++ b/src/libdogwoodpaddle/passthroughdecision.c
@@ -55,3 +55,12 @@
   decision.hop.n_visited++;
   return decision;
 }
+
+DpPassthroughDecision
+dp_passthrough_decision_forward_to_owner (const DpAddress *owner, const DpHop *hop)
+{
+  DpHop next = *hop;
+
+  next.n_owners_tried = MIN (next.n_owners_tried + 1, DP_OWNERS_TRIED_MAX);
+  return dp_passthrough_decision_forward (owner, DP_PASSTHROUGH_REGISTERED, &next);
+}
--- a/src/test_libdogwoodpaddle/test_overload.c
+++ b/src/test_libdogwoodpaddle/test_overload.c
@@ -327,6 +327,12 @@
 replay_load (const Load *load, guint32 seed, Result *result)
 {
   const DpPassthroughLimits limits = { SLOTS, 60 * S };
+  DpMember self = { .id = dp_member_id ("a-1"),
+                    .name = (char *) "a-1",
+                    .zone = (char *) "riga-a",
+                    .slots = SLOTS,
+                    .state = DP_MEMBER_ACTIVE };
+  g_autoptr (DpMemberView) alone = dp_member_view_new (SERVICE, 1, &self, 1);
   Replay replay = {
     .load = load,
     .passthrough = dp_passthrough_new (SERVICE, "a-1", 0),
@@ -338,6 +344,7 @@
   };
 
   dp_passthrough_set_limits (replay.passthrough, &limits);
+  dp_passthrough_set_view (replay.passthrough, alone, 0);
   dp_passthrough_set_serving (replay.passthrough, TRUE);
   dp_passthrough_server_started (replay.passthrough);
   /* The time in which other members may not be known yet is over when the load begins. */
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -444,6 +444,46 @@
   CU_ASSERT_EQUAL (decision.reason, DP_PASSTHROUGH_NOT_SERVING);
 }
 
+/* A copy that was held may have been sent before this member started. */
+static void
+test_rejected_syn_that_was_held (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint here = flow_of (DIRECTORY_HERE);
+  const DpSegment syn = make_segment (here, DP_TCP_SYN, 100, 0, 0);
+  DpHop hop = make_hop (DP_TRAFFIC_INTERACTIVE, DP_PASSTHROUGH_VISITS_MAX);
+
+  hop.reject_reason = DP_PASSTHROUGH_OVERLOADED + 1;
+  hop.n_confirmed = DP_FLOW_DIRECTORY_MEMBERS - 1;
+  hop.held_ms = 1000;
+  CU_ASSERT_EQUAL (dp_passthrough_from_peer (p, &syn, &hop, S).action,
+                   DP_PASSTHROUGH_DROP);
+  CU_ASSERT_EQUAL (dp_passthrough_from_peer (p, &syn, &hop, 2 * S).action,
+                   DP_PASSTHROUGH_RESET);
+}
+
+/* A member that keeps no entry knows of no owner, as after it has passed the SYN on. */
+static void
+test_rejection_is_not_confirmed_without_the_entry (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint flow = flow_of (DIRECTORY_ELSEWHERE);
+  const DpSegment syn = make_segment (flow, DP_TCP_SYN, 100, 0, 0);
+  DpHop hop = make_hop (DP_TRAFFIC_INTERACTIVE, DP_PASSTHROUGH_VISITS_MAX);
+  DpOwnerRegistration registration;
+  DpPassthroughDecision decision;
+
+  dp_passthrough_set_address (p, &self_);
+  hop.reject_reason = DP_PASSTHROUGH_OVERLOADED + 1;
+  hop.n_confirmed = DP_FLOW_DIRECTORY_MEMBERS - 1;
+  hop.n_owners_tried = 1;
+  decision = dp_passthrough_from_peer (p, &syn, &hop, 2 * S);
+  CU_ASSERT_EQUAL (decision.action, DP_PASSTHROUGH_TO_MEMBER);
+  CU_ASSERT_EQUAL (decision.hop.n_confirmed, DP_FLOW_DIRECTORY_MEMBERS - 1);
+  CU_ASSERT_TRUE (dp_passthrough_next_registration (p, &registration));
+  CU_ASSERT_TRUE (registration.owner.withdrawn);
+}
+
 /* A member that has just started may have missed the owner of a flow. */
 static void
 test_rejected_syn_just_after_a_start (void)
@@ -788,6 +828,28 @@
                    DP_PASSTHROUGH_OWNED);
 }
 
+/* A client uses its port again: the packets of the new flow, which another member has,
+ * come to the old one's server. */
+static void
+test_port_that_is_used_again (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint32 far = 0x40000000;
+  DpSegment segment = make_segment (1, DP_TCP_ACK, 101, 501 + far, 20);
+  const DpHop hop = make_hop (DP_TRAFFIC_INTERACTIVE, 0);
+
+  open_flow (p, 1, 0);
+  CU_ASSERT_EQUAL (dp_passthrough_from_peer (p, &segment, &hop, MS).reason,
+                   DP_PASSTHROUGH_SEARCHING);
+  CU_ASSERT_NOT_EQUAL (dp_passthrough_returned (p, &segment, &hop, MS).action,
+                       DP_PASSTHROUGH_RESET);
+  segment.ack = 501;
+  CU_ASSERT_EQUAL (dp_passthrough_from_peer (p, &segment, &hop, MS).reason,
+                   DP_PASSTHROUGH_OWNED);
+  CU_ASSERT_EQUAL (dp_passthrough_returned (p, &segment, &hop, MS).action,
+                   DP_PASSTHROUGH_RESET);
+}
+
 static void
 test_server_returns_syn (void)
 {
@@ -1349,6 +1411,7 @@
 {
   const gint64 start = 100000 * S;
   g_autoptr (DpPassthrough) p = dp_passthrough_new (SERVICE, "a-1", start);
+  g_autoptr (DpMemberView) alone = make_view (1, DP_MEMBER_ACTIVE);
   const DpPassthroughLimits limits = { 1, 60 * S };
   DpPassthroughDecision decision = { 0 };
 
@@ -1360,6 +1423,11 @@
   send_server (p, 0, DP_TCP_SYN | DP_TCP_ACK, 0, start + 2 * S);
   for (guint i = 100; i < 200; i++)
     decision = send_syn (p, i, DP_TRAFFIC_INTERACTIVE, 0, start + 2 * S);
+  /* Without a list of members it is never known whether there are others. */
+  CU_ASSERT_EQUAL (decision.reason, DP_PASSTHROUGH_GATHERING);
+  dp_passthrough_set_view (p, alone, start + 2 * S);
+  for (guint i = 200; i < 300; i++)
+    decision = send_syn (p, i, DP_TRAFFIC_INTERACTIVE, 0, start + 2600 * MS);
   CU_ASSERT_EQUAL (decision.reason, DP_PASSTHROUGH_OVERLOADED);
 }
 
@@ -1377,6 +1445,10 @@
   { "a copy of an accepted SYN is not rejected", test_rejected_copy_of_an_accepted_syn },
   { "a rejected SYN is confirmed by each member with the entry",
     test_rejection_is_confirmed_by_each_directory_member },
+  { "a member that has just started rejects no SYN that was held",
+    test_rejected_syn_that_was_held },
+  { "a member without the entry confirms no rejection",
+    test_rejection_is_not_confirmed_without_the_entry },
   { "a member that has just started rejects no earlier SYN",
     test_rejected_syn_just_after_a_start },
   { "a search goes by the flow directory", test_search_by_directory },
@@ -1400,6 +1472,8 @@
     test_forwarded_flow_of_a_member_that_left },
   { "a copy of a SYN forwarded after a restart hides no flow",
     test_copy_forwarded_after_a_restart },
+  { "a later flow from the same port is not answered with a reset",
+    test_port_that_is_used_again },
   { "a SYN that the server returns is forwarded", test_server_returns_syn },
   { "SYNs wait by class", test_waits_by_class },
   { "a SYN whose turn comes too late is rejected", test_rejects_what_comes_too_late },
--- a/src/test_platform/test_hosted_packet.c
+++ b/src/test_platform/test_hosted_packet.c
@@ -121,6 +121,7 @@
                       .n_owners_tried = DP_OWNERS_TRIED_MAX,
                       .reject_reason = 3,
                       .n_confirmed = 1,
+                      .held_ms = 1350,
                       .wait_limit_ms = 75,
                       .deadline_ms = 2500 };
   guint8 packet[sizeof syn_];
@@ -135,6 +136,7 @@
   CU_ASSERT_EQUAL (read.n_visited, hop.n_visited);
   CU_ASSERT_EQUAL (read.reject_reason, 3);
   CU_ASSERT_EQUAL (read.n_confirmed, 1);
+  CU_ASSERT_EQUAL (read.held_ms, 1350);
   CU_ASSERT_EQUAL (read.wait_limit_ms, 75);
   CU_ASSERT_EQUAL (read.deadline_ms, 2500);
   CU_ASSERT_EQUAL (memcmp (packet + 10, syn_ + 10, sizeof syn_ - 10), 0);
