Begin each search at the flow directory, however far its SYN went

The SYN had visited three members (75, 104, 21, 87), of which another one's server had the flow; companion 87 counted these visits as steps of the search, skipped the directory and asked one member after the other.

The hop counts the steps of a search apart from the visits. Visits only bound the length of the way: all members, those that have passed the SYN on, and the first ones of the search once more.

A full part of the directory counts as incomplete, so that it confirms no rejection. The new unit test fails on the code before.

--- a/src/libdogwoodpaddle/flowdirectory.c
+++ b/src/libdogwoodpaddle/flowdirectory.c
@@ -48,7 +48,8 @@
   g_free (directory);
 }
 
-/* A full directory takes no new entries; flows without one are searched. */
+/* A full directory takes no new entries; flows without one are searched, and no SYN is
+ * rejected here. */
 void
 dp_flow_directory_register (DpFlowDirectory *directory,
                             const DpFlowOwner *owner,
@@ -61,7 +62,10 @@
   else if (entry == NULL)
     {
       if (g_hash_table_size (directory->entries) >= ENTRIES_MAX)
-        return;
+        {
+          dp_flow_directory_note_gap (directory, now);
+          return;
+        }
       entry = g_new (Entry, 1);
       *entry = (Entry){ .owner = *owner, .used_at = now };
       g_hash_table_add (directory->entries, entry);
--- a/src/libdogwoodpaddle/include/protected/packetformat.h
+++ b/src/libdogwoodpaddle/include/protected/packetformat.h
@@ -10,9 +10,7 @@
 
 #define DP_SERVICE_TAG_BITS 24
 #define DP_OWNERS_TRIED_MAX 2
-/* Visits that a search begins with, to tell its packets from those that a balancer sends
- * to the member that it has chosen for their flow. */
-#define DP_SEARCH_FIRST_VISIT 1
+#define DP_SEARCH_STEPS_MAX 3
 
 /* Hop-by-hop metadata: what one process of the system tells the next about a packet. */
 typedef struct
@@ -20,6 +18,9 @@
   guint32 service_tag;   /* dp_service_tag () of the service that the packet belongs to */
   guint8 class;          /* DpTrafficClass */
   guint8 n_visited;      /* number of members that the packet has visited before */
+  guint8 search_steps;   /* visits since the search for the flow's owner began, at most
+                            DP_SEARCH_STEPS_MAX; 0: the packet goes where its flow was
+                            placed */
   guint8 n_owners_tried; /* number of registered owners that the packet has been sent to;
                             DP_OWNERS_TRIED_MAX at most */
   guint8 reject_reason;  /* of a SYN that a member rejects: its DpPassthroughReason + 1;
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -12,11 +12,9 @@
  * if it arrives more than this time after the newest data. The server retransmits after
  * 200 ms; reordered packets are closer together. */
 #define RETRANSMISSION_MIN_US (150 * DP_US_PER_MS)
-/* Visits up to which a packet that is searched goes to a member with the directory entry.
- * While lists of members differ, members may refer to each other; from then on the packet
- * visits one member after the other, and at the end those again that have not asked their
- * servers. */
-#define DIRECTORY_VISITS_MAX 3
+/* Members that a searched packet may visit in excess of the service's members: those that
+ * have passed its SYN on, and those that were visited before they asked their servers. */
+#define EXTRA_VISITS_MAX (DP_PASSTHROUGH_VISITS_MAX + DP_SEARCH_STEPS_MAX)
 /* A flow that was opened later than this after its SYN may have been taken by another
  * member as well, as the first copy of the SYN comes after 200 ms. */
 #define UNCONTESTED_OPEN_US (150 * DP_US_PER_MS)
@@ -602,7 +600,7 @@
                                          hop);
   /* A packet that has visited more members than the SYN has come back from a search. */
   if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_FORWARDED
-      && hop->n_visited <= flow->hop.n_visited
+      && hop->search_steps == 0 && hop->n_visited <= flow->hop.n_visited
       && is_active_ (passthrough, &flow->forwarded_to))
     return dp_passthrough_decision_forward (&flow->forwarded_to,
                                             DP_PASSTHROUGH_PASSED_BEFORE, hop);
@@ -620,8 +618,8 @@
 static gboolean
 may_have_flow_ (const DpHop *hop)
 {
-  return hop->n_visited == 0 || hop->n_owners_tried > 0
-         || hop->n_visited >= DIRECTORY_VISITS_MAX;
+  return hop->search_steps == 0 || hop->n_owners_tried > 0
+         || hop->search_steps >= DP_SEARCH_STEPS_MAX;
 }
 
 /* Returns whether the member at this packet port is known to be active. */
@@ -678,18 +676,18 @@
   DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
   const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
   const DpMember *next = NULL;
+  DpHop searched = *hop;
   gboolean is_directory_member = FALSE;
   guint n;
 
   if (candidates == NULL
-      || hop->n_visited
-             >= dp_candidates_view (candidates)->n_members + DIRECTORY_VISITS_MAX)
+      || hop->n_visited >= dp_candidates_view (candidates)->n_members + EXTRA_VISITS_MAX)
     return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_NOT_FOUND,
                                          hop);
   n = dp_flow_directory_members (candidates, segment->hash, members);
   for (guint i = 0; i < n; i++)
     is_directory_member |= members[i]->id == passthrough->member_id;
-  if (!is_directory_member && hop->n_visited < DIRECTORY_VISITS_MAX)
+  if (!is_directory_member && hop->search_steps < DP_SEARCH_STEPS_MAX)
     next = dp_flow_directory_active_member (candidates, segment->hash,
                                             hop->n_owners_tried, passthrough->member_id);
   if (next == NULL)
@@ -698,7 +696,8 @@
   if (next == NULL)
     return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_NOT_FOUND,
                                          hop);
-  return dp_passthrough_decision_forward (&next->address, reason, hop);
+  searched.search_steps = MIN (hop->search_steps + 1, DP_SEARCH_STEPS_MAX);
+  return dp_passthrough_decision_forward (&next->address, reason, &searched);
 }
 
 /* Registers a flow that this member has taken. */
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -307,7 +307,7 @@
     log_silent_member_ (balancer, &segment, flow->member, &member, now);
   hop.service_tag = flow->service_tag;
   hop.class = flow->class;
-  hop.n_visited = flow->searched && !opens_flow ? DP_SEARCH_FIRST_VISIT : 0;
+  hop.search_steps = flow->searched && !opens_flow ? 1 : 0;
   if (opens_flow)
     set_times_ (balancer, &segment, &hop);
   format->write_hop (data, &hop);
--- a/src/test_platform/test_hosted_packet.c
+++ b/src/test_platform/test_hosted_packet.c
@@ -118,6 +118,7 @@
   const DpHop hop = { .service_tag = 0xabcdef,
                       .class = DP_TRAFFIC_BULK,
                       .n_visited = 7,
+                      .search_steps = DP_SEARCH_STEPS_MAX,
                       .n_owners_tried = DP_OWNERS_TRIED_MAX,
                       .reject_reason = 3,
                       .n_confirmed = 1,
@@ -146,6 +147,7 @@
   platform_packet_format.read_hop (packet, &read);
   CU_ASSERT_EQUAL (read.n_visited, 7);
   CU_ASSERT_EQUAL (read.class, DP_TRAFFIC_BULK);
+  CU_ASSERT_EQUAL (read.search_steps, DP_SEARCH_STEPS_MAX);
   CU_ASSERT_EQUAL (read.n_owners_tried, DP_OWNERS_TRIED_MAX);
 }
 
