--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -497,13 +497,15 @@
   dp_flow_log_write (
       segment, dp_passthrough_action_string (decision->action),
       dp_passthrough_reason_string (decision->reason),
-      "member=%s visited=%u members=%u in_flight=%u slots=%u flags=%u syn_age_ms=%u "
+      "member=%s visited=%u steps=%u owners_tried=%u members=%u in_flight=%u slots=%u "
+      "flags=%u syn_age_ms=%u "
       "state=%s state_ms=%" G_GINT64_FORMAT " view_ms=%" G_GINT64_FORMAT
       " all_flows_known=%d",
       decision->action == DP_PASSTHROUGH_TO_MEMBER
           ? dp_address_format (&decision->member, member)
           : companion->name,
-      decision->hop.n_visited, dp_passthrough_n_members (companion->passthrough),
+      decision->hop.n_visited, decision->hop.search_steps, decision->hop.n_owners_tried,
+      dp_passthrough_n_members (companion->passthrough),
       dp_passthrough_in_flight (companion->passthrough), companion->announcement.slots,
       segment->flags, segment->syn_age_ms,
       basis->flow_state == NULL ? "released" : basis->flow_state,
