--- a/src/libdogwoodpaddle/flowdirectory.c
+++ b/src/libdogwoodpaddle/flowdirectory.c
@@ -17,7 +17,7 @@
 struct _DpFlowDirectory
 {
   GHashTable *entries; /* set of Entry, compared by key */
-  gint64 covers_since; /* us, creation or end of the last pause */
+  gint64 covers_since; /* us, creation or end of the last gap */
 };
 
 static guint hash_ (gconstpointer entry);
@@ -48,7 +48,8 @@
   g_free (directory);
 }
 
-/* A full directory takes no new entries; flows without one are searched. */
+/* A full directory takes no new entries; flows without one are searched, and no SYN is
+ * rejected here. */
 void
 dp_flow_directory_register (DpFlowDirectory *directory,
                             const DpFlowOwner *owner,
@@ -61,7 +62,10 @@
   else if (entry == NULL)
     {
       if (g_hash_table_size (directory->entries) >= ENTRIES_MAX)
-        return;
+        {
+          dp_flow_directory_note_gap (directory, now);
+          return;
+        }
       entry = g_new (Entry, 1);
       *entry = (Entry){ .owner = *owner, .used_at = now };
       g_hash_table_add (directory->entries, entry);
@@ -131,7 +135,7 @@
 }
 
 void
-dp_flow_directory_note_pause (DpFlowDirectory *directory, gint64 now)
+dp_flow_directory_note_gap (DpFlowDirectory *directory, gint64 now)
 {
   directory->covers_since = now;
 }
@@ -139,7 +143,7 @@
 /* Returns whether no owner of the SYN's flow can have been missed. */
 gboolean
 dp_flow_directory_covers (const DpFlowDirectory *directory,
-                          guint16 syn_age_ms,
+                          guint32 syn_age_ms,
                           gint64 now)
 {
   return now - directory->covers_since > syn_age_ms * DP_US_PER_MS + SYN_DELAY_US;
