Test that a copy rejected after a server's crash resets no answered flow

A third copy, delayed by the network, went back and forth between the directory's member 11 and companion 7 (visits 11, 7, 11, 7, 11, 7), which reset it (not_serving) 166 ms after it had passed the second one on; the server that had answered ran the request.

--- a/test/test_open_flows.py
+++ b/test/test_open_flows.py
@@ -207,6 +207,31 @@
     check(results == ["ok"], f"results {results}")
 
 
+def test_rejected_copy_after_a_server_crash_resets_no_answered_flow(site):
+    """The crashed server's companion was offered the first copy and passed the second on."""
+    hosted.start(site, n_balancers=1, n_servers=7, slots=40, work_s=KEPT_OPEN_S)
+    client = site.client()
+    client.run(time.monotonic() + 1.5)  # just after a start nothing is rejected
+    resets = ResetLog(client)
+    # The clients' acknowledgements are late, so that no flow is open.
+    client._send_request = lambda flow, now: None
+    site.servers[0].stop()
+    flows = hosted.ask(client, REPORTS, 120, "crash", 0.001)
+    client.run(time.monotonic() + 0.45)
+    answered = [f for f in flows if f["peer"] is not None and f["copies"] == 2
+                and not f["result"]]
+    check(answered, "no second copy was answered")
+    del resets.ports[:]
+    for flow in answered:
+        packet = standins.Packet(*flow["key"], standins.SYN, flow["seq"], 2)
+        client.socket.sendto(packet.pack(), (site.balancers[0].settings["ip"],
+                                             standins.PACKET_PORT))
+        client.run(time.monotonic() + 0.005)
+    client.run(time.monotonic() + 0.3)
+    reset = {f["key"][0][1] for f in answered} & set(resets.ports)
+    check(not reset, f"{len(reset)} of {len(answered)} answered flows were reset")
+
+
 def test_search_past_restarted_companions_reaches_the_owner(site):
     """All balancers have lost their caches, most companions their flows; one is paused."""
     hosted.start(site, n_balancers=1, n_servers=9, slots=4, work_s=KEPT_OPEN_S)
