--- a/src/libdogwoodpaddle/flowdirectory.c
+++ b/src/libdogwoodpaddle/flowdirectory.c
@@ -193,10 +193,10 @@
 
 /* Returns the member to ask for the flow's entry. */
 const DpMember *
-dp_flow_directory_active_member (const DpCandidates *candidates,
-                                 guint64 flow_hash,
-                                 guint first,
-                                 guint32 self_id)
+dp_flow_directory_preferred_member (const DpCandidates *candidates,
+                                    guint64 flow_hash,
+                                    guint first,
+                                    guint32 self_id)
 {
   const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
   const guint n = dp_flow_directory_members (candidates, flow_hash, members);
--- a/src/libdogwoodpaddle/include/protected/flowcache.h
+++ b/src/libdogwoodpaddle/include/protected/flowcache.h
@@ -1,6 +1,6 @@
-/* Set-associative cache of the members to which a balancer has sent recent flows. If an
- * entry is lost, the flow's packets are forwarded from member to member until they reach
- * the one that owns the flow. */
+/* Set-associative cache of the members to which a balancer has sent recent flows. If a
+ * row is lost, the flow's packets go to a member that keeps the flow's directory entry.
+ */
 #pragma once
 
 #include <glib.h>
--- a/src/libdogwoodpaddle/include/protected/flowdirectory.h
+++ b/src/libdogwoodpaddle/include/protected/flowdirectory.h
@@ -1,9 +1,9 @@
 /* Directory of the flows' owners. The members of a service share it: the first
- * DP_FLOW_DIRECTORY_MEMBERS members in a flow's order keep an entry that names the member
- * that has taken the flow's SYN, the owner. Any process can compute them from the flow's
- * hash. A packet of an unknown flow thus reaches its owner in two hops, however many
- * members the service has, and a SYN is rejected only if no member has taken another copy
- * of it. Performs no I/O. */
+ * DP_FLOW_DIRECTORY_MEMBERS members in a flow's order keep an entry that names the flow's
+ * owner: the member that has taken its SYN, whose server may answer it or has the open
+ * flow already. Any process can compute them from the flow's hash. A packet of an unknown
+ * flow thus reaches its owner in two hops, however many members the service has, and a
+ * SYN is rejected only if no member has taken another copy of it. Performs no I/O. */
 #pragma once
 
 #include <glib.h>
@@ -71,10 +71,10 @@
                                  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS]);
 /* Returns the first active one of these members from first on, where self counts as
  * active, or else the first one; NULL if the service has no members. */
-const DpMember *dp_flow_directory_active_member (const DpCandidates *candidates,
-                                                 guint64 flow_hash,
-                                                 guint first,
-                                                 guint32 self_id);
+const DpMember *dp_flow_directory_preferred_member (const DpCandidates *candidates,
+                                                    guint64 flow_hash,
+                                                    guint first,
+                                                    guint32 self_id);
 /* Returns the member that takes over a flow's entry from a member that stops: the first
  * active one that doesn't keep the entry anyway. A search visits it right after those.
  * Returns NULL if there is none. */
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -3,8 +3,8 @@
  * no I/O: the caller passes in a packet and the time, and carries out the decision.
  *
  * Only the companions know which member owns a flow. A packet that reaches a member
- * without its flow is forwarded along the flow's order of members until it reaches the
- * owner.
+ * without its flow is forwarded to the owner that the flow directory names or, if that
+ * has no entry, along the flow's order of members until it reaches the owner.
  *
  * Load pattern: more work than slots for some seconds, as at a peak of demand, or after a
  * power failure, when all clients come back at once to cold servers. The SYN of a new
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -688,8 +688,8 @@
   for (guint i = 0; i < n; i++)
     is_directory_member |= members[i]->id == passthrough->member_id;
   if (!is_directory_member && hop->search_steps < DP_SEARCH_STEPS_MAX)
-    next = dp_flow_directory_active_member (candidates, segment->hash,
-                                            hop->n_owners_tried, passthrough->member_id);
+    next = dp_flow_directory_preferred_member (
+        candidates, segment->hash, hop->n_owners_tried, passthrough->member_id);
   if (next == NULL)
     next = dp_candidates_after (candidates, segment->hash, DP_CANDIDATES_ALL,
                                 passthrough->member_id);
--- a/src/libdogwoodpaddle/synrejection.c
+++ b/src/libdogwoodpaddle/synrejection.c
@@ -20,7 +20,7 @@
 static gboolean keeps_entry_ (const DpSynRejecter *rejecter, const DpSegment *syn);
 static gboolean knows_other_member_ (const DpSynRejecter *rejecter);
 
-/* Passes the SYN to the flow's directory member, or decides here if this is one. */
+/* Marks the SYN as rejected and decides about it as about one from another member. */
 DpPassthroughDecision
 dp_syn_rejection_start (const DpSynRejecter *rejecter,
                         const DpSegment *syn,
--- a/test/test_open_flows.py
+++ b/test/test_open_flows.py
@@ -146,6 +146,22 @@
     check(not resets.ports, f"{len(resets.ports)} of {2 * len(flows)} copies were reset")
 
 
+def test_copy_at_a_balancer_without_route_gets_no_reset(site):
+    """Its first copy may have opened the flow by a route that this balancer doesn't know."""
+    hosted.start(site, n_balancers=1, n_servers=1)
+    client = site.client()
+    client.run(time.monotonic() + 0.5)
+    resets = ResetLog(client)
+    flow = client.start(("198.18.0.9", 443), b"copies")
+    flow["result"] = "sent by this test"
+    send_copies(site, client, flow, site.balancers[0])
+    client.run(time.monotonic() + 0.3)
+    check(not resets.ports, f"{len(resets.ports)} copies were reset")
+    first = client.start(("198.18.0.9", 443), b"first")
+    client.run(time.monotonic() + 0.15)
+    check(resets.ports == [first["key"][0][1]], "the first SYN was not rejected at once")
+
+
 def test_unread_registrations_reset_no_flow(site):
     """A companion was kept from running for 0.15 s: rejected SYNs and the registrations of
     the flows' owners have come meanwhile."""
