--- a/src/test_libdogwoodpaddle/test_flowdirectory.c
+++ b/src/test_libdogwoodpaddle/test_flowdirectory.c
@@ -64,7 +64,7 @@
     FALSE,
     7 },
   { "the one that opens the flow has it",
-    { { A, TAKEN, 7, 0 }, { B, OPEN, 7, 200 } },
+    { { A, TAKEN, 7, 0 }, { B, TAKEN, 7, 200 }, { B, OPEN, 7, 200 } },
     B,
     NOBODY,
     TRUE,
