Withdraw a SYN that a silent server was offered once a copy goes elsewhere

Withdrawals of SYNs whose wait ends at a tick are sent with that tick, no longer with the next packet.

test_silent_server checks the withdrawal and fails without it.

--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -569,6 +569,9 @@
     return dp_passthrough_decision_forward (&flow->forwarded_to,
                                             DP_PASSTHROUGH_PASSED_BEFORE, hop);
   came_back = retransmission && flow->state == DP_PASSTHROUGH_FLOW_FORWARDED;
+  /* The server has not answered the SYN that it was offered; a copy may go elsewhere. */
+  if (retransmission && dp_passthrough_flow_is_owned (flow))
+    withdraw_flow_ (passthrough, &segment->key, now);
   if (flow != NULL)
     dp_passthrough_flows_remove (passthrough->flows, flow);
   return dp_passthrough_admission_decide (passthrough->admission, segment, hop, came_back,
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -652,6 +652,7 @@
   dp_passthrough_tick (companion->passthrough, now);
   /* Releases the SYNs that wait for a server that has become silent. */
   release_held_syns_ (companion, now);
+  send_registrations_ (companion);
   companion->in_flight->value = dp_passthrough_in_flight (companion->passthrough);
   log_breaker_change_ (companion);
   send_report_ (companion, now);
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -1201,8 +1201,10 @@
 test_silent_server (void)
 {
   g_autoptr (DpPassthrough) p = make_passthrough (3);
+  DpOwnerRegistration registration = { 0 };
   DpPassthroughDecision decision;
 
+  dp_passthrough_set_address (p, &self_);
   send_syn (p, 1, DP_TRAFFIC_INTERACTIVE, 0, 0);
   send_syn (p, 2, DP_TRAFFIC_INTERACTIVE, 0, 10 * MS);
   CU_ASSERT_FALSE (dp_passthrough_server_is_silent (p, 100 * MS));
@@ -1210,6 +1212,9 @@
   /* The SYN's retransmission after 200 ms goes to another member. */
   decision = send_syn (p, 1, DP_TRAFFIC_INTERACTIVE, 0, 200 * MS);
   CU_ASSERT_EQUAL (decision.action, DP_PASSTHROUGH_TO_MEMBER);
+  while (dp_passthrough_next_registration (p, &registration))
+    ;
+  CU_ASSERT_TRUE (registration.owner.withdrawn);
   send_server (p, 2, DP_TCP_SYN | DP_TCP_ACK, 0, 250 * MS);
   CU_ASSERT_FALSE (dp_passthrough_server_is_silent (p, 260 * MS));
 }
