--- a/test/hosted/soak.py
+++ b/test/hosted/soak.py
@@ -53,6 +53,7 @@
 REORDER_S = 2.0  # reorder_ms of rule FLOW
 STABLE_S = 4.0  # stable_window_ms: a process is in touch again so long after a fault
 STRAYS_MAX = 2  # arrivals of packets at other servers within REORDER_S
+SERIES_MAX = 30  # processes that a series restarts
 KEPT_MAX = 24  # flows that stay open at a time
 KEPT_S = 45.0  # their longest life, shorter than flow_ttl_s
 # (seed, options, cause). What happens between the faults depends on the machine's speed: a seed
@@ -112,15 +113,70 @@
                 and (d.until is None or d.until > since - STABLE_S)]
 
 
+class Load:
+    """Clients' flows of one request, downloads, and flows that stay open for many requests."""
+
+    def __init__(self, client, rng, rate, first=0, kept_share=0.15, kept_max=KEPT_MAX):
+        self.client, self.rng, self.rate = client, rng, rate
+        self.kept_share, self.kept_max = kept_share, kept_max
+        self.first = first  # number of the first request
+        self.flows, self.kept = [], []
+        self.next_flow = time.monotonic() + 0.5
+        self.ends_at = float("inf")  # for flows that stay open
+        self.finished_at = None
+
+    def requests_of_kept_flow(self, number):
+        began = time.monotonic()
+        for i in itertools.count(1):
+            if time.monotonic() > min(self.ends_at, began + KEPT_S):
+                break
+            yield self.rng.uniform(0.1, 2.0), b"+request-%d-%d" % (number, i)
+        yield 0.1, b"request-%d-last" % number
+
+    def start_flow(self):
+        number = self.first + len(self.flows)
+        route = self.rng.choice(ROUTES[:2] * 10 + ROUTES[2:])
+        self.kept = [f for f in self.kept if not f["result"]]
+        if (route is ROUTES[2] or self.rng.random() > self.kept_share
+                or len(self.kept) >= self.kept_max):
+            self.flows.append(self.client.start(route[:2], b"request-%d" % number))
+            return
+        self.flows.append(self.client.start(route[:2], b"+request-%d-0" % number,
+                                            self.requests_of_kept_flow(number)))
+        self.kept.append(self.flows[-1])
+
+    def step(self):
+        """Starts a flow and goes on until the next one is due."""
+        self.start_flow()
+        self.next_flow += 1 / self.rate
+        self.client.run(max(self.next_flow, time.monotonic() + 0.001))
+
+    def finish(self):
+        """Ends all flows and returns those of the last requests."""
+        self.client.run(time.monotonic() + RECOVERY_S)
+        self.ends_at = time.monotonic()
+        last = []
+        for i in range(12):
+            last.append(self.client.start(ROUTES[i % 3][:2],
+                                          b"last-%d" % (self.first + i)))
+            self.client.run(time.monotonic() + 0.1)
+        self.client.run(time.monotonic() + 8, self.flows + last)
+        self.finished_at = time.monotonic()
+        return last
+
+
 class Soak:
+    N_DOWNLOADS = 2  # servers for downloads
+    ADDED_MAX = 3
+
     def __init__(self, seed, options, folder):
         random.seed(seed)  # the stand-ins' sequence numbers
-        self.seed, self.folder = seed, folder
+        self.seed, self.folder, self.options = seed, folder, options
         # The times of packets differ from run to run; faults must not depend on them.
-        self.rng, self.load_rng, network_rng = [random.Random(f"{seed} {use}") for use in
-                                                ("faults", "load", "network")]
+        self.rng, self.load_rng, self.network_rng = [
+            random.Random(f"{seed} {use}") for use in ("faults", "load", "network")]
         self.rate, self.seconds = options.rate, options.seconds
-        self.site = standins.Site(PROGRAM, folder)
+        self.site = self.make_site()
         self.site.configure(ROUTES)
         self.disturbances = Disturbances()
         self.planned_work = []  # heap of (time, number, function)
@@ -131,19 +187,29 @@
         n_companions = options.companions or self.rng.randint(10, 14)
         for i in range(n_balancers):
             self.site.add_balancer(ZONES[i % 3])
-        for i in range(n_companions - 2):
+        for i in range(n_companions - self.N_DOWNLOADS):
             self.site.add_server("darbnica", ZONES[i % 3], work_s=0.02)
-        for i in range(2):
-            self.site.add_server("rokasgramata", ZONES[i], answer=b"m" * 60000)
-        self.site.wait_ready(20.0)
-        self.router = standins.Router(self.site.balancers, self.rng.random() < 0.5, network_rng)
-        self.client = standins.RoutedClients(self.site, self.router, network_rng)
-        self.site.clients.append(self.client)
+        for i in range(self.N_DOWNLOADS):
+            self.site.add_server("rokasgramata", ZONES[i % 3], answer=b"m" * 60000)
+        self.site.wait_ready(60.0)
+        self.router = standins.Router(self.site.balancers, self.by_hash(), self.network_rng)
         self.began = time.monotonic()
+        self.load = self.make_load()
         self.note(f"{n_balancers} balancers, {n_companions} companions, router "
                   f"{'by hash' if self.router.by_hash else 'at random'}, now is "
                   f"{datetime.datetime.now(datetime.timezone.utc):%H:%M:%S.%f}")
 
+    def make_site(self):
+        return standins.Site(PROGRAM, self.folder)
+
+    def by_hash(self):
+        return self.rng.random() < 0.5
+
+    def make_load(self):
+        self.client = standins.RoutedClients(self.site, self.router, self.network_rng)
+        self.site.clients.append(self.client)
+        return Load(self.client, self.load_rng, self.rate)
+
     def note(self, text):
         self.log.append(f"{time.monotonic() - self.began:7.3f} {text}")
 
@@ -201,7 +267,8 @@
         """Restarts up to half of the balancers or companions, one after the other."""
         processes = self.rng.choice([self.site.balancers, self.site.companions])
         delay = 0.0
-        for process in self.rng.sample(processes, self.rng.randint(2, len(processes) // 2)):
+        n_processes = self.rng.randint(2, min(SERIES_MAX, len(processes) // 2))
+        for process in self.rng.sample(processes, n_processes):
             self.later(delay, lambda process=process: self.stop_process(process))
             delay += self.rng.uniform(0.3, 1.2)
 
@@ -241,8 +308,9 @@
     def replace_server(self, old, delay):
         def replace():
             self.note(f"start {old.identity}x")
-            self.site.servers.append(standins.Server(old.ip, old.service, old.zone,
-                                                     old.identity + "x", work_s=old.work_s))
+            self.site.servers.append(self.site.server_class(
+                old.ip, old.service, old.zone, old.identity + "x", work_s=old.work_s,
+                heartbeat_s=old.heartbeat_s))
 
         self.later(delay, replace)
 
@@ -279,7 +347,7 @@
             self.later(self.rng.uniform(0.3, 1.2) * i, self.drain_server)
 
     def add_server(self):
-        if self.n_added < 3:
+        if self.n_added < self.ADDED_MAX:
             self.n_added += 1
             companion, server = self.site.add_server(
                 "darbnica", self.rng.choice(ZONES), work_s=0.02)
@@ -332,11 +400,12 @@
     def bad_network(self):
         loss, repeat, delay = self.rng.choice([(0.03, 0.05, 0.02), (0.05, 0.2, 0.5)])
 
-        def set_network(loss, repeat, delay):
-            self.client.loss, self.client.repeat, self.client.delay = loss, repeat, delay
-
         self.disturb("network", f"delays up to {delay} s", 1.5,
-                     lambda: set_network(loss, repeat, delay), lambda: set_network(0, 0, 0))
+                     lambda: self.set_network(loss, repeat, delay),
+                     lambda: self.set_network(0, 0, 0))
+
+    def set_network(self, loss, repeat, delay):
+        self.client.loss, self.client.repeat, self.client.delay = loss, repeat, delay
 
     FAULTS = [kill_process, stop_process, pause_process, reload_process, crash_server,
               drain_server, refuse_syns, store_down, store_loses_answers, store_compacts,
@@ -344,34 +413,12 @@
     SERIES = [restart_series, restart_series, reload_series, drain_series,
               configuration_series, add_server]
 
-    def requests_of_kept_flow(self, number):
-        began = time.monotonic()
-        for i in itertools.count(1):
-            if time.monotonic() > min(self.load_ends_at, began + KEPT_S):
-                break
-            yield self.load_rng.uniform(0.1, 2.0), b"+request-%d-%d" % (number, i)
-        yield 0.1, b"request-%d-last" % number
-
-    def start_flow(self, number):
-        """Starts a flow of one request, a download, or a flow that stays open."""
-        route = self.load_rng.choice(ROUTES[:2] * 10 + ROUTES[2:])
-        kept = sum(1 for f in self.kept if not f["result"])
-        if route is ROUTES[2] or self.load_rng.random() > 0.15 or kept >= KEPT_MAX:
-            return self.client.start(route[:2], b"request-%d" % number)
-        self.kept.append(self.client.start(route[:2], b"+request-%d-0" % number,
-                                           self.requests_of_kept_flow(number)))
-        return self.kept[-1]
-
     def run(self):
-        next_flow = next_fault = next_series = time.monotonic() + 0.5
+        next_fault = next_series = time.monotonic() + 0.5
         end = time.monotonic() + self.seconds
         # Work that was begun is finished, at its own times and under load.
-        self.load_ends_at = end + RECOVERY_S + 8
-        flows, self.kept = [], []
         while time.monotonic() < end or self.planned_work:
-            flows.append(self.start_flow(len(flows)))
-            next_flow += 1 / self.rate
-            self.client.run(max(next_flow, time.monotonic() + 0.001))
+            self.load.step()
             self.do_planned_work()
             if next_fault <= time.monotonic() < end:
                 self.rng.choice(self.FAULTS)(self)
@@ -380,17 +427,11 @@
                 self.rng.choice(self.SERIES)(self)
                 next_series += self.rng.expovariate(1 / 2.0)
         self.note("all faults are over")
-        self.client.run(time.monotonic() + RECOVERY_S)
-        self.load_ends_at = time.monotonic()
-        last = []
-        for i in range(12):
-            last.append(self.client.start(ROUTES[i % 3][:2], b"last-%d" % i))
-            self.client.run(time.monotonic() + 0.1)
-        self.client.run(time.monotonic() + 8, flows + last)
-        return self.check(flows, last)
+        last = self.load.finish()
+        return self.check(self.load.flows, last)
 
     def check(self, flows, last):
-        self.checked_at = time.monotonic()
+        self.checked_at = self.load.finished_at
         faults = []
         runs = {}
         for server in self.site.servers:
@@ -477,6 +518,13 @@
         return names | {server.identity} | {c.name for c in self.site.companions
                                             if c.settings["ip"] == server.ip}
 
+    def close(self):
+        self.router.closed = True
+        for process in self.site.balancers + self.site.companions:
+            if process.process.poll() is None:
+                process.process.send_signal(signal.SIGCONT)
+        self.site.close()
+
     def describe(self, flow, text):
         """The fault with what the stand-ins and the processes know of its flow."""
         key = flow["key"]
@@ -521,11 +569,7 @@
         print("\n".join(lines), flush=True)
         return not faults
     finally:
-        soak.router.closed = True
-        for process in soak.site.balancers + soak.site.companions:
-            if process.process.poll() is None:
-                process.process.send_signal(signal.SIGCONT)
-        soak.site.close()
+        soak.close()
         shutil.rmtree(folder)
 
 
--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -3,6 +3,7 @@
 They speak the platform's published protocol with a sum of their own, on loopback addresses.
 """
 
+import bisect
 import collections
 import heapq
 import http.client
@@ -240,7 +241,9 @@
         since = int(arguments["watch"])
         end = time.monotonic() + int(arguments.get("wait_ms", 0)) / 1000
         while True:
-            events = [e for r, k, e in self.events if r > since and k == kind]
+            first = bisect.bisect_right(self.events, since, key=lambda event: event[0])
+            events = [e for _, k, e in itertools.islice(self.events, first, None)
+                      if k == kind]
             if self.down:
                 return 503, {"error": "down"}
             if events:
@@ -293,6 +296,7 @@
         self.resets = {}  # flow to the time of a reset that this server sent
         self.active = set()  # flows with work to do or data to send
         self.stopped_at = None
+        self.lag = 0.0  # longest time without a look at the socket and the flows
         self.syns = []  # (flow, time)
         self.violations = []
         self.taking = True  # FALSE: returns SYNs
@@ -341,6 +345,7 @@
             time.sleep(self.heartbeat_s)
 
     def _serve(self):
+        looked_at = time.monotonic()
         while not self.stopping:
             ready, _, _ = select.select([self.socket], [], [], 0.02)
             for _ in range(32 if ready else 0):
@@ -350,6 +355,7 @@
                     break
                 self._take(Packet.unpack(datagram))
             now = time.monotonic()
+            self.lag, looked_at = max(self.lag, now - looked_at), now
             self.active = {key for key in self.active
                            if self._go_on(key, self.flows[key], now)}
 
@@ -489,6 +495,7 @@
         self.socket.bind((ip, PACKET_PORT))
         self.next_port = 20000
         self.flows = {}
+        self.lag, self.looked_at = 0.0, None  # longest time between two rounds of the timers
 
     def close(self):
         self.socket.close()
@@ -552,6 +559,8 @@
             now = time.monotonic()
             if now >= timers_at:
                 timers_at = now + 0.005
+                self.lag = max(self.lag, now - (self.looked_at or now))
+                self.looked_at = now
                 for flow in self.flows.values():
                     if not flow["result"]:
                         self._go_on(flow, now)
@@ -692,8 +701,8 @@
 class RoutedClients(Clients):
     """Clients behind a router and a network that loses, delays and repeats packets."""
 
-    def __init__(self, site, router, rng):
-        super().__init__(f"{site.prefix}.9.1", [])
+    def __init__(self, site, router, rng, number=1):
+        super().__init__(f"{site.prefix}.9.{number}", [])
         self.site, self.router, self.rng = site, router, rng
         self.loss = self.repeat = self.delay = 0.0
         self.late = []  # (time, number, datagram, balancer)
@@ -786,8 +795,9 @@
 class Site:
     """A whole deployment below one loopback prefix, as "127.33"."""
 
-    def __init__(self, program, folder):
+    def __init__(self, program, folder, server_class=Server, heartbeat_ms=200):
         self.program, self.folder = program, folder
+        self.server_class, self.heartbeat_ms = server_class, heartbeat_ms
         self.prefix, self.store = self._open_store()
         self.balancers, self.companions, self.servers = [], [], []
         self.clients = []
@@ -811,7 +821,8 @@
             "node_name": name, "role": role, "ip": ip, "zone": zone, "region": "lv-riga",
             "listen": {"datagram_addr": f"{ip}:{PACKET_PORT}",
                        "ready": f"{ip}:{READY_PORT}"},
-            "internal_port_range": [7720, 7735], "seeds": seeds, "heartbeat_ms": 200,
+            "internal_port_range": [7720, 7735], "seeds": seeds,
+            "heartbeat_ms": self.heartbeat_ms,
             "bounds": {"flow_ttl_s": 60, "stable_window_ms": 4000,
                        "config_apply_ms": 3000},
             "platform": {"address": f"{self.prefix}.200.1:{STORE_PORT}"}}
@@ -839,7 +850,8 @@
         settings["listen"]["outbound"] = f"{ip}:{OUTBOUND_PORT}"
         settings["listen"]["control_plane"] = f"{ip}:{ANNOUNCE_PORT}"
         companion = Process(self.program, "companion", self.folder, settings)
-        server = Server(ip, service, zone, f"i-{service}-{number}", **options)
+        server = self.server_class(ip, service, zone, f"i-{service}-{number}",
+                                   heartbeat_s=self.heartbeat_ms / 1000, **options)
         self.companions.append(companion)
         self.servers.append(server)
         return companion, server
