--- a/test/hosted/fleet.py
+++ b/test/hosted/fleet.py
@@ -10,16 +10,20 @@
 configurations, servers and their companions that are added, drained and removed, in series that
 overlap. Without it there are soak's faults as well.
 
-The report states how late the stand-ins were themselves: a lag near a time of the rule (2 s) makes
-the result one of the harness. The logs of all processes stay in the folder if a case was found.
+The report states how late the stand-ins were themselves, and how often processes got no processor:
+delays near a time of the rule (2 s) make the result one of the machine. The logs of all processes stay in the folder if a case was found.
 """
 
 import argparse
 import collections
 import concurrent.futures
+import glob
 import itertools
 import multiprocessing.managers
+import os
+import pathlib
 import random
+import re
 import shutil
 import signal
 import sys
@@ -253,7 +257,11 @@
           f"{sum(len(s.runs) for s in fleet.site.servers)} requests run, "
           f"{dict(collections.Counter(f['result'] for f in flows))}")
     print(f"cases: {dict(kinds) or 'none'}")
-    print(f"largest lag of the stand-ins: {lags}", flush=True)
+    print(f"largest lag of the stand-ins: {lags}")
+    pauses = [int(ms) for path in glob.glob(os.path.join(fleet.folder, "*.log"))
+              for ms in re.findall("did not run for ([0-9]+) ms", pathlib.Path(path).read_text())]
+    print(f"processes that did not run for a while: {len(pauses)} times, "
+          f"at most {max(pauses, default=0)} ms", flush=True)
 
 
 def main():
