--- a/src/test_platform/test_hosted_packet.c
+++ b/src/test_platform/test_hosted_packet.c
@@ -118,6 +118,9 @@
   const DpHop hop = { .service_tag = 0xabcdef,
                       .class = DP_TRAFFIC_BULK,
                       .n_visited = 7,
+                      .n_owners_tried = DP_OWNERS_TRIED_MAX,
+                      .reject_reason = 3,
+                      .n_confirmed = 1,
                       .wait_limit_ms = 75,
                       .deadline_ms = 2500 };
   guint8 packet[sizeof syn_];
@@ -130,6 +133,8 @@
   CU_ASSERT_EQUAL (read.service_tag, hop.service_tag);
   CU_ASSERT_EQUAL (read.class, hop.class);
   CU_ASSERT_EQUAL (read.n_visited, hop.n_visited);
+  CU_ASSERT_EQUAL (read.reject_reason, 3);
+  CU_ASSERT_EQUAL (read.n_confirmed, 1);
   CU_ASSERT_EQUAL (read.wait_limit_ms, 75);
   CU_ASSERT_EQUAL (read.deadline_ms, 2500);
   CU_ASSERT_EQUAL (memcmp (packet + 10, syn_ + 10, sizeof syn_ - 10), 0);
@@ -139,6 +144,7 @@
   platform_packet_format.read_hop (packet, &read);
   CU_ASSERT_EQUAL (read.n_visited, 7);
   CU_ASSERT_EQUAL (read.class, DP_TRAFFIC_BULK);
+  CU_ASSERT_EQUAL (read.n_owners_tried, DP_OWNERS_TRIED_MAX);
 }
 
 static void
