--- a/test/hosted/fleet.py
+++ b/test/hosted/fleet.py
@@ -36,7 +36,7 @@
 import standins
 
 SERVER_PROCESSES = 8
-CLIENT_PROCESSES = 4
+CLIENT_PROCESSES = 8
 REQUESTS_MAX = 1000000  # numbers of the requests of one client process
 KEPT_SHARE = 0.8  # of the new flows
 HEARTBEAT_MS = 770  # of the deployment's settings
@@ -135,6 +135,16 @@
         self.proxy.stop(sign_off)
 
 
+def dropped_datagrams():
+    """Datagrams that full sockets have dropped, by the third number of their address."""
+    n_dropped = collections.Counter()
+    for line in pathlib.Path("/proc/net/udp").read_text().splitlines()[1:]:
+        fields = line.split()
+        ip = int(fields[1].partition(":")[0], 16).to_bytes(4, "little")
+        n_dropped[tuple(ip[:3])] += int(fields[-1])
+    return n_dropped
+
+
 class FleetLoad:
     """The loads of all client processes; tells them which balancers are in rotation."""
 
@@ -163,6 +173,10 @@
             while not all(end.done() for end in ends):
                 self.step()
             records = [end.result() for end in ends]
+            prefix = tuple(int(part) for part in self.fleet.site.prefix.split("."))
+            n_dropped = dropped_datagrams()
+            self.n_dropped = {who: n_dropped[*prefix, number] for who, number in
+                              (("balancers", 1), ("companions and servers", 2), ("clients", 9))}
             self.finished_at = min(record["finished_at"] for record in records)
             servers = [types.SimpleNamespace(stopping=True, **record) for record in
                        pool.map(lambda server: server.proxy.record(), self.fleet.site.servers)]
@@ -260,6 +274,7 @@
     print(f"largest lag of the stand-ins: {lags}")
     pauses = [int(ms) for path in glob.glob(os.path.join(fleet.folder, "*.log"))
               for ms in re.findall("did not run for ([0-9]+) ms", pathlib.Path(path).read_text())]
+    print(f"datagrams dropped by full sockets: {fleet.load.n_dropped}")
     print(f"processes that did not run for a while: {len(pauses)} times, "
           f"at most {max(pauses, default=0)} ms", flush=True)
 
