--- a/src/libdogwoodpaddle/flowdirectory.c
+++ b/src/libdogwoodpaddle/flowdirectory.c
@@ -48,7 +48,8 @@
   g_free (directory);
 }
 
-/* A full directory takes no new entries; flows without one are searched. */
+/* A full directory takes no new entries; flows without one are searched, and no SYN is
+ * rejected here. */
 void
 dp_flow_directory_register (DpFlowDirectory *directory,
                             const DpFlowOwner *owner,
@@ -61,7 +62,10 @@
   else if (entry == NULL)
     {
       if (g_hash_table_size (directory->entries) >= ENTRIES_MAX)
-        return;
+        {
+          dp_flow_directory_note_gap (directory, now);
+          return;
+        }
       entry = g_new (Entry, 1);
       *entry = (Entry){ .owner = *owner, .used_at = now };
       g_hash_table_add (directory->entries, entry);
@@ -189,10 +193,10 @@
 
 /* Returns the member to ask for the flow's entry. */
 const DpMember *
-dp_flow_directory_active_member (const DpCandidates *candidates,
-                                 guint64 flow_hash,
-                                 guint first,
-                                 guint32 self_id)
+dp_flow_directory_preferred_member (const DpCandidates *candidates,
+                                    guint64 flow_hash,
+                                    guint first,
+                                    guint32 self_id)
 {
   const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
   const guint n = dp_flow_directory_members (candidates, flow_hash, members);
