Judge half (b) of rule FLOW in the soak only until the flow is closed

The check took packets that arrive after both ends have sent their FIN as the begin of further times without packets at the own server. The rule counts open flows, and a flow closes when both ends have sent a FIN. Until then the check is as strict as before.

--- a/test/hosted/soak.py
+++ b/test/hosted/soak.py
@@ -588,7 +588,8 @@
                         if other is not server
                         for arrived, sent, _ in other.strays.get(key, [])
                         if sent > server.opened[key] + step)
-        own = server.own[key] + [self.open_until(flow, server)]
+        closed_at = self.open_until(flow, server)
+        own = [at for at in server.own[key] if at < closed_at] + [closed_at]
         for begin, end in itertools.pairwise(own):
             found = [s for s in strays if begin < s[0] < end]
             for i, (since, sent) in enumerate(found):
