--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -34,6 +34,7 @@
 STORE_PORT = 8169
 PROBE_S = 0.5  # between two calls of /readyz
 COPY_DELAYS_S = (0.0, 0.2, 0.6)
+ATTEMPT_S = 1.4  # after which a client without an answer to its SYN gives up
 RETRANSMIT_S = 0.2
 RETRANSMIT_MAX_S = 1.6  # the interval doubles up to this
 RETRANSMISSIONS_MAX = 8  # of a server, which then gives the flow up
@@ -652,13 +653,13 @@
     def _go_on(self, flow, now):
         if flow["peer"] is None:
             age = now - flow["started"]
-            if flow["copies"] < len(COPY_DELAYS_S) and age >= COPY_DELAYS_S[
+            if age > ATTEMPT_S:
+                flow["result"] = "no answer"
+            elif flow["copies"] < len(COPY_DELAYS_S) and age >= COPY_DELAYS_S[
                     flow["copies"]]:
                 # A SYN's acknowledgement number counts its copies.
                 self._send(flow, SYN, flow["seq"], flow["copies"])
                 flow["copies"] += 1
-            elif age > 1.4:
-                flow["result"] = "no answer"
             return
         if flow["next_at"] is not None and now >= flow["next_at"]:
             flow["next_at"], flow["asked_at"] = None, now
