--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -288,10 +288,12 @@
       flow->member = DP_HANDLE_NONE;
       flow = NULL;
     }
-  /* A search is started anew at another member if its first one is probably down. */
-  if (flow != NULL && !opens_flow && flow->searched
+  /* The member is probably down. If it has only passed the SYN on, another member has the
+   * flow. */
+  if (flow != NULL && !opens_flow
       && !dp_placement_is_reporting (balancer->placement, flow->member, now))
     {
+      end_flow_ (balancer, flow);
       flow->member = DP_HANDLE_NONE;
       flow = NULL;
     }
@@ -305,6 +307,7 @@
     log_silent_member_ (balancer, &segment, flow->member, &member, now);
   hop.service_tag = flow->service_tag;
   hop.class = flow->class;
+  hop.search_steps = flow->searched && !opens_flow ? 1 : 0;
   if (opens_flow)
     set_times_ (balancer, &segment, &hop);
   format->write_hop (data, &hop);
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -89,6 +89,10 @@
                                guint8 *data,
                                gsize length,
                                gpointer user_data);
+static void register_owner_ (DpPassthroughCompanion *companion,
+                             const DpAddress *source,
+                             const DpFlowOwner *owner,
+                             gint64 now);
 static void
 apply_list_ (DpPassthroughCompanion *companion, const DpMemberList *list, gint64 now);
 static void ask_new_members_ (DpPassthroughCompanion *companion,
@@ -143,6 +147,8 @@
                                        companion, error);
   if (companion->report == NULL)
     return FALSE;
+  /* A registration that has come is read before the packets that it decides about. */
+  dp_udp_port_set_priority (companion->report, G_PRIORITY_HIGH);
   dp_passthrough_reporter_start (companion->reporter, companion->report);
   companion->report_source = g_timeout_add (DP_REPORT_SAME_ZONE_INTERVAL_MS,
                                             report_timeout_, companion);
@@ -491,13 +497,15 @@
   dp_flow_log_write (
       segment, dp_passthrough_action_string (decision->action),
       dp_passthrough_reason_string (decision->reason),
-      "member=%s visited=%u members=%u in_flight=%u slots=%u flags=%u syn_age_ms=%u "
+      "member=%s visited=%u steps=%u owners_tried=%u members=%u in_flight=%u slots=%u "
+      "flags=%u syn_age_ms=%u "
       "state=%s state_ms=%" G_GINT64_FORMAT " view_ms=%" G_GINT64_FORMAT
       " all_flows_known=%d",
       decision->action == DP_PASSTHROUGH_TO_MEMBER
           ? dp_address_format (&decision->member, member)
           : companion->name,
-      decision->hop.n_visited, dp_passthrough_n_members (companion->passthrough),
+      decision->hop.n_visited, decision->hop.search_steps, decision->hop.n_owners_tried,
+      dp_passthrough_n_members (companion->passthrough),
       dp_passthrough_in_flight (companion->passthrough), companion->announcement.slots,
       segment->flags, segment->syn_age_ms,
       basis->flow_state == NULL ? "released" : basis->flow_state,
@@ -525,13 +533,26 @@
   else if (message.type == DP_REPORT_MEMBERS)
     apply_list_ (companion, &message.list, now);
   else if (message.type == DP_REPORT_OWNER)
-    dp_passthrough_register_owner (companion->passthrough, &message.owner, now);
+    register_owner_ (companion, source, &message.owner, now);
   else if (message.type == DP_REPORT_OWNERS_WANTED)
     dp_passthrough_repeat_registrations (companion->passthrough, &message.wanted_by);
   dp_report_message_clear (&message);
   send_registrations_ (companion);
 }
 
+/* A member other than the owner may name one that has changed since. */
+static void
+register_owner_ (DpPassthroughCompanion *companion,
+                 const DpAddress *source,
+                 const DpFlowOwner *owner,
+                 gint64 now)
+{
+  if (source->ip == owner->member.ip)
+    dp_passthrough_register_owner (companion->passthrough, owner, now);
+  else
+    dp_passthrough_register_copy (companion->passthrough, owner, now);
+}
+
 static void
 apply_list_ (DpPassthroughCompanion *companion, const DpMemberList *list, gint64 now)
 {
@@ -696,6 +717,8 @@
   if (age < STOP_MIN_MS * DP_US_PER_MS
       || (in_flight > 0 && age < STOP_MAX_MS * DP_US_PER_MS))
     return G_SOURCE_CONTINUE;
+  dp_passthrough_hand_over (companion->passthrough);
+  send_registrations_ (companion);
   g_message ("companion %s stopped, %u flows in flight", companion->name, in_flight);
   companion->stop_source = 0;
   companion->stopped_func (companion->stopped_data);
