Begin a search at the successor while the directory's members are down

Companion 43, the first one with the flow's directory entry, and the second one were being restarted; balancer 91 sent the packets to 43 all the same, 0.6 s to 3.2 s after its last report, until 43 had started and walked on with half of the list of members. The successor had the entry: it had been handed over.

A balancer now begins the search at the successor if neither member with the entry reports. The new case of test_placement fails on the code before. The folder that fleet.py is given need not exist.

--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -21,6 +21,7 @@
  * list of several parts every few seconds, have received it. */
 #define GONE_LISTED_US (60 * DP_US_PER_S)
 #define MEMBERS_MAX 16384
+#define NO_MEMBER_ID 0
 /* Added to the flows in flight per slot of members outside the balancer's availability
  * zone when members are compared, by class: bytes between availability zones cost more
  * than a short wait, and downloads cause most of them. */
@@ -247,7 +248,8 @@
 
 /* Returns the first member in the flow's rendezvous order, whatever its state. If that
  * one has stopped reporting, returns the next one that also keeps the flow's directory
- * entry and still reports. Returns DP_HANDLE_NONE if the service has no members. */
+ * entry and still reports, or else the member that takes over the entry when these stop.
+ * Returns DP_HANDLE_NONE if the service has no members. */
 DpHandle
 dp_placement_first_candidate (DpPlacement *placement,
                               guint64 service_id,
@@ -255,12 +257,17 @@
                               gint64 now)
 {
   const Service *service = find_service_ (placement, service_id);
-  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
+  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS + 1];
+  const DpMember *successor;
   DpHandle first = DP_HANDLE_NONE;
-  guint n = 0;
-
-  if (service != NULL && service->candidates != NULL)
-    n = dp_flow_directory_members (service->candidates, flow_hash, members);
+  guint n;
+
+  if (service == NULL || service->candidates == NULL)
+    return DP_HANDLE_NONE;
+  n = dp_flow_directory_members (service->candidates, flow_hash, members);
+  successor = dp_flow_directory_successor (service->candidates, flow_hash, NO_MEMBER_ID);
+  if (successor != NULL)
+    members[n++] = successor;
   for (guint i = 0; i < n; i++)
     {
       const DpHandle handle = GPOINTER_TO_UINT (
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -167,6 +167,27 @@
   CU_ASSERT_EQUAL (next, member);
 }
 
+/* While all members that keep a flow's entry are restarted, a search that starts there
+ * ends there. */
+static void
+test_search_starts_at_the_successor (void)
+{
+  static const char *const names[] = { "a-1", "a-2", "b-1" };
+  g_autoptr (DpPlacement) placement = make_placement (0, 0, 0);
+  const guint64 service = dp_service_id (SERVICE);
+
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      const gint64 now = (2 + i) * DP_US_PER_S;
+      const DpReport report = make_report (names[i], i < 2 ? "riga-a" : "riga-b", i + 1,
+                                           0);
+
+      dp_placement_apply_report (placement, &report, now);
+      CU_ASSERT_TRUE (is_member (
+          placement, dp_placement_first_candidate (placement, service, 7, now), i + 1));
+    }
+}
+
 /* Guards against companions that forward new flows to members that have crashed. */
 static void
 test_silent_member_listed (void)
@@ -355,6 +376,7 @@
   { "a silent member takes no new flows", test_silent_member },
   { "a search starts at a member that reports",
     test_search_starts_at_a_reporting_member },
+  { "a search starts at the successor", test_search_starts_at_the_successor },
   { "a silent member is listed as leaving", test_silent_member_listed },
   { "a member with a long report interval is not silent", test_rare_reports },
   { "a leaving member takes no new flows and stays listed", test_leaving_member },
--- a/test/hosted/fleet.py
+++ b/test/hosted/fleet.py
@@ -11,7 +11,8 @@
 overlap. Without it there are soak's faults as well.
 
 The report states how late the stand-ins were themselves, and how often processes got no processor:
-delays near a time of the rule (2 s) make the result one of the machine. The logs of all processes stay in the folder if a case was found.
+delays near a time of the rule (2 s) make the result one of the machine. The logs of all
+processes stay in the folder if a case was found.
 """
 
 import argparse
@@ -294,6 +295,7 @@
     options.kept = options.kept or 10 * options.companions
     options.links = 0.0  # links and clocks are left alone
     folder = options.logs or tempfile.mkdtemp(prefix="fleet-")
+    os.makedirs(folder, exist_ok=True)
     # Before any thread of this process begins: the workers are forked.
     workers = [Worker() for _ in range(CLIENT_PROCESSES + SERVER_PROCESSES)]
     for worker in workers:
