Make the test of a search after a long way fail without its change

The test now fails if the visits of the SYN count as steps of the search, and passes as the code is.

--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -800,13 +800,19 @@
   const guint flow = flow_of (DIRECTORY_ELSEWHERE);
   const DpSegment segment = make_segment (flow, DP_TCP_ACK, 101, 1, 0);
   const DpHop hop = make_hop (DP_TRAFFIC_INTERACTIVE, DP_PASSTHROUGH_VISITS_MAX - 1);
-  const DpPassthroughDecision decision = dp_passthrough_from_peer (p, &segment, &hop, 0);
   const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
+  DpPassthroughDecision decision;
 
   dp_flow_directory_members (candidates, segment.hash, members);
+  /* The next member in the ring is the first one, which the directory passes over. */
+  for (guint i = 0; i < view->n_members; i++)
+    if (view->members[i].id == members[0]->id)
+      view->members[i].state = DP_MEMBER_LEAVING;
+  dp_passthrough_set_view (p, view, 0);
+  decision = dp_passthrough_from_peer (p, &segment, &hop, 0);
   CU_ASSERT_EQUAL (decision.reason, DP_PASSTHROUGH_SEARCHING);
   CU_ASSERT_EQUAL (decision.hop.search_steps, 1);
-  CU_ASSERT_TRUE (dp_address_equal (&decision.member, &members[0]->address));
+  CU_ASSERT_TRUE (dp_address_equal (&decision.member, &members[1]->address));
 }
 
 /* A flow stalls if the member that its SYN was forwarded to is down, though the directory
