Pass over members that don't answer while a flow's owner is searched

Cause: without a directory entry a packet goes from member to member, and the sender of a packet took every listed member for one that passes it on. A host that is lost stays listed for 15 s and more, so each packet and each retransmission of the flow ended there. Traced with `explain`: flow 20006 went 2.2, 2.6, 2.7, 2.4 and then to the lost 2.3, four times; its server 2.1, the next one, never saw it.

Change: the member that such a packet is handed to is probed along with it, and the packet is kept for 100 ms. Without an answer it goes on to the next member. Members that have left a probe unanswered are passed over and visited last. A balancer begins a search at any member that reports if those with the flow's entry don't.

--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -4,7 +4,10 @@
  *
  * Only the companions know which member owns a flow. A packet that reaches a member
  * without its flow is forwarded to the owner that the flow directory names or, if that
- * has no entry, along the flow's order of members until it reaches the owner.
+ * has no entry, along the flow's order of members until it reaches the owner. A member on
+ * the way may be down without anybody knowing it yet. It is probed along with the packet,
+ * which is kept: if the probe is not answered, the packet goes on to the next member.
+ * Members that have left a probe unanswered are visited last.
  *
  * Load pattern: more work than slots for some seconds, as at a peak of demand, or after a
  * power failure, when all clients come back at once to cold servers. The SYN of a new
@@ -28,6 +31,7 @@
 
 #define DP_PASSTHROUGH_VISITS_MAX                                                        \
   4 /* members visited in search of a slot for a new flow */
+#define DP_PASSTHROUGH_RETRY_INTERVAL_MS 20
 
 typedef enum
 {
@@ -84,8 +88,18 @@
   DpAddress member; /* with DP_PASSTHROUGH_TO_MEMBER */
   DpHop hop; /* hop metadata to be written into the packet for the server or a member */
   DpPassthroughBasis basis;
+  gboolean unconfirmed; /* with DP_PASSTHROUGH_TO_MEMBER: the packet is to be kept with
+                           dp_passthrough_keep_packet (), as the member may be down */
 } DpPassthroughDecision;
 
+/* A packet that is decided about again. */
+typedef struct
+{
+  DpSegment segment;
+  GBytes *packet; /* owned by the caller */
+  DpPassthroughDecision decision;
+} DpRedecidedPacket;
+
 /* A held SYN that no longer waits. */
 typedef struct
 {
@@ -160,6 +174,28 @@
 gboolean dp_passthrough_next_released (DpPassthrough *passthrough,
                                        DpReleasedSyn *released,
                                        gint64 now);
+/* Keeps a client's packet whose decision is unconfirmed; takes a reference to the packet.
+ * hop: as it was given to the decision. */
+void dp_passthrough_keep_packet (DpPassthrough *passthrough,
+                                 const DpSegment *segment,
+                                 const DpHop *hop,
+                                 const DpPassthroughDecision *decision,
+                                 GBytes *packet,
+                                 gint64 now);
+/* Sets unanswered to the next packet that is kept and whose member has left a probe
+ * unanswered, with a new decision; returns FALSE if there is none. To be called every
+ * DP_PASSTHROUGH_RETRY_INTERVAL_MS until it returns FALSE, as long as packets are kept.
+ */
+gboolean dp_passthrough_next_unanswered (DpPassthrough *passthrough,
+                                         DpRedecidedPacket *unanswered,
+                                         gint64 now);
+guint dp_passthrough_n_kept (const DpPassthrough *passthrough);
+/* Sets member to the next one to be probed; returns FALSE if there is none. To be called
+ * along with dp_passthrough_next_registration (). */
+gboolean dp_passthrough_next_probe (DpPassthrough *passthrough, DpAddress *member);
+/* Records that the member at this packet port has answered a probe. */
+void dp_passthrough_note_probe_answer (DpPassthrough *passthrough,
+                                       const DpAddress *member);
 /* Sets registration to the next one to be sent; returns FALSE if there is none. To be
  * called after each packet, tick and change of the members until it returns FALSE. */
 gboolean dp_passthrough_next_registration (DpPassthrough *passthrough,
--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -56,6 +56,8 @@
   DP_REPORT_OWNER,         /* the owner of a flow, to be entered in the flow directory */
   DP_REPORT_OWNERS_WANTED, /* the sender knows no entry, and asks for those that it is to
                               keep */
+  DP_REPORT_PROBE,         /* asks whether the receiver runs */
+  DP_REPORT_PROBE_ANSWER,
   DP_N_REPORT_TYPES
 } DpReportType;
 
@@ -66,8 +68,8 @@
   DpReport report;
   DpMemberList list;
   DpFlowOwner owner;   /* with DP_REPORT_OWNER */
-  DpAddress wanted_by; /* with DP_REPORT_OWNERS_WANTED: the sender's packet port */
-  const char *service; /* with both: the service of the flow, or of the sender */
+  DpAddress sender;    /* with the types after that: the sender's packet port */
+  const char *service; /* of the flow, or of the sender */
   GStringChunk *strings;
 } DpReportMessage;
 
@@ -80,10 +82,12 @@
 gsize dp_flow_owner_encode (const DpFlowOwner *owner,
                             const char *service,
                             guint8 buffer[DP_REPORT_MAX]);
-/* member: the sender's packet port. */
-gsize dp_owners_wanted_encode (const DpAddress *member,
-                               const char *service,
-                               guint8 buffer[DP_REPORT_MAX]);
+/* Encodes a message of a type that says nothing but who sends it. sender: its packet
+ * port. */
+gsize dp_peer_message_encode (DpReportType type,
+                              const DpAddress *sender,
+                              const char *service,
+                              guint8 buffer[DP_REPORT_MAX]);
 /* Returns FALSE if the datagram is malformed. The message is to be cleared either way. */
 gboolean dp_report_decode (DpReportMessage *message, const guint8 *data, gsize length);
 void dp_report_message_clear (DpReportMessage *message);
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -46,6 +46,7 @@
   gint64 active_at;      /* us, last time at which this process did anything */
   guint report_source;   /* source id */
   guint tick_source;     /* source id */
+  guint retry_source;    /* source id; 0 while no packet is kept */
   gboolean stopping;
   gint64 stop_began_at; /* us, when the stop began */
   guint stop_source;    /* source id */
@@ -57,6 +58,7 @@
   DpMetric *lost_lines;
   DpMetric *malformed;
   DpMetric *registrations;
+  DpMetric *unanswered;
 };
 
 static gint64 note_activity_ (DpPassthroughCompanion *companion);
@@ -79,6 +81,14 @@
                        const DpSegment *segment,
                        const guint8 *data,
                        gsize length);
+static void keep_packet_ (DpPassthroughCompanion *companion,
+                          const DpPassthroughDecision *decision,
+                          const DpSegment *segment,
+                          const DpHop *hop,
+                          const guint8 *data,
+                          gsize length,
+                          gint64 now);
+static gboolean retry_timeout_ (gpointer user_data);
 static void release_held_syns_ (DpPassthroughCompanion *companion, gint64 now);
 static DpFlowLogKind log_kind_ (const DpPassthroughDecision *decision,
                                 const DpSegment *segment);
@@ -89,6 +99,9 @@
                                guint8 *data,
                                gsize length,
                                gpointer user_data);
+static void handle_peer_message_ (DpPassthroughCompanion *companion,
+                                  const DpAddress *source,
+                                  const DpReportMessage *message);
 static void register_owner_ (DpPassthroughCompanion *companion,
                              const DpAddress *source,
                              const DpFlowOwner *owner,
@@ -186,6 +199,7 @@
     return;
   g_clear_handle_id (&companion->report_source, g_source_remove);
   g_clear_handle_id (&companion->tick_source, g_source_remove);
+  g_clear_handle_id (&companion->retry_source, g_source_remove);
   g_clear_handle_id (&companion->stop_source, g_source_remove);
   dp_passthrough_reporter_free (companion->reporter);
   dp_packet_port_free (companion->data);
@@ -291,6 +305,9 @@
   companion->registrations = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                              "dogwoodpaddle_flow_registrations_total", "",
                                              "Owners of flows sent to other members");
+  companion->unanswered = dp_metrics_add (
+      metrics, DP_METRIC_COUNTER, "dogwoodpaddle_searches_unanswered_total", "",
+      "Packets that were forwarded again, as a member has not answered");
   companion->malformed = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                          "dogwoodpaddle_datagrams_malformed_total", "",
                                          "Datagrams that could not be read");
@@ -343,6 +360,7 @@
   format->read_hop (data, &hop);
   decision = dp_passthrough_from_peer (companion->passthrough, &segment, &hop, now);
   execute_ (companion, &decision, &segment, data, length);
+  keep_packet_ (companion, &decision, &segment, &hop, data, length, now);
   send_registrations_ (companion);
 }
 
@@ -361,7 +379,7 @@
   DpSegment segment;
   gboolean returned;
   DpFlowKey key;
-  DpHop hop;
+  DpHop hop = { 0 };
 
   if (!format->parse (data, length, &segment, &returned))
     {
@@ -381,6 +399,7 @@
       decision = dp_passthrough_from_server (companion->passthrough, &segment, now);
     }
   execute_ (companion, &decision, &segment, data, length);
+  keep_packet_ (companion, &decision, &segment, &hop, data, length, now);
   release_held_syns_ (companion, now);
   send_registrations_ (companion);
 }
@@ -436,6 +455,53 @@
   dp_passthrough_hold_packet (companion->passthrough, segment, packet);
 }
 
+/* Keeps a packet that was sent to a member that may be down. */
+static void
+keep_packet_ (DpPassthroughCompanion *companion,
+              const DpPassthroughDecision *decision,
+              const DpSegment *segment,
+              const DpHop *hop,
+              const guint8 *data,
+              gsize length,
+              gint64 now)
+{
+  g_autoptr (GBytes) packet = NULL;
+
+  if (!decision->unconfirmed)
+    return;
+  packet = g_bytes_new (data, length);
+  dp_passthrough_keep_packet (companion->passthrough, segment, hop, decision, packet,
+                              now);
+  if (companion->retry_source == 0)
+    companion->retry_source = g_timeout_add (DP_PASSTHROUGH_RETRY_INTERVAL_MS,
+                                             retry_timeout_, companion);
+}
+
+/* Carries out the decisions about kept packets whose member has not answered. */
+static gboolean
+retry_timeout_ (gpointer user_data)
+{
+  DpPassthroughCompanion *companion = user_data;
+  const gint64 now = note_activity_ (companion);
+  DpRedecidedPacket unanswered;
+
+  while (dp_passthrough_next_unanswered (companion->passthrough, &unanswered, now))
+    {
+      g_autoptr (GBytes) kept = unanswered.packet;
+      guint8 packet[DP_PACKET_MAX];
+      const gsize length = g_bytes_get_size (kept);
+
+      memcpy (packet, g_bytes_get_data (kept, NULL), length);
+      execute_ (companion, &unanswered.decision, &unanswered.segment, packet, length);
+      dp_metric_increment (companion->unanswered);
+    }
+  send_registrations_ (companion);
+  if (dp_passthrough_n_kept (companion->passthrough) > 0)
+    return G_SOURCE_CONTINUE;
+  companion->retry_source = 0;
+  return G_SOURCE_REMOVE;
+}
+
 /* Carries out the decisions about held SYNs that no longer wait. */
 static void
 release_held_syns_ (DpPassthroughCompanion *companion, gint64 now)
@@ -534,12 +600,36 @@
     apply_list_ (companion, &message.list, now);
   else if (message.type == DP_REPORT_OWNER)
     register_owner_ (companion, source, &message.owner, now);
-  else if (message.type == DP_REPORT_OWNERS_WANTED)
-    dp_passthrough_repeat_registrations (companion->passthrough, &message.wanted_by);
+  else
+    handle_peer_message_ (companion, source, &message);
   dp_report_message_clear (&message);
   send_registrations_ (companion);
 }
 
+/* Handles a message that says nothing but who sends it, if it comes from there. */
+static void
+handle_peer_message_ (DpPassthroughCompanion *companion,
+                      const DpAddress *source,
+                      const DpReportMessage *message)
+{
+  guint8 buffer[DP_REPORT_MAX];
+  gsize length;
+
+  if (source->ip != message->sender.ip)
+    dp_metric_increment (companion->malformed);
+  else if (message->type == DP_REPORT_OWNERS_WANTED)
+    dp_passthrough_repeat_registrations (companion->passthrough, &message->sender);
+  else if (message->type == DP_REPORT_PROBE_ANSWER)
+    dp_passthrough_note_probe_answer (companion->passthrough, &message->sender);
+  else if (message->type == DP_REPORT_PROBE)
+    {
+      length = dp_peer_message_encode (DP_REPORT_PROBE_ANSWER,
+                                       &companion->options.data_address,
+                                       companion->service, buffer);
+      send_to_member_ (companion, &message->sender, buffer, length);
+    }
+}
+
 /* A member other than the owner may name one that has changed since. */
 static void
 register_owner_ (DpPassthroughCompanion *companion,
@@ -571,8 +661,9 @@
 ask_new_members_ (DpPassthroughCompanion *companion, const DpMemberView *view)
 {
   guint8 buffer[DP_REPORT_MAX];
-  const gsize length = dp_owners_wanted_encode (&companion->options.data_address,
-                                                companion->service, buffer);
+  const gsize length = dp_peer_message_encode (DP_REPORT_OWNERS_WANTED,
+                                               &companion->options.data_address,
+                                               companion->service, buffer);
 
   for (guint i = 0; i < view->n_members; i++)
     {
@@ -583,12 +674,13 @@
     }
 }
 
-/* Sends what is to be entered in the flow directory at other members. */
+/* Sends what is to be entered in the flow directory at other members, and probes. */
 static void
 send_registrations_ (DpPassthroughCompanion *companion)
 {
   DpOwnerRegistration registration;
   guint8 buffer[DP_REPORT_MAX];
+  DpAddress probed;
 
   while (dp_passthrough_next_registration (companion->passthrough, &registration))
     {
@@ -598,6 +690,13 @@
       send_to_member_ (companion, &registration.member, buffer, length);
       dp_metric_increment (companion->registrations);
     }
+  while (dp_passthrough_next_probe (companion->passthrough, &probed))
+    {
+      gsize length = dp_peer_message_encode (
+          DP_REPORT_PROBE, &companion->options.data_address, companion->service, buffer);
+
+      send_to_member_ (companion, &probed, buffer, length);
+    }
 }
 
 /* Sends a datagram to the report port of the member at this packet port. The ports are
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -249,7 +249,8 @@
 /* Returns the first member in the flow's rendezvous order, whatever its state. If that
  * one has stopped reporting, returns the next one that also keeps the flow's directory
  * entry and still reports, or else the member that takes over the entry when these stop.
- * Returns DP_HANDLE_NONE if the service has no members. */
+ * If none of them reports, returns any member that does, as the search for the flow's
+ * owner can begin at each. Returns DP_HANDLE_NONE if the service has no members. */
 DpHandle
 dp_placement_first_candidate (DpPlacement *placement,
                               guint64 service_id,
@@ -279,6 +280,14 @@
       if (member != NULL && has_reported_recently_ (member, now))
         return handle;
     }
+  for (guint i = 0; i < service->members->len; i++)
+    {
+      const DpHandle handle = g_array_index (service->members, DpHandle,
+                                             (flow_hash + i) % service->members->len);
+
+      if (has_reported_recently_ (dp_handle_table_get (placement->members, handle), now))
+        return handle;
+    }
   return first;
 }
 
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -78,14 +78,15 @@
   N_OWNER_FIELDS
 };
 
+/* Of messages that say nothing but who sends them. */
 enum
 {
-  WANTED_TYPE,
-  WANTED_VERSION,
-  WANTED_SERVICE,
-  WANTED_IP,
-  WANTED_PORT,
-  N_WANTED_FIELDS
+  PEER_TYPE,
+  PEER_VERSION,
+  PEER_SERVICE,
+  PEER_IP,
+  PEER_PORT,
+  N_PEER_FIELDS
 };
 
 enum
@@ -109,8 +110,9 @@
 static gboolean
 decode_list_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields);
 static gboolean decode_owner_ (DpReportMessage *message, const msgpack_object *fields);
-static gboolean decode_owners_wanted_ (DpReportMessage *message,
-                                       const msgpack_object *fields);
+static gboolean is_peer_message_ (guint64 type);
+static gboolean decode_peer_message_ (DpReportMessage *message,
+                                      const msgpack_object *fields);
 static gboolean
 decode_member_ (DpReportMessage *message, const msgpack_object *object, DpMember *member);
 static gboolean get_uint_ (const msgpack_object *object, guint64 max, guint64 *value);
@@ -253,24 +255,25 @@
   return finish_ (&out, buffer);
 }
 
-/* Encodes the request of a member that has lost its part of the flow directory. Returns
- * its length in bytes. */
+/* Encodes a message that says nothing but who sends it. Returns its length in bytes. */
 gsize
-dp_owners_wanted_encode (const DpAddress *member,
-                         const char *service,
-                         guint8 buffer[DP_REPORT_MAX])
+dp_peer_message_encode (DpReportType type,
+                        const DpAddress *sender,
+                        const char *service,
+                        guint8 buffer[DP_REPORT_MAX])
 {
   msgpack_sbuffer out;
   msgpack_packer packer;
 
+  g_assert (is_peer_message_ (type));
   msgpack_sbuffer_init (&out);
   msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, N_WANTED_FIELDS);
-  msgpack_pack_uint8 (&packer, DP_REPORT_OWNERS_WANTED);
+  msgpack_pack_array (&packer, N_PEER_FIELDS);
+  msgpack_pack_uint8 (&packer, (guint8) type);
   msgpack_pack_uint8 (&packer, VERSION);
   pack_string_ (&packer, service);
-  msgpack_pack_uint32 (&packer, member->ip);
-  msgpack_pack_uint16 (&packer, member->port);
+  msgpack_pack_uint32 (&packer, sender->ip);
+  msgpack_pack_uint16 (&packer, sender->port);
   return finish_ (&out, buffer);
 }
 
@@ -307,8 +310,8 @@
         valid = decode_list_ (message, fields, n);
       else if (valid && type == DP_REPORT_OWNER && n >= N_OWNER_FIELDS)
         valid = decode_owner_ (message, fields);
-      else if (valid && type == DP_REPORT_OWNERS_WANTED && n >= N_WANTED_FIELDS)
-        valid = decode_owners_wanted_ (message, fields);
+      else if (valid && is_peer_message_ (type) && n >= N_PEER_FIELDS)
+        valid = decode_peer_message_ (message, fields);
       else
         valid = FALSE;
     }
@@ -506,10 +509,17 @@
 }
 
 static gboolean
-decode_owners_wanted_ (DpReportMessage *message, const msgpack_object *fields)
+is_peer_message_ (guint64 type)
 {
-  return get_string_ (message, &fields[WANTED_SERVICE], &message->service)
-         && get_address_ (&fields[WANTED_IP], &fields[WANTED_PORT], &message->wanted_by);
+  return type == DP_REPORT_OWNERS_WANTED || type == DP_REPORT_PROBE
+         || type == DP_REPORT_PROBE_ANSWER;
+}
+
+static gboolean
+decode_peer_message_ (DpReportMessage *message, const msgpack_object *fields)
+{
+  return get_string_ (message, &fields[PEER_SERVICE], &message->service)
+         && get_address_ (&fields[PEER_IP], &fields[PEER_PORT], &message->sender);
 }
 
 static gboolean
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -1465,6 +1465,127 @@
   CU_ASSERT_EQUAL (decision.reason, DP_PASSTHROUGH_OVERLOADED);
 }
 
+/* Forwards a packet of an unknown flow, which is kept. Returns the member's number among
+ * hosts_; 0 if the packet is not forwarded. */
+static guint
+forward_search (DpPassthrough *p, guint flow, guint8 visited, gint64 now)
+{
+  const DpSegment segment = make_segment (flow, DP_TCP_ACK, 101, 1, 0);
+  const DpHop hop = make_hop (DP_TRAFFIC_INTERACTIVE, visited);
+  g_autoptr (GBytes) packet = g_bytes_new_static ("packet", 6);
+  const DpPassthroughDecision decision = dp_passthrough_from_peer (p, &segment, &hop,
+                                                                   now);
+
+  if (!decision.unconfirmed)
+    return 0;
+  dp_passthrough_keep_packet (p, &segment, &hop, &decision, packet, now);
+  for (guint i = 1; i < G_N_ELEMENTS (hosts_); i++)
+    if (decision.member.ip == hosts_[i].ip)
+      return i;
+  return 0;
+}
+
+static void
+expect_probes (DpPassthrough *p, guint n)
+{
+  DpAddress member;
+
+  for (guint i = 0; i < n; i++)
+    CU_ASSERT_TRUE (dp_passthrough_next_probe (p, &member));
+  CU_ASSERT_FALSE (dp_passthrough_next_probe (p, &member));
+}
+
+/* A packet that is handed to a member that is down must not be lost there. */
+static void
+test_search_passes_over_an_unresponsive_member (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint flow = flow_of (DIRECTORY_HERE);
+  const guint first = forward_search (p, flow, 1, 0);
+  const guint second = 3 - first;
+  DpAddress member = { 0, 7000 };
+  DpRedecidedPacket again;
+
+  CU_ASSERT_NOT_EQUAL (first, 0);
+  expect_probes (p, 1);
+  CU_ASSERT_FALSE (dp_passthrough_next_unanswered (p, &again, 99 * MS));
+  CU_ASSERT_TRUE (dp_passthrough_next_unanswered (p, &again, 100 * MS));
+  CU_ASSERT_EQUAL (again.decision.action, DP_PASSTHROUGH_TO_MEMBER);
+  CU_ASSERT_EQUAL (again.decision.member.ip, hosts_[second].ip);
+  g_bytes_unref (again.packet);
+  CU_ASSERT_EQUAL (dp_passthrough_n_kept (p), 1);
+  /* Other packets don't wait again, as long as the first member doesn't answer. */
+  CU_ASSERT_EQUAL (forward_search (p, flow, 1, 101 * MS), second);
+  member.ip = hosts_[second].ip;
+  dp_passthrough_note_probe_answer (p, &member);
+  CU_ASSERT_FALSE (dp_passthrough_next_unanswered (p, &again, 300 * MS));
+  CU_ASSERT_EQUAL (dp_passthrough_n_kept (p), 0);
+  member.ip = hosts_[first].ip;
+  dp_passthrough_note_probe_answer (p, &member);
+  CU_ASSERT_EQUAL (forward_search (p, flow, 1, 301 * MS), first);
+}
+
+/* A member whose answers to probes are lost may have the flow: it is visited once all
+ * others have been. */
+static void
+test_unresponsive_members_are_visited_last (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint flow = flow_of (DIRECTORY_HERE);
+  const guint first = forward_search (p, flow, 1, 0);
+  const guint second = 3 - first;
+  DpAddress member = { hosts_[second].ip, 7000 };
+  DpRedecidedPacket again;
+
+  CU_ASSERT_TRUE (dp_passthrough_next_unanswered (p, &again, 100 * MS));
+  g_bytes_unref (again.packet);
+  dp_passthrough_note_probe_answer (p, &member);
+  CU_ASSERT_FALSE (dp_passthrough_next_unanswered (p, &again, 200 * MS));
+  /* Of ten visits, the last one is for the member that doesn't answer. */
+  CU_ASSERT_EQUAL (forward_search (p, flow, 8, 201 * MS), second);
+  dp_passthrough_note_probe_answer (p, &member);
+  CU_ASSERT_EQUAL (forward_search (p, flow, 9, 202 * MS), first);
+  CU_ASSERT_EQUAL (forward_search (p, flow, 10, 203 * MS), 0);
+  /* It is tried once only. */
+  CU_ASSERT_TRUE (dp_passthrough_next_unanswered (p, &again, 302 * MS));
+  CU_ASSERT_EQUAL (again.decision.reason, DP_PASSTHROUGH_NOT_FOUND);
+  g_bytes_unref (again.packet);
+  CU_ASSERT_EQUAL (dp_passthrough_n_kept (p), 0);
+}
+
+/* A SYN may have been passed on by a member that has gone down since. */
+static void
+test_forwarded_flow_of_an_unresponsive_member (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint flow = flow_of (DIRECTORY_HERE);
+  DpRedecidedPacket again;
+  guint first;
+
+  dp_passthrough_set_serving (p, FALSE);
+  CU_ASSERT_EQUAL (send_syn (p, flow, DP_TRAFFIC_INTERACTIVE, 0, 0).action,
+                   DP_PASSTHROUGH_TO_MEMBER);
+  first = forward_search (p, flow, 0, 10 * MS);
+  CU_ASSERT_NOT_EQUAL (first, 0);
+  CU_ASSERT_TRUE (dp_passthrough_next_unanswered (p, &again, 110 * MS));
+  CU_ASSERT_EQUAL (again.decision.member.ip, hosts_[3 - first].ip);
+  g_bytes_unref (again.packet);
+}
+
+/* Answers that came during a pause have not been read. */
+static void
+test_pause_makes_no_member_unresponsive (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (3);
+  const guint flow = flow_of (DIRECTORY_HERE);
+  const guint first = forward_search (p, flow, 1, 0);
+  DpRedecidedPacket again;
+
+  dp_passthrough_note_pause (p, 500 * MS);
+  CU_ASSERT_FALSE (dp_passthrough_next_unanswered (p, &again, 500 * MS));
+  CU_ASSERT_EQUAL (forward_search (p, flow, 1, 501 * MS), first);
+}
+
 static const DpTestCase cases_[] = {
   { "a flow from its SYN to its end", test_whole_flow },
   { "packets of another service or sender are dropped", test_unacceptable_packets },
@@ -1532,6 +1653,13 @@
   { "nothing is rejected early on a host that has been up for long",
     test_member_discovery_late_clock },
   { "retransmitted data is distinguished from reordering", test_retransmitted_data },
+  { "a search passes over a member that doesn't answer",
+    test_search_passes_over_an_unresponsive_member },
+  { "members that don't answer are visited last",
+    test_unresponsive_members_are_visited_last },
+  { "a flow that was forwarded to a member that doesn't answer is searched",
+    test_forwarded_flow_of_an_unresponsive_member },
+  { "a pause makes no member unresponsive", test_pause_makes_no_member_unresponsive },
 };
 
 DP_TEST_MAIN ("passthrough", cases_)
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -188,6 +188,30 @@
     }
 }
 
+/* Each search ends at the member that it starts at if that is down. */
+static void
+test_search_starts_at_any_reporting_member (void)
+{
+  g_autoptr (DpPlacement) placement = make_placement (0, 0, 0);
+  const DpReport last = make_report ("b-9", "riga-b", 9, 0);
+  const gint64 now = 2 * DP_US_PER_S;
+
+  /* Enough members for those that keep an entry, and their successor, to be others. */
+  for (guint i = 4; i < 9; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("a-%u", i);
+      const DpReport report = make_report (name, "riga-a", i, 0);
+
+      dp_placement_apply_report (placement, &report, 0);
+    }
+  dp_placement_apply_report (placement, &last, now);
+  for (guint64 hash = 0; hash < 64; hash++)
+    CU_ASSERT_TRUE (is_member (placement,
+                               dp_placement_first_candidate (
+                                   placement, dp_service_id (SERVICE), hash << 58, now),
+                               9));
+}
+
 /* Guards against companions that forward new flows to members that have crashed. */
 static void
 test_silent_member_listed (void)
@@ -377,6 +401,8 @@
   { "a search starts at a member that reports",
     test_search_starts_at_a_reporting_member },
   { "a search starts at the successor", test_search_starts_at_the_successor },
+  { "a search starts at any member that reports if no other does",
+    test_search_starts_at_any_reporting_member },
   { "a silent member is listed as leaving", test_silent_member_listed },
   { "a member with a long report interval is not silent", test_rare_reports },
   { "a leaving member takes no new flows and stays listed", test_leaving_member },
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -272,10 +272,11 @@
   CU_ASSERT_TRUE (message.owner.withdrawn);
   CU_ASSERT_FALSE (message.owner.open);
   dp_report_message_clear (&message);
-  length = dp_owners_wanted_encode (&owner.member, "darbnica", buffer);
+  length = dp_peer_message_encode (DP_REPORT_OWNERS_WANTED, &owner.member, "darbnica",
+                                   buffer);
   CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length));
   CU_ASSERT_EQUAL (message.type, DP_REPORT_OWNERS_WANTED);
-  CU_ASSERT_TRUE (dp_address_equal (&message.wanted_by, &owner.member));
+  CU_ASSERT_TRUE (dp_address_equal (&message.sender, &owner.member));
   dp_report_message_clear (&message);
 }
 
--- a/test/test_flow_search.py
+++ b/test/test_flow_search.py
@@ -2,19 +2,21 @@
 """Guards against searches of a flow's owner that end before they have visited each member.
 Runs the platform's program as processes."""
 
+import signal
 import sys
 import time
 
 import test_hosted as hosted
 import test_open_flows as open_flows
-from test_hosted import check
+from test_hosted import check, standins
 
 STABLE_S = 4.0  # stable_window_ms: a process is in touch again so long after a fault
 
 
-def test_search_of_all_members_reaches_the_owner(site):
-    """All companions were killed: no member has a directory entry or knows its flows."""
-    hosted.start(site, n_balancers=1, n_servers=10, slots=8, work_s=open_flows.KEPT_OPEN_S)
+def open_and_forget(site, n_balancers=1):
+    """Opens flows and kills all processes, so that none knows a flow's owner."""
+    hosted.start(site, n_balancers=n_balancers, n_servers=10, slots=8,
+                 work_s=open_flows.KEPT_OPEN_S)
     client = site.client()
     flows = open_flows.open_flows(site, client, 60, "open")
     for process in site.companions + site.balancers:
@@ -22,6 +24,29 @@
     for process in site.companions + site.balancers:
         process.start()
     client.run(time.monotonic() + STABLE_S + 1.0)
+    return client, flows
+
+
+def check_sound_flows(site, client, flows, lost=()):
+    """Each flow's packets, sent once within 2 s, reach its own server if that is sound."""
+    arrivals = open_flows.Arrivals(site.servers)
+    for _ in range(2):
+        for _ in range(2):
+            for flow in flows:
+                client._send(flow, standins.ACK, flow["seq"] + 1 + len(flow["request"]),
+                             flow["peer"] + 1)
+        client.run(time.monotonic() + open_flows.REORDER_S)
+    sound = [f for f in flows if open_flows.owner(site, f) not in (None, *lost)]
+    unreached = [f["key"][0][1] for f in sound if f["key"] not in arrivals.own]
+    check(sound and not unreached,
+          f"packets of {len(unreached)} of {len(sound)} flows did not reach their servers")
+    strayed = [f["key"][0][1] for f in sound if arrivals.has_strayed(f["key"])]
+    check(not strayed, f"{len(strayed)} of {len(sound)} flows strayed: {strayed}")
+
+
+def test_search_of_all_members_reaches_the_owner(site):
+    """All companions were killed: no member has a directory entry or knows its flows."""
+    client, flows = open_and_forget(site)
     arrivals = open_flows.Arrivals(site.servers)
     open_flows.acknowledge(client, flows, 2 * open_flows.REORDER_S)
     sound = [f for f in flows if open_flows.owner(site, f) is not None]
@@ -29,5 +54,36 @@
     check(sound and not strayed, f"{len(strayed)} of {len(sound)} flows strayed: {strayed}")
 
 
+def lose(site, numbers):
+    for i in numbers:
+        site.companions[i].kill()
+        site.servers[i].stop()
+    return [site.servers[i] for i in numbers]
+
+
+def test_search_passes_over_a_lost_member(site):
+    """A host is lost, and lists of members have it for some seconds more."""
+    client, flows = open_and_forget(site, n_balancers=2)
+    lost = lose(site, [2])
+    client.run(time.monotonic() + 2.5)
+    check_sound_flows(site, client, flows, lost)
+
+
+def test_search_passes_over_members_lost_just_now(site):
+    """Three of ten hosts are lost, and no process has noticed it yet."""
+    client, flows = open_and_forget(site, n_balancers=2)
+    check_sound_flows(site, client, flows, lose(site, [1, 4, 7]))
+
+
+def test_search_passes_over_a_frozen_companion(site):
+    client, flows = open_and_forget(site, n_balancers=2)
+    frozen = site.companions[3]
+    frozen.process.send_signal(signal.SIGSTOP)
+    check_sound_flows(site, client, flows, [site.servers[3]])
+    frozen.process.send_signal(signal.SIGCONT)
+    client.run(time.monotonic() + STABLE_S)
+    check_sound_flows(site, client, flows)
+
+
 if __name__ == "__main__":
     sys.exit(hosted.main(globals()))
