Accept only whole heartbeats of the companion's own server

Cause: a companion checked only the fields of a heartbeat that it uses. One of another writer, without an address, so counted as a new incarnation of its server. The companion's log shows it: "server i-other-writer: ... just started", and no line of its own server afterwards.

Change: every field has to be there and of its type, and the address has to be that of the companion's server. Otherwise the answer is 400 and the log names the field. born stays optional, as in the platform's example.

--- a/fuzzing/fuzz_hosted.c
+++ b/fuzzing/fuzz_hosted.c
@@ -78,10 +78,11 @@
 fuzz_heartbeat (const guint8 *data, gsize size)
 {
   g_autoptr (JsonNode) node = dp_json_parse ((const char *) data, size, NULL);
+  const DpAddress server = { 0x0a000009, 8080 };
   DpAnnouncement announcement = { .id = "i-1" };
 
   if (node != NULL)
-    announcements_parse (node, "darbnica", &announcement, NULL);
+    announcements_parse (node, "darbnica", &server, &announcement, NULL);
 }
 
 int
--- a/src/test_platform/test_hosted_settings.c
+++ b/src/test_platform/test_hosted_settings.c
@@ -99,53 +99,129 @@
     }
 }
 
-/* A heartbeat need not come from a backend server: one that is malformed or for another
- * service must be rejected. */
+#define HEARTBEAT_FIELDS 9
+
+/* A field of a heartbeat and what it holds in a valid one. */
+typedef struct
+{
+  const char *key;
+  const char *valid;
+  gboolean optional;
+} HeartbeatField;
+
+static const HeartbeatField heartbeat_fields_[HEARTBEAT_FIELDS] = {
+  { "service", "\"a\"", FALSE },     { "address", "\"10.0.0.9:8080\"", FALSE },
+  { "zone", "\"riga-a\"", FALSE },   { "version", "\"v1\"", FALSE },
+  { "slots", "2", FALSE },           { "state", "\"draining\"", FALSE },
+  { "warmup_left_ms", "0", FALSE },  { "sequence", "4", FALSE },
+  { "born", "1796506095132", TRUE },
+};
+
+/* Parses a heartbeat in which the field holds the value; NULL: in which it is missing. */
+static gboolean
+parse_heartbeat (const char *key, const char *value, GError **error)
+{
+  const DpAddress server = { 0x0a000009, 8080 };
+  g_autoptr (GString) text = g_string_new ("{");
+  g_autoptr (JsonNode) node = NULL;
+  DpAnnouncement announcement = { .id = "i-1" };
+
+  for (guint i = 0; i < HEARTBEAT_FIELDS; i++)
+    {
+      const HeartbeatField *field = &heartbeat_fields_[i];
+      const char *held = g_strcmp0 (field->key, key) == 0 ? value : field->valid;
+
+      if (held != NULL)
+        g_string_append_printf (text, "%s\"%s\":%s", text->len > 1 ? "," : "", field->key,
+                                held);
+    }
+  g_string_append_c (text, '}');
+  node = dp_json_parse (text->str, text->len, error);
+  if (node == NULL || !announcements_parse (node, "a", &server, &announcement, error))
+    return FALSE;
+  CU_ASSERT_TRUE (announcement.leaving || g_strcmp0 (key, "state") == 0);
+  return TRUE;
+}
+
+/* A heartbeat of another writer without an address made a draining server active. */
+static void
+test_heartbeat_without_a_field (void)
+{
+  for (guint i = 0; i < HEARTBEAT_FIELDS; i++)
+    {
+      const HeartbeatField *field = &heartbeat_fields_[i];
+      g_autoptr (GError) error = NULL;
+
+      CU_ASSERT_EQUAL (parse_heartbeat (field->key, NULL, &error), field->optional);
+      if (!field->optional)
+        CU_ASSERT_PTR_NOT_NULL (error == NULL ? NULL
+                                              : strstr (error->message, field->key));
+    }
+}
+
+/* A heartbeat need not come from the host's own server. */
 static void
 test_heartbeats (void)
 {
   static const struct
   {
-    const char *text;
+    const char *key;
+    const char *value;
     gboolean valid;
   } cases[] = {
-    { "{\"service\":\"a\",\"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
-      "\"sequence\":4,\"born\":17}",
-      TRUE },
-    { "{\"service\":\"a\",\"slots\":2,\"state\":\"draining\",\"warmup_left_ms\":9,"
-      "\"sequence\":4}",
-      TRUE },
-    { "{\"service\":\"b\",\"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
-      "\"sequence\":4}",
-      FALSE },
-    { "{\"service\":\"a\",\"slots\":0,\"state\":\"ready\",\"warmup_left_ms\":0,"
-      "\"sequence\":4}",
-      FALSE },
-    { "{\"service\":\"a\",\"slots\":2,\"state\":\"odd\",\"warmup_left_ms\":0,"
-      "\"sequence\":4}",
-      FALSE },
-    { "{\"service\":\"a\",\"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":\"0\","
-      "\"sequence\":4}",
-      FALSE },
-    { "{\"service\":\"a\",\"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":0}", FALSE },
-    { "{\"service\":\"a\",\"slots\":2,\"state\":\"ready\",\"warmup_left_ms\":0,"
-      "\"sequence\":4,\"born\":1.5}",
-      FALSE },
-    { "[]", FALSE },
+    { "", NULL, TRUE },
+    { "state", "\"ready\"", TRUE },
+    { "state", "\"odd\"", FALSE },
+    { "state", "null", FALSE },
+    { "service", "\"b\"", FALSE },
+    { "service", "3", FALSE },
+    { "address", "\"10.0.0.8:8080\"", FALSE },
+    { "address", "\"10.0.0.9:8081\"", FALSE },
+    { "address", "\"10.0.0.9:65536\"", FALSE },
+    { "address", "\"10.0.0.9\"", FALSE },
+    { "address", "\"\"", FALSE },
+    { "address", "8080", FALSE },
+    { "address", "[\"10.0.0.9:8080\"]", FALSE },
+    { "zone", "7", FALSE },
+    { "zone", "{}", FALSE },
+    { "version", "1", FALSE },
+    { "version", "null", FALSE },
+    { "slots", "0", FALSE },
+    { "slots", "-1", FALSE },
+    { "slots", "1025", FALSE },
+    { "slots", "2.5", FALSE },
+    { "slots", "1e999", FALSE },
+    { "warmup_left_ms", "\"0\"", FALSE },
+    { "warmup_left_ms", "-1", FALSE },
+    { "sequence", "1.5", FALSE },
+    { "sequence", "true", FALSE },
+    { "born", "1.5", FALSE },
+    { "born", "-1", FALSE },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      g_autoptr (JsonNode)
-          node = dp_json_parse (cases[i].text, strlen (cases[i].text), NULL);
       g_autoptr (GError) error = NULL;
-      DpAnnouncement announcement = { .id = "i-1" };
 
-      CU_ASSERT_EQUAL (announcements_parse (node, "a", &announcement, &error),
-                       cases[i].valid);
+      if (parse_heartbeat (cases[i].key, cases[i].value, &error) != cases[i].valid)
+        CU_FAIL (cases[i].value);
       CU_ASSERT_EQUAL (error == NULL, cases[i].valid);
-      if (cases[i].valid)
-        CU_ASSERT_EQUAL (announcement.leaving, i == 1);
+    }
+}
+
+/* A body need not be an object. */
+static void
+test_heartbeat_without_fields (void)
+{
+  static const char *const texts[] = { "[]", "{}", "7", "\"a\"", "null" };
+  const DpAddress server = { 0x0a000009, 8080 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      g_autoptr (JsonNode) node = dp_json_parse (texts[i], strlen (texts[i]), NULL);
+      DpAnnouncement announcement = { .id = "i-1" };
+
+      CU_ASSERT_FALSE (announcements_parse (node, "a", &server, &announcement, NULL));
     }
 }
 
@@ -154,6 +230,8 @@
   { "a missing key is named", test_missing },
   { "malformed settings", test_malformed },
   { "valid and invalid heartbeats", test_heartbeats },
+  { "a heartbeat without one of its fields", test_heartbeat_without_a_field },
+  { "a heartbeat that is no object or an empty one", test_heartbeat_without_fields },
 };
 
 DP_TEST_MAIN ("hosted settings", cases_)
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -6,6 +6,8 @@
 outage, new flows at a leaving server, packets of another service.
 """
 
+import http.client
+import json
 import os
 import random
 import shutil
@@ -126,6 +128,44 @@
     check(not late, f"{len(late)} new flows after the acknowledgement")
 
 
+def send_heartbeat(server, identity, **changes):
+    """A heartbeat of another writer; a change to None leaves the field out."""
+    body = {"service": server.service, "address": f"{server.ip}:{standins.SERVER_PORT}",
+            "zone": server.zone, "version": "v1", "slots": 4, "state": "ready",
+            "warmup_left_ms": 0, "sequence": 1, "born": int(time.time() * 1000)}
+    body.update(changes)
+    body = {key: value for key, value in body.items() if value is not None}
+    connection = http.client.HTTPConnection(server.ip, standins.ANNOUNCE_PORT, timeout=1)
+    connection.request("POST", f"/instances/{identity}/heartbeat", json.dumps(body),
+                       {"Content-Type": "application/json"})
+    return connection.getresponse().status
+
+
+def test_draining_server_is_not_revived_by_another_writer(site):
+    """A heartbeat without an address put a draining server back into service."""
+    start(site, n_servers=3)
+    client = site.client()
+    leaving = site.servers[0]
+    finish(client, ask(client, REPORTS, 9, "before"))
+    leaving.state = "draining"
+    while leaving.acknowledged_at is None:
+        client.run(time.monotonic() + 0.05)
+    client.run(time.monotonic() + 0.5)
+    n_syns = len(leaving.syns)
+    for i, changes in enumerate(({"address": None}, {"zone": None}, {"version": None},
+                                 {"address": f"{leaving.ip}:1"}, {"address": 7},
+                                 {"zone": 7})):
+        status = send_heartbeat(leaving, "i-other", **changes)
+        check(status == 400, f"a heartbeat with {changes} was answered with {status}")
+        results = finish(client, ask(client, REPORTS, 6, f"change-{i}"))
+        check(results == ["ok"] * 6, f"results {set(results)}")
+    check(len(leaving.syns) == n_syns, "a draining server got new flows")
+    leaving.state = "ready"
+    client.run(time.monotonic() + 0.5)
+    finish(client, ask(client, REPORTS, 12, "after"))
+    check(len(leaving.syns) > n_syns, "the server itself is not heard any more")
+
+
 def test_signed_off_server_is_gone(site):
     """Its host, which ends soon, must not stay on the way of packets that are searched."""
     start(site)
