--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -128,6 +128,13 @@
     check(not late, f"{len(late)} new flows after the acknowledgement")
 
 
+def post_heartbeat(server, identity, body):
+    connection = http.client.HTTPConnection(server.ip, standins.ANNOUNCE_PORT, timeout=1)
+    connection.request("POST", f"/instances/{identity}/heartbeat", body,
+                       {"Content-Type": "application/json"})
+    return connection.getresponse().status
+
+
 def send_heartbeat(server, identity, **changes):
     """A heartbeat of another writer; a change to None leaves the field out."""
     body = {"service": server.service, "address": f"{server.ip}:{standins.SERVER_PORT}",
@@ -135,10 +142,7 @@
             "warmup_left_ms": 0, "sequence": 1, "born": int(time.time() * 1000)}
     body.update(changes)
     body = {key: value for key, value in body.items() if value is not None}
-    connection = http.client.HTTPConnection(server.ip, standins.ANNOUNCE_PORT, timeout=1)
-    connection.request("POST", f"/instances/{identity}/heartbeat", json.dumps(body),
-                       {"Content-Type": "application/json"})
-    return connection.getresponse().status
+    return post_heartbeat(server, identity, json.dumps(body))
 
 
 def test_draining_server_is_not_revived_by_another_writer(site):
@@ -614,6 +618,41 @@
         check(process.process.poll() is None, f"{process.name} ended")
 
 
+def start_with_signal(site, process, number):
+    """Starts the process again and signals it while it reads its settings file."""
+    process.kill()
+    os.unlink(process.path)
+    os.mkfifo(process.path)
+    with open(process.log_path, "ab") as log:
+        process.process = subprocess.Popen(
+            [process.program, process.role], stdout=log, stderr=log,
+            env={"DOGWOODPADDLE_CONFIG": process.path, "PATH": os.environ["PATH"]})
+    with open(process.path, "w", encoding="utf-8") as file:
+        process.process.send_signal(number)
+        time.sleep(0.1)
+        json.dump(process.settings, file)
+    os.unlink(process.path)
+    with open(process.path, "w", encoding="utf-8") as file:
+        json.dump(process.settings, file)
+
+
+def test_signals_during_a_start(site):
+    """SIGHUP ended a process that had not installed its handler yet."""
+    start(site, n_balancers=1, n_servers=1)
+    for process in site.balancers + site.companions:
+        start_with_signal(site, process, signal.SIGHUP)
+    client = site.client()
+    client.run(time.monotonic() + 3.0)
+    for process in site.balancers + site.companions:
+        status = process.process.poll()
+        check(status is None, f"{process.name} ended with status {status}")
+    results = finish(client, ask(client, REPORTS, 5, "report"))
+    check(results == ["ok"] * 5, f"results {results}")
+    for process in site.balancers + site.companions:
+        start_with_signal(site, process, signal.SIGTERM)
+        check(process.process.wait(8.0) == 0, f"{process.name} was not stopped in order")
+
+
 def run(test, number):
     folder = tempfile.mkdtemp(prefix="hosted-")
     site = standins.Site(PROGRAM, folder)
