JSON: refuse hidden nesting and numbers out of range

Cause: the check of the nesting knew no comments and no strings in single quotes, which JSON-GLib accepts beyond JSON, so that it took brackets for the contents of a string, and the parser recursed once a bracket. The parser also reads large integers modulo 2^64 and prints 1e999 as a word.

Change: the check refuses every character outside of strings that is not JSON, integers beyond 64 bits with a sign, and numbers beyond a double.

Measured: test_json ended with status 139 before; test_hosted_settings: 2 assertions failed. Heartbeats are bounded at 64 KiB, with which the old code did not end; answers of a store are not.

--- a/src/libdogwoodpaddle/json.c
+++ b/src/libdogwoodpaddle/json.c
@@ -1,24 +1,31 @@
 #include "protected/json.h"
 
+#include <errno.h>
+#include <math.h>
 #include <string.h>
 
 #include "protected/error.h"
 
-static gboolean nesting_is_bounded_ (const char *text, gsize length);
+#define NUMBER_MAX_BYTES 64
+
+static const char *check_text_ (const char *text, gsize length);
+static gboolean number_fits_ (const char *text, gsize length);
 static JsonNode *get_member_ (JsonObject *object, const char *key);
 static const char *find_member_ (const char *text, const char *key);
 static const char *skip_space_ (const char *at);
 static const char *skip_string_ (const char *at);
 static const char *skip_value_ (const char *at);
 
-/* Parses one JSON value. Fails with DP_ERROR_INVALID if the text is malformed or nested
- * deeper than DP_JSON_DEPTH_MAX. The depth is limited because JSON-GLib's parser recurses
- * once per level. */
+/* Parses one JSON value. Fails with DP_ERROR_INVALID if the text is malformed, nested
+ * deeper than DP_JSON_DEPTH_MAX, or holds a number out of range or a comment. The depth
+ * is limited because JSON-GLib's parser recurses once per level. The parser reads large
+ * integers modulo 2^64, some negative ones as positive, and prints 1e999 as a word. */
 JsonNode *
 dp_json_parse (const char *text, gsize length, GError **error)
 {
   g_autoptr (JsonParser) parser = NULL;
   g_autoptr (GError) cause = NULL;
+  const char *fault = NULL;
   JsonNode *root;
 
   if (!g_utf8_validate_len (text, length, NULL))
@@ -26,10 +33,10 @@
       dp_error_set (error, DP_ERROR_INVALID, "json", NULL, "the text is not UTF-8");
       return NULL;
     }
-  if (!nesting_is_bounded_ (text, length))
+  fault = check_text_ (text, length);
+  if (fault != NULL)
     {
-      dp_error_set (error, DP_ERROR_INVALID, "json", NULL,
-                    "the text nests deeper than %d levels", DP_JSON_DEPTH_MAX);
+      dp_error_set (error, DP_ERROR_INVALID, "json", NULL, "%s", fault);
       return NULL;
     }
   parser = json_parser_new_immutable ();
@@ -209,33 +216,67 @@
                                                        : NULL;
 }
 
-static gboolean
-nesting_is_bounded_ (const char *text, gsize length)
+/* Returns what is wrong with the text's nesting or numbers, or NULL. Everything else is
+ * left to the parser, but for what it accepts beyond JSON: comments and strings in single
+ * quotes could hide brackets from the count. */
+static const char *
+check_text_ (const char *text, gsize length)
 {
   gboolean in_string = FALSE;
   guint depth = 0;
 
   for (gsize i = 0; i < length; i++)
     {
-      char c = text[i];
+      const char c = text[i];
 
-      if (in_string)
-        {
-          if (c == '\\')
-            i++;
-          else if (c == '"')
-            in_string = FALSE;
-        }
+      if (in_string && c == '\\')
+        i++;
       else if (c == '"')
-        in_string = TRUE;
+        in_string = !in_string;
+      else if (in_string)
+        continue;
       else if (c == '{' || c == '[')
         depth++;
       else if ((c == '}' || c == ']') && depth > 0)
         depth--;
+      else if (!g_ascii_isalnum (c) && strchr ("+-.,:]} \t\r\n", c) == NULL)
+        return "the text holds a comment or another character that is not JSON";
+      else if (g_ascii_isdigit (c) || c == '-')
+        {
+          gsize end = i + 1;
+
+          while (end < length
+                 && (g_ascii_isalnum (text[end]) || strchr ("+-.", text[end])))
+            end++;
+          if (!number_fits_ (text + i, end - i))
+            return "the text holds a number that is out of range";
+          i = end - 1;
+        }
       if (depth > DP_JSON_DEPTH_MAX)
-        return FALSE;
+        return "the text nests deeper than " G_STRINGIFY (DP_JSON_DEPTH_MAX) " levels";
     }
-  return TRUE;
+  return NULL;
+}
+
+/* Returns whether an integer fits into 64 bits with a sign, or another number into a
+ * double. Text that is no number is left to the parser. */
+static gboolean
+number_fits_ (const char *text, gsize length)
+{
+  char number[NUMBER_MAX_BYTES];
+  gboolean is_integer = TRUE;
+
+  if (length >= sizeof number)
+    return FALSE;
+  memcpy (number, text, length);
+  number[length] = '\0';
+  for (gsize i = 1; i < length; i++)
+    is_integer = is_integer && g_ascii_isdigit (number[i]);
+  errno = 0;
+  if (!is_integer)
+    return isfinite (g_ascii_strtod (number, NULL));
+  g_ascii_strtoll (number, NULL, 10);
+  return errno != ERANGE;
 }
 
 static JsonNode *
--- a/src/test_libdogwoodpaddle/test_json.c
+++ b/src/test_libdogwoodpaddle/test_json.c
@@ -138,11 +138,76 @@
   CU_ASSERT_STRING_EQUAL (whole, "{\"x\":1}");
 }
 
+/* The parser recurses once a level: a text that hides its brackets ended the process. */
+static void
+test_deep_nesting (void)
+{
+  static const char *const beginnings[] = {
+    "",     "{\"a\":", "[\"a\",",     "/*\"*/", "//\"\n", "/*[*/\"\\\"\",",
+    "'\"'", "#\"\n",   "\"a\"/*\"*/",
+  };
+  const guint n_levels = 200000;
+
+  for (guint i = 0; i < G_N_ELEMENTS (beginnings); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autoptr (GString) text = g_string_new (beginnings[i]);
+
+      for (guint j = 0; j < n_levels; j++)
+        g_string_append_c (text, '[');
+      CU_ASSERT_PTR_NULL (dp_json_parse (text->str, text->len, &error));
+      CU_ASSERT_PTR_NOT_NULL (error);
+    }
+}
+
+/* Numbers out of range were read as others: -9223372036854775809 as 9223372036854775807.
+ */
+static void
+test_numbers (void)
+{
+  static const struct
+  {
+    const char *text;
+    gboolean valid;
+  } cases[] = {
+    { "9223372036854775807", TRUE },
+    { "9223372036854775808", FALSE },
+    { "18446744073709551615", FALSE },
+    { "18446744073709551616", FALSE },
+    { "-9223372036854775808", TRUE },
+    { "-9223372036854775809", FALSE },
+    { "-18446744073709551615", FALSE },
+    { "1234567890123456789012345678901234567890", FALSE },
+    { "0.1234567890123456789012345678901234567890123456789", TRUE },
+    { "1e308", TRUE },
+    { "1e309", FALSE },
+    { "-1e999", FALSE },
+    { "1E+2", TRUE },
+    { "0", TRUE },
+    { "-0", TRUE },
+    { "\"18446744073709551616 /* ' 1e999\"", TRUE },
+    { "true", TRUE },
+    { "null", TRUE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *text = g_strdup_printf ("{\"a\":[%s,1],\"b\":%s}", cases[i].text,
+                                               cases[i].text);
+      g_autoptr (JsonNode) node = dp_json_parse (text, strlen (text), NULL);
+
+      if ((node != NULL) != cases[i].valid)
+        CU_FAIL (cases[i].text);
+    }
+}
+
 static const DpTestCase cases_[] = {
   { "elements are extracted", test_extract_elements },
   { "malformed arrays are rejected", test_malformed },
   { "members are found without parsing", test_scan },
   { "a member is extracted from a text", test_extract_member },
+  { "deep nesting is rejected however it is hidden", test_deep_nesting },
+  { "numbers out of range are rejected", test_numbers },
 };
 
 DP_TEST_MAIN ("json", cases_)
--- a/src/test_platform/test_hosted_settings.c
+++ b/src/test_platform/test_hosted_settings.c
@@ -197,6 +197,9 @@
     { "sequence", "true", FALSE },
     { "born", "1.5", FALSE },
     { "born", "-1", FALSE },
+    { "born", "-9223372036854775809", FALSE },
+    { "sequence", "18446744073709551617", FALSE },
+    { "warmup_left_ms", "1e999", FALSE },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -145,6 +145,17 @@
     return post_heartbeat(server, identity, json.dumps(body))
 
 
+def test_heartbeat_with_hidden_nesting(site):
+    """A quote in a comment hid the brackets after it, and the parser ended the process."""
+    start(site, n_servers=1)
+    server = site.servers[0]
+    for beginning in ("", "/*\"*/", "//\"\n", "'\"'", "#\"\n", '{"service":/*"*/'):
+        for bracket in ("[", '{"a":'):
+            status = post_heartbeat(server, "i-other", beginning + bracket * (60000 // len(bracket)))
+            check(status == 400, f"{beginning} was answered with {status}")
+    check(site.companions[0].process.poll() is None, "the companion ended")
+
+
 def test_draining_server_is_not_revived_by_another_writer(site):
     """A heartbeat without an address put a draining server back into service."""
     start(site, n_servers=3)
