Read lists around odd entries of another writer

Cause: lists were refused as a whole. A member only compared state and incarnation of its entry.

Incarnations above 2^62 count as that, as the next one after 2^63 - 1 was written as a negative number.

--- a/src/libdogwoodpaddle/include/protected/memberview.h
+++ b/src/libdogwoodpaddle/include/protected/memberview.h
@@ -7,6 +7,9 @@
 #include "protected/address.h"
 
 #define DP_MEMBER_VIEW_MAX_MEMBERS 65535
+/* Processes count on from an incarnation that they find, up to G_MAXINT64. A larger one
+ * is not theirs, and counts as this one. */
+#define DP_INCARNATION_MAX ((guint64) G_MAXINT64 / 2)
 
 typedef enum
 {
@@ -54,6 +57,8 @@
 JsonNode *dp_member_view_to_json (const DpMemberView *view);
 DpMemberView *dp_member_view_ref (DpMemberView *view);
 void dp_member_view_unref (DpMemberView *view);
+/* Returns what is wrong with a member in the value of members/SERVICE, or NULL. */
+const char *dp_member_entry_fault (JsonNode *node);
 const DpMember *dp_member_view_find (const DpMemberView *view, guint32 id);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpMemberView, dp_member_view_unref)
--- a/src/libdogwoodpaddle/membership.c
+++ b/src/libdogwoodpaddle/membership.c
@@ -16,7 +16,9 @@
 static void set_in_held_list_ (JsonObject *object, const char *name, gboolean held);
 static gboolean parse_state_ (const char *text, DpMemberState *state);
 
-/* Finds the member's entry. Without one, returns TRUE and entry->present is FALSE. */
+/* Finds the member's entry. Without one, returns TRUE and entry->present is FALSE. An
+ * entry that is malformed, which only another writer leaves, counts as one of incarnation
+ * 0: its member then replaces it. */
 gboolean
 dp_membership_find (JsonNode *value, const char *name, DpMembershipEntry *entry)
 {
@@ -35,10 +37,13 @@
 
       if (!is_named_ (found, name))
         continue;
-      if (!parse_state_ (dp_json_get_string (found, "state"), &entry->state)
-          || !dp_json_get_uint (found, "incarnation", &entry->incarnation))
-        return FALSE;
       entry->present = TRUE;
+      if (dp_member_entry_fault (json_array_get_element (members, i)) == NULL)
+        {
+          parse_state_ (dp_json_get_string (found, "state"), &entry->state);
+          dp_json_get_uint (found, "incarnation", &entry->incarnation);
+          entry->incarnation = MIN (entry->incarnation, DP_INCARNATION_MAX);
+        }
       entry->held = entry->held || dp_json_get_boolean (found, HELD_KEY, FALSE);
       return TRUE;
     }
--- a/src/libdogwoodpaddle/memberview.c
+++ b/src/libdogwoodpaddle/memberview.c
@@ -24,7 +24,6 @@
 static gboolean
 get_integer_ (JsonObject *object, const char *key, gint64 min, gint64 max, gint64 *value);
 static const char *parse_member_ (JsonNode *node, DpMember *member);
-static gboolean check_distinct_ (GArray *members, const char *service, GError **error);
 
 /* Returns the id of a member: the low 32 bits of XXH64 of its name. */
 guint32
@@ -79,11 +78,11 @@
   return view;
 }
 
-/* Creates a view from the value of members/SERVICE. Fails with DP_ERROR_INVALID, which
- * names the first member that is malformed, out of range or listed twice (two names with
- * the same id count as listed twice), or with DP_ERROR_LIMIT if there are too many
- * members. Unknown keys are ignored, so that a later version of the software can add
- * some. */
+/* Creates a view from the value of members/SERVICE. Fails with DP_ERROR_INVALID if that
+ * is no list, or with DP_ERROR_LIMIT if there are too many members. Members that are
+ * malformed, out of range or listed before (two names with the same id count as one) are
+ * left out with a warning, so that one odd entry doesn't hide changes of the others.
+ * Unknown keys are ignored, so that a later version of the software can add some. */
 DpMemberView *
 dp_member_view_new_from_json (const char *service,
                               guint64 revision,
@@ -91,6 +90,7 @@
                               GError **error)
 {
   g_autoptr (GArray) members = new_members_ ();
+  g_autoptr (GHashTable) ids = g_hash_table_new (NULL, NULL);
   JsonNode *list = NULL;
   JsonArray *array;
 
@@ -114,18 +114,19 @@
       DpMember member = { 0 };
       const char *fault = parse_member_ (json_array_get_element (array, i), &member);
 
+      if (fault == NULL
+          && !g_hash_table_add (ids, GUINT_TO_POINTER (dp_member_id (member.name))))
+        fault = "another member has the same id";
       if (fault != NULL)
         {
-          dp_error_set (error, DP_ERROR_INVALID, "member list", service,
-                        "$.members[%u]: %s", i, fault);
-          return NULL;
+          g_warning ("member list of service %s: $.members[%u] is left out: %s", service,
+                     i, fault);
+          continue;
         }
       member.name = g_strdup (member.name);
       member.zone = g_strdup (member.zone);
       g_array_append_val (members, member);
     }
-  if (!check_distinct_ (members, service, error))
-    return NULL;
   return dp_member_view_new (service, revision, (const DpMember *) (void *) members->data,
                              members->len);
 }
@@ -164,6 +165,14 @@
   return node;
 }
 
+const char *
+dp_member_entry_fault (JsonNode *node)
+{
+  DpMember member = { 0 };
+
+  return parse_member_ (node, &member);
+}
+
 /* Adds a reference. */
 DpMemberView *
 dp_member_view_ref (DpMemberView *view)
@@ -302,26 +311,3 @@
   member->held = node != NULL && json_node_get_boolean (node);
   return NULL;
 }
-
-static gboolean
-check_distinct_ (GArray *members, const char *service, GError **error)
-{
-  g_autoptr (GHashTable) seen = g_hash_table_new (NULL, NULL);
-
-  for (guint i = 0; i < members->len; i++)
-    {
-      const DpMember *m = &g_array_index (members, DpMember, i);
-      gpointer key = GUINT_TO_POINTER (dp_member_id (m->name));
-      const DpMember *other = g_hash_table_lookup (seen, key);
-
-      if (other != NULL)
-        {
-          dp_error_set (error, DP_ERROR_INVALID, "member list", service,
-                        "$.members[%u]: \"%s\" has the same id as \"%s\"", i, m->name,
-                        other->name);
-          return FALSE;
-        }
-      g_hash_table_insert (seen, key, (gpointer) m);
-    }
-  return TRUE;
-}
--- a/src/test_libdogwoodpaddle/test_effectiveconfig.c
+++ b/src/test_libdogwoodpaddle/test_effectiveconfig.c
@@ -68,10 +68,15 @@
   apply (&f, DP_KIND_MEMBERS, SERVICE, MEMBERS);
   CU_ASSERT_PTR_NOT_NULL_FATAL (dp_effective_config_view (f.config));
   CU_ASSERT_EQUAL (dp_effective_config_view (f.config)->n_members, 1);
-  apply (&f, DP_KIND_MEMBERS, SERVICE, "{\"members\":[{\"name\":1}]}");
+  apply (&f, DP_KIND_MEMBERS, SERVICE, "{\"members\":{\"name\":1}}");
   CU_ASSERT_EQUAL (dp_effective_config_view (f.config)->n_members, 1);
   CU_ASSERT_EQUAL (dp_effective_config_view (f.config)->revision, 2);
   CU_ASSERT_EQUAL (f.changes[DP_EFFECTIVE_CONFIG_MEMBERS], 1);
+  /* A member that is malformed doesn't hide what became of the others. */
+  apply (&f, DP_KIND_MEMBERS, SERVICE, "{\"members\":[{\"name\":1}]}");
+  CU_ASSERT_EQUAL (dp_effective_config_view (f.config)->n_members, 0);
+  CU_ASSERT_EQUAL (dp_effective_config_view (f.config)->revision, 4);
+  CU_ASSERT_EQUAL (f.changes[DP_EFFECTIVE_CONFIG_MEMBERS], 2);
   apply (&f, DP_KIND_MEMBERS, SERVICE, NULL);
   CU_ASSERT_EQUAL (dp_effective_config_view (f.config)->n_members, 0);
   tear_down (&f);
