--- a/src/libdogwoodpaddle/balancerregistration.c
+++ b/src/libdogwoodpaddle/balancerregistration.c
@@ -2,6 +2,7 @@
 
 #include "protected/backoff.h"
 #include "protected/json.h"
+#include "protected/memberview.h"
 
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 5000
@@ -133,7 +134,9 @@
       || !g_str_equal (record->name, registration->self.name) || !registration->attempted)
     return;
   if (record->deleted == registration->wanted
-      || (!record->deleted && incarnation_of_ (record) != registration->self.incarnation))
+      || (!record->deleted
+          && (incarnation_of_ (record) != registration->self.incarnation
+              || !matches_ (&registration->self, record))))
     start_update_ (registration);
 }
 
@@ -239,8 +242,10 @@
 }
 
 /* Sets present to whether the record is this process's registration, and raises the
- * incarnation above that of an earlier process or of a registration that another process
- * removed. Returns FALSE if another process has registered the name since. */
+ * incarnation above that of an earlier process, of a registration that another process
+ * removed, or of one with other values than this process wrote. Returns FALSE if another
+ * process has registered the name since; a host's name is its own, whoever wrote there.
+ */
 static gboolean
 check_record_ (DpBalancerRegistration *registration,
                const DpRecord *record,
@@ -248,16 +253,16 @@
 {
   guint64 incarnation = record == NULL ? 0 : incarnation_of_ (record);
   DpTopologyBalancer *self = &registration->self;
+  const gboolean of_host = registration->owner == DP_BALANCER_REGISTRATION_OF_HOST;
+  const gboolean matches = record != NULL && matches_ (self, record);
 
-  if (record != NULL && registration->owner == DP_BALANCER_REGISTRATION_OF_HOST
-      && !registration->attempted && registration->wanted && matches_ (self, record))
+  if (of_host && registration->wanted && matches)
     {
       self->incarnation = incarnation;
+      registration->reused = registration->reused || !registration->attempted;
       registration->attempted = TRUE;
-      registration->reused = TRUE;
     }
-  *present = record != NULL && registration->attempted
-             && incarnation == self->incarnation;
+  *present = registration->attempted && matches && incarnation == self->incarnation;
   if (record == NULL && registration->present && registration->wanted)
     {
       self->incarnation++;
@@ -267,9 +272,9 @@
     }
   if (record == NULL || incarnation < self->incarnation || *present)
     return TRUE;
-  if (!registration->attempted)
+  if (!registration->attempted || of_host || incarnation == self->incarnation)
     {
-      self->incarnation = incarnation + 1; /* left by an earlier process */
+      self->incarnation = incarnation + 1;
       return TRUE;
     }
   registration->superseded = TRUE;
@@ -319,7 +324,7 @@
   guint64 incarnation = 0;
 
   dp_json_get_uint (dp_json_get_object (value), "incarnation", &incarnation);
-  return incarnation;
+  return MIN (incarnation, DP_INCARNATION_MAX);
 }
 
 /* Returns whether the record has the balancer's present values, apart from the
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -156,6 +156,39 @@
     check(site.companions[0].process.poll() is None, "the companion ended")
 
 
+def test_spoilt_registration_is_repaired(site):
+    """The registration of a balancer stayed as another writer had left it, so that members
+    that started later did not report to the balancer."""
+    start(site, n_balancers=2, n_servers=1)
+    name = site.balancers[0].name
+    good = site.store.objects["balancers", name]["spec"]
+    nested = []
+    for _ in range(100):
+        nested = [nested]
+    for odd in (None, 7, [], nested, {"a": nested}, {**good, "data_port": 65536},
+                {**good, "ip": None}, {**good, "zone": nested},
+                {**good, "data_port": -1, "incarnation": 10**40},
+                {**good, "control_port": "x", "incarnation": 2**63 - 1}):
+        site.store.put("balancers", name, {} if odd is None else odd)
+        end = time.monotonic() + 5.0
+        while time.monotonic() < end:
+            spec = site.store.objects["balancers", name]["spec"]
+            if isinstance(spec, dict) and {**spec, "incarnation": 0} == {**good,
+                                                                         "incarnation": 0}:
+                break
+            time.sleep(0.05)
+        else:
+            raise AssertionError(f"{str(odd)[:200]} stayed in the store")
+        check(0 <= spec["incarnation"] < 2**63, f"incarnation {spec['incarnation']}")
+    site.add_server("darbnica")
+    client = site.client()
+    client.run(time.monotonic() + 1.5)
+    results = finish(client, ask(client, REPORTS, 12, "report"))
+    check(results == ["ok"] * 12, f"results {set(results)}")
+    check(all(s.runs for s in site.servers if s.service == "darbnica"),
+          "a server got no request")
+
+
 def test_draining_server_is_not_revived_by_another_writer(site):
     """A heartbeat without an address put a draining server back into service."""
     start(site, n_servers=3)
