Drop searched packets that came during a pause

Cause: a search had handed them to a member that was paused. The sender kept them, got no answer and sent them elsewhere, where the flow was found. The paused member read them from its buffer when it woke, and asked its own server. The trace: companion 2 logs them with visited=18 at the time of its wake-up, balancers took them 0.8 to 1.3 s earlier.

Change: for 100 ms after a pause, a member drops packets of unknown flows that other members have handed to it in a search, with the reason "stale". Those of a balancer, and those for which the directory names this member, are decided as before, since nobody else has kept them.

--- a/src/dogwoodpaddle/explain_command.c
+++ b/src/dogwoodpaddle/explain_command.c
@@ -46,6 +46,8 @@
     "one has taken the flow" },
   { "drop", "not_found",
     "no member has the flow: its server has crashed, or is cut off" },
+  { "drop", "stale",
+    "came at a member while that was paused; other members got it meanwhile" },
   { "drop", "wrong_service", "a packet of another service arrived at the member" },
   { "to_member", "member_silent",
     "stalled: the member that has the flow is down or cut off" },
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -66,6 +66,7 @@
                                 acknowledge */
   DP_PASSTHROUGH_LOST,       /* the server has lost the flow, as after a crash */
   DP_PASSTHROUGH_NOT_FOUND,  /* no member has the flow */
+  DP_PASSTHROUGH_STALE, /* came during a pause; its sender has sent it elsewhere since */
   DP_PASSTHROUGH_WRONG_SERVICE,
   DP_PASSTHROUGH_UNEXPECTED, /* a packet that neither a client nor the server sends */
   DP_N_PASSTHROUGH_REASONS
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -25,6 +25,8 @@
 #define ACKNOWLEDGED_BYTES_MAX 76800
 /* Minimum interval between two registrations of a flow whose packets are searched. */
 #define REGISTRATION_INTERVAL_US DP_US_PER_S
+/* After a pause, packets that came meanwhile are read within this time. */
+#define PAUSE_BACKLOG_US (100 * DP_US_PER_MS)
 #define DIRECTORY_SWEEP_INTERVAL_US DP_US_PER_S
 /* Default until the limits are set: the longest lifetime of flows on current platforms.
  */
@@ -34,7 +36,8 @@
 {
   guint32 service_tag;
   guint32 member_id;
-  gint64 view_set_at; /* us */
+  gint64 view_set_at;     /* us */
+  gint64 backlog_read_at; /* us; packets that came during a pause are read before */
   DpPassthroughFlows *flows;
   DpFlowDirectory *directory; /* this member's part */
   gint64 directory_swept_at;  /* us, last search for expired entries */
@@ -420,6 +423,7 @@
 dp_passthrough_note_pause (DpPassthrough *passthrough, gint64 now)
 {
   dp_flow_directory_note_gap (passthrough->directory, now);
+  passthrough->backlog_read_at = now + PAUSE_BACKLOG_US;
   /* Answers to probes may not have been read yet. */
   dp_peer_probes_reset (passthrough->probes);
   dp_search_queue_clear (passthrough->searches);
@@ -711,6 +715,11 @@
     flow->used_at = now;
   if (owner != NULL)
     return dp_passthrough_decision_forward_to_owner (&owner->member, hop);
+  /* The member that has handed the packet to this one kept it, got no answer and sent it
+   * elsewhere. A flow that has been found since must not appear at other servers. */
+  if (now < passthrough->backlog_read_at && hop->n_visited > 0
+      && hop->n_owners_tried == 0)
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_STALE, hop);
   if (may_ask && may_have_flow_ (hop))
     return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
                                          hop);
--- a/src/libdogwoodpaddle/passthroughdecision.c
+++ b/src/libdogwoodpaddle/passthroughdecision.c
@@ -4,10 +4,10 @@
                                                "reset",     "hold",      "drop" };
 
 static const char *const reason_strings_[] = {
-  "owned",   "asked",     "searching",     "busy",       "not_serving",
-  "failing", "returned",  "passed_before", "registered", "waiting",
-  "late",    "expired",   "gathering",     "overloaded", "repeated",
-  "lost",    "not_found", "wrong_service", "unexpected"
+  "owned",   "asked",     "searching",     "busy",          "not_serving",
+  "failing", "returned",  "passed_before", "registered",    "waiting",
+  "late",    "expired",   "gathering",     "overloaded",    "repeated",
+  "lost",    "not_found", "stale",         "wrong_service", "unexpected"
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (action_strings_) == DP_N_PASSTHROUGH_ACTIONS);
