--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -814,6 +814,7 @@
     def start(self):
         with open(self.path, "w", encoding="utf-8") as file:
             json.dump(self.settings, file)
+        self.started_at = time.monotonic()
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [self.program, self.role], stdout=log, stderr=log,
