--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -1593,16 +1593,16 @@
 {
   static const struct
   {
-    guint8 visited;
-    guint8 owners_tried;
     gint64 at;
     DpPassthroughReason reason;
+    guint8 visited;
+    guint8 owners_tried;
   } cases[] = {
-    { 3, 0, S, DP_PASSTHROUGH_STALE },
-    { 3, 0, S + 99 * MS, DP_PASSTHROUGH_STALE },
-    { 3, 0, S + 100 * MS, DP_PASSTHROUGH_ASKED },
-    { 0, 0, S, DP_PASSTHROUGH_ASKED }, /* from a balancer, which keeps no packets */
-    { 1, 1, S, DP_PASSTHROUGH_ASKED }, /* the directory names this member */
+    { S, DP_PASSTHROUGH_STALE, 3, 0 },
+    { S + 99 * MS, DP_PASSTHROUGH_STALE, 3, 0 },
+    { S + 100 * MS, DP_PASSTHROUGH_ASKED, 3, 0 },
+    { S, DP_PASSTHROUGH_ASKED, 0, 0 }, /* from a balancer, which keeps no packets */
+    { S, DP_PASSTHROUGH_ASKED, 1, 1 }, /* the directory names this member */
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
--- a/test/test_soak.sh
+++ b/test/test_soak.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# A short run of the fault soak with fixed seeds and all kinds of faults, and with one seed of each cause that failed.
+# A short run of the fault soak with fixed seeds and all kinds of faults, and with one seed of
+# each cause that failed.
 set -uo pipefail
 source_dir=${DP_SOURCE_DIR:-$(cd "$(dirname "$0")/.." && pwd)}
 export DP_BINARY_DIR=${DP_BINARY_DIR:-$source_dir/build}
