Move the search for a flow's owner into a module of its own

passthrough.c had grown to 1,090 lines. ownersearch decides which member a packet visits next and keeps it until that member's answer is due. No change of behaviour; test_passthrough unchanged.

--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -2,10 +2,9 @@
 
 #include "private/passthroughadmission.h"
 #include "private/ownerregistrar.h"
+#include "private/ownersearch.h"
 #include "private/passthroughdecision.h"
 #include "private/passthroughflows.h"
-#include "private/peerprobes.h"
-#include "private/searchqueue.h"
 #include "protected/clock.h"
 
 /* Age of a client's last retransmission of a SYN; the first comes after 200 ms. */
@@ -14,9 +13,6 @@
  * if it arrives more than this time after the newest data. The server retransmits after
  * 200 ms; reordered packets are closer together. */
 #define RETRANSMISSION_MIN_US (150 * DP_US_PER_MS)
-/* Members that a searched packet may visit in excess of the service's members: those that
- * have passed its SYN on, and those that were visited before they asked their servers. */
-#define EXTRA_VISITS_MAX (DP_PASSTHROUGH_VISITS_MAX + DP_SEARCH_STEPS_MAX)
 /* A flow that was opened later than this after its SYN may have been taken by another
  * member as well, as the first copy of the SYN comes after 200 ms. */
 #define UNCONTESTED_OPEN_US (150 * DP_US_PER_MS)
@@ -43,18 +39,9 @@
   gint64 directory_swept_at;  /* us, last search for expired entries */
   DpOwnerRegistrar *registrar;
   DpPassthroughAdmission *admission;
-  DpPeerProbes *probes;    /* of the members that packets are searched at */
-  DpSearchQueue *searches; /* packets whose member may not answer */
+  DpOwnerSearch *search;
 };
 
-/* For dp_candidates_after_accepted (). */
-typedef struct
-{
-  const DpPeerProbes *probes;
-  gint64 now;
-  gboolean responsive; /* the wanted value */
-} MemberFilter;
-
 static DpPassthroughBasis
 make_basis_ (DpPassthrough *passthrough, const DpPassthroughFlow *flow, gint64 now);
 static DpPassthroughDecision decide_from_peer_ (DpPassthrough *passthrough,
@@ -89,26 +76,6 @@
                                             const DpHop *hop,
                                             DpPassthroughReason reason,
                                             gint64 now);
-static const DpMember *next_searched_ (const DpPassthrough *passthrough,
-                                       const DpSegment *segment,
-                                       const DpHop *hop,
-                                       gint64 now);
-static gboolean is_directory_member_ (const DpPassthrough *passthrough,
-                                      guint64 flow_hash);
-static const DpMember *responsive_directory_member_ (const DpPassthrough *passthrough,
-                                                     const DpSegment *segment,
-                                                     const DpHop *hop,
-                                                     gint64 now);
-static const DpMember *unresponsive_member_ (const DpPassthrough *passthrough,
-                                             guint64 flow_hash,
-                                             guint index,
-                                             gint64 now);
-static gboolean filter_member_ (const DpMember *member, gconstpointer user_data);
-static DpPassthroughDecision forward_unconfirmed_ (DpPassthrough *passthrough,
-                                                   const DpAddress *member,
-                                                   DpPassthroughReason reason,
-                                                   const DpHop *hop,
-                                                   gint64 now);
 static void
 register_flow_ (DpPassthrough *passthrough, DpPassthroughFlow *flow, gint64 now);
 static void withdraw_flow_ (DpPassthrough *passthrough, const DpFlowKey *key, gint64 now);
@@ -142,8 +109,7 @@
                                                    passthrough->member_id);
   passthrough->admission = dp_passthrough_admission_new (
       passthrough->flows, passthrough->directory, member, now);
-  passthrough->probes = dp_peer_probes_new ();
-  passthrough->searches = dp_search_queue_new ();
+  passthrough->search = dp_owner_search_new (passthrough->member_id);
   return passthrough;
 }
 
@@ -152,8 +118,7 @@
 {
   if (passthrough == NULL)
     return;
-  dp_search_queue_free (passthrough->searches);
-  dp_peer_probes_free (passthrough->probes);
+  dp_owner_search_free (passthrough->search);
   dp_passthrough_admission_free (passthrough->admission);
   dp_owner_registrar_free (passthrough->registrar);
   dp_flow_directory_free (passthrough->directory);
@@ -193,7 +158,7 @@
   if (dp_passthrough_admission_candidates (passthrough->admission) == NULL)
     dp_flow_directory_note_gap (passthrough->directory, now);
   passthrough->view_set_at = now;
-  dp_peer_probes_set_view (passthrough->probes, view);
+  dp_owner_search_set_view (passthrough->search, view);
   dp_passthrough_admission_set_view (passthrough->admission, view);
   update_registrations_ (passthrough, now);
 }
@@ -349,16 +314,12 @@
   DpSearchedPacket searched = {
     .segment = *segment,
     .hop = *hop,
-    .member = decision->member,
     .packet = packet,
-    .sent_at = now,
     .first_sent_at = now,
-    .was_responsive = dp_peer_probes_is_responsive (passthrough->probes,
-                                                    &decision->member, now),
   };
 
   searched.hop.service_tag = passthrough->service_tag;
-  dp_search_queue_push (passthrough->searches, &searched);
+  dp_owner_search_keep (passthrough->search, &searched, &decision->member, now);
 }
 
 /* Decides again about a packet whose member has not answered. */
@@ -369,24 +330,15 @@
 {
   DpSearchedPacket searched;
 
-  if (!dp_search_queue_next_unanswered (passthrough->searches, passthrough->probes,
-                                        &searched, now))
+  if (!dp_owner_search_next_unanswered (passthrough->search, &searched, now))
     return FALSE;
-  /* Members that don't answer are tried by the number of visits. */
-  if (!searched.was_responsive && searched.hop.n_visited < G_MAXUINT8)
-    searched.hop.n_visited++;
   unanswered->segment = searched.segment;
   unanswered->packet = searched.packet;
   unanswered->decision = dp_passthrough_from_peer (passthrough, &searched.segment,
                                                    &searched.hop, now);
   if (unanswered->decision.unconfirmed)
-    {
-      searched.member = unanswered->decision.member;
-      searched.sent_at = now;
-      searched.was_responsive = dp_peer_probes_is_responsive (passthrough->probes,
-                                                              &searched.member, now);
-      dp_search_queue_push (passthrough->searches, &searched);
-    }
+    dp_owner_search_keep (passthrough->search, &searched, &unanswered->decision.member,
+                          now);
   return TRUE;
 }
 
@@ -394,20 +346,20 @@
 guint
 dp_passthrough_n_kept (const DpPassthrough *passthrough)
 {
-  return dp_search_queue_length (passthrough->searches);
+  return dp_owner_search_n_kept (passthrough->search);
 }
 
 /* Returns the next member to be probed. */
 gboolean
 dp_passthrough_next_probe (DpPassthrough *passthrough, DpAddress *member)
 {
-  return dp_peer_probes_next (passthrough->probes, member);
+  return dp_owner_search_next_probe (passthrough->search, member);
 }
 
 void
 dp_passthrough_note_probe_answer (DpPassthrough *passthrough, const DpAddress *member)
 {
-  dp_peer_probes_note_answer (passthrough->probes, member);
+  dp_owner_search_note_answer (passthrough->search, member);
 }
 
 /* Returns the next registration to be sent. */
@@ -424,9 +376,7 @@
 {
   dp_flow_directory_note_gap (passthrough->directory, now);
   passthrough->backlog_read_at = now + PAUSE_BACKLOG_US;
-  /* Answers to probes may not have been read yet. */
-  dp_peer_probes_reset (passthrough->probes);
-  dp_search_queue_clear (passthrough->searches);
+  dp_owner_search_note_pause (passthrough->search);
 }
 
 /* Enters the owner of a flow in this member's part of the flow directory. */
@@ -727,9 +677,9 @@
   if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_FORWARDED
       && hop->search_steps == 0 && hop->n_visited <= flow->hop.n_visited
       && is_active_ (passthrough, &flow->forwarded_to)
-      && dp_peer_probes_is_responsive (passthrough->probes, &flow->forwarded_to, now))
-    return forward_unconfirmed_ (passthrough, &flow->forwarded_to,
-                                 DP_PASSTHROUGH_PASSED_BEFORE, hop, now);
+      && dp_owner_search_is_responsive (passthrough->search, &flow->forwarded_to, now))
+    return dp_owner_search_forward_to (passthrough->search, &flow->forwarded_to,
+                                       DP_PASSTHROUGH_PASSED_BEFORE, hop, now);
   decision = search_owner_ (passthrough, segment, hop, reason, now);
   if (decision.action == DP_PASSTHROUGH_DROP && may_ask)
     return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_ASKED,
@@ -789,10 +739,7 @@
   return NULL;
 }
 
-/* Forwards a packet whose flow is not here: first to a member that keeps the flow's
- * directory entry, then from one member to the next. Drops it if all have been visited.
- * It is never answered with a reset, since a member that is cut off may still have the
- * flow. */
+/* Forwards a packet whose flow is not here; drops it if it has visited all members. */
 static DpPassthroughDecision
 search_owner_ (DpPassthrough *passthrough,
                const DpSegment *segment,
@@ -800,140 +747,9 @@
                DpPassthroughReason reason,
                gint64 now)
 {
-  const DpMember *next = next_searched_ (passthrough, segment, hop, now);
-  DpHop searched = *hop;
-
-  if (next == NULL)
-    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_NOT_FOUND,
-                                         hop);
-  searched.search_steps = MIN (hop->search_steps + 1, DP_SEARCH_STEPS_MAX);
-  return forward_unconfirmed_ (passthrough, &next->address, reason, &searched, now);
-}
-
-/* Returns the member that a searched packet visits next; NULL if it has visited all.
- * Those that have left a probe unanswered come last, one after the other: they may be
- * down, and a packet that is sent to them may not go on. */
-static const DpMember *
-next_searched_ (const DpPassthrough *passthrough,
-                const DpSegment *segment,
-                const DpHop *hop,
-                gint64 now)
-{
-  DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
-  const MemberFilter filter = { passthrough->probes, now, TRUE };
-  const DpMember *next = NULL;
-  guint n_members;
-  guint n_unresponsive;
-
-  if (candidates == NULL)
-    return NULL;
-  n_members = dp_candidates_view (candidates)->n_members;
-  n_unresponsive = MIN (dp_peer_probes_n_unresponsive (passthrough->probes, now),
-                        n_members);
-  if (hop->n_visited >= n_members + EXTRA_VISITS_MAX)
-    return NULL;
-  if (hop->n_visited >= n_members - n_unresponsive + EXTRA_VISITS_MAX)
-    return unresponsive_member_ (
-        passthrough, segment->hash,
-        hop->n_visited - (n_members - n_unresponsive + EXTRA_VISITS_MAX), now);
-  if (hop->search_steps < DP_SEARCH_STEPS_MAX
-      && !is_directory_member_ (passthrough, segment->hash))
-    next = responsive_directory_member_ (passthrough, segment, hop, now);
-  if (next == NULL)
-    next = dp_candidates_after_accepted (candidates, segment->hash, DP_CANDIDATES_ALL,
-                                         passthrough->member_id, filter_member_, &filter);
-  if (next == NULL)
-    next = dp_candidates_after (candidates, segment->hash, DP_CANDIDATES_ALL,
-                                passthrough->member_id);
-  return next;
-}
-
-/* Returns whether this member keeps the flow's directory entry. */
-static gboolean
-is_directory_member_ (const DpPassthrough *passthrough, guint64 flow_hash)
-{
-  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
-  const guint n = dp_flow_directory_members (
-      dp_passthrough_admission_candidates (passthrough->admission), flow_hash, members);
-
-  for (guint i = 0; i < n; i++)
-    if (members[i]->id == passthrough->member_id)
-      return TRUE;
-  return FALSE;
-}
-
-/* Returns the preferred one of the responsive members that keep the flow's directory
- * entry; NULL if there is none. */
-static const DpMember *
-responsive_directory_member_ (const DpPassthrough *passthrough,
-                              const DpSegment *segment,
-                              const DpHop *hop,
-                              gint64 now)
-{
-  DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
-  const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
-  const DpMember *preferred = dp_flow_directory_preferred_member (
-      candidates, segment->hash, hop->n_owners_tried, passthrough->member_id);
-  guint n;
-
-  if (preferred == NULL
-      || dp_peer_probes_is_responsive (passthrough->probes, &preferred->address, now))
-    return preferred;
-  n = dp_flow_directory_members (candidates, segment->hash, members);
-  for (guint i = 0; i < n; i++)
-    if (dp_peer_probes_is_responsive (passthrough->probes, &members[i]->address, now))
-      return members[i];
-  return NULL;
-}
-
-/* Returns one of the members that have left a probe unanswered, by their order from this
- * member on. NULL if there are not as many. */
-static const DpMember *
-unresponsive_member_ (const DpPassthrough *passthrough,
-                      guint64 flow_hash,
-                      guint index,
-                      gint64 now)
-{
-  DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
-  const MemberFilter filter = { passthrough->probes, now, FALSE };
-  guint32 id = passthrough->member_id;
-  const DpMember *member = NULL;
-
-  for (guint i = 0; i <= index; i++)
-    {
-      member = dp_candidates_after_accepted (candidates, flow_hash, DP_CANDIDATES_ALL, id,
-                                             filter_member_, &filter);
-      if (member == NULL)
-        return NULL;
-      id = member->id;
-    }
-  return member;
-}
-
-static gboolean
-filter_member_ (const DpMember *member, gconstpointer user_data)
-{
-  const MemberFilter *filter = user_data;
-
-  return dp_peer_probes_is_responsive (filter->probes, &member->address, filter->now)
-         == filter->responsive;
-}
-
-/* Forwards the packet to a member that may be down, and probes the member. */
-static DpPassthroughDecision
-forward_unconfirmed_ (DpPassthrough *passthrough,
-                      const DpAddress *member,
-                      DpPassthroughReason reason,
-                      const DpHop *hop,
-                      gint64 now)
-{
-  DpPassthroughDecision decision = dp_passthrough_decision_forward (member, reason, hop);
-
-  decision.unconfirmed = decision.action == DP_PASSTHROUGH_TO_MEMBER;
-  if (decision.unconfirmed)
-    dp_peer_probes_request (passthrough->probes, member, now);
-  dp_peer_probes_request_unresponsive (passthrough->probes, now);
-  return decision;
+  return dp_owner_search_forward (
+      passthrough->search, dp_passthrough_admission_candidates (passthrough->admission),
+      segment, hop, reason, now);
 }
 
 /* Registers a flow that this member has taken. */
