--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -93,7 +93,7 @@
                            dp_passthrough_keep_packet (), as the member may be down */
 } DpPassthroughDecision;
 
-/* A packet that is decided about again. */
+/* A packet that is decided about again, as the member it was sent to has not answered. */
 typedef struct
 {
   DpSegment segment;
--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -1,6 +1,7 @@
 /* Datagrams of passthrough mode. Between companions and balancers: a companion reports
  * the state and load of its server; a balancer answers with the members of the service.
- * Between companions: the entries of the flow directory. */
+ * Between companions: the entries of the flow directory, and probes of whether they run.
+ */
 #pragma once
 
 #include <glib.h>
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -110,7 +110,7 @@
 apply_list_ (DpPassthroughCompanion *companion, const DpMemberList *list, gint64 now);
 static void ask_new_members_ (DpPassthroughCompanion *companion,
                               const DpMemberView *view);
-static void send_registrations_ (DpPassthroughCompanion *companion);
+static void send_pending_messages_ (DpPassthroughCompanion *companion);
 static void send_to_member_ (DpPassthroughCompanion *companion,
                              const DpAddress *member,
                              const guint8 *data,
@@ -361,7 +361,7 @@
   decision = dp_passthrough_from_peer (companion->passthrough, &segment, &hop, now);
   execute_ (companion, &decision, &segment, data, length);
   keep_packet_ (companion, &decision, &segment, &hop, data, length, now);
-  send_registrations_ (companion);
+  send_pending_messages_ (companion);
 }
 
 /* Handles a packet of the server itself, or a client's packet that the server returned.
@@ -401,7 +401,7 @@
   execute_ (companion, &decision, &segment, data, length);
   keep_packet_ (companion, &decision, &segment, &hop, data, length, now);
   release_held_syns_ (companion, now);
-  send_registrations_ (companion);
+  send_pending_messages_ (companion);
 }
 
 static void
@@ -495,7 +495,7 @@
       execute_ (companion, &unanswered.decision, &unanswered.segment, packet, length);
       dp_metric_increment (companion->unanswered);
     }
-  send_registrations_ (companion);
+  send_pending_messages_ (companion);
   if (dp_passthrough_n_kept (companion->passthrough) > 0)
     return G_SOURCE_CONTINUE;
   companion->retry_source = 0;
@@ -603,7 +603,7 @@
   else
     handle_peer_message_ (companion, source, &message);
   dp_report_message_clear (&message);
-  send_registrations_ (companion);
+  send_pending_messages_ (companion);
 }
 
 /* Handles a message that says nothing but who sends it, if it comes from there. */
@@ -674,9 +674,10 @@
     }
 }
 
-/* Sends what is to be entered in the flow directory at other members, and probes. */
+/* Sends other members what is to be entered in their part of the flow directory, and
+ * probes. */
 static void
-send_registrations_ (DpPassthroughCompanion *companion)
+send_pending_messages_ (DpPassthroughCompanion *companion)
 {
   DpOwnerRegistration registration;
   guint8 buffer[DP_REPORT_MAX];
@@ -751,7 +752,7 @@
   dp_passthrough_tick (companion->passthrough, now);
   /* Releases the SYNs that wait for a server that has become silent. */
   release_held_syns_ (companion, now);
-  send_registrations_ (companion);
+  send_pending_messages_ (companion);
   companion->in_flight->value = dp_passthrough_in_flight (companion->passthrough);
   log_breaker_change_ (companion);
   send_report_ (companion, now);
@@ -818,7 +819,7 @@
       || (in_flight > 0 && age < STOP_MAX_MS * DP_US_PER_MS))
     return G_SOURCE_CONTINUE;
   dp_passthrough_hand_over (companion->passthrough);
-  send_registrations_ (companion);
+  send_pending_messages_ (companion);
   g_message ("companion %s stopped, %u flows in flight", companion->name, in_flight);
   companion->stop_source = 0;
   companion->stopped_func (companion->stopped_data);
