--- a/test/hosted/linkfaults.c
+++ b/test/hosted/linkfaults.c
@@ -1,6 +1,7 @@
 /* Fault injection for a process of the soak, loaded by LD_PRELOAD: links that lose, delay
- * or hold up what the process sends, connections that are reset, and a wall clock that is
- * wrong. The rules are in a file that the soak changes while the process runs. */
+ * or hold up what the process sends, connections that are reset or carry nothing any more,
+ * and a wall clock that is wrong. The rules are in a file that the soak changes while the
+ * process runs. */
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
@@ -46,6 +47,8 @@
   uint32_t n_links;     /* number of links with a rule */
   uint32_t n_resets;    /* each change resets the connections to reset_host */
   uint32_t reset_host;
+  uint32_t n_silences; /* each change silences the connections to silenced_host */
+  uint32_t silenced_host; /* 0: to all hosts */
   Link links[N_HOSTS]; /* from this process to each host */
 } Rules;
 
@@ -60,7 +63,10 @@
 
 static Rules no_rules_;
 static volatile Rules *rules_ = &no_rules_;
-static uint32_t n_resets_; /* done */
+static uint32_t n_resets_;   /* done */
+static uint32_t n_silences_; /* done */
+/* Connections that carry nothing any more, by descriptor. */
+static volatile uint8_t silent_[MAX_FDS];
 
 __attribute__ ((constructor)) static void
 load_rules_ (void)
@@ -74,6 +80,7 @@
   close (fd);
   rules_ = map;
   n_resets_ = rules_->n_resets;
+  n_silences_ = rules_->n_silences;
 }
 
 static int
@@ -103,6 +110,29 @@
   return host >= 0 && rules_->links[host].cut;
 }
 
+/* Marks the connections that are open now; later ones to the same host work. */
+static void
+silence_connections_ (void)
+{
+  if (n_silences_ == rules_->n_silences)
+    return;
+  n_silences_ = rules_->n_silences;
+  for (int fd = 0; fd < MAX_FDS; fd++)
+    {
+      int host = peer_host_ (fd);
+
+      if (host >= 0 && (rules_->silenced_host == 0 || host == (int) rules_->silenced_host))
+        silent_[fd] = 1;
+    }
+}
+
+static int
+is_silent_ (int fd)
+{
+  silence_connections_ ();
+  return fd >= 0 && fd < MAX_FDS && silent_[fd];
+}
+
 static void *
 send_delayed_ (void *data)
 {
@@ -155,12 +185,31 @@
 ssize_t
 send (int fd, const void *data, size_t length, int flags)
 {
+  if (is_silent_ (fd))
+    return (ssize_t) length;
   if (!is_held_ (fd))
     return CALL_NEXT (send, fd, data, length, flags);
   errno = EAGAIN;
   return -1;
 }
 
+ssize_t
+recv (int fd, void *data, size_t length, int flags)
+{
+  if (!is_silent_ (fd))
+    return CALL_NEXT (recv, fd, data, length, flags);
+  errno = EAGAIN;
+  return -1;
+}
+
+int
+close (int fd)
+{
+  if (fd >= 0 && fd < MAX_FDS)
+    silent_[fd] = 0;
+  return CALL_NEXT (close, fd);
+}
+
 /* Gives the connection this process's address, by which the other end finds its rule. */
 int
 connect (int fd, const struct sockaddr *address, socklen_t length)
@@ -186,11 +235,13 @@
       CALL_NEXT (connect, fd, &none, sizeof none);
 }
 
-/* A connection that a cut holds up is not reported as writable. */
+/* A connection that a cut holds up is not reported as writable, one that is silent as
+ * nothing but writable. */
 int
 poll (struct pollfd *fds, nfds_t n, int timeout_ms)
 {
   short events[n + 1];
+  int silent_fds[n + 1];
 
   for (;;)
     {
@@ -200,6 +251,14 @@
       for (nfds_t i = 0; i < n; i++)
         {
           events[i] = fds[i].events;
+          silent_fds[i] = is_silent_ (fds[i].fd) ? fds[i].fd : -1;
+          if (silent_fds[i] >= 0)
+            {
+              fds[i].fd = -1;
+              if ((events[i] & POLLOUT) != 0)
+                wait_ms = 0;
+              continue;
+            }
           if ((events[i] & POLLOUT) == 0 || !is_held_ (fds[i].fd))
             continue;
           fds[i].events &= (short) ~POLLOUT;
@@ -209,7 +268,14 @@
         wait_ms = POLL_SLICE_MS;
       n_ready = CALL_NEXT (poll, fds, n, wait_ms);
       for (nfds_t i = 0; i < n; i++)
-        fds[i].events = events[i];
+        {
+          fds[i].events = events[i];
+          if (silent_fds[i] < 0)
+            continue;
+          fds[i].fd = silent_fds[i];
+          fds[i].revents = (short) (events[i] & POLLOUT);
+          n_ready += fds[i].revents != 0;
+        }
       if (n_ready != 0 || wait_ms == timeout_ms)
         return n_ready;
       if (timeout_ms > 0)
--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -302,6 +302,7 @@
         self.stopped_at = None
         self.lag = 0.0  # longest time without a look at the socket and the flows
         self.syns = []  # (flow, time)
+        self.syn_sent = {}  # flow to the time of sending of the SYN that this server took
         self.violations = []
         self.taking = True  # FALSE: returns SYNs
         self.sequence = 0
@@ -392,6 +393,7 @@
                         "retransmissions": 0}
                 self.flows[key] = flow
                 self.syns.append((key, time.monotonic()))
+                self.syn_sent[key] = packet.sent_at(time.monotonic())
             self._send(Packet(packet.dst, packet.src, SYN | ACK, flow["seq"],
                               packet.seq + 1))
             return
@@ -675,6 +677,19 @@
             flow["result"] = "deadline"
 
 
+class DirectClients(Clients):
+    """Clients whose flows each go to one balancer, as routes just added or removed are tried."""
+
+    def start_at(self, balancer, route, request):
+        flow = self.start(route, request)
+        flow["balancer"] = balancer.settings["ip"]
+        return flow
+
+    def _send(self, flow, flags, seq, ack=0, data=b""):
+        packet = Packet(flow["key"][0], flow["key"][1], flags, seq, ack, data)
+        self.socket.sendto(packet.pack(), (flow["balancer"], PACKET_PORT))
+
+
 class Router:
     """The platform's router, which calls /readyz of each balancer.
 
@@ -748,12 +763,14 @@
 class LinkFaults:
     """Rules of one process for linkfaults.c, in a file that the process maps."""
 
-    HEAD = struct.Struct("=q4sIII")  # clock offset, address, links, resets, host to reset
+    # Clock offset, address, links, resets, host to reset, silences, host to silence.
+    HEAD = struct.Struct("=q4sIIIII")
     LINK = struct.Struct("=BBH")
 
     def __init__(self, library, path, ip, new=True):
         self.environment = {"LD_PRELOAD": os.path.abspath(library), "LINKFAULTS_FILE": path}
         self.ip, self.clock_offset, self.n_resets, self.reset_host = ip, 0, 0, 0
+        self.n_silences, self.silenced_host = 0, 0
         self.rules = collections.defaultdict(list)  # host to the rules in force
         with open(path, "wb+" if new else "rb+") as file:
             if new:
@@ -768,7 +785,7 @@
     def _write_head(self):
         self.HEAD.pack_into(self.map, 0, self.clock_offset, socket.inet_aton(self.ip),
                             sum(map(bool, self.rules.values())), self.n_resets,
-                            self.reset_host)
+                            self.reset_host, self.n_silences, self.silenced_host)
 
     def _write_link(self, ip):
         # The worst of rules that overlap.
@@ -790,6 +807,11 @@
         self.n_resets, self.reset_host = self.n_resets + 1, self._host(ip)
         self._write_head()
 
+    def silence(self, ip=None):
+        """The process's present connections with this address, or all, carry nothing any more."""
+        self.n_silences, self.silenced_host = self.n_silences + 1, self._host(ip) if ip else 0
+        self._write_head()
+
     def set_clock(self, offset):
         """Sets the wall clock this many seconds ahead."""
         self.clock_offset = offset
@@ -808,12 +830,14 @@
         self.faults = faults_library and LinkFaults(
             faults_library, os.path.join(folder, self.name + ".faults"), settings["ip"])
         self.process = None
+        self.started_at = []  # of each incarnation
         self.store_ip = None
         self.start()
 
     def start(self):
         with open(self.path, "w", encoding="utf-8") as file:
             json.dump(self.settings, file)
+        self.started_at.append(time.monotonic())
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [self.program, self.role], stdout=log, stderr=log,
@@ -862,6 +886,10 @@
         raise KeyError(name)
 
 
+# routes: (ip, port) to the service
+Version = collections.namedtuple("Version", "number written_at acknowledged_at routes")
+
+
 class Site:
     """A whole deployment below one loopback prefix, as "127.33"."""
 
@@ -874,6 +902,7 @@
         self.balancers, self.companions, self.servers = [], [], []
         self.clients = []
         self.version = 1
+        self.versions = []  # Version, in order
         self.declared = set()  # (ip, port, service) of all configurations
 
     @staticmethod
@@ -933,7 +962,10 @@
     def configure(self, routes):
         """routes: (ip, port, service, kind)."""
         self.version += 1
+        written_at = time.monotonic()
         self.store.put("config", "main", self.configuration(routes))
+        self.versions.append(Version(self.version, written_at, time.monotonic(),
+                                     {route[:2]: route[2] for route in routes}))
 
     def configuration(self, routes):
         self.declared.update(route[:3] for route in routes)
--- /dev/null
+++ b/test/test_configuration.py
@@ -0,0 +1,231 @@
+#!/usr/bin/env python3
+"""Guards rule CONFIG: a change that the store has acknowledged is in force in time.
+
+Requests go to each balancer by itself, on routes that were just added, moved or removed, and are
+judged from what callers and servers saw (hosted/configuration.py). The faults come right before
+or after a change.
+"""
+
+import os
+import shutil
+import sys
+import tempfile
+import time
+import traceback
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "hosted"))
+import configuration  # noqa: E402
+import standins  # noqa: E402
+
+BINARIES = os.environ.get("DP_BINARY_DIR", "build")
+PROGRAM = os.path.join(BINARIES, "dogwoodpaddle-platform")
+FAULTS_LIBRARY = os.path.join(BINARIES, "linkfaults.so")
+REPORTS = ("198.18.0.1", 443, "darbnica", "non_idempotent")
+MANUALS = ("198.18.0.2", 443, "rokasgramata", "download")
+ZONES = ["riga-a", "riga-b", "riga-c"]
+STABLE_S = 4.0  # stable_window_ms: a host is in touch again so long after a fault
+APPLY_S = configuration.APPLY_S
+WATCHED_S = 3.0  # after a change is due
+STEP_S = 0.1  # between two requests of a balancer for a route
+
+
+def check(condition, text):
+    if not condition:
+        raise AssertionError(text)
+
+
+def added_route(number, service="darbnica"):
+    return ("198.18.1.1", 1000 + number, service, "idempotent")
+
+
+class Play:
+    """A deployment whose balancers are each asked for the routes of all versions."""
+
+    def __init__(self, site, zones=4 * ["riga-a"], n_servers=2):
+        self.site = site
+        self.flows = []
+        self.calm_at = 0.0  # from when on hosts are in touch
+        site.configure([REPORTS, MANUALS, added_route(0)])
+        for zone in zones:
+            site.add_balancer(zone)
+        for i in range(n_servers):
+            site.add_server("darbnica", ZONES[i % 3], slots=8)
+        site.add_server("rokasgramata", slots=8)
+        site.wait_ready(10.0)
+        self.client = standins.DirectClients(f"{site.prefix}.9.100", [])
+        site.clients.append(self.client)
+
+    def run(self, seconds):
+        self.client.run(time.monotonic() + seconds)
+
+    def disturbed(self):
+        self.calm_at = time.monotonic() + STABLE_S
+
+    def change(self, *routes):
+        """A version with these routes besides the two that stay."""
+        self.site.configure([REPORTS, MANUALS, *routes])
+
+    def ask(self, balancer, route):
+        text = f"request-{len(self.flows)}".encode()
+        self.flows.append(self.client.start_at(balancer, route[:2], text))
+        return self.flows[-1]
+
+    def ask_all(self, routes, until):
+        while time.monotonic() < until:
+            for balancer in self.site.balancers:
+                for route in routes:
+                    self.ask(balancer, route)
+            self.run(STEP_S)
+
+    def watch(self, routes):
+        """Asks until some time after the last version is due at hosts in touch."""
+        due = max(self.site.versions[-1].acknowledged_at + APPLY_S, self.calm_at)
+        self.ask_all(routes, due + WATCHED_S)
+        self.run(2.0)
+
+    def check(self, served=()):
+        """The rule holds for all requests sent by hosts in touch; these routes are served."""
+        requests = configuration.requests_of(self.site, self.flows)
+        judge = configuration.Judge(self.site.versions)
+        faults = judge.check_all(requests, lambda request: request.sent > self.calm_at)
+        check(not faults, f"{len(faults)} of {len(requests)} requests: {faults[:4]}")
+        due = max(self.site.versions[-1].acknowledged_at + APPLY_S, self.calm_at)
+        for route in served:
+            late = [f for f in self.flows if f["key"][1] == route[:2] and f["started"] > due]
+            unserved = [f["result"] for f in late if f["result"] != "ok"]
+            check(late and not unserved, f"{len(unserved)} of {len(late)} requests of the added "
+                  f"route: {set(unserved)}")
+
+
+def test_silent_connections_to_the_store(site):
+    """All calls wait on connections that carry nothing any more, while new ones work."""
+    play = Play(site, zones=[ZONES[i % 3] for i in range(4)])
+    play.run(6.0)
+    for balancer in site.balancers:
+        balancer.faults.silence(balancer.store_ip)
+    play.disturbed()
+    play.run(0.5)
+    play.change(added_route(1))
+    play.watch([added_route(0), added_route(1)])
+    play.check(served=[added_route(1)])
+
+
+def test_silent_connections_to_store_and_parents(site):
+    """The connections between balancers fall silent, too."""
+    play = Play(site)
+    play.run(6.0)
+    for balancer in site.balancers:
+        balancer.faults.silence()
+    play.disturbed()
+    play.run(0.5)
+    play.change(added_route(1))
+    play.watch([added_route(0), added_route(1)])
+    play.check(served=[added_route(1)])
+
+
+def test_change_after_a_long_outage(site):
+    """The pauses between attempts grow while the store is down."""
+    play = Play(site, zones=ZONES[:1])
+    for number in range(1, 4):
+        site.store.set_down(True)
+        play.run(10.0)
+        site.store.set_down(False)
+        play.disturbed()
+        play.run(0.1)
+        play.change(added_route(number))
+        play.watch([added_route(number - 1), added_route(number)])
+        play.check(served=[added_route(number)])
+
+
+def test_object_beside_the_configuration(site):
+    """A change of another object of the kind hid the configuration's change before it."""
+    play = Play(site)
+    play.run(1.0)
+    for number in range(1, 4):
+        play.change(added_route(number))
+        site.store.put("config", "other", {"version": number})
+        play.watch([added_route(number - 1), added_route(number)])
+        play.check(served=[added_route(number)])
+
+
+def test_last_routes_removed(site):
+    """A version without routes was taken for a watch without changes."""
+    play = Play(site)
+    play.run(1.0)
+    site.configure([])
+    play.watch([REPORTS, MANUALS, added_route(0)])
+    play.check()
+    play.change(added_route(1))
+    play.watch([REPORTS, added_route(0), added_route(1)])
+    play.check(served=[REPORTS, added_route(1)])
+
+
+def test_service_removed_before_its_parent_started(site):
+    """A parent that has started since has no record of the service for its children."""
+    play = Play(site)
+    play.run(4.0)
+    children = [b for b in site.balancers if b.metric("dogwoodpaddle_services_relayed")]
+    roots = [b for b in site.balancers if b not in children]
+    check(len(children) == 2, f"{len(children)} balancers rely on another one")
+    for child in children:
+        site.store.silent.add(child.store_ip)
+    for root in roots:
+        root.kill()
+    play.run(0.1)
+    site.configure([REPORTS])
+    for root in roots:
+        root.start()
+    play.run(2.5)
+    site.store.silent.clear()
+    play.disturbed()
+    play.watch([REPORTS, MANUALS])
+    play.check(served=[REPORTS])
+
+
+def test_syn_copy_after_its_route_was_removed(site):
+    """A retransmitted SYN followed the first one, whichever routes there were by then."""
+    play = Play(site)
+    play.run(1.0)
+    for server in site.servers:
+        server.taking = False
+    for number in range(1, 4):
+        play.ask_all([added_route(number - 1)], time.monotonic() + 0.3)
+        play.change(added_route(number))
+        play.run(0.15)
+        for server in site.servers:
+            server.taking = True
+        play.ask_all([added_route(number)], time.monotonic() + 0.1)
+        play.run(1.5)
+        for server in site.servers:
+            server.taking = False
+    play.check()
+
+
+def run(test, number):
+    folder = tempfile.mkdtemp(prefix="configuration-")
+    site = standins.Site(PROGRAM, folder, FAULTS_LIBRARY)
+    try:
+        test(site)
+        print(f"ok {number} - {test.__name__}", flush=True)
+        return True
+    except Exception:  # pylint: disable=broad-except
+        traceback.print_exc()
+        print(f"not ok {number} - {test.__name__}", flush=True)
+        for process in site.balancers:
+            print(f"--- {process.name}\n{process.log()[-2500:]}")
+        return False
+    finally:
+        site.close()
+        shutil.rmtree(folder)
+
+
+def main():
+    tests = [value for name, value in sorted(globals().items()) if name.startswith("test_")
+             and (len(sys.argv) == 1 or name in sys.argv[1:])]
+    results = [run(test, i + 1) for i, test in enumerate(tests)]
+    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
+    return 0 if all(results) and results else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/test/test_linkfaults.py
+++ b/test/test_linkfaults.py
@@ -129,6 +129,7 @@
             check(False, "a connection opens over a cut link")
         except TimeoutError:
             faults.end(ips[1], CUT)
+        play_silence(faults, ips)
         faults.reset(ips[1])
         try:
             server.recv(16)
@@ -137,6 +138,17 @@
             pass
 
 
+def play_silence(faults, ips):
+    with socket.create_server((ips[1], 0)) as listener:
+        client, server = open_connection(listener)
+        faults.silence(ips[1])
+        check(not arrives(client, server), "a byte leaves a silent connection")
+        check(not arrives(server, client), "a byte comes by a silent connection")
+        new_client, new_server = open_connection(listener)
+        check(arrives(new_client, new_server), "a new connection is silent, too")
+        check(arrives(new_server, new_client), "a new connection is silent the other way")
+
+
 def play_clocks(faults, _ips):
     for name, offset in CLOCKS:
         faults.set_clock(0)
