Log which call to the platform failed, after which wait, and where services come from

Callers saw a removed route served for up to 6.5 s; between 'not reachable' and the next revision the log said nothing of what the process waited for. A failed read now names its kind, its time limit and its attempt, failures 1, 2, 4, 8 in a row are logged, and two gauges give the services' revision and their age.

--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -53,6 +53,8 @@
       parent_heard_at; /* us, when the parent last sent a confirmation or was replaced */
   DpChannelMetrics channel_metrics;
   DpMetric *relayed;
+  DpMetric *revision;
+  DpMetric *age;
   gint64 unreachable_since; /* us, 0: the platform is reachable */
   gboolean known;           /* the services have been read */
   GHashTable *pending;      /* names of services whose records are to be applied */
@@ -131,6 +133,12 @@
   services->relayed = dp_metrics_add (
       options->metrics, DP_METRIC_GAUGE, "dogwoodpaddle_services_relayed", "",
       "1 while the services come from another balancer, without calls to the platform");
+  services->revision = dp_metrics_add (options->metrics, DP_METRIC_GAUGE,
+                                       "dogwoodpaddle_services_revision", "",
+                                       "Revision up to which the services are known");
+  services->age = dp_metrics_add (
+      options->metrics, DP_METRIC_GAUGE, "dogwoodpaddle_services_age_ms", "",
+      "Time since the services were last known to be the newest, in milliseconds");
   create_registration_ (services, options);
   return services;
 }
@@ -180,6 +188,9 @@
 
   choose_parents_ (services, now);
   choose_source_ (services, now);
+  services->revision->value = dp_replica_revision (services->services_replica);
+  services->age->value = (guint64) (dp_freshness_age (&services->freshness, now)
+                                    / DP_US_PER_MS);
 }
 
 /* Returns whether the services have been read from any source. */
@@ -569,8 +580,10 @@
     }
   if (g_hash_table_size (services->pending) > 0)
     return G_SOURCE_CONTINUE;
-  g_message ("services of revision %" G_GUINT64_FORMAT " are in force",
-             dp_replica_revision (services->services_replica));
+  g_message ("services of revision %" G_GUINT64_FORMAT " are in force, from %s",
+             dp_replica_revision (services->services_replica),
+             dp_watch_active (services->services_watch) ? "the platform"
+                                                        : "another balancer");
   services->update_source = 0;
   return G_SOURCE_REMOVE;
 }
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -61,8 +61,9 @@
   /* Current call. */
   SoupMessage *message;
   GCancellable *cancellable;
-  guint timer;   /* timeout of the call, or delay before the next attempt */
-  gboolean sent; /* a call is in progress */
+  guint timer;        /* timeout of the call, or delay before the next attempt */
+  gboolean sent;      /* a call is in progress */
+  gboolean timed_out; /* the call was cancelled for lack of an answer */
 } Request;
 
 /* Timeout of each attempt of a read; the last one has the client's whole timeout. A
@@ -73,6 +74,10 @@
  * reachable again. */
 static const guint read_timeouts_ms_[MAX_ATTEMPTS] = { 300, 300, 600, G_MAXUINT };
 
+static const char *const request_type_strings_[] = { "list", "get", "watch", "write" };
+
+G_STATIC_ASSERT (G_N_ELEMENTS (request_type_strings_) == N_REQUEST_TYPES);
+
 static const char *const write_result_strings_[] = {
   "done",
   "conflict",
@@ -95,6 +100,8 @@
 static gboolean schedule_retry_ (Request *request);
 static void call_done_ (GObject *source, GAsyncResult *result, gpointer user_data);
 static void handle_read_ (Request *request, guint status, GBytes *body, GError *cause);
+static GError *
+make_read_error_ (const Request *request, guint status, const GError *cause);
 static gboolean read_page_ (Request *request,
                             GBytes *body,
                             GPtrArray *records,
@@ -376,6 +383,7 @@
     }
   request->cancellable = g_cancellable_new ();
   request->sent = TRUE;
+  request->timed_out = FALSE;
   request->timer = g_timeout_add (timeout_ms_ (request), timed_out_, request);
   soup_session_send_and_read_async (request->platform->session, request->message,
                                     G_PRIORITY_DEFAULT, request->cancellable, call_done_,
@@ -440,6 +448,7 @@
   request->timer = 0;
   if (request->sent)
     {
+      request->timed_out = TRUE;
       g_cancellable_cancel (request->cancellable);
       return G_SOURCE_REMOVE;
     }
@@ -530,17 +539,33 @@
     {
       if (request->type != REQUEST_WATCH && schedule_retry_ (request))
         return;
-      if (status != 0)
-        dp_error_set (&error, DP_ERROR_UNAVAILABLE, READ_STEP,
-                      request->platform->base_url, "HTTP status %u", status);
-      else
-        dp_error_set (&error, DP_ERROR_UNAVAILABLE, READ_STEP,
-                      request->platform->base_url, "%s",
-                      cause == NULL ? "no answer" : cause->message);
+      error = make_read_error_ (request, status, cause);
     }
   finish_read_ (request, records, revision, error);
 }
 
+/* Returns the error of a read that the platform has not answered, or with an unexpected
+ * status. */
+static GError *
+make_read_error_ (const Request *request, guint status, const GError *cause)
+{
+  const char *peer = request->platform->base_url;
+  const char *type = request_type_strings_[request->type];
+  GError *error = NULL;
+
+  if (status != 0)
+    dp_error_set (&error, DP_ERROR_UNAVAILABLE, READ_STEP, peer, "%s: HTTP status %u",
+                  type, status);
+  else if (request->timed_out)
+    dp_error_set (&error, DP_ERROR_UNAVAILABLE, READ_STEP, peer,
+                  "%s: no answer within %u ms, attempt %u", type, timeout_ms_ (request),
+                  request->attempts);
+  else
+    dp_error_set (&error, DP_ERROR_UNAVAILABLE, READ_STEP, peer, "%s: %s", type,
+                  cause == NULL ? "no answer" : cause->message);
+  return error;
+}
+
 /* Reads one page of a list or the events of a watch. Returns TRUE if it has requested a
  * further page. */
 static gboolean
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -18,7 +18,7 @@
   gpointer user_data;
   gboolean active;
   gboolean reachable; /* the last call was answered */
-  gboolean failed;    /* the last call was not answered */
+  guint n_failures;   /* calls without an answer since the last one with an answer */
   gboolean listing;   /* the call in progress lists all objects */
   gboolean listed;    /* the next call may be a watch that continues from since */
   gboolean behind;    /* the platform is at a lower revision than the replica */
@@ -118,7 +118,7 @@
   g_clear_handle_id (&watch->timer, g_source_remove);
   dp_backoff_reset (&watch->backoff);
   watch->reachable = FALSE;
-  watch->failed = FALSE;
+  watch->n_failures = 0;
 }
 
 /* Returns whether the watch has been started. */
@@ -139,7 +139,7 @@
 gboolean
 dp_watch_failed (const DpWatch *watch)
 {
-  return watch->failed;
+  return watch->n_failures > 0;
 }
 
 /* Returns whether the platform is at a lower revision than the replica, as after a
@@ -190,18 +190,17 @@
     watch->timer = g_timeout_add (delay, call_now_, watch);
 }
 
+/* Logs failures 1, 2, 4, 8 and so on in a row. */
 static void
 handle_failure_ (DpWatch *watch, const GError *error)
 {
-  gboolean first = !watch->failed;
-
   dp_metric_increment (watch->failures);
-  watch->failed = TRUE;
+  watch->n_failures++;
   watch->reachable = FALSE;
-  if (!first)
-    return;
-  g_warning ("%s", error->message);
-  watch->listener.reachable (FALSE, watch->user_data);
+  if ((watch->n_failures & (watch->n_failures - 1)) == 0)
+    g_warning ("%s; %u failed in a row", error->message, watch->n_failures);
+  if (watch->n_failures == 1)
+    watch->listener.reachable (FALSE, watch->user_data);
 }
 
 static void
@@ -226,7 +225,7 @@
         dp_replica_apply (watch->replica, g_ptr_array_index (records, i));
       dp_replica_set_revision (watch->replica, revision);
     }
-  watch->failed = FALSE;
+  watch->n_failures = 0;
   if (!watch->reachable)
     {
       watch->reachable = TRUE;
--- a/test/hosted/linkfaults.c
+++ b/test/hosted/linkfaults.c
@@ -1,7 +1,7 @@
 /* Fault injection for a process of the soak, loaded by LD_PRELOAD: links that lose, delay
- * or hold up what the process sends, connections that are reset or carry nothing any more,
- * and a wall clock that is wrong. The rules are in a file that the soak changes while the
- * process runs. */
+ * or hold up what the process sends, connections that are reset or carry nothing any
+ * more, and a wall clock that is wrong. The rules are in a file that the soak changes
+ * while the process runs. */
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
@@ -47,9 +47,9 @@
   uint32_t n_links;     /* number of links with a rule */
   uint32_t n_resets;    /* each change resets the connections to reset_host */
   uint32_t reset_host;
-  uint32_t n_silences; /* each change silences the connections to silenced_host */
+  uint32_t n_silences;    /* each change silences the connections to silenced_host */
   uint32_t silenced_host; /* 0: to all hosts */
-  Link links[N_HOSTS]; /* from this process to each host */
+  Link links[N_HOSTS];    /* from this process to each host */
 } Rules;
 
 typedef struct
@@ -121,7 +121,8 @@
     {
       int host = peer_host_ (fd);
 
-      if (host >= 0 && (rules_->silenced_host == 0 || host == (int) rules_->silenced_host))
+      if (host >= 0
+          && (rules_->silenced_host == 0 || host == (int) rules_->silenced_host))
         silent_[fd] = 1;
     }
 }
