Drop all kept connections to the platform after an unanswered call, and probe it

Cause: when connections fall silent, the call after a failure was again a watch with its whole wait, on another connection that was kept alive from before. The log shows two watches of 3,400 ms in a row. Now a read that is not answered makes later calls open new connections, and the watch after a failure waits 10 ms and has the timeout of a list's attempt.

--- a/src/libdogwoodpaddle/include/protected/platform.h
+++ b/src/libdogwoodpaddle/include/protected/platform.h
@@ -90,6 +90,7 @@
                                                     guint collection);
 void dp_platform_free (DpPlatform *platform);
 void dp_platform_set_timeout (DpPlatform *platform, guint timeout_ms);
+guint dp_platform_read_timeout (const DpPlatform *platform, guint attempt);
 const char *dp_write_result_string (DpWriteResult result);
 
 void dp_platform_list (DpPlatform *platform,
@@ -101,12 +102,13 @@
                       const char *name,
                       DpPlatformReadFunc done,
                       gpointer user_data);
-/* The platform holds the call open until a record is newer than since, or for
- * timeout_ms. */
+/* The platform holds the call open until a record is newer than since, or for wait_ms. It
+ * counts as unanswered after a further answer_ms, at most the client's timeout. */
 void dp_platform_watch (DpPlatform *platform,
                         guint collection,
                         guint64 since,
-                        guint timeout_ms,
+                        guint wait_ms,
+                        guint answer_ms,
                         DpPlatformReadFunc done,
                         gpointer user_data);
 /* Writes on condition that the object is at the version; 0: that it does not exist. value
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -53,12 +53,14 @@
   gboolean withdrawn;        /* write: stopped by the guard */
   gboolean unanswered; /* write: an attempt got no response, so it may take effect */
   guint attempts;
-  guint wait_ms; /* for which the platform may hold the call open */
+  guint wait_ms;   /* for which the platform may hold the call open */
+  guint answer_ms; /* watch: time for the answer besides the wait */
   DpBackoff backoff;
   DpPlatformReadFunc read_done;
   DpPlatformWriteFunc write_done;
   gpointer user_data;
   /* Current call. */
+  SoupSession *session;
   SoupMessage *message;
   GCancellable *cancellable;
   guint timer;        /* timeout of the call, or delay before the next attempt */
@@ -87,6 +89,8 @@
 
 G_STATIC_ASSERT (G_N_ELEMENTS (write_result_strings_) == DP_N_WRITE_RESULTS);
 
+static SoupSession *new_session_ (void);
+static void forget_connections_ (DpPlatform *platform);
 static Request *request_new_ (DpPlatform *platform, RequestType type);
 static void request_free_ (Request *request);
 static void request_detach_ (Request *request);
@@ -137,10 +141,7 @@
 
   platform->dialect = dialect;
   platform->base_url = g_strdup (base_url);
-  platform->session = soup_session_new_with_options (
-      "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS, "user-agent",
-      "dogwoodpaddle/" DP_VERSION, NULL);
-  soup_session_set_proxy_resolver (platform->session, NULL);
+  platform->session = new_session_ ();
   platform->requests = g_ptr_array_new ();
   platform->timeout_ms = DEFAULT_TIMEOUT_MS;
   return platform;
@@ -179,6 +180,15 @@
   platform->timeout_ms = timeout_ms;
 }
 
+/* Returns the time, in ms, after which an attempt of a read counts as unanswered.
+ * attempt: from 1 on. */
+guint
+dp_platform_read_timeout (const DpPlatform *platform, guint attempt)
+{
+  g_assert (attempt > 0);
+  return MIN (platform->timeout_ms, read_timeouts_ms_[MIN (attempt, MAX_ATTEMPTS) - 1]);
+}
+
 /* Returns a short name of the result. */
 const char *
 dp_write_result_string (DpWriteResult result)
@@ -223,23 +233,26 @@
   send_ (request);
 }
 
-/* Waits for records above a revision; ends without any after timeout_ms. Not retried on
- * failure. */
+/* Waits for records above a revision; ends without any after wait_ms, and fails without
+ * an answer after a further answer_ms, or the client's timeout if that is less. Not
+ * retried on failure. */
 void
 dp_platform_watch (DpPlatform *platform,
                    guint collection,
                    guint64 since,
-                   guint timeout_ms,
+                   guint wait_ms,
+                   guint answer_ms,
                    DpPlatformReadFunc done,
                    gpointer user_data)
 {
   Request *request = request_new_ (platform, REQUEST_WATCH);
 
   request->collection = collection;
-  request->url = make_url_ (
-      platform, platform->dialect->watch_path (collection, since, timeout_ms));
+  request->url = make_url_ (platform,
+                            platform->dialect->watch_path (collection, since, wait_ms));
   request->version = since;
-  request->wait_ms = timeout_ms;
+  request->wait_ms = wait_ms;
+  request->answer_ms = answer_ms;
   request->read_done = done;
   request->user_data = user_data;
   send_ (request);
@@ -317,6 +330,27 @@
   platform->blind_repeat = blind;
 }
 
+static SoupSession *
+new_session_ (void)
+{
+  SoupSession *session = soup_session_new_with_options (
+      "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS, "user-agent",
+      "dogwoodpaddle/" DP_VERSION, NULL);
+
+  soup_session_set_proxy_resolver (session, NULL);
+  return session;
+}
+
+/* Makes later calls open new connections. What silences one kept-alive connection may
+ * have silenced the others, too, and a call on one of them would be lost. Calls in
+ * progress go on. */
+static void
+forget_connections_ (DpPlatform *platform)
+{
+  g_object_unref (platform->session);
+  platform->session = new_session_ ();
+}
+
 static Request *
 request_new_ (DpPlatform *platform, RequestType type)
 {
@@ -332,6 +366,7 @@
 static void
 request_free_ (Request *request)
 {
+  g_clear_object (&request->session);
   g_clear_object (&request->message);
   g_clear_object (&request->cancellable);
   g_clear_pointer (&request->value, json_node_unref);
@@ -371,6 +406,7 @@
 {
   request->attempts++;
   request->platform->calls++;
+  g_set_object (&request->session, request->platform->session);
   g_clear_object (&request->message);
   g_clear_object (&request->cancellable);
   request->message = make_message_ (request);
@@ -385,7 +421,7 @@
   request->sent = TRUE;
   request->timed_out = FALSE;
   request->timer = g_timeout_add (timeout_ms_ (request), timed_out_, request);
-  soup_session_send_and_read_async (request->platform->session, request->message,
+  soup_session_send_and_read_async (request->session, request->message,
                                     G_PRIORITY_DEFAULT, request->cancellable, call_done_,
                                     request);
 }
@@ -394,13 +430,11 @@
 static guint
 timeout_ms_ (const Request *request)
 {
-  guint bound = request->platform->timeout_ms;
-
   if (request->type == REQUEST_WATCH)
-    return bound + request->wait_ms;
+    return request->wait_ms + MIN (request->answer_ms, request->platform->timeout_ms);
   if (request->type == REQUEST_WRITE && !request->reading_back)
-    return bound;
-  return MIN (bound, read_timeouts_ms_[MIN (request->attempts, MAX_ATTEMPTS) - 1]);
+    return request->platform->timeout_ms;
+  return dp_platform_read_timeout (request->platform, request->attempts);
 }
 
 static SoupMessage *
@@ -449,6 +483,8 @@
   if (request->sent)
     {
       request->timed_out = TRUE;
+      if (request->session == request->platform->session)
+        forget_connections_ (request->platform);
       g_cancellable_cancel (request->cancellable);
       return G_SOURCE_REMOVE;
     }
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -4,7 +4,10 @@
 #include "protected/error.h"
 
 #define SPACING_MS 100 /* between two calls; limits their rate during many writes */
-#define RETRY_FIRST_MS 200
+#define RETRY_FIRST_MS 100
+/* Wait of a watch that follows a failure: it is to show soon whether the platform answers
+ * again. */
+#define PROBE_WAIT_MS 10
 #define RETRY_MAX_MS 5000
 
 struct _DpWatch
@@ -12,6 +15,7 @@
   DpPlatform *platform;
   guint collection;
   guint wait_ms;
+  guint answer_ms; /* time for the answer besides the wait */
   guint spacing_ms;
   DpReplica *replica;
   DpWatchListener listener;
@@ -55,6 +59,7 @@
   watch->platform = platform;
   watch->collection = collection;
   watch->wait_ms = wait_ms;
+  watch->answer_ms = G_MAXUINT;
   watch->spacing_ms = SPACING_MS;
   watch->replica = replica;
   watch->listener = *listener;
@@ -160,8 +165,16 @@
   if (watch->listing)
     dp_platform_list (watch->platform, watch->collection, call_done_, watch);
   else
-    dp_platform_watch (watch->platform, watch->collection, watch->since, watch->wait_ms,
-                       call_done_, watch);
+    {
+      const gboolean probe = watch->n_failures > 0;
+
+      dp_platform_watch (
+          watch->platform, watch->collection, watch->since,
+          probe ? PROBE_WAIT_MS : watch->wait_ms,
+          probe ? dp_platform_read_timeout (watch->platform, watch->n_failures)
+                : watch->answer_ms,
+          call_done_, watch);
+    }
   return G_SOURCE_REMOVE;
 }
 
--- a/src/test_libdogwoodpaddle/test_platform.c
+++ b/src/test_libdogwoodpaddle/test_platform.c
@@ -272,9 +272,9 @@
 }
 
 static void
-watch (Fixture *f, guint64 since, guint timeout_ms)
+watch (Fixture *f, guint64 since, guint wait_ms)
 {
-  dp_platform_watch (f->platform, 0, since, timeout_ms, read_done, f);
+  dp_platform_watch (f->platform, 0, since, wait_ms, TIMEOUT_MS, read_done, f);
 }
 
 static void
