Derive all waits on a configuration's way from its bounds, and add them up

Cause: the wait of a watch, its timeout, the delay between failed calls and the age of a parent's confirmation were each chosen by themselves. Added up against a settling time of 4 s: 2,400 + 1,000 ms and another read for a watch whose connection falls silent, and 1,000 + 5,000 ms and another read for a call that fails just before the store returns from an outage.

--- a/src/libdogwoodpaddle/include/private/watch.h
+++ b/src/libdogwoodpaddle/include/private/watch.h
@@ -9,6 +9,10 @@
 /* Longest time for which the platform may hold a watch call open. */
 #define DP_WATCH_MAX_WAIT_MS 30000
 
+/* Maximum delay before the first call after a failure; it doubles with each further
+ * one. */
+#define DP_WATCH_RETRY_FIRST_MS 100
+
 typedef struct _DpWatch DpWatch;
 
 typedef struct
@@ -25,6 +29,7 @@
                        const DpWatchListener *listener,
                        gpointer user_data);
 void dp_watch_free (DpWatch *watch);
+void dp_watch_set_limits (DpWatch *watch, guint answer_ms, guint retry_max_ms);
 void dp_watch_set_wait (DpWatch *watch, guint wait_ms);
 void dp_watch_set_spacing (DpWatch *watch, guint spacing_ms);
 void dp_watch_relist (DpWatch *watch);
--- a/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "protected/clock.h"
+#include "protected/configtiming.h"
 #include "protected/metrics.h"
 #include "protected/packetformat.h"
 #include "protected/platform.h"
@@ -28,12 +29,7 @@
   DpPlatform *platform;
   guint services_collection;  /* the platform's collection of services */
   guint balancers_collection; /* the platform's collection of balancers */
-  guint watch_wait_ms;        /* maximum time for which the platform holds a watch open */
-  guint relay_watch_wait_ms;  /* replaces watch_wait_ms while other balancers subscribe
-                                 here */
-  /* The balancer reads the services from its parent in the relay tree while the parent's
-   * last confirmation that they are up to date is no older than this. */
-  guint relay_max_age_ms;
+  DpConfigTiming timing;
   DpClock *clock;
   DpMetrics *metrics;
 } DpPassthroughBalancerOptions;
--- a/src/libdogwoodpaddle/include/protected/platform.h
+++ b/src/libdogwoodpaddle/include/protected/platform.h
@@ -8,6 +8,11 @@
 
 #include "protected/replica.h"
 
+/* Timeouts of the first attempts of a read and of its last one; the latter is the
+ * client's whole timeout on the users' platform. */
+#define DP_PLATFORM_READ_TIMEOUT_MS 300
+#define DP_PLATFORM_LAST_READ_TIMEOUT_MS 1000
+
 typedef struct _DpPlatform DpPlatform;
 
 /* Objects that are listed and watched together. */
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -11,7 +11,6 @@
 /* Flows in the cache, of 32 bytes each: ten times as many as the largest balancer in use
  * gets in ten seconds. */
 #define CACHED_FLOWS 16384
-#define TICK_MS 250
 /* A member that has not reported for this time is probably down or cut off. */
 #define REPORT_SILENCE_US (1500 * DP_US_PER_MS)
 /* Time after a SYN in which another one of the flow is taken for its retransmission.
@@ -141,7 +140,7 @@
   if (balancer->data == NULL
       || !dp_passthrough_services_start (balancer->services, error))
     return FALSE;
-  balancer->tick_source = g_timeout_add (TICK_MS, tick_, balancer);
+  balancer->tick_source = g_timeout_add (DP_CONFIG_TICK_MS, tick_, balancer);
   g_message ("balancer %s of availability zone %s started", balancer->name,
              balancer->zone);
   return TRUE;
--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -20,7 +20,7 @@
  * of a member, and two intervals between reports to balancers of its own availability
  * zone. */
 #define ANNOUNCEMENT_DELAY_US (1200 * DP_US_PER_MS)
-/* A parent that sends no confirmation for this many times relay_max_age_ms is replaced by
+/* A parent that sends no confirmation for this many times the maximum age is replaced by
  * the next parent. */
 #define PARENT_TIMEOUT_FACTOR 4
 
@@ -46,9 +46,7 @@
   DpFeed *feed;         /* sends the services to other balancers */
   DpUpstream *upstream; /* connection to the balancer that the services come from */
   DpFreshness freshness;
-  guint watch_wait_ms;       /* maximum time for which the platform holds a watch open */
-  guint relay_watch_wait_ms; /* replaces watch_wait_ms while other balancers subscribe
-                                here */
+  DpConfigTiming timing;
   gint64
       parent_heard_at; /* us, when the parent last sent a confirmation or was replaced */
   DpChannelMetrics channel_metrics;
@@ -109,9 +107,9 @@
   services->peers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
   g_array_append_vals (services->peers, options->peers, options->n_peers);
   services->clock = options->clock;
-  services->watch_wait_ms = options->watch_wait_ms;
-  services->relay_watch_wait_ms = options->relay_watch_wait_ms;
-  dp_freshness_init (&services->freshness, options->relay_max_age_ms * DP_US_PER_MS);
+  services->timing = options->timing;
+  dp_freshness_init (&services->freshness,
+                     services->timing.relay_max_age_ms * DP_US_PER_MS);
   services->metrics = options->metrics;
   services->router = router;
   services->unreachable_since = dp_clock_now (options->clock);
@@ -124,11 +122,13 @@
   services->services_listener = dp_replica_add_listener (services->services_replica,
                                                          service_changed_, services);
   services->services_watch = dp_watch_new (
-      options->platform, options->services_collection, options->watch_wait_ms,
+      options->platform, options->services_collection, services->timing.watch_wait_ms,
       services->services_replica, options->metrics, &listener, services);
   services->balancers_watch = dp_watch_new (
       options->platform, options->balancers_collection, BALANCERS_WATCH_WAIT_MS,
       services->balancers_replica, options->metrics, &balancers_listener, services);
+  dp_watch_set_limits (services->services_watch, services->timing.answer_ms,
+                       services->timing.retry_max_ms);
   dp_watch_set_spacing (services->balancers_watch, BALANCERS_SPACING_MS);
   services->relayed = dp_metrics_add (
       options->metrics, DP_METRIC_GAUGE, "dogwoodpaddle_services_relayed", "",
@@ -325,8 +325,8 @@
   const gboolean relayed = dp_freshness_parent_is_current (&services->freshness, now);
 
   dp_watch_set_wait (services->services_watch, dp_feed_subscribers (services->feed) > 0
-                                                   ? services->relay_watch_wait_ms
-                                                   : services->watch_wait_ms);
+                                                   ? services->timing.relay_watch_wait_ms
+                                                   : services->timing.watch_wait_ms);
   if (relayed != dp_watch_active (services->services_watch))
     return;
   services->relayed->value = relayed ? 1 : 0;
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -74,7 +74,12 @@
  * connection may be lost, which TCP retransmits only after 1 s; and a call that was made
  * while the platform was unreachable is not answered when the platform is
  * reachable again. */
-static const guint read_timeouts_ms_[MAX_ATTEMPTS] = { 300, 300, 600, G_MAXUINT };
+static const guint read_timeouts_ms_[MAX_ATTEMPTS] = {
+  DP_PLATFORM_READ_TIMEOUT_MS,
+  DP_PLATFORM_READ_TIMEOUT_MS,
+  2 * DP_PLATFORM_READ_TIMEOUT_MS,
+  G_MAXUINT,
+};
 
 static const char *const request_type_strings_[] = { "list", "get", "watch", "write" };
 
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -4,7 +4,6 @@
 #include "protected/error.h"
 
 #define SPACING_MS 100 /* between two calls; limits their rate during many writes */
-#define RETRY_FIRST_MS 100
 /* Wait of a watch that follows a failure: it is to show soon whether the platform answers
  * again. */
 #define PROBE_WAIT_MS 10
@@ -64,7 +63,7 @@
   watch->replica = replica;
   watch->listener = *listener;
   watch->user_data = user_data;
-  dp_backoff_init (&watch->backoff, RETRY_FIRST_MS, RETRY_MAX_MS);
+  dp_backoff_init (&watch->backoff, DP_WATCH_RETRY_FIRST_MS, RETRY_MAX_MS);
   watch->failures = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                     "dogwoodpaddle_platform_failures_total", "",
                                     "Watches of the platform that failed");
@@ -84,6 +83,16 @@
   g_free (watch);
 }
 
+/* Sets how long, in ms, a call may stay unanswered besides its wait, and the maximum
+ * delay between two failed calls. */
+void
+dp_watch_set_limits (DpWatch *watch, guint answer_ms, guint retry_max_ms)
+{
+  watch->answer_ms = answer_ms;
+  dp_backoff_init (&watch->backoff, DP_WATCH_RETRY_FIRST_MS,
+                   MAX (retry_max_ms, DP_WATCH_RETRY_FIRST_MS));
+}
+
 /* Sets how long, in ms, the platform may hold later calls open. */
 void
 dp_watch_set_wait (DpWatch *watch, guint wait_ms)
