--- a/src/test_platform/test_hosted_store.c
+++ b/src/test_platform/test_hosted_store.c
@@ -116,6 +116,39 @@
   CU_ASSERT_PTR_NOT_NULL (dp_replica_get (replica, DP_KIND_SERVICE, "manuals"));
 }
 
+/* Events that are not of the configuration, or of its deletion, hid its change. */
+static void
+test_events_beside_the_configuration (void)
+{
+  static const char *const others[] = {
+    "{\"deleted\":false,\"object\":{\"meta\":{\"name\":\"other\",\"revision\":55},"
+    "\"spec\":{\"routes\":[]}}}",
+    "{\"deleted\":true,\"object\":{\"meta\":{\"name\":\"other\",\"revision\":55},"
+    "\"spec\":{}}}",
+    "{\"deleted\":true,\"object\":{\"meta\":{\"name\":\"main\",\"revision\":55},"
+    "\"spec\":{}}}",
+  };
+  const char *const change = "{\"deleted\":false,\"object\":" CONFIG (ROUTES, "54") "}";
+
+  for (guint i = 0; i < 2 * G_N_ELEMENTS (others); i++)
+    {
+      const char *other = others[i / 2];
+      g_autofree char *text = g_strdup_printf ("{\"events\":[%s,%s],\"as_of\":56}",
+                                               i % 2 == 0 ? change : other,
+                                               i % 2 == 0 ? other : change);
+      g_autoptr (GBytes) body = bytes (text);
+      g_autoptr (GPtrArray)
+          events = g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
+      guint64 revision = 0;
+
+      CU_ASSERT_TRUE (
+          store_dialect.read_events (body, STORE_SERVICES, events, &revision, NULL));
+      CU_ASSERT_EQUAL (revision, 56);
+      CU_ASSERT_EQUAL_FATAL (events->len, 2);
+      CU_ASSERT_EQUAL (((const DpRecord *) g_ptr_array_index (events, 0))->revision, 54);
+    }
+}
+
 static void
 test_balancers (void)
 {
@@ -274,6 +307,8 @@
 static const DpTestCase cases_[] = {
   { "a configuration becomes services", test_configuration },
   { "a service missing from a new configuration is removed", test_service_removed },
+  { "events beside the configuration hide no change of it",
+    test_events_beside_the_configuration },
   { "balancers' registrations", test_balancers },
   { "malformed objects are skipped, valid ones are used", test_malformed_spec },
   { "an odd status hides no object", test_odd_status },
