Let a record name all services of a configuration

Cause of both: which services a configuration has was only implied by their records. A version without any looked like an answer without changes, and a parent that never had a service has no tombstone of it to send, while its children moved on to its revision and confirmed it. Each configuration now has a record with the names of its services, of the same revision, by list, watch and relay; a service that it doesn't name is not routed, whatever record of it is left.

--- a/src/libdogwoodpaddle/fleet.c
+++ b/src/libdogwoodpaddle/fleet.c
@@ -2,6 +2,7 @@
 
 #include "private/fleet_keys.h"
 #include "protected/clock.h"
+#include "protected/json.h"
 
 /* Multicast and reserved addresses start at 224.0.0.0; no client connects to them. */
 #define FIRST_MULTICAST_IP 0xe0000000u
@@ -9,6 +10,8 @@
 /* Upper limit for the times of an address, as for wait_limit_ms in the fleet settings. */
 #define MAX_ADDRESS_TIME_MS 60000
 
+#define SERVICE_NAMES_KEY "names"
+
 #define KEY(name, min, max, default_value)                                               \
   {                                                                                      \
 #name, min, max, default_value, G_STRUCT_OFFSET(DpFleetSettings, name)               \
@@ -127,6 +130,50 @@
   return addresses;
 }
 
+/* Returns the JSON text of the record DP_FLEET_SERVICES. services: a hash table with the
+ * names as keys. The caller frees the text. */
+char *
+dp_fleet_format_service_names (GHashTable *services)
+{
+  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_OBJECT);
+  JsonObject *object = json_object_new ();
+  JsonArray *names = json_array_new ();
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, services);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    json_array_add_string_element (names, name);
+  json_object_set_array_member (object, SERVICE_NAMES_KEY, names);
+  json_node_take_object (node, object);
+  return dp_json_format (node);
+}
+
+/* Returns the names of all services of the configuration, as keys of a hash table; NULL
+ * if the replica has no record of them. Free with g_hash_table_unref (). */
+GHashTable *
+dp_fleet_service_names (const DpReplica *replica)
+{
+  const DpRecord *record = dp_replica_get (replica, DP_KIND_FLEET, DP_FLEET_SERVICES);
+  g_autoptr (JsonNode) value = record == NULL ? NULL : dp_record_value (record);
+  JsonArray *names = dp_json_get_array (dp_json_get_object (value), SERVICE_NAMES_KEY);
+  GHashTable *services;
+
+  if (names == NULL)
+    return NULL;
+  services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < json_array_get_length (names); i++)
+    {
+      JsonNode *node = json_array_get_element (names, i);
+      const char *name = JSON_NODE_HOLDS_VALUE (node) ? json_node_get_string (node)
+                                                      : NULL;
+
+      if (name != NULL)
+        g_hash_table_add (services, g_strdup (name));
+    }
+  return services;
+}
+
 /* Returns the key of a fleet file that holds the objects of a kind, or NULL for the kinds
  * that this system's own processes write. */
 const char *
--- a/src/libdogwoodpaddle/include/protected/fleet.h
+++ b/src/libdogwoodpaddle/include/protected/fleet.h
@@ -9,7 +9,10 @@
 #include "protected/document.h"
 #include "protected/replica.h"
 
-#define DP_FLEET_DEFAULTS "defaults" /* name of the only object of DP_KIND_FLEET */
+/* Names of the objects of DP_KIND_FLEET. */
+#define DP_FLEET_DEFAULTS "defaults"
+/* Names all services of a configuration that is one object of the platform. */
+#define DP_FLEET_SERVICES "services"
 
 /* Effective settings of one host. */
 typedef struct
@@ -38,6 +41,8 @@
 /* Returns the addresses of a service as an array of DpServiceAddress. */
 GArray *
 dp_fleet_addresses (const DpReplica *replica, const char *service, const char *host);
+char *dp_fleet_format_service_names (GHashTable *services);
+GHashTable *dp_fleet_service_names (const DpReplica *replica);
 /* Checks a complete fleet file. Returns an array of DpFault, empty if it is valid. */
 GPtrArray *dp_fleet_check (JsonNode *file);
 /* Returns the key of a fleet file that holds the objects of a kind, NULL for the kinds
--- a/src/libdogwoodpaddle/include/protected/platform.h
+++ b/src/libdogwoodpaddle/include/protected/platform.h
@@ -19,7 +19,8 @@
 typedef struct
 {
   guint kinds;       /* bit mask, 1 << DpKind, of the records in its responses */
-  gboolean snapshot; /* an event carries all records of the kinds, not only new ones */
+  gboolean snapshot; /* an event carries all records of the kinds, one at least, not only
+                        new ones */
 } DpPlatformCollection;
 
 /* Paths, requests and responses of one object API. Paths begin with a slash and are newly
--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -55,6 +55,7 @@
   DpMetric *age;
   gint64 unreachable_since; /* us, 0: the platform is reachable */
   gboolean known;           /* the services have been read */
+  GHashTable *names;        /* of the configuration's services, NULL: not known */
   GHashTable *pending;      /* names of services whose records are to be applied */
   GHashTable *applied;      /* service name to the JSON text of its applied record */
   guint update_source;      /* source id */
@@ -87,6 +88,10 @@
 static void apply_progress_ (DpPassthroughServices *services);
 static void registration_finished_ (gpointer user_data);
 static void service_changed_ (const DpRecord *record, gpointer user_data);
+static void names_changed_ (DpPassthroughServices *services);
+static void add_pending_ (DpPassthroughServices *services, const char *name);
+static gboolean is_in_configuration_ (const DpPassthroughServices *services,
+                                      const char *name);
 static gboolean apply_next_ (gpointer user_data);
 static void apply_service_ (DpPassthroughServices *services, const char *name);
 
@@ -158,6 +163,7 @@
   dp_feed_free (services->feed);
   dp_replica_free (services->services_replica);
   dp_replica_free (services->balancers_replica);
+  g_clear_pointer (&services->names, g_hash_table_unref);
   g_hash_table_unref (services->pending);
   g_hash_table_unref (services->applied);
   g_array_unref (services->peers);
@@ -224,7 +230,8 @@
     {
       const DpRecord *record = g_ptr_array_index (records, i);
 
-      if (!func (dp_service_id (record->name), user_data))
+      if (is_in_configuration_ (services, record->name)
+          && !func (dp_service_id (record->name), user_data))
         return FALSE;
     }
   return TRUE;
@@ -537,7 +544,7 @@
   if (services->known)
     return;
   records = dp_replica_list (services->services_replica, DP_KIND_SERVICE);
-  services->known = records->len > 0;
+  services->known = services->names != NULL || records->len > 0;
 }
 
 static void
@@ -557,14 +564,51 @@
 {
   DpPassthroughServices *services = user_data;
 
-  if (record->kind != DP_KIND_SERVICE)
+  if (record->kind == DP_KIND_FLEET && g_str_equal (record->name, DP_FLEET_SERVICES))
+    names_changed_ (services);
+  else if (record->kind == DP_KIND_SERVICE)
+    add_pending_ (services, record->name);
+}
+
+/* Applies the services that come or go with the new names. A balancer that has started
+ * since a service was removed has no record that says so, but its names do. */
+static void
+names_changed_ (DpPassthroughServices *services)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  g_clear_pointer (&services->names, g_hash_table_unref);
+  services->names = dp_fleet_service_names (services->services_replica);
+  if (services->names == NULL)
     return;
-  g_hash_table_add (services->pending, g_strdup (record->name));
+  g_hash_table_iter_init (&iter, services->names);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (!g_hash_table_contains (services->applied, name))
+      add_pending_ (services, name);
+  g_hash_table_iter_init (&iter, services->applied);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (!g_hash_table_contains (services->names, name))
+      add_pending_ (services, name);
+}
+
+static void
+add_pending_ (DpPassthroughServices *services, const char *name)
+{
+  g_hash_table_add (services->pending, g_strdup (name));
   if (services->update_source == 0)
     services->update_source = g_idle_add_full (G_PRIORITY_DEFAULT, apply_next_, services,
                                                NULL);
 }
 
+/* Returns whether the configuration has the service; the record of one that it no longer
+ * has may still be there. */
+static gboolean
+is_in_configuration_ (const DpPassthroughServices *services, const char *name)
+{
+  return services->names == NULL || g_hash_table_contains (services->names, name);
+}
+
 static gboolean
 apply_next_ (gpointer user_data)
 {
@@ -598,7 +642,7 @@
   const char *applied = g_hash_table_lookup (services->applied, name);
   g_autoptr (GArray) addresses = NULL;
 
-  if (record == NULL)
+  if (record == NULL || !is_in_configuration_ (services, name))
     {
       dp_router_remove_service (services->router, name);
       g_hash_table_remove (services->applied, name);
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -239,9 +239,10 @@
   else
     watch->listed = TRUE;
   watch->since = revision;
-  if (watch->listing || (collection->snapshot && records->len > 0))
+  /* A snapshot has a record at least, so an answer without any has none. */
+  if (collection->snapshot ? records->len > 0 : watch->listing)
     dp_replica_apply_list (watch->replica, collection->kinds, records, revision);
-  else
+  else if (!collection->snapshot || dp_replica_revision (watch->replica) > 0)
     {
       for (guint i = 0; i < records->len; i++)
         dp_replica_apply (watch->replica, g_ptr_array_index (records, i));
--- a/src/test_platform/test_hosted_store.c
+++ b/src/test_platform/test_hosted_store.c
@@ -6,6 +6,8 @@
 #include "runner.h"
 #include "store.h"
 
+#define KINDS (1u << DP_KIND_SERVICE | 1u << DP_KIND_FLEET)
+
 static GBytes *
 bytes (const char *text)
 {
@@ -57,6 +59,7 @@
       "{\"items\":[" CONFIG (ROUTES, "40") "],\"has_more\":false,\"as_of\":53}",
       &revision, &after, &error);
   g_autoptr (DpReplica) replica = dp_replica_new ();
+  g_autoptr (GHashTable) names = NULL;
   g_autoptr (GArray) dispatch = NULL;
   g_autoptr (GArray) manuals = NULL;
   const DpServiceAddress *address;
@@ -64,8 +67,12 @@
   CU_ASSERT_PTR_NULL (error);
   CU_ASSERT_PTR_NULL (after);
   CU_ASSERT_EQUAL (revision, 53);
-  CU_ASSERT_EQUAL (records->len, 2);
-  dp_replica_apply_list (replica, 1u << DP_KIND_SERVICE, records, revision);
+  CU_ASSERT_EQUAL (records->len, 3);
+  dp_replica_apply_list (replica, KINDS, records, revision);
+  names = dp_fleet_service_names (replica);
+  CU_ASSERT_EQUAL (g_hash_table_size (names), 2);
+  CU_ASSERT_TRUE (g_hash_table_contains (names, "dispatch")
+                  && g_hash_table_contains (names, "manuals"));
   dispatch = dp_fleet_addresses (replica, "dispatch", NULL);
   manuals = dp_fleet_addresses (replica, "manuals", NULL);
   CU_ASSERT_EQUAL (dispatch->len, 2);
@@ -106,16 +113,44 @@
                                                        "55") "}],\"as_of\":56}");
 
   CU_ASSERT_TRUE (store_dialect.collections[STORE_SERVICES].snapshot);
-  dp_replica_apply_list (replica, 1u << DP_KIND_SERVICE, first, revision);
+  dp_replica_apply_list (replica, KINDS, first, revision);
   CU_ASSERT_TRUE (
       store_dialect.read_events (body, STORE_SERVICES, events, &revision, NULL));
   CU_ASSERT_EQUAL (revision, 56);
-  CU_ASSERT_EQUAL (events->len, 1);
-  dp_replica_apply_list (replica, 1u << DP_KIND_SERVICE, events, revision);
+  CU_ASSERT_EQUAL (events->len, 2);
+  dp_replica_apply_list (replica, KINDS, events, revision);
   CU_ASSERT_PTR_NULL (dp_replica_get (replica, DP_KIND_SERVICE, "dispatch"));
   CU_ASSERT_PTR_NOT_NULL (dp_replica_get (replica, DP_KIND_SERVICE, "manuals"));
 }
 
+/* A configuration without routes was taken for an answer without changes. */
+static void
+test_last_routes_removed (void)
+{
+  g_autoptr (DpReplica) replica = dp_replica_new ();
+  guint64 revision = 0;
+  char *after = NULL;
+  g_autoptr (GPtrArray) first = read_list (
+      STORE_SERVICES,
+      "{\"items\":[" CONFIG (ROUTES, "40") "],\"has_more\":false,\"as_of\":53}",
+      &revision, &after, NULL);
+  g_autoptr (GPtrArray)
+      last = read_list (STORE_SERVICES,
+                        "{\"items\":[" CONFIG ("{\"version\":9,\"routes\":[]}",
+                                               "54") "],"
+                                                     "\"has_more\":false,\"as_of\":54}",
+                        &revision, &after, NULL);
+  g_autoptr (GHashTable) names = NULL;
+
+  CU_ASSERT_TRUE (last->len > 0);
+  dp_replica_apply_list (replica, KINDS, first, 53);
+  dp_replica_apply_list (replica, KINDS, last, 54);
+  CU_ASSERT_PTR_NULL (dp_replica_get (replica, DP_KIND_SERVICE, "manuals"));
+  names = dp_fleet_service_names (replica);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (names);
+  CU_ASSERT_EQUAL (g_hash_table_size (names), 0);
+}
+
 /* Events that are not of the configuration, or of its deletion, hid its change. */
 static void
 test_events_beside_the_configuration (void)
@@ -144,7 +179,7 @@
       CU_ASSERT_TRUE (
           store_dialect.read_events (body, STORE_SERVICES, events, &revision, NULL));
       CU_ASSERT_EQUAL (revision, 56);
-      CU_ASSERT_EQUAL_FATAL (events->len, 2);
+      CU_ASSERT_EQUAL_FATAL (events->len, 3);
       CU_ASSERT_EQUAL (((const DpRecord *) g_ptr_array_index (events, 0))->revision, 54);
     }
 }
@@ -223,7 +258,7 @@
       g_string_replace (text, "\"status\":null", "\"status\":ODD", 1);
       g_string_replace (text, "ODD", i < G_N_ELEMENTS (odd) ? odd[i] : nested->str, 1);
       records = read_list (STORE_SERVICES, text->str, &revision, &after, NULL);
-      CU_ASSERT_EQUAL (records->len, 2);
+      CU_ASSERT_EQUAL (records->len, 3);
     }
 }
 
@@ -307,6 +342,7 @@
 static const DpTestCase cases_[] = {
   { "a configuration becomes services", test_configuration },
   { "a service missing from a new configuration is removed", test_service_removed },
+  { "the last routes are removed", test_last_routes_removed },
   { "events beside the configuration hide no change of it",
     test_events_beside_the_configuration },
   { "balancers' registrations", test_balancers },
