Don't go on past a configuration that could not be read

Found by reading after the hidden changes: a configuration without an array of routes, or an event whose object could not be read, was skipped with a warning, and the watch went on from the later revision. Nothing read it again, and the balancer confirmed to others that it had the newest state. Such a response is an error now: the state and its revision stay, no confirmation is sent, and the configuration is listed again. Odd objects with other names are skipped as before.

--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -200,6 +200,9 @@
     }
   else if (error != NULL)
     {
+      /* A list shows whether an object that could not be read still is as it was. */
+      if (g_error_matches (error, DP_ERROR, DP_ERROR_INVALID))
+        watch->listed = FALSE;
       delay = dp_backoff_next (&watch->backoff);
       handle_failure_ (watch, error);
     }
--- a/src/test_platform/test_hosted_store.c
+++ b/src/test_platform/test_hosted_store.c
@@ -2,6 +2,7 @@
  * malformed objects that prevent the valid ones from being used. */
 #include <string.h>
 
+#include "protected/error.h"
 #include "protected/fleet.h"
 #include "runner.h"
 #include "store.h"
@@ -184,6 +185,54 @@
     }
 }
 
+/* A change that could not be read was skipped, and the revision moved on past it. */
+static void
+test_unreadable_configurations (void)
+{
+  static const struct
+  {
+    const char *object;
+    gboolean list_fails;
+    gboolean events_fail;
+  } cases[] = {
+    { CONFIG ("{\"version\":9}", "54"), TRUE, TRUE },
+    { CONFIG ("{\"version\":9,\"routes\":{}}", "54"), TRUE, TRUE },
+    { CONFIG ("7", "54"), TRUE, TRUE },
+    { "{\"meta\":{\"name\":\"main\",\"revision\":54}}", TRUE, TRUE },
+    { "{\"meta\":{\"name\":\"main\",\"revision\":1e400},\"spec\":" ROUTES "}", TRUE,
+      TRUE },
+    { "{\"meta\":7,\"spec\":" ROUTES "}", TRUE, TRUE },
+    { "17", TRUE, TRUE },
+    { "{\"meta\":{\"name\":\"other\",\"revision\":54}}", FALSE, FALSE },
+    { CONFIG (ROUTES, "54"), FALSE, FALSE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *list = g_strdup_printf (
+          "{\"items\":[%s],\"has_more\":false,\"as_of\":56}", cases[i].object);
+      g_autofree char *text = g_strdup_printf (
+          "{\"events\":[{\"deleted\":false,\"object\":%s}],\"as_of\":56}",
+          cases[i].object);
+      g_autoptr (GBytes) body = bytes (text);
+      g_autoptr (GError) list_error = NULL;
+      g_autoptr (GError) events_error = NULL;
+      guint64 revision = 0;
+      char *after = NULL;
+      g_autoptr (GPtrArray)
+          records = read_list (STORE_SERVICES, list, &revision, &after, &list_error);
+
+      CU_ASSERT_EQUAL (g_error_matches (list_error, DP_ERROR, DP_ERROR_INVALID),
+                       cases[i].list_fails);
+      g_ptr_array_set_size (records, 0);
+      CU_ASSERT_EQUAL (store_dialect.read_events (body, STORE_SERVICES, records,
+                                                  &revision, &events_error),
+                       !cases[i].events_fail);
+      CU_ASSERT_EQUAL (g_error_matches (events_error, DP_ERROR, DP_ERROR_INVALID),
+                       cases[i].events_fail);
+    }
+}
+
 static void
 test_balancers (void)
 {
@@ -345,6 +394,7 @@
   { "the last routes are removed", test_last_routes_removed },
   { "events beside the configuration hide no change of it",
     test_events_beside_the_configuration },
+  { "a change that can't be read is an error", test_unreadable_configurations },
   { "balancers' registrations", test_balancers },
   { "malformed objects are skipped, valid ones are used", test_malformed_spec },
   { "an odd status hides no object", test_odd_status },
