Route a retransmitted SYN by the present configuration

Cause: a SYN of a flow in the cache went to the member of the first SYN without a look at the routes. It is now placed anew if its address no longer belongs to that service.

--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -69,6 +69,9 @@
                               guint8 *data,
                               gsize length,
                               gpointer user_data);
+static gboolean is_routed_to_ (DpPassthroughBalancer *balancer,
+                               const DpSegment *segment,
+                               guint32 service_tag);
 static void
 set_times_ (DpPassthroughBalancer *balancer, const DpSegment *segment, DpHop *hop);
 static DpCachedFlow *place_flow_ (DpPassthroughBalancer *balancer,
@@ -273,10 +276,11 @@
     }
   flow = dp_flow_cache_find (balancer->cache, &segment.key, segment.hash);
   /* A retransmitted SYN goes to the member of the first one, unless that member has
-   * stopped reporting. */
+   * stopped reporting or the route has changed since. */
   if (flow != NULL && opens_flow
       && ((guint32) (now / DP_US_PER_MS) - flow->last_used_ms > SYN_RETRANSMISSIONS_MS
-          || !dp_placement_is_live (balancer->placement, flow->member, now)))
+          || !dp_placement_is_live (balancer->placement, flow->member, now)
+          || !is_routed_to_ (balancer, &segment, flow->service_tag)))
     {
       end_flow_ (balancer, flow);
       flow->member = DP_HANDLE_NONE;
@@ -318,6 +322,18 @@
     end_flow_ (balancer, flow);
 }
 
+/* Returns whether the packet's address belongs to the service with the tag. */
+static gboolean
+is_routed_to_ (DpPassthroughBalancer *balancer,
+               const DpSegment *segment,
+               guint32 service_tag)
+{
+  guint64 service_id;
+
+  return dp_router_find (balancer->router, &segment->key.service, &service_id) != NULL
+         && dp_service_tag (service_id) == service_tag;
+}
+
 /* Sets the longest wait and the client's deadline in the hop metadata of a SYN. */
 static void
 set_times_ (DpPassthroughBalancer *balancer, const DpSegment *segment, DpHop *hop)
