Let a peer that is behind confirm nothing

Found by reading while the confirmations of the incident were followed: a balancer took the confirmation of a peer at a lower revision, which can't know that there is nothing newer, and stopped watching the platform for it. test_upstream failed before (2 of its assertions).

--- a/src/libdogwoodpaddle/upstream.c
+++ b/src/libdogwoodpaddle/upstream.c
@@ -266,7 +266,10 @@
       dp_backoff_reset (&upstream->backoff);
     }
   upstream->listener.progressed (upstream, upstream->user_data);
+  /* A peer that is behind can't know that there is nothing newer. */
   if (message->records.has_age && message->records.complete_through > 0
+      && message->records.complete_through
+             >= dp_replica_revision (upstream->options.replica)
       && upstream->listener.freshness != NULL)
     upstream->listener.freshness (upstream, message->records.age_ms, upstream->user_data);
   if (newly_synced)
