--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -54,6 +54,7 @@
   DpMetric *revision;
   DpMetric *age;
   gint64 unreachable_since; /* us, 0: the platform is reachable */
+  gboolean is_root;         /* of the relay tree */
   gboolean known;           /* the services have been read */
   GHashTable *names;        /* of the configuration's services, NULL: not known */
   GHashTable *pending;      /* names of services whose records are to be applied */
@@ -323,13 +324,17 @@
   return TRUE;
 }
 
-/* Watches the platform unless the parent in the relay tree can be relied on. A watch that
+/* Watches the platform unless the parent in the relay tree can be relied on. A root has
+ * no parent: what it gets from another balancer while the platform doesn't answer is no
+ * reason to stop asking the platform, the less so as that balancer may have it from this
+ * one. A watch that
  * is resumed starts with a full list: the platform may no longer have the changes since
  * the last watch, and doesn't report that to a waiting watch. */
 static void
 choose_source_ (DpPassthroughServices *services, gint64 now)
 {
-  const gboolean relayed = dp_freshness_parent_is_current (&services->freshness, now);
+  const gboolean relayed = !services->is_root
+                           && dp_freshness_parent_is_current (&services->freshness, now);
 
   dp_watch_set_wait (services->services_watch, dp_feed_subscribers (services->feed) > 0
                                                    ? services->timing.relay_watch_wait_ms
@@ -357,10 +362,10 @@
   const gboolean platform_unreachable = services->unreachable_since != 0
                                         && now - services->unreachable_since
                                                >= PLATFORM_TIMEOUT_US;
-  const gboolean child = dp_topology_rank (topology, services->name, services->zone)
-                         >= DP_TOPOLOGY_ROOTS;
 
-  if (child)
+  services->is_root = dp_topology_rank (topology, services->name, services->zone)
+                      < DP_TOPOLOGY_ROOTS;
+  if (!services->is_root)
     {
       g_autoptr (GPtrArray)
           parents = dp_topology_upstreams (topology, services->name, services->zone);
@@ -374,7 +379,7 @@
     add_other_peers_ (services, topology, peers);
   dp_upstream_set_peers (services->upstream, (const DpAddress *) (void *) peers->data,
                          peers->len);
-  if (!child || !dp_upstream_connected (services->upstream))
+  if (services->is_root || !dp_upstream_connected (services->upstream))
     services->parent_heard_at = now;
   else if (now - services->parent_heard_at
            > PARENT_TIMEOUT_FACTOR * services->freshness.max_age)
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -139,6 +139,18 @@
         play.check(served=[added_route(number)])
 
 
+def test_roots_that_stop_watching_the_store(site):
+    """After an outage roots took each other's confirmations for their own watch."""
+    play = Play(site, zones=[ZONES[i % 3] for i in range(6)])
+    for _ in range(3):
+        site.store.set_down(True)
+        play.run(2.0)
+        site.store.set_down(False)
+        play.run(2.0)
+    relayed = [b.name for b in site.balancers if '"services: from another' in b.log()]
+    check(not relayed, f"{relayed} rely on another balancer")
+
+
 def test_object_beside_the_configuration(site):
     """A change of another object of the kind hid the configuration's change before it."""
     play = Play(site)
