Leave a peer that confirms nothing while the platform doesn't answer

Cause: a balancer stayed with the first peer that answered, which knew no more than it did; only a child of the relay tree ever left one, after 4.8 s.

--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -21,7 +21,7 @@
  * zone. */
 #define ANNOUNCEMENT_DELAY_US (1200 * DP_US_PER_MS)
 /* A parent that sends no confirmation for this many times the maximum age is replaced by
- * the next parent. */
+ * the next parent; for once that age if the platform doesn't answer either. */
 #define PARENT_TIMEOUT_FACTOR 4
 
 struct _DpPassthroughServices
@@ -379,10 +379,11 @@
     add_other_peers_ (services, topology, peers);
   dp_upstream_set_peers (services->upstream, (const DpAddress *) (void *) peers->data,
                          peers->len);
-  if (services->is_root || !dp_upstream_connected (services->upstream))
+  if (peers->len == 0 || !dp_upstream_connected (services->upstream))
     services->parent_heard_at = now;
   else if (now - services->parent_heard_at
-           > PARENT_TIMEOUT_FACTOR * services->freshness.max_age)
+           > services->freshness.max_age
+                 * (platform_unreachable ? 1 : PARENT_TIMEOUT_FACTOR))
     {
       services->parent_heard_at = now;
       dp_upstream_skip (services->upstream);
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -26,6 +26,7 @@
 ZONES = ["riga-a", "riga-b", "riga-c"]
 STABLE_S = 4.0  # stable_window_ms: a host is in touch again so long after a fault
 APPLY_S = configuration.APPLY_S
+OUTER_S = 12.0  # outer_ms
 WATCHED_S = 3.0  # after a change is due
 JOBS = 3  # cases at a time, most of which wait
 STEP_S = 0.1  # between two requests of a balancer for a route
@@ -151,6 +152,22 @@
     check(not relayed, f"{relayed} rely on another balancer")
 
 
+def test_balancers_cut_off_from_the_store_beside_one_that_is_not(site):
+    """They stayed with the first peer that answered, which knew no more than they did."""
+    play = Play(site, zones=[ZONES[i % 3] for i in range(6)])
+    for balancer in site.balancers[:-1]:
+        site.store.silent.add(balancer.store_ip)
+    play.disturbed()
+    play.run(5.0)
+    play.change(added_route(1))
+    play.ask_all([added_route(1)], time.monotonic() + OUTER_S)
+    last = [play.ask(balancer, added_route(1)) for balancer in site.balancers]
+    play.run(2.0)
+    site.store.silent.clear()
+    unserved = [f["result"] for f in last if f["result"] != "ok"]
+    check(not unserved, f"{len(unserved)} of {len(last)} balancers don't serve the added route")
+
+
 def test_object_beside_the_configuration(site):
     """A change of another object of the kind hid the configuration's change before it."""
     play = Play(site)
