Take only an incarnation's first heartbeat for its start

Cause: the living server's next heartbeat, with a later start time, passed for its start, so that the companion believed to know all its flows.

--- a/microbench/model_passthrough.c
+++ b/microbench/model_passthrough.c
@@ -552,7 +552,7 @@
       server->passthrough = dp_passthrough_new (SERVICE, name, -10 * DP_US_PER_S);
       dp_passthrough_set_limits (server->passthrough, &limits);
       dp_passthrough_set_serving (server->passthrough, TRUE);
-      dp_passthrough_server_started (server->passthrough);
+      dp_passthrough_server_replaced (server->passthrough, TRUE);
       model->now = i * SAME_ZONE_REPORT_INTERVAL / N_SERVERS;
       schedule (model, 0, EVENT_REPORT, 0, i, NULL);
     }
--- a/src/libdogwoodpaddle/announcement.c
+++ b/src/libdogwoodpaddle/announcement.c
@@ -5,21 +5,26 @@
 
 /* Decides whether to accept a heartbeat. A heartbeat can arrive after its sender has
  * crashed and a new incarnation, with the same id or another one, has announced itself.
- */
+ * Only the first heartbeat of an incarnation shows that it holds no flows yet: what was
+ * heard before it may have been such a late one. */
 DpAnnouncementResult
 dp_announcement_tracker_update (DpAnnouncementTracker *tracker,
                                 const DpAnnouncement *announcement)
 {
-  gboolean same_id = tracker->known && g_str_equal (tracker->id, announcement->id);
-  gboolean started;
+  DpAnnouncementResult result;
+  const gboolean same_id = tracker->known && g_str_equal (tracker->id, announcement->id);
+  const gboolean same_server = same_id
+                               && announcement->incarnation == tracker->incarnation;
 
   if (tracker->known && announcement->incarnation < tracker->incarnation)
     return DP_ANNOUNCEMENT_STALE;
-  started = tracker->known ? !same_id || announcement->incarnation > tracker->incarnation
-                           : announcement->sequence <= FIRST_HEARTBEAT_SEQUENCE;
-  if (tracker->known && !started
+  if (same_server
       && (tracker->deregistered || announcement->sequence <= tracker->sequence))
     return DP_ANNOUNCEMENT_STALE;
+  result = same_server                                          ? DP_ANNOUNCEMENT_ACCEPTED
+           : announcement->sequence <= FIRST_HEARTBEAT_SEQUENCE ? DP_ANNOUNCEMENT_STARTED
+           : tracker->known                                     ? DP_ANNOUNCEMENT_REPLACED
+                            : DP_ANNOUNCEMENT_ACCEPTED;
   if (!same_id)
     {
       g_free (tracker->id);
@@ -29,7 +34,7 @@
   tracker->deregistered = FALSE;
   tracker->incarnation = announcement->incarnation;
   tracker->sequence = announcement->sequence;
-  return started ? DP_ANNOUNCEMENT_STARTED : DP_ANNOUNCEMENT_ACCEPTED;
+  return result;
 }
 
 /* Records that the server has ended. Returns FALSE, and changes nothing, if the last
--- a/src/libdogwoodpaddle/include/protected/announcement.h
+++ b/src/libdogwoodpaddle/include/protected/announcement.h
@@ -19,6 +19,7 @@
 {
   DP_ANNOUNCEMENT_ACCEPTED, /* accepted */
   DP_ANNOUNCEMENT_STARTED,  /* accepted; the server has just started and holds no flows */
+  DP_ANNOUNCEMENT_REPLACED, /* accepted; another incarnation, which may hold flows */
   DP_ANNOUNCEMENT_STALE,    /* from an earlier incarnation, or out of order */
   DP_N_ANNOUNCEMENT_RESULTS
 } DpAnnouncementResult;
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -147,7 +147,7 @@
 void dp_passthrough_set_serving (DpPassthrough *passthrough, gboolean serving);
 /* Records that a server without any flow has started: from now on the companion sees
  * every flow of the server begin. */
-void dp_passthrough_server_started (DpPassthrough *passthrough);
+void dp_passthrough_server_replaced (DpPassthrough *passthrough, gboolean without_flows);
 
 /* Decides about a client's packet from a balancer or another member. */
 DpPassthroughDecision dp_passthrough_from_peer (DpPassthrough *passthrough,
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -170,12 +170,13 @@
   dp_passthrough_admission_set_serving (passthrough->admission, serving);
 }
 
-/* Records that the server holds no flows yet. Flows of its predecessor no longer count as
- * in flight. */
+/* Records that another incarnation of the server runs. Flows of its predecessor no longer
+ * count as in flight. without_flows: it holds none yet, so that all of its flows will be
+ * known. */
 void
-dp_passthrough_server_started (DpPassthrough *passthrough)
+dp_passthrough_server_replaced (DpPassthrough *passthrough, gboolean without_flows)
 {
-  passthrough->flows->complete = TRUE;
+  passthrough->flows->complete = without_flows;
   dp_passthrough_admission_note_server_packet (passthrough->admission);
   dp_passthrough_flows_abandon_all_work (passthrough->flows);
   dp_server_health_reset (passthrough->flows->health);
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -224,28 +224,34 @@
   gint64 now = dp_clock_now (companion->options.clock);
   const DpPassthroughLimits limits = { announcement->slots, companion->options.flow_ttl };
   const gboolean first = !companion->announcements.known;
+  gboolean changed;
   gboolean was_leaving = companion->announcement.leaving;
   DpAnnouncementResult result = dp_announcement_tracker_update (&companion->announcements,
                                                                 announcement);
 
   if (result == DP_ANNOUNCEMENT_STALE)
     return FALSE;
-  if (result == DP_ANNOUNCEMENT_STARTED)
-    dp_passthrough_server_started (companion->passthrough);
-  if (first || result == DP_ANNOUNCEMENT_STARTED || was_leaving != announcement->leaving)
+  changed = first || result != DP_ANNOUNCEMENT_ACCEPTED
+            || was_leaving != announcement->leaving;
+  if (result != DP_ANNOUNCEMENT_ACCEPTED)
+    dp_passthrough_server_replaced (companion->passthrough,
+                                    result == DP_ANNOUNCEMENT_STARTED);
+  if (changed)
     g_message ("server %s: incarnation %" G_GUINT64_FORMAT
                ", heartbeat %" G_GUINT64_FORMAT ", %s, %u slots, warm-up ends in %u ms%s",
                announcement->id, announcement->incarnation, announcement->sequence,
                announcement->leaving ? "leaving" : "ready", announcement->slots,
                announcement->warmup_remaining_ms,
-               result == DP_ANNOUNCEMENT_STARTED ? ", just started" : "");
+               result == DP_ANNOUNCEMENT_STARTED    ? ", just started"
+               : result == DP_ANNOUNCEMENT_REPLACED ? ", another incarnation"
+                                                    : "");
   companion->announcement = *announcement;
   companion->announcement.id = NULL;
   companion->heartbeat_at = now;
   companion->warmup_ends_at = now + announcement->warmup_remaining_ms * DP_US_PER_MS;
   dp_passthrough_set_limits (companion->passthrough, &limits);
   update_serving_ (companion);
-  if (first || result == DP_ANNOUNCEMENT_STARTED || was_leaving != announcement->leaving)
+  if (changed)
     send_report_ (companion, now);
   return TRUE;
 }
--- a/src/test_libdogwoodpaddle/test_announcement.c
+++ b/src/test_libdogwoodpaddle/test_announcement.c
@@ -62,6 +62,22 @@
   check_heartbeats (heartbeats, G_N_ELEMENTS (heartbeats));
 }
 
+/* A late heartbeat made the companion believe that the living server had just started. */
+static void
+test_late_heartbeat_at_a_restarted_companion (void)
+{
+  static const HeartbeatCase heartbeats[] = {
+    { "i-1", 100, 9, DP_ANNOUNCEMENT_ACCEPTED }, /* of the former incarnation */
+    { "i-1", 200, 40, DP_ANNOUNCEMENT_REPLACED },
+    { "i-1", 200, 41, DP_ANNOUNCEMENT_ACCEPTED },
+    { "i-1", 100, 10, DP_ANNOUNCEMENT_STALE },
+    { "i-1", 300, 1, DP_ANNOUNCEMENT_STARTED },
+    { "i-2", 300, 7, DP_ANNOUNCEMENT_REPLACED },
+  };
+
+  check_heartbeats (heartbeats, G_N_ELEMENTS (heartbeats));
+}
+
 static void
 test_deregistration (void)
 {
@@ -80,6 +96,8 @@
 static const DpTestCase cases_[] = {
   { "late and repeated heartbeats are stale", test_late_heartbeats },
   { "a companion that starts after its server", test_restarted_companion },
+  { "a late heartbeat at a companion that has restarted",
+    test_late_heartbeat_at_a_restarted_companion },
   { "heartbeats after the deregistration are stale", test_deregistration },
 };
 
--- a/src/test_libdogwoodpaddle/test_overload.c
+++ b/src/test_libdogwoodpaddle/test_overload.c
@@ -346,7 +346,7 @@
   dp_passthrough_set_limits (replay.passthrough, &limits);
   dp_passthrough_set_view (replay.passthrough, alone, 0);
   dp_passthrough_set_serving (replay.passthrough, TRUE);
-  dp_passthrough_server_started (replay.passthrough);
+  dp_passthrough_server_replaced (replay.passthrough, TRUE);
   /* The time in which other members may not be known yet is over when the load begins. */
   for (replay.now = 2 * S; replay.now < SECONDS_MAX * S; replay.now += MS)
     run_step (&replay);
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -51,7 +51,7 @@
   dp_passthrough_set_limits (p, &limits);
   dp_passthrough_set_view (p, view, 0);
   dp_passthrough_set_serving (p, TRUE);
-  dp_passthrough_server_started (p);
+  dp_passthrough_server_replaced (p, TRUE);
   return p;
 }
 
@@ -320,7 +320,7 @@
   DpPassthroughDecision decision;
 
   open_flow (p, 1, 0);
-  dp_passthrough_server_started (p);
+  dp_passthrough_server_replaced (p, TRUE);
   CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
   CU_ASSERT_EQUAL (dp_passthrough_from_peer (p, &segment, &hop, MS).action,
                    DP_PASSTHROUGH_TO_SERVER);
