--- a/test/hosted/soak.py
+++ b/test/hosted/soak.py
@@ -118,6 +118,8 @@
     (1002, ALL_FAULTS, UNKNOWN + "not_found at a member just started, members=0"),
     (2009, ALL_FAULTS, "a spoilt entry stays: the stand-in's watch passed over a lost history"),
     (2012, ALL_FAULTS, "the same, at two other balancers"),
+    (2038, ALL_FAULTS, "a balancer that isn't ready was asked"),
+    (2050, ALL_FAULTS, "a version was lost with the store's history while connections were silent"),
 ]
 
 HARMLESS = ["SIGHUP", "has a new configuration"]
@@ -223,11 +225,11 @@
 
 
 class Probes(threading.Thread):
-    """Requests to single balancers, on routes that versions add and remove."""
+    """Requests to single balancers that are ready, on routes that versions add and remove."""
 
-    def __init__(self, site, rng):
+    def __init__(self, site, router, rng):
         super().__init__(daemon=True)
-        self.site, self.rng = site, rng
+        self.site, self.router, self.rng = site, router, rng
         self.client = standins.DirectClients(f"{site.prefix}.9.100", [])
         site.clients.append(self.client)
         self.flows, self.last = [], []
@@ -241,8 +243,11 @@
 
     def run(self):
         while not self.closed:
-            self.send(self.rng.choice(self.site.balancers),
-                      extra_route(self.rng.randrange(PROBED_MAX))[:2])
+            ready = [b for b in self.site.balancers
+                     if self.router.misses[b.settings["ip"]] == 0]
+            if ready:
+                self.send(self.rng.choice(ready),
+                          extra_route(self.rng.randrange(PROBED_MAX))[:2])
             self.client.run(time.monotonic() + PROBE_S)
 
     def finish(self):
@@ -314,7 +319,7 @@
                     idle_share=IDLE_SHARE if self.losses else 0.0)
 
     def make_probes(self):
-        return Probes(self.site, random.Random(f"{self.seed} probes"))
+        return Probes(self.site, self.router, random.Random(f"{self.seed} probes"))
 
     def note(self, text):
         self.log.append(f"{time.monotonic() - self.began:7.3f} {text}")
