--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -242,6 +242,9 @@
     start(site, n_servers=1, work_s=1.0)
     client = site.client()
     flows = ask(client, REPORTS, 1, "report")
+    end = time.monotonic() + 2
+    while flows[0]["peer"] is None and time.monotonic() < end:
+        client.run(time.monotonic() + 0.05)
     client.run(time.monotonic() + 0.3)
     old = site.servers[0]
     old.stop()
