Passthrough: a partial packet ends the answer on a flow that stays open

A request on a long-lived flow kept its slot until the server had been silent for 100 ms, checked every 100 ms, while its work takes some 30 ms. Members counted as busy with idle servers, and at the peak of demand most new flows were rejected: flows in flight were up to 17 where the server holds 10.

A packet with less data than fits is now taken for the last one of an answer. A server that goes on after such packets is noticed (answerend), and only silence counts there.

The new cases of test_passthrough fail on the code before.

--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -2,6 +2,7 @@
  * for a slot and which have a pending request. */
 #pragma once
 
+#include "private/answerend.h"
 #include "protected/flowdirectory.h"
 #include "protected/passthrough.h"
 #include "protected/serverhealth.h"
@@ -46,6 +47,7 @@
   gint64 requested_at;     /* us, first data of the current request */
   gint64 first_byte_at;    /* us, first data of the answer to the current request, 0: none
                               yet */
+  gboolean answer_ended;   /* by a partial packet; cleared by the client's next data */
   gboolean answer_overdue; /* an answer timed out, which was recorded as a failure */
   guint32 answer_start_seq; /* sequence number at which the answer begins */
   guint32 server_next_seq;  /* sequence number after the server's highest data */
@@ -71,8 +73,9 @@
   DpHandleTable *in_flight_flows; /* DpPassthroughFlow pointers */
   guint n_in_flight; /* flows with a pending request; a flow's first request counts from
                         its SYN on */
-  gint64 flow_ttl;   /* us */
-  gboolean complete; /* the table holds every flow of the server */
+  DpAnswerEnd answer_end;
+  gint64 flow_ttl;       /* us */
+  gboolean complete;     /* the table holds every flow of the server */
   gint64 last_missed_at; /* us, latest time at which a flow of the server may have been
                             missed; not used if complete */
   gint64 swept_at;       /* us, last search for expired flows */
@@ -112,6 +115,12 @@
 void dp_passthrough_flows_end_work (DpPassthroughFlows *flows,
                                     DpPassthroughFlow *flow,
                                     gint64 now);
+/* Records a packet with the newest data of an answer, and ends the work if it is the last
+ * one. partial: it is shorter than a packet can be. */
+void dp_passthrough_flows_note_answer (DpPassthroughFlows *flows,
+                                       DpPassthroughFlow *flow,
+                                       gboolean partial,
+                                       gint64 now);
 /* Stops counting the flow as in flight, without any record in the server's health. */
 void dp_passthrough_flows_abandon_work (DpPassthroughFlows *flows,
                                         DpPassthroughFlow *flow);
--- a/src/libdogwoodpaddle/include/protected/segment.h
+++ b/src/libdogwoodpaddle/include/protected/segment.h
@@ -32,6 +32,8 @@
   guint8 flags;            /* DP_TCP_* */
   guint8 ip_header_length; /* bytes */
   guint16 syn_age_ms;      /* of a retransmitted SYN: since the first one; 0: unknown */
+  gboolean
+      partial; /* passthrough mode: less data than fits into a packet, but not none */
 } DpSegment;
 
 gboolean
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -263,6 +263,9 @@
     flow->server_finished = TRUE;
   if (flow->server_finished)
     dp_passthrough_flows_end_work (passthrough->flows, flow, now);
+  else if (segment->payload_length > 0 && flow->new_data_at == now && !repeated
+           && flow->server_next_seq == segment->seq + segment->payload_length)
+    dp_passthrough_flows_note_answer (passthrough->flows, flow, segment->partial, now);
   if ((segment->flags & DP_TCP_RST) != 0)
     flow->client_finished = TRUE;
   if (flow->server_finished && flow->client_finished)
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -177,6 +177,7 @@
   flow->request_seen = TRUE;
   flow->requested_at = now;
   flow->first_byte_at = 0;
+  flow->answer_ended = FALSE;
   flow->answer_overdue = FALSE;
   flow->answer_start_seq = answer_start_seq;
 }
@@ -198,6 +199,28 @@
   dp_passthrough_flows_abandon_work (flows, flow);
 }
 
+/* Ends the work at the last packet of an answer. If the answer goes on after all, the
+ * flow is in flight again. */
+void
+dp_passthrough_flows_note_answer (DpPassthroughFlows *flows,
+                                  DpPassthroughFlow *flow,
+                                  gboolean partial,
+                                  gint64 now)
+{
+  if (flow->answer_ended)
+    {
+      flow->answer_ended = FALSE;
+      dp_answer_end_note_continued (&flows->answer_end);
+      dp_passthrough_flows_begin_work (flows, flow,
+                                       dp_slots_acquire (flows->slots, flow->class), now);
+    }
+  if (!partial || !flow->request_seen || !flow->in_flight
+      || !dp_answer_end_note_partial (&flows->answer_end))
+    return;
+  dp_passthrough_flows_end_work (flows, flow, now);
+  flow->answer_ended = TRUE;
+}
+
 /* Stops counting the flow as in flight and gives back its slot. */
 void
 dp_passthrough_flows_abandon_work (DpPassthroughFlows *flows, DpPassthroughFlow *flow)
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -1203,6 +1203,65 @@
   CU_ASSERT_FALSE (dp_passthrough_next_released (p, &released, 3 * S));
 }
 
+/* Sends the client's request and a packet of the server's answer on an open flow. */
+static void
+send_request_and_answer (DpPassthrough *p,
+                         guint flow,
+                         guint32 seq,
+                         gboolean partial,
+                         gint64 now)
+{
+  DpSegment answer = make_segment (flow, DP_TCP_ACK, seq, 301, partial ? 800 : 1200);
+
+  answer.partial = partial;
+  send_client (p, flow, DP_TCP_ACK, seq, 200, now);
+  CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 1);
+  dp_passthrough_from_server (p, &answer, now + 20 * MS);
+}
+
+/* A flow that stays open held its slot for 100 ms after the end of each answer, several
+ * times the work of a short request. At the peak of demand new flows were rejected with
+ * idle servers. */
+static void
+test_answer_ends_with_a_partial_packet (void)
+{
+  static const struct
+  {
+    gboolean partial;
+    guint in_flight; /* right after the packet */
+  } cases[] = { { FALSE, 1 }, { TRUE, 0 } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (DpPassthrough) p = make_passthrough (1);
+
+      send_syn (p, 1, DP_TRAFFIC_INTERACTIVE, 0, 0);
+      send_server (p, 1, DP_TCP_SYN | DP_TCP_ACK, 0, MS);
+      send_request_and_answer (p, 1, 501, cases[i].partial, 10 * MS);
+      CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), cases[i].in_flight);
+      dp_passthrough_tick (p, 200 * MS);
+      CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
+      send_request_and_answer (p, 1, 1701, cases[i].partial, 300 * MS);
+      CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), cases[i].in_flight);
+    }
+}
+
+static void
+test_answer_goes_on_after_a_partial_packet (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (1);
+  DpSegment more = make_segment (1, DP_TCP_ACK, 1301, 301, 1200);
+
+  send_syn (p, 1, DP_TRAFFIC_INTERACTIVE, 0, 0);
+  send_server (p, 1, DP_TCP_SYN | DP_TCP_ACK, 0, MS);
+  send_request_and_answer (p, 1, 501, TRUE, 10 * MS);
+  CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
+  dp_passthrough_from_server (p, &more, 40 * MS);
+  CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 1);
+  dp_passthrough_tick (p, 200 * MS);
+  CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
+}
+
 static void
 test_silent_server (void)
 {
@@ -1678,6 +1737,9 @@
   { "late SYNs go to members that are listed later", test_late_flows_forwarded },
   { "a held SYN is returned or freed", test_held_packet },
   { "abandoned flows give their slots back", test_slots_are_freed },
+  { "a partial packet ends an answer", test_answer_ends_with_a_partial_packet },
+  { "an answer that goes on is in flight again",
+    test_answer_goes_on_after_a_partial_packet },
   { "a silent server gets no further flows", test_silent_server },
   { "flows of a failing server go to other members", test_failing_server },
   { "a waiting SYN is held when an earlier one is returned", test_waiting_syn_returned },
--- a/src/test_platform/test_hosted_packet.c
+++ b/src/test_platform/test_hosted_packet.c
@@ -41,6 +41,31 @@
   CU_ASSERT_FALSE (returned);
 }
 
+/* A packet with less data than fits ends an answer; one without data doesn't. */
+static void
+test_partial (void)
+{
+  static const struct
+  {
+    guint16 payload;
+    gboolean partial;
+  } cases[] = { { 0, FALSE }, { 1, TRUE }, { 1199, TRUE }, { 1200, FALSE } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      guint8 packet[sizeof syn_ + 1200] = { 0 };
+      DpSegment segment;
+      gboolean returned;
+
+      memcpy (packet, syn_, sizeof syn_);
+      packet[LENGTH_LOW - 1] = (guint8) (cases[i].payload >> 8);
+      packet[LENGTH_LOW] = (guint8) cases[i].payload;
+      CU_ASSERT_TRUE (platform_packet_format.parse (
+          packet, sizeof syn_ + cases[i].payload, &segment, &returned));
+      CU_ASSERT_EQUAL (segment.partial, cases[i].partial);
+    }
+}
+
 static void
 test_flags (void)
 {
@@ -172,6 +197,7 @@
 
 static const DpTestCase cases_[] = {
   { "the documented example", test_parse },
+  { "partial packets", test_partial },
   { "flags", test_flags },
   { "invalid lengths are rejected", test_malformed },
   { "the age of retransmitted SYNs", test_syn_retransmits },
