Slots: count requests at the server that have no slot

Further requests on open flows can't be held back. Those that found no slot free were not counted: a slot that became free went to a new flow although the server still had a queue of such requests, while other members had room. They now take room from new flows and add to the expected wait.

With one request a flow nothing changes. test_slots fails on the code before.

--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -71,8 +71,9 @@
   GHashTable *by_key;             /* set of DpPassthroughFlow, compared by key */
   DpHandleTable *waiting_flows;   /* DpPassthroughFlow pointers */
   DpHandleTable *in_flight_flows; /* DpPassthroughFlow pointers */
-  guint n_in_flight; /* flows with a pending request; a flow's first request counts from
-                        its SYN on */
+  guint n_in_flight;   /* flows with a pending request; a flow's first request counts from
+                          its SYN on */
+  guint n_unscheduled; /* flows in flight without a slot */
   DpAnswerEnd answer_end;
   gint64 flow_ttl;       /* us */
   gboolean complete;     /* the table holds every flow of the server */
--- a/src/libdogwoodpaddle/include/protected/slots.h
+++ b/src/libdogwoodpaddle/include/protected/slots.h
@@ -29,6 +29,7 @@
 void dp_slots_set_capacity (DpSlots *slots, guint capacity, gboolean mixed);
 void dp_slots_set_late_capacity (DpSlots *slots, guint capacity);
 
+void dp_slots_set_unscheduled (DpSlots *slots, guint n);
 gboolean dp_slots_acquire (DpSlots *slots, DpTrafficClass class);
 gboolean dp_slots_can_acquire (const DpSlots *slots, DpTrafficClass class);
 void dp_slots_release (DpSlots *slots, DpTrafficClass class);
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -162,6 +162,8 @@
   flows->n_in_flight++;
   if (has_slot)
     dp_slots_request_started (flows->slots, flow->class, now);
+  else
+    dp_slots_set_unscheduled (flows->slots, ++flows->n_unscheduled);
 }
 
 /* Records when the request came and where its answer begins; of a flow's first request
@@ -228,6 +230,8 @@
   if (flow->in_flight)
     {
       flows->n_in_flight--;
+      if (!flow->has_slot)
+        dp_slots_set_unscheduled (flows->slots, --flows->n_unscheduled);
       dp_handle_table_remove (flows->in_flight_flows, flow->in_flight_row);
     }
   if (flow->in_flight && flow->has_slot)
--- a/src/libdogwoodpaddle/slots.c
+++ b/src/libdogwoodpaddle/slots.c
@@ -48,6 +48,7 @@
   gint64 late_turn_at[DP_N_TRAFFIC_CLASSES];
   gint64 late_interval[DP_N_TRAFFIC_CLASSES]; /* us, between such turns, moving mean */
   guint capacity;
+  guint n_unscheduled; /* requests at the server that have no slot */
   guint late_capacity; /* late non-urgent flows get slots while fewer slots are busy */
   gboolean late_urgent_had_turn; /* the next turn is that of the other classes */
   gboolean mixed;                /* the service has classes other than bulk */
@@ -69,6 +70,7 @@
                                     const Queue *queue,
                                     DpTrafficClass class,
                                     guint capacity);
+static guint n_at_server_ (const DpSlots *slots);
 static gint64 queued_work_ (const DpSlots *slots, DpTrafficClass class);
 static guint class_limit_ (const DpSlots *slots, DpTrafficClass class);
 static gint64 time_until_free_ (const DpSlots *slots, DpTrafficClass class, gint64 now);
@@ -148,6 +150,15 @@
   slots->late_capacity = MIN (capacity, slots->capacity);
 }
 
+/* Sets the number of requests that the server has without a slot, such as further ones on
+ * open flows, which can't be held back. They take room from new flows: the server works
+ * on them first. */
+void
+dp_slots_set_unscheduled (DpSlots *slots, guint n)
+{
+  slots->n_unscheduled = n;
+}
+
 /* Acquires a slot for a new flow of the class; returns FALSE if it may not have one. */
 gboolean
 dp_slots_acquire (DpSlots *slots, DpTrafficClass class)
@@ -163,7 +174,7 @@
 gboolean
 dp_slots_can_acquire (const DpSlots *slots, DpTrafficClass class)
 {
-  return dp_slots_busy (slots) < slots->capacity
+  return n_at_server_ (slots) < slots->capacity
          && slots->queues[class].n_busy < class_limit_ (slots, class)
          && !dp_slots_has_waiting (slots, class);
 }
@@ -497,7 +508,7 @@
 note_idle_slots_ (DpSlots *slots, gint64 now)
 {
   for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
-    if (dp_slots_busy (slots) < late_capacity_ (slots, (DpTrafficClass) i))
+    if (n_at_server_ (slots) < late_capacity_ (slots, (DpTrafficClass) i))
       note_turn_ (slots, (DpTrafficClass) i, now);
 }
 
@@ -510,7 +521,7 @@
   const Waiter *waiter = dp_handle_table_get (slots->waiters, queue->first);
   DpHandle flow;
 
-  if (waiter == NULL || dp_slots_busy (slots) >= capacity
+  if (waiter == NULL || n_at_server_ (slots) >= capacity
       || slots->queues[class].n_busy >= class_limit_ (slots, class))
     return DP_HANDLE_NONE;
   flow = waiter->flow;
@@ -519,12 +530,19 @@
   return flow;
 }
 
+/* Returns the number of requests that the server has, with or without a slot. */
+static guint
+n_at_server_ (const DpSlots *slots)
+{
+  return dp_slots_busy (slots) + slots->n_unscheduled;
+}
+
 /* Returns the sum of the mean service times, in us, of the waiting in-time flows of the
- * class and of higher classes. */
+ * class and of higher classes, and of the requests without a slot. */
 static gint64
 queued_work_ (const DpSlots *slots, DpTrafficClass class)
 {
-  gint64 work = 0;
+  gint64 work = slots->n_unscheduled * slots->service_time;
 
   for (guint i = 0; i <= class; i++)
     work += slots->queues[i].n_waiting * slots->queues[i].service_time;
--- a/src/test_libdogwoodpaddle/test_slots.c
+++ b/src/test_libdogwoodpaddle/test_slots.c
@@ -349,6 +349,29 @@
                   >= 9 * initial);
 }
 
+/* Requests on open flows can't be held back. A slot that becomes free while the server
+ * has such requests is not free: a new flow would wait behind them at the server, out of
+ * reach of every limit, while other members have room. */
+static void
+test_unscheduled (void)
+{
+  g_autoptr (DpSlots) slots = dp_slots_new (10);
+  gint64 wait;
+
+  dp_slots_set_capacity (slots, 2, FALSE);
+  dp_slots_acquire (slots, DP_TRAFFIC_INTERACTIVE);
+  dp_slots_set_unscheduled (slots, 1);
+  CU_ASSERT_FALSE (dp_slots_can_acquire (slots, DP_TRAFFIC_URGENT));
+  wait = dp_slots_expected_wait (slots, DP_TRAFFIC_INTERACTIVE, 0);
+  dp_slots_set_unscheduled (slots, 4);
+  CU_ASSERT_TRUE (dp_slots_expected_wait (slots, DP_TRAFFIC_INTERACTIVE, 0) > wait);
+  dp_slots_enqueue (slots, 1, DP_TRAFFIC_INTERACTIVE);
+  dp_slots_release (slots, DP_TRAFFIC_INTERACTIVE);
+  CU_ASSERT_EQUAL (dp_slots_acquire_next (slots, 0), DP_HANDLE_NONE);
+  dp_slots_set_unscheduled (slots, 1);
+  CU_ASSERT_EQUAL (dp_slots_acquire_next (slots, 0), 1);
+}
+
 static const DpTestCase cases_[] = {
   { "slots are assigned by class, then by arrival", test_order },
   { "a new flow doesn't overtake its class", test_no_overtaking },
@@ -364,6 +387,7 @@
   { "bulk leaves one of several slots free", test_bulk_leaves_a_slot },
   { "the slot of a long request is not expected soon", test_long_request },
   { "the expected wait follows the queue", test_expected_wait },
+  { "requests without a slot take room from new flows", test_unscheduled },
   { "the queue is bounded", test_queue_limit },
   { "random steps keep the counts right", test_random },
 };
