Passthrough: notice the ends of answers on flows that were open before a restart

On flows whose handshake a companion has not seen, the begin of an answer was computed from sequence number 0. For half of them no answer seemed to begin, and each further one counted as the continuation of the one before, so that partial packets no longer ended answers on that server. Requests without a slot were then counted for 100 ms after their answers and kept new flows out of idle servers.

The begin is now taken from the client's acknowledgement, data of the client end the state, and a request without a slot stops taking room from new flows as soon as its answer begins.

The new case of test_passthrough fails on the code before.

--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -34,6 +34,7 @@
   guint32 syn_ack_seq;   /* sequence number of the SYN-ACK */
   gboolean in_flight;    /* counted in n_in_flight */
   gboolean has_slot;
+  gboolean unscheduled;   /* counted in n_unscheduled */
   gboolean request_seen;  /* the client has sent data */
   DpHandle in_flight_row; /* row in the table of flows in flight */
   DpTrafficClass class;   /* as in the hop metadata */
@@ -73,7 +74,7 @@
   DpHandleTable *in_flight_flows; /* DpPassthroughFlow pointers */
   guint n_in_flight;   /* flows with a pending request; a flow's first request counts from
                           its SYN on */
-  guint n_unscheduled; /* flows in flight without a slot */
+  guint n_unscheduled; /* flows in flight without a slot whose answer has not begun */
   DpAnswerEnd answer_end;
   gint64 flow_ttl;       /* us */
   gboolean complete;     /* the table holds every flow of the server */
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -853,9 +853,14 @@
   flow->used_at = now;
   if (flow->state == DP_PASSTHROUGH_FLOW_ANSWERED)
     flow->state = DP_PASSTHROUGH_FLOW_OPEN;
+  if (segment->payload_length > 0)
+    flow->answer_ended = FALSE;
+  /* The server's next byte is known from the client if the handshake was not seen, as on
+   * a flow that was open before this process started. */
   if (segment->payload_length > 0 && !flow->request_seen)
-    dp_passthrough_flows_begin_request (passthrough->flows, flow, flow->syn_ack_seq + 1,
-                                        now);
+    dp_passthrough_flows_begin_request (
+        passthrough->flows, flow,
+        flow->syn_ack_seen ? flow->syn_ack_seq + 1 : segment->ack, now);
   else if (segment->payload_length > 0 && !flow->in_flight && flow->first_byte_at != 0)
     dp_passthrough_flows_begin_request (passthrough->flows, flow, flow->server_next_seq,
                                         now);
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -46,6 +46,9 @@
 static DpHandle add_to_table_ (DpHandleTable *table, DpPassthroughFlow *flow);
 static void
 record_result_ (DpPassthroughFlows *flows, const DpPassthroughFlow *flow, gint64 now);
+static void set_unscheduled_ (DpPassthroughFlows *flows,
+                              DpPassthroughFlow *flow,
+                              gboolean unscheduled);
 static void observe_handshake_ (DpPassthroughFlows *flows, gint64 time);
 static void check_in_flight_ (DpPassthroughFlows *flows, gint64 now);
 static gboolean
@@ -163,7 +166,7 @@
   if (has_slot)
     dp_slots_request_started (flows->slots, flow->class, now);
   else
-    dp_slots_set_unscheduled (flows->slots, ++flows->n_unscheduled);
+    set_unscheduled_ (flows, flow, TRUE);
 }
 
 /* Records when the request came and where its answer begins; of a flow's first request
@@ -179,7 +182,6 @@
   flow->request_seen = TRUE;
   flow->requested_at = now;
   flow->first_byte_at = 0;
-  flow->answer_ended = FALSE;
   flow->answer_overdue = FALSE;
   flow->answer_start_seq = answer_start_seq;
 }
@@ -216,6 +218,7 @@
       dp_passthrough_flows_begin_work (flows, flow,
                                        dp_slots_acquire (flows->slots, flow->class), now);
     }
+  set_unscheduled_ (flows, flow, FALSE);
   if (!partial || !flow->request_seen || !flow->in_flight
       || !dp_answer_end_note_partial (&flows->answer_end))
     return;
@@ -230,8 +233,7 @@
   if (flow->in_flight)
     {
       flows->n_in_flight--;
-      if (!flow->has_slot)
-        dp_slots_set_unscheduled (flows->slots, --flows->n_unscheduled);
+      set_unscheduled_ (flows, flow, FALSE);
       dp_handle_table_remove (flows->in_flight_flows, flow->in_flight_row);
     }
   if (flow->in_flight && flow->has_slot)
@@ -457,6 +459,21 @@
                                     flow->server_next_seq - flow->answer_start_seq, now);
 }
 
+/* Counts a flow without a slot among the requests that the server has ahead of new flows.
+ * Once its answer has begun, the work is done: a flow whose end is only shown by silence
+ * must not keep new flows out. */
+static void
+set_unscheduled_ (DpPassthroughFlows *flows,
+                  DpPassthroughFlow *flow,
+                  gboolean unscheduled)
+{
+  if (flow->unscheduled == unscheduled)
+    return;
+  flow->unscheduled = unscheduled;
+  flows->n_unscheduled += unscheduled ? 1 : -1;
+  dp_slots_set_unscheduled (flows->slots, flows->n_unscheduled);
+}
+
 /* Adds the time from a SYN to its client's request to the moving mean. The first samples
  * weigh the same. */
 static void
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -1262,6 +1262,30 @@
   CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
 }
 
+/* After a restart, flows were found whose handshake the process had not seen. For half of
+ * them each further answer counted as the continuation of the one before. The ends of
+ * answers were then no longer noticed, and members kept new flows out of idle servers. */
+static void
+test_answers_of_flows_that_were_open_before_a_restart (void)
+{
+  static const guint32 seqs[] = { 501, 0x70000001, 0x80000001, 0xf0000001 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (seqs); i++)
+    {
+      g_autoptr (DpPassthrough) p = make_passthrough (1);
+      DpSegment first = make_segment (1, DP_TCP_ACK, seqs[i], 101, 800);
+      const guint32 next = seqs[i] + 800;
+
+      /* The server's packet shows that it has the flow. */
+      dp_passthrough_from_server (p, &first, 0);
+      for (guint j = 0; j < 20; j++)
+        {
+          send_request_and_answer (p, 1, next + 800 * j, TRUE, (10 + 50 * j) * MS);
+          CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
+        }
+    }
+}
+
 static void
 test_silent_server (void)
 {
@@ -1740,6 +1764,8 @@
   { "a partial packet ends an answer", test_answer_ends_with_a_partial_packet },
   { "an answer that goes on is in flight again",
     test_answer_goes_on_after_a_partial_packet },
+  { "answers end on flows that were open before a restart",
+    test_answers_of_flows_that_were_open_before_a_restart },
   { "a silent server gets no further flows", test_silent_server },
   { "flows of a failing server go to other members", test_failing_server },
   { "a waiting SYN is held when an earlier one is returned", test_waiting_syn_returned },
