Store: read evacuations and the services' warm-up rates

The collection evacuations is listed and watched with up-to-date reads; an entry that can't be read is skipped with a warning. bounds.evacuate_ms says whether evacuations are used; a malformed value is an error of the settings, as it must not switch them off silently. The rate goes into the record of its service.

Tested by test_hosted_store, test_hosted_settings and fuzz_hosted.

--- a/fuzzing/fuzz_hosted.c
+++ b/fuzzing/fuzz_hosted.c
@@ -99,7 +99,8 @@
       fuzz_heartbeat (data + 1, size - 1);
       break;
     default:
-      fuzz_response (data + 1, size - 1, data[0] % 2, data[0] % 6 < 3);
+      fuzz_response (data + 1, size - 1, data[0] >= 128 ? STORE_EVACUATIONS : data[0] % 2,
+                     data[0] % 6 < 3);
       break;
     }
   return 0;
--- a/src/libdogwoodpaddle/fleet.c
+++ b/src/libdogwoodpaddle/fleet.c
@@ -36,8 +36,8 @@
                  == sizeof (DpFleetSettings) / sizeof (guint32));
 
 /* NULL for the kinds that this system's own processes write. */
-static const char *const section_keys_[] = { "defaults", "services", "exceptions", NULL,
-                                             NULL };
+static const char *const section_keys_[] = { "defaults", "services", "exceptions",
+                                             NULL,       NULL,       NULL };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (section_keys_) == DP_N_KINDS);
 
@@ -130,6 +130,20 @@
   return addresses;
 }
 
+/* Reads the warm-up rate of a service's record. Its other members are not parsed. */
+double
+dp_fleet_warmup_rate (const DpRecord *service)
+{
+  g_autofree char *warmup = NULL;
+  g_autofree char *rest = dp_json_extract_member (service->json, "warmup", &warmup);
+  double rate = 0;
+
+  return warmup != NULL && dp_json_scan_double (warmup, "requests_per_s", &rate)
+                 && rate > 0
+             ? rate
+             : 0;
+}
+
 /* Returns the JSON text of the record DP_FLEET_SERVICES. services: a hash table with the
  * names as keys. The caller frees the text. */
 char *
--- a/src/libdogwoodpaddle/include/protected/fleet.h
+++ b/src/libdogwoodpaddle/include/protected/fleet.h
@@ -41,6 +41,9 @@
 /* Returns the addresses of a service as an array of DpServiceAddress. */
 GArray *
 dp_fleet_addresses (const DpReplica *replica, const char *service, const char *host);
+/* Returns the requests per second that the service's servers can handle while they are
+ * cold; 0: no limit is declared. */
+double dp_fleet_warmup_rate (const DpRecord *service);
 char *dp_fleet_format_service_names (GHashTable *services);
 GHashTable *dp_fleet_service_names (const DpReplica *replica);
 /* Checks a complete fleet file. Returns an array of DpFault, empty if it is valid. */
--- a/src/libdogwoodpaddle/include/protected/json.h
+++ b/src/libdogwoodpaddle/include/protected/json.h
@@ -17,6 +17,7 @@
  * FALSE if the member is missing, has another type or, for a string, has an escape. */
 char *dp_json_scan_string (const char *text, const char *key);
 gboolean dp_json_scan_uint (const char *text, const char *key, guint64 *value);
+gboolean dp_json_scan_double (const char *text, const char *key, double *value);
 
 /* Read a member of an object. If it is missing or has another type, they return NULL,
  * FALSE or the fallback. */
--- a/src/libdogwoodpaddle/include/protected/replica.h
+++ b/src/libdogwoodpaddle/include/protected/replica.h
@@ -10,11 +10,12 @@
 
 typedef enum
 {
-  DP_KIND_FLEET,     /* fleet/defaults */
-  DP_KIND_SERVICE,   /* service/NAME */
-  DP_KIND_EXCEPTION, /* exception/NAME */
-  DP_KIND_MEMBERS,   /* members/SERVICE */
-  DP_KIND_BALANCER,  /* balancer/NAME */
+  DP_KIND_FLEET,      /* fleet/defaults */
+  DP_KIND_SERVICE,    /* service/NAME */
+  DP_KIND_EXCEPTION,  /* exception/NAME */
+  DP_KIND_MEMBERS,    /* members/SERVICE */
+  DP_KIND_BALANCER,   /* balancer/NAME */
+  DP_KIND_EVACUATION, /* evacuation/ZONE */
   DP_N_KINDS
 } DpKind;
 
--- a/src/libdogwoodpaddle/json.c
+++ b/src/libdogwoodpaddle/json.c
@@ -162,6 +162,22 @@
   return g_ascii_string_to_unsigned (g_strchomp (digits), 10, 0, G_MAXINT64, value, NULL);
 }
 
+/* Reads a member that is a finite number. */
+gboolean
+dp_json_scan_double (const char *text, const char *key, double *value)
+{
+  const char *begin = find_member_ (text, key);
+  const char *end = begin == NULL ? NULL : skip_value_ (begin);
+  g_autofree char *number = NULL;
+  char *rest;
+
+  if (begin == NULL || (*begin != '-' && !g_ascii_isdigit (*begin)))
+    return FALSE;
+  number = g_strchomp (g_strndup (begin, (gsize) (end - begin)));
+  *value = g_ascii_strtod (number, &rest);
+  return *rest == '\0' && isfinite (*value);
+}
+
 /* Returns the string member named key, or NULL. */
 const char *
 dp_json_get_string (JsonObject *object, const char *key)
--- a/src/libdogwoodpaddle/replica.c
+++ b/src/libdogwoodpaddle/replica.c
@@ -23,7 +23,7 @@
 };
 
 static const char *const kind_strings_[] = {
-  "fleet", "service", "exception", "members", "balancer",
+  "fleet", "service", "exception", "members", "balancer", "evacuation",
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (kind_strings_) == DP_N_KINDS);
--- a/src/test_platform/test_hosted_settings.c
+++ b/src/test_platform/test_hosted_settings.c
@@ -85,6 +85,38 @@
     }
 }
 
+/* Evacuations are off where the key is absent, and must not be off because it is
+ * malformed. */
+static void
+test_evacuate_ms (void)
+{
+  static const struct
+  {
+    const char *value;
+    double expected; /* -1: refused */
+  } cases[] = {
+    { NULL, 0 },        { "5000", 5000 }, { "2500.5", 2500.5 }, { "0", -1 },
+    { "-1", -1 },       { "null", -1 },   { "\"5000\"", -1 },   { "[]", -1 },
+    { "99999999", -1 }, { "true", -1 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *bounds = g_strdup_printf (
+          "\"bounds\":{%s%s%s", cases[i].value == NULL ? "" : "\"evacuate_ms\":",
+          cases[i].value == NULL ? "" : cases[i].value,
+          cases[i].value == NULL ? "" : ",");
+      g_auto (GStrv) parts = g_strsplit (complete_, "\"bounds\":{", 2);
+      g_autofree char *text = g_strjoinv (bounds, parts);
+      g_autoptr (GError) error = NULL;
+      g_autoptr (Settings) settings = load (text, ROLE_COMPANION, &error);
+
+      CU_ASSERT_EQUAL (settings == NULL, cases[i].expected < 0);
+      CU_ASSERT (settings == NULL || settings->evacuate_ms == cases[i].expected);
+      CU_ASSERT (error == NULL || strstr (error->message, "evacuate_ms") != NULL);
+    }
+}
+
 static void
 test_malformed (void)
 {
@@ -232,6 +264,7 @@
   { "complete settings", test_complete },
   { "a missing key is named", test_missing },
   { "malformed settings", test_malformed },
+  { "the bound for evacuations", test_evacuate_ms },
   { "valid and invalid heartbeats", test_heartbeats },
   { "a heartbeat without one of its fields", test_heartbeat_without_a_field },
   { "a heartbeat that is no object or an empty one", test_heartbeat_without_fields },
--- a/src/test_platform/test_hosted_store.c
+++ b/src/test_platform/test_hosted_store.c
@@ -388,7 +388,129 @@
     }
 }
 
+#define ZONE(meta, rest) "{\"meta\":{" meta ",\"created\":1}" rest "}"
+#define SPEC ",\"spec\":{},\"status\":null"
+
+/* An entry that can't be read must not hide the others, and what an entry says besides
+ * its name must not matter. */
+static void
+test_evacuations_list (void)
+{
+  guint64 revision = 0;
+  char *after = NULL;
+  g_autoptr (GPtrArray) records = read_list (
+      STORE_EVACUATIONS,
+      "{\"items\":[" ZONE ("\"name\":\"riga-a\",\"revision\":530", SPEC) "," ZONE (
+          "\"name\":\"riga-b\"",
+          SPEC) "," ZONE ("\"revision\":7",
+                          SPEC) ",17," ZONE ("\"name\":\"x/y\",\"revision\":8",
+                                             SPEC) "," ZONE ("\"name\":\"\",\"revision\":"
+                                                             "8",
+                                                             SPEC) "," ZONE ("\"name\":"
+                                                                             "\"riga-d\","
+                                                                             "\"revision"
+                                                                             "\":-1",
+                                                                             SPEC) "," ZONE ("\"name"
+                                                                                             "\":"
+                                                                                             "\"riga-"
+                                                                                             "c\","
+                                                                                             "\"revis"
+                                                                                             "ion\":"
+                                                                                             "531",
+                                                                                             ",\"spec"
+                                                                                             "\":[7],"
+                                                                                             "\"statu"
+                                                                                             "s\":{}") "],\"has_more\":false,\"as_of\":533}",
+      &revision, &after, NULL);
+  g_autofree char *list = store_dialect.list_path (STORE_EVACUATIONS, NULL);
+  g_autofree char *watch = store_dialect.watch_path (STORE_EVACUATIONS, 533, 100);
+  const DpRecord *first;
+
+  CU_ASSERT_EQUAL_FATAL (records->len, 2);
+  CU_ASSERT_EQUAL (revision, 533);
+  first = g_ptr_array_index (records, 0);
+  CU_ASSERT_EQUAL (first->kind, DP_KIND_EVACUATION);
+  CU_ASSERT_STRING_EQUAL (first->name, "riga-a");
+  CU_ASSERT_EQUAL (first->revision, 530);
+  CU_ASSERT_FALSE (first->deleted);
+  /* Reads that may be seconds old don't do for evacuations. */
+  CU_ASSERT_STRING_EQUAL (list, "/objects/evacuations?");
+  CU_ASSERT_STRING_EQUAL (watch, "/objects/evacuations?&watch=533&wait_ms=100");
+  CU_ASSERT_FALSE (store_dialect.collections[STORE_EVACUATIONS].snapshot);
+}
+
+static void
+test_evacuations_events (void)
+{
+  g_autoptr (GBytes) body = bytes ("{\"events\":[{\"deleted\":false,\"object\":" ZONE (
+      "\"name\":\"riga-a\",\"revision\":530",
+      SPEC) "},{\"deleted\":true},7,"
+            "{\"deleted\":true,\"object\":" ZONE ("\"name\":\"riga-a\",\"revision\":532",
+                                                  SPEC) "}],\"as_of\":532}");
+  g_autoptr (GPtrArray)
+      records = g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
+  guint64 revision = 0;
+
+  CU_ASSERT_TRUE (
+      store_dialect.read_events (body, STORE_EVACUATIONS, records, &revision, NULL));
+  CU_ASSERT_EQUAL_FATAL (records->len, 2);
+  CU_ASSERT_FALSE (((const DpRecord *) g_ptr_array_index (records, 0))->deleted);
+  CU_ASSERT_TRUE (((const DpRecord *) g_ptr_array_index (records, 1))->deleted);
+  CU_ASSERT_EQUAL (((const DpRecord *) g_ptr_array_index (records, 1))->revision, 532);
+}
+
+/* A rate that can't be read must take no service or route along. */
+static void
+test_warmup_rates (void)
+{
+  static const struct
+  {
+    const char *service;
+    double rate;
+  } cases[] = {
+    { "{\"name\":\"manuals\",\"tls\":false,\"warmup_s\":2.0,\"warmup_per_s\":40.5}",
+      40.5 },
+    { "{\"name\":\"manuals\",\"warmup_per_s\":40}", 40 },
+    { "{\"name\":\"manuals\",\"warmup_per_s\":0.0}", 0 },
+    { "{\"name\":\"manuals\"}", 0 },
+    { "{\"name\":\"other\",\"warmup_per_s\":40}", 0 },
+    { "{\"name\":\"manuals\",\"warmup_per_s\":-1}", 0 },
+    { "{\"name\":\"manuals\",\"warmup_per_s\":1e10}", 0 },
+    { "{\"name\":\"manuals\",\"warmup_per_s\":\"40\"}", 0 },
+    { "{\"name\":\"manuals\",\"warmup_per_s\":null}", 0 },
+    { "{\"warmup_per_s\":40}", 0 },
+    { "7", 0 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *list = g_strdup_printf (
+          "{\"items\":[" CONFIG ("{\"version\":9,\"services\":[%s],\"routes\":[{"
+                                 "\"host\":\"198.18.0.2\",\"path_prefix\":\"/8443/\","
+                                 "\"kind\":\"download\",\"service\":\"manuals\"}]}",
+                                 "55") "],\"has_more\":false,\"as_of\":56}",
+          cases[i].service);
+      g_autoptr (DpReplica) replica = dp_replica_new ();
+      g_autoptr (GArray) addresses = NULL;
+      guint64 revision = 0;
+      char *after = NULL;
+      g_autoptr (GPtrArray)
+          records = read_list (STORE_SERVICES, list, &revision, &after, NULL);
+      const DpRecord *record;
+
+      dp_replica_apply_list (replica, KINDS, records, revision);
+      record = dp_replica_get (replica, DP_KIND_SERVICE, "manuals");
+      CU_ASSERT_PTR_NOT_NULL_FATAL (record);
+      addresses = dp_fleet_addresses (replica, "manuals", NULL);
+      CU_ASSERT_EQUAL (addresses->len, 1);
+      CU_ASSERT_DOUBLE_EQUAL (dp_fleet_warmup_rate (record), cases[i].rate, 0);
+    }
+}
+
 static const DpTestCase cases_[] = {
+  { "a list of evacuations", test_evacuations_list },
+  { "events of evacuations", test_evacuations_events },
+  { "warm-up rates", test_warmup_rates },
   { "a configuration becomes services", test_configuration },
   { "a service missing from a new configuration is removed", test_service_removed },
   { "the last routes are removed", test_last_routes_removed },
