Reports: a digest and a datagram of evacuations and warm-up rates

DP_REPORT_POLICY carries the entries, how much its sender knows, and the warm-up rate with the version of its configuration. Rates are integers of a thousandth, as the check of msgpack messages admits no floating point and both ends must hash the same value. Without evacuations a report is encoded as before.

Tested by test_report and fuzz_report.

--- a/fuzzing/fuzz_report.c
+++ b/fuzzing/fuzz_report.c
@@ -1,6 +1,6 @@
-/* Fuzzes the decoder for the load reports and member lists of passthrough mode, which may
- * come from any sender. Decoded reports are applied to a balancer's placement and must
- * encode again; decoded lists are applied to a companion's members. */
+/* Fuzzes the decoder for the load reports, policies and member lists of passthrough mode,
+ * which may come from any sender. Decoded reports are applied to a balancer's placement
+ * and must encode again; decoded lists are applied to a companion's members. */
 #include <stddef.h>
 #include <stdint.h>
 
@@ -27,6 +27,19 @@
       if (dp_report_encode (&message.report, buffer) == 0)
         g_error ("a decoded report can't be encoded");
     }
+  else if (message.type == DP_REPORT_POLICY)
+    {
+      g_autoptr (DpEvacuations) evacuations = dp_evacuations_new ();
+
+      for (guint i = 0; i < message.policy.entries->len; i++)
+        dp_evacuations_apply (
+            evacuations, &g_array_index (message.policy.entries, DpEvacuationEntry, i),
+            DP_EVACUATION_FROM_PEER, 0);
+      dp_evacuations_set_complete (evacuations, 100, DP_EVACUATION_FROM_LIST, 0);
+      dp_evacuations_tick (evacuations, 20 * G_USEC_PER_SEC);
+      if (dp_policy_encode (&message.policy, buffer) == 0)
+        g_error ("a decoded policy can't be encoded");
+    }
   else if (message.type == DP_REPORT_MEMBERS)
     {
       g_autoptr (DpPassthroughMembers) members = dp_passthrough_members_new ("darbnica");
--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "protected/address.h"
+#include "protected/evacuations.h"
 #include "protected/flowdirectory.h"
 #include "protected/packetport.h"
 #include "protected/memberview.h"
@@ -31,6 +32,10 @@
   guint32 interval_ms; /* time until this balancer gets the next report */
   gboolean failing;    /* the server fails too many requests to get new flows */
   gboolean deregistered; /* the server has ended: it has no flows left */
+  gboolean has_policy_digest;
+  guint64 policy_digest; /* dp_policy_digest () of what the companion knows; 0: it has
+                            heard too little to take new flows. Valid if
+                            has_policy_digest is set */
 } DpReport;
 
 #define DP_LIST_PARTS_MAX 256 /* a power of two */
@@ -49,6 +54,19 @@
                     * the sender is of an earlier version, which only leaves them out */
 } DpMemberList;
 
+/* What the sender knows of evacuations, and the part of a service's configuration that
+ * companions need. */
+typedef struct
+{
+  const char *service;
+  DpKnowledge knowledge;
+  guint64 digest;         /* dp_evacuations_digest () of the sender */
+  guint64 config_version; /* 0: the sender knows no configuration of the service */
+  guint64 warmup_rate;    /* thousandths of a request per second that a cold server can
+                             handle, 0: no limit */
+  GArray *entries;        /* DpEvacuationEntry */
+} DpPolicy;
+
 typedef enum
 {
   DP_REPORT_NONE, /* malformed */
@@ -59,6 +77,8 @@
                               keep */
   DP_REPORT_PROBE,         /* asks whether the receiver runs */
   DP_REPORT_PROBE_ANSWER,
+  DP_REPORT_POLICY, /* evacuations, and what a companion needs of its service's
+                       configuration */
   DP_N_REPORT_TYPES
 } DpReportType;
 
@@ -70,6 +90,7 @@
   DpMemberList list;
   DpFlowOwner owner;   /* with DP_REPORT_OWNER */
   DpAddress sender;    /* with the types after that: the sender's packet port */
+  DpPolicy policy;     /* with DP_REPORT_POLICY */
   const char *service; /* of the flow, or of the sender */
   GStringChunk *strings;
 } DpReportMessage;
@@ -89,6 +110,12 @@
                               const DpAddress *sender,
                               const char *service,
                               guint8 buffer[DP_REPORT_MAX]);
+/* Encodes the policy with as many entries, from the first on, as fit into a datagram. */
+gsize dp_policy_encode (const DpPolicy *policy, guint8 buffer[DP_REPORT_MAX]);
+/* Returns the digest by which two processes notice that they know different evacuations
+ * or warm-up rates; never 0. The version of the configuration is left out, since most
+ * versions change no rate. */
+guint64 dp_policy_digest (guint64 evacuations_digest, guint64 warmup_rate);
 /* Returns FALSE if the datagram is malformed. The message is to be cleared either way. */
 gboolean dp_report_decode (DpReportMessage *message, const guint8 *data, gsize length);
 void dp_report_message_clear (DpReportMessage *message);
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -15,6 +15,7 @@
 #define MEMBERS_MAX 160
 #define BALANCERS_MAX 32
 #define REMOVED_MAX 64
+#define WARMUP_RATE_MAX 1e9    /* requests per second */
 #define STRING_CHUNK_BYTES 512 /* first block of the string chunk */
 
 /* Positions of the fields in a report, in a list and in a member of a list. */
@@ -36,6 +37,7 @@
   N_REQUIRED_REPORT_FIELDS,
   REPORT_FAILING = N_REQUIRED_REPORT_FIELDS, /* not sent by earlier versions */
   REPORT_DEREGISTERED,                       /* not sent by earlier versions */
+  REPORT_POLICY_DIGEST, /* not sent by earlier versions, or without evacuations */
   N_REPORT_FIELDS
 };
 
@@ -89,6 +91,28 @@
   N_PEER_FIELDS
 };
 
+enum
+{
+  POLICY_TYPE,
+  POLICY_VERSION,
+  POLICY_SERVICE,
+  POLICY_KNOWLEDGE,
+  POLICY_DIGEST,
+  POLICY_CONFIG_VERSION,
+  POLICY_WARMUP_RATE,
+  POLICY_ENTRIES, /* the fields of all entries, one after the other */
+  N_POLICY_FIELDS
+};
+
+enum
+{
+  ENTRY_ZONE,
+  ENTRY_POSITION,
+  ENTRY_EVACUATED,
+  ENTRY_AGE,
+  N_ENTRY_FIELDS
+};
+
 enum
 {
   MEMBER_NAME,
@@ -113,6 +137,12 @@
 static gboolean is_peer_message_ (guint64 type);
 static gboolean decode_peer_message_ (DpReportMessage *message,
                                       const msgpack_object *fields);
+static gsize
+encode_policy_ (const DpPolicy *policy, guint n_entries, guint8 buffer[DP_REPORT_MAX]);
+static gboolean decode_policy_ (DpReportMessage *message, const msgpack_object *fields);
+static gboolean decode_entry_ (DpReportMessage *message,
+                               const msgpack_object *fields,
+                               DpEvacuationEntry *entry);
 static gboolean
 decode_member_ (DpReportMessage *message, const msgpack_object *object, DpMember *member);
 static gboolean get_uint_ (const msgpack_object *object, guint64 max, guint64 *value);
@@ -130,7 +160,8 @@
 
   msgpack_sbuffer_init (&out);
   msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, N_REPORT_FIELDS);
+  msgpack_pack_array (&packer,
+                      report->has_policy_digest ? N_REPORT_FIELDS : REPORT_POLICY_DIGEST);
   msgpack_pack_uint8 (&packer, DP_REPORT_LOAD);
   msgpack_pack_uint8 (&packer, VERSION);
   pack_string_ (&packer, report->service);
@@ -146,6 +177,8 @@
   msgpack_pack_uint32 (&packer, report->interval_ms);
   msgpack_pack_uint8 (&packer, report->failing ? 1 : 0);
   msgpack_pack_uint8 (&packer, report->deregistered ? 1 : 0);
+  if (report->has_policy_digest)
+    msgpack_pack_uint64 (&packer, report->policy_digest);
   return finish_ (&out, buffer);
 }
 
@@ -277,6 +310,30 @@
   return finish_ (&out, buffer);
 }
 
+/* Encodes a policy. Entries that don't fit are left out. Returns its length in bytes. */
+gsize
+dp_policy_encode (const DpPolicy *policy, guint8 buffer[DP_REPORT_MAX])
+{
+  guint n = MIN (policy->entries->len, DP_EVACUATIONS_MAX);
+  gsize length = encode_policy_ (policy, n, buffer);
+
+  for (; length == 0 && n > 0; length = encode_policy_ (policy, n, buffer))
+    n--;
+  return length;
+}
+
+/* Returns the digest of evacuations and a warm-up rate. */
+guint64
+dp_policy_digest (guint64 evacuations_digest, guint64 warmup_rate)
+{
+  const guint64 digest = warmup_rate > 0
+                             ? evacuations_digest
+                                   + XXH3_64bits (&warmup_rate, sizeof warmup_rate)
+                             : evacuations_digest;
+
+  return digest == 0 ? 1 : digest;
+}
+
 /* Decodes a datagram. Returns FALSE if it is malformed; the message is to be cleared
  * either way. */
 gboolean
@@ -312,6 +369,8 @@
         valid = decode_owner_ (message, fields);
       else if (valid && is_peer_message_ (type) && n >= N_PEER_FIELDS)
         valid = decode_peer_message_ (message, fields);
+      else if (valid && type == DP_REPORT_POLICY && n >= N_POLICY_FIELDS)
+        valid = decode_policy_ (message, fields);
       else
         valid = FALSE;
     }
@@ -327,6 +386,7 @@
   g_clear_pointer (&message->list.members, g_array_unref);
   g_clear_pointer (&message->list.balancers, g_array_unref);
   g_clear_pointer (&message->list.removed, g_array_unref);
+  g_clear_pointer (&message->policy.entries, g_array_unref);
   g_clear_pointer (&message->strings, g_string_chunk_free);
 }
 
@@ -396,6 +456,8 @@
   guint64 failing = 0;
   guint64 deregistered = 0;
 
+  report->has_policy_digest = n_fields > REPORT_POLICY_DIGEST
+                              && fields[REPORT_POLICY_DIGEST].type != MSGPACK_OBJECT_NIL;
   if (!get_string_ (message, &fields[REPORT_SERVICE], &report->service)
       || !get_string_ (message, &fields[REPORT_NAME], &report->name)
       || !get_string_ (message, &fields[REPORT_ZONE], &report->zone)
@@ -409,7 +471,10 @@
       || interval == 0
       || (n_fields > REPORT_FAILING && !get_uint_ (&fields[REPORT_FAILING], 1, &failing))
       || (n_fields > REPORT_DEREGISTERED
-          && !get_uint_ (&fields[REPORT_DEREGISTERED], 1, &deregistered)))
+          && !get_uint_ (&fields[REPORT_DEREGISTERED], 1, &deregistered))
+      || (report->has_policy_digest
+          && !get_uint_ (&fields[REPORT_POLICY_DIGEST], G_MAXUINT64,
+                         &report->policy_digest)))
     return FALSE;
   report->slots = (guint32) slots;
   report->state = (DpMemberState) state;
@@ -522,6 +587,86 @@
          && get_address_ (&fields[PEER_IP], &fields[PEER_PORT], &message->sender);
 }
 
+/* Returns 0 if the policy with its first n_entries entries doesn't fit. */
+static gsize
+encode_policy_ (const DpPolicy *policy, guint n_entries, guint8 buffer[DP_REPORT_MAX])
+{
+  msgpack_sbuffer out;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, N_POLICY_FIELDS);
+  msgpack_pack_uint8 (&packer, DP_REPORT_POLICY);
+  msgpack_pack_uint8 (&packer, VERSION);
+  pack_string_ (&packer, policy->service);
+  msgpack_pack_uint8 (&packer, (guint8) policy->knowledge);
+  msgpack_pack_uint64 (&packer, policy->digest);
+  msgpack_pack_uint64 (&packer, policy->config_version);
+  msgpack_pack_uint64 (&packer, policy->warmup_rate);
+  msgpack_pack_array (&packer, (size_t) N_ENTRY_FIELDS * n_entries);
+  for (guint i = 0; i < n_entries; i++)
+    {
+      const DpEvacuationEntry *entry = &g_array_index (policy->entries, DpEvacuationEntry,
+                                                       i);
+
+      pack_string_ (&packer, entry->zone);
+      msgpack_pack_uint64 (&packer, entry->position);
+      msgpack_pack_uint8 (&packer, entry->evacuated ? 1 : 0);
+      msgpack_pack_uint32 (&packer, entry->age_ms);
+    }
+  return finish_ (&out, buffer);
+}
+
+static gboolean
+decode_policy_ (DpReportMessage *message, const msgpack_object *fields)
+{
+  DpPolicy *policy = &message->policy;
+  const msgpack_object_array *entries = &fields[POLICY_ENTRIES].via.array;
+  guint64 knowledge;
+
+  if (fields[POLICY_ENTRIES].type != MSGPACK_OBJECT_ARRAY
+      || entries->size % N_ENTRY_FIELDS != 0
+      || entries->size > N_ENTRY_FIELDS * DP_EVACUATIONS_MAX
+      || !get_string_ (message, &fields[POLICY_SERVICE], &policy->service)
+      || !get_uint_ (&fields[POLICY_KNOWLEDGE], DP_N_KNOWLEDGE - 1, &knowledge)
+      || !get_uint_ (&fields[POLICY_DIGEST], G_MAXUINT64, &policy->digest)
+      || !get_uint_ (&fields[POLICY_CONFIG_VERSION], G_MAXINT64, &policy->config_version)
+      || !get_uint_ (&fields[POLICY_WARMUP_RATE], WARMUP_RATE_MAX, &policy->warmup_rate))
+    return FALSE;
+  policy->knowledge = (DpKnowledge) knowledge;
+  policy->entries = g_array_new (FALSE, TRUE, sizeof (DpEvacuationEntry));
+  for (guint i = 0; i < entries->size; i += N_ENTRY_FIELDS)
+    {
+      DpEvacuationEntry entry = { 0 };
+
+      if (!decode_entry_ (message, &entries->ptr[i], &entry))
+        return FALSE;
+      g_array_append_val (policy->entries, entry);
+    }
+  message->service = policy->service;
+  return TRUE;
+}
+
+/* A position is at least 1 and fits into the positive range of a signed integer. */
+static gboolean
+decode_entry_ (DpReportMessage *message,
+               const msgpack_object *fields,
+               DpEvacuationEntry *entry)
+{
+  guint64 evacuated;
+  guint64 age_ms;
+
+  if (!get_string_ (message, &fields[ENTRY_ZONE], &entry->zone)
+      || !get_uint_ (&fields[ENTRY_POSITION], G_MAXINT64, &entry->position)
+      || entry->position == 0 || !get_uint_ (&fields[ENTRY_EVACUATED], 1, &evacuated)
+      || !get_uint_ (&fields[ENTRY_AGE], G_MAXUINT32, &age_ms))
+    return FALSE;
+  entry->evacuated = evacuated != 0;
+  entry->age_ms = (guint32) age_ms;
+  return TRUE;
+}
+
 static gboolean
 decode_member_ (DpReportMessage *message, const msgpack_object *object, DpMember *member)
 {
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -76,6 +76,141 @@
   dp_report_message_clear (&message);
 }
 
+/* Companions of deployments without evacuations must report as before. */
+static void
+test_policy_digest (void)
+{
+  DpReport report = report_;
+  guint8 buffer[DP_REPORT_MAX];
+  DpReportMessage message;
+  gsize length;
+
+  report.has_policy_digest = TRUE;
+  report.policy_digest = G_GUINT64_CONSTANT (0xfedcba9876543210);
+  length = dp_report_encode (&report, buffer);
+  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length));
+  CU_ASSERT_TRUE (message.report.has_policy_digest);
+  CU_ASSERT_EQUAL (message.report.policy_digest, report.policy_digest);
+  dp_report_message_clear (&message);
+  length = dp_report_encode (&report_, buffer);
+  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length));
+  CU_ASSERT_FALSE (message.report.has_policy_digest);
+  dp_report_message_clear (&message);
+}
+
+static DpPolicy
+make_policy (GArray *entries)
+{
+  const DpEvacuationEntry zones[] = { { "riga-a", G_MAXINT64, TRUE, 4000 },
+                                      { "riga-b", 1, FALSE, 0 } };
+
+  g_array_append_vals (entries, zones, G_N_ELEMENTS (zones));
+  return (DpPolicy){ "darbnica", DP_KNOWLEDGE_OLD, G_MAXUINT64, 12, 2500, entries };
+}
+
+static void
+test_policy (void)
+{
+  g_autoptr (GArray) entries = g_array_new (FALSE, FALSE, sizeof (DpEvacuationEntry));
+  const DpPolicy policy = make_policy (entries);
+  guint8 buffer[DP_REPORT_MAX];
+  const gsize length = dp_policy_encode (&policy, buffer);
+  const DpEvacuationEntry *entry;
+  DpReportMessage message;
+
+  CU_ASSERT_TRUE_FATAL (dp_report_decode (&message, buffer, length));
+  CU_ASSERT_EQUAL (message.type, DP_REPORT_POLICY);
+  CU_ASSERT_STRING_EQUAL (message.service, "darbnica");
+  CU_ASSERT_EQUAL (message.policy.knowledge, DP_KNOWLEDGE_OLD);
+  CU_ASSERT_EQUAL (message.policy.digest, G_MAXUINT64);
+  CU_ASSERT_EQUAL (message.policy.config_version, 12);
+  CU_ASSERT_EQUAL (message.policy.warmup_rate, 2500);
+  CU_ASSERT_EQUAL_FATAL (message.policy.entries->len, 2);
+  entry = &g_array_index (message.policy.entries, DpEvacuationEntry, 0);
+  CU_ASSERT_STRING_EQUAL (entry->zone, "riga-a");
+  CU_ASSERT_EQUAL (entry->position, G_MAXINT64);
+  CU_ASSERT (entry->evacuated && entry->age_ms == 4000);
+  CU_ASSERT_FALSE (entry[1].evacuated);
+  dp_report_message_clear (&message);
+}
+
+/* A policy with a value out of range, or cut short anywhere, is refused as a whole. */
+static void
+test_malformed_policies (void)
+{
+  g_autofree char *long_name = g_strnfill (256, 'x');
+  const struct
+  {
+    DpPolicy policy;
+    DpEvacuationEntry entry;
+  } cases[] = {
+    { { "darbnica", DP_N_KNOWLEDGE, 1, 1, 1 }, { "riga-a", 1, TRUE } },
+    { { "", DP_KNOWLEDGE_OLD, 1, 1, 1 }, { "riga-a", 1, TRUE } },
+    { { "darbnica", DP_KNOWLEDGE_OLD, 1, G_MAXUINT64, 1 }, { "riga-a", 1, TRUE } },
+    { { "darbnica", DP_KNOWLEDGE_OLD, 1, 1, G_MAXUINT64 }, { "riga-a", 1, TRUE } },
+    { { "darbnica", DP_KNOWLEDGE_OLD, 1, 1, 1 }, { "riga-a", 0, TRUE } },
+    { { "darbnica", DP_KNOWLEDGE_OLD, 1, 1, 1 }, { "riga-a", G_MAXUINT64, TRUE } },
+    { { "darbnica", DP_KNOWLEDGE_OLD, 1, 1, 1 }, { "", 1, TRUE } },
+    { { "darbnica", DP_KNOWLEDGE_OLD, 1, 1, 1 }, { long_name, 1, TRUE } },
+  };
+  g_autoptr (GArray) valid = g_array_new (FALSE, FALSE, sizeof (DpEvacuationEntry));
+  const DpPolicy policy = make_policy (valid);
+  guint8 buffer[DP_REPORT_MAX];
+  DpReportMessage message;
+  gsize length;
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GArray) entries = g_array_new (FALSE, FALSE, sizeof (DpEvacuationEntry));
+      DpPolicy malformed = cases[i].policy;
+
+      g_array_append_val (entries, cases[i].entry);
+      malformed.entries = entries;
+      length = dp_policy_encode (&malformed, buffer);
+      CU_ASSERT (length > 0);
+      CU_ASSERT_FALSE (dp_report_decode (&message, buffer, length));
+      CU_ASSERT_EQUAL (message.type, DP_REPORT_NONE);
+      dp_report_message_clear (&message);
+    }
+  length = dp_policy_encode (&policy, buffer);
+  for (gsize i = 0; i < length; i++)
+    {
+      CU_ASSERT_FALSE (dp_report_decode (&message, buffer, i));
+      dp_report_message_clear (&message);
+    }
+}
+
+/* The evacuations in force go first if not all entries fit into a datagram. */
+static void
+test_long_policy (void)
+{
+  g_autofree char *zone = g_strnfill (255, 'z');
+  g_autoptr (GArray) entries = g_array_new (FALSE, FALSE, sizeof (DpEvacuationEntry));
+  const DpPolicy policy = { "darbnica", DP_KNOWLEDGE_OLD, 1, 1, 0, entries };
+  guint8 buffer[DP_REPORT_MAX];
+  DpReportMessage message;
+
+  for (guint i = 0; i < DP_EVACUATIONS_MAX; i++)
+    {
+      const DpEvacuationEntry entry = { zone, i + 1, TRUE, 0 };
+
+      g_array_append_val (entries, entry);
+    }
+  CU_ASSERT_TRUE_FATAL (
+      dp_report_decode (&message, buffer, dp_policy_encode (&policy, buffer)));
+  CU_ASSERT_EQUAL (message.policy.entries->len, 7);
+  dp_report_message_clear (&message);
+}
+
+static void
+test_policy_digests (void)
+{
+  CU_ASSERT_EQUAL (dp_policy_digest (7, 0), 7);
+  CU_ASSERT_NOT_EQUAL (dp_policy_digest (7, 2500), dp_policy_digest (7, 2000));
+  CU_ASSERT_NOT_EQUAL (dp_policy_digest (7, 2500), dp_policy_digest (8, 2500));
+  CU_ASSERT_NOT_EQUAL (dp_policy_digest (0, 0), 0);
+}
+
 static void
 test_list (void)
 {
@@ -299,6 +434,11 @@
 }
 
 static const DpTestCase cases_[] = {
+  { "the digest of a report", test_policy_digest },
+  { "a policy", test_policy },
+  { "malformed policies", test_malformed_policies },
+  { "a policy that doesn't fit", test_long_policy },
+  { "digests of policies", test_policy_digests },
   { "a list in parts", test_parts },
   { "all members of a large service arrive", test_all_members_arrive },
   { "reports of other versions are understood", test_other_versions },
