Balancers and companions keep new flows out of evacuated zones

Balancers that watch the configuration watch the evacuations as well. Reports carry a digest, and differences are settled by DP_REPORT_POLICY. Placement never chooses a member of an evacuated zone and lists it as leaving; the zone's companions take no new flows, say so, and pass waiting SYNs on. A companion that has started, or was paused for more than half of the bound, takes new flows only once it has heard from a process that knows.

Tested by test_placement.

--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -139,6 +139,9 @@
 void dp_passthrough_free (DpPassthrough *passthrough);
 void dp_passthrough_set_limits (DpPassthrough *passthrough,
                                 const DpPassthroughLimits *limits);
+/* Sets the requests per second that the server can handle while it is cold, 0: no limit.
+ * Replaced at the merge with the warm-up limit (docs/design/requirements.md, part 3). */
+void dp_passthrough_set_warmup_limit (DpPassthrough *passthrough, double per_second);
 /* Sets the packet port of this companion, under which it registers its server's flows. */
 void dp_passthrough_set_address (DpPassthrough *passthrough, const DpAddress *address);
 /* Sets the members of the service; takes a reference to the view. */
--- a/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
@@ -27,8 +27,12 @@
   guint16 client_port; /* UDP port of all clients */
   const DpPacketFormat *format;
   DpPlatform *platform;
-  guint services_collection;  /* the platform's collection of services */
-  guint balancers_collection; /* the platform's collection of balancers */
+  guint services_collection;    /* the platform's collection of services */
+  guint balancers_collection;   /* the platform's collection of balancers */
+  guint evacuations_collection; /* the platform's collection of evacuations */
+  /* Time in which an evacuation of an availability zone has to be in force; 0: the
+   * deployment has no evacuations. */
+  guint evacuate_ms;
   DpConfigTiming timing;
   DpClock *clock;
   DpMetrics *metrics;
--- a/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
@@ -31,6 +31,9 @@
   const DpPacketFormat *format;
   DpPlatform *platform;
   guint balancers_collection; /* the platform's collection of balancers */
+  /* Time in which an evacuation of an availability zone has to be in force; 0: the
+   * deployment has no evacuations. */
+  guint evacuate_ms;
   DpClock *clock;
   DpMetrics *metrics;
 } DpPassthroughCompanionOptions;
--- a/src/libdogwoodpaddle/include/protected/placement.h
+++ b/src/libdogwoodpaddle/include/protected/placement.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "protected/candidates.h"
+#include "protected/evacuations.h"
 #include "protected/handle.h"
 #include "protected/report.h"
 #include "protected/slots.h"
@@ -47,6 +48,12 @@
 void dp_placement_flow_opened (DpPlacement *placement, DpHandle member);
 void dp_placement_flow_closed (DpPlacement *placement, DpHandle member);
 
+/* Sets the evacuated zones, whose members get no new flows; NULL: none. The evacuations
+ * have to outlive the placement. To be called after each change of them. */
+void dp_placement_set_evacuations (DpPlacement *placement,
+                                   const DpEvacuations *evacuations);
+/* Returns whether the service has members, all of them in evacuated zones. */
+gboolean dp_placement_is_evacuated (DpPlacement *placement, guint64 service_id);
 gboolean dp_placement_has_active (DpPlacement *placement, guint64 service_id);
 /* Returns the current members of a service; NULL if there are none. */
 DpMemberView *dp_placement_view (DpPlacement *placement, guint64 service_id);
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -134,6 +134,12 @@
   dp_passthrough_flows_set_limits (passthrough->flows, limits->slots, limits->flow_ttl);
 }
 
+/* Does nothing until the merge with the warm-up limit. */
+void
+dp_passthrough_set_warmup_limit (DpPassthrough *passthrough, double per_second)
+{
+}
+
 /* Sets the histograms of the flows' times. */
 void
 dp_passthrough_set_histograms (DpPassthrough *passthrough,
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -2,6 +2,8 @@
 
 #include "private/listschedule.h"
 #include "private/passthroughservices.h"
+#include "private/policyschedule.h"
+#include "protected/evacuations.h"
 #include "protected/flowcache.h"
 #include "protected/flowlog.h"
 #include "protected/packetport.h"
@@ -19,6 +21,14 @@
 /* Time after a start in which no flow is rejected for lack of a member: reports come
  * every 100 to 400 ms, and clients retransmit their SYN after 200 and 600 ms. */
 #define MEMBER_DISCOVERY_US (1500 * DP_US_PER_MS)
+/* The same while all members known are in evacuated zones: members of other zones report
+ * within 400 ms. After that, a flow is better rejected at once than left without an
+ * answer. */
+#define EVACUATED_DISCOVERY_US (500 * DP_US_PER_MS)
+/* Time after its start in which a balancer that has not heard of evacuations doesn't say
+ * so to members that have not either: its list of them comes within milliseconds, and a
+ * member that has got an answer gets no further one for 250 ms. */
+#define KNOWLEDGE_DELAY_US DP_US_PER_S
 /* Time after its start from which on a balancer is ready even if it knows no member of
  * some service. */
 #define READY_TIMEOUT_US (3 * DP_US_PER_S)
@@ -29,6 +39,7 @@
   DROP_NOT_A_CLIENT, /* a packet that only a server sends */
   DROP_NO_ROUTE,
   DROP_NO_MEMBER,
+  DROP_EVACUATED, /* all members are in evacuated zones */
   DROP_UNSENT,
   N_DROP_REASONS
 } DropReason;
@@ -46,8 +57,11 @@
   DpPacketPort *data;
   DpPacketPort *report;
   GHashTable *list_schedules; /* member name to DpListSchedule */
-  guint tick_source;          /* source id */
-  gint64 started_at;          /* us */
+  DpEvacuations *evacuations; /* NULL: the deployment has none */
+  DpPolicySchedule *policy_schedule;
+  DpKnowledge heard; /* what other processes knew of evacuations, at most */
+  guint tick_source; /* source id */
+  gint64 started_at; /* us */
   gboolean stopping;
   DpMetric *forwarded;
   DpMetric *placed;
@@ -55,14 +69,18 @@
   DpMetric *rejected;
   DpMetric *drops[N_DROP_REASONS];
   DpMetric *members;
+  DpMetric *zones_evacuated;
 };
 
 static const char *const drop_reason_strings_[] = { "malformed", "not_a_client",
-                                                    "no_route", "no_member", "unsent" };
+                                                    "no_route",  "no_member",
+                                                    "evacuated", "unsent" };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (drop_reason_strings_) == N_DROP_REASONS);
 
 static gboolean has_active_member_ (guint64 service_id, gpointer user_data);
+static gboolean
+is_evacuated_ (const DpPassthroughBalancer *balancer, guint64 service_id, gint64 now);
 static void add_metrics_ (DpPassthroughBalancer *balancer);
 static void create_components_ (DpPassthroughBalancer *balancer);
 static void received_packet_ (const DpAddress *source,
@@ -112,6 +130,14 @@
                         const DpAddress *destination,
                         const DpReport *report,
                         gint64 now);
+static void
+apply_policy_ (DpPassthroughBalancer *balancer, const DpPolicy *policy, gint64 now);
+static void send_policy_ (DpPassthroughBalancer *balancer,
+                          const DpAddress *destination,
+                          const DpReport *report,
+                          gint64 now);
+static DpKnowledge knowledge_ (const DpPassthroughBalancer *balancer);
+static void evacuations_changed_ (gpointer user_data);
 static gboolean tick_ (gpointer user_data);
 
 /* Creates a balancer that doesn't use the network yet. */
@@ -169,6 +195,8 @@
   dp_flow_cache_free (balancer->cache);
   dp_flow_log_free (balancer->log);
   dp_placement_free (balancer->placement);
+  dp_policy_schedule_free (balancer->policy_schedule);
+  dp_evacuations_free (balancer->evacuations);
   dp_router_free (balancer->router);
   g_hash_table_unref (balancer->list_schedules);
   g_free (balancer->name);
@@ -179,7 +207,8 @@
 /* Returns whether the network may send packets here. This requires that the services and
  * at least one member are known. In addition, until READY_TIMEOUT_US after the start, the
  * members must have had time to learn of this balancer, unless it could not register
- * within MEMBER_DISCOVERY_US, and an active member must be known of each service. With no
+ * within MEMBER_DISCOVERY_US, and an active member must be known of each service, unless
+ * all of its members are in evacuated zones. With no
  * member all flows would be rejected, and a few members would be overloaded, while other
  * balancers can serve the flows better. */
 gboolean
@@ -197,13 +226,25 @@
   return age > READY_TIMEOUT_US
          || (announced
              && dp_passthrough_services_all (balancer->services, has_active_member_,
-                                             balancer->placement));
+                                             (gpointer) balancer));
 }
 
 static gboolean
 has_active_member_ (guint64 service_id, gpointer user_data)
 {
-  return dp_placement_has_active (user_data, service_id);
+  const DpPassthroughBalancer *balancer = user_data;
+
+  return dp_placement_has_active (balancer->placement, service_id)
+         || is_evacuated_ (balancer, service_id, dp_clock_now (balancer->options.clock));
+}
+
+/* Returns whether all members of the service are in evacuated zones and members of other
+ * zones have had time to report since this balancer's start. */
+static gboolean
+is_evacuated_ (const DpPassthroughBalancer *balancer, guint64 service_id, gint64 now)
+{
+  return now - balancer->started_at > EVACUATED_DISCOVERY_US
+         && dp_placement_is_evacuated (balancer->placement, service_id);
 }
 
 static void
@@ -225,6 +266,9 @@
                                        "New flows answered with a reset");
   balancer->members = dp_metrics_add (metrics, DP_METRIC_GAUGE, "dogwoodpaddle_members",
                                       "", "Members that have reported");
+  balancer->zones_evacuated = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_zones_evacuated", "",
+      "Availability zones whose evacuation is in force in this process");
   for (guint i = 0; i < N_DROP_REASONS; i++)
     {
       g_autofree char *labels = g_strdup_printf ("reason=\"%s\"",
@@ -242,8 +286,15 @@
   const DpPassthroughBalancerOptions *options = &balancer->options;
 
   balancer->router = dp_router_new ();
-  balancer->services = dp_passthrough_services_new (options, balancer->router);
   balancer->placement = dp_placement_new (balancer->zone);
+  if (options->evacuate_ms > 0)
+    {
+      balancer->evacuations = dp_evacuations_new ();
+      balancer->policy_schedule = dp_policy_schedule_new ();
+      dp_evacuations_set_listener (balancer->evacuations, evacuations_changed_, balancer);
+    }
+  balancer->services = dp_passthrough_services_new (options, balancer->router,
+                                                    balancer->evacuations);
   balancer->cache = dp_flow_cache_new (CACHED_FLOWS);
   balancer->log = dp_flow_log_new (options->clock, options->metrics);
   balancer->list_schedules = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -378,11 +429,13 @@
                                 segment->hash, now);
   if (member == DP_HANDLE_NONE)
     {
-      gboolean certain = now - balancer->started_at > MEMBER_DISCOVERY_US
+      const gboolean evacuated = is_evacuated_ (balancer, service_id, now);
+      const DropReason reason = evacuated ? DROP_EVACUATED : DROP_NO_MEMBER;
+      gboolean certain = (evacuated || now - balancer->started_at > MEMBER_DISCOVERY_US)
                          && segment->syn_age_ms == 0;
 
-      dp_metric_increment (balancer->drops[DROP_NO_MEMBER]);
-      log_failure_ (balancer, segment, certain, DROP_NO_MEMBER);
+      dp_metric_increment (balancer->drops[reason]);
+      log_failure_ (balancer, segment, certain, reason);
       if (certain)
         reject_ (balancer, segment);
       return NULL;
@@ -544,13 +597,19 @@
   gint64 now = dp_clock_now (balancer->options.clock);
   DpReportMessage message;
 
-  if (dp_report_decode (&message, data, length) && message.type == DP_REPORT_LOAD)
+  dp_report_decode (&message, data, length);
+  if (message.type == DP_REPORT_POLICY)
+    apply_policy_ (balancer, &message.policy, now);
+  else if (message.type == DP_REPORT_LOAD)
     {
       const DpReport *report = &message.report;
       guint64 service_id = dp_service_id (report->service);
 
       dp_placement_apply_report (balancer->placement, report, now);
       balancer->members->value = dp_placement_n_members (balancer->placement);
+      /* The policy goes first: a companion that has members takes new flows. */
+      if (balancer->evacuations != NULL && report->has_policy_digest)
+        send_policy_ (balancer, source, report, now);
       if (dp_placement_list_hash (balancer->placement, service_id) != report->list_hash)
         send_list_ (balancer, source, report, now);
     }
@@ -596,6 +655,75 @@
     dp_metric_increment (balancer->drops[DROP_UNSENT]);
 }
 
+/* Applies what a companion knows of evacuations. */
+static void
+apply_policy_ (DpPassthroughBalancer *balancer, const DpPolicy *policy, gint64 now)
+{
+  if (balancer->evacuations == NULL)
+    return;
+  for (guint i = 0; i < policy->entries->len; i++)
+    dp_evacuations_apply (balancer->evacuations,
+                          &g_array_index (policy->entries, DpEvacuationEntry, i),
+                          DP_EVACUATION_FROM_PEER, now);
+  /* Whether this balancer is in touch with the platform shows here only. */
+  balancer->heard = MAX (balancer->heard, MIN (policy->knowledge, DP_KNOWLEDGE_OLD));
+}
+
+/* Sends a member what this balancer knows of evacuations and of the warm-up rate, if the
+ * member knows something else and a datagram is due. */
+static void
+send_policy_ (DpPassthroughBalancer *balancer,
+              const DpAddress *destination,
+              const DpReport *report,
+              gint64 now)
+{
+  const guint64 evacuations_digest = dp_evacuations_digest (balancer->evacuations);
+  DpPolicy policy = {
+    .service = report->service,
+    .knowledge = knowledge_ (balancer),
+    .digest = evacuations_digest,
+  };
+  g_autoptr (GArray) entries = NULL;
+  guint8 buffer[DP_REPORT_MAX];
+  guint64 own_digest;
+
+  policy.warmup_rate = dp_passthrough_services_warmup_rate (
+      balancer->services, dp_service_id (report->service), &policy.config_version);
+  own_digest = dp_policy_digest (evacuations_digest, policy.warmup_rate);
+  if (report->policy_digest == own_digest
+      || (report->policy_digest == 0 && policy.knowledge == DP_KNOWLEDGE_NONE
+          && now - balancer->started_at < KNOWLEDGE_DELAY_US)
+      || !dp_policy_schedule_admits (balancer->policy_schedule, destination,
+                                     own_digest + policy.knowledge, report->policy_digest,
+                                     now))
+    return;
+  entries = dp_evacuations_entries (balancer->evacuations, now);
+  policy.entries = entries;
+  if (!dp_packet_port_send (balancer->report, destination, buffer,
+                            dp_policy_encode (&policy, buffer)))
+    dp_metric_increment (balancer->drops[DROP_UNSENT]);
+}
+
+static DpKnowledge
+knowledge_ (const DpPassthroughBalancer *balancer)
+{
+  if (!dp_evacuations_is_complete (balancer->evacuations)
+      && balancer->heard == DP_KNOWLEDGE_NONE)
+    return DP_KNOWLEDGE_NONE;
+  return dp_passthrough_services_evacuations_are_current (balancer->services)
+             ? DP_KNOWLEDGE_CURRENT
+             : DP_KNOWLEDGE_OLD;
+}
+
+static void
+evacuations_changed_ (gpointer user_data)
+{
+  DpPassthroughBalancer *balancer = user_data;
+
+  balancer->zones_evacuated->value = dp_evacuations_n_evacuated (balancer->evacuations);
+  dp_placement_set_evacuations (balancer->placement, balancer->evacuations);
+}
+
 static gboolean
 tick_ (gpointer user_data)
 {
@@ -604,6 +732,11 @@
   gint64 now = dp_clock_now (balancer->options.clock);
 
   dp_passthrough_services_tick (balancer->services);
+  if (balancer->evacuations != NULL)
+    {
+      dp_evacuations_tick (balancer->evacuations, now);
+      dp_policy_schedule_expire (balancer->policy_schedule, now);
+    }
   if (dp_placement_expire (balancer->placement, now))
     g_hash_table_remove_all (balancer->list_schedules);
   balancer->members->value = dp_placement_n_members (balancer->placement);
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -4,6 +4,8 @@
 
 #include "dogwoodpaddle/logging.h"
 #include "private/passthroughreporter.h"
+#include "private/policyschedule.h"
+#include "protected/evacuations.h"
 #include "protected/flowlog.h"
 #include "protected/packetport.h"
 #include "protected/passthroughmembers.h"
@@ -23,6 +25,13 @@
  * or kept from running. */
 #define PAUSE_MIN_US (300 * DP_US_PER_MS)
 
+/* A pause of this share of the bound for evacuations leaves time to hear of one that came
+ * meanwhile, since a balancer answers the first report; after a longer one, the process
+ * takes no new flows until it has heard from a balancer. */
+#define PAUSE_SHARE 0.5
+/* Balancers send warm-up rates in these parts of a request per second. */
+#define WARMUP_RATE_UNITS 1000.0
+
 struct _DpPassthroughCompanion
 {
   DpPassthroughCompanionOptions options;
@@ -41,12 +50,20 @@
   DpAnnouncementTracker announcements;
   DpAnnouncement announcement; /* last announcement that was accepted; id is not set */
   DpBreakerState breaker;
-  gint64 heartbeat_at;   /* us, last heartbeat that was accepted */
-  gint64 warmup_ends_at; /* us, when the server's warm-up ends */
-  gint64 active_at;      /* us, last time at which this process did anything */
-  guint report_source;   /* source id */
-  guint tick_source;     /* source id */
-  guint retry_source;    /* source id; 0 while no packet is kept */
+  DpEvacuations *evacuations; /* NULL: the deployment has none */
+  DpEvacuationTrust trust;
+  DpPolicySchedule *policy_schedule;
+  guint64 config_version; /* that the warm-up rate comes from, 0: none is known */
+  guint64 warmup_rate;    /* thousandths of a request per second while the server is cold,
+                             0: no limit */
+  guint64 warmup_limit;   /* the one in force */
+  gboolean serving;       /* new flows are offered to the server */
+  gint64 heartbeat_at;    /* us, last heartbeat that was accepted */
+  gint64 warmup_ends_at;  /* us, when the server's warm-up ends */
+  gint64 active_at;       /* us, last time at which this process did anything */
+  guint report_source;    /* source id */
+  guint tick_source;      /* source id */
+  guint retry_source;     /* source id; 0 while no packet is kept */
   gboolean stopping;
   gint64 stop_began_at; /* us, when the stop began */
   guint stop_source;    /* source id */
@@ -59,6 +76,9 @@
   DpMetric *malformed;
   DpMetric *registrations;
   DpMetric *unanswered;
+  DpMetric *zones_evacuated;
+  DpMetric *own_zone_evacuated;
+  DpMetric *evacuated_flows;
 };
 
 static gint64 note_activity_ (DpPassthroughCompanion *companion);
@@ -117,7 +137,20 @@
                              gsize length);
 static gboolean is_serving_ (const DpPassthroughCompanion *companion, gint64 now);
 static DpMemberState member_state_ (const DpPassthroughCompanion *companion, gint64 now);
+static gboolean takes_flows_in_zone_ (const DpPassthroughCompanion *companion,
+                                      gint64 now);
 static void update_serving_ (DpPassthroughCompanion *companion);
+static void sync_serving_ (DpPassthroughCompanion *companion, gint64 now);
+static void update_warmup_limit_ (DpPassthroughCompanion *companion, gint64 now);
+static void note_evacuated_flow_ (DpPassthroughCompanion *companion,
+                                  const DpPassthroughDecision *decision,
+                                  const DpSegment *segment);
+static void apply_policy_ (DpPassthroughCompanion *companion,
+                           const DpAddress *source,
+                           const DpPolicy *policy,
+                           gint64 now);
+static guint64 policy_digest_ (const DpPassthroughCompanion *companion, gint64 now);
+static void evacuations_changed_ (gpointer user_data);
 static gboolean report_timeout_ (gpointer user_data);
 static void log_breaker_change_ (DpPassthroughCompanion *companion);
 static void send_report_ (DpPassthroughCompanion *companion, gint64 now);
@@ -207,6 +240,8 @@
   dp_packet_port_free (companion->report);
   dp_passthrough_free (companion->passthrough);
   dp_flow_log_free (companion->log);
+  dp_policy_schedule_free (companion->policy_schedule);
+  dp_evacuations_free (companion->evacuations);
   dp_announcement_tracker_clear (&companion->announcements);
   dp_passthrough_members_free (companion->members);
   g_hash_table_unref (companion->asked_members);
@@ -249,6 +284,7 @@
   companion->announcement.id = NULL;
   companion->heartbeat_at = now;
   companion->warmup_ends_at = now + announcement->warmup_remaining_ms * DP_US_PER_MS;
+  update_warmup_limit_ (companion, now);
   dp_passthrough_set_limits (companion->passthrough, &limits);
   update_serving_ (companion);
   if (changed)
@@ -274,12 +310,19 @@
 note_activity_ (DpPassthroughCompanion *companion)
 {
   const gint64 now = dp_clock_now (companion->options.clock);
+  const gint64 long_pause = (gint64) (companion->options.evacuate_ms * PAUSE_SHARE
+                                      * DP_US_PER_MS);
 
   if (companion->active_at != 0 && now - companion->active_at > PAUSE_MIN_US)
     {
       g_message ("companion %s did not run for %" G_GINT64_FORMAT " ms", companion->name,
                  (now - companion->active_at) / DP_US_PER_MS);
       dp_passthrough_note_pause (companion->passthrough, now);
+      if (companion->evacuations != NULL && now - companion->active_at > long_pause)
+        {
+          dp_evacuation_trust_init (&companion->trust, companion->trust.bound);
+          update_serving_ (companion);
+        }
     }
   companion->active_at = now;
   return now;
@@ -314,6 +357,16 @@
   companion->unanswered = dp_metrics_add (
       metrics, DP_METRIC_COUNTER, "dogwoodpaddle_searches_unanswered_total", "",
       "Packets that were forwarded again, as a member has not answered");
+  companion->zones_evacuated = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_zones_evacuated", "",
+      "Availability zones whose evacuation is in force in this process");
+  companion->own_zone_evacuated = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_own_zone_evacuated_ms", "",
+      "Time since the evacuation of this availability zone became known, 0: it is not "
+      "evacuated");
+  companion->evacuated_flows = dp_metrics_add (
+      metrics, DP_METRIC_COUNTER, "dogwoodpaddle_evacuated_flows_total", "",
+      "New flows that came to this member of an evacuated availability zone");
   companion->malformed = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                          "dogwoodpaddle_datagrams_malformed_total", "",
                                          "Datagrams that could not be read");
@@ -344,6 +397,14 @@
   dp_passthrough_set_histograms (companion->passthrough, &times);
   dp_passthrough_set_address (companion->passthrough, &options->data_address);
   companion->log = dp_flow_log_new (options->clock, options->metrics);
+  if (options->evacuate_ms > 0)
+    {
+      companion->evacuations = dp_evacuations_new ();
+      companion->policy_schedule = dp_policy_schedule_new ();
+      dp_evacuation_trust_init (&companion->trust, options->evacuate_ms * DP_US_PER_MS);
+      dp_evacuations_set_listener (companion->evacuations, evacuations_changed_,
+                                   companion);
+    }
   companion->reporter = dp_passthrough_reporter_new (&reporter, options->metrics);
 }
 
@@ -365,6 +426,7 @@
     }
   format->read_hop (data, &hop);
   decision = dp_passthrough_from_peer (companion->passthrough, &segment, &hop, now);
+  note_evacuated_flow_ (companion, &decision, &segment);
   execute_ (companion, &decision, &segment, data, length);
   keep_packet_ (companion, &decision, &segment, &hop, data, length, now);
   send_pending_messages_ (companion);
@@ -604,6 +666,8 @@
     dp_metric_increment (companion->malformed);
   else if (message.type == DP_REPORT_MEMBERS)
     apply_list_ (companion, &message.list, now);
+  else if (message.type == DP_REPORT_POLICY)
+    apply_policy_ (companion, source, &message.policy, now);
   else if (message.type == DP_REPORT_OWNER)
     register_owner_ (companion, source, &message.owner, now);
   else
@@ -649,6 +713,97 @@
     dp_passthrough_register_copy (companion->passthrough, owner, now);
 }
 
+/* Applies what a balancer knows of evacuations and of the warm-up rate, and answers with
+ * what this companion knows if that is something else. */
+static void
+apply_policy_ (DpPassthroughCompanion *companion,
+               const DpAddress *source,
+               const DpPolicy *policy,
+               gint64 now)
+{
+  g_autoptr (GArray) entries = NULL;
+  DpPolicy answer = {
+    .service = companion->service,
+    .config_version = companion->config_version,
+    .warmup_rate = companion->warmup_rate,
+  };
+  guint8 buffer[DP_REPORT_MAX];
+
+  if (companion->evacuations == NULL)
+    return;
+  for (guint i = 0; i < policy->entries->len; i++)
+    dp_evacuations_apply (companion->evacuations,
+                          &g_array_index (policy->entries, DpEvacuationEntry, i),
+                          DP_EVACUATION_FROM_PEER, now);
+  dp_evacuation_trust_note (&companion->trust, policy->knowledge, now);
+  if (policy->config_version > companion->config_version)
+    {
+      companion->config_version = policy->config_version;
+      companion->warmup_rate = policy->warmup_rate;
+      update_warmup_limit_ (companion, now);
+    }
+  sync_serving_ (companion, now);
+  answer.digest = dp_evacuations_digest (companion->evacuations);
+  if (answer.digest == policy->digest
+      || !dp_policy_schedule_admits (companion->policy_schedule, source, answer.digest,
+                                     policy->digest, now))
+    return;
+  answer.knowledge = dp_evacuation_trust_suffices (&companion->trust, now)
+                         ? DP_KNOWLEDGE_OLD
+                         : DP_KNOWLEDGE_NONE;
+  entries = dp_evacuations_entries (companion->evacuations, now);
+  answer.entries = entries;
+  dp_packet_port_send (companion->report, source, buffer,
+                       dp_policy_encode (&answer, buffer));
+}
+
+/* Returns the digest for reports; 0 makes any balancer answer. */
+static guint64
+policy_digest_ (const DpPassthroughCompanion *companion, gint64 now)
+{
+  if (companion->evacuations == NULL
+      || !dp_evacuation_trust_suffices (&companion->trust, now))
+    return 0;
+  return dp_policy_digest (dp_evacuations_digest (companion->evacuations),
+                           companion->warmup_rate);
+}
+
+static void
+evacuations_changed_ (gpointer user_data)
+{
+  DpPassthroughCompanion *companion = user_data;
+
+  companion->zones_evacuated->value = dp_evacuations_n_evacuated (companion->evacuations);
+}
+
+/* Counts a new flow that came although the zone is evacuated. */
+static void
+note_evacuated_flow_ (DpPassthroughCompanion *companion,
+                      const DpPassthroughDecision *decision,
+                      const DpSegment *segment)
+{
+  if (companion->evacuations != NULL && dp_segment_opens_flow (segment)
+      && decision->reason == DP_PASSTHROUGH_NOT_SERVING
+      && dp_evacuations_contains (companion->evacuations, companion->zone))
+    dp_metric_increment (companion->evacuated_flows);
+}
+
+/* Limits a cold server to its service's warm-up rate. */
+static void
+update_warmup_limit_ (DpPassthroughCompanion *companion, gint64 now)
+{
+  const guint64 limit = now < companion->warmup_ends_at ? companion->warmup_rate : 0;
+  const double per_second = (double) limit / WARMUP_RATE_UNITS;
+
+  if (limit == companion->warmup_limit)
+    return;
+  companion->warmup_limit = limit;
+  dp_passthrough_set_warmup_limit (companion->passthrough, per_second);
+  g_message ("server of companion %s: warm-up limit %g requests per second, version "
+             "%" G_GUINT64_FORMAT,
+             companion->name, per_second, companion->config_version);
+}
+
 static void
 apply_list_ (DpPassthroughCompanion *companion, const DpMemberList *list, gint64 now)
 {
@@ -728,7 +883,18 @@
 
   return companion->announcements.known && !companion->announcements.deregistered
          && !companion->announcement.leaving && !companion->stopping
-         && now - companion->heartbeat_at <= bound;
+         && now - companion->heartbeat_at <= bound
+         && takes_flows_in_zone_ (companion, now);
+}
+
+/* Returns whether no evacuation keeps new flows off, and this process has heard enough to
+ * know that. */
+static gboolean
+takes_flows_in_zone_ (const DpPassthroughCompanion *companion, gint64 now)
+{
+  return companion->evacuations == NULL
+         || (dp_evacuation_trust_suffices (&companion->trust, now)
+             && !dp_evacuations_contains (companion->evacuations, companion->zone));
 }
 
 static DpMemberState
@@ -743,9 +909,25 @@
 static void
 update_serving_ (DpPassthroughCompanion *companion)
 {
-  dp_passthrough_set_serving (
-      companion->passthrough,
-      is_serving_ (companion, dp_clock_now (companion->options.clock)));
+  companion->serving = is_serving_ (companion, dp_clock_now (companion->options.clock));
+  dp_passthrough_set_serving (companion->passthrough, companion->serving);
+}
+
+/* Applies a change of the evacuations or of what is known of them. The SYNs that wait go
+ * on to other members, and the balancers are told at once. */
+static void
+sync_serving_ (DpPassthroughCompanion *companion, gint64 now)
+{
+  const gboolean was_serving = companion->serving;
+
+  update_serving_ (companion);
+  companion->own_zone_evacuated->value =
+      (guint64) (dp_evacuations_age (companion->evacuations, companion->zone, now)
+                 / DP_US_PER_MS);
+  if (companion->serving == was_serving)
+    return;
+  release_held_syns_ (companion, now);
+  send_report_ (companion, now);
 }
 
 /* Ends flows and waits that have timed out, and sends a report. */
@@ -756,6 +938,9 @@
   const gint64 now = note_activity_ (companion);
 
   dp_passthrough_tick (companion->passthrough, now);
+  update_warmup_limit_ (companion, now);
+  if (companion->evacuations != NULL)
+    sync_serving_ (companion, now);
   /* Releases the SYNs that wait for a server that has become silent. */
   release_held_syns_ (companion, now);
   send_pending_messages_ (companion);
@@ -798,6 +983,8 @@
     .list_hash = dp_passthrough_members_hash (companion->members),
     .failing = companion->breaker == DP_BREAKER_OPEN,
     .deregistered = companion->announcements.deregistered,
+    .has_policy_digest = companion->evacuations != NULL,
+    .policy_digest = policy_digest_ (companion, now),
   };
 
   if (companion->announcements.known)
@@ -808,8 +995,11 @@
 tick_timeout_ (gpointer user_data)
 {
   DpPassthroughCompanion *companion = user_data;
+  const gint64 now = dp_clock_now (companion->options.clock);
 
   update_serving_ (companion);
+  if (companion->evacuations != NULL)
+    dp_policy_schedule_expire (companion->policy_schedule, now);
   companion->lost_lines->value = dp_logging_lost_lines ();
   return G_SOURCE_CONTINUE;
 }
--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -1,6 +1,9 @@
 #include "private/passthroughservices.h"
 
+#include <math.h>
+
 #include "private/balancerregistration.h"
+#include "private/evacuationwatch.h"
 #include "private/feed.h"
 #include "private/freshness.h"
 #include "private/upstream.h"
@@ -23,6 +26,15 @@
 /* A parent that sends no confirmation for this many times the maximum age is replaced by
  * the next parent; for once that age if the platform doesn't answer either. */
 #define PARENT_TIMEOUT_FACTOR 4
+/* Warm-up rates are passed on in these parts of a request per second. */
+#define RATE_UNITS 1000.0
+
+/* What an applied record says of a service's cold servers. */
+typedef struct
+{
+  guint64 version; /* of the configuration */
+  guint64 rate;    /* thousandths of a request per second, 0: no limit */
+} Warmup;
 
 struct _DpPassthroughServices
 {
@@ -40,6 +52,7 @@
   guint balancers_listener;
   DpWatch *services_watch;
   DpWatch *balancers_watch;
+  DpEvacuationWatch *evacuation_watch; /* NULL: the deployment has no evacuations */
   DpBalancerRegistration *registration;
   gboolean registering; /* registration has been requested */
   gint64 registered_at; /* us, 0: not yet */
@@ -59,6 +72,7 @@
   GHashTable *names;        /* of the configuration's services, NULL: not known */
   GHashTable *pending;      /* names of services whose records are to be applied */
   GHashTable *applied;      /* service name to the JSON text of its applied record */
+  GHashTable *warmups;      /* service id to Warmup */
   guint update_source;      /* source id */
   guint services_listener;
 };
@@ -67,6 +81,7 @@
                                   const DpPassthroughBalancerOptions *options);
 static gboolean start_feed_ (DpPassthroughServices *services, GError **error);
 static void choose_source_ (DpPassthroughServices *services, gint64 now);
+static void set_watching_ (DpPassthroughServices *services, gboolean watching);
 static void choose_parents_ (DpPassthroughServices *services, gint64 now);
 static void add_other_peers_ (DpPassthroughServices *services,
                               const DpTopology *topology,
@@ -95,11 +110,14 @@
                                       const char *name);
 static gboolean apply_next_ (gpointer user_data);
 static void apply_service_ (DpPassthroughServices *services, const char *name);
+static void
+apply_warmup_ (DpPassthroughServices *services, const DpRecord *record, gboolean changed);
 
 /* Creates the services without sending any request to the platform. */
 DpPassthroughServices *
 dp_passthrough_services_new (const DpPassthroughBalancerOptions *options,
-                             DpRouter *router)
+                             DpRouter *router,
+                             DpEvacuations *evacuations)
 {
   static const DpWatchListener listener = { services_reachable_, services_progressed_ };
   static const DpWatchListener balancers_listener = { balancers_reachable_,
@@ -121,6 +139,7 @@
   services->unreachable_since = dp_clock_now (options->clock);
   services->pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   services->applied = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  services->warmups = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   services->services_replica = dp_replica_new ();
   services->balancers_replica = dp_replica_new ();
   services->balancers_listener = dp_replica_add_listener (services->balancers_replica,
@@ -136,6 +155,8 @@
   dp_watch_set_limits (services->services_watch, services->timing.answer_ms,
                        services->timing.retry_max_ms);
   dp_watch_set_spacing (services->balancers_watch, BALANCERS_SPACING_MS);
+  if (evacuations != NULL)
+    services->evacuation_watch = dp_evacuation_watch_new (options, evacuations);
   services->relayed = dp_metrics_add (
       options->metrics, DP_METRIC_GAUGE, "dogwoodpaddle_services_relayed", "",
       "1 while the services come from another balancer, without calls to the platform");
@@ -160,6 +181,7 @@
   dp_balancer_registration_free (services->registration);
   dp_watch_free (services->services_watch);
   dp_watch_free (services->balancers_watch);
+  dp_evacuation_watch_free (services->evacuation_watch);
   dp_upstream_free (services->upstream);
   dp_feed_free (services->feed);
   dp_replica_free (services->services_replica);
@@ -167,6 +189,7 @@
   g_clear_pointer (&services->names, g_hash_table_unref);
   g_hash_table_unref (services->pending);
   g_hash_table_unref (services->applied);
+  g_hash_table_unref (services->warmups);
   g_array_unref (services->peers);
   g_free (services->name);
   g_free (services->zone);
@@ -182,7 +205,7 @@
 {
   if (!start_feed_ (services, error))
     return FALSE;
-  dp_watch_set_active (services->services_watch, TRUE);
+  set_watching_ (services, TRUE);
   dp_watch_set_active (services->balancers_watch, TRUE);
   return TRUE;
 }
@@ -218,6 +241,30 @@
                                                 dp_clock_now (services->clock)));
 }
 
+/* Returns whether a new evacuation would be known here soon. */
+gboolean
+dp_passthrough_services_evacuations_are_current (const DpPassthroughServices *services)
+{
+  if (services->evacuation_watch == NULL)
+    return FALSE;
+  if (dp_watch_active (services->services_watch))
+    return dp_evacuation_watch_reachable (services->evacuation_watch);
+  return dp_freshness_parent_is_current (&services->freshness,
+                                         dp_clock_now (services->clock));
+}
+
+/* Returns the service's warm-up rate and the version that it comes from. */
+guint64
+dp_passthrough_services_warmup_rate (const DpPassthroughServices *services,
+                                     guint64 service_id,
+                                     guint64 *version)
+{
+  const Warmup *warmup = g_hash_table_lookup (services->warmups, &service_id);
+
+  *version = warmup == NULL ? 0 : warmup->version;
+  return warmup == NULL ? 0 : warmup->rate;
+}
+
 /* Returns whether func returns TRUE for all services. */
 gboolean
 dp_passthrough_services_all (const DpPassthroughServices *services,
@@ -339,6 +386,9 @@
   dp_watch_set_wait (services->services_watch, dp_feed_subscribers (services->feed) > 0
                                                    ? services->timing.relay_watch_wait_ms
                                                    : services->timing.watch_wait_ms);
+  if (services->evacuation_watch != NULL)
+    dp_evacuation_watch_update_wait (services->evacuation_watch,
+                                     dp_feed_subscribers (services->feed) > 0);
   if (relayed != dp_watch_active (services->services_watch))
     return;
   services->relayed->value = relayed ? 1 : 0;
@@ -347,10 +397,19 @@
              dp_replica_revision (services->services_replica));
   if (!relayed)
     dp_watch_relist (services->services_watch);
-  dp_watch_set_active (services->services_watch, !relayed);
+  set_watching_ (services, !relayed);
   services->unreachable_since = 0;
 }
 
+/* Starts or stops the watches of the configuration and of the evacuations. */
+static void
+set_watching_ (DpPassthroughServices *services, gboolean watching)
+{
+  dp_watch_set_active (services->services_watch, watching);
+  if (services->evacuation_watch != NULL)
+    dp_evacuation_watch_set_active (services->evacuation_watch, watching);
+}
+
 /* Connects to the parents in the relay tree. While the platform doesn't answer, any other
  * balancer is a candidate as well; a root of the tree, which has no parents, connects to
  * other balancers only while the platform doesn't answer. */
@@ -650,10 +709,14 @@
 
   if (record == NULL || !is_in_configuration_ (services, name))
     {
+      const guint64 id = dp_service_id (name);
+
       dp_router_remove_service (services->router, name);
       g_hash_table_remove (services->applied, name);
+      g_hash_table_remove (services->warmups, &id);
       return;
     }
+  apply_warmup_ (services, record, g_strcmp0 (applied, record->json) != 0);
   if (g_strcmp0 (applied, record->json) == 0)
     return;
   addresses = dp_fleet_addresses (services->services_replica, name, NULL);
@@ -662,3 +725,21 @@
                            addresses->len);
   g_hash_table_replace (services->applied, g_strdup (name), g_strdup (record->json));
 }
+
+/* Applies a service's warm-up rate. Its version increases with each configuration, also
+ * if the record has not changed otherwise. */
+static void
+apply_warmup_ (DpPassthroughServices *services, const DpRecord *record, gboolean changed)
+{
+  const guint64 id = dp_service_id (record->name);
+  Warmup *warmup = g_hash_table_lookup (services->warmups, &id);
+
+  if (warmup == NULL)
+    {
+      warmup = g_new0 (Warmup, 1);
+      g_hash_table_insert (services->warmups, g_memdup2 (&id, sizeof id), warmup);
+    }
+  if (changed)
+    warmup->rate = (guint64) ceil (dp_fleet_warmup_rate (record) * RATE_UNITS);
+  warmup->version = record->revision;
+}
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -45,6 +45,7 @@
   gboolean same_zone;
   gboolean silent;        /* stopped reporting; listed as leaving */
   gboolean failing;       /* its server fails too many requests */
+  gboolean evacuated;     /* its zone is */
   gint64 report_interval; /* us between its reports */
   gint64 reported_at;     /* us */
   gint64 warmed_up_at;    /* us; end of the server's warm-up */
@@ -67,14 +68,16 @@
   DpCandidates *candidates;
   guint64 list_hash;
   guint64 revision; /* of the view, counted by this balancer */
+  gboolean view_outdated;
 } Service;
 
 struct _DpPlacement
 {
   char *zone;
   DpHandleTable *members;
-  GHashTable *by_name;  /* name to DpHandle */
-  GHashTable *services; /* &id to Service */
+  GHashTable *by_name;              /* name to DpHandle */
+  GHashTable *services;             /* &id to Service */
+  const DpEvacuations *evacuations; /* not owned; NULL: none */
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (other_zone_penalty_) == DP_N_TRAFFIC_CLASSES);
@@ -86,7 +89,10 @@
 static void add_gone_ (DpPlacement *placement, const Member *member, gint64 now);
 static void remove_gone_ (Service *service, guint32 id);
 static void clear_member_ (Member *member);
+static void rebuild_outdated_views_ (DpPlacement *placement);
 static void rebuild_view_ (DpPlacement *placement, Service *service);
+static gboolean is_in_evacuated_zone_ (const DpPlacement *placement,
+                                       const Member *member);
 static gboolean has_reported_recently_ (const Member *member, gint64 now);
 static gint64 silence_limit_ (const Member *member);
 static double load_cost_ (const DpPlacement *placement,
@@ -209,7 +215,8 @@
 }
 
 /* Chooses the active member with the fewest flows in flight per slot and prefers the
- * balancer's own availability zone at about the same load. Members that have stopped
+ * balancer's own availability zone at about the same load. Members of evacuated zones are
+ * never chosen. Members that have stopped
  * reporting are chosen only if no other is left, since it may be only their reports that
  * are lost. */
 DpHandle
@@ -234,7 +241,8 @@
       gboolean is_recent = has_reported_recently_ (member, now);
       double cost;
 
-      if (member->state != DP_MEMBER_ACTIVE || (best_is_recent && !is_recent))
+      if (member->state != DP_MEMBER_ACTIVE || member->evacuated
+          || (best_is_recent && !is_recent))
         continue;
       cost = load_cost_ (placement, member, class, now);
       if (best != DP_HANDLE_NONE && best_is_recent == is_recent && cost >= best_cost)
@@ -297,7 +305,7 @@
 {
   const Member *member = dp_handle_table_get (placement->members, handle);
 
-  return member != NULL && member->state == DP_MEMBER_ACTIVE
+  return member != NULL && member->state == DP_MEMBER_ACTIVE && !member->evacuated
          && has_reported_recently_ (member, now);
 }
 
@@ -363,6 +371,41 @@
              : dp_candidates_view (service->candidates);
 }
 
+/* Applies changes of the evacuated zones to all members. */
+void
+dp_placement_set_evacuations (DpPlacement *placement, const DpEvacuations *evacuations)
+{
+  placement->evacuations = evacuations;
+  for (DpHandle h = dp_handle_table_next (placement->members, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = dp_handle_table_next (placement->members, h))
+    {
+      Member *member = dp_handle_table_get (placement->members, h);
+      Service *service = find_service_ (placement, member->service_id);
+      const gboolean evacuated = is_in_evacuated_zone_ (placement, member);
+
+      service->view_outdated = service->view_outdated || evacuated != member->evacuated;
+      member->evacuated = evacuated;
+    }
+  rebuild_outdated_views_ (placement);
+}
+
+/* Returns whether new flows of the service are rejected because of evacuations alone. */
+gboolean
+dp_placement_is_evacuated (DpPlacement *placement, guint64 service_id)
+{
+  const Service *service = find_service_ (placement, service_id);
+
+  for (guint i = 0; service != NULL && i < service->members->len; i++)
+    {
+      const Member *member = dp_handle_table_get (
+          placement->members, g_array_index (service->members, DpHandle, i));
+
+      if (!member->evacuated)
+        return FALSE;
+    }
+  return service != NULL && service->members->len > 0;
+}
+
 /* Returns whether any member of the service takes new flows. */
 gboolean
 dp_placement_has_active (DpPlacement *placement, guint64 service_id)
@@ -456,6 +499,7 @@
   member->address = report->address;
   member->silent = FALSE;
   member->same_zone = g_str_equal (report->zone, placement->zone);
+  member->evacuated = is_in_evacuated_zone_ (placement, member);
   member->own_flows = 0;
   member->other_flows = 0;
   remove_gone_ (service, dp_member_id (report->name));
@@ -522,6 +566,24 @@
   g_free (member->service);
 }
 
+static void
+rebuild_outdated_views_ (DpPlacement *placement)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, placement->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Service *service = value;
+
+      if (service->view_outdated)
+        rebuild_view_ (placement, service);
+    }
+}
+
+/* Members of evacuated zones are listed as leaving, so that other members don't forward
+ * new flows to them. */
 static void
 rebuild_view_ (DpPlacement *placement, Service *service)
 {
@@ -538,11 +600,14 @@
         .zone = m->zone,
         .address = m->address,
         .slots = m->slots,
-        .state = m->silent && m->state == DP_MEMBER_ACTIVE ? DP_MEMBER_LEAVING : m->state,
+        .state = (m->silent || m->evacuated) && m->state == DP_MEMBER_ACTIVE
+                     ? DP_MEMBER_LEAVING
+                     : m->state,
       };
 
       g_array_append_val (list, entry);
     }
+  service->view_outdated = FALSE;
   service->revision++;
   service->list_hash = dp_member_list_hash ((const DpMember *) (void *) list->data,
                                             list->len);
@@ -552,6 +617,13 @@
   service->candidates = dp_candidates_new (view);
 }
 
+static gboolean
+is_in_evacuated_zone_ (const DpPlacement *placement, const Member *member)
+{
+  return placement->evacuations != NULL
+         && dp_evacuations_contains (placement->evacuations, member->zone);
+}
+
 static gboolean
 has_reported_recently_ (const Member *member, gint64 now)
 {
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -156,6 +156,13 @@
   return watch->n_failures > 0;
 }
 
+/* Returns whether the last call listed all objects. */
+gboolean
+dp_watch_answered_by_list (const DpWatch *watch)
+{
+  return watch->listing;
+}
+
 /* Returns whether the platform is at a lower revision than the replica, as after a
  * restore from an older state. */
 gboolean
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -390,7 +390,53 @@
   CU_ASSERT_TRUE (dp_placement_has_active (placement, service));
 }
 
+/* No new flow may reach a server of an evacuated zone, not even if no other is left, and
+ * other members must not forward flows there. */
+static void
+test_evacuated_zone (void)
+{
+  g_autoptr (DpEvacuations) evacuations = dp_evacuations_new ();
+  g_autoptr (DpPlacement) placement = make_placement (0, 0, 9);
+  const guint64 service = dp_service_id (SERVICE);
+  const guint64 hash = dp_placement_list_hash (placement, service);
+  const DpEvacuationEntry near = { "riga-a", 5, TRUE, 0 };
+  const DpEvacuationEntry far = { "riga-b", 6, TRUE, 0 };
+  const DpEvacuationEntry near_ended = { "riga-a", 7, FALSE, 0 };
+  DpReport late = make_report ("b-2", "riga-b", 4, 0);
+  DpHandle member = dp_placement_choose (placement, service, DP_TRAFFIC_INTERACTIVE, 7,
+                                         MS);
+
+  dp_placement_flow_opened (placement, member);
+  dp_evacuations_apply (evacuations, &near, DP_EVACUATION_FROM_LIST, MS);
+  dp_placement_set_evacuations (placement, evacuations);
+  CU_ASSERT_EQUAL (choose (placement, DP_TRAFFIC_BULK, MS), 3);
+  CU_ASSERT_FALSE (dp_placement_is_live (placement, member, MS));
+  CU_ASSERT_TRUE (dp_placement_is_reporting (placement, member, MS));
+  CU_ASSERT_FALSE (dp_placement_is_evacuated (placement, service));
+  CU_ASSERT_NOT_EQUAL (dp_placement_list_hash (placement, service), hash);
+  for (guint i = 0; i < 3; i++)
+    {
+      const DpMember *m = &dp_placement_view (placement, service)->members[i];
+
+      CU_ASSERT_EQUAL (m->state, g_str_equal (m->zone, "riga-a") ? DP_MEMBER_LEAVING
+                                                                 : DP_MEMBER_ACTIVE);
+    }
+  dp_evacuations_apply (evacuations, &far, DP_EVACUATION_FROM_PEER, MS);
+  dp_placement_set_evacuations (placement, evacuations);
+  dp_placement_apply_report (placement, &late, MS);
+  CU_ASSERT_EQUAL (
+      dp_placement_choose (placement, service, DP_TRAFFIC_INTERACTIVE, 7, 2 * MS),
+      DP_HANDLE_NONE);
+  CU_ASSERT_TRUE (dp_placement_is_evacuated (placement, service));
+  CU_ASSERT_FALSE (dp_placement_has_active (placement, service));
+  CU_ASSERT_FALSE (dp_placement_is_evacuated (placement, service + 1));
+  dp_evacuations_apply (evacuations, &near_ended, DP_EVACUATION_FROM_WATCH, MS);
+  dp_placement_set_evacuations (placement, evacuations);
+  CU_ASSERT (choose (placement, DP_TRAFFIC_INTERACTIVE, 2 * MS) < 3);
+}
+
 static const DpTestCase cases_[] = {
+  { "members of evacuated zones take no new flows", test_evacuated_zone },
   { "a failing server is chosen last", test_failing },
   { "a server that has deregistered is gone", test_deregistered },
   { "leaving members don't make a balancer ready", test_leaving_only },
