--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -888,6 +888,8 @@
 
 # routes: (ip, port) to the service
 Version = collections.namedtuple("Version", "number written_at acknowledged_at routes")
+# ended_at: when the withdrawal was begun, None: it was not
+Evacuation = collections.namedtuple("Evacuation", "zone acknowledged_at ended_at")
 
 
 class Site:
@@ -903,6 +905,9 @@
         self.clients = []
         self.version = 1
         self.versions = []  # Version, in order
+        self.evacuate_ms = None  # bound for evacuations, None: the deployment has none
+        self.services = []  # of the configuration
+        self.evacuations = []  # Evacuation, in order
         self.declared = set()  # (ip, port, service) of all configurations
 
     @staticmethod
@@ -927,6 +932,8 @@
             "bounds": {"flow_ttl_s": 60, "stable_window_ms": 4000,
                        "config_apply_ms": 3000},
             "platform": {"address": f"{self.prefix}.200.1:{STORE_PORT}"}}
+        if self.evacuate_ms is not None:
+            settings["bounds"]["evacuate_ms"] = self.evacuate_ms
         settings.update(extra or {})
         return settings
 
@@ -969,12 +976,31 @@
 
     def configuration(self, routes):
         self.declared.update(route[:3] for route in routes)
-        return {"version": self.version, "services": [], "limits": {},
+        return {"version": self.version, "services": self.services, "limits": {},
                 "routes": [{"name": f"r-{i}", "host": ip, "path_prefix": f"/{port}/",
                             "service": service, "kind": kind, "timeout_ms": 3000,
                             "slo_ms": 1000, "priority": 1}
                            for i, (ip, port, service, kind) in enumerate(routes)]}
 
+    def evacuate(self, zone):
+        self.store.put("evacuations", zone, {})
+        self.evacuations.append(Evacuation(zone, time.monotonic(), None))
+
+    def withdraw(self, zone):
+        ended_at = time.monotonic()
+        self.store.put("evacuations", zone, None)
+        self.evacuations = [e._replace(ended_at=ended_at)
+                            if (e.zone, e.ended_at) == (zone, None) else e
+                            for e in self.evacuations]
+
+    def late_flows(self):
+        """Flows whose first packet reached a server of a zone whose evacuation had to be in
+        force: (server, time since the acknowledgement)."""
+        return [(server, at - e.acknowledged_at) for e in self.evacuations
+                for server in self.servers if server.zone == e.zone
+                for _, at in server.syns
+                if e.acknowledged_at + self.evacuate_ms / 1000 < at < (e.ended_at or at + 1)]
+
     def client(self):
         number = len(self.clients) + 1
         clients = Clients(f"{self.prefix}.9.{number}",
