--- a/test/test_evacuated_zones.py
+++ b/test/test_evacuated_zones.py
@@ -226,7 +226,7 @@
 def test_frozen_companion(site):
     """A companion that was frozen wakes with flows of a balancer that was cut off."""
     play = Play(site)
-    cut_off = site.balancers[0]
+    cut_off = site.balancers[1]  # of riga-b
     server = play.servers("riga-b")[0]
     frozen = play.companion(server)
     frozen.process.send_signal(signal.SIGSTOP)
