--- a/test/hosted/fleet.py
+++ b/test/hosted/fleet.py
@@ -296,6 +296,7 @@
     options.kept = options.kept or 10 * options.companions
     # Links, clocks and hosts are left alone, and nobody else writes.
     options.links = options.losses = options.writes = options.silences = 0.0
+    options.evacuations = 0.0
     folder = options.logs or tempfile.mkdtemp(prefix="fleet-")
     os.makedirs(folder, exist_ok=True)
     # Before any thread of this process begins: the workers are forked.
--- a/test/hosted/soak.py
+++ b/test/hosted/soak.py
@@ -3,6 +3,7 @@
 
     soak.py [--seeds N] [--first SEED] [--seconds S] [--balancers N] [--companions N] [--rate R]
             [--regressions N] [--jobs N] [--links S] [--losses S] [--writes S] [--silences S]
+            [--evacuations S]
 
 Each seed draws a site, faults and planned work that overlap: processes that are killed, stopped by
 SIGTERM, paused and started again, one by one and in series; servers that drain and are replaced,
@@ -20,6 +21,7 @@
   * every answer is whole and the request's own, every packet as its sender wrote it;
   * a request runs at most once, at a server of the route's service;
   * a server gets no new flow three seconds after its leaving was acknowledged;
+  * nor one of a zone whose evacuation, part of the planned work, was acknowledged five seconds ago;
   * no open flow gets a reset that its server didn't send while that server lives (rule FLOW, a);
   * the packets of an open flow don't go to other servers only (rule FLOW, b);
   * no client is told by a reset that a request has not run that runs;
@@ -62,6 +64,8 @@
           ("198.18.0.2", 443, "rokasgramata", "download")]
 ZONES = ["riga-a", "riga-b", "riga-c"]
 DRAIN_S = 3.0
+EVACUATE_S = 5.0  # evacuate_ms
+SPREAD_S = 1.0  # after an acknowledgement; a store that fails meanwhile may tell nobody
 RECOVERY_S = 4.0  # after the last fault; the platform's bound is 12 s
 REORDER_S = 2.0  # reorder_ms of rule FLOW
 STABLE_S = 4.0  # stable_window_ms: a process is in touch again so long after a fault
@@ -79,7 +83,8 @@
                     "sequence", "born"]
 REGISTRATION_FIELDS = ["zone", "ip", "data_port", "control_port", "http_port", "incarnation"]
 # Options for seeds that failed before these faults were added.
-WITHOUT_LATER_FAULTS = ["--links", "0", "--losses", "0", "--writes", "0", "--silences", "0"]
+WITHOUT_LATER_FAULTS = ["--links", "0", "--losses", "0", "--writes", "0", "--silences", "0",
+                        "--evacuations", "0"]
 PROBE_S = 0.05  # between two requests to single balancers
 PROBED_MAX = 200  # routes of a configuration besides ROUTES
 CONNECTIONS = "connections"  # disturbed when some fall silent
@@ -279,10 +284,14 @@
         self.losses_rng, self.writes_rng, self.silences_rng = [
             random.Random(f"{seed} {use}") for use in ("losses", "writes", "silences")]
         self.silences = options.silences
+        self.evacuations_rng = random.Random(f"{seed} evacuations")
+        self.evacuations = options.evacuations
         self.writes = options.writes
         self.rate, self.seconds, self.links = options.rate, options.seconds, options.links
         self.losses, self.lost = options.losses, []  # addresses of hosts that are lost
         self.site = self.make_site()
+        if self.evacuations:
+            self.site.evacuate_ms = EVACUATE_S * 1000
         self.site.configure(ROUTES)
         self.disturbances = Disturbances()
         self.planned_work = []  # heap of (time, number, function)
@@ -521,6 +530,21 @@
     def set_network(self, loss, repeat, delay):
         self.client.loss, self.client.repeat, self.client.delay = loss, repeat, delay
 
+    def evacuate_zone(self):
+        """Planned work on a zone, one at a time; the store has to answer for it."""
+        zone = self.evacuations_rng.choice(ZONES)
+        seconds = EVACUATE_S + self.evacuations_rng.uniform(0.5, 3.0)
+        if self.site.store.down or any(e.ended_at is None for e in self.site.evacuations):
+            return
+
+        def withdraw():
+            self.note(f"withdraw the evacuation of {zone}")
+            self.site.withdraw(zone)
+
+        self.note(f"evacuate {zone}")
+        self.site.evacuate(zone)
+        self.later(seconds, withdraw)
+
     # Faults of links and clocks have a random sequence of their own.
 
     def processes(self):
@@ -731,6 +755,7 @@
         next_loss = time.monotonic() + 2.0
         next_write = time.monotonic() + 1.0
         next_silence = time.monotonic() + 1.5
+        next_evacuation = time.monotonic() + 1.0
         end = time.monotonic() + self.seconds
         # Work that was begun is finished, at its own times and under load.
         while time.monotonic() < end or self.planned_work:
@@ -754,6 +779,9 @@
             if self.silences and next_silence <= time.monotonic() < end:
                 self.silences_rng.choice(self.CONFIGURATION_FAULTS)(self)
                 next_silence += self.silences_rng.expovariate(1 / self.silences)
+            if self.evacuations and next_evacuation <= time.monotonic() < end:
+                self.evacuate_zone()
+                next_evacuation += self.evacuations_rng.expovariate(1 / self.evacuations)
         self.note("all faults are over")
         self.ending = threading.Thread(target=self.probes.finish, daemon=True)
         self.ending.start()
@@ -779,7 +807,7 @@
                         if t > server.acknowledged_at + DRAIN_S]
                 if late:
                     faults.append(f"{server.identity}: {len(late)} flows after draining")
-        faults += self.check_processes() + self.check_configuration()
+        faults += self.check_processes() + self.check_configuration() + self.check_evacuations()
         for flow in flows + last:
             found = self.check_flow(flow, runs)
             faults += [self.describe(flow, text) for text in found]
@@ -808,6 +836,26 @@
                               f"{flow['result']} in place of {wanted[0]}")
         return faults
 
+    def check_evacuations(self):
+        """The rule holds for processes in touch. A store that is disturbed right after the
+        acknowledgement has told somebody only once it answers again."""
+        faults = []
+        for evacuation in self.site.evacuations:
+            begun = evacuation.acknowledged_at
+            told = self.disturbances.in_touch(["store", CONNECTIONS], begun, begun + SPREAD_S)
+            for server in (s for s in self.site.servers if s.zone == evacuation.zone):
+                for key, at in server.syns:
+                    if not begun + EVACUATE_S < at < (evacuation.ended_at or self.checked_at):
+                        continue
+                    names = self.involved(key, server, at - REORDER_S, at)
+                    if not told:
+                        names |= {"store", CONNECTIONS}
+                    if self.disturbances.in_touch(names, at, at):
+                        faults.append(f"{server.identity}: a new flow {key} at "
+                                      f"{at - self.began:.3f}, {at - begun:.3f} s after the "
+                                      f"evacuation of {evacuation.zone}, through {sorted(names)}")
+        return faults
+
     def check_flow(self, flow, runs):
         if flow["result"] in ("wrong answer", "changed packet"):
             return [flow["result"]]
@@ -952,6 +1000,8 @@
                         help="mean time between odd entries of another writer in s, 0: none")
     parser.add_argument("--silences", type=float, default=5.0,
                         help="mean time between silent connections or odd configurations in s, 0: none")
+    parser.add_argument("--evacuations", type=float, default=4.0,
+                        help="mean time between evacuations of a zone in s, 0: none")
     parser.add_argument("--rate", type=float, default=60.0, help="new flows a second")
     return parser.parse_args(arguments)
 
