--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -427,6 +427,11 @@
     }
   member = dp_placement_choose (balancer->placement, service_id, address->class,
                                 segment->hash, now);
+  /* A member rejects the copy of a SYN once it knows that no other has taken the flow. */
+  if (member == DP_HANDLE_NONE && segment->syn_age_ms > 0
+      && is_evacuated_ (balancer, service_id, now))
+    member = dp_placement_first_candidate (balancer->placement, service_id, segment->hash,
+                                           now);
   if (member == DP_HANDLE_NONE)
     {
       const gboolean evacuated = is_evacuated_ (balancer, service_id, now);
--- a/test/test_evacuated_zones.py
+++ b/test/test_evacuated_zones.py
@@ -204,6 +204,11 @@
     check(results == {"reset"}, f"results {results}")
     slowest = max(f["resets"][0][0] - f["started"] for f in flows)
     check(slowest < 0.15, f"a reset came after {slowest:.3f} s")
+    lost = [play.start(b) for b in site.balancers]
+    for flow in lost:
+        flow["copies"] = 1  # the first SYN is lost
+    results = play.finish(lost)
+    check(set(results) == {"reset"}, f"results {set(results)} of copies")
     play.check_rule()
     site.withdraw("riga-c")
     play.run(1.0)
