Companions take flows beside balancers of an earlier version

A companion waited for an answer to its digest, which balancers of an earlier version never send: all of 52 flows were reset. Their list of members now counts as an answer of a process that knows nothing, after which the companion waits for the bound.

Tested by test_evacuated_zones.py, which fails on the code before.

--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -810,6 +810,9 @@
   g_autoptr (DpMemberView)
       view = dp_passthrough_members_update (companion->members, list, now);
 
+  /* A balancer of an earlier version answers with a list only. */
+  if (companion->evacuations != NULL)
+    dp_evacuation_trust_note (&companion->trust, DP_KNOWLEDGE_NONE, now);
   if (view == NULL)
     return;
   dp_passthrough_set_view (companion->passthrough, view, now);
--- a/test/test_evacuated_zones.py
+++ b/test/test_evacuated_zones.py
@@ -39,15 +39,18 @@
 
 
 class Play:
-    def __init__(self, site, evacuate_ms=EVACUATE_S * 1000, n_balancers=4, evacuated=()):
+    def __init__(self, site, evacuate_ms=EVACUATE_S * 1000, n_balancers=4, evacuated=(),
+                 earlier_balancers=False):
         self.site = site
         site.evacuate_ms = evacuate_ms
         site.services = [{"name": "darbnica", "warmup_s": 2.0, "warmup_per_s": 40.5}]
         site.configure([REPORTS, MANUALS])
         for zone in evacuated:
             site.evacuate(zone)
+        site.evacuate_ms = None if earlier_balancers else evacuate_ms
         for i in range(n_balancers):
             site.add_balancer(ZONES[i % 3])
+        site.evacuate_ms = evacuate_ms
         for i in range(6):
             site.add_server("darbnica", ZONES[i % 3], slots=8)
         site.add_server("rokasgramata", "riga-b", slots=8)
@@ -259,6 +262,13 @@
     check(not reads, f"reads {reads}")
 
 
+def test_balancers_of_an_earlier_version(site):
+    """They never answer what companions ask, and the companions would never take a flow."""
+    play = Play(site, earlier_balancers=True)
+    play.run(EVACUATE_S)
+    play.check_served(1.0)
+
+
 def test_warmup_rate_reaches_companions(site):
     play = Play(site)
     server, companion = site.servers[0], site.companions[0]
