--- a/src/libdogwoodpaddle/evacuationwatch.c
+++ b/src/libdogwoodpaddle/evacuationwatch.c
@@ -73,14 +73,6 @@
   dp_watch_set_active (watch->watch, active);
 }
 
-/* Sets how long the platform may hold a call open. */
-void
-dp_evacuation_watch_update_wait (DpEvacuationWatch *watch, gboolean has_subscribers)
-{
-  dp_watch_set_wait (watch->watch, has_subscribers ? watch->timing.relay_watch_wait_ms
-                                                   : watch->timing.watch_wait_ms);
-}
-
 /* Returns whether the watch is active and the platform answered its last call. */
 gboolean
 dp_evacuation_watch_reachable (const DpEvacuationWatch *watch)
--- a/src/libdogwoodpaddle/include/private/evacuationwatch.h
+++ b/src/libdogwoodpaddle/include/private/evacuationwatch.h
@@ -14,6 +14,4 @@
                                             DpEvacuations *evacuations);
 void dp_evacuation_watch_free (DpEvacuationWatch *watch);
 void dp_evacuation_watch_set_active (DpEvacuationWatch *watch, gboolean active);
-/* has_subscribers: other balancers rely on this one. */
-void dp_evacuation_watch_update_wait (DpEvacuationWatch *watch, gboolean has_subscribers);
 gboolean dp_evacuation_watch_reachable (const DpEvacuationWatch *watch);
--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -386,9 +386,6 @@
   dp_watch_set_wait (services->services_watch, dp_feed_subscribers (services->feed) > 0
                                                    ? services->timing.relay_watch_wait_ms
                                                    : services->timing.watch_wait_ms);
-  if (services->evacuation_watch != NULL)
-    dp_evacuation_watch_update_wait (services->evacuation_watch,
-                                     dp_feed_subscribers (services->feed) > 0);
   if (relayed != dp_watch_active (services->services_watch))
     return;
   services->relayed->value = relayed ? 1 : 0;
