--- a/src/dogwoodpaddle/cli.c
+++ b/src/dogwoodpaddle/cli.c
@@ -18,7 +18,7 @@
 {
   gboolean done;
   GPtrArray *records;
-  guint64 revision;
+  DpPosition position;
   DpWriteResult result;
   DpRecord *record;
   GError *error;
@@ -32,8 +32,10 @@
 static gboolean load_config_ (Cli *cli, const char *file, GError **error);
 static void read_balancers_ (Cli *cli, JsonObject *root, GPtrArray *faults);
 static gboolean check_url_ (const char *url, GError **error);
-static void
-on_read_ (GPtrArray *records, guint64 revision, const GError *error, gpointer user_data);
+static void on_read_ (GPtrArray *records,
+                      DpPosition position,
+                      const GError *error,
+                      gpointer user_data);
 static void on_written_ (DpWriteResult result,
                          DpRecord *record,
                          const GError *error,
@@ -156,10 +158,10 @@
   return FALSE;
 }
 
-/* Reads all objects of the platform. The records contain every change up to *revision.
+/* Reads all objects of the platform. The records contain every change up to *position.
  * Unref records with g_ptr_array_unref (). */
 gboolean
-cli_list (Cli *cli, GPtrArray **records, guint64 *revision, GError **error)
+cli_list (Cli *cli, GPtrArray **records, DpPosition *position, GError **error)
 {
   PendingCall call = { 0 };
 
@@ -172,7 +174,7 @@
       return FALSE;
     }
   *records = call.records;
-  *revision = call.revision;
+  *position = call.position;
   return TRUE;
 }
 
@@ -195,20 +197,20 @@
   return valid;
 }
 
-/* Writes one object if its version on the platform is still the given one. If value is
+/* Writes one object if its position on the platform is still the given one. If value is
  * NULL, deletes the object under the same condition. */
 DpWriteResult
 cli_write (Cli *cli,
            DpKind kind,
            const char *name,
-           guint64 version,
+           DpPosition position,
            JsonNode *value,
            DpRecord **record,
            GError **error)
 {
   PendingCall call = { 0 };
 
-  dp_platform_write (cli->platform, kind, name, version, value, on_written_, &call);
+  dp_platform_write (cli->platform, kind, name, position, value, on_written_, &call);
   wait_for_answer_ (&call);
   if (call.error != NULL)
     g_propagate_error (error, call.error);
@@ -297,12 +299,15 @@
 }
 
 static void
-on_read_ (GPtrArray *records, guint64 revision, const GError *error, gpointer user_data)
+on_read_ (GPtrArray *records,
+          DpPosition position,
+          const GError *error,
+          gpointer user_data)
 {
   PendingCall *call = user_data;
 
   call->done = TRUE;
-  call->revision = revision;
+  call->position = position;
   call->error = error == NULL ? NULL : g_error_copy (error);
   call->records = g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
   for (guint i = 0; records != NULL && i < records->len; i++)
--- a/src/dogwoodpaddle/cli.h
+++ b/src/dogwoodpaddle/cli.h
@@ -23,7 +23,8 @@
   gboolean json;
   gboolean wait;
   gint timeout_s;
-  gint64 revision;
+  char *revision;      /* --revision, NULL: not given */
+  DpPosition position; /* that of --revision, or at which a change was accepted */
   char *service;
   char *config;
   char *platform_url; /* NULL: not known */
@@ -52,7 +53,7 @@
 gboolean cli_require_platform (Cli *cli);
 
 /* Calls to the platform that wait for the answer. They need cli->platform. */
-gboolean cli_list (Cli *cli, GPtrArray **records, guint64 *revision, GError **error);
+gboolean cli_list (Cli *cli, GPtrArray **records, DpPosition *position, GError **error);
 /* record: set to a new reference to the object, or to NULL if it does not exist. */
 gboolean
 cli_get (Cli *cli, DpKind kind, const char *name, DpRecord **record, GError **error);
@@ -61,7 +62,7 @@
 DpWriteResult cli_write (Cli *cli,
                          DpKind kind,
                          const char *name,
-                         guint64 version,
+                         DpPosition position,
                          JsonNode *value,
                          DpRecord **record,
                          GError **error);
--- a/src/dogwoodpaddle/drain_commands.c
+++ b/src/dogwoodpaddle/drain_commands.c
@@ -17,8 +17,8 @@
 
 typedef CliStatus (*EditFunc) (Cli *cli, JsonNode *list, EditResult *result);
 /* Returns whether the member has reached the state that --wait waits for. process is NULL
- * if the member is not listed; revision is that of the member list with the change. */
-typedef gboolean (*ConditionFunc) (const Process *process, guint64 revision);
+ * if the member is not listed; position is that of the member list with the change. */
+typedef gboolean (*ConditionFunc) (const Process *process, DpPosition position);
 
 static CliStatus change_member_ (Cli *cli, EditFunc edit_func);
 static CliStatus read_member_list_ (Cli *cli, DpRecord **record);
@@ -26,8 +26,8 @@
 static CliStatus edit_drain_ (Cli *cli, JsonNode *list, EditResult *result);
 static CliStatus edit_undrain_ (Cli *cli, JsonNode *list, EditResult *result);
 static CliStatus wait_until_ (Cli *cli, ConditionFunc condition, const char *goal);
-static gboolean has_left_ (const Process *process, guint64 revision);
-static gboolean is_active_ (const Process *process, guint64 revision);
+static gboolean has_left_ (const Process *process, DpPosition position);
+static gboolean is_active_ (const Process *process, DpPosition position);
 
 /* Marks a member as leaving and held: it finishes its flows, accepts no new ones and does
  * not rejoin until "undrain". With --wait, returns once it has no flows left. */
@@ -74,19 +74,20 @@
       EditResult result = EDIT_CHANGED;
       DpWriteResult write_result;
 
-      cli->revision = (gint64) record->revision;
+      cli->position = record->position;
       status = edit_func (cli, list, &result);
       if (status != CLI_DONE || result == EDIT_UNCHANGED)
         return status;
-      write_result = cli_write (cli, DP_KIND_MEMBERS, cli->service, record->revision,
+      write_result = cli_write (cli, DP_KIND_MEMBERS, cli->service, record->position,
                                 list, &current, &error);
       if (write_result == DP_WRITE_DONE)
         {
-          json_object_set_int_member (cli->report, "revision",
-                                      (gint64) current->revision);
-          cli->revision = (gint64) current->revision;
-          cli_print (cli, "%s of %s: accepted at revision %" G_GUINT64_FORMAT,
-                     cli->arguments[0], cli->service, current->revision);
+          g_autofree char *text = dp_position_to_string (current->position);
+
+          dp_position_add_to_json (cli->report, current->position);
+          cli->position = current->position;
+          cli_print (cli, "%s of %s: accepted at revision %s", cli->arguments[0],
+                     cli->service, text);
           return CLI_DONE;
         }
       if (write_result != DP_WRITE_CONFLICT)
@@ -208,7 +209,7 @@
       /* Without the platform it is not known whether the member is still in the list. */
       if (processes->records != NULL
           && condition (processes_find (processes, cli->service, cli->arguments[0]),
-                        (guint64) cli->revision))
+                        cli->position))
         {
           cli_print (cli, "%s of %s: %s", cli->arguments[0], cli->service, goal);
           return CLI_DONE;
@@ -226,16 +227,16 @@
  * report that the member sent before it knew of the drain does not count, because the
  * member may have accepted a flow since. */
 static gboolean
-has_left_ (const Process *process, guint64 revision)
+has_left_ (const Process *process, DpPosition position)
 {
   if (process == NULL)
     return TRUE;
-  return process->held && process->revision_known && process->revision >= revision
+  return process->held && process->position_known && process->position >= position
          && process->connections == 0;
 }
 
 static gboolean
-is_active_ (const Process *process, guint64 revision)
+is_active_ (const Process *process, DpPosition position)
 {
   return process != NULL
          && g_strcmp0 (process->state, dp_member_state_string (DP_MEMBER_ACTIVE)) == 0;
--- a/src/dogwoodpaddle/fleet_commands.c
+++ b/src/dogwoodpaddle/fleet_commands.c
@@ -18,7 +18,7 @@
 static void report_plan_ (Cli *cli, const DpPlan *plan, const char *prefix);
 static CliStatus write_plan_ (Cli *cli, const DpPlan *plan);
 static CliStatus
-write_change_ (Cli *cli, const DpChange *change, JsonObject *entry, guint64 *version);
+write_change_ (Cli *cli, const DpChange *change, JsonObject *entry, DpPosition *position);
 static void report_not_tried_ (Cli *cli,
                                const DpPlan *plan,
                                guint first,
@@ -102,11 +102,11 @@
   g_autoptr (GError) error = NULL;
   g_autofree char *text = NULL;
   gboolean pretty = !cli->json;
-  guint64 revision;
+  DpPosition position;
 
   if (!cli_require_platform (cli))
     return CLI_USAGE;
-  if (!cli_list (cli, &records, &revision, &error))
+  if (!cli_list (cli, &records, &position, &error))
     {
       cli_error (cli, "%s", error->message);
       return CLI_UNKNOWN;
@@ -162,11 +162,11 @@
 make_plan_ (Cli *cli, JsonNode *file, GError **error)
 {
   g_autoptr (GPtrArray) records = NULL;
-  guint64 revision;
+  DpPosition position;
 
-  if (!cli_list (cli, &records, &revision, error))
+  if (!cli_list (cli, &records, &position, error))
     return NULL;
-  json_object_set_int_member (cli->report, "revision", (gint64) revision);
+  dp_position_add_to_json (cli->report, position);
   return dp_plan_new (file, records);
 }
 
@@ -198,20 +198,20 @@
   g_autofree char *key = object_key_ (change);
   g_autofree char *wanted = cli_json_to_string (change->wanted);
   g_autofree char *current = cli_json_to_string (change->current);
+  g_autofree char *file_version = dp_position_to_string (change->file_version);
+  g_autofree char *platform_version = dp_position_to_string (change->platform_version);
   JsonObject *entry = change_entry_ (change);
 
   if (change->file_version == 0)
     fprintf (stderr, "conflict: %s already exists, and the file names no version of it\n",
              key);
   else if (change->platform_version == 0)
-    fprintf (stderr,
-             "conflict: %s was deleted since version %" G_GUINT64_FORMAT " of the file\n",
-             key, change->file_version);
+    fprintf (stderr, "conflict: %s was deleted since version %s of the file\n", key,
+             file_version);
   else
     fprintf (stderr,
-             "conflict: %s was changed: version %" G_GUINT64_FORMAT
-             " in the file, %" G_GUINT64_FORMAT " on the platform\n",
-             key, change->file_version, change->platform_version);
+             "conflict: %s was changed: version %s in the file, %s on the platform\n",
+             key, file_version, platform_version);
   fprintf (stderr, "  in the file:     %s\n", wanted);
   fprintf (stderr, "  on the platform: %s\n", current);
   if (!json_object_has_member (cli->report, "conflicts"))
@@ -303,7 +303,8 @@
 {
   JsonArray *list = json_array_new ();
   CliStatus status = CLI_DONE;
-  guint64 revision = 0;
+  DpPosition position = 0;
+  g_autofree char *text = NULL;
   guint n_written = 0;
   guint i;
 
@@ -312,38 +313,41 @@
     {
       const DpChange *change = g_ptr_array_index (plan->changes, i);
       JsonObject *entry;
-      guint64 version = 0;
+      DpPosition written_at = 0;
 
       if (!needs_write_ (change))
         continue;
       entry = change_entry_ (change);
       json_array_add_object_element (list, entry);
-      status = write_change_ (cli, change, entry, &version);
-      revision = MAX (revision, version);
+      status = write_change_ (cli, change, entry, &written_at);
+      position = dp_position_max (position, written_at);
       n_written += status == CLI_DONE ? 1 : 0;
     }
   if (status != CLI_DONE)
     report_not_tried_ (cli, plan, i, n_written, list);
   json_object_set_int_member (cli->report, "written", n_written);
   json_object_set_int_member (cli->report, "unchanged", plan->counts[DP_CHANGE_NONE]);
-  if (revision > 0)
-    json_object_set_int_member (cli->report, "revision", (gint64) revision);
+  if (position > 0)
+    dp_position_add_to_json (cli->report, position);
   if (status != CLI_DONE)
     return status;
   if (n_written == 0)
     cli_print (cli, "nothing to change: %u objects unchanged",
                plan->counts[DP_CHANGE_NONE]);
   else
-    cli_print (cli,
-               "%u written, %u unchanged; accepted at revision %" G_GUINT64_FORMAT
-               "; see \"dogwoodpaddle watch --revision %" G_GUINT64_FORMAT "\"",
-               n_written, plan->counts[DP_CHANGE_NONE], revision, revision);
+    {
+      text = dp_position_to_string (position);
+      cli_print (cli,
+                 "%u written, %u unchanged; accepted at revision %s; see "
+                 "\"dogwoodpaddle watch --revision %s\"",
+                 n_written, plan->counts[DP_CHANGE_NONE], text, text);
+    }
   return CLI_DONE;
 }
 
 /* Writes one object and prints the result. */
 static CliStatus
-write_change_ (Cli *cli, const DpChange *change, JsonObject *entry, guint64 *version)
+write_change_ (Cli *cli, const DpChange *change, JsonObject *entry, DpPosition *position)
 {
   g_autofree char *key = object_key_ (change);
   g_autoptr (DpRecord) record = NULL;
@@ -364,8 +368,8 @@
   switch (result)
     {
     case DP_WRITE_DONE:
-      *version = record == NULL ? 0 : record->revision;
-      json_object_set_int_member (entry, "version", (gint64) *version);
+      *position = record == NULL ? 0 : record->position;
+      json_object_set_int_member (entry, "version", (gint64) *position);
       cli_print (cli, "%s %s: written%s", dp_change_type_string (change->type), key,
                  note);
       return CLI_DONE;
--- a/src/dogwoodpaddle/main.c
+++ b/src/dogwoodpaddle/main.c
@@ -104,8 +104,8 @@
       "NAME" },
     { "wait", 0, 0, G_OPTION_ARG_NONE, &cli->wait,
       "drain, undrain: wait until it is complete", NULL },
-    { "revision", 0, 0, G_OPTION_ARG_INT64, &cli->revision,
-      "watch: the revision to wait for (default: the current one)", "R" },
+    { "revision", 0, 0, G_OPTION_ARG_STRING, &cli->revision,
+      "watch: the revision to wait for (default: the current one)", "[ERA/]R" },
     { "timeout", 0, 0, G_OPTION_ARG_INT, &cli->timeout_s,
       "Longest wait in seconds (default: 60)", "S" },
     { "json", 0, 0, G_OPTION_ARG_NONE, &cli->json, "Print one JSON document", NULL },
@@ -160,8 +160,8 @@
     cli_error (cli, "--service is missing: dogwoodpaddle %s", command->usage);
   else if (cli->timeout_s < 0 || cli->timeout_s > MAX_TIMEOUT_S)
     cli_error (cli, "--timeout must be from 0 to %d seconds", MAX_TIMEOUT_S);
-  else if (cli->revision < 0)
-    cli_error (cli, "--revision must not be negative");
+  else if (cli->revision != NULL && !dp_position_parse (cli->revision, &cli->position))
+    cli_error (cli, "--revision must be REVISION or ERA/REVISION");
   else
     return TRUE;
   return FALSE;
--- a/src/dogwoodpaddle/processes.c
+++ b/src/dogwoodpaddle/processes.c
@@ -75,7 +75,7 @@
 
   processes->processes = g_ptr_array_new_with_free_func (process_free_);
   if (cli->platform != NULL
-      && cli_list (cli, &processes->records, &processes->revision,
+      && cli_list (cli, &processes->records, &processes->position,
                    &processes->platform_error))
     add_records_ (processes);
   query_balancers_ (cli, processes);
@@ -84,7 +84,7 @@
       {
         const Process *process = g_ptr_array_index (processes->processes, i);
 
-        processes->revision = MAX (processes->revision, process->revision);
+        processes->position = MAX (processes->position, process->position);
       }
   g_ptr_array_sort (processes->processes, compare_processes_);
   return processes;
@@ -108,7 +108,7 @@
 }
 
 guint
-processes_count (const Processes *processes, guint64 revision)
+processes_count (const Processes *processes, DpPosition position)
 {
   guint n = 0;
 
@@ -116,7 +116,7 @@
     {
       const Process *process = g_ptr_array_index (processes->processes, i);
 
-      n += process->revision_known && process->revision >= revision ? 1 : 0;
+      n += process->position_known && process->position >= position ? 1 : 0;
     }
   return n;
 }
@@ -164,7 +164,7 @@
   g_autoptr (GError) error = NULL;
   g_autoptr (JsonNode) value = dp_record_value (record);
   g_autoptr (DpMemberView)
-      view = dp_member_view_new_from_json (record->name, record->revision, value, &error);
+      view = dp_member_view_new_from_json (record->name, record->position, value, &error);
 
   if (view == NULL)
     {
@@ -352,8 +352,8 @@
   if (process->zone == NULL)
     process->zone = g_strdup (dp_json_get_string (status, "zone"));
   g_clear_pointer (&process->problem, g_free);
-  process->revision_known = dp_json_get_uint (status, "revision", &process->revision);
-  if (!process->revision_known)
+  process->position_known = dp_position_get_from_json (status, &process->position);
+  if (!process->position_known)
     process->problem = g_strdup ("its status names no revision");
   if (process->state == NULL)
     process->state = g_strdup (
@@ -370,11 +370,10 @@
   const char *service = dp_json_get_string (object, "service");
   const char *member = dp_json_get_string (object, "member");
   guint64 incarnation = 0;
-  guint64 revision = 0;
+  DpPosition position = 0;
   Process *process;
 
-  if (service == NULL || member == NULL
-      || !dp_json_get_uint (object, "revision", &revision))
+  if (service == NULL || member == NULL || !dp_position_get_from_json (object, &position))
     return;
   dp_json_get_uint (object, "incarnation", &incarnation);
   process = find_process_ (processes, PROCESS_COMPANION, service, member);
@@ -393,11 +392,11 @@
   process->suspected += dp_json_get_boolean (object, "suspected", FALSE) ? 1 : 0;
   if (!dp_json_get_boolean (object, "heard", TRUE))
     return;
-  if (process->revision_known && process->revision >= revision)
+  if (process->position_known && process->position >= position)
     return;
-  process->revision_known = TRUE;
+  process->position_known = TRUE;
   g_clear_pointer (&process->problem, g_free);
-  process->revision = revision;
+  process->position = position;
   dp_json_get_uint (object, "busy", &process->busy);
   dp_json_get_uint (object, "connections", &process->connections);
 }
--- a/src/dogwoodpaddle/processes.h
+++ b/src/dogwoodpaddle/processes.h
@@ -17,9 +17,9 @@
   char *name;
   char *zone;
   char *http_address;      /* balancer: "IP:PORT" of its HTTP server */
-  gboolean revision_known; /* the process or a watcher of it has reported its revision */
+  gboolean position_known; /* the process or a watcher of it has reported its revision */
   char *problem;           /* why the revision is not known; else NULL */
-  guint64 revision;        /* revision in force in the process */
+  DpPosition position;     /* revision in force in the process */
   guint64 incarnation;     /* companion: as in the member list, 0: not known */
   char *state;
   gboolean held;
@@ -32,7 +32,7 @@
 {
   GPtrArray *processes; /* Process, in order of kind, service and name */
   GPtrArray *records;   /* DpRecord, NULL: the platform did not answer */
-  guint64 revision;     /* the platform's; if unknown, the highest of all processes */
+  DpPosition position;  /* the platform's; if unknown, the highest of all processes */
   GError *platform_error;
 } Processes;
 
@@ -47,6 +47,6 @@
 const Process *
 processes_find (const Processes *processes, const char *service, const char *name);
 /* Returns the number of processes in which the revision is in force. */
-guint processes_count (const Processes *processes, guint64 revision);
+guint processes_count (const Processes *processes, DpPosition position);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (Processes, processes_free)
--- a/src/dogwoodpaddle/status_commands.c
+++ b/src/dogwoodpaddle/status_commands.c
@@ -13,12 +13,12 @@
 static void print_platform_ (Cli *cli, const Processes *processes);
 static void print_changes_ (Cli *cli, const Processes *processes);
 static GPtrArray *find_missing_changes_ (const Processes *processes);
-static gint compare_revisions_ (gconstpointer a, gconstpointer b);
-static void print_processes_ (Cli *cli, const Processes *processes, guint64 target);
-static void print_process_ (Cli *cli, const Process *process, guint64 target);
-static JsonObject *process_entry_ (const Process *process, guint64 target);
-static void print_progress_ (Cli *cli, const Processes *processes, guint64 target);
-static gboolean is_in_force_everywhere_ (const Processes *processes, guint64 target);
+static gint compare_positions_ (gconstpointer a, gconstpointer b);
+static void print_processes_ (Cli *cli, const Processes *processes, DpPosition target);
+static void print_process_ (Cli *cli, const Process *process, DpPosition target);
+static JsonObject *process_entry_ (const Process *process, DpPosition target);
+static void print_progress_ (Cli *cli, const Processes *processes, DpPosition target);
+static gboolean is_in_force_everywhere_ (const Processes *processes, DpPosition target);
 
 /* Prints the accepted revision, the number of processes in which it is in force, and
  * which processes lag behind. */
@@ -36,8 +36,8 @@
     return status;
   print_platform_ (cli, processes);
   print_changes_ (cli, processes);
-  print_progress_ (cli, processes, processes->revision);
-  print_processes_ (cli, processes, processes->revision);
+  print_progress_ (cli, processes, processes->position);
+  print_processes_ (cli, processes, processes->position);
   return CLI_DONE;
 }
 
@@ -47,7 +47,7 @@
 command_watch (Cli *cli)
 {
   gint64 deadline = g_get_monotonic_time () + (gint64) cli->timeout_s * G_USEC_PER_SEC;
-  guint64 target = (guint64) cli->revision;
+  DpPosition target = cli->position;
   gboolean has_target = target != 0;
   guint n_printed = G_MAXUINT;
 
@@ -61,7 +61,7 @@
 
       if (!has_target && status == CLI_DONE)
         {
-          target = processes->revision;
+          target = processes->position;
           has_target = TRUE;
           n_in_force = processes_count (processes, target);
         }
@@ -91,7 +91,7 @@
   gboolean answered = processes->records != NULL;
 
   for (guint i = 0; !answered && i < processes->processes->len; i++)
-    answered = ((Process *) g_ptr_array_index (processes->processes, i))->revision_known;
+    answered = ((Process *) g_ptr_array_index (processes->processes, i))->position_known;
   if (answered)
     return CLI_DONE;
   if (processes->platform_error != NULL)
@@ -117,7 +117,7 @@
       const DpRecord *record = g_ptr_array_index (processes->records, i);
 
       if (!record->deleted && dp_fleet_section_key (record->kind) != NULL
-          && (newest == NULL || record->revision > newest->revision))
+          && (newest == NULL || record->position > newest->position))
         newest = record;
     }
   return newest;
@@ -126,20 +126,20 @@
 static void
 print_platform_ (Cli *cli, const Processes *processes)
 {
+  g_autofree char *position = dp_position_to_string (processes->position);
+
   json_object_set_boolean_member (cli->report, "platform", processes->records != NULL);
-  json_object_set_int_member (cli->report, "revision", (gint64) processes->revision);
+  dp_position_add_to_json (cli->report, processes->position);
   if (processes->records != NULL)
     {
-      cli_print (cli, "platform %s: revision %" G_GUINT64_FORMAT, cli->platform_url,
-                 processes->revision);
+      cli_print (cli, "platform %s: revision %s", cli->platform_url, position);
       return;
     }
   if (processes->platform_error != NULL)
     cli_print (cli, "platform: %s", processes->platform_error->message);
   cli_print (cli,
-             "the accepted revision is unknown; the highest that a process has is "
-             "%" G_GUINT64_FORMAT,
-             processes->revision);
+             "the accepted revision is unknown; the highest that a process has is %s",
+             position);
 }
 
 /* Prints the operators' newest change and every change that an answering process lacks,
@@ -154,21 +154,20 @@
   for (guint i = 0; i < changes->len; i++)
     {
       const DpRecord *record = g_ptr_array_index (changes, i);
-      guint n_in_force = processes_count (processes, record->revision);
+      guint n_in_force = processes_count (processes, record->position);
       g_autofree char *key = g_strdup_printf ("%s/%s", dp_kind_string (record->kind),
                                               record->name);
+      g_autofree char *position = dp_position_to_string (record->position);
       JsonObject *entry = json_object_new ();
 
       json_object_set_string_member (entry, "object", key);
-      json_object_set_int_member (entry, "revision", (gint64) record->revision);
+      dp_position_add_to_json (entry, record->position);
       json_object_set_int_member (entry, "in_force", n_in_force);
       json_object_set_int_member (entry, "processes", processes->processes->len);
       json_array_add_object_element (list, entry);
       if (i < MAX_PRINTED_CHANGES)
-        cli_print (cli,
-                   "%s: accepted at revision %" G_GUINT64_FORMAT
-                   ", in force on %u of %u processes",
-                   key, record->revision, n_in_force, processes->processes->len);
+        cli_print (cli, "%s: accepted at revision %s, in force on %u of %u processes",
+                   key, position, n_in_force, processes->processes->len);
     }
   if (changes->len > MAX_PRINTED_CHANGES)
     cli_print (cli, "and %u earlier changes", changes->len - MAX_PRINTED_CHANGES);
@@ -180,38 +179,38 @@
 {
   const DpRecord *newest = newest_change_ (processes);
   GPtrArray *changes = g_ptr_array_new ();
-  guint64 lowest = G_MAXUINT64;
+  DpPosition lowest = G_MAXUINT64;
 
   for (guint i = 0; i < processes->processes->len; i++)
     {
       const Process *process = g_ptr_array_index (processes->processes, i);
 
-      if (process->revision_known)
-        lowest = MIN (lowest, process->revision);
+      if (process->position_known)
+        lowest = MIN (lowest, process->position);
     }
   for (guint i = 0; processes->records != NULL && i < processes->records->len; i++)
     {
       DpRecord *record = g_ptr_array_index (processes->records, i);
 
       if (!record->deleted && dp_fleet_section_key (record->kind) != NULL
-          && (record->revision > lowest || record == newest))
+          && (record->position > lowest || record == newest))
         g_ptr_array_add (changes, record);
     }
-  g_ptr_array_sort (changes, compare_revisions_);
+  g_ptr_array_sort (changes, compare_positions_);
   return changes;
 }
 
 static gint
-compare_revisions_ (gconstpointer a, gconstpointer b)
+compare_positions_ (gconstpointer a, gconstpointer b)
 {
   const DpRecord *x = *(const DpRecord *const *) a;
   const DpRecord *y = *(const DpRecord *const *) b;
 
-  return (x->revision < y->revision) - (x->revision > y->revision);
+  return dp_position_compare (y->position, x->position);
 }
 
 static void
-print_processes_ (Cli *cli, const Processes *processes, guint64 target)
+print_processes_ (Cli *cli, const Processes *processes, DpPosition target)
 {
   JsonArray *list = json_array_new ();
 
@@ -228,31 +227,33 @@
 }
 
 static void
-print_process_ (Cli *cli, const Process *process, guint64 target)
+print_process_ (Cli *cli, const Process *process, DpPosition target)
 {
-  g_autofree char *revision = process->revision_known ? g_strdup_printf (
-                                  "%" G_GUINT64_FORMAT, process->revision)
-                                                      : g_strdup ("?");
+  g_autofree char *position = process->position_known
+                                  ? dp_position_to_string (process->position)
+                                  : g_strdup ("?");
   g_autoptr (GString) note = g_string_new ("");
 
-  if (!process->revision_known)
+  if (!process->position_known)
     g_string_append_printf (note, "  no answer: %s", process->problem);
-  else if (process->revision < target)
+  else if (dp_position_era (process->position) < dp_position_era (target))
+    g_string_append (note, "  lags by an era");
+  else if (process->position < target)
     g_string_append_printf (note, "  lags by %" G_GUINT64_FORMAT,
-                            target - process->revision);
+                            target - process->position);
   if (process->suspected > 0)
     g_string_append_printf (note, "  suspected by %u", process->suspected);
   cli_print (cli,
              "%-10s %-16s %-20s %-10s %9s %-12s %5" G_GUINT64_FORMAT
              " %11" G_GUINT64_FORMAT "%s",
              process_kind_string (process->kind), process->service, process->name,
-             process->zone == NULL ? "" : process->zone, revision,
+             process->zone == NULL ? "" : process->zone, position,
              process->held ? "drained" : (process->state == NULL ? "" : process->state),
              process->busy, process->connections, note->str);
 }
 
 static JsonObject *
-process_entry_ (const Process *process, guint64 target)
+process_entry_ (const Process *process, DpPosition target)
 {
   JsonObject *entry = json_object_new ();
 
@@ -265,11 +266,11 @@
   if (process->state != NULL)
     json_object_set_string_member (entry, "state", process->state);
   json_object_set_boolean_member (entry, "held", process->held);
-  json_object_set_boolean_member (entry, "answers", process->revision_known);
+  json_object_set_boolean_member (entry, "answers", process->position_known);
   json_object_set_boolean_member (entry, "in_force",
-                                  process->revision_known && process->revision >= target);
-  if (process->revision_known)
-    json_object_set_int_member (entry, "revision", (gint64) process->revision);
+                                  process->position_known && process->position >= target);
+  if (process->position_known)
+    dp_position_add_to_json (entry, process->position);
   else
     json_object_set_string_member (entry, "problem", process->problem);
   json_object_set_int_member (entry, "busy", (gint64) process->busy);
@@ -279,29 +280,34 @@
 }
 
 static void
-print_progress_ (Cli *cli, const Processes *processes, guint64 target)
+print_progress_ (Cli *cli, const Processes *processes, DpPosition target)
 {
   guint n_in_force = processes_count (processes, target);
   g_autoptr (GString) lagging = g_string_new ("");
+  g_autofree char *position = dp_position_to_string (target);
 
-  json_object_set_int_member (cli->report, "target", (gint64) target);
+  json_object_set_int_member (cli->report, "target",
+                              (gint64) dp_position_revision (target));
+  if (dp_position_era (target) != 0)
+    json_object_set_int_member (cli->report, "target_era",
+                                (gint64) dp_position_era (target));
   json_object_set_int_member (cli->report, "in_force", n_in_force);
   json_object_set_int_member (cli->report, "of", processes->processes->len);
   for (guint i = 0; i < processes->processes->len; i++)
     {
       const Process *process = g_ptr_array_index (processes->processes, i);
 
-      if (process->revision_known && process->revision >= target)
+      if (process->position_known && process->position >= target)
         continue;
       g_string_append_printf (lagging, "%s%s", lagging->len == 0 ? "; lagging: " : ", ",
                               process->name);
     }
-  cli_print (cli, "revision %" G_GUINT64_FORMAT ": in force on %u of %u processes%s",
-             target, n_in_force, processes->processes->len, lagging->str);
+  cli_print (cli, "revision %s: in force on %u of %u processes%s", position, n_in_force,
+             processes->processes->len, lagging->str);
 }
 
 static gboolean
-is_in_force_everywhere_ (const Processes *processes, guint64 target)
+is_in_force_everywhere_ (const Processes *processes, DpPosition target)
 {
   return processes->processes->len > 0
          && processes_count (processes, target) == processes->processes->len;
--- a/src/libdogwoodpaddle/balancer.c
+++ b/src/libdogwoodpaddle/balancer.c
@@ -27,8 +27,10 @@
   guint heartbeat_ms;
   guint heartbeat_timer; /* source id */
   gboolean stopping;
-  guint stop_timer; /* source id */
+  guint stop_timer;              /* source id */
+  DpPosition heartbeat_position; /* of the last heartbeat */
   DpMetric *revision_metric;
+  DpMetric *era_metric;
 };
 
 static void create_components_ (DpBalancer *balancer);
@@ -36,7 +38,7 @@
 static void on_replica_changed_ (const DpRecord *record, gpointer user_data);
 static void update_heartbeat_timer_ (DpBalancer *balancer);
 static gboolean send_heartbeat_ (gpointer user_data);
-static guint64 applied_revision_ (const DpBalancer *balancer);
+static DpPosition applied_position_ (const DpBalancer *balancer);
 static void on_heartbeat_ (const DpHeartbeat *heartbeat, gpointer user_data);
 static void on_suspicion_ (const DpSuspicion *suspicion, gpointer user_data);
 static void on_platform_changed_ (gboolean reachable, gpointer user_data);
@@ -61,6 +63,9 @@
   balancer->revision_metric = dp_metrics_add (balancer->metrics, DP_METRIC_GAUGE,
                                               "dogwoodpaddle_revision", "",
                                               "Revision of the records in force");
+  balancer->era_metric = dp_metrics_add (
+      balancer->metrics, DP_METRIC_GAUGE, "dogwoodpaddle_revision_era", "",
+      "Era of the store in which dogwoodpaddle_revision was assigned");
   create_components_ (balancer);
   return balancer;
 }
@@ -219,7 +224,7 @@
                                              balancer);
 }
 
-/* Sends a heartbeat with the current revision to the balancers that monitor this one. */
+/* Sends a heartbeat with the current position to the balancers that monitor this one. */
 static gboolean
 send_heartbeat_ (gpointer user_data)
 {
@@ -228,21 +233,23 @@
     .service = "",
     .member = balancer->settings->name,
     .incarnation = dp_balancer_registration_incarnation (balancer->registration),
-    .revision = applied_revision_ (balancer),
+    .position = applied_position_ (balancer),
   };
 
-  balancer->revision_metric->value = heartbeat.revision;
+  balancer->heartbeat_position = heartbeat.position;
+  balancer->revision_metric->value = dp_position_revision (heartbeat.position);
+  balancer->era_metric->value = dp_position_era (heartbeat.position);
   dp_relay_send_heartbeat (balancer->relay, &heartbeat);
   return G_SOURCE_CONTINUE;
 }
 
-/* Returns the revision up to which the forwarder has applied all records. */
-static guint64
-applied_revision_ (const DpBalancer *balancer)
+/* Returns the position up to which the forwarder has applied all records. */
+static DpPosition
+applied_position_ (const DpBalancer *balancer)
 {
   return dp_forwarder_is_current (balancer->forwarder)
-             ? dp_replica_revision (balancer->replica)
-             : balancer->revision_metric->value;
+             ? dp_replica_position (balancer->replica)
+             : balancer->heartbeat_position;
 }
 
 static void
@@ -292,7 +299,7 @@
 {
   DpBalancer *balancer = user_data;
 
-  return applied_revision_ (balancer) > 0 && !balancer->stopping;
+  return applied_position_ (balancer) > 0 && !balancer->stopping;
 }
 
 static JsonNode *
@@ -311,7 +318,7 @@
       (gint64) dp_balancer_registration_incarnation (balancer->registration));
   json_object_set_boolean_member (
       object, "registered", dp_balancer_registration_present (balancer->registration));
-  json_object_set_int_member (object, "revision", (gint64) applied_revision_ (balancer));
+  dp_position_add_to_json (object, applied_position_ (balancer));
   json_object_set_boolean_member (object, "connected",
                                   dp_relay_connected (balancer->relay));
   json_object_set_int_member (object, "subscribers",
--- a/src/libdogwoodpaddle/balancerregistration.c
+++ b/src/libdogwoodpaddle/balancerregistration.c
@@ -6,6 +6,9 @@
 
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 5000
+/* Maximum delay, which is random, before a registration is written again that the store
+ * has lost in a restore, as other balancers have lost theirs as well. */
+#define LOST_DELAY_MS 1000
 
 struct _DpBalancerRegistration
 {
@@ -25,19 +28,24 @@
   gboolean busy;         /* a read or write is in progress */
   gboolean recheck;      /* something changed while busy: update once more */
   gboolean adding;       /* the write in progress adds the registration */
+  DpPosition position;   /* at which the registration was last known to be present */
   DpBackoff backoff;
   guint timer; /* source id */
 };
 
 static void replica_changed_ (const DpRecord *record, gpointer user_data);
+static void write_lost_later_ (DpBalancerRegistration *registration);
 static void start_update_ (DpBalancerRegistration *registration);
 static gboolean update_from_replica_ (DpBalancerRegistration *registration);
-static void
-compare_ (DpBalancerRegistration *registration, const DpRecord *record, guint64 version);
+static void compare_ (DpBalancerRegistration *registration,
+                      const DpRecord *record,
+                      DpPosition position);
 static gboolean retry_now_ (gpointer user_data);
 static void retry_later_ (DpBalancerRegistration *registration);
-static void
-read_done_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data);
+static void read_done_ (GPtrArray *records,
+                        DpPosition position,
+                        const GError *error,
+                        gpointer user_data);
 static gboolean check_record_ (DpBalancerRegistration *registration,
                                const DpRecord *record,
                                gboolean *present);
@@ -133,6 +141,12 @@
   if (record->kind != DP_KIND_BALANCER
       || !g_str_equal (record->name, registration->self.name) || !registration->attempted)
     return;
+  if (record->deleted && registration->wanted
+      && dp_position_era (record->position) > dp_position_era (registration->position))
+    {
+      write_lost_later_ (registration);
+      return;
+    }
   if (record->deleted == registration->wanted
       || (!record->deleted
           && (incarnation_of_ (record) != registration->self.incarnation
@@ -140,6 +154,25 @@
     start_update_ (registration);
 }
 
+/* Schedules the update of a registration that is absent from the first list of a new era.
+ */
+static void
+write_lost_later_ (DpBalancerRegistration *registration)
+{
+  if (registration->busy)
+    {
+      registration->recheck = TRUE;
+      return;
+    }
+  g_message (
+      "registration: balancer %s was lost when the store was restored, registering "
+      "again",
+      registration->self.name);
+  if (registration->timer == 0)
+    registration->timer = g_timeout_add (
+        (guint) g_random_int_range (0, LOST_DELAY_MS + 1), retry_now_, registration);
+}
+
 /* Uses the replica's record for the first update of a registration that belongs to the
  * host, which saves reading the object: a record that matches is reused, whoever wrote
  * it, and a missing one is created on condition that the object does not exist. Returns
@@ -152,7 +185,7 @@
 
   if (registration->owner != DP_BALANCER_REGISTRATION_OF_HOST
       || registration->replica_used || !registration->wanted
-      || dp_replica_revision (registration->replica) == 0)
+      || dp_replica_position (registration->replica) == 0)
     return FALSE;
   registration->replica_used = TRUE;
   if (record != NULL && !record->deleted && !matches_ (&registration->self, record))
@@ -202,7 +235,10 @@
 }
 
 static void
-read_done_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data)
+read_done_ (GPtrArray *records,
+            DpPosition position,
+            const GError *error,
+            gpointer user_data)
 {
   DpBalancerRegistration *registration = user_data;
 
@@ -214,12 +250,14 @@
       return;
     }
   compare_ (registration, records->len == 0 ? NULL : g_ptr_array_index (records, 0),
-            version);
+            position);
 }
 
 /* Adds or removes the registration if the record, NULL for none, is not as wanted. */
 static void
-compare_ (DpBalancerRegistration *registration, const DpRecord *record, guint64 version)
+compare_ (DpBalancerRegistration *registration,
+          const DpRecord *record,
+          DpPosition position)
 {
   g_autoptr (JsonNode) value = NULL;
   gboolean present;
@@ -238,7 +276,7 @@
   registration->attempted = TRUE;
   value = registration->wanted ? make_value_ (&registration->self) : NULL;
   dp_platform_write (registration->platform, DP_KIND_BALANCER, registration->self.name,
-                     version, value, write_done_, registration);
+                     position, value, write_done_, registration);
 }
 
 /* Sets present to whether the record is this process's registration, and raises the
@@ -263,10 +301,12 @@
       registration->attempted = TRUE;
     }
   *present = registration->attempted && matches && incarnation == self->incarnation;
+  if (*present)
+    registration->position = dp_position_max (registration->position, record->position);
   if (record == NULL && registration->present && registration->wanted)
     {
       self->incarnation++;
-      g_warning ("registration: balancer %s was removed by another process, registering "
+      g_warning ("registration: balancer %s is not on the platform any more, registering "
                  "again with incarnation %" G_GUINT64_FORMAT,
                  self->name, self->incarnation);
     }
@@ -300,7 +340,10 @@
       return;
     }
   if (record != NULL)
-    dp_replica_apply (registration->replica, record);
+    {
+      registration->position = dp_position_max (registration->position, record->position);
+      dp_replica_apply (registration->replica, record);
+    }
   settle_ (registration, registration->adding);
 }
 
--- a/src/libdogwoodpaddle/companion.c
+++ b/src/libdogwoodpaddle/companion.c
@@ -389,7 +389,7 @@
     .service = companion->settings->service,
     .member = companion->settings->name,
     .incarnation = dp_registration_incarnation (companion->registration),
-    .revision = dp_replica_revision (companion->replica),
+    .position = dp_replica_position (companion->replica),
     .busy_slots = load.slots_busy,
     .connections = load.flows,
   };
@@ -520,8 +520,7 @@
   for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
     json_object_set_int_member (waiting, dp_traffic_class_string (i), load.waiting[i]);
   json_object_set_object_member (object, "waiting", waiting);
-  json_object_set_int_member (object, "revision",
-                              (gint64) dp_replica_revision (companion->replica));
+  dp_position_add_to_json (object, dp_replica_position (companion->replica));
   json_object_set_boolean_member (object, "connected",
                                   dp_relay_connected (companion->relay));
   return node;
--- a/src/libdogwoodpaddle/effectiveconfig.c
+++ b/src/libdogwoodpaddle/effectiveconfig.c
@@ -124,14 +124,14 @@
     return FALSE;
   value = dp_record_value (record);
   if (record->deleted)
-    view = dp_member_view_new (config->service, record->revision, NULL, 0);
+    view = dp_member_view_new (config->service, record->position, NULL, 0);
   else
-    view = dp_member_view_new_from_json (config->service, record->revision, value,
+    view = dp_member_view_new_from_json (config->service, record->position, value,
                                          &error);
   if (error != NULL)
     {
-      g_warning ("members/%s at revision %" G_GUINT64_FORMAT " is ignored: %s",
-                 record->name, record->revision, error->message);
+      g_warning ("members/%s at position=" DP_POSITION_FORMAT " is ignored: %s",
+                 record->name, DP_POSITION_ARGS (record->position), error->message);
       return FALSE;
     }
   g_clear_pointer (&config->view, dp_member_view_unref);
@@ -154,8 +154,9 @@
         {
           g_autofree char *text = dp_faults_join (faults);
 
-          g_warning ("%s/%s at revision %" G_GUINT64_FORMAT " is ignored: %s",
-                     dp_kind_string (record->kind), record->name, record->revision, text);
+          g_warning ("%s/%s at position=" DP_POSITION_FORMAT " is ignored: %s",
+                     dp_kind_string (record->kind), record->name,
+                     DP_POSITION_ARGS (record->position), text);
           return FALSE;
         }
     }
--- a/src/libdogwoodpaddle/feed.c
+++ b/src/libdogwoodpaddle/feed.c
@@ -7,8 +7,11 @@
 /* GIO's default of 10 delays peers that connect in a burst. */
 #define BACKLOG 128
 /* Maximum bytes of names and values in one message. A single larger value, or records of
- * one revision that exceed the limit together, are still sent in one message. */
+ * one position that exceed the limit together, are still sent in one message. */
 #define BATCH_BYTES (32 * 1024)
+/* Minimum time between two log lines on peers with another message version, which
+ * connect again every few seconds. */
+#define REFUSAL_LOG_INTERVAL_US (10 * G_USEC_PER_SEC)
 
 struct _DpFeed
 {
@@ -19,18 +22,19 @@
   DpAddress address;
   GPtrArray *subscribers; /* Subscriber */
   guint replica_listener;
-  guint flush; /* source id */
+  guint flush;              /* source id */
+  gint64 refusal_logged_at; /* us, of a peer with another message version; 0: never */
 };
 
 typedef struct
 {
   DpFeed *feed;
   DpChannel *channel;
-  char *name;               /* NULL until HELLO */
-  char *service;            /* NULL until SUBSCRIBE */
-  guint64 cursor;           /* all records up to this revision have been sent */
-  guint64 complete_through; /* as last sent since SUBSCRIBE; 0: not yet */
-  gboolean synced;          /* all records have been sent once since it subscribed */
+  char *name;                  /* NULL until HELLO */
+  char *service;               /* NULL until SUBSCRIBE */
+  DpPosition cursor;           /* all records up to this position have been sent */
+  DpPosition complete_through; /* as last sent since SUBSCRIBE; 0: not yet */
+  gboolean synced;             /* all records have been sent once since it subscribed */
 } Subscriber;
 
 static gboolean listen_ (DpFeed *feed, GError **error);
@@ -45,7 +49,8 @@
 static void send_batch_ (Subscriber *subscriber);
 static guint fill_batch_ (GPtrArray *records, GPtrArray *batch);
 static void received_ (DpChannel *channel, const DpMessage *message, gpointer user_data);
-static void answer_hello_ (Subscriber *subscriber, const DpHello *hello);
+static gboolean answer_hello_ (Subscriber *subscriber, const DpHello *hello);
+static void log_refusal_ (Subscriber *subscriber, const DpHello *hello);
 static void drained_ (DpChannel *channel, gpointer user_data);
 static void closed_ (DpChannel *channel, const GError *error, gpointer user_data);
 
@@ -80,8 +85,6 @@
 void
 dp_feed_free (DpFeed *feed)
 {
-  if (feed == NULL)
-    return;
   if (feed == NULL)
     return;
   if (feed->replica_listener != 0)
@@ -114,7 +117,7 @@
   return n;
 }
 
-/* Sends new records and the replica's revision at the main loop's next iteration, so that
+/* Sends new records and the replica's position at the main loop's next iteration, so that
  * several changes share a message. */
 void
 dp_feed_flush (DpFeed *feed)
@@ -128,11 +131,11 @@
 void
 dp_feed_send_freshness (DpFeed *feed, guint32 age_ms)
 {
-  const guint64 revision = dp_replica_revision (feed->options.replica);
+  const DpPosition position = dp_replica_position (feed->options.replica);
   g_autoptr (GPtrArray) none = g_ptr_array_new ();
   const DpMessage message = {
     .type = DP_MESSAGE_RECORDS,
-    .records = { .complete_through = revision,
+    .records = { .complete_through = position,
                  .items = none,
                  .has_age = TRUE,
                  .age_ms = age_ms },
@@ -145,7 +148,8 @@
       if (dp_channel_queued (subscriber->channel) > 0)
         continue; /* earlier messages are still being written */
       send_batch_ (subscriber);
-      if (subscriber->synced && subscriber->complete_through >= revision)
+      if (subscriber->synced
+          && dp_position_compare (subscriber->complete_through, position) >= 0)
         dp_channel_send (subscriber->channel, &message);
     }
 }
@@ -239,7 +243,7 @@
   g_free (subscriber);
 }
 
-/* Makes sure that the record will be sent, even if its revision is lower than that of
+/* Makes sure that the record will be sent, even if its position is lower than that of
  * records sent before. */
 static void
 replica_changed_ (const DpRecord *record, gpointer user_data)
@@ -250,8 +254,9 @@
     {
       Subscriber *subscriber = g_ptr_array_index (feed->subscribers, i);
 
-      if (subscriber->cursor >= record->revision)
-        subscriber->cursor = record->revision - 1;
+      if (record->position > 0
+          && dp_position_compare (subscriber->cursor, record->position) >= 0)
+        subscriber->cursor = record->position - 1;
     }
   dp_feed_flush (feed);
 }
@@ -273,7 +278,7 @@
 send_batch_ (Subscriber *subscriber)
 {
   DpReplica *replica = subscriber->feed->options.replica;
-  guint64 revision = dp_replica_revision (replica);
+  DpPosition position = dp_replica_position (replica);
   g_autoptr (GPtrArray) records = NULL;
   g_autoptr (GPtrArray) batch = g_ptr_array_new ();
   DpMessage message = { .type = DP_MESSAGE_RECORDS };
@@ -282,42 +287,43 @@
   if (subscriber->service == NULL || dp_channel_queued (subscriber->channel) > 0)
     return;
   records = dp_replica_since (replica, subscriber->cursor, subscriber->service);
-  if (records->len == 0 && subscriber->synced && subscriber->complete_through >= revision)
+  if (records->len == 0 && subscriber->synced
+      && dp_position_compare (subscriber->complete_through, position) >= 0)
     return;
   left = fill_batch_ (records, batch);
   if (batch->len > 0)
     subscriber->cursor =
-        ((const DpRecord *) g_ptr_array_index (batch, batch->len - 1))->revision;
+        ((const DpRecord *) g_ptr_array_index (batch, batch->len - 1))->position;
   message.records.items = batch;
   if (left == 0)
     {
-      message.records.complete_through = revision;
-      subscriber->complete_through = revision;
-      subscriber->cursor = MAX (subscriber->cursor, revision);
+      message.records.complete_through = position;
+      subscriber->complete_through = position;
+      subscriber->cursor = dp_position_max (subscriber->cursor, position);
       subscriber->synced = TRUE;
     }
   dp_channel_send (subscriber->channel, &message);
 }
 
 /* Fills the batch with the first records and returns the number of those left. Records of
- * one revision go into the same batch, up to DP_MESSAGE_RECORDS_MAX. */
+ * one position go into the same batch, up to DP_MESSAGE_RECORDS_MAX. */
 static guint
 fill_batch_ (GPtrArray *records, GPtrArray *batch)
 {
   gsize bytes = 0;
-  guint64 last = 0;
+  DpPosition last = 0;
 
   for (guint i = 0; i < records->len; i++)
     {
       DpRecord *record = g_ptr_array_index (records, i);
 
       bytes += strlen (record->json) + strlen (record->name);
-      if (i > 0 && record->revision != last
+      if (i > 0 && record->position != last
           && (bytes > BATCH_BYTES || batch->len >= DP_MESSAGE_RECORDS_MAX / 2))
         return records->len - i;
       if (batch->len == DP_MESSAGE_RECORDS_MAX)
         return records->len - i;
-      last = record->revision;
+      last = record->position;
       g_ptr_array_add (batch, record);
     }
   return 0;
@@ -331,7 +337,8 @@
 
   if (message->type == DP_MESSAGE_HELLO)
     {
-      answer_hello_ (subscriber, &message->hello);
+      if (!answer_hello_ (subscriber, &message->hello))
+        g_ptr_array_remove (feed->subscribers, subscriber);
       return;
     }
   if (subscriber->name == NULL)
@@ -372,26 +379,49 @@
     }
 }
 
-static void
+/* Answers the peer's greeting. Returns FALSE if the peer is to be refused, because its
+ * positions may mean something else than those of this build. */
+static gboolean
 answer_hello_ (Subscriber *subscriber, const DpHello *hello)
 {
+  DpFeed *feed = subscriber->feed;
   const DpFeedOptions *options = &subscriber->feed->options;
   const DpMessage answer = {
     .type = DP_MESSAGE_HELLO,
     .hello = { DP_MESSAGE_VERSION, DP_ROLE_BALANCER, options->name, options->zone,
-               dp_replica_revision (options->replica) },
+               dp_replica_position (options->replica) },
   };
 
   if (hello->version != DP_MESSAGE_VERSION)
     {
-      g_warning ("control channel: %s: version %u instead of %d",
-                 dp_channel_peer (subscriber->channel), hello->version,
-                 DP_MESSAGE_VERSION);
-      return;
+      log_refusal_ (subscriber, hello);
+      return FALSE;
     }
   g_free (subscriber->name);
   subscriber->name = g_strdup (hello->name);
   dp_channel_send (subscriber->channel, &answer);
+  if (feed->listener.newer_peer != NULL
+      && dp_position_compare (hello->position, dp_replica_position (options->replica))
+             > 0)
+    feed->listener.newer_peer (hello->name, feed->user_data);
+  return TRUE;
+}
+
+static void
+log_refusal_ (Subscriber *subscriber, const DpHello *hello)
+{
+  DpFeed *feed = subscriber->feed;
+  const gint64 now = g_get_monotonic_time ();
+
+  dp_metric_increment (feed->options.metrics->refused);
+  if (feed->refusal_logged_at != 0
+      && now - feed->refusal_logged_at < REFUSAL_LOG_INTERVAL_US)
+    return;
+  feed->refusal_logged_at = now;
+  g_critical ("control channel: %s (%s): refused, its message version is %u and that of "
+              "this process is %d; both have to run the same build",
+              dp_channel_peer (subscriber->channel), hello->name, hello->version,
+              DP_MESSAGE_VERSION);
 }
 
 static void
--- a/src/libdogwoodpaddle/forwarder.c
+++ b/src/libdogwoodpaddle/forwarder.c
@@ -351,7 +351,7 @@
   if (record == NULL)
     view = dp_member_view_new (service, present->revision, NULL, 0);
   else
-    view = dp_member_view_new_from_json (service, record->revision, value, &error);
+    view = dp_member_view_new_from_json (service, record->position, value, &error);
   if (view == NULL)
     {
       g_warning ("%s; the last valid member list of the service stays in force",
--- a/src/libdogwoodpaddle/include/private/feed.h
+++ b/src/libdogwoodpaddle/include/private/feed.h
@@ -25,6 +25,9 @@
 {
   void (*heartbeat) (const DpHeartbeat *heartbeat, gpointer user_data);
   void (*suspicion) (const DpSuspicion *suspicion, gpointer user_data);
+  /* A peer has connected whose replica is at a higher position than this one. The
+   * function may be NULL. */
+  void (*newer_peer) (const char *name, gpointer user_data);
 } DpFeedListener;
 
 DpFeed *dp_feed_new (const DpFeedOptions *options,
@@ -34,7 +37,7 @@
 void dp_feed_free (DpFeed *feed);
 DpAddress dp_feed_address (const DpFeed *feed);
 guint dp_feed_subscribers (const DpFeed *feed);
-/* Schedules sending of new records and the replica's revision. */
+/* Schedules sending of new records and the replica's position. */
 void dp_feed_flush (DpFeed *feed);
 /* Tells each subscriber that has all records how long ago, in ms, the platform was known
  * to have nothing newer. */
--- a/src/libdogwoodpaddle/include/private/passthroughservices.h
+++ b/src/libdogwoodpaddle/include/private/passthroughservices.h
@@ -35,4 +35,4 @@
 dp_passthrough_services_balancer_is_announced (const DpPassthroughServices *services);
 gboolean
 dp_passthrough_services_balancer_is_registered (const DpPassthroughServices *services);
-guint64 dp_passthrough_services_revision (const DpPassthroughServices *services);
+guint64 dp_passthrough_services_version (const DpPassthroughServices *services);
--- a/src/libdogwoodpaddle/include/private/upstream.h
+++ b/src/libdogwoodpaddle/include/private/upstream.h
@@ -22,7 +22,7 @@
 {
   /* The peer has sent all its records, or the connection was lost after that. */
   void (*sync_changed) (DpUpstream *upstream, gpointer user_data);
-  /* A message from the peer was applied to the replica: records, the revision up to
+  /* A message from the peer was applied to the replica: records, the position up to
    * which all records have been sent, or both. */
   void (*progressed) (DpUpstream *upstream, gpointer user_data);
   /* The replica has everything that the platform had age_ms ago. The function may be
--- a/src/libdogwoodpaddle/include/private/watch.h
+++ b/src/libdogwoodpaddle/include/private/watch.h
@@ -37,4 +37,5 @@
 gboolean dp_watch_active (const DpWatch *watch);
 gboolean dp_watch_reachable (const DpWatch *watch);
 gboolean dp_watch_failed (const DpWatch *watch);
+/* Returns whether the platform offers an older state than the replica has. */
 gboolean dp_watch_platform_is_behind (const DpWatch *watch);
--- a/src/libdogwoodpaddle/include/protected/message.h
+++ b/src/libdogwoodpaddle/include/protected/message.h
@@ -5,7 +5,7 @@
 
 #include "protected/replica.h"
 
-#define DP_MESSAGE_VERSION 1
+#define DP_MESSAGE_VERSION 2
 #define DP_MESSAGE_MAX (1280 * 1024) /* encoded bytes: a 1 MiB value with its fields */
 #define DP_MESSAGE_STRING_MAX 255    /* bytes, for names */
 #define DP_MESSAGE_RECORDS_MAX 4096  /* records in one message */
@@ -36,21 +36,22 @@
   DpRole role;
   const char *name;
   const char *zone;
-  guint64 revision;
+  DpPosition position;
 } DpHello;
 
 typedef struct
 {
-  guint64 since;
+  DpPosition since;
   const char *service; /* "": everything */
 } DpSubscribe;
 
 typedef struct
 {
-  guint64 complete_through; /* all records up to this revision are sent; 0: more follow */
-  GPtrArray *items;         /* DpRecord */
-  gboolean has_age;         /* age_ms is set; older versions don't send it */
-  guint32 age_ms;           /* since the platform was known to have nothing newer */
+  DpPosition
+      complete_through; /* all records up to this position are sent; 0: more follow */
+  GPtrArray *items;     /* DpRecord */
+  gboolean has_age;     /* age_ms is set; older versions don't send it */
+  guint32 age_ms;       /* since the platform was known to have nothing newer */
 } DpRecords;
 
 /* A companion's or a balancer's heartbeat to its watchers; a balancer's service is "". */
@@ -59,8 +60,8 @@
   const char *service;
   const char *member;
   guint64 incarnation;
-  guint64 revision;   /* up to which the sender has applied all records */
-  guint32 busy_slots; /* slots in use */
+  DpPosition position; /* up to which the sender has applied all records */
+  guint32 busy_slots;  /* slots in use */
   guint32 connections;
 } DpHeartbeat;
 
--- a/src/libdogwoodpaddle/include/protected/platform.h
+++ b/src/libdogwoodpaddle/include/protected/platform.h
@@ -20,26 +20,29 @@
 {
   guint kinds;       /* bit mask, 1 << DpKind, of the records in its responses */
   gboolean snapshot; /* an event carries all records of the kinds, one at least, not only
-                        new ones */
+                        new ones; the position of the records is the version that their
+                        writer gave them, not their place in the store's history */
 } DpPlatformCollection;
 
 /* Paths, requests and responses of one object API. Paths begin with a slash and are newly
- * allocated. */
+ * allocated. Revisions are those of the response; the records that a dialect reads have
+ * positions of era 0, and the client sets the era. */
 typedef struct
 {
   const DpPlatformCollection *collections;
   guint n_collections;
-  guint conflict_status; /* HTTP status if the object is at another version */
+  guint conflict_status;  /* HTTP status if the object is at another version */
+  const char *era_header; /* response header with the store's era, NULL: there is none */
 
   /* after: last name of the previous page, NULL for the first page. */
   char *(*list_path) (guint collection, const char *after);
   char *(*watch_path) (guint collection, guint64 since, guint wait_ms);
   char *(*object_path) (DpKind kind, const char *name);
-  /* version 0: the object must not exist; value NULL: delete. */
+  /* revision 0: the object must not exist; value NULL: delete. */
   SoupMessage *(*write_message) (const char *base_url,
                                  DpKind kind,
                                  const char *name,
-                                 guint64 version,
+                                 guint64 revision,
                                  JsonNode *value);
   /* Appends to records. Sets after to the name to continue from if there is a further
    * page. */
@@ -56,9 +59,9 @@
                            GError **error);
   /* Returns NULL without setting error if the object does not exist. */
   DpRecord *(*read_object) (GBytes *body, DpKind kind, GError **error);
-  /* Reads the object's new version from the response to a write; FALSE if the response
+  /* Reads the object's new revision from the response to a write; FALSE if the response
    * has none. */
-  gboolean (*read_written_version) (GBytes *body, guint64 *version);
+  gboolean (*read_written_revision) (GBytes *body, guint64 *revision);
 } DpPlatformDialect;
 
 /* The project's own object API (docs/design.md, section 5.3). */
@@ -67,7 +70,8 @@
 typedef enum
 {
   DP_WRITE_DONE,     /* the write took effect */
-  DP_WRITE_CONFLICT, /* another writer was first; record is the object's present one */
+  DP_WRITE_CONFLICT, /* another writer was first, and record is the object's present one;
+                        or the store was restored, and record is NULL */
   DP_WRITE_UNKNOWN,  /* no response: the write may have taken effect or may yet do so */
   DP_WRITE_REFUSED,  /* the write did not take effect: error response, or withdrawn */
   DP_N_WRITE_RESULTS
@@ -80,12 +84,12 @@
                                      DpRecord *record,
                                      const GError *error,
                                      gpointer user_data);
-/* records: DpRecord, valid during the call. revision: the one up to which the records
- * include all changes; for one object, the object's version. error: set on failure.
+/* records: DpRecord, valid during the call. position: the one up to which the records
+ * include all changes; for one object, the object's position. error: set on failure.
  * DP_ERROR_LIMIT from a watch means that the platform no longer has the history since the
- * watched revision, and that the objects have to be listed again. */
+ * watched position, and that the objects have to be listed again. */
 typedef void (*DpPlatformReadFunc) (GPtrArray *records,
-                                    guint64 revision,
+                                    DpPosition position,
                                     const GError *error,
                                     gpointer user_data);
 
@@ -108,23 +112,36 @@
                       const char *name,
                       DpPlatformReadFunc done,
                       gpointer user_data);
-/* The platform holds the call open until a record is newer than since, or for wait_ms. It
- * counts as unanswered after a further answer_ms, at most the client's timeout. */
+/* Called after a response has shown a higher era of the store than earlier responses: all
+ * that was read before may have been lost, and has to be listed again. */
+typedef void (*DpPlatformEraFunc) (gpointer user_data);
+void dp_platform_add_era_listener (DpPlatform *platform,
+                                   DpPlatformEraFunc changed,
+                                   gpointer user_data);
+void dp_platform_remove_era_listener (DpPlatform *platform, gpointer user_data);
+/* Returns the highest era of the store that a response has shown, 0 for none. */
+guint64 dp_platform_era (const DpPlatform *platform);
+/* The platform holds the call open until a record is newer than since, which has to be of
+ * the present era, or for wait_ms. It counts as unanswered after a further answer_ms, at
+ * most the client's timeout. */
 void dp_platform_watch (DpPlatform *platform,
                         guint collection,
-                        guint64 since,
+                        DpPosition since,
                         guint wait_ms,
                         guint answer_ms,
                         DpPlatformReadFunc done,
                         gpointer user_data);
-/* Writes on condition that the object is at the version; 0: that it does not exist. value
- * NULL: deletes the object. If the response is lost, the object is read back, and the
- * write is repeated on the same version only if the object is unchanged. The result is
- * DP_WRITE_UNKNOWN if reading back fails too, or if a rate limit ends the repeats. */
+/* Writes on condition that the object is at the position; 0: that it does not exist.
+ * value NULL: deletes the object. If the response is lost, the object is read back, and
+ * the write is repeated on the same position only if the object is unchanged. The result
+ * is DP_WRITE_UNKNOWN if reading back fails too, or if a rate limit ends the repeats. A
+ * write on a position of an era that has ended is not sent, since the store may have
+ * assigned the revision again; it ends with DP_WRITE_CONFLICT. A write whose response
+ * shows a new era is read back. */
 void dp_platform_write (DpPlatform *platform,
                         DpKind kind,
                         const char *name,
-                        guint64 version,
+                        DpPosition position,
                         JsonNode *value,
                         DpPlatformWriteFunc done,
                         gpointer user_data);
@@ -136,7 +153,7 @@
 void dp_platform_write_guarded (DpPlatform *platform,
                                 DpKind kind,
                                 const char *name,
-                                guint64 version,
+                                DpPosition position,
                                 JsonNode *value,
                                 DpPlatformGuardFunc guard,
                                 DpPlatformWriteFunc done,
--- a/src/libdogwoodpaddle/include/protected/relay.h
+++ b/src/libdogwoodpaddle/include/protected/relay.h
@@ -49,7 +49,7 @@
 gboolean dp_relay_connected (const DpRelay *relay);
 /* Returns whether the balancer has a working watch on the platform. */
 gboolean dp_relay_watches_platform (const DpRelay *relay);
-/* Returns whether the platform has answered with a lower revision than the replica's. */
+/* Returns whether the platform has answered with a lower position than the replica's. */
 gboolean dp_relay_platform_is_behind (const DpRelay *relay);
 guint dp_relay_subscribers (const DpRelay *relay);
 /* Returns the address that a balancer listens on, with the port that was chosen for port
--- a/src/libdogwoodpaddle/include/protected/replica.h
+++ b/src/libdogwoodpaddle/include/protected/replica.h
@@ -1,10 +1,12 @@
 /* A process's copy of the platform's objects, which never goes back to a lower
- * revision. */
+ * position. */
 #pragma once
 
 #include <glib.h>
 #include <json-glib/json-glib.h>
 
+#include "protected/position.h"
+
 #define DP_RECORD_NAME_MAX 255            /* bytes */
 #define DP_RECORD_VALUE_MAX (1024 * 1024) /* bytes of JSON text */
 
@@ -21,13 +23,13 @@
 const char *dp_kind_string (DpKind kind);
 gboolean dp_kind_parse (const char *text, DpKind *kind);
 
-/* One object at one revision. Immutable. */
+/* One object at one position. Immutable. */
 typedef struct
 {
   grefcount refs;
   DpKind kind;
   char *name;
-  guint64 revision;
+  DpPosition position;
   gboolean deleted;
   char *json; /* the value's text, valid JSON; "" if deleted */
 } DpRecord;
@@ -35,14 +37,14 @@
 gboolean dp_record_name_is_valid (const char *name);
 DpRecord *dp_record_new (DpKind kind,
                          const char *name,
-                         guint64 revision,
+                         DpPosition position,
                          gboolean deleted,
                          const char *json,
                          GError **error);
 /* Creates a record without parsing its value. For text from this process that is known to
  * be valid JSON; takes ownership of it. */
 DpRecord *
-dp_record_new_unchecked (DpKind kind, const char *name, guint64 revision, char *json);
+dp_record_new_unchecked (DpKind kind, const char *name, DpPosition position, char *json);
 DpRecord *dp_record_ref (DpRecord *record);
 void dp_record_unref (DpRecord *record);
 JsonNode *dp_record_value (const DpRecord *record);
@@ -62,30 +64,30 @@
  * same object. */
 gboolean dp_replica_apply (DpReplica *replica, DpRecord *record);
 /* Applies a complete list of the objects of some kinds (bit mask, 1 << DpKind) at a
- * revision. Objects of these kinds that the list lacks were deleted at or before that
- * revision. */
+ * position. Objects of these kinds that the list lacks were deleted at or before that
+ * position. */
 void dp_replica_apply_list (DpReplica *replica,
                             guint kinds,
                             GPtrArray *records,
-                            guint64 revision);
-/* To be called when all records up to the revision have been applied. Never lowers
- * the replica's revision. */
-void dp_replica_set_revision (DpReplica *replica, guint64 revision);
-guint64 dp_replica_revision (const DpReplica *replica);
+                            DpPosition position);
+/* To be called when all records up to the position have been applied. Never lowers
+ * the replica's position. */
+void dp_replica_set_position (DpReplica *replica, DpPosition position);
+DpPosition dp_replica_position (const DpReplica *replica);
 
 /* NULL if the object does not exist or was deleted. */
 const DpRecord *dp_replica_get (const DpReplica *replica, DpKind kind, const char *name);
 /* The objects of a kind that exist, in order of name; array of DpRecord. */
 GPtrArray *dp_replica_list (const DpReplica *replica, DpKind kind);
-/* The records with a revision above since that a subscriber for the service gets ("":
- * all), in order of revision; array of DpRecord. */
+/* The records with a position above since that a subscriber for the service gets ("":
+ * all), in order of position; array of DpRecord. */
 GPtrArray *
-dp_replica_since (const DpReplica *replica, guint64 since, const char *service);
+dp_replica_since (const DpReplica *replica, DpPosition since, const char *service);
 gboolean dp_record_matches_service (const DpRecord *record, const char *service);
 
 /* Fault injection, with which tests show that they detect this fault: records are applied
- * regardless of their revision. */
-void dp_replica_set_test_any_revision (DpReplica *replica, gboolean any_revision);
+ * regardless of their position. */
+void dp_replica_set_test_any_position (DpReplica *replica, gboolean any_position);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpRecord, dp_record_unref)
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpReplica, dp_replica_free)
--- a/src/libdogwoodpaddle/message.c
+++ b/src/libdogwoodpaddle/message.c
@@ -80,7 +80,7 @@
       msgpack_pack_uint32 (&packer, message->hello.role);
       pack_string_ (&packer, message->hello.name);
       pack_string_ (&packer, message->hello.zone);
-      msgpack_pack_uint64 (&packer, message->hello.revision);
+      msgpack_pack_uint64 (&packer, message->hello.position);
       break;
     case DP_MESSAGE_SUBSCRIBE:
       msgpack_pack_uint64 (&packer, message->subscribe.since);
@@ -93,7 +93,7 @@
       pack_string_ (&packer, message->heartbeat.service);
       pack_string_ (&packer, message->heartbeat.member);
       msgpack_pack_uint64 (&packer, message->heartbeat.incarnation);
-      msgpack_pack_uint64 (&packer, message->heartbeat.revision);
+      msgpack_pack_uint64 (&packer, message->heartbeat.position);
       msgpack_pack_uint32 (&packer, message->heartbeat.busy_slots);
       msgpack_pack_uint32 (&packer, message->heartbeat.connections);
       break;
@@ -193,7 +193,7 @@
       msgpack_pack_array (packer, 5);
       pack_string_ (packer, dp_kind_string (record->kind));
       pack_string_ (packer, record->name);
-      msgpack_pack_uint64 (packer, record->revision);
+      msgpack_pack_uint64 (packer, record->position);
       if (record->deleted)
         msgpack_pack_true (packer);
       else
@@ -214,7 +214,7 @@
       message->hello.role = (DpRole) read_uint_ (reader, DP_N_ROLES - 1);
       message->hello.name = read_string_ (reader);
       message->hello.zone = read_string_ (reader);
-      message->hello.revision = read_uint_ (reader, G_MAXINT64);
+      message->hello.position = read_uint_ (reader, G_MAXINT64);
       break;
     case DP_MESSAGE_SUBSCRIBE:
       message->subscribe.since = read_uint_ (reader, G_MAXINT64);
@@ -226,7 +226,7 @@
       message->heartbeat.service = read_string_ (reader);
       message->heartbeat.member = read_string_ (reader);
       message->heartbeat.incarnation = read_uint_ (reader, G_MAXINT64);
-      message->heartbeat.revision = read_uint_ (reader, G_MAXINT64);
+      message->heartbeat.position = read_uint_ (reader, G_MAXINT64);
       message->heartbeat.busy_slots = (guint32) read_uint_ (reader, G_MAXUINT32);
       message->heartbeat.connections = (guint32) read_uint_ (reader, G_MAXUINT32);
       break;
--- a/src/libdogwoodpaddle/nativedialect.c
+++ b/src/libdogwoodpaddle/nativedialect.c
@@ -11,7 +11,7 @@
 static SoupMessage *write_message_ (const char *base_url,
                                     DpKind kind,
                                     const char *name,
-                                    guint64 version,
+                                    guint64 revision,
                                     JsonNode *value);
 static gboolean read_list_ (GBytes *body,
                             guint collection,
@@ -25,7 +25,7 @@
                               guint64 *revision,
                               GError **error);
 static DpRecord *read_object_ (GBytes *body, DpKind kind, GError **error);
-static gboolean read_written_ (GBytes *body, guint64 *version);
+static gboolean read_written_ (GBytes *body, guint64 *revision);
 
 /* All kinds are listed and watched together. */
 static const DpPlatformCollection collections_[] = { { (1u << DP_N_KINDS) - 1, FALSE } };
@@ -34,6 +34,7 @@
   .collections = collections_,
   .n_collections = G_N_ELEMENTS (collections_),
   .conflict_status = SOUP_STATUS_PRECONDITION_FAILED,
+  .era_header = "Store-Era",
   .list_path = list_path_,
   .watch_path = watch_path_,
   .object_path = object_path_,
@@ -41,7 +42,7 @@
   .read_list = read_list_,
   .read_events = read_events_,
   .read_object = read_object_,
-  .read_written_version = read_written_,
+  .read_written_revision = read_written_,
 };
 
 static char *
@@ -69,7 +70,7 @@
 write_message_ (const char *base_url,
                 DpKind kind,
                 const char *name,
-                guint64 version,
+                guint64 revision,
                 JsonNode *value)
 {
   g_autofree char *path = object_path_ (kind, name);
@@ -80,7 +81,7 @@
   message = soup_message_new (value == NULL ? SOUP_METHOD_DELETE : SOUP_METHOD_PUT, url);
   if (message == NULL)
     return NULL;
-  g_snprintf (condition, sizeof condition, "\"%" G_GUINT64_FORMAT "\"", version);
+  g_snprintf (condition, sizeof condition, "\"%" G_GUINT64_FORMAT "\"", revision);
   soup_message_headers_replace (soup_message_get_request_headers (message), "If-Match",
                                 condition);
   if (value != NULL)
@@ -121,9 +122,9 @@
 }
 
 static gboolean
-read_written_ (GBytes *body, guint64 *version)
+read_written_ (GBytes *body, guint64 *revision)
 {
   g_autoptr (JsonNode) response = dp_platform_response_parse (body, NULL);
 
-  return dp_json_get_uint (dp_json_get_object (response), "version", version);
+  return dp_json_get_uint (dp_json_get_object (response), "version", revision);
 }
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -481,10 +481,10 @@
   dp_placement_address (balancer->placement, member, &address);
   dp_flow_log_write (
       segment, "to_member", reason,
-      "member=%s class=%s services_revision=%" G_GUINT64_FORMAT
+      "member=%s class=%s services_version=%" G_GUINT64_FORMAT
       " syn_age_ms=%u report_ms=%" G_GINT64_FORMAT " up_ms=%" G_GINT64_FORMAT,
       dp_address_format (&address, text), dp_traffic_class_string (class),
-      dp_passthrough_services_revision (balancer->services), segment->syn_age_ms,
+      dp_passthrough_services_version (balancer->services), segment->syn_age_ms,
       dp_placement_report_age (balancer->placement, member, now) / DP_US_PER_MS,
       (now - balancer->started_at) / DP_US_PER_MS);
 }
@@ -517,9 +517,9 @@
 {
   if (dp_flow_log_admits (balancer->log, DP_FLOW_LOG_FAILURE, segment))
     dp_flow_log_write (segment, rejected ? "reset" : "drop", drop_reason_strings_[reason],
-                       "services_revision=%" G_GUINT64_FORMAT
+                       "services_version=%" G_GUINT64_FORMAT
                        " members=%u platform_reachable=%d syn_age_ms=%u",
-                       dp_passthrough_services_revision (balancer->services),
+                       dp_passthrough_services_version (balancer->services),
                        dp_placement_n_members (balancer->placement),
                        dp_passthrough_services_are_current (balancer->services),
                        segment->syn_age_ms);
--- a/src/libdogwoodpaddle/passthroughreporter.c
+++ b/src/libdogwoodpaddle/passthroughreporter.c
@@ -15,12 +15,16 @@
 #define WATCH_WAIT_MS 10000
 /* Interval between two watches, so that one answer covers a burst of registrations. */
 #define WATCH_SPACING_MS 1000
+/* Time for which balancers whose registration the platform has lost in a restore still
+ * get reports. They write it again within the bound of docs/design/store-position.md. */
+#define LOST_REGISTRATION_S 20
 
 /* A balancer that gets reports. */
 typedef struct
 {
   DpAddress address; /* of its report port */
   gboolean same_zone;
+  gboolean registered; /* or only in the settings */
 } Balancer;
 
 struct _DpPassthroughReporter
@@ -28,6 +32,9 @@
   char *zone;
   GArray *seed_balancers; /* Balancer, from the settings */
   GArray *balancers;      /* Balancer, all that get reports */
+  GArray *lost;           /* Balancer, their registrations were lost in a restore */
+  guint lost_timer;       /* source id, forgets them */
+  guint64 era;            /* of the platform's last list */
   DpReplica *replica;     /* of the platform's collection of balancers */
   guint replica_listener;
   DpWatch *watch;
@@ -40,6 +47,9 @@
 static void balancers_progressed_ (gpointer user_data);
 static void balancer_changed_ (const DpRecord *record, gpointer user_data);
 static void update_balancers_ (DpPassthroughReporter *reporter);
+static void keep_lost_balancers_ (DpPassthroughReporter *reporter);
+static gboolean forget_lost_balancers_ (gpointer user_data);
+static void append_unknown_ (DpPassthroughReporter *reporter, const GArray *balancers);
 static gboolean knows_balancer_ (const DpPassthroughReporter *reporter,
                                  const DpAddress *address);
 static void send_to_zone_ (DpPassthroughReporter *reporter,
@@ -61,9 +71,10 @@
   reporter->zone = g_strdup (options->zone);
   reporter->seed_balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
   reporter->balancers = g_array_new (FALSE, FALSE, sizeof (Balancer));
+  reporter->lost = g_array_new (FALSE, FALSE, sizeof (Balancer));
   for (guint i = 0; i < options->n_seed_balancers; i++)
     {
-      const Balancer balancer = { options->seed_balancers[i], TRUE };
+      const Balancer balancer = { options->seed_balancers[i], TRUE, FALSE };
 
       g_array_append_val (reporter->seed_balancers, balancer);
     }
@@ -85,7 +96,9 @@
   dp_watch_free (reporter->watch);
   dp_replica_free (reporter->replica);
   g_array_unref (reporter->seed_balancers);
+  g_clear_handle_id (&reporter->lost_timer, g_source_remove);
   g_array_unref (reporter->balancers);
+  g_array_unref (reporter->lost);
   g_free (reporter->zone);
   g_free (reporter);
 }
@@ -118,7 +131,13 @@
 static void
 balancers_progressed_ (gpointer user_data)
 {
-  update_balancers_ (user_data);
+  DpPassthroughReporter *reporter = user_data;
+  const guint64 era = dp_position_era (dp_replica_position (reporter->replica));
+
+  if (era != reporter->era)
+    keep_lost_balancers_ (reporter);
+  reporter->era = era;
+  update_balancers_ (reporter);
 }
 
 static void
@@ -147,14 +166,15 @@
     {
       const DpTopologyBalancer *b = dp_topology_at (topology, i);
       const Balancer balancer = { b->control_address,
-                                  g_str_equal (b->zone, reporter->zone) };
+                                  g_str_equal (b->zone, reporter->zone), TRUE };
 
       g_array_append_val (reporter->balancers, balancer);
     }
+  append_unknown_ (reporter, reporter->lost);
   for (guint i = 0; i < reporter->seed_balancers->len; i++)
     {
       const Balancer *seed = &g_array_index (reporter->seed_balancers, Balancer, i);
-      const Balancer balancer = { seed->address, !registered };
+      const Balancer balancer = { seed->address, !registered, FALSE };
 
       if (!knows_balancer_ (reporter, &seed->address))
         g_array_append_val (reporter->balancers, balancer);
@@ -169,6 +189,48 @@
                                            / DP_REPORT_SAME_ZONE_INTERVAL_MS);
 }
 
+/* Remembers the registered balancers when the platform's list is of a new era. Those that
+ * the list lacks were not removed: the platform has lost their registrations. */
+static void
+keep_lost_balancers_ (DpPassthroughReporter *reporter)
+{
+  g_array_set_size (reporter->lost, 0);
+  for (guint i = 0; i < reporter->balancers->len; i++)
+    {
+      const Balancer *balancer = &g_array_index (reporter->balancers, Balancer, i);
+
+      if (balancer->registered)
+        g_array_append_val (reporter->lost, *balancer);
+    }
+  g_clear_handle_id (&reporter->lost_timer, g_source_remove);
+  if (reporter->lost->len > 0)
+    reporter->lost_timer = g_timeout_add_seconds (LOST_REGISTRATION_S,
+                                                  forget_lost_balancers_, reporter);
+}
+
+static gboolean
+forget_lost_balancers_ (gpointer user_data)
+{
+  DpPassthroughReporter *reporter = user_data;
+
+  reporter->lost_timer = 0;
+  g_array_set_size (reporter->lost, 0);
+  update_balancers_ (reporter);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+append_unknown_ (DpPassthroughReporter *reporter, const GArray *balancers)
+{
+  for (guint i = 0; i < balancers->len; i++)
+    {
+      const Balancer *balancer = &g_array_index (balancers, Balancer, i);
+
+      if (!knows_balancer_ (reporter, &balancer->address))
+        g_array_append_val (reporter->balancers, *balancer);
+    }
+}
+
 static gboolean
 knows_balancer_ (const DpPassthroughReporter *reporter, const DpAddress *address)
 {
--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -23,6 +23,20 @@
 /* A parent that sends no confirmation for this many times the maximum age is replaced by
  * the next parent; for once that age if the platform doesn't answer either. */
 #define PARENT_TIMEOUT_FACTOR 4
+/* Maximum number of other balancers that a root asks for a newer configuration than the
+ * platform's: with three availability zones, there are five other roots. */
+#define MAX_CONSULTED 5
+/* Time after which they are disconnected, even if they have not answered. */
+#define CONSULTATION_US (5 * DP_US_PER_S)
+
+/* Another balancer that is asked for a newer configuration. */
+typedef struct
+{
+  DpPassthroughServices *services;
+  DpAddress address;
+  DpUpstream *upstream;
+  gint64 ends_at; /* us */
+} Consultation;
 
 struct _DpPassthroughServices
 {
@@ -36,6 +50,7 @@
   DpRouter *router;
   DpReplica *services_replica;
   DpReplica *balancers_replica;
+  DpPlatform *platform;
   DpTopology *topology; /* of the registered balancers; NULL after they have changed */
   guint balancers_listener;
   DpWatch *services_watch;
@@ -51,10 +66,13 @@
       parent_heard_at; /* us, when the parent last sent a confirmation or was replaced */
   DpChannelMetrics channel_metrics;
   DpMetric *relayed;
-  DpMetric *revision;
+  DpMetric *version;
+  DpMetric *consulted;
   DpMetric *age;
   gint64 unreachable_since; /* us, 0: the platform is reachable */
   gboolean is_root;         /* of the relay tree */
+  gboolean consult;         /* other balancers may have a newer configuration */
+  GPtrArray *consultations; /* Consultation */
   gboolean known;           /* the services have been read */
   GHashTable *names;        /* of the configuration's services, NULL: not known */
   GHashTable *pending;      /* names of services whose records are to be applied */
@@ -75,6 +93,14 @@
 static void balancer_changed_ (const DpRecord *record, gpointer user_data);
 static void
 add_peer_ (DpPassthroughServices *services, GArray *peers, const DpAddress *peer);
+static void era_changed_ (gpointer user_data);
+static void newer_peer_ (const char *name, gpointer user_data);
+static void consult_others_ (DpPassthroughServices *services, gint64 now);
+static void
+consult_ (DpPassthroughServices *services, const DpAddress *address, gint64 now);
+static void consultation_free_ (gpointer data);
+static void consultation_changed_ (DpUpstream *upstream, gpointer user_data);
+static void consultation_progressed_ (DpUpstream *upstream, gpointer user_data);
 static void upstream_changed_ (DpUpstream *upstream, gpointer user_data);
 static void upstream_progressed_ (DpUpstream *upstream, gpointer user_data);
 static void
@@ -139,12 +165,19 @@
   services->relayed = dp_metrics_add (
       options->metrics, DP_METRIC_GAUGE, "dogwoodpaddle_services_relayed", "",
       "1 while the services come from another balancer, without calls to the platform");
-  services->revision = dp_metrics_add (options->metrics, DP_METRIC_GAUGE,
-                                       "dogwoodpaddle_services_revision", "",
-                                       "Revision up to which the services are known");
+  services->version = dp_metrics_add (options->metrics, DP_METRIC_GAUGE,
+                                      "dogwoodpaddle_services_version", "",
+                                      "Version of the configuration that is known");
+  services->consulted = dp_metrics_add (
+      options->metrics, DP_METRIC_COUNTER, "dogwoodpaddle_services_consultations_total",
+      "", "Other balancers asked for a newer configuration than the platform's");
   services->age = dp_metrics_add (
       options->metrics, DP_METRIC_GAUGE, "dogwoodpaddle_services_age_ms", "",
       "Time since the services were last known to be the newest, in milliseconds");
+  services->consultations = g_ptr_array_new_with_free_func (consultation_free_);
+  services->consult = TRUE;
+  services->platform = options->platform;
+  dp_platform_add_era_listener (services->platform, era_changed_, services);
   create_registration_ (services, options);
   return services;
 }
@@ -160,6 +193,8 @@
   dp_balancer_registration_free (services->registration);
   dp_watch_free (services->services_watch);
   dp_watch_free (services->balancers_watch);
+  dp_platform_remove_era_listener (services->platform, services);
+  g_ptr_array_unref (services->consultations);
   dp_upstream_free (services->upstream);
   dp_feed_free (services->feed);
   dp_replica_free (services->services_replica);
@@ -195,7 +230,8 @@
 
   choose_parents_ (services, now);
   choose_source_ (services, now);
-  services->revision->value = dp_replica_revision (services->services_replica);
+  consult_others_ (services, now);
+  services->version->value = dp_replica_position (services->services_replica);
   services->age->value = (guint64) (dp_freshness_age (&services->freshness, now)
                                     / DP_US_PER_MS);
 }
@@ -258,11 +294,11 @@
   return services->registered_at != 0;
 }
 
-/* Returns the revision up to which the services are known. */
+/* Returns the version of the configuration that is known. */
 guint64
-dp_passthrough_services_revision (const DpPassthroughServices *services)
+dp_passthrough_services_version (const DpPassthroughServices *services)
 {
-  return dp_replica_revision (services->services_replica);
+  return dp_replica_position (services->services_replica);
 }
 
 static void
@@ -291,7 +327,8 @@
 static gboolean
 start_feed_ (DpPassthroughServices *services, GError **error)
 {
-  static const DpFeedListener feed_listener = { ignore_heartbeat_, ignore_suspicion_ };
+  static const DpFeedListener feed_listener = { ignore_heartbeat_, ignore_suspicion_,
+                                                newer_peer_ };
   static const DpUpstreamListener upstream_listener = { upstream_changed_,
                                                         upstream_progressed_,
                                                         upstream_confirmed_ };
@@ -342,9 +379,9 @@
   if (relayed != dp_watch_active (services->services_watch))
     return;
   services->relayed->value = relayed ? 1 : 0;
-  g_message ("services: %s, revision %" G_GUINT64_FORMAT,
+  g_message ("services: %s, version=%" G_GUINT64_FORMAT,
              relayed ? "from another balancer" : "from the platform",
-             dp_replica_revision (services->services_replica));
+             dp_replica_position (services->services_replica));
   if (!relayed)
     dp_watch_relist (services->services_watch);
   dp_watch_set_active (services->services_watch, !relayed);
@@ -433,6 +470,124 @@
   g_array_append_val (peers, *peer);
 }
 
+static void
+era_changed_ (gpointer user_data)
+{
+  DpPassthroughServices *services = user_data;
+
+  services->consult = TRUE;
+}
+
+/* Asks a subscriber for its configuration, which is newer, as after this balancer has
+ * started while the platform was restored from a backup. */
+static void
+newer_peer_ (const char *name, gpointer user_data)
+{
+  DpPassthroughServices *services = user_data;
+  const DpTopologyBalancer *peer = dp_topology_find (get_topology_ (services), name);
+
+  if (peer != NULL)
+    consult_ (services, &peer->control_address, dp_clock_now (services->clock));
+}
+
+/* Ends the consultations that are complete or overdue. A root, which has its
+ * configuration from the platform, consults the other roots after its start, when the
+ * platform stops answering and when it was restored: each may have a version that the
+ * platform has lost and this root never had. The other balancers have it from the roots.
+ */
+static void
+consult_others_ (DpPassthroughServices *services, gint64 now)
+{
+  const DpTopology *topology = get_topology_ (services);
+
+  for (guint i = services->consultations->len; i > 0; i--)
+    {
+      const Consultation *consultation = g_ptr_array_index (services->consultations,
+                                                            i - 1);
+
+      if (now >= consultation->ends_at || dp_upstream_synced (consultation->upstream))
+        g_ptr_array_remove_index (services->consultations, i - 1);
+    }
+  if (!services->consult || !services->registering)
+    return;
+  services->consult = FALSE;
+  if (services->is_root)
+    {
+      g_autoptr (GPtrArray)
+          roots = dp_topology_upstreams (topology, services->name, services->zone);
+
+      for (guint i = 0; i < roots->len; i++)
+        consult_ (
+            services,
+            &((const DpTopologyBalancer *) g_ptr_array_index (roots, i))->control_address,
+            now);
+      for (guint i = 0; i < services->peers->len; i++)
+        consult_ (services, &g_array_index (services->peers, DpAddress, i), now);
+    }
+}
+
+/* Connects to another balancer until it has sent a configuration that is newer than this
+ * balancer's, or that it has none. */
+static void
+consult_ (DpPassthroughServices *services, const DpAddress *address, gint64 now)
+{
+  static const DpUpstreamListener listener = { consultation_changed_,
+                                               consultation_progressed_, NULL };
+  const DpUpstreamOptions options = {
+    .role = DP_ROLE_BALANCER,
+    .name = services->name,
+    .zone = services->zone,
+    .service = "",
+    .subscribe = TRUE,
+    .replica = services->services_replica,
+    .metrics = &services->channel_metrics,
+  };
+  Consultation *consultation;
+
+  if (services->consultations->len >= MAX_CONSULTED
+      || dp_address_equal (address, &services->report_address))
+    return;
+  for (guint i = 0; i < services->consultations->len; i++)
+    if (dp_address_equal (
+            &((const Consultation *) g_ptr_array_index (services->consultations, i))
+                 ->address,
+            address))
+      return;
+  consultation = g_new0 (Consultation, 1);
+  consultation->services = services;
+  consultation->address = *address;
+  consultation->ends_at = now + CONSULTATION_US;
+  consultation->upstream = dp_upstream_new (&options, &listener, consultation);
+  dp_upstream_set_peers (consultation->upstream, address, 1);
+  g_ptr_array_add (services->consultations, consultation);
+  dp_metric_increment (services->consulted);
+}
+
+static void
+consultation_free_ (gpointer data)
+{
+  Consultation *consultation = data;
+
+  dp_upstream_free (consultation->upstream);
+  g_free (consultation);
+}
+
+/* Complete consultations end at the next tick, as a connection can't be freed in its own
+ * callback. */
+static void
+consultation_changed_ (DpUpstream *upstream, gpointer user_data)
+{
+}
+
+static void
+consultation_progressed_ (DpUpstream *upstream, gpointer user_data)
+{
+  const Consultation *consultation = user_data;
+
+  if (dp_upstream_synced (upstream))
+    apply_progress_ (consultation->services);
+}
+
 static void
 upstream_changed_ (DpUpstream *upstream, gpointer user_data)
 {
@@ -443,9 +598,9 @@
       dp_freshness_parent_lost (&services->freshness);
       choose_source_ (services, dp_clock_now (services->clock));
     }
-  g_message ("services from another balancer: %s, revision %" G_GUINT64_FORMAT,
+  g_message ("services from another balancer: %s, version=%" G_GUINT64_FORMAT,
              dp_upstream_synced (upstream) ? "complete" : "connection lost",
-             dp_replica_revision (services->services_replica));
+             dp_replica_position (services->services_replica));
 }
 
 static void
@@ -508,8 +663,8 @@
   if (!services->registering)
     dp_balancer_registration_set_wanted (services->registration, TRUE);
   services->registering = TRUE;
-  g_debug ("the list of registered balancers is at revision %" G_GUINT64_FORMAT,
-           dp_replica_revision (services->balancers_replica));
+  g_debug ("the list of registered balancers is at position=" DP_POSITION_FORMAT,
+           DP_POSITION_ARGS (dp_replica_position (services->balancers_replica)));
 }
 
 static void
@@ -518,6 +673,8 @@
   DpPassthroughServices *services = user_data;
 
   services->unreachable_since = reachable ? 0 : dp_clock_now (services->clock);
+  /* The platform may have acknowledged a version right before that this root lacks. */
+  services->consult = services->consult || !reachable;
   g_message ("platform: %s", reachable ? "reachable" : "not reachable");
 }
 
@@ -630,8 +787,8 @@
     }
   if (g_hash_table_size (services->pending) > 0)
     return G_SOURCE_CONTINUE;
-  g_message ("services of revision %" G_GUINT64_FORMAT " are in force, from %s",
-             dp_replica_revision (services->services_replica),
+  g_message ("services of version=%" G_GUINT64_FORMAT " are in force, from %s",
+             dp_replica_position (services->services_replica),
              dp_watch_active (services->services_watch) ? "the platform"
                                                         : "another balancer");
   services->update_source = 0;
--- a/src/libdogwoodpaddle/plan.c
+++ b/src/libdogwoodpaddle/plan.c
@@ -115,7 +115,7 @@
 
       if (record->deleted || dp_fleet_section_key (record->kind) == NULL)
         continue;
-      json_object_set_int_member (versions, key, (gint64) record->revision);
+      json_object_set_int_member (versions, key, (gint64) record->position);
       add_object_ (root, record->kind, record->name, value);
     }
   find_or_add_section_ (root, dp_fleet_section_key (DP_KIND_SERVICE));
@@ -191,7 +191,7 @@
       if (record->deleted || dp_fleet_section_key (record->kind) == NULL)
         continue;
       change = find_or_add_ (by_key, record->kind, record->name);
-      change->platform_version = record->revision;
+      change->platform_version = record->position;
       change->current = dp_record_value (record);
     }
 }
--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -3,6 +3,7 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+#include "private/storeera.h"
 #include "protected/backoff.h"
 #include "protected/error.h"
 #include "protected/json.h"
@@ -15,6 +16,12 @@
 #define READ_STEP "platform read"
 #define WRITE_STEP "platform write"
 #define STATUS_TOO_MANY_REQUESTS 429
+/* Minimum time between two log lines on era headers that are missing, malformed or lower
+ * than before, as a faulty proxy may add them to every response. */
+#define ERA_LOG_INTERVAL_US (10 * G_USEC_PER_SEC)
+/* A write on a position is sent only if a response has shown the position's era at most
+ * this long ago; else the object is read first. The store takes longer to be restored. */
+#define ERA_FRESH_US (100 * 1000)
 
 typedef enum
 {
@@ -33,9 +40,20 @@
   GPtrArray *requests; /* Request, in progress */
   guint timeout_ms;
   guint64 calls;
-  gboolean blind_repeat; /* fault injection for tests */
+  DpStoreEra store;
+  gint64 era_seen_at;     /* us, of the last response of the present era */
+  gint64 era_logged_at;   /* us, of an era header that is wrong; 0: never */
+  GArray *era_listeners;  /* EraListener */
+  guint era_notification; /* source id */
+  gboolean blind_repeat;  /* fault injection for tests */
 };
 
+typedef struct
+{
+  DpPlatformEraFunc changed;
+  gpointer user_data;
+} EraListener;
+
 typedef struct
 {
   DpPlatform *platform; /* NULL once the request is finished or abandoned */
@@ -45,12 +63,15 @@
   char *name;
   char *url;
   GPtrArray *records;        /* of the list's earlier pages */
-  guint64 first_revision;    /* of the list's first page, 0: none yet */
-  guint64 version;           /* write: of the object before the write; watch: since */
+  gboolean has_first_page;   /* the list's first page has been read */
+  DpPosition first_position; /* of the list's first page */
+  DpPosition position;       /* write: of the object before the write; watch: since */
   JsonNode *value;           /* write: NULL to delete */
   gboolean reading_back;     /* write: the current call reads the object back */
+  gboolean checking;         /* write: and does so before the write is sent */
   DpPlatformGuardFunc guard; /* write: may be NULL */
   gboolean withdrawn;        /* write: stopped by the guard */
+  gboolean outdated;         /* write: stopped since the position's era has ended */
   gboolean unanswered; /* write: an attempt got no response, so it may take effect */
   guint attempts;
   guint wait_ms;   /* for which the platform may hold the call open */
@@ -66,6 +87,8 @@
   guint timer;        /* timeout of the call, or delay before the next attempt */
   gboolean sent;      /* a call is in progress */
   gboolean timed_out; /* the call was cancelled for lack of an answer */
+  guint64 sent_era;   /* the store's era as known when the call was sent */
+  guint64 era;        /* of the response */
 } Request;
 
 /* Timeout of each attempt of a read; the last one has the client's whole timeout. A
@@ -103,27 +126,42 @@
 static void send_ (Request *request);
 static guint timeout_ms_ (const Request *request);
 static SoupMessage *make_message_ (Request *request);
-static void ask_guard_ (SoupMessage *message, gpointer user_data);
+static gboolean is_outdated_ (const Request *request);
+static gboolean has_to_be_checked_ (const Request *request);
+static void check_write_ (SoupMessage *message, gpointer user_data);
 static gboolean timed_out_ (gpointer user_data);
 static gboolean retry_now_ (gpointer user_data);
 static gboolean schedule_retry_ (Request *request);
 static void call_done_ (GObject *source, GAsyncResult *result, gpointer user_data);
+static gboolean read_era_ (Request *request, GError **error);
+static void log_era_ (DpPlatform *platform, DpStoreEraResult result, const char *text);
+static gboolean notify_era_ (gpointer user_data);
+static gboolean
+set_positions_ (const Request *request, GPtrArray *records, guint first, GError **error);
+static gboolean set_position_ (const Request *request,
+                               guint64 revision,
+                               DpPosition *position,
+                               GError **error);
+static DpRecord *read_object_ (const Request *request, GBytes *body, GError **error);
 static void handle_read_ (Request *request, guint status, GBytes *body, GError *cause);
 static GError *
 make_read_error_ (const Request *request, guint status, const GError *cause);
 static gboolean read_page_ (Request *request,
                             GBytes *body,
                             GPtrArray *records,
-                            guint64 *revision,
+                            DpPosition *position,
                             GError **error);
+static gboolean restart_list_ (Request *request);
+static gboolean finish_unsent_ (gpointer user_data);
+static void finish_outdated_ (Request *request);
 static void handle_write_ (Request *request, guint status, GBytes *body);
 static void handle_read_back_ (Request *request, guint status, GBytes *body);
 static void read_back_ (Request *request);
-static void repeat_blindly_ (Request *request, guint64 version);
+static void repeat_blindly_ (Request *request, DpPosition position);
 static gboolean is_written_value_ (const Request *request, const DpRecord *record);
 static void finish_read_ (Request *request,
                           GPtrArray *records,
-                          guint64 revision,
+                          DpPosition position,
                           const GError *error);
 static void finish_write_ (Request *request,
                            DpWriteResult result,
@@ -148,6 +186,7 @@
   platform->base_url = g_strdup (base_url);
   platform->session = new_session_ ();
   platform->requests = g_ptr_array_new ();
+  platform->era_listeners = g_array_new (FALSE, FALSE, sizeof (EraListener));
   platform->timeout_ms = DEFAULT_TIMEOUT_MS;
   return platform;
 }
@@ -162,6 +201,8 @@
   while (platform->requests->len > 0)
     request_detach_ (g_ptr_array_index (platform->requests, 0));
   g_ptr_array_unref (platform->requests);
+  g_clear_handle_id (&platform->era_notification, g_source_remove);
+  g_array_unref (platform->era_listeners);
   soup_session_abort (platform->session);
   g_object_unref (platform->session);
   g_free (platform->base_url);
@@ -238,13 +279,42 @@
   send_ (request);
 }
 
-/* Waits for records above a revision; ends without any after wait_ms, and fails without
+/* Makes the client call changed, from the main loop, after the store's era has
+ * increased. */
+void
+dp_platform_add_era_listener (DpPlatform *platform,
+                              DpPlatformEraFunc changed,
+                              gpointer user_data)
+{
+  const EraListener listener = { changed, user_data };
+
+  g_array_append_val (platform->era_listeners, listener);
+}
+
+/* Removes the listeners with this user data. */
+void
+dp_platform_remove_era_listener (DpPlatform *platform, gpointer user_data)
+{
+  for (guint i = platform->era_listeners->len; i > 0; i--)
+    if (g_array_index (platform->era_listeners, EraListener, i - 1).user_data
+        == user_data)
+      g_array_remove_index (platform->era_listeners, i - 1);
+}
+
+/* Returns the highest era of the store that a response has shown, 0 for none. */
+guint64
+dp_platform_era (const DpPlatform *platform)
+{
+  return platform->store.era;
+}
+
+/* Waits for records above a position; ends without any after wait_ms, and fails without
  * an answer after a further answer_ms, or the client's timeout if that is less. Not
  * retried on failure. */
 void
 dp_platform_watch (DpPlatform *platform,
                    guint collection,
-                   guint64 since,
+                   DpPosition since,
                    guint wait_ms,
                    guint answer_ms,
                    DpPlatformReadFunc done,
@@ -253,9 +323,10 @@
   Request *request = request_new_ (platform, REQUEST_WATCH);
 
   request->collection = collection;
-  request->url = make_url_ (platform,
-                            platform->dialect->watch_path (collection, since, wait_ms));
-  request->version = since;
+  request->url = make_url_ (
+      platform,
+      platform->dialect->watch_path (collection, dp_position_revision (since), wait_ms));
+  request->position = since;
   request->wait_ms = wait_ms;
   request->answer_ms = answer_ms;
   request->read_done = done;
@@ -264,19 +335,20 @@
 }
 
 /* Writes the value, or deletes the object if it is NULL, on condition that the object is
- * still at the version (0: does not exist). A write that hits the platform's rate limit
+ * still at the position (0: does not exist). A write that hits the platform's rate limit
  * is retried a bounded number of times; a write whose response was lost is repeated if
  * the object is unchanged. */
 void
 dp_platform_write (DpPlatform *platform,
                    DpKind kind,
                    const char *name,
-                   guint64 version,
+                   DpPosition position,
                    JsonNode *value,
                    DpPlatformWriteFunc done,
                    gpointer user_data)
 {
-  dp_platform_write_guarded (platform, kind, name, version, value, NULL, done, user_data);
+  dp_platform_write_guarded (platform, kind, name, position, value, NULL, done,
+                             user_data);
 }
 
 /* Writes like dp_platform_write (), but asks the guard right before each attempt is sent,
@@ -286,7 +358,7 @@
 dp_platform_write_guarded (DpPlatform *platform,
                            DpKind kind,
                            const char *name,
-                           guint64 version,
+                           DpPosition position,
                            JsonNode *value,
                            DpPlatformGuardFunc guard,
                            DpPlatformWriteFunc done,
@@ -297,7 +369,7 @@
   request->kind = kind;
   request->name = g_strdup (name);
   request->url = make_url_ (platform, platform->dialect->object_path (kind, name));
-  request->version = version;
+  request->position = position;
   request->value = value == NULL ? NULL : json_node_copy (value);
   request->guard = guard;
   request->write_done = done;
@@ -409,8 +481,17 @@
 static void
 send_ (Request *request)
 {
+  if (is_outdated_ (request))
+    {
+      /* Like any other result, from the main loop. */
+      request->timer = g_timeout_add (0, finish_unsent_, request);
+      return;
+    }
+  if (has_to_be_checked_ (request))
+    request->checking = request->reading_back = TRUE;
   request->attempts++;
   request->platform->calls++;
+  request->sent_era = request->platform->store.era;
   g_set_object (&request->session, request->platform->session);
   g_clear_object (&request->message);
   g_clear_object (&request->cancellable);
@@ -450,8 +531,9 @@
   SoupMessage *message;
 
   if (writes)
-    message = dialect->write_message (request->platform->base_url, request->kind,
-                                      request->name, request->version, request->value);
+    message = dialect->write_message (
+        request->platform->base_url, request->kind, request->name,
+        dp_position_revision (request->position), request->value);
   else
     message = soup_message_new (SOUP_METHOD_GET, request->url);
   if (message == NULL)
@@ -462,21 +544,49 @@
     soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION
                                          | SOUP_MESSAGE_DO_NOT_USE_AUTH_CACHE);
   soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
-  if (writes && request->guard != NULL)
-    g_signal_connect (message, "starting", G_CALLBACK (ask_guard_), request);
+  if (writes)
+    g_signal_connect (message, "starting", G_CALLBACK (check_write_), request);
   return message;
 }
 
-/* Asks the guard when the connection is open and the request is about to be sent. */
+/* Returns whether the request is a write to be sent on a position of an era that has
+ * ended. A position of 0 belongs to every era. */
+static gboolean
+is_outdated_ (const Request *request)
+{
+  return request->type == REQUEST_WRITE && !request->reading_back
+         && request->position != 0
+         && dp_position_era (request->position) < request->platform->store.era;
+}
+
+/* Returns whether the request is a write on a position whose era may have ended without
+ * the client's knowledge, so that another object may have the revision by now. A position
+ * from a peer may be of an era that this client has not seen yet. */
+static gboolean
+has_to_be_checked_ (const Request *request)
+{
+  return request->type == REQUEST_WRITE && !request->reading_back
+         && !request->platform->blind_repeat && request->position != 0
+         && (dp_position_era (request->position) != 0
+             || request->platform->store.era != 0)
+         && (dp_position_era (request->position) > request->platform->store.era
+             || g_get_monotonic_time () - request->platform->era_seen_at > ERA_FRESH_US);
+}
+
+/* Checks the era and asks the guard when the connection is open and the write is about to
+ * be sent. */
 static void
-ask_guard_ (SoupMessage *message, gpointer user_data)
+check_write_ (SoupMessage *message, gpointer user_data)
 {
   Request *request = user_data;
 
-  if (request->platform == NULL || request->guard (request->user_data))
+  if (request->platform == NULL)
     return;
-  request->withdrawn = TRUE;
-  g_cancellable_cancel (request->cancellable);
+  request->outdated = is_outdated_ (request);
+  request->withdrawn = !request->outdated && request->guard != NULL
+                       && !request->guard (request->user_data);
+  if (request->outdated || request->withdrawn)
+    g_cancellable_cancel (request->cancellable);
 }
 
 static gboolean
@@ -540,6 +650,8 @@
       return;
     }
   g_clear_handle_id (&request->timer, g_source_remove);
+  if (status != 0 && !read_era_ (request, &cause))
+    status = 0; /* as if there were no answer */
   if (request->type != REQUEST_WRITE)
     handle_read_ (request, status, body, cause);
   else if (request->reading_back)
@@ -548,41 +660,171 @@
     handle_write_ (request, status, body);
 }
 
+/* Reads the store's era from the response, whatever its status. Returns FALSE and sets
+ * error if the era has ended. */
+static gboolean
+read_era_ (Request *request, GError **error)
+{
+  DpPlatform *platform = request->platform;
+  const char *header = platform->dialect->era_header;
+  const char *text =
+      header == NULL ? NULL
+                     : soup_message_headers_get_list (
+                         soup_message_get_response_headers (request->message), header);
+  const guint64 before = platform->store.era;
+  const DpStoreEraResult result = dp_store_era_observe (&platform->store, text);
+
+  request->era = platform->store.era;
+  if (result != DP_STORE_ERA_ENDED)
+    platform->era_seen_at = g_get_monotonic_time ();
+  switch (result)
+    {
+    case DP_STORE_ERA_RAISED:
+      g_warning ("platform: era %" G_GUINT64_FORMAT " after era %" G_GUINT64_FORMAT
+                 ": the store was restored; everything is listed again",
+                 platform->store.era, before);
+      if (platform->era_notification == 0)
+        platform->era_notification = g_idle_add_full (G_PRIORITY_DEFAULT, notify_era_,
+                                                      platform, NULL);
+      return TRUE;
+    case DP_STORE_ERA_ENDED:
+      log_era_ (platform, result, text);
+      dp_error_set (error, DP_ERROR_UNAVAILABLE, READ_STEP, platform->base_url,
+                    "the answer is of era %s, which has ended", text);
+      return FALSE;
+    case DP_STORE_ERA_MISSING:
+    case DP_STORE_ERA_MALFORMED:
+      log_era_ (platform, result, text);
+      return TRUE;
+    case DP_STORE_ERA_SAME:
+    case DP_STORE_ERA_FIRST:
+    case DP_N_STORE_ERA_RESULTS:
+    default:
+      return TRUE;
+    }
+}
+
+/* Logs a header that is wrong, at most once in ERA_LOG_INTERVAL_US. */
+static void
+log_era_ (DpPlatform *platform, DpStoreEraResult result, const char *text)
+{
+  const DpStoreEra *store = &platform->store;
+  const gint64 now = g_get_monotonic_time ();
+
+  if (platform->era_logged_at != 0 && now - platform->era_logged_at < ERA_LOG_INTERVAL_US)
+    return;
+  platform->era_logged_at = now;
+  g_warning ("platform: %s %s (%.40s), era %" G_GUINT64_FORMAT
+             " stays; so far %" G_GUINT64_FORMAT " missing, %" G_GUINT64_FORMAT
+             " malformed, %" G_GUINT64_FORMAT " ended",
+             platform->dialect->era_header, dp_store_era_result_string (result),
+             text == NULL ? "" : text, store->era, store->missing, store->malformed,
+             store->ended);
+}
+
+static gboolean
+notify_era_ (gpointer user_data)
+{
+  DpPlatform *platform = user_data;
+  g_autoptr (GArray) listeners = g_array_copy (platform->era_listeners);
+
+  platform->era_notification = 0;
+  for (guint i = 0; i < listeners->len; i++)
+    {
+      const EraListener *listener = &g_array_index (listeners, EraListener, i);
+
+      listener->changed (listener->user_data);
+    }
+  return G_SOURCE_REMOVE;
+}
+
+/* Sets the response's era in the positions of the records from first on. The positions of
+ * a snapshot's records are versions, which have no era. */
+static gboolean
+set_positions_ (const Request *request, GPtrArray *records, guint first, GError **error)
+{
+  const DpPlatformDialect *dialect = request->platform->dialect;
+
+  if (request->type != REQUEST_GET && request->type != REQUEST_WRITE
+      && dialect->collections[request->collection].snapshot)
+    return TRUE;
+  for (guint i = first; i < records->len; i++)
+    {
+      DpRecord *record = g_ptr_array_index (records, i);
+
+      if (!set_position_ (request, record->position, &record->position, error))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+set_position_ (const Request *request,
+               guint64 revision,
+               DpPosition *position,
+               GError **error)
+{
+  if (dp_position_make (request->era, revision, position))
+    return TRUE;
+  dp_error_set (error, DP_ERROR_INVALID, READ_STEP, request->platform->base_url,
+                "revision %" G_GUINT64_FORMAT " is too large", revision);
+  return FALSE;
+}
+
+/* Reads the object in a response. Returns NULL without setting error if it does not
+ * exist. */
+static DpRecord *
+read_object_ (const Request *request, GBytes *body, GError **error)
+{
+  g_autoptr (DpRecord)
+      record = request->platform->dialect->read_object (body, request->kind, error);
+
+  if (record == NULL
+      || !set_position_ (request, record->position, &record->position, error))
+    return NULL;
+  return g_steal_pointer (&record);
+}
+
 static void
 handle_read_ (Request *request, guint status, GBytes *body, GError *cause)
 {
   g_autoptr (GPtrArray)
       records = g_ptr_array_new_with_free_func ((GDestroyNotify) dp_record_unref);
   g_autoptr (GError) error = NULL;
-  guint64 revision = 0;
+  DpPosition position = 0;
 
   if (request->type == REQUEST_GET && status == SOUP_STATUS_OK)
     {
-      DpRecord *record = request->platform->dialect->read_object (body, request->kind,
-                                                                  &error);
+      DpRecord *record = read_object_ (request, body, &error);
 
       if (record != NULL)
         {
-          revision = record->revision;
+          position = record->position;
           g_ptr_array_add (records, record);
         }
     }
+  else if (request->type == REQUEST_WATCH && status != 0
+           && request->era != dp_position_era (request->position))
+    /* The revisions that the watch waits for were assigned again. */
+    dp_error_set (&error, DP_ERROR_LIMIT, READ_STEP, request->platform->base_url,
+                  "position=" DP_POSITION_FORMAT " is of an era that has ended",
+                  DP_POSITION_ARGS (request->position));
   else if (status == SOUP_STATUS_OK)
     {
-      if (read_page_ (request, body, records, &revision, &error))
+      if (read_page_ (request, body, records, &position, &error))
         return;
     }
   else if (request->type == REQUEST_WATCH && status == SOUP_STATUS_GONE)
     dp_error_set (&error, DP_ERROR_LIMIT, READ_STEP, request->platform->base_url,
-                  "the history since revision %" G_GUINT64_FORMAT " is gone",
-                  request->version);
+                  "the history since position=" DP_POSITION_FORMAT " is gone",
+                  DP_POSITION_ARGS (request->position));
   else if (request->type != REQUEST_GET || status != SOUP_STATUS_NOT_FOUND)
     {
       if (request->type != REQUEST_WATCH && schedule_retry_ (request))
         return;
       error = make_read_error_ (request, status, cause);
     }
-  finish_read_ (request, records, revision, error);
+  finish_read_ (request, records, position, error);
 }
 
 /* Returns the error of a read that the platform has not answered, or with an unexpected
@@ -613,25 +855,35 @@
 read_page_ (Request *request,
             GBytes *body,
             GPtrArray *records,
-            guint64 *revision,
+            DpPosition *position,
             GError **error)
 {
   const DpPlatformDialect *dialect = request->platform->dialect;
+  const guint n_earlier = request->type == REQUEST_LIST ? request->records->len : 0;
   g_autofree char *after = NULL;
+  guint64 revision = 0;
 
   if (request->type == REQUEST_WATCH)
     {
-      dialect->read_events (body, request->collection, records, revision, error);
+      if (dialect->read_events (body, request->collection, records, &revision, error)
+          && set_positions_ (request, records, 0, error))
+        set_position_ (request, revision, position, error);
       return FALSE;
     }
-  if (!dialect->read_list (body, request->collection, request->records, revision, &after,
-                           error))
+  if (request->has_first_page && request->era != dp_position_era (request->first_position)
+      && restart_list_ (request))
+    return TRUE;
+  if (!dialect->read_list (body, request->collection, request->records, &revision, &after,
+                           error)
+      || !set_positions_ (request, request->records, n_earlier, error)
+      || !set_position_ (request, revision, position, error))
     return FALSE;
-  /* The list's revision is that of its first page: a watch from there reports the changes
+  /* The list's position is that of its first page: a watch from there reports the changes
    * made while the other pages were read. */
-  if (request->first_revision == 0)
-    request->first_revision = *revision;
-  *revision = request->first_revision;
+  if (!request->has_first_page)
+    request->first_position = *position;
+  request->has_first_page = TRUE;
+  *position = request->first_position;
   if (after != NULL)
     {
       g_free (request->url);
@@ -645,14 +897,58 @@
   return FALSE;
 }
 
+/* Starts a list again whose pages come from two eras. */
+static gboolean
+restart_list_ (Request *request)
+{
+  const DpPlatformDialect *dialect = request->platform->dialect;
+
+  g_ptr_array_set_size (request->records, 0);
+  request->has_first_page = FALSE;
+  g_free (request->url);
+  request->url = make_url_ (request->platform,
+                            dialect->list_path (request->collection, NULL));
+  request->attempts = 0;
+  return schedule_retry_ (request);
+}
+
+static gboolean
+finish_unsent_ (gpointer user_data)
+{
+  Request *request = user_data;
+
+  request->timer = 0;
+  finish_outdated_ (request);
+  return G_SOURCE_REMOVE;
+}
+
+/* Ends a write whose position is of an era that has ended, or finds out whether an
+ * earlier attempt took effect. */
+static void
+finish_outdated_ (Request *request)
+{
+  if (request->unanswered)
+    read_back_ (request);
+  else
+    finish_write_ (request, DP_WRITE_CONFLICT, NULL,
+                   "the store was restored since the object was read");
+}
+
 static void
 handle_write_ (Request *request, guint status, GBytes *body)
 {
   const DpPlatformDialect *dialect = request->platform->dialect;
   g_autoptr (DpRecord) record = NULL;
   g_autofree char *text = NULL;
-  guint64 version;
+  guint64 revision;
+  DpPosition position;
 
+  if (request->outdated)
+    {
+      request->outdated = FALSE;
+      finish_outdated_ (request);
+      return;
+    }
   if (request->withdrawn)
     {
       finish_write_ (request, request->unanswered ? DP_WRITE_UNKNOWN : DP_WRITE_REFUSED,
@@ -661,7 +957,7 @@
     }
   if (status == dialect->conflict_status)
     {
-      record = dialect->read_object (body, request->kind, NULL);
+      record = read_object_ (request, body, NULL);
       /* The write that caused the conflict may be an earlier attempt of this request
        * whose response was lost. */
       if (request->unanswered && is_written_value_ (request, record))
@@ -675,10 +971,15 @@
     {
     case SOUP_STATUS_OK:
     case SOUP_STATUS_CREATED:
-      if (!dialect->read_written_version (body, &version))
+      if (!dialect->read_written_revision (body, &revision)
+          || !set_position_ (request, revision, &position, NULL))
+        break;
+      /* The write may have met an object of the new era that has the expected revision by
+       * chance. */
+      if (request->era != request->sent_era && request->position != 0)
         break;
       text = request->value == NULL ? g_strdup ("") : dp_json_format (request->value);
-      record = dp_record_new (request->kind, request->name, version,
+      record = dp_record_new (request->kind, request->name, position,
                               request->value == NULL, text, NULL);
       finish_write_ (request, DP_WRITE_DONE, record, NULL);
       return;
@@ -704,33 +1005,42 @@
 {
   g_autoptr (DpRecord) record = NULL;
   g_autoptr (GError) error = NULL;
-  guint64 version;
+  DpPosition position;
 
   if (status != SOUP_STATUS_OK && status != SOUP_STATUS_NOT_FOUND)
     {
       if (!schedule_retry_ (request))
-        finish_write_ (request, DP_WRITE_UNKNOWN, NULL, "no answer");
+        finish_write_ (request,
+                       request->checking && !request->unanswered ? DP_WRITE_REFUSED
+                                                                 : DP_WRITE_UNKNOWN,
+                       NULL, "no answer");
       return;
     }
   if (status == SOUP_STATUS_OK)
     {
-      record = request->platform->dialect->read_object (body, request->kind, &error);
+      record = read_object_ (request, body, &error);
       if (error != NULL)
         {
           finish_write_ (request, DP_WRITE_UNKNOWN, NULL, error->message);
           return;
         }
     }
-  version = record == NULL ? 0 : record->revision;
+  position = record == NULL ? 0 : record->position;
   request->reading_back = FALSE;
   if (request->platform->blind_repeat)
-    repeat_blindly_ (request, version);
-  else if (version == request->version)
+    repeat_blindly_ (request, position);
+  else if (dp_position_compare (position, request->position) == 0 && request->checking)
+    {
+      request->checking = FALSE;
+      request->attempts--; /* the check doesn't count */
+      send_ (request);
+    }
+  else if (dp_position_compare (position, request->position) == 0)
     {
       if (!schedule_retry_ (request))
         finish_write_ (request, DP_WRITE_UNKNOWN, record, "no answer");
     }
-  else if (is_written_value_ (request, record))
+  else if (is_written_value_ (request, record) && request->unanswered)
     finish_write_ (request, DP_WRITE_DONE, record, NULL);
   else
     finish_write_ (request, DP_WRITE_CONFLICT, record,
@@ -742,15 +1052,16 @@
 read_back_ (Request *request)
 {
   request->reading_back = TRUE;
+  request->checking = FALSE;
   request->attempts = 0;
   if (!schedule_retry_ (request))
     g_assert_not_reached ();
 }
 
 static void
-repeat_blindly_ (Request *request, guint64 version)
+repeat_blindly_ (Request *request, DpPosition position)
 {
-  request->version = version;
+  request->position = position;
   send_ (request);
 }
 
@@ -767,13 +1078,16 @@
 }
 
 static void
-finish_read_ (Request *request, GPtrArray *records, guint64 revision, const GError *error)
+finish_read_ (Request *request,
+              GPtrArray *records,
+              DpPosition position,
+              const GError *error)
 {
   DpPlatformReadFunc done = request->read_done;
   gpointer user_data = request->user_data;
 
   request_detach_ (request);
-  done (records, revision, error, user_data);
+  done (records, position, error, user_data);
 }
 
 static void
--- a/src/libdogwoodpaddle/registration.c
+++ b/src/libdogwoodpaddle/registration.c
@@ -21,7 +21,7 @@
   DpChartInstance target; /* the state that the entry is to have */
   DpRegistrationState wanted;
   DpRegistrationState written; /* as last known to be on the platform */
-  guint64 version;             /* of the object at this process's last write or read */
+  DpPosition position;         /* of the object at this process's last write or read */
   gboolean attempted;          /* a write with self.incarnation was sent */
   gboolean joined;             /* the entry was written with self.incarnation */
   gboolean held;               /* drained by an operator, as last read */
@@ -56,10 +56,12 @@
 static void start_update_ (DpRegistration *registration);
 static gboolean retry_now_ (gpointer user_data);
 static void retry_later_ (DpRegistration *registration);
+static void read_done_ (GPtrArray *records,
+                        DpPosition position,
+                        const GError *error,
+                        gpointer user_data);
 static void
-read_done_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data);
-static void
-update_entry_ (DpRegistration *registration, JsonNode *value, guint64 version);
+update_entry_ (DpRegistration *registration, JsonNode *value, DpPosition position);
 static gboolean check_entry_ (DpRegistration *registration,
                               const DpMembershipEntry *entry);
 static JsonNode *make_value_ (DpRegistration *registration, JsonNode *value);
@@ -218,7 +220,8 @@
 
   if (record->kind != DP_KIND_MEMBERS
       || !g_str_equal (record->name, registration->service)
-      || record->revision <= registration->version || registration->superseded
+      || dp_position_compare (record->position, registration->position) <= 0
+      || registration->superseded
       || (registration->wanted == DP_REGISTRATION_ABSENT && !registration->joined))
     return;
   value = dp_record_value (record);
@@ -280,7 +283,10 @@
 }
 
 static void
-read_done_ (GPtrArray *records, guint64 version, const GError *error, gpointer user_data)
+read_done_ (GPtrArray *records,
+            DpPosition position,
+            const GError *error,
+            gpointer user_data)
 {
   DpRegistration *registration = user_data;
   const DpRecord *record = records->len == 0 ? NULL : g_ptr_array_index (records, 0);
@@ -293,12 +299,12 @@
       retry_later_ (registration);
       return;
     }
-  update_entry_ (registration, value, version);
+  update_entry_ (registration, value, position);
 }
 
 /* Writes the value with the wanted entry, unless the value has that entry already. */
 static void
-update_entry_ (DpRegistration *registration, JsonNode *value, guint64 version)
+update_entry_ (DpRegistration *registration, JsonNode *value, DpPosition position)
 {
   g_autoptr (JsonNode) changed = NULL;
   DpMembershipEntry entry;
@@ -309,7 +315,7 @@
       retry_later_ (registration);
       return;
     }
-  registration->version = MAX (registration->version, version);
+  registration->position = dp_position_max (registration->position, position);
   if (!check_entry_ (registration, &entry))
     {
       registration->busy = FALSE;
@@ -326,7 +332,7 @@
     }
   registration->attempted = TRUE;
   dp_platform_write (registration->platform, DP_KIND_MEMBERS, registration->service,
-                     version, changed, write_done_, registration);
+                     position, changed, write_done_, registration);
 }
 
 /* Updates the registration from the platform's entry. Returns FALSE if the entry is that
@@ -396,7 +402,7 @@
   if (result == DP_WRITE_DONE)
     {
       registration->joined = registration->writing != DP_REGISTRATION_ABSENT;
-      registration->version = record->revision;
+      registration->position = record->position;
       dp_replica_apply (registration->replica, record);
       settle_ (registration, registration->writing);
       return;
--- a/src/libdogwoodpaddle/relay.c
+++ b/src/libdogwoodpaddle/relay.c
@@ -16,7 +16,7 @@
 /* Time without a source of records, after which a balancer watches the platform and a
  * companion connects to the peers from its settings. */
 #define FALLBACK_DELAY_US (5 * DP_US_PER_S)
-/* Time for which an upstream may be behind a heartbeat's revision, before the next one is
+/* Time for which an upstream may be behind a heartbeat's position, before the next one is
  * tried. */
 #define LAG_LIMIT_US (10 * DP_US_PER_S)
 /* Time since the last suspicion sent, after which a connection that was opened to send
@@ -60,7 +60,7 @@
   GPtrArray *suspicion_links; /* Link to balancers that suspicions were sent to */
   gint64 started_at;          /* us */
   gint64 no_source_since;     /* us; since when there is no source, -1: there is one */
-  gint64 lagging_since; /* us; since when heartbeats show a later revision, -1: none */
+  gint64 lagging_since; /* us; since when heartbeats show a later position, -1: none */
   gboolean connected;   /* as last reported to the listener */
   guint tick;           /* source id */
   guint update;         /* source id */
@@ -234,7 +234,7 @@
   return relay->watch != NULL && dp_watch_reachable (relay->watch);
 }
 
-/* Returns whether the platform has answered with a lower revision than the replica's. */
+/* Returns whether the platform has answered with a lower position than the replica's. */
 gboolean
 dp_relay_platform_is_behind (const DpRelay *relay)
 {
@@ -403,7 +403,8 @@
 {
   DpRelay *relay = user_data;
 
-  if (heartbeat->revision <= dp_replica_revision (relay->replica))
+  if (dp_position_compare (heartbeat->position, dp_replica_position (relay->replica))
+      <= 0)
     relay->lagging_since = -1;
   else if (relay->lagging_since < 0)
     relay->lagging_since = dp_clock_now (relay->clock);
@@ -503,7 +504,7 @@
   gboolean root = dp_topology_rank (relay->topology, relay->name, relay->zone)
                   < DP_TOPOLOGY_ROOTS;
   gboolean starting = relay->start_links->len > 0
-                      && dp_replica_revision (relay->replica) == 0
+                      && dp_replica_position (relay->replica) == 0
                       && now - relay->started_at < START_GRACE_US;
   gboolean fallback = relay->no_source_since >= 0
                       && now - relay->no_source_since > FALLBACK_DELAY_US;
@@ -539,7 +540,7 @@
                          addresses->len);
   if (subscribe && relay->lagging_since >= 0 && now - relay->lagging_since > LAG_LIMIT_US)
     {
-      g_message ("relay: upstream is behind a heartbeat's revision, trying the next one");
+      g_message ("relay: upstream is behind a heartbeat's position, trying the next one");
       relay->lagging_since = now;
       dp_upstream_skip (relay->upstream);
     }
--- a/src/libdogwoodpaddle/replica.c
+++ b/src/libdogwoodpaddle/replica.c
@@ -15,11 +15,11 @@
 struct _DpReplica
 {
   GHashTable *by_name[DP_N_KINDS]; /* name to GSequenceIter */
-  GSequence *by_revision;          /* DpRecord, tombstones included */
-  guint64 revision;
+  GSequence *by_position;          /* DpRecord, tombstones included */
+  DpPosition position;
   GArray *listeners; /* Listener */
   guint last_listener_id;
-  gboolean any_revision; /* fault injection for tests */
+  gboolean any_position; /* fault injection for tests */
 };
 
 static const char *const kind_strings_[] = {
@@ -29,12 +29,12 @@
 G_STATIC_ASSERT (G_N_ELEMENTS (kind_strings_) == DP_N_KINDS);
 
 static void unref_record_ (gpointer data);
-static gint compare_revisions_ (gconstpointer a, gconstpointer b, gpointer user_data);
+static gint compare_positions_ (gconstpointer a, gconstpointer b, gpointer user_data);
 static gint compare_names_ (gconstpointer a, gconstpointer b);
 static const DpRecord *lookup_ (const DpReplica *replica, DpKind kind, const char *name);
 static void notify_ (DpReplica *replica, const DpRecord *record);
 static void
-delete_absent_ (DpReplica *replica, guint kinds, GPtrArray *records, guint64 revision);
+delete_absent_ (DpReplica *replica, guint kinds, GPtrArray *records, DpPosition position);
 static DpRecord *filter_record_ (DpRecord *record, const char *service);
 
 /* Returns the kind's name in the platform's keys. */
@@ -81,7 +81,7 @@
 DpRecord *
 dp_record_new (DpKind kind,
                const char *name,
-               guint64 revision,
+               DpPosition position,
                gboolean deleted,
                const char *json,
                GError **error)
@@ -110,7 +110,7 @@
       if (value == NULL)
         return NULL;
     }
-  record = dp_record_new_unchecked (kind, name, revision, g_strdup (deleted ? "" : json));
+  record = dp_record_new_unchecked (kind, name, position, g_strdup (deleted ? "" : json));
   record->deleted = deleted;
   return record;
 }
@@ -118,7 +118,7 @@
 /* Creates a record without parsing its value. The name has to be valid, and json has to
  * be valid JSON. Takes ownership of json. */
 DpRecord *
-dp_record_new_unchecked (DpKind kind, const char *name, guint64 revision, char *json)
+dp_record_new_unchecked (DpKind kind, const char *name, DpPosition position, char *json)
 {
   DpRecord *record = g_new0 (DpRecord, 1);
 
@@ -126,7 +126,7 @@
   g_ref_count_init (&record->refs);
   record->kind = kind;
   record->name = g_strdup (name);
-  record->revision = revision;
+  record->position = position;
   record->json = json;
   return record;
 }
@@ -165,7 +165,7 @@
   return value;
 }
 
-/* Creates an empty replica at revision 0. */
+/* Creates an empty replica at position 0. */
 DpReplica *
 dp_replica_new (void)
 {
@@ -173,7 +173,7 @@
 
   for (guint i = 0; i < DP_N_KINDS; i++)
     replica->by_name[i] = g_hash_table_new (g_str_hash, g_str_equal);
-  replica->by_revision = g_sequence_new (unref_record_);
+  replica->by_position = g_sequence_new (unref_record_);
   replica->listeners = g_array_new (FALSE, FALSE, sizeof (Listener));
   return replica;
 }
@@ -186,7 +186,7 @@
     return;
   for (guint i = 0; i < DP_N_KINDS; i++)
     g_hash_table_unref (replica->by_name[i]);
-  g_sequence_free (replica->by_revision);
+  g_sequence_free (replica->by_position);
   g_array_unref (replica->listeners);
   g_free (replica);
 }
@@ -217,7 +217,7 @@
 }
 
 /* Applies the record if it is newer than the replica's record of the same object; returns
- * whether it was applied. The replica's revision stays, as records with lower revisions
+ * whether it was applied. The replica's position stays, as records with lower positions
  * than the new one may still be missing. */
 gboolean
 dp_replica_apply (DpReplica *replica, DpRecord *record)
@@ -226,51 +226,54 @@
   GSequenceIter *old = g_hash_table_lookup (names, record->name);
   GSequenceIter *iter;
 
-  if (old != NULL && !replica->any_revision
-      && ((const DpRecord *) g_sequence_get (old))->revision >= record->revision)
+  if (old != NULL && !replica->any_position
+      && dp_position_compare (((const DpRecord *) g_sequence_get (old))->position,
+                              record->position)
+             >= 0)
     return FALSE;
   if (old != NULL)
     {
       g_hash_table_remove (names, record->name);
       g_sequence_remove (old);
     }
-  iter = g_sequence_insert_sorted (replica->by_revision, dp_record_ref (record),
-                                   compare_revisions_, NULL);
+  iter = g_sequence_insert_sorted (replica->by_position, dp_record_ref (record),
+                                   compare_positions_, NULL);
   g_hash_table_insert (names, record->name, iter);
   notify_ (replica, record);
   return TRUE;
 }
 
-/* Applies a complete list of the objects of some kinds at a revision. An object that the
- * replica has at a lower revision and the list lacks was deleted meanwhile; its record is
- * replaced by a tombstone at the list's revision. A list that is older than the replica's
- * own revision deletes nothing. */
+/* Applies a complete list of the objects of some kinds at a position. An object that the
+ * replica has at a lower position and the list lacks was deleted meanwhile; its record is
+ * replaced by a tombstone at the list's position; so is one that was lost when the store
+ * was restored, since the list of the later era has a higher position. A list that is
+ * older than the replica's own position deletes nothing. */
 void
 dp_replica_apply_list (DpReplica *replica,
                        guint kinds,
                        GPtrArray *records,
-                       guint64 revision)
+                       DpPosition position)
 {
   for (guint i = 0; i < records->len; i++)
     dp_replica_apply (replica, g_ptr_array_index (records, i));
-  if (revision >= replica->revision)
-    delete_absent_ (replica, kinds, records, revision);
-  dp_replica_set_revision (replica, revision);
+  if (dp_position_compare (position, replica->position) >= 0)
+    delete_absent_ (replica, kinds, records, position);
+  dp_replica_set_position (replica, position);
 }
 
-/* Sets the revision up to which all records have been applied, unless it is lower than
+/* Sets the position up to which all records have been applied, unless it is lower than
  * the present one. */
 void
-dp_replica_set_revision (DpReplica *replica, guint64 revision)
+dp_replica_set_position (DpReplica *replica, DpPosition position)
 {
-  replica->revision = MAX (replica->revision, revision);
+  replica->position = dp_position_max (replica->position, position);
 }
 
-/* Returns the revision up to which the replica is complete. */
-guint64
-dp_replica_revision (const DpReplica *replica)
+/* Returns the position up to which the replica is complete. */
+DpPosition
+dp_replica_position (const DpReplica *replica)
 {
-  return replica->revision;
+  return replica->position;
 }
 
 /* Returns the object's record, NULL if it does not exist or was deleted. Valid until the
@@ -289,12 +292,12 @@
 {
   GPtrArray *records = g_ptr_array_new_with_free_func (unref_record_);
   GHashTableIter iter;
-  gpointer position;
+  gpointer place;
 
   g_hash_table_iter_init (&iter, replica->by_name[kind]);
-  while (g_hash_table_iter_next (&iter, NULL, &position))
+  while (g_hash_table_iter_next (&iter, NULL, &place))
     {
-      DpRecord *record = g_sequence_get (position);
+      DpRecord *record = g_sequence_get (place);
 
       if (!record->deleted)
         g_ptr_array_add (records, dp_record_ref (record));
@@ -303,21 +306,23 @@
   return records;
 }
 
-/* Returns the records above the revision that a subscriber for the service gets ("": all
- * of them), in order of revision; array of DpRecord. An exception for another service is
+/* Returns the records above the position that a subscriber for the service gets ("": all
+ * of them), in order of position; array of DpRecord. An exception for another service is
  * returned as a tombstone, since the subscriber may have received the exception when it
  * was for the subscriber's own service. */
 GPtrArray *
-dp_replica_since (const DpReplica *replica, guint64 since, const char *service)
+dp_replica_since (const DpReplica *replica, DpPosition since, const char *service)
 {
   GPtrArray *records = g_ptr_array_new_with_free_func (unref_record_);
-  GSequenceIter *iter = g_sequence_get_end_iter (replica->by_revision);
+  GSequenceIter *iter = g_sequence_get_end_iter (replica->by_position);
 
   while (!g_sequence_iter_is_begin (iter))
     {
       GSequenceIter *previous = g_sequence_iter_prev (iter);
 
-      if (((const DpRecord *) g_sequence_get (previous))->revision <= since)
+      if (dp_position_compare (((const DpRecord *) g_sequence_get (previous))->position,
+                               since)
+          <= 0)
         break;
       iter = previous;
     }
@@ -360,12 +365,12 @@
     }
 }
 
-/* Makes the replica apply records regardless of their revision. Only for tests, which
+/* Makes the replica apply records regardless of their position. Only for tests, which
  * show with it that they detect this fault. */
 void
-dp_replica_set_test_any_revision (DpReplica *replica, gboolean any_revision)
+dp_replica_set_test_any_position (DpReplica *replica, gboolean any_position)
 {
-  replica->any_revision = any_revision;
+  replica->any_position = any_position;
 }
 
 static void
@@ -375,12 +380,12 @@
 }
 
 static gint
-compare_revisions_ (gconstpointer a, gconstpointer b, gpointer user_data)
+compare_positions_ (gconstpointer a, gconstpointer b, gpointer user_data)
 {
   const DpRecord *x = a;
   const DpRecord *y = b;
 
-  return (x->revision > y->revision) - (x->revision < y->revision);
+  return dp_position_compare (x->position, y->position);
 }
 
 static gint
@@ -414,7 +419,7 @@
 }
 
 static void
-delete_absent_ (DpReplica *replica, guint kinds, GPtrArray *records, guint64 revision)
+delete_absent_ (DpReplica *replica, guint kinds, GPtrArray *records, DpPosition position)
 {
   g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
   g_autoptr (GPtrArray) absent = g_ptr_array_new_with_free_func (unref_record_);
@@ -439,7 +444,7 @@
         {
           DpRecord *record = g_ptr_array_index (present, i);
 
-          if (record->revision < revision
+          if (dp_position_compare (record->position, position) < 0
               && !g_hash_table_contains (listed, record->name))
             g_ptr_array_add (absent, dp_record_ref (record));
         }
@@ -447,7 +452,7 @@
   for (guint i = 0; i < absent->len; i++)
     {
       const DpRecord *record = g_ptr_array_index (absent, i);
-      DpRecord *tombstone = dp_record_new (record->kind, record->name, revision, TRUE, "",
+      DpRecord *tombstone = dp_record_new (record->kind, record->name, position, TRUE, "",
                                            NULL);
 
       dp_replica_apply (replica, tombstone);
@@ -462,5 +467,5 @@
     return dp_record_ref (record);
   if (record->kind != DP_KIND_EXCEPTION)
     return NULL;
-  return dp_record_new (record->kind, record->name, record->revision, TRUE, "", NULL);
+  return dp_record_new (record->kind, record->name, record->position, TRUE, "", NULL);
 }
--- a/src/libdogwoodpaddle/upstream.c
+++ b/src/libdogwoodpaddle/upstream.c
@@ -8,6 +8,8 @@
 #define CONNECT_TIMEOUT_S 3
 #define RETRY_FIRST_MS 200
 #define RETRY_MAX_MS 5000
+/* Time for the peer's greeting. A peer with another message version sends none. */
+#define HELLO_TIMEOUT_MS 3000
 
 struct _DpUpstream
 {
@@ -21,6 +23,8 @@
   GSocketClient *client;
   GCancellable *connecting; /* of the attempt in progress, or NULL */
   DpChannel *channel;
+  gboolean greeted;    /* the peer has sent its HELLO */
+  guint hello_timeout; /* source id */
   gboolean synced;
 };
 
@@ -35,6 +39,8 @@
 static void connect_ (DpUpstream *upstream);
 static void connected_ (GObject *source, GAsyncResult *result, gpointer user_data);
 static void send_hello_ (DpUpstream *upstream);
+static gboolean hello_timed_out_ (gpointer user_data);
+static void leave_peer_ (DpUpstream *upstream);
 static void disconnect_ (DpUpstream *upstream);
 static void try_next_ (DpUpstream *upstream);
 static gboolean retry_now_ (gpointer user_data);
@@ -179,6 +185,7 @@
   upstream->channel = dp_channel_new (connection, upstream->options.metrics, &listener,
                                       upstream);
   send_hello_ (upstream);
+  upstream->hello_timeout = g_timeout_add (HELLO_TIMEOUT_MS, hello_timed_out_, upstream);
   if (!upstream->options.subscribe)
     dp_backoff_reset (&upstream->backoff);
 }
@@ -187,15 +194,15 @@
 send_hello_ (DpUpstream *upstream)
 {
   const DpUpstreamOptions *options = &upstream->options;
-  guint64 revision = dp_replica_revision (options->replica);
+  DpPosition position = dp_replica_position (options->replica);
   const DpMessage hello = {
     .type = DP_MESSAGE_HELLO,
     .hello = { DP_MESSAGE_VERSION, options->role, options->name, options->zone,
-               revision },
+               position },
   };
   const DpMessage subscribe = {
     .type = DP_MESSAGE_SUBSCRIBE,
-    .subscribe = { revision, options->service },
+    .subscribe = { position, options->service },
   };
 
   dp_channel_send (upstream->channel, &hello);
@@ -203,6 +210,31 @@
     dp_channel_send (upstream->channel, &subscribe);
 }
 
+static gboolean
+hello_timed_out_ (gpointer user_data)
+{
+  DpUpstream *upstream = user_data;
+
+  upstream->hello_timeout = 0;
+  g_warning ("control channel: %s: no greeting within %d ms; it hangs or is of a build "
+             "with another message version than %d",
+             dp_channel_peer (upstream->channel), HELLO_TIMEOUT_MS, DP_MESSAGE_VERSION);
+  leave_peer_ (upstream);
+  return G_SOURCE_REMOVE;
+}
+
+/* Disconnects from a peer that can't be used and tries the next one. */
+static void
+leave_peer_ (DpUpstream *upstream)
+{
+  const gboolean was_synced = upstream->synced;
+
+  disconnect_ (upstream);
+  try_next_ (upstream);
+  if (was_synced)
+    upstream->listener.sync_changed (upstream, upstream->user_data);
+}
+
 static void
 disconnect_ (DpUpstream *upstream)
 {
@@ -211,6 +243,8 @@
   upstream->connecting = NULL;
   g_clear_pointer (&upstream->channel, dp_channel_free);
   g_clear_handle_id (&upstream->retry, g_source_remove);
+  g_clear_handle_id (&upstream->hello_timeout, g_source_remove);
+  upstream->greeted = FALSE;
   upstream->synced = FALSE;
 }
 
@@ -247,19 +281,27 @@
 
   if (message->type == DP_MESSAGE_HELLO)
     {
-      if (message->hello.version != DP_MESSAGE_VERSION)
-        g_warning ("control channel: %s: version %u instead of %d",
-                   dp_channel_peer (channel), message->hello.version, DP_MESSAGE_VERSION);
+      g_clear_handle_id (&upstream->hello_timeout, g_source_remove);
+      upstream->greeted = message->hello.version == DP_MESSAGE_VERSION;
+      if (!upstream->greeted)
+        {
+          g_critical ("control channel: %s (%s): not used, its message version is %u and "
+                      "that of this process is %d; both have to run the same build",
+                      dp_channel_peer (channel), message->hello.name,
+                      message->hello.version, DP_MESSAGE_VERSION);
+          leave_peer_ (upstream);
+        }
       return;
     }
-  if (message->type != DP_MESSAGE_RECORDS || !upstream->options.subscribe)
+  if (message->type != DP_MESSAGE_RECORDS || !upstream->greeted
+      || !upstream->options.subscribe)
     return;
   for (guint i = 0; i < message->records.items->len; i++)
     dp_replica_apply (upstream->options.replica,
                       g_ptr_array_index (message->records.items, i));
   if (message->records.complete_through > 0)
     {
-      dp_replica_set_revision (upstream->options.replica,
+      dp_replica_set_position (upstream->options.replica,
                                message->records.complete_through);
       newly_synced = !upstream->synced;
       upstream->synced = TRUE;
@@ -268,8 +310,9 @@
   upstream->listener.progressed (upstream, upstream->user_data);
   /* A peer that is behind can't know that there is nothing newer. */
   if (message->records.has_age && message->records.complete_through > 0
-      && message->records.complete_through
-             >= dp_replica_revision (upstream->options.replica)
+      && dp_position_compare (message->records.complete_through,
+                              dp_replica_position (upstream->options.replica))
+             >= 0
       && upstream->listener.freshness != NULL)
     upstream->listener.freshness (upstream, message->records.age_ms, upstream->user_data);
   if (newly_synced)
@@ -284,12 +327,6 @@
 static void
 closed_ (DpChannel *channel, const GError *error, gpointer user_data)
 {
-  DpUpstream *upstream = user_data;
-  gboolean was_synced = upstream->synced;
-
   g_debug ("%s", error->message);
-  disconnect_ (upstream);
-  try_next_ (upstream);
-  if (was_synced)
-    upstream->listener.sync_changed (upstream, upstream->user_data);
+  leave_peer_ (user_data);
 }
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -8,6 +8,11 @@
  * again. */
 #define PROBE_WAIT_MS 10
 #define RETRY_MAX_MS 5000
+/* Maximum delay before everything is listed after the store was restored. It is random,
+ * as all processes learn of the restore at about the same time. The configuration is
+ * short, and only a few processes list it. */
+#define RELIST_SNAPSHOT_MS 250
+#define RELIST_MS 1000
 
 struct _DpWatch
 {
@@ -24,25 +29,32 @@
   guint n_failures;   /* calls without an answer since the last one with an answer */
   gboolean listing;   /* the call in progress lists all objects */
   gboolean listed;    /* the next call may be a watch that continues from since */
-  gboolean behind;    /* the platform is at a lower revision than the replica */
-  guint64 since;      /* the platform's revision in its last response */
+  gboolean behind;    /* the platform offers an older state than the replica has */
+  DpPosition since;   /* the platform's position in its last response */
   DpBackoff backoff;
   guint timer; /* source id */
   DpMetric *failures;
   DpMetric *behind_gauge;
+  DpMetric *era_gauge;
+  DpMetric *restores;
 };
 
 static gboolean call_now_ (gpointer user_data);
 static void call_done_ (GPtrArray *records,
-                        guint64 revision,
+                        DpPosition position,
                         const GError *error,
                         gpointer user_data);
 static void handle_failure_ (DpWatch *watch, const GError *error);
-static void handle_response_ (DpWatch *watch, GPtrArray *records, guint64 revision);
-static void check_revision_ (DpWatch *watch, guint64 revision);
+static void handle_response_ (DpWatch *watch, GPtrArray *records, DpPosition position);
+static void apply_ (DpWatch *watch, GPtrArray *records, DpPosition position);
+static void apply_snapshot_ (DpWatch *watch, GPtrArray *records);
+static void check_position_ (DpWatch *watch, DpPosition position);
+static char *position_to_string_ (const DpWatch *watch, DpPosition position);
+static gboolean continues_ (const DpWatch *watch);
+static void era_changed_ (gpointer user_data);
 
 /* Creates a watch that is not active. The platform holds a call open for at most wait_ms.
- * A platform that has lost the history since the watched revision may report that only
+ * A platform that has lost the history since the watched position may report that only
  * when the call ends, so wait_ms bounds how long a change may go unnoticed. */
 DpWatch *
 dp_watch_new (DpPlatform *platform,
@@ -69,7 +81,15 @@
                                     "Watches of the platform that failed");
   watch->behind_gauge = dp_metrics_add (
       metrics, DP_METRIC_GAUGE, "dogwoodpaddle_platform_behind", "",
-      "1 while the platform is at a lower revision than this process");
+      "Watched collections of which the platform offers an older state than this process "
+      "has");
+  watch->era_gauge = dp_metrics_add (metrics, DP_METRIC_GAUGE, "dogwoodpaddle_store_era",
+                                     "",
+                                     "Era of the store as its last response shows it");
+  watch->restores = dp_metrics_add (
+      metrics, DP_METRIC_COUNTER, "dogwoodpaddle_store_restores_total", "",
+      "Times that a collection was listed again because the store was restored");
+  dp_platform_add_era_listener (platform, era_changed_, watch);
   return watch;
 }
 
@@ -80,6 +100,9 @@
   if (watch == NULL)
     return;
   dp_watch_set_active (watch, FALSE);
+  if (watch->behind)
+    watch->behind_gauge->value--;
+  dp_platform_remove_era_listener (watch->platform, watch);
   g_free (watch);
 }
 
@@ -116,7 +139,7 @@
 }
 
 /* Starts or stops the watch. It starts by listing all objects, unless it was active
- * before and can continue from its last revision. */
+ * before and can continue from its last position. */
 void
 dp_watch_set_active (DpWatch *watch, gboolean active)
 {
@@ -156,8 +179,8 @@
   return watch->n_failures > 0;
 }
 
-/* Returns whether the platform is at a lower revision than the replica, as after a
- * restore from an older state. */
+/* Returns whether the platform offers an older state than the replica has, as after a
+ * restore from a backup. */
 gboolean
 dp_watch_platform_is_behind (const DpWatch *watch)
 {
@@ -170,7 +193,7 @@
   DpWatch *watch = user_data;
 
   watch->timer = 0;
-  watch->listing = !watch->listed;
+  watch->listing = !continues_ (watch);
   if (watch->listing)
     dp_platform_list (watch->platform, watch->collection, call_done_, watch);
   else
@@ -188,7 +211,10 @@
 }
 
 static void
-call_done_ (GPtrArray *records, guint64 revision, const GError *error, gpointer user_data)
+call_done_ (GPtrArray *records,
+            DpPosition position,
+            const GError *error,
+            gpointer user_data)
 {
   DpWatch *watch = user_data;
   const gboolean snapshot =
@@ -213,7 +239,7 @@
   else
     {
       dp_backoff_reset (&watch->backoff);
-      handle_response_ (watch, records, revision);
+      handle_response_ (watch, records, position);
     }
   if (watch->active)
     watch->timer = g_timeout_add (delay, call_now_, watch);
@@ -233,28 +259,17 @@
 }
 
 static void
-handle_response_ (DpWatch *watch, GPtrArray *records, guint64 revision)
+handle_response_ (DpWatch *watch, GPtrArray *records, DpPosition position)
 {
-  const DpPlatformCollection *collection = dp_platform_collection (watch->platform,
-                                                                   watch->collection);
-
-  check_revision_ (watch, revision);
-  /* A platform whose revision went back has to be listed again: a watch from its present
-   * revision does not report the changes made up to that revision. */
-  if (!watch->listing && revision < watch->since)
-    watch->listed = FALSE;
+  watch->era_gauge->value = dp_position_era (position);
+  /* A platform whose position went back has to be listed again: a watch from its present
+   * position does not report the changes made up to that position. */
+  watch->listed = watch->listing || dp_position_compare (position, watch->since) >= 0;
+  watch->since = position;
+  if (dp_platform_collection (watch->platform, watch->collection)->snapshot)
+    apply_snapshot_ (watch, records);
   else
-    watch->listed = TRUE;
-  watch->since = revision;
-  /* A snapshot has a record at least, so an answer without any has none. */
-  if (collection->snapshot ? records->len > 0 : watch->listing)
-    dp_replica_apply_list (watch->replica, collection->kinds, records, revision);
-  else if (!collection->snapshot || dp_replica_revision (watch->replica) > 0)
-    {
-      for (guint i = 0; i < records->len; i++)
-        dp_replica_apply (watch->replica, g_ptr_array_index (records, i));
-      dp_replica_set_revision (watch->replica, revision);
-    }
+    apply_ (watch, records, position);
   watch->n_failures = 0;
   if (!watch->reachable)
     {
@@ -264,23 +279,99 @@
   watch->listener.progressed (watch->user_data);
 }
 
-/* Logs when the platform's revision becomes lower than the replica's, and when it no
- * longer is; sets the metric. */
 static void
-check_revision_ (DpWatch *watch, guint64 revision)
+apply_ (DpWatch *watch, GPtrArray *records, DpPosition position)
+{
+  check_position_ (watch, position);
+  if (watch->listing)
+    {
+      dp_replica_apply_list (
+          watch->replica,
+          dp_platform_collection (watch->platform, watch->collection)->kinds, records,
+          position);
+      return;
+    }
+  for (guint i = 0; i < records->len; i++)
+    dp_replica_apply (watch->replica, g_ptr_array_index (records, i));
+  dp_replica_set_position (watch->replica, position);
+}
+
+/* Applies a snapshot, whose records all have its version as their position. An older one
+ * is ignored as a whole, as its objects may include some that a newer one has removed. A
+ * snapshot has a record at least: a list without any shows that the platform has none. */
+static void
+apply_snapshot_ (DpWatch *watch, GPtrArray *records)
 {
-  guint64 own_revision = dp_replica_revision (watch->replica);
-  gboolean behind = revision < own_revision;
+  const DpPosition version =
+      records->len == 0 ? 0
+                        : ((const DpRecord *) g_ptr_array_index (records, 0))->position;
 
+  if (records->len == 0 && !watch->listing)
+    return;
+  check_position_ (watch, version);
+  if (records->len > 0 && !watch->behind)
+    dp_replica_apply_list (
+        watch->replica,
+        dp_platform_collection (watch->platform, watch->collection)->kinds, records,
+        version);
+}
+
+/* Logs when the platform's state becomes older than the replica's, and when it no longer
+ * is; sets the metric. */
+static void
+check_position_ (DpWatch *watch, DpPosition position)
+{
+  const DpPosition own = dp_replica_position (watch->replica);
+  const gboolean behind = dp_position_compare (position, own) < 0;
+  g_autofree char *offered = position_to_string_ (watch, position);
+  g_autofree char *held = position_to_string_ (watch, own);
+
+  if (behind && !watch->behind)
+    g_critical ("platform: %s is lower than this process's %s; the records of this "
+                "process stay in force",
+                offered, held);
+  else if (!behind && watch->behind)
+    g_message ("platform: %s is no longer lower than this process's %s", offered, held);
   if (behind && !watch->behind)
-    g_critical ("platform: revision %" G_GUINT64_FORMAT
-                " is lower than this process's revision %" G_GUINT64_FORMAT
-                "; the records of this process stay in force",
-                revision, own_revision);
+    watch->behind_gauge->value++;
   else if (!behind && watch->behind)
-    g_message ("platform: revision %" G_GUINT64_FORMAT
-               " is no longer lower than this process's revision",
-               revision);
+    watch->behind_gauge->value--;
   watch->behind = behind;
-  watch->behind_gauge->value = behind ? 1 : 0;
+}
+
+static char *
+position_to_string_ (const DpWatch *watch, DpPosition position)
+{
+  if (dp_platform_collection (watch->platform, watch->collection)->snapshot)
+    return g_strdup_printf ("version=%" G_GUINT64_FORMAT, position);
+  return g_strdup_printf ("position=" DP_POSITION_FORMAT, DP_POSITION_ARGS (position));
+}
+
+/* Returns whether the next call may be a watch that continues from since. */
+static gboolean
+continues_ (const DpWatch *watch)
+{
+  return watch->listed
+         && dp_position_era (watch->since) == dp_platform_era (watch->platform);
+}
+
+/* Lists everything again after the store was restored. A call in progress is abandoned,
+ * since the store may hold it open until a position of the era that has ended. */
+static void
+era_changed_ (gpointer user_data)
+{
+  DpWatch *watch = user_data;
+  const gint32 spread_ms =
+      dp_platform_collection (watch->platform, watch->collection)->snapshot
+          ? RELIST_SNAPSHOT_MS
+          : RELIST_MS;
+
+  if (!watch->active || continues_ (watch))
+    return;
+  dp_metric_increment (watch->restores);
+  watch->listed = FALSE;
+  dp_platform_cancel (watch->platform, watch);
+  g_clear_handle_id (&watch->timer, g_source_remove);
+  watch->timer = g_timeout_add ((guint) g_random_int_range (0, spread_ms + 1), call_now_,
+                                watch);
 }
--- a/src/libdogwoodpaddle/watcher.c
+++ b/src/libdogwoodpaddle/watcher.c
@@ -16,7 +16,7 @@
   char *member;
   char *zone;
   guint64 incarnation;
-  guint64 revision;
+  DpPosition position;
   guint32 busy_slots;
   guint32 connections;
   gint64 heard_at; /* us, -1: never */
@@ -203,7 +203,7 @@
   if (process == NULL || heartbeat->incarnation < process->incarnation)
     return;
   process->incarnation = heartbeat->incarnation;
-  process->revision = heartbeat->revision;
+  process->position = heartbeat->position;
   process->busy_slots = heartbeat->busy_slots;
   process->connections = heartbeat->connections;
   process->heard_at = now;
@@ -676,7 +676,7 @@
       object, "suspected", state == DP_WATCHED_SUSPECTED || state == DP_WATCHED_REMOVING);
   json_object_set_boolean_member (object, "heard", process->heard_at >= 0);
   json_object_set_int_member (object, "incarnation", (gint64) process->incarnation);
-  json_object_set_int_member (object, "revision", (gint64) process->revision);
+  dp_position_add_to_json (object, process->position);
   json_object_set_int_member (object, "busy", process->busy_slots);
   json_object_set_int_member (object, "connections", process->connections);
   if (process->heard_at >= 0)
