--- a/test/platform/standin_platform.c
+++ b/test/platform/standin_platform.c
@@ -32,6 +32,15 @@
   guint timer;
 } PendingCall;
 
+/* A copy of the store's state. */
+typedef struct
+{
+  GHashTable *objects;
+  GQueue tombstones;
+  guint64 revision;
+  guint64 dropped_version;
+} Backup;
+
 struct _StandinPlatform
 {
   SoupServer *server;
@@ -41,6 +50,9 @@
   guint64 revision;        /* number of the last write */
   guint64 dropped_version; /* version of the newest dropped tombstone */
   guint max_tombstones;
+  guint64 era;              /* 0: no header */
+  char *era_header;         /* sent instead of the era; NULL: the era */
+  Backup *backup;           /* the last one, NULL: none */
   GPtrArray *watches;       /* PendingCall */
   GPtrArray *delayed_calls; /* PendingCall */
   StandinFaults faults;
@@ -49,6 +61,8 @@
 };
 
 static void object_free_ (gpointer data);
+static GHashTable *copy_objects_ (GHashTable *objects);
+static void backup_free_ (Backup *backup);
 static void handle_ (SoupServer *server,
                      SoupServerMessage *message,
                      const char *path,
@@ -77,7 +91,8 @@
                                    guint delay_ms,
                                    GSourceFunc timeout);
 static void resume_call_ (GPtrArray *pending_calls, PendingCall *call);
-static void respond_ (SoupServerMessage *message, guint status, char *body);
+static void
+respond_ (StandinPlatform *standin, SoupServerMessage *message, guint status, char *body);
 static void close_connection_ (SoupServerMessage *message);
 static void append_object_ (JsonBuilder *builder, const Object *object);
 static char *builder_to_text_ (JsonBuilder *builder);
@@ -134,6 +149,8 @@
   g_queue_clear_full (&standin->tombstones, g_free);
   g_hash_table_unref (standin->objects);
   g_rand_free (standin->random);
+  backup_free_ (standin->backup);
+  g_free (standin->era_header);
   g_free (standin->url);
   g_free (standin);
 }
@@ -186,6 +203,86 @@
   close_watches_ (standin);
 }
 
+/* Sets the store's era; from 1 on, all responses have the header Store-Era. */
+void
+standin_platform_set_era (StandinPlatform *standin, guint64 era)
+{
+  standin->era = era;
+}
+
+/* Sets the header's text regardless of the era; NULL ends that. */
+void
+standin_platform_set_era_header (StandinPlatform *standin, const char *text)
+{
+  g_free (standin->era_header);
+  standin->era_header = g_strdup (text);
+}
+
+/* Keeps a copy of the present state, in place of an earlier one. */
+void
+standin_platform_back_up (StandinPlatform *standin)
+{
+  backup_free_ (standin->backup);
+  standin->backup = g_new0 (Backup, 1);
+  standin->backup->objects = copy_objects_ (standin->objects);
+  g_queue_init (&standin->backup->tombstones);
+  for (const GList *link = standin->tombstones.head; link != NULL; link = link->next)
+    g_queue_push_tail (&standin->backup->tombstones, g_strdup (link->data));
+  standin->backup->revision = standin->revision;
+  standin->backup->dropped_version = standin->dropped_version;
+}
+
+/* Goes back to the last backup, which is used up, and starts the next era. Closes all
+ * watches. */
+void
+standin_platform_restore_backup (StandinPlatform *standin)
+{
+  Backup *backup = g_steal_pointer (&standin->backup);
+
+  g_assert (backup != NULL);
+  g_hash_table_unref (standin->objects);
+  standin->objects = g_steal_pointer (&backup->objects);
+  g_queue_clear_full (&standin->tombstones, g_free);
+  standin->tombstones = backup->tombstones;
+  standin->revision = backup->revision;
+  standin->dropped_version = backup->dropped_version;
+  standin->era++;
+  g_free (backup);
+  close_watches_ (standin);
+}
+
+static GHashTable *
+copy_objects_ (GHashTable *objects)
+{
+  GHashTable *copy = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                            object_free_);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, objects);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      Object *object = g_memdup2 (value, sizeof (Object));
+
+      object->kind = g_strdup (object->kind);
+      object->name = g_strdup (object->name);
+      object->json = g_strdup (object->json);
+      g_hash_table_insert (copy, g_strdup (key), object);
+    }
+  return copy;
+}
+
+static void
+backup_free_ (Backup *backup)
+{
+  if (backup == NULL)
+    return;
+  g_hash_table_unref (backup->objects);
+  g_queue_clear_full (&backup->tombstones, g_free);
+  g_free (backup);
+}
+
 static void
 object_free_ (gpointer data)
 {
@@ -223,7 +320,8 @@
     close_connection_ (message);
   else if (faults->reject_rate > 0
            && (guint) g_rand_int_range (standin->random, 0, 100) < faults->reject_rate)
-    respond_ (message, STATUS_TOO_MANY_REQUESTS, g_strdup ("{\"error\":\"rate limit\"}"));
+    respond_ (standin, message, STATUS_TOO_MANY_REQUESTS,
+              g_strdup ("{\"error\":\"rate limit\"}"));
   else if (faults->delay_ms > 0)
     suspend_call_ (standin, standin->delayed_calls, message, faults->delay_ms,
                    handle_delayed_);
@@ -238,7 +336,7 @@
 {
   if (g_str_equal (path, "/v1/calls"))
     {
-      respond_ (message, SOUP_STATUS_OK,
+      respond_ (standin, message, SOUP_STATUS_OK,
                 g_strdup_printf (
                     "{\"reads\":%" G_GUINT64_FORMAT ",\"writes\":%" G_GUINT64_FORMAT
                     ",\"watches\":%" G_GUINT64_FORMAT "}",
@@ -255,7 +353,7 @@
 
       if (object == NULL)
         {
-          respond_ (message, SOUP_STATUS_BAD_REQUEST, g_strdup ("{}"));
+          respond_ (standin, message, SOUP_STATUS_BAD_REQUEST, g_strdup ("{}"));
           return;
         }
       faults.down = dp_json_get_boolean (object, "down", faults.down);
@@ -268,7 +366,7 @@
       if (dp_json_get_uint (object, "reject_rate", &number))
         faults.reject_rate = (guint) MIN (number, 100);
       standin_platform_set_faults (standin, &faults);
-      respond_ (message, SOUP_STATUS_OK, g_strdup ("{}"));
+      respond_ (standin, message, SOUP_STATUS_OK, g_strdup ("{}"));
     }
 }
 
@@ -303,14 +401,15 @@
   else if (g_str_equal (path, OBJECTS_PATH) && reads)
     list_objects_ (standin, message);
   else if (key == NULL || strchr (key, '/') == NULL)
-    respond_ (message, SOUP_STATUS_NOT_FOUND, g_strdup ("{\"error\":\"no such path\"}"));
+    respond_ (standin, message, SOUP_STATUS_NOT_FOUND,
+              g_strdup ("{\"error\":\"no such path\"}"));
   else if (reads)
     read_object_ (standin, message, key);
   else if (g_str_equal (method, SOUP_METHOD_PUT)
            || g_str_equal (method, SOUP_METHOD_DELETE))
     write_object_ (standin, message, key);
   else
-    respond_ (message, SOUP_STATUS_METHOD_NOT_ALLOWED, g_strdup ("{}"));
+    respond_ (standin, message, SOUP_STATUS_METHOD_NOT_ALLOWED, g_strdup ("{}"));
 }
 
 static void
@@ -319,10 +418,10 @@
   const Object *object = g_hash_table_lookup (standin->objects, key);
 
   if (object == NULL || object->deleted)
-    respond_ (message, SOUP_STATUS_NOT_FOUND,
+    respond_ (standin, message, SOUP_STATUS_NOT_FOUND,
               g_strdup ("{\"error\":\"no such object\"}"));
   else
-    respond_ (message, SOUP_STATUS_OK, format_object_ (object, key));
+    respond_ (standin, message, SOUP_STATUS_OK, format_object_ (object, key));
 }
 
 static void
@@ -331,7 +430,7 @@
   const char *query = g_uri_get_query (soup_server_message_get_uri (message));
   g_autoptr (GHashTable) parameters = soup_form_decode (query == NULL ? "" : query);
 
-  respond_ (message, SOUP_STATUS_OK,
+  respond_ (standin, message, SOUP_STATUS_OK,
             format_items_ (standin, 0, FALSE, g_hash_table_lookup (parameters, "kind")));
 }
 
@@ -352,13 +451,13 @@
 
   if (condition == NULL)
     {
-      respond_ (message, STATUS_PRECONDITION_REQUIRED,
+      respond_ (standin, message, STATUS_PRECONDITION_REQUIRED,
                 g_strdup ("{\"error\":\"If-Match is missing\"}"));
       return;
     }
   if (body->length > VALUE_MAX)
     {
-      respond_ (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
+      respond_ (standin, message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
                 g_strdup ("{\"error\":\"the value is over 1 MB\"}"));
       return;
     }
@@ -367,12 +466,14 @@
                            NULL);
   if (!deletes && value == NULL)
     {
-      respond_ (message, SOUP_STATUS_BAD_REQUEST, g_strdup ("{\"error\":\"not JSON\"}"));
+      respond_ (standin, message, SOUP_STATUS_BAD_REQUEST,
+                g_strdup ("{\"error\":\"not JSON\"}"));
       return;
     }
   if (!g_str_equal (condition, expected_condition) || (deletes && current_version == 0))
     {
-      respond_ (message, SOUP_STATUS_PRECONDITION_FAILED, format_object_ (object, key));
+      respond_ (standin, message, SOUP_STATUS_PRECONDITION_FAILED,
+                format_object_ (object, key));
       return;
     }
   text = store_object_ (standin, key, deletes ? NULL : dp_json_format (value));
@@ -383,7 +484,7 @@
       close_connection_ (message);
     }
   else
-    respond_ (message, SOUP_STATUS_OK, text);
+    respond_ (standin, message, SOUP_STATUS_OK, text);
   complete_watches_ (standin);
 }
 
@@ -431,12 +532,14 @@
       || (timeout_text != NULL
           && !g_ascii_string_to_unsigned (timeout_text, 10, 0, WATCH_MAX_MS, &timeout_ms,
                                           NULL)))
-    respond_ (message, SOUP_STATUS_BAD_REQUEST,
+    respond_ (standin, message, SOUP_STATUS_BAD_REQUEST,
               g_strdup ("{\"error\":\"since or timeout_ms\"}"));
   else if (standin->faults.cut_watches)
     close_connection_ (message);
-  else if (since < standin->dropped_version)
-    respond_ (message, SOUP_STATUS_GONE, g_strdup ("{\"error\":\"history is gone\"}"));
+  else if (since < standin->dropped_version
+           || (since > standin->revision && standin->era > 0))
+    respond_ (standin, message, SOUP_STATUS_GONE,
+              g_strdup ("{\"error\":\"history is gone\"}"));
   else if (since != standin->revision || timeout_ms == 0)
     respond_watch_ (standin, message, since);
   else
@@ -452,9 +555,11 @@
 respond_watch_ (StandinPlatform *standin, SoupServerMessage *message, guint64 since)
 {
   if (since < standin->dropped_version)
-    respond_ (message, SOUP_STATUS_GONE, g_strdup ("{\"error\":\"history is gone\"}"));
+    respond_ (standin, message, SOUP_STATUS_GONE,
+              g_strdup ("{\"error\":\"history is gone\"}"));
   else
-    respond_ (message, SOUP_STATUS_OK, format_items_ (standin, since, TRUE, NULL));
+    respond_ (standin, message, SOUP_STATUS_OK,
+              format_items_ (standin, since, TRUE, NULL));
 }
 
 static gboolean
@@ -521,8 +626,14 @@
 }
 
 static void
-respond_ (SoupServerMessage *message, guint status, char *body)
+respond_ (StandinPlatform *standin, SoupServerMessage *message, guint status, char *body)
 {
+  g_autofree char *era = g_strdup_printf ("%" G_GUINT64_FORMAT, standin->era);
+
+  if (standin->era_header != NULL || standin->era > 0)
+    soup_message_headers_replace (
+        soup_server_message_get_response_headers (message), "Store-Era",
+        standin->era_header == NULL ? era : standin->era_header);
   soup_server_message_set_status (message, status, NULL);
   soup_server_message_set_response (message, JSON_TYPE, SOUP_MEMORY_TAKE, body,
                                     strlen (body));
--- a/test/platform/standin_platform.h
+++ b/test/platform/standin_platform.h
@@ -39,5 +39,13 @@
 /* Drops all objects without leaving tombstones and sets the revision, as after a restore
  * from a backup. */
 void standin_platform_restore (StandinPlatform *standin, guint64 revision);
+/* With an era from 1 on, every response has the header Store-Era, and a watch from a
+ * revision that the store does not have gets 410 (Gone). */
+void standin_platform_set_era (StandinPlatform *standin, guint64 era);
+/* Sends text instead of the era. */
+void standin_platform_set_era_header (StandinPlatform *standin, const char *text);
+void standin_platform_back_up (StandinPlatform *standin);
+/* Goes back to the last backup; the era increases by one. */
+void standin_platform_restore_backup (StandinPlatform *standin);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (StandinPlatform, standin_platform_free)
