Wait for other balancers' configuration after a start, test restores

A balancer that started after the store was restored from a backup put the older version in force and was ready at once. It now asks the other roots, or its parent, first, for at most 2 s, if the store has eras. A watch that is stopped no longer counts as behind.

--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -28,6 +28,10 @@
 #define MAX_CONSULTED 5
 /* Time after which they are disconnected, even if they have not answered. */
 #define CONSULTATION_US (5 * DP_US_PER_S)
+/* Time after the start for which a balancer waits for a newer configuration from others
+ * than that of a store that may have been restored. The lists and the answers of others
+ * take 0.5 s if the store is slow. */
+#define CATCH_UP_US (2 * DP_US_PER_S)
 
 /* Another balancer that is asked for a newer configuration. */
 typedef struct
@@ -72,6 +76,8 @@
   gint64 unreachable_since; /* us, 0: the platform is reachable */
   gboolean is_root;         /* of the relay tree */
   gboolean consult;         /* other balancers may have a newer configuration */
+  gboolean caught_up; /* those of them that matter have been asked since the start */
+  gint64 started_at;  /* us */
   GPtrArray *consultations; /* Consultation */
   gboolean known;           /* the services have been read */
   GHashTable *names;        /* of the configuration's services, NULL: not known */
@@ -98,6 +104,7 @@
 static void consult_others_ (DpPassthroughServices *services, gint64 now);
 static void
 consult_ (DpPassthroughServices *services, const DpAddress *address, gint64 now);
+static void update_caught_up_ (DpPassthroughServices *services, gint64 now);
 static void consultation_free_ (gpointer data);
 static void consultation_changed_ (DpUpstream *upstream, gpointer user_data);
 static void consultation_progressed_ (DpUpstream *upstream, gpointer user_data);
@@ -176,6 +183,7 @@
       "Time since the services were last known to be the newest, in milliseconds");
   services->consultations = g_ptr_array_new_with_free_func (consultation_free_);
   services->consult = TRUE;
+  services->started_at = dp_clock_now (options->clock);
   services->platform = options->platform;
   dp_platform_add_era_listener (services->platform, era_changed_, services);
   create_registration_ (services, options);
@@ -231,16 +239,18 @@
   choose_parents_ (services, now);
   choose_source_ (services, now);
   consult_others_ (services, now);
+  update_caught_up_ (services, now);
   services->version->value = dp_replica_position (services->services_replica);
   services->age->value = (guint64) (dp_freshness_age (&services->freshness, now)
                                     / DP_US_PER_MS);
 }
 
-/* Returns whether the services have been read from any source. */
+/* Returns whether the services have been read from any source, and other balancers had
+ * time to send a newer configuration. */
 gboolean
 dp_passthrough_services_are_known (const DpPassthroughServices *services)
 {
-  return services->known;
+  return services->known && services->caught_up;
 }
 
 /* Returns whether the services are known, and either the platform answered the last
@@ -248,7 +258,7 @@
 gboolean
 dp_passthrough_services_are_current (const DpPassthroughServices *services)
 {
-  return services->known
+  return services->known && services->caught_up
          && (dp_watch_reachable (services->services_watch)
              || dp_freshness_parent_is_current (&services->freshness,
                                                 dp_clock_now (services->clock)));
@@ -563,6 +573,28 @@
   dp_metric_increment (services->consulted);
 }
 
+/* After its start, a balancer is not ready before it has asked others: what the store has
+ * may be older than what is in force everywhere else. A store without eras is never
+ * restored. */
+static void
+update_caught_up_ (DpPassthroughServices *services, gint64 now)
+{
+  gboolean asked = services->registering && !services->consult;
+
+  if (services->caught_up)
+    return;
+  for (guint i = 0; i < services->consultations->len; i++)
+    asked = asked
+            && dp_upstream_synced (
+                ((const Consultation *) g_ptr_array_index (services->consultations, i))
+                    ->upstream);
+  if (!services->is_root)
+    asked = asked && dp_upstream_synced (services->upstream);
+  services->caught_up = asked
+                        || (services->known && dp_platform_era (services->platform) == 0)
+                        || now - services->started_at > CATCH_UP_US;
+}
+
 static void
 consultation_free_ (gpointer data)
 {
@@ -584,8 +616,11 @@
 {
   const Consultation *consultation = user_data;
 
-  if (dp_upstream_synced (upstream))
-    apply_progress_ (consultation->services);
+  if (!dp_upstream_synced (upstream))
+    return;
+  apply_progress_ (consultation->services);
+  update_caught_up_ (consultation->services,
+                     dp_clock_now (consultation->services->clock));
 }
 
 static void
@@ -606,8 +641,12 @@
 static void
 upstream_progressed_ (DpUpstream *upstream, gpointer user_data)
 {
-  if (dp_upstream_synced (upstream))
-    apply_progress_ (user_data);
+  DpPassthroughServices *services = user_data;
+
+  if (!dp_upstream_synced (upstream))
+    return;
+  apply_progress_ (services);
+  update_caught_up_ (services, dp_clock_now (services->clock));
 }
 
 /* Records the parent's confirmation that there is no newer configuration, and sends it on
@@ -657,12 +696,18 @@
 balancers_progressed_ (gpointer user_data)
 {
   DpPassthroughServices *services = user_data;
+  const gint64 now = dp_clock_now (services->clock);
 
   /* Only the list of registered balancers shows whether this balancer has to write its
    * registration. */
   if (!services->registering)
-    dp_balancer_registration_set_wanted (services->registration, TRUE);
-  services->registering = TRUE;
+    {
+      dp_balancer_registration_set_wanted (services->registration, TRUE);
+      services->registering = TRUE;
+      choose_parents_ (services, now);
+      consult_others_ (services, now);
+      update_caught_up_ (services, now);
+    }
   g_debug ("the list of registered balancers is at position=" DP_POSITION_FORMAT,
            DP_POSITION_ARGS (dp_replica_position (services->balancers_replica)));
 }
@@ -686,6 +731,7 @@
   const gint64 now = dp_clock_now (services->clock);
 
   apply_progress_ (services);
+  update_caught_up_ (services, now);
   dp_freshness_platform_answered (&services->freshness, now);
   send_freshness_ (services, now);
 }
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -100,8 +100,6 @@
   if (watch == NULL)
     return;
   dp_watch_set_active (watch, FALSE);
-  if (watch->behind)
-    watch->behind_gauge->value--;
   dp_platform_remove_era_listener (watch->platform, watch);
   g_free (watch);
 }
@@ -156,6 +154,9 @@
   dp_backoff_reset (&watch->backoff);
   watch->reachable = FALSE;
   watch->n_failures = 0;
+  if (watch->behind)
+    watch->behind_gauge->value--;
+  watch->behind = FALSE;
 }
 
 /* Returns whether the watch has been started. */
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -29,6 +29,9 @@
 OUTER_S = 12.0  # outer_ms
 WATCHED_S = 3.0  # after a change is due
 JOBS = 3  # cases at a time, most of which wait
+# A lost registration is back: the longest wait of a watch of the registrations, and a second each
+# for its answer, the delay of the list, the list, the delay of the write, and the write.
+REGISTERED_S = 15.0
 STEP_S = 0.1  # between two requests of a balancer for a route
 
 
@@ -251,6 +254,89 @@
     play.check()
 
 
+def test_version_lost_in_a_restore(site):
+    """The store's older version was put in force, also by balancers that had just started."""
+    play = Play(site)
+    play.run(4.0)
+    play.change(added_route(1))
+    play.ask_all([added_route(0), added_route(1)], time.monotonic() + 1.0)
+    differing = site.restore_store(age_s=3.0)
+    check(("config", "main") in differing, f"the restore changed {differing}")
+    for balancer in (site.balancers[0], site.balancers[2]):
+        balancer.kill()
+        balancer.start()
+    play.ask_all([added_route(0), added_route(1)], time.monotonic() + APPLY_S + 3.0)
+    site.configure_again()
+    play.ask_all([added_route(0), added_route(1)], time.monotonic() + 1.0)
+    play.change(added_route(2))
+    play.watch([added_route(1), added_route(2)])
+    play.check(served=[added_route(2)])
+    behind = [b.name for b in site.balancers if b.metric("dogwoodpaddle_platform_behind")]
+    check(not behind, f"{behind} still have a newer version than the store")
+
+
+def test_version_written_while_positions_repeat(site):
+    """A watch of the old era waits for a revision that the store has assigned again."""
+    play = Play(site)
+    play.run(4.0)
+    for number in range(1, 4):
+        play.change(added_route(number))
+        play.run(0.3)
+        site.store.restore(age_s=0.8)  # no connection ends
+        site.configure_again()
+        play.change(added_route(10 + number))
+        play.watch([added_route(number), added_route(10 + number)])
+        play.check(served=[added_route(10 + number)])
+
+
+def test_registrations_lost_in_a_restore(site):
+    """A balancer without a registration got no reports of the servers, and no flows."""
+    play = Play(site)
+    play.run(3.0)
+    late = [site.add_balancer("riga-a") for _ in range(2)]
+    site.wait_ready(10.0)
+    restarted = site.balancers[1]
+    differing = site.restore_store(age_s=8.0)
+    names = {b.name for b in site.balancers}
+    lost = {name for kind, name in differing if kind == "balancers"}
+    check({b.name for b in late} <= lost, f"lost: {lost}")
+    restarted.kill()
+    restarted.start()
+    restored_at = time.monotonic()
+    flows = []
+    registered_at = None
+    while time.monotonic() < restored_at + REGISTERED_S + 2.0:
+        flows += [play.ask(balancer, REPORTS) for balancer in late]
+        play.run(STEP_S)
+        if names <= {name for kind, name in site.store.objects if kind == "balancers"}:
+            registered_at = registered_at or time.monotonic() - restored_at
+    play.run(2.0)
+    check(registered_at is not None and registered_at < REGISTERED_S,
+          f"registrations are back after {registered_at} s")
+    print(f"registrations are back after {registered_at:.1f} s", flush=True)
+    unserved = [f["result"] for f in flows if f["result"] != "ok"]
+    check(not unserved, f"{len(unserved)} of {len(flows)} requests to balancers whose registration "
+          f"was lost: {set(unserved)}")
+
+
+def test_odd_eras(site):
+    """Headers that are no era change nothing; an answer of a lower era is none."""
+    play = Play(site, zones=ZONES[:2])
+    play.run(3.0)
+    for number, header in enumerate(("", "x", "-1", "99999999999999999999", "1.5", "0"), 1):
+        site.store.era_header = header
+        play.run(1.5)
+        site.store.era_header = None
+        play.disturbed()
+        play.change(added_route(number))
+        play.watch([added_route(number)])
+    play.check(served=[added_route(6)])
+    ended = [b.name for b in site.balancers if b.process.poll() is not None]
+    check(not ended, f"{ended} ended")
+    silent = [b.name for b in site.balancers if "Store-Era malformed" not in b.log()]
+    check(not silent, f"{silent} logged nothing")
+
+
 def run(test):
     folder = tempfile.mkdtemp(prefix="configuration-")
     site = standins.Site(PROGRAM, folder, FAULTS_LIBRARY)
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -286,6 +286,7 @@
     start(site)
     client = site.client()
     added = ("198.18.0.3", 80, "darbnica", "idempotent")
+    site.version += 1  # each change of the configuration has a higher one
     site.store.compact(("config", "main", site.configuration([REPORTS, added])))
     client.run(time.monotonic() + CONFIG_APPLY_S - 0.5)
     flow = client.start(added[:2], b"new")
@@ -384,6 +385,7 @@
     """The roots' waiting watches are told nothing of the change."""
     start_relay(site)
     added = ("198.18.0.4", 80, "darbnica", "idempotent")
+    site.version += 1  # each change of the configuration has a higher one
     site.store.compact(("config", "main", site.configuration([REPORTS, added])))
     time.sleep(CONFIG_APPLY_S - 0.5)
     for balancer in site.balancers:
