--- a/src/libdogwoodpaddle/evacuations.c
+++ b/src/libdogwoodpaddle/evacuations.c
@@ -7,8 +7,6 @@
 
 #include "protected/clock.h"
 
-/* Era of a position in the store's history. */
-#define POSITION_ERA(position) ((position) >> 48)
 /* An evacuation that a restored store no longer has stays in force for this time, in
  * which the operator writes it again: a backup is at most this old. */
 #define RESTORED_GRACE_US (10 * DP_US_PER_S)
@@ -22,7 +20,7 @@
 typedef struct
 {
   char *zone;
-  guint64 position;
+  DpPosition position;
   gboolean evacuated;
   gboolean in_store; /* the store has shown this process the evacuation */
   gint64 began_at;   /* us, when a process first heard of the change */
@@ -31,9 +29,9 @@
 
 struct _DpEvacuations
 {
-  GPtrArray *entries; /* Entry */
-  guint64 complete;   /* all changes of the store up to here are known; 0: none */
-  gboolean full;      /* an entry was refused */
+  GPtrArray *entries;  /* Entry */
+  DpPosition complete; /* all changes of the store up to here are known; 0: none */
+  gboolean full;       /* an entry was refused */
   DpEvacuationsFunc changed;
   gpointer user_data;
 };
@@ -119,7 +117,7 @@
   if (entry == NULL || change->position < entry->position)
     return;
   if (from_store && !change->evacuated && entry->evacuated
-      && POSITION_ERA (change->position) > POSITION_ERA (entry->position))
+      && dp_position_era (change->position) > dp_position_era (entry->position))
     {
       entry->in_store = FALSE;
       return;
@@ -138,7 +136,7 @@
 /* Ends evacuations at or before the position that the store doesn't have. */
 void
 dp_evacuations_set_complete (DpEvacuations *evacuations,
-                             guint64 position,
+                             DpPosition position,
                              DpEvacuationSource source,
                              gint64 now)
 {
@@ -344,10 +342,10 @@
     entry->began_at = now - change->age_ms * DP_US_PER_MS;
   if (was_evacuated == change->evacuated)
     return;
-  g_message ("evacuation of zone %s %s: position %" G_GUINT64_FORMAT
+  g_message ("evacuation of zone %s %s: position " DP_POSITION_FORMAT
              ", from a %s, age %u ms",
-             entry->zone, entry->evacuated ? "is in force" : "has ended", entry->position,
-             source_strings_[source], change->age_ms);
+             entry->zone, entry->evacuated ? "is in force" : "has ended",
+             DP_POSITION_ARGS (entry->position), source_strings_[source], change->age_ms);
   if (evacuations->changed != NULL)
     evacuations->changed (evacuations->user_data);
 }
@@ -376,14 +374,14 @@
 {
   if (!entry->evacuated || entry->in_store || entry->position > evacuations->complete)
     return;
-  if (POSITION_ERA (entry->position) == POSITION_ERA (evacuations->complete))
+  if (dp_position_era (entry->position) == dp_position_era (evacuations->complete))
     end_ (evacuations, entry, source, now);
   else if (entry->ends_at == 0)
     {
       entry->ends_at = now + RESTORED_GRACE_US;
-      g_message ("evacuation of zone %s: the restored store doesn't have it at position "
-                 "%" G_GUINT64_FORMAT "; it stays in force for %d s",
-                 entry->zone, evacuations->complete,
+      g_message ("evacuation of zone %s: the restored store doesn't have it at "
+                 "position " DP_POSITION_FORMAT "; it stays in force for %d s",
+                 entry->zone, DP_POSITION_ARGS (evacuations->complete),
                  (int) (RESTORED_GRACE_US / DP_US_PER_S));
     }
 }
@@ -394,7 +392,7 @@
 was_deleted_ (const DpEvacuations *evacuations, const DpEvacuationEntry *change)
 {
   return change->evacuated && change->position <= evacuations->complete
-         && POSITION_ERA (change->position) == POSITION_ERA (evacuations->complete);
+         && dp_position_era (change->position) == dp_position_era (evacuations->complete);
 }
 
 /* Evacuated zones first, then by position, newest first. */
--- a/src/libdogwoodpaddle/evacuationwatch.c
+++ b/src/libdogwoodpaddle/evacuationwatch.c
@@ -87,7 +87,7 @@
   DpEvacuationWatch *watch = user_data;
   const DpEvacuationEntry change = {
     .zone = record->name,
-    .position = record->revision,
+    .position = record->position,
     .evacuated = !record->deleted,
   };
 
@@ -106,7 +106,7 @@
 {
   DpEvacuationWatch *watch = user_data;
 
-  dp_evacuations_set_complete (watch->evacuations, dp_replica_revision (watch->replica),
+  dp_evacuations_set_complete (watch->evacuations, dp_replica_position (watch->replica),
                                source_ (watch), dp_clock_now (watch->clock));
 }
 
--- a/src/libdogwoodpaddle/include/private/watch.h
+++ b/src/libdogwoodpaddle/include/private/watch.h
@@ -38,4 +38,5 @@
 gboolean dp_watch_reachable (const DpWatch *watch);
 gboolean dp_watch_failed (const DpWatch *watch);
 gboolean dp_watch_answered_by_list (const DpWatch *watch);
+/* Returns whether the platform offers an older state than the replica has. */
 gboolean dp_watch_platform_is_behind (const DpWatch *watch);
--- a/src/libdogwoodpaddle/include/protected/evacuations.h
+++ b/src/libdogwoodpaddle/include/protected/evacuations.h
@@ -13,6 +13,8 @@
 
 #include <glib.h>
 
+#include "protected/position.h"
+
 #define DP_EVACUATIONS_MAX 64      /* entries */
 #define DP_EVACUATION_ZONE_MAX 255 /* bytes of a zone's name */
 
@@ -21,7 +23,7 @@
 typedef struct
 {
   const char *zone;
-  guint64 position; /* of the change in the store's history */
+  DpPosition position; /* of the change in the store's history */
   gboolean evacuated;
   guint32 age_ms; /* since the first process known to have heard of the change */
 } DpEvacuationEntry;
@@ -49,7 +51,7 @@
                            gint64 now);
 /* Records that all changes of the store up to the position have been applied. */
 void dp_evacuations_set_complete (DpEvacuations *evacuations,
-                                  guint64 position,
+                                  DpPosition position,
                                   DpEvacuationSource source,
                                   gint64 now);
 /* Returns whether the store's evacuations have been read completely at least once. */
--- a/test/test_balancer.py
+++ b/test/test_balancer.py
@@ -26,6 +26,7 @@
 WAIT_S = 30
 CONTROL_BYTES_A_SECOND = 2048  # bound of design section 9
 MEASURE_S = 5
+MESSAGE_VERSION = 2  # DP_MESSAGE_VERSION; a peer of another version is refused
 
 
 def http(method, url, value=None, version=None):
@@ -177,7 +178,7 @@
     def beat(self, links, i):
         if i not in links:
             links[i] = socket.create_connection((f"{NETWORK}.{i + 11}", 7001), timeout=1)
-            self.send(links[i], [1, 1, 1, self.name, ZONES[0], 0])
+            self.send(links[i], [1, MESSAGE_VERSION, 1, self.name, ZONES[0], 0])
         self.send(links[i], [4, "darbnica", self.name, self.incarnation, 1, 2, 30])
 
     @staticmethod
