Learn how many requests a server handles well at once

Cause: fixed slots hold more requests than a server handles well that slows down before it is full, and don't show how fast a server is. Change: module concurrencylimit, which compares the service times at different numbers of requests in work; passthrough uses its limit instead of the declared slots after dp_passthrough_learn_limit (). Load reports carry the limit and the classes' service times in one more field, which is sent only if a limit is learnt. Nothing enables it yet. Tested: test_report, test_passthrough, test_overload, test_placement pass unchanged.

--- /dev/null
+++ b/src/libdogwoodpaddle/concurrencylimit.c
@@ -0,0 +1,454 @@
+#include "protected/concurrencylimit.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "protected/clock.h"
+
+/* Levels of requests in work that are told apart; with more than LEVELS_MAX / 2 declared
+ * slots, several numbers of requests share a level. */
+#define LEVELS_MAX 32
+/* The limit is at most this many times the declared slots. */
+#define LIMIT_FACTOR_MAX 2
+/* Observations lose 63% of their weight in these times. The first is for the comparison
+ * of levels and the present service time: at 75 requests/s it leaves some 75 samples, and
+ * a change shows within a second. The other is for the usual time of a class, which has
+ * to be steadier than the mix of classes. */
+#define RECENT_US DP_US_PER_S
+#define USUAL_US (10 * DP_US_PER_S)
+/* Samples of a class before its requests are compared with the usual time. */
+#define USUAL_SAMPLES_MIN 8
+/* Weight of the usual time, in samples, within the present service time, so that a single
+ * request of the long tail doesn't make a server with few requests look slow. */
+#define USUAL_WEIGHT 2.0
+/* Variance of the logarithm of service times: 0.25 for a log-normal deviation of 0.5,
+ * and 0.11 for 3% of requests that take seven times as long. */
+#define LOG_VARIANCE 0.36
+/* Limit of a sample's logarithm, relative to the usual time: a factor of 12. */
+#define LOG_RATIO_MAX 2.5
+/* Improvement of the squared error, in variances, that a lower or higher limit must
+ * bring. A limit that is too low costs capacity, so that it needs more evidence: 8 is
+ * exceeded by chance in 1 of 200 evaluations of independent samples. */
+#define EVIDENCE_TO_LOWER 8.0
+#define EVIDENCE_TO_RAISE 3.0
+/* Between limits that fit equally well, the one nearest to the present limit is taken. */
+#define DISTANCE_COST 0.01
+/* An evaluation lowers or raises the limit by at most this share of it, or by one. */
+#define STEP_SHARE 0.25
+/* Flows offered in excess of the limit, so that no slot is idle during the handshake of
+ * the next client. */
+#define EXCESS_MAX 2
+/* A limit below the declared slots is exceeded for PROBE_US in each PROBE_INTERVAL_US, by
+ * half of it, so that a server that has recovered shows it within 2 s. */
+#define PROBE_INTERVAL_US DP_US_PER_S
+#define PROBE_US (250 * DP_US_PER_MS)
+/* Time after which a refusal no longer bounds the limit. The server's capacity may have
+ * changed, and each further refusal costs one SYN a visit to another member. */
+#define REFUSAL_US (10 * DP_US_PER_S)
+
+/* Shapes of the service time as a function of the requests in work. Beyond the knee it
+ * grows like this power of them: 1 if the throughput stays, 2 if it falls. */
+static const double knee_powers_[] = { 1.0, 2.0 };
+/* Without a knee it grows like one of these powers: the throughput still rises. */
+static const double smooth_powers_[] = { 0.0, 0.25, 0.5, 0.75 };
+
+/* Weighted sum of samples. */
+typedef struct
+{
+  double weight;
+  double sum;
+} Samples;
+
+typedef struct
+{
+  Samples recent; /* logarithms of times in us */
+  double usual;   /* logarithm of the usual time in us */
+  double usual_weight;
+} Class;
+
+struct _DpConcurrencyLimit
+{
+  Class classes[DP_N_TRAFFIC_CLASSES];
+  Samples levels[LEVELS_MAX + 1]; /* logarithms of times relative to the usual ones */
+  double level_logs[LEVELS_MAX + 1];
+  guint declared;
+  guint step;          /* requests per level */
+  guint limit;         /* in levels */
+  guint n_work;        /* requests in work */
+  gint64 request_time; /* us, sum of the times of all requests in work until changed_at */
+  gint64 changed_at;   /* us */
+  gint64 warm_at;      /* us */
+  gint64 updated_at;   /* us */
+  gint64 handshake_time; /* us */
+  gint64 refused_at;     /* us */
+  guint refused_with;    /* flows in flight at the last refusal; 0: none */
+  gboolean probing;
+};
+
+static void advance_ (DpConcurrencyLimit *limit, gint64 now);
+static void set_level_limit_ (DpConcurrencyLimit *limit, guint level);
+static guint top_level_ (const DpConcurrencyLimit *limit);
+static void
+observe_ (DpConcurrencyLimit *limit, DpTrafficClass class, gint64 time, double level);
+static void decay_ (DpConcurrencyLimit *limit, gint64 now);
+static double error_of_ (const DpConcurrencyLimit *limit, double power, guint knee);
+static double knee_error_ (const DpConcurrencyLimit *limit, guint knee);
+static double smooth_error_ (const DpConcurrencyLimit *limit);
+static guint best_limit_ (const DpConcurrencyLimit *limit);
+static double mean_service_time_ (const DpConcurrencyLimit *limit);
+
+/* Creates a limit of one slot. */
+DpConcurrencyLimit *
+dp_concurrency_limit_new (gint64 now)
+{
+  DpConcurrencyLimit *limit = g_new0 (DpConcurrencyLimit, 1);
+
+  for (guint i = 1; i <= LEVELS_MAX; i++)
+    limit->level_logs[i] = log (i);
+  limit->changed_at = now;
+  limit->updated_at = now;
+  limit->step = 1;
+  dp_concurrency_limit_set_declared (limit, 1);
+  return limit;
+}
+
+void
+dp_concurrency_limit_free (DpConcurrencyLimit *limit)
+{
+  g_free (limit);
+}
+
+/* Sets the declared slots. A number other than before starts the learning anew. */
+void
+dp_concurrency_limit_set_declared (DpConcurrencyLimit *limit, guint slots)
+{
+  slots = MAX (slots, 1);
+  if (slots == limit->declared)
+    return;
+  limit->declared = slots;
+  limit->step = MAX ((slots * LIMIT_FACTOR_MAX + LEVELS_MAX - 1) / LEVELS_MAX, 1);
+  memset (limit->levels, 0, sizeof limit->levels);
+  set_level_limit_ (limit, (slots + limit->step - 1) / limit->step);
+}
+
+void
+dp_concurrency_limit_set_warm_at (DpConcurrencyLimit *limit, gint64 warm_at)
+{
+  limit->warm_at = warm_at;
+}
+
+/* Forgets all observations. Requests in work are to be abandoned by the caller. */
+void
+dp_concurrency_limit_reset (DpConcurrencyLimit *limit)
+{
+  const guint slots = limit->declared;
+
+  memset (limit->classes, 0, sizeof limit->classes);
+  limit->refused_with = 0;
+  limit->declared = 0;
+  dp_concurrency_limit_set_declared (limit, slots);
+}
+
+/* Records the begin of a request. */
+void
+dp_concurrency_limit_begin (DpConcurrencyLimit *limit, DpRequestWork *work, gint64 now)
+{
+  advance_ (limit, now);
+  limit->n_work++;
+  work->began_at = now;
+  work->request_time = limit->request_time;
+}
+
+/* Records the end of a request. Its time counts for the mean number of requests that were
+ * in work meanwhile. */
+void
+dp_concurrency_limit_end (DpConcurrencyLimit *limit,
+                          DpRequestWork *work,
+                          DpTrafficClass class,
+                          gint64 now)
+{
+  const gint64 began_at = work->began_at;
+  const gint64 time = MAX (now - began_at, 1);
+  double level;
+
+  advance_ (limit, now);
+  level = (double) (limit->request_time - work->request_time) / (double) time
+          / limit->step;
+  dp_concurrency_limit_abandon (limit, work);
+  if (began_at >= limit->warm_at)
+    observe_ (limit, class, time, MAX (level, 1.0));
+}
+
+/* The request counts as ended at the last change of the requests in work. */
+void
+dp_concurrency_limit_abandon (DpConcurrencyLimit *limit, DpRequestWork *work)
+{
+  if (work->began_at == 0)
+    return;
+  limit->n_work -= limit->n_work > 0 ? 1 : 0;
+  work->began_at = 0;
+}
+
+/* Records a refusal. Until REFUSAL_US have passed, no more flows are offered than the
+ * server had when it refused one. */
+void
+dp_concurrency_limit_refused (DpConcurrencyLimit *limit, guint in_flight, gint64 now)
+{
+  limit->refused_with = MAX (in_flight, 1);
+  limit->refused_at = now;
+  set_level_limit_ (limit, MIN (limit->limit, top_level_ (limit)));
+}
+
+/* Lets older observations fade, and moves the limit if another one fits the recent ones
+ * clearly better. Without recent requests nothing is learnt, and the limit stays. */
+gboolean
+dp_concurrency_limit_update (DpConcurrencyLimit *limit, gint64 handshake_time, gint64 now)
+{
+  const guint before = limit->limit;
+  guint wanted;
+  guint step;
+
+  limit->handshake_time = handshake_time;
+  if (limit->refused_with != 0 && now - limit->refused_at > REFUSAL_US)
+    limit->refused_with = 0;
+  decay_ (limit, now);
+  limit->probing = limit->limit * limit->step < limit->declared
+                   && now % PROBE_INTERVAL_US < PROBE_US;
+  wanted = best_limit_ (limit);
+  step = MAX ((guint) (before * STEP_SHARE), 1);
+  set_level_limit_ (limit,
+                    CLAMP (wanted, before > step ? before - step : 1, before + step));
+  return limit->limit != before;
+}
+
+guint
+dp_concurrency_limit_slots (const DpConcurrencyLimit *limit)
+{
+  guint slots = limit->limit * limit->step;
+
+  /* A level stands for the numbers of requests around it; the declared slots are exact.
+   */
+  if (slots >= limit->declared && slots < limit->declared + limit->step)
+    return limit->declared;
+  return slots;
+}
+
+/* The excess beyond a lowered limit covers the handshakes only, since each further
+ * request makes all of them slower. */
+guint
+dp_concurrency_limit_capacity (const DpConcurrencyLimit *limit)
+{
+  const guint slots = dp_concurrency_limit_slots (limit);
+  const double work = mean_service_time_ (limit);
+  guint excess = EXCESS_MAX;
+
+  if (limit->probing)
+    excess = MAX ((slots + 1) / 2, 1);
+  else if (slots < limit->declared && work > 0)
+    excess = MIN ((guint) ceil (slots * (double) limit->handshake_time / work),
+                  EXCESS_MAX);
+  if (limit->refused_with != 0)
+    return MAX (MIN (slots + excess, limit->refused_with), 1);
+  return slots + excess;
+}
+
+guint
+dp_concurrency_limit_in_work (const DpConcurrencyLimit *limit)
+{
+  return limit->n_work;
+}
+
+/* Returns the geometric mean of recent service times, which a long tail moves little. The
+ * time at a number of requests above the limit counts as the time at the limit. */
+guint32
+dp_concurrency_limit_service_time (const DpConcurrencyLimit *limit, DpTrafficClass class)
+{
+  const Class *c = &limit->classes[class];
+  double mean;
+
+  if (c->usual_weight < USUAL_SAMPLES_MIN / 2.0)
+    return 0;
+  mean = (c->recent.sum + USUAL_WEIGHT * c->usual) / (c->recent.weight + USUAL_WEIGHT);
+  return (guint32) CLAMP (exp (mean), 1.0, (double) G_MAXUINT32);
+}
+
+double
+dp_concurrency_limit_slowdown (const DpConcurrencyLimit *limit)
+{
+  Samples all = { 0 };
+  Samples low = { 0 };
+
+  for (guint i = 1; i <= LEVELS_MAX; i++)
+    {
+      all.weight += limit->levels[i].weight;
+      all.sum += limit->levels[i].sum;
+      if (i > limit->limit)
+        continue;
+      low.weight += limit->levels[i].weight;
+      low.sum += limit->levels[i].sum;
+    }
+  if (all.weight < 1.0 || low.weight < 1.0)
+    return 1.0;
+  return exp (all.sum / all.weight - low.sum / low.weight);
+}
+
+/* Adds the time since the last change to the total time of the requests in work. */
+static void
+advance_ (DpConcurrencyLimit *limit, gint64 now)
+{
+  limit->request_time += (gint64) limit->n_work * (now - limit->changed_at);
+  limit->changed_at = now;
+}
+
+static void
+set_level_limit_ (DpConcurrencyLimit *limit, guint level)
+{
+  limit->limit = CLAMP (level, 1, top_level_ (limit));
+}
+
+/* Returns the highest level that the limit may have. */
+static guint
+top_level_ (const DpConcurrencyLimit *limit)
+{
+  guint top = limit->declared * LIMIT_FACTOR_MAX / limit->step;
+
+  if (limit->refused_with != 0)
+    top = MIN (top, limit->refused_with / limit->step);
+  return CLAMP (top, 1, LEVELS_MAX);
+}
+
+static void
+observe_ (DpConcurrencyLimit *limit, DpTrafficClass class, gint64 time, double level)
+{
+  Class *c = &limit->classes[class];
+  const double value = log ((double) time);
+  const double expected = log (MAX (level / limit->limit, 1.0));
+  const guint index = (guint) (level + 0.5);
+  Samples *samples = index <= LEVELS_MAX ? &limit->levels[index] : NULL;
+
+  if (c->usual_weight >= USUAL_SAMPLES_MIN && samples != NULL)
+    {
+      samples->sum += CLAMP (value - c->usual, -LOG_RATIO_MAX, LOG_RATIO_MAX);
+      samples->weight++;
+    }
+  c->recent.sum += value - expected;
+  c->recent.weight++;
+  c->usual_weight++;
+  c->usual += (value - expected - c->usual) / c->usual_weight;
+}
+
+static void
+decay_ (DpConcurrencyLimit *limit, gint64 now)
+{
+  const double time = (double) MAX (now - limit->updated_at, 0);
+  const double recent = exp (-time / RECENT_US);
+  const double usual = exp (-time / USUAL_US);
+
+  limit->updated_at = now;
+  for (guint i = 1; i <= LEVELS_MAX; i++)
+    {
+      limit->levels[i].weight *= recent;
+      limit->levels[i].sum *= recent;
+    }
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    {
+      Class *c = &limit->classes[i];
+
+      c->recent.weight *= recent;
+      c->recent.sum *= recent;
+      /* A class without requests keeps its usual time. */
+      c->usual_weight = MAX (c->usual_weight * usual,
+                             MIN (c->usual_weight, USUAL_SAMPLES_MIN));
+    }
+}
+
+/* Returns the squared error, in variances, of service times that are even up to the knee
+ * and grow like the power of the requests in work beyond it. The server's speed is
+ * fitted, so that a server that is slow at all levels has no knee. */
+static double
+error_of_ (const DpConcurrencyLimit *limit, double power, guint knee)
+{
+  double weight = 0.0;
+  double sum = 0.0;
+  double squares = 0.0;
+
+  for (guint i = 1; i <= LEVELS_MAX; i++)
+    {
+      const Samples *s = &limit->levels[i];
+      double difference;
+
+      if (s->weight < 0.01)
+        continue;
+      difference = s->sum / s->weight;
+      if (i > knee)
+        difference -= power * (limit->level_logs[i] - limit->level_logs[knee]);
+      weight += s->weight;
+      sum += s->weight * difference;
+      squares += s->weight * difference * difference;
+    }
+  return weight > 0.0 ? MAX (squares - sum * sum / weight, 0.0) / LOG_VARIANCE : 0.0;
+}
+
+static double
+knee_error_ (const DpConcurrencyLimit *limit, guint knee)
+{
+  double error = G_MAXDOUBLE;
+
+  for (guint i = 0; i < G_N_ELEMENTS (knee_powers_); i++)
+    error = MIN (error, error_of_ (limit, knee_powers_[i], knee));
+  return error;
+}
+
+/* Returns the error of service times that have no knee. */
+static double
+smooth_error_ (const DpConcurrencyLimit *limit)
+{
+  double error = G_MAXDOUBLE;
+
+  for (guint i = 0; i < G_N_ELEMENTS (smooth_powers_); i++)
+    error = MIN (error, error_of_ (limit, smooth_powers_[i], 1));
+  return error;
+}
+
+/* Returns the limit that fits the recent observations best, if it does so clearly better
+ * than the present one. */
+static guint
+best_limit_ (const DpConcurrencyLimit *limit)
+{
+  const double present = knee_error_ (limit, limit->limit);
+  const double smooth = smooth_error_ (limit);
+  const guint top = top_level_ (limit);
+  double best_error = present;
+  guint best = limit->limit;
+
+  for (guint level = 1; level <= top; level++)
+    {
+      const double distance = level > limit->limit ? level - limit->limit
+                                                   : limit->limit - level;
+      const double error = knee_error_ (limit, level) + DISTANCE_COST * distance;
+
+      if (error >= best_error)
+        continue;
+      best = level;
+      best_error = error;
+    }
+  if (best < limit->limit && MIN (present, smooth) - best_error < EVIDENCE_TO_LOWER)
+    return limit->limit;
+  if (best > limit->limit && present - best_error < EVIDENCE_TO_RAISE)
+    return limit->limit;
+  return best;
+}
+
+/* Returns the mean service time of the recent requests, in us; 0 if there were none. */
+static double
+mean_service_time_ (const DpConcurrencyLimit *limit)
+{
+  Samples all = { 0 };
+
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    {
+      all.weight += limit->classes[i].recent.weight;
+      all.sum += limit->classes[i].recent.sum;
+    }
+  return all.weight > 0.1 ? exp (all.sum / all.weight) : 0.0;
+}
--- a/src/libdogwoodpaddle/include/private/passthroughadmission.h
+++ b/src/libdogwoodpaddle/include/private/passthroughadmission.h
@@ -15,7 +15,6 @@
                                                       const char *member,
                                                       gint64 now);
 void dp_passthrough_admission_free (DpPassthroughAdmission *admission);
-void dp_passthrough_admission_set_slots (DpPassthroughAdmission *admission, guint slots);
 void dp_passthrough_admission_set_address (DpPassthroughAdmission *admission,
                                            const DpAddress *address);
 void dp_passthrough_admission_set_view (DpPassthroughAdmission *admission,
--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -2,6 +2,7 @@
  * for a slot and which have a pending request. */
 #pragma once
 
+#include "protected/concurrencylimit.h"
 #include "protected/flowdirectory.h"
 #include "protected/passthrough.h"
 #include "protected/serverhealth.h"
@@ -50,6 +51,8 @@
   guint32 answer_start_seq; /* sequence number at which the answer begins */
   guint32 server_next_seq;  /* sequence number after the server's highest data */
   gint64 new_data_at;       /* us, when server_next_seq last advanced */
+  DpRequestWork work;       /* only if the limit is learnt */
+  guint32 work_answer_seq;  /* sequence number at which the answer to that work begins */
   DpAddress forwarded_to;
   DpHop hop;                    /* of the SYN as it arrived */
   GBytes *packet;               /* the held SYN, owned; may be NULL */
@@ -65,10 +68,12 @@
 {
   DpSlots *slots;
   DpServerHealth *health;
+  DpConcurrencyLimit *concurrency; /* NULL: the declared slots are the limit */
   DpPassthroughHistograms histograms;
   GHashTable *by_key;             /* set of DpPassthroughFlow, compared by key */
   DpHandleTable *waiting_flows;   /* DpPassthroughFlow pointers */
   DpHandleTable *in_flight_flows; /* DpPassthroughFlow pointers */
+  guint declared_slots;
   guint n_in_flight; /* flows with a pending request; a flow's first request counts from
                         its SYN on */
   gint64 flow_ttl;   /* us */
@@ -107,6 +112,20 @@
                                          DpPassthroughFlow *flow,
                                          guint32 answer_start_seq,
                                          gint64 now);
+/* If the limit is learnt: records a packet of the client with data, before the other
+ * functions change the flow, and data of the server up to the sequence number end. */
+void dp_passthrough_flows_note_client_data (DpPassthroughFlows *flows,
+                                            DpPassthroughFlow *flow,
+                                            const DpSegment *segment,
+                                            gint64 now);
+void dp_passthrough_flows_note_answer (DpPassthroughFlows *flows,
+                                       DpPassthroughFlow *flow,
+                                       guint32 end,
+                                       gint64 now);
+/* Makes the flows learn the server's limit, beginning with the slots that were set. */
+void dp_passthrough_flows_learn_limit (DpPassthroughFlows *flows, gint64 now);
+/* Returns the number of requests that the server is to work on at once. */
+guint dp_passthrough_flows_n_slots (const DpPassthroughFlows *flows);
 /* Stops counting the flow as in flight, as the server has answered the request or has
  * ended the flow without an answer. Records the result in the server's health. */
 void dp_passthrough_flows_end_work (DpPassthroughFlows *flows,
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -21,6 +21,7 @@
 #include <glib.h>
 
 #include "protected/candidates.h"
+#include "protected/concurrencylimit.h"
 #include "protected/flowdirectory.h"
 #include "protected/metrics.h"
 #include "protected/packetformat.h"
@@ -139,6 +140,11 @@
 void dp_passthrough_free (DpPassthrough *passthrough);
 void dp_passthrough_set_limits (DpPassthrough *passthrough,
                                 const DpPassthroughLimits *limits);
+/* Learns how many requests the server handles well at once and uses that instead of the
+ * declared slots. */
+void dp_passthrough_learn_limit (DpPassthrough *passthrough, gint64 now);
+/* Returns the learnt limit; NULL before dp_passthrough_learn_limit (). */
+DpConcurrencyLimit *dp_passthrough_concurrency (const DpPassthrough *passthrough);
 /* Sets the packet port of this companion, under which it registers its server's flows. */
 void dp_passthrough_set_address (DpPassthrough *passthrough, const DpAddress *address);
 /* Sets the members of the service; takes a reference to the view. */
--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -10,6 +10,7 @@
 #include "protected/flowdirectory.h"
 #include "protected/packetport.h"
 #include "protected/memberview.h"
+#include "protected/slots.h"
 
 #define DP_REPORT_INTERVAL_MAX_MS 60000
 
@@ -31,6 +32,9 @@
   guint32 interval_ms; /* time until this balancer gets the next report */
   gboolean failing;    /* the server fails too many requests to get new flows */
   gboolean deregistered; /* the server has ended: it has no flows left */
+  guint32 limit; /* requests that the server handles well at once, learnt; 0: not sent, as
+                    slots are the limit */
+  guint32 service_times[DP_N_TRAFFIC_CLASSES]; /* us, of each class; 0: not known */
 } DpReport;
 
 #define DP_LIST_PARTS_MAX 256 /* a power of two */
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -130,10 +130,23 @@
 void
 dp_passthrough_set_limits (DpPassthrough *passthrough, const DpPassthroughLimits *limits)
 {
-  dp_passthrough_admission_set_slots (passthrough->admission, limits->slots);
   dp_passthrough_flows_set_limits (passthrough->flows, limits->slots, limits->flow_ttl);
 }
 
+/* Learns the server's limit, beginning with the declared slots, from now on. */
+void
+dp_passthrough_learn_limit (DpPassthrough *passthrough, gint64 now)
+{
+  dp_passthrough_flows_learn_limit (passthrough->flows, now);
+}
+
+/* Returns the learnt limit, owned by the passthrough; NULL if none is learnt. */
+DpConcurrencyLimit *
+dp_passthrough_concurrency (const DpPassthrough *passthrough)
+{
+  return passthrough->flows->concurrency;
+}
+
 /* Sets the histograms of the flows' times. */
 void
 dp_passthrough_set_histograms (DpPassthrough *passthrough,
@@ -180,6 +193,8 @@
   dp_passthrough_admission_note_server_packet (passthrough->admission);
   dp_passthrough_flows_abandon_all_work (passthrough->flows);
   dp_server_health_reset (passthrough->flows->health);
+  if (passthrough->flows->concurrency != NULL)
+    dp_concurrency_limit_reset (passthrough->flows->concurrency);
 }
 
 /* Decides about a client's packet from a balancer or another member. */
@@ -259,6 +274,9 @@
     flow->state = DP_PASSTHROUGH_FLOW_OPEN;
   if (segment->payload_length > 0 || (segment->flags & DP_TCP_FIN) != 0)
     repeated = record_answer_ (flow, segment, now);
+  if (segment->payload_length > 0)
+    dp_passthrough_flows_note_answer (passthrough->flows, flow,
+                                      segment->seq + segment->payload_length, now);
   if ((segment->flags & (DP_TCP_FIN | DP_TCP_RST)) != 0)
     flow->server_finished = TRUE;
   if (flow->server_finished)
@@ -551,6 +569,9 @@
       if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_OFFERED)
         {
           dp_passthrough_flows_remove (passthrough->flows, flow);
+          if (passthrough->flows->concurrency != NULL)
+            dp_concurrency_limit_refused (passthrough->flows->concurrency,
+                                          passthrough->flows->n_in_flight, now);
           withdraw_flow_ (passthrough, &segment->key, now);
         }
       else if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_WAITING)
@@ -850,6 +871,8 @@
   flow->used_at = now;
   if (flow->state == DP_PASSTHROUGH_FLOW_ANSWERED)
     flow->state = DP_PASSTHROUGH_FLOW_OPEN;
+  if (segment->payload_length > 0)
+    dp_passthrough_flows_note_client_data (passthrough->flows, flow, segment, now);
   if (segment->payload_length > 0 && !flow->request_seen)
     dp_passthrough_flows_begin_request (passthrough->flows, flow, flow->syn_ack_seq + 1,
                                         now);
--- a/src/libdogwoodpaddle/passthroughadmission.c
+++ b/src/libdogwoodpaddle/passthroughadmission.c
@@ -40,7 +40,6 @@
 {
   guint32 member_id;
   DpSynRejecter rejecter;
-  guint slots;
   DpCandidates *candidates;  /* NULL: no view yet */
   DpPassthroughFlows *flows; /* not owned */
   gboolean serving;
@@ -109,7 +108,6 @@
   DpPassthroughAdmission *admission = g_new0 (DpPassthroughAdmission, 1);
 
   admission->member_id = dp_member_id (member);
-  admission->slots = 1;
   admission->flows = flows;
   admission->rejecter = (DpSynRejecter){ .id = admission->member_id,
                                          .directory = directory,
@@ -125,13 +123,6 @@
   g_free (admission);
 }
 
-/* Sets the number of requests that the server works on at once. */
-void
-dp_passthrough_admission_set_slots (DpPassthroughAdmission *admission, guint slots)
-{
-  admission->slots = slots;
-}
-
 /* Sets the packet port of this member. */
 void
 dp_passthrough_admission_set_address (DpPassthroughAdmission *admission,
@@ -205,7 +196,8 @@
   const DpMember *next = NULL;
   gboolean same_zone = FALSE;
 
-  if (admitted && admission->flows->n_in_flight < admission->slots
+  if (admitted
+      && admission->flows->n_in_flight < dp_passthrough_flows_n_slots (admission->flows)
       && !dp_slots_has_waiting (admission->flows->slots, (DpTrafficClass) hop->class))
     return offer_or_queue_ (admission, segment, hop, now);
   if (!came_back)
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -47,6 +47,7 @@
 static void
 record_result_ (DpPassthroughFlows *flows, const DpPassthroughFlow *flow, gint64 now);
 static void observe_handshake_ (DpPassthroughFlows *flows, gint64 time);
+static void apply_limit_ (DpPassthroughFlows *flows);
 static void check_in_flight_ (DpPassthroughFlows *flows, gint64 now);
 static gboolean
 is_overdue_ (const DpPassthroughFlows *flows, const DpPassthroughFlow *flow, gint64 now);
@@ -76,6 +77,7 @@
 {
   dp_slots_free (flows->slots);
   dp_server_health_free (flows->health);
+  dp_concurrency_limit_free (flows->concurrency);
   dp_handle_table_free (flows->waiting_flows);
   dp_handle_table_free (flows->in_flight_flows);
   g_hash_table_unref (flows->by_key);
@@ -86,10 +88,30 @@
 void
 dp_passthrough_flows_set_limits (DpPassthroughFlows *flows, guint slots, gint64 flow_ttl)
 {
-  dp_slots_set_capacity (flows->slots, slots + OFFERED_EXCESS, FALSE);
-  /* A late flow in excess of the slots would delay new flows that can be in time. */
-  dp_slots_set_late_capacity (flows->slots, slots);
+  flows->declared_slots = slots;
   flows->flow_ttl = flow_ttl;
+  if (flows->concurrency != NULL)
+    dp_concurrency_limit_set_declared (flows->concurrency, slots);
+  apply_limit_ (flows);
+}
+
+/* Learns the limit from now on, instead of using the declared slots. */
+void
+dp_passthrough_flows_learn_limit (DpPassthroughFlows *flows, gint64 now)
+{
+  if (flows->concurrency != NULL)
+    return;
+  flows->concurrency = dp_concurrency_limit_new (now);
+  dp_concurrency_limit_set_declared (flows->concurrency, flows->declared_slots);
+  apply_limit_ (flows);
+}
+
+/* Returns the learnt limit or, if none is learnt, the declared slots. */
+guint
+dp_passthrough_flows_n_slots (const DpPassthroughFlows *flows)
+{
+  return flows->concurrency == NULL ? flows->declared_slots
+                                    : dp_concurrency_limit_slots (flows->concurrency);
 }
 
 /* Returns the segment's flow, NULL if it is not in the table. */
@@ -181,6 +203,36 @@
   flow->answer_start_seq = answer_start_seq;
 }
 
+/* Records the begin of the server's work on a request: with its first data, or with data
+ * of a client that has received some of the answer to the request before. The handshake,
+ * and the time until a complete answer counts as such, are no work. */
+void
+dp_passthrough_flows_note_client_data (DpPassthroughFlows *flows,
+                                       DpPassthroughFlow *flow,
+                                       const DpSegment *segment,
+                                       gint64 now)
+{
+  /* Where the answer begins isn't known on a flow that began before this process. */
+  if (flows->concurrency == NULL || flow->work.began_at != 0 || flow->server_finished
+      || (!flow->syn_ack_seen && flow->new_data_at == 0)
+      || (flow->request_seen && (gint32) (segment->ack - flow->work_answer_seq) <= 0))
+    return;
+  flow->work_answer_seq = flow->new_data_at != 0 ? flow->server_next_seq
+                                                 : flow->syn_ack_seq + 1;
+  dp_concurrency_limit_begin (flows->concurrency, &flow->work, now);
+}
+
+/* Records the end of the server's work with the first data of its answer. */
+void
+dp_passthrough_flows_note_answer (DpPassthroughFlows *flows,
+                                  DpPassthroughFlow *flow,
+                                  guint32 end,
+                                  gint64 now)
+{
+  if (flow->work.began_at != 0 && (gint32) (end - flow->work_answer_seq) > 0)
+    dp_concurrency_limit_end (flows->concurrency, &flow->work, flow->class, now);
+}
+
 /* Stops counting the flow as in flight, and records the time and the result of its
  * request. */
 void
@@ -202,6 +254,8 @@
 void
 dp_passthrough_flows_abandon_work (DpPassthroughFlows *flows, DpPassthroughFlow *flow)
 {
+  if (flow->work.began_at != 0)
+    dp_concurrency_limit_abandon (flows->concurrency, &flow->work);
   if (flow->in_flight)
     {
       flows->n_in_flight--;
@@ -350,6 +404,11 @@
 
   check_in_flight_ (flows, now);
   dp_server_health_tick (flows->health, now);
+  if (flows->concurrency != NULL)
+    {
+      dp_concurrency_limit_update (flows->concurrency, flows->handshake_time, now);
+      apply_limit_ (flows);
+    }
   flows->ticked_at = now;
   if (now - flows->swept_at < SWEEP_INTERVAL_US)
     return;
@@ -430,6 +489,20 @@
                                     flow->server_next_seq - flow->answer_start_seq, now);
 }
 
+/* Sets the number of flows that are offered to the server at once. */
+static void
+apply_limit_ (DpPassthroughFlows *flows)
+{
+  const guint slots = dp_passthrough_flows_n_slots (flows);
+  const guint capacity = flows->concurrency == NULL
+                             ? slots + OFFERED_EXCESS
+                             : dp_concurrency_limit_capacity (flows->concurrency);
+
+  dp_slots_set_capacity (flows->slots, capacity, FALSE);
+  /* A late flow in excess of the slots would delay new flows that can be in time. */
+  dp_slots_set_late_capacity (flows->slots, slots);
+}
+
 /* Adds the time from a SYN to its client's request to the moving mean. The first samples
  * weigh the same. */
 static void
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -36,6 +36,10 @@
   N_REQUIRED_REPORT_FIELDS,
   REPORT_FAILING = N_REQUIRED_REPORT_FIELDS, /* not sent by earlier versions */
   REPORT_DEREGISTERED,                       /* not sent by earlier versions */
+  N_FIXED_REPORT_FIELDS,
+  /* An array of the learnt limit and the service times of the classes. Not sent by
+   * earlier versions, nor by a companion that doesn't learn. */
+  REPORT_CONCURRENCY = N_FIXED_REPORT_FIELDS,
   N_REPORT_FIELDS
 };
 
@@ -107,6 +111,7 @@
 static gsize finish_ (msgpack_sbuffer *buffer, guint8 *data);
 static gboolean
 decode_report_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields);
+static gboolean decode_concurrency_ (DpReport *report, const msgpack_object *object);
 static gboolean
 decode_list_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields);
 static gboolean decode_owner_ (DpReportMessage *message, const msgpack_object *fields);
@@ -130,7 +135,8 @@
 
   msgpack_sbuffer_init (&out);
   msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, N_REPORT_FIELDS);
+  msgpack_pack_array (&packer,
+                      report->limit > 0 ? N_REPORT_FIELDS : N_FIXED_REPORT_FIELDS);
   msgpack_pack_uint8 (&packer, DP_REPORT_LOAD);
   msgpack_pack_uint8 (&packer, VERSION);
   pack_string_ (&packer, report->service);
@@ -146,6 +152,13 @@
   msgpack_pack_uint32 (&packer, report->interval_ms);
   msgpack_pack_uint8 (&packer, report->failing ? 1 : 0);
   msgpack_pack_uint8 (&packer, report->deregistered ? 1 : 0);
+  if (report->limit > 0)
+    {
+      msgpack_pack_array (&packer, 1 + DP_N_TRAFFIC_CLASSES);
+      msgpack_pack_uint32 (&packer, report->limit);
+      for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+        msgpack_pack_uint32 (&packer, report->service_times[i]);
+    }
   return finish_ (&out, buffer);
 }
 
@@ -409,7 +422,9 @@
       || interval == 0
       || (n_fields > REPORT_FAILING && !get_uint_ (&fields[REPORT_FAILING], 1, &failing))
       || (n_fields > REPORT_DEREGISTERED
-          && !get_uint_ (&fields[REPORT_DEREGISTERED], 1, &deregistered)))
+          && !get_uint_ (&fields[REPORT_DEREGISTERED], 1, &deregistered))
+      || (n_fields > REPORT_CONCURRENCY
+          && !decode_concurrency_ (report, &fields[REPORT_CONCURRENCY])))
     return FALSE;
   report->slots = (guint32) slots;
   report->state = (DpMemberState) state;
@@ -421,6 +436,29 @@
   return TRUE;
 }
 
+/* A later version may send the times of more classes, or another type of field. The
+ * latter is ignored, so that the field's number can be used otherwise. */
+static gboolean
+decode_concurrency_ (DpReport *report, const msgpack_object *object)
+{
+  const msgpack_object_array *values = &object->via.array;
+  guint64 limit;
+  guint64 time;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY || values->size == 0)
+    return TRUE;
+  if (!get_uint_ (&values->ptr[0], G_MAXUINT16, &limit))
+    return FALSE;
+  report->limit = (guint32) limit;
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES && i + 1 < values->size; i++)
+    {
+      if (!get_uint_ (&values->ptr[i + 1], G_MAXUINT32, &time))
+        return FALSE;
+      report->service_times[i] = (guint32) time;
+    }
+  return TRUE;
+}
+
 static gboolean
 decode_list_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields)
 {
