--- a/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
@@ -30,6 +30,7 @@
   guint services_collection;  /* the platform's collection of services */
   guint balancers_collection; /* the platform's collection of balancers */
   DpConfigTiming timing;
+  gboolean learned_concurrency; /* compare members by learnt limits and speeds */
   DpClock *clock;
   DpMetrics *metrics;
 } DpPassthroughBalancerOptions;
--- a/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
@@ -28,6 +28,7 @@
   guint n_seed_balancers;
   guint heartbeat_ms; /* interval of the server's heartbeats */
   gint64 flow_ttl;    /* us, after which an unused flow is forgotten */
+  gboolean learned_concurrency; /* learn the server's limit instead of using the slots */
   const DpPacketFormat *format;
   DpPlatform *platform;
   guint balancers_collection; /* the platform's collection of balancers */
--- a/src/libdogwoodpaddle/include/protected/placement.h
+++ b/src/libdogwoodpaddle/include/protected/placement.h
@@ -16,6 +16,9 @@
 
 DpPlacement *dp_placement_new (const char *zone);
 void dp_placement_free (DpPlacement *placement);
+/* Sets whether members are compared by their learnt limits and their speeds instead of
+ * their declared slots. FALSE at first. */
+void dp_placement_set_learned (DpPlacement *placement, gboolean learned);
 
 /* Applies a member's report. Returns whether the member list of a service changed. */
 gboolean
@@ -54,5 +57,10 @@
 GArray *dp_placement_gone_ids (DpPlacement *placement, guint64 service_id, gint64 now);
 guint64 dp_placement_list_hash (DpPlacement *placement, guint64 service_id);
 guint dp_placement_n_members (const DpPlacement *placement);
+/* Returns the speed of the member relative to the median of its service; 1 if the speed
+ * is not known. */
+double dp_placement_speed (DpPlacement *placement, DpHandle member);
+/* Gives the lowest and the highest speed of all members. */
+void dp_placement_speed_range (DpPlacement *placement, double *min, double *max);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpPlacement, dp_placement_free)
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -55,6 +55,8 @@
   DpMetric *rejected;
   DpMetric *drops[N_DROP_REASONS];
   DpMetric *members;
+  DpMetric *speed_min;
+  DpMetric *speed_max;
 };
 
 static const char *const drop_reason_strings_[] = { "malformed", "not_a_client",
@@ -225,6 +227,14 @@
                                        "New flows answered with a reset");
   balancer->members = dp_metrics_add (metrics, DP_METRIC_GAUGE, "dogwoodpaddle_members",
                                       "", "Members that have reported");
+  balancer->speed_min = dp_metrics_add (metrics, DP_METRIC_GAUGE,
+                                        "dogwoodpaddle_member_speed_percent",
+                                        "bound=\"min\"",
+                                        "Members' speeds relative to the median");
+  balancer->speed_max = dp_metrics_add (metrics, DP_METRIC_GAUGE,
+                                        "dogwoodpaddle_member_speed_percent",
+                                        "bound=\"max\"",
+                                        "Members' speeds relative to the median");
   for (guint i = 0; i < N_DROP_REASONS; i++)
     {
       g_autofree char *labels = g_strdup_printf ("reason=\"%s\"",
@@ -244,6 +254,7 @@
   balancer->router = dp_router_new ();
   balancer->services = dp_passthrough_services_new (options, balancer->router);
   balancer->placement = dp_placement_new (balancer->zone);
+  dp_placement_set_learned (balancer->placement, options->learned_concurrency);
   balancer->cache = dp_flow_cache_new (CACHED_FLOWS);
   balancer->log = dp_flow_log_new (options->clock, options->metrics);
   balancer->list_schedules = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -602,10 +613,15 @@
   DpPassthroughBalancer *balancer = user_data;
 
   gint64 now = dp_clock_now (balancer->options.clock);
+  double min;
+  double max;
 
   dp_passthrough_services_tick (balancer->services);
   if (dp_placement_expire (balancer->placement, now))
     g_hash_table_remove_all (balancer->list_schedules);
   balancer->members->value = dp_placement_n_members (balancer->placement);
+  dp_placement_speed_range (balancer->placement, &min, &max);
+  balancer->speed_min->value = (guint64) (min * 100.0);
+  balancer->speed_max->value = (guint64) (max * 100.0);
   return G_SOURCE_CONTINUE;
 }
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -22,6 +22,7 @@
 /* Reports are sent every 100 ms. A process that has done nothing for this time was paused
  * or kept from running. */
 #define PAUSE_MIN_US (300 * DP_US_PER_MS)
+#define LIMIT_LOG_INTERVAL_US DP_US_PER_S /* at most one line about the limit in it */
 
 struct _DpPassthroughCompanion
 {
@@ -59,6 +60,12 @@
   DpMetric *malformed;
   DpMetric *registrations;
   DpMetric *unanswered;
+  /* With a learnt limit; else NULL. */
+  DpMetric *limit;
+  DpMetric *limit_changes;
+  DpMetric *service_times[DP_N_TRAFFIC_CLASSES];
+  guint logged_limit;
+  gint64 limit_logged_at; /* us */
 };
 
 static gint64 note_activity_ (DpPassthroughCompanion *companion);
@@ -120,6 +127,8 @@
 static void update_serving_ (DpPassthroughCompanion *companion);
 static gboolean report_timeout_ (gpointer user_data);
 static void log_breaker_change_ (DpPassthroughCompanion *companion);
+static void add_concurrency_metrics_ (DpPassthroughCompanion *companion);
+static void log_limit_change_ (DpPassthroughCompanion *companion, gint64 now);
 static void send_report_ (DpPassthroughCompanion *companion, gint64 now);
 static gboolean tick_timeout_ (gpointer user_data);
 static gboolean stop_timeout_ (gpointer user_data);
@@ -137,6 +146,8 @@
   companion->members = dp_passthrough_members_new (companion->service);
   companion->asked_members = g_hash_table_new (NULL, NULL);
   add_metrics_ (companion);
+  if (options->learned_concurrency)
+    add_concurrency_metrics_ (companion);
   create_components_ (companion);
   return companion;
 }
@@ -250,6 +261,9 @@
   companion->heartbeat_at = now;
   companion->warmup_ends_at = now + announcement->warmup_remaining_ms * DP_US_PER_MS;
   dp_passthrough_set_limits (companion->passthrough, &limits);
+  if (companion->options.learned_concurrency)
+    dp_concurrency_limit_set_warm_at (dp_passthrough_concurrency (companion->passthrough),
+                                      companion->warmup_ends_at);
   update_serving_ (companion);
   if (changed)
     send_report_ (companion, now);
@@ -342,6 +356,8 @@
   companion->passthrough = dp_passthrough_new (companion->service, companion->name,
                                                dp_clock_now (options->clock));
   dp_passthrough_set_histograms (companion->passthrough, &times);
+  if (options->learned_concurrency)
+    dp_passthrough_learn_limit (companion->passthrough, dp_clock_now (options->clock));
   dp_passthrough_set_address (companion->passthrough, &options->data_address);
   companion->log = dp_flow_log_new (options->clock, options->metrics);
   companion->reporter = dp_passthrough_reporter_new (&reporter, options->metrics);
@@ -761,6 +777,7 @@
   send_pending_messages_ (companion);
   companion->in_flight->value = dp_passthrough_in_flight (companion->passthrough);
   log_breaker_change_ (companion);
+  log_limit_change_ (companion, now);
   send_report_ (companion, now);
   return G_SOURCE_CONTINUE;
 }
@@ -780,13 +797,66 @@
              dp_passthrough_in_flight (companion->passthrough));
 }
 
+static void
+add_concurrency_metrics_ (DpPassthroughCompanion *companion)
+{
+  DpMetrics *metrics = companion->options.metrics;
+
+  companion->limit = dp_metrics_add (metrics, DP_METRIC_GAUGE,
+                                     "dogwoodpaddle_concurrency_limit", "",
+                                     "Requests that the server handles well at once");
+  companion->limit_changes = dp_metrics_add (
+      metrics, DP_METRIC_COUNTER, "dogwoodpaddle_concurrency_limit_changes_total", "",
+      "Changes of the concurrency limit");
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "class=\"%s\"", dp_traffic_class_string ((DpTrafficClass) i));
+
+      companion->service_times[i] = dp_metrics_add (
+          metrics, DP_METRIC_GAUGE, "dogwoodpaddle_service_time_us", labels,
+          "Server's usual time for a request, 0 while not known");
+    }
+}
+
+/* Counts each change of the learnt limit, and logs the changes of at least a second in
+ * one line. */
+static void
+log_limit_change_ (DpPassthroughCompanion *companion, gint64 now)
+{
+  const DpConcurrencyLimit *limit = dp_passthrough_concurrency (companion->passthrough);
+  guint slots;
+
+  if (limit == NULL || !companion->announcements.known)
+    return;
+  slots = dp_concurrency_limit_slots (limit);
+  if (companion->limit->value != 0 && companion->limit->value != slots)
+    dp_metric_increment (companion->limit_changes);
+  companion->limit->value = slots;
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    companion->service_times[i]->value = dp_concurrency_limit_service_time (
+        limit, (DpTrafficClass) i);
+  if (slots == companion->logged_limit
+      || now - companion->limit_logged_at < LIMIT_LOG_INTERVAL_US)
+    return;
+  if (companion->logged_limit != 0)
+    g_message ("server of companion %s: concurrency limit %u, was %u, %u of %u declared "
+               "slots in work, service time %.2f of that at lower numbers of requests",
+               companion->name, slots, companion->logged_limit,
+               dp_concurrency_limit_in_work (limit), companion->announcement.slots,
+               dp_concurrency_limit_slowdown (limit));
+  companion->logged_limit = slots;
+  companion->limit_logged_at = now;
+}
+
 /* Reports the server's state and load to the balancers. Nothing is reported before the
  * server's first heartbeat, as its number of slots is not known. */
 static void
 send_report_ (DpPassthroughCompanion *companion, gint64 now)
 {
   gint64 warm_left = MAX (companion->warmup_ends_at - now, 0);
-  const DpReport report = {
+  const DpConcurrencyLimit *limit = dp_passthrough_concurrency (companion->passthrough);
+  DpReport report = {
     .service = companion->service,
     .name = companion->name,
     .zone = companion->zone,
@@ -800,6 +870,13 @@
     .deregistered = companion->announcements.deregistered,
   };
 
+  if (limit != NULL)
+    {
+      report.limit = dp_concurrency_limit_slots (limit);
+      for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+        report.service_times[i] = dp_concurrency_limit_service_time (limit,
+                                                                     (DpTrafficClass) i);
+    }
   if (companion->announcements.known)
     dp_passthrough_reporter_send (companion->reporter, &report);
 }
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -1,5 +1,6 @@
 #include "protected/placement.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "protected/clock.h"
@@ -32,6 +33,22 @@
 #define FAILING_PENALTY 16.0
 /* Share of its slots that a server can use efficiently while it is still cold. */
 #define COLD_CAPACITY_SHARE 0.6
+/* Bounds of a member's speed relative to the median, so that a wrong report has a limited
+ * effect. */
+#define SPEED_MAX 8.0
+#define SPEED_MIN (1.0 / SPEED_MAX)
+/* Members that report service times of a class before their speeds are compared. */
+#define SPEED_MEMBERS_MIN 2
+/* Differences up to this logarithm, 20%, are noise of the service times, and larger ones
+ * count less by it. */
+#define SPEED_NOISE_LOG 0.18
+/* Interval between two comparisons of a service's members. Sorting the times of 7,100
+ * members takes about 1 ms for each class. */
+#define SPEED_INTERVAL_US (100 * DP_US_PER_MS)
+#define SPEED_INTERVAL_PER_MEMBER_US (DP_US_PER_MS / 10)
+/* A member that has had no flow for this time counts as no slower than the median, so
+ * that a server that has recovered gets flows which show it. */
+#define SPEED_IDLE_US DP_US_PER_S
 
 typedef struct
 {
@@ -48,6 +65,10 @@
   gint64 report_interval; /* us between its reports */
   gint64 reported_at;     /* us */
   gint64 warmed_up_at;    /* us; end of the server's warm-up */
+  gint64 used_at;         /* us; last time at which it had a flow in flight */
+  guint32 limit;          /* learnt limit; 0: not reported */
+  guint32 service_times[DP_N_TRAFFIC_CLASSES]; /* us; 0: not known */
+  double speed;           /* relative to the median of the service */
   guint own_flows;        /* flows in flight that this balancer placed */
   guint other_flows;      /* flows in flight that other balancers placed */
 } Member;
@@ -67,6 +88,7 @@
   DpCandidates *candidates;
   guint64 list_hash;
   guint64 revision; /* of the view, counted by this balancer */
+  gint64 compared_at; /* us, last comparison of the members' speeds */
 } Service;
 
 struct _DpPlacement
@@ -75,6 +97,7 @@
   DpHandleTable *members;
   GHashTable *by_name;  /* name to DpHandle */
   GHashTable *services; /* &id to Service */
+  gboolean learned;     /* members are compared by learnt limits and speeds */
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (other_zone_penalty_) == DP_N_TRAFFIC_CLASSES);
@@ -89,6 +112,13 @@
 static void rebuild_view_ (DpPlacement *placement, Service *service);
 static gboolean has_reported_recently_ (const Member *member, gint64 now);
 static gint64 silence_limit_ (const Member *member);
+static void compare_speeds_ (DpPlacement *placement, Service *service, gint64 now);
+static double median_log_time_ (DpPlacement *placement,
+                                const Service *service,
+                                guint class,
+                                GArray *logs);
+static int compare_doubles_ (gconstpointer a, gconstpointer b);
+static double learned_cost_ (const Member *member, gint64 now);
 static double load_cost_ (const DpPlacement *placement,
                           const Member *member,
                           DpTrafficClass class,
@@ -125,6 +155,12 @@
   g_free (placement);
 }
 
+void
+dp_placement_set_learned (DpPlacement *placement, gboolean learned)
+{
+  placement->learned = learned;
+}
+
 /* Applies a member's report at now, in us. A member that reports another service or
  * address than before is removed from its former service. A member whose server has
  * deregistered has no flows. It is removed at once, since packets that are forwarded to
@@ -169,6 +205,13 @@
   member->reported_at = now;
   member->warmed_up_at = now + report->warmup_remaining_ms * DP_US_PER_MS;
   member->failing = report->failing;
+  member->limit = report->limit;
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    member->service_times[i] = report->service_times[i];
+  if (report->in_flight > 0)
+    member->used_at = now;
+  if (placement->learned)
+    compare_speeds_ (placement, find_service_ (placement, member->service_id), now);
   /* Stops counting flows whose end this balancer did not see. One flow more than reported
    * is allowed, as one that was placed within the last millisecond may be missing in the
    * report. */
@@ -409,6 +452,32 @@
   return dp_handle_table_count (placement->members);
 }
 
+double
+dp_placement_speed (DpPlacement *placement, DpHandle handle)
+{
+  const Member *member = dp_handle_table_get (placement->members, handle);
+
+  return member == NULL ? 1.0 : member->speed;
+}
+
+/* Gives 1 for both if there are no members. */
+void
+dp_placement_speed_range (DpPlacement *placement, double *min, double *max)
+{
+  *min = G_MAXDOUBLE;
+  *max = 0.0;
+  for (DpHandle h = dp_handle_table_next (placement->members, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = dp_handle_table_next (placement->members, h))
+    {
+      const Member *member = dp_handle_table_get (placement->members, h);
+
+      *min = MIN (*min, member->speed);
+      *max = MAX (*max, member->speed);
+    }
+  if (*max == 0.0)
+    *min = *max = 1.0;
+}
+
 static void
 service_free_ (gpointer data)
 {
@@ -458,6 +527,8 @@
   member->same_zone = g_str_equal (report->zone, placement->zone);
   member->own_flows = 0;
   member->other_flows = 0;
+  member->used_at = 0;
+  member->speed = 1.0;
   remove_gone_ (service, dp_member_id (report->name));
   g_array_append_val (service->members, handle);
   g_hash_table_replace (placement->by_name, g_strdup (report->name),
@@ -567,6 +638,96 @@
          + SILENT_MARGIN_US;
 }
 
+/* Sets the speed of each member of the service to the mean, over the classes, of the
+ * median service time divided by its own. */
+static void
+compare_speeds_ (DpPlacement *placement, Service *service, gint64 now)
+{
+  const guint n = service->members->len;
+  g_autoptr (GArray) logs = NULL;
+  double medians[DP_N_TRAFFIC_CLASSES];
+
+  if (now - service->compared_at
+      < MAX (SPEED_INTERVAL_US, n * SPEED_INTERVAL_PER_MEMBER_US))
+    return;
+  service->compared_at = now;
+  logs = g_array_sized_new (FALSE, FALSE, sizeof (double), n);
+  for (guint c = 0; c < DP_N_TRAFFIC_CLASSES; c++)
+    medians[c] = median_log_time_ (placement, service, c, logs);
+  for (guint i = 0; i < n; i++)
+    {
+      Member *member = dp_handle_table_get (
+          placement->members, g_array_index (service->members, DpHandle, i));
+      double sum = 0.0;
+      guint n_classes = 0;
+
+      for (guint c = 0; c < DP_N_TRAFFIC_CLASSES; c++)
+        {
+          if (member->service_times[c] == 0 || medians[c] < 0.0)
+            continue;
+          sum += medians[c] - log (member->service_times[c]);
+          n_classes++;
+        }
+      sum = n_classes == 0 ? 0.0 : sum / n_classes;
+      sum = sum > 0.0 ? MAX (sum - SPEED_NOISE_LOG, 0.0)
+                      : MIN (sum + SPEED_NOISE_LOG, 0.0);
+      member->speed = CLAMP (exp (sum), SPEED_MIN, SPEED_MAX);
+    }
+}
+
+/* Returns the median logarithm of the members' service times of the class, in us; -1 if
+ * too few of them are known. */
+static double
+median_log_time_ (DpPlacement *placement,
+                  const Service *service,
+                  guint class,
+                  GArray *logs)
+{
+  g_array_set_size (logs, 0);
+  for (guint i = 0; i < service->members->len; i++)
+    {
+      const Member *member = dp_handle_table_get (
+          placement->members, g_array_index (service->members, DpHandle, i));
+      double value;
+
+      if (member->service_times[class] == 0)
+        continue;
+      value = log (member->service_times[class]);
+      g_array_append_val (logs, value);
+    }
+  if (logs->len < SPEED_MEMBERS_MIN)
+    return -1.0;
+  g_array_sort (logs, compare_doubles_);
+  return (g_array_index (logs, double, (logs->len - 1) / 2)
+          + g_array_index (logs, double, logs->len / 2))
+         / 2.0;
+}
+
+static int
+compare_doubles_ (gconstpointer a, gconstpointer b)
+{
+  const double x = *(const double *) a;
+  const double y = *(const double *) b;
+
+  return x < y ? -1 : x > y ? 1 : 0;
+}
+
+/* Returns the flows in flight per slot and speed, the new one included. */
+static double
+learned_cost_ (const Member *member, gint64 now)
+{
+  const guint flows = member->own_flows + member->other_flows;
+  const guint32 limit = member->limit > 0 ? member->limit : member->slots;
+  double slots = MAX (limit, 1);
+  double speed = member->speed;
+
+  if (now < member->warmed_up_at)
+    slots *= COLD_CAPACITY_SHARE;
+  if (flows == 0 && now - member->used_at >= SPEED_IDLE_US)
+    speed = MAX (speed, 1.0);
+  return (flows + 1) / slots / speed;
+}
+
 /* Returns the flows in flight per slot, the new one included, plus penalties for a
  * failing server and for another availability zone. */
 static double
@@ -580,7 +741,10 @@
 
   if (now < member->warmed_up_at)
     slots *= COLD_CAPACITY_SHARE;
-  cost = (member->own_flows + member->other_flows + 1) / slots;
+  if (placement->learned)
+    cost = learned_cost_ (member, now);
+  else
+    cost = (member->own_flows + member->other_flows + 1) / slots;
   cost += member->failing ? FAILING_PENALTY : 0.0;
   return member->same_zone ? cost : cost + other_zone_penalty_[class];
 }
