--- a/src/libdogwoodpaddle/concurrencylimit.c
+++ b/src/libdogwoodpaddle/concurrencylimit.c
@@ -26,11 +26,11 @@
 #define LOG_VARIANCE 0.36
 /* Limit of a sample's logarithm, relative to the usual time: a factor of 12. */
 #define LOG_RATIO_MAX 2.5
-/* Improvement of the squared error, in variances, that a lower or higher limit must
- * bring. A limit that is too low costs capacity, so that it needs more evidence: 8 is
- * exceeded by chance in 1 of 200 evaluations of independent samples. */
-#define EVIDENCE_TO_LOWER 8.0
-#define EVIDENCE_TO_RAISE 3.0
+/* Improvement of the squared error, in variances, that another limit must bring. 8 is
+ * exceeded by chance in 1 of 200 comparisons of independent samples. A limit below the
+ * declared slots has been shown to be needed, so that it follows with less evidence. */
+#define EVIDENCE 8.0
+#define EVIDENCE_WHEN_LOWERED 4.0
 /* Between limits that fit equally well, the one nearest to the present limit is taken. */
 #define DISTANCE_COST 0.01
 /* An evaluation lowers or raises the limit by at most this share of it, or by one. */
@@ -39,9 +39,25 @@
  * the next client. */
 #define EXCESS_MAX 2
 /* A limit below the declared slots is exceeded for PROBE_US in each PROBE_INTERVAL_US, by
- * half of it, so that a server that has recovered shows it within 2 s. */
+ * another quarter of it, so that a server that has recovered shows it within 2 s. */
 #define PROBE_INTERVAL_US DP_US_PER_S
 #define PROBE_US (250 * DP_US_PER_MS)
+/* Under lasting load all requests meet about the same number of others, which shows
+ * nothing about the server at lower numbers. If requests have become slower by DIP_LOG,
+ * 57%, since LOW_SHARE of the limit was last in work, or if that has never been the case,
+ * only DIP_SHARE of the limit is offered: for DIP_SERVICE_TIMES mean service times within
+ * the bounds, DIP_INTERVAL_US apart. */
+#define LOW_SHARE 0.75
+#define DIP_LOG 0.45
+#define DIP_SHARE 0.6
+#define DIP_SERVICE_TIMES 5
+#define DIP_MIN_US (150 * DP_US_PER_MS)
+#define DIP_MAX_US (600 * DP_US_PER_MS)
+#define DIP_INTERVAL_US DP_US_PER_S
+#define DIP_SAMPLES_MIN 24.0
+/* Samples after which the newest time at a low number has a fixed weight in its mean. */
+#define LOW_SAMPLES 32
+#define LOW_SAMPLES_MIN 8
 /* Time after which a refusal no longer bounds the limit. The server's capacity may have
  * changed, and each further refusal costs one SYN a visit to another member. */
 #define REFUSAL_US (10 * DP_US_PER_S)
@@ -64,6 +80,8 @@
   Samples recent; /* logarithms of times in us */
   double usual;   /* logarithm of the usual time in us */
   double usual_weight;
+  double low;  /* logarithm of the time in us while few requests were in work */
+  guint n_low; /* samples in that mean, LOW_SAMPLES at most */
 } Class;
 
 struct _DpConcurrencyLimit
@@ -83,6 +101,7 @@
   gint64 refused_at;     /* us */
   guint refused_with;    /* flows in flight at the last refusal; 0: none */
   gboolean probing;
+  gint64 dip_ends_at; /* us */
 };
 
 static void advance_ (DpConcurrencyLimit *limit, gint64 now);
@@ -96,6 +115,9 @@
 static double smooth_error_ (const DpConcurrencyLimit *limit);
 static guint best_limit_ (const DpConcurrencyLimit *limit);
 static double mean_service_time_ (const DpConcurrencyLimit *limit);
+static void start_dip_ (DpConcurrencyLimit *limit, gint64 now);
+static gboolean needs_dip_ (const DpConcurrencyLimit *limit);
+static double mean_level_ (const DpConcurrencyLimit *limit);
 
 /* Creates a limit of one slot. */
 DpConcurrencyLimit *
@@ -212,6 +234,7 @@
   if (limit->refused_with != 0 && now - limit->refused_at > REFUSAL_US)
     limit->refused_with = 0;
   decay_ (limit, now);
+  start_dip_ (limit, now);
   limit->probing = limit->limit * limit->step < limit->declared
                    && now % PROBE_INTERVAL_US < PROBE_US;
   wanted = best_limit_ (limit);
@@ -242,11 +265,13 @@
   const double work = mean_service_time_ (limit);
   guint excess = EXCESS_MAX;
 
-  if (limit->probing)
-    excess = MAX ((slots + 1) / 2, 1);
-  else if (slots < limit->declared && work > 0)
+  if (limit->updated_at < limit->dip_ends_at)
+    return MAX (MIN ((guint) ceil (slots * DIP_SHARE), slots - 1), 1);
+  if (slots < limit->declared && work > 0)
     excess = MIN ((guint) ceil (slots * (double) limit->handshake_time / work),
                   EXCESS_MAX);
+  if (limit->probing)
+    excess += MAX ((guint) (slots * STEP_SHARE), 1);
   if (limit->refused_with != 0)
     return MAX (MIN (slots + excess, limit->refused_with), 1);
   return slots + excess;
@@ -331,6 +356,11 @@
       samples->sum += CLAMP (value - c->usual, -LOG_RATIO_MAX, LOG_RATIO_MAX);
       samples->weight++;
     }
+  if (level <= limit->limit * LOW_SHARE)
+    {
+      c->n_low = MIN (c->n_low + 1, LOW_SAMPLES);
+      c->low += (value - c->low) / c->n_low;
+    }
   c->recent.sum += value - expected;
   c->recent.weight++;
   c->usual_weight++;
@@ -418,7 +448,9 @@
   const double present = knee_error_ (limit, limit->limit);
   const double smooth = smooth_error_ (limit);
   const guint top = top_level_ (limit);
+  const gboolean lowered = limit->limit * limit->step < limit->declared;
   double best_error = present;
+  double improvement;
   guint best = limit->limit;
 
   for (guint level = 1; level <= top; level++)
@@ -432,11 +464,10 @@
       best = level;
       best_error = error;
     }
-  if (best < limit->limit && MIN (present, smooth) - best_error < EVIDENCE_TO_LOWER)
-    return limit->limit;
-  if (best > limit->limit && present - best_error < EVIDENCE_TO_RAISE)
-    return limit->limit;
-  return best;
+  improvement = present - best_error;
+  if (best < limit->limit)
+    improvement = MIN (present, smooth) - best_error;
+  return improvement < (lowered ? EVIDENCE_WHEN_LOWERED : EVIDENCE) ? limit->limit : best;
 }
 
 /* Returns the mean service time of the recent requests, in us; 0 if there were none. */
@@ -452,3 +483,56 @@
     }
   return all.weight > 0.1 ? exp (all.sum / all.weight) : 0.0;
 }
+
+/* Starts to offer fewer flows if the times at lower numbers of requests are to be seen.
+ */
+static void
+start_dip_ (DpConcurrencyLimit *limit, gint64 now)
+{
+  const gint64 length = (gint64) (mean_service_time_ (limit) * DIP_SERVICE_TIMES);
+
+  if (limit->limit < 2 || now < limit->dip_ends_at + DIP_INTERVAL_US
+      || !needs_dip_ (limit))
+    return;
+  limit->dip_ends_at = now + CLAMP (length, DIP_MIN_US, DIP_MAX_US);
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    limit->classes[i].n_low = MIN (limit->classes[i].n_low, LOW_SAMPLES_MIN);
+}
+
+static gboolean
+needs_dip_ (const DpConcurrencyLimit *limit)
+{
+  double weight = 0.0;
+  double sum = 0.0;
+  gboolean unknown = TRUE;
+
+  if (mean_level_ (limit) < limit->limit * LOW_SHARE)
+    return FALSE;
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    {
+      const Class *c = &limit->classes[i];
+
+      weight += c->recent.weight;
+      if (c->n_low < LOW_SAMPLES_MIN || c->recent.weight < 1.0)
+        continue;
+      unknown = FALSE;
+      sum += c->recent.sum - c->recent.weight * c->low;
+    }
+  return weight >= DIP_SAMPLES_MIN && (unknown || sum / weight > DIP_LOG);
+}
+
+/* Returns the mean level at which the recent requests were served; 0 if there were none.
+ */
+static double
+mean_level_ (const DpConcurrencyLimit *limit)
+{
+  double weight = 0.0;
+  double sum = 0.0;
+
+  for (guint i = 1; i <= LEVELS_MAX; i++)
+    {
+      weight += limit->levels[i].weight;
+      sum += limit->levels[i].weight * i;
+    }
+  return weight >= 1.0 ? sum / weight : 0.0;
+}
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -227,14 +227,12 @@
                                        "New flows answered with a reset");
   balancer->members = dp_metrics_add (metrics, DP_METRIC_GAUGE, "dogwoodpaddle_members",
                                       "", "Members that have reported");
-  balancer->speed_min = dp_metrics_add (metrics, DP_METRIC_GAUGE,
-                                        "dogwoodpaddle_member_speed_percent",
-                                        "bound=\"min\"",
-                                        "Members' speeds relative to the median");
-  balancer->speed_max = dp_metrics_add (metrics, DP_METRIC_GAUGE,
-                                        "dogwoodpaddle_member_speed_percent",
-                                        "bound=\"max\"",
-                                        "Members' speeds relative to the median");
+  balancer->speed_min = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_member_speed_percent", "bound=\"min\"",
+      "Members' speeds relative to the median");
+  balancer->speed_max = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_member_speed_percent", "bound=\"max\"",
+      "Members' speeds relative to the median");
   for (guint i = 0; i < N_DROP_REASONS; i++)
     {
       g_autofree char *labels = g_strdup_printf ("reason=\"%s\"",
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -68,9 +68,9 @@
   gint64 used_at;         /* us; last time at which it had a flow in flight */
   guint32 limit;          /* learnt limit; 0: not reported */
   guint32 service_times[DP_N_TRAFFIC_CLASSES]; /* us; 0: not known */
-  double speed;           /* relative to the median of the service */
-  guint own_flows;        /* flows in flight that this balancer placed */
-  guint other_flows;      /* flows in flight that other balancers placed */
+  double speed;                                /* relative to the median of the service */
+  guint own_flows;   /* flows in flight that this balancer placed */
+  guint other_flows; /* flows in flight that other balancers placed */
 } Member;
 
 /* A removed member that is still listed as gone. */
@@ -87,7 +87,7 @@
   GArray *gone;    /* GoneMember */
   DpCandidates *candidates;
   guint64 list_hash;
-  guint64 revision; /* of the view, counted by this balancer */
+  guint64 revision;   /* of the view, counted by this balancer */
   gint64 compared_at; /* us, last comparison of the members' speeds */
 } Service;
 
