Concurrency limit: evidence from fewer samples, tests

Cause: after a server had become slow, the many requests that had ended before hid it, and a lowered limit under constant load had nothing to be compared with. Change: means over at most 64 and 48 samples; a limit is raised by comparison with the last times at a low number of requests; less evidence is needed where a change is expected. Tests of the limit, of its use on flows, of reports and of placement.

--- a/src/libdogwoodpaddle/concurrencylimit.c
+++ b/src/libdogwoodpaddle/concurrencylimit.c
@@ -16,6 +16,10 @@
  * to be steadier than the mix of classes. */
 #define RECENT_US DP_US_PER_S
 #define USUAL_US (10 * DP_US_PER_S)
+/* Samples in these means at most. A server that has become slow ends fewer requests, and
+ * the many that ended before would hide it. */
+#define RECENT_SAMPLES 48.0
+#define LEVEL_SAMPLES 64.0
 /* Samples of a class before its requests are compared with the usual time. */
 #define USUAL_SAMPLES_MIN 8
 /* Weight of the usual time, in samples, within the present service time, so that a single
@@ -27,10 +31,11 @@
 /* Limit of a sample's logarithm, relative to the usual time: a factor of 12. */
 #define LOG_RATIO_MAX 2.5
 /* Improvement of the squared error, in variances, that another limit must bring. 8 is
- * exceeded by chance in 1 of 200 comparisons of independent samples. A limit below the
- * declared slots has been shown to be needed, so that it follows with less evidence. */
+ * exceeded by chance in 1 of 200 comparisons of independent samples. Less is needed below
+ * the declared slots, which has been shown to be right before, and while requests are
+ * slower than at lower numbers. */
 #define EVIDENCE 8.0
-#define EVIDENCE_WHEN_LOWERED 4.0
+#define EVIDENCE_WHEN_EXPECTED 4.0
 /* Between limits that fit equally well, the one nearest to the present limit is taken. */
 #define DISTANCE_COST 0.01
 /* An evaluation lowers or raises the limit by at most this share of it, or by one. */
@@ -41,16 +46,16 @@
 /* A limit below the declared slots is exceeded for PROBE_US in each PROBE_INTERVAL_US, by
  * another quarter of it, so that a server that has recovered shows it within 2 s. */
 #define PROBE_INTERVAL_US DP_US_PER_S
-#define PROBE_US (250 * DP_US_PER_MS)
+#define PROBE_US (150 * DP_US_PER_MS)
 /* Under lasting load all requests meet about the same number of others, which shows
  * nothing about the server at lower numbers. If requests have become slower by DIP_LOG,
  * 57%, since LOW_SHARE of the limit was last in work, or if that has never been the case,
- * only DIP_SHARE of the limit is offered: for DIP_SERVICE_TIMES mean service times within
- * the bounds, DIP_INTERVAL_US apart. */
+ * only DIP_SHARE of the limit is offered until DIP_SAMPLES more requests have shown it,
+ * for a time within the bounds, and at most once per DIP_INTERVAL_US. */
 #define LOW_SHARE 0.75
 #define DIP_LOG 0.45
 #define DIP_SHARE 0.6
-#define DIP_SERVICE_TIMES 5
+#define DIP_SAMPLES 8
 #define DIP_MIN_US (150 * DP_US_PER_MS)
 #define DIP_MAX_US (600 * DP_US_PER_MS)
 #define DIP_INTERVAL_US DP_US_PER_S
@@ -58,6 +63,8 @@
 /* Samples after which the newest time at a low number has a fixed weight in its mean. */
 #define LOW_SAMPLES 32
 #define LOW_SAMPLES_MIN 8
+/* Weight, in samples, of the times at a low number when the limit is to be raised. */
+#define LOW_WEIGHT 16.0
 /* Time after which a refusal no longer bounds the limit. The server's capacity may have
  * changed, and each further refusal costs one SYN a visit to another member. */
 #define REFUSAL_US (10 * DP_US_PER_S)
@@ -65,8 +72,9 @@
 /* Shapes of the service time as a function of the requests in work. Beyond the knee it
  * grows like this power of them: 1 if the throughput stays, 2 if it falls. */
 static const double knee_powers_[] = { 1.0, 2.0 };
-/* Without a knee it grows like one of these powers: the throughput still rises. */
-static const double smooth_powers_[] = { 0.0, 0.25, 0.5, 0.75 };
+/* Without a knee it grows like one of these powers. Up to the square root, more requests
+ * bring more throughput than they cost in time. */
+static const double smooth_powers_[] = { 0.0, 0.25, 0.5 };
 
 /* Weighted sum of samples. */
 typedef struct
@@ -80,8 +88,9 @@
   Samples recent; /* logarithms of times in us */
   double usual;   /* logarithm of the usual time in us */
   double usual_weight;
-  double low;  /* logarithm of the time in us while few requests were in work */
-  guint n_low; /* samples in that mean, LOW_SAMPLES at most */
+  double low;      /* logarithm of the time in us while few requests were in work */
+  guint n_low;     /* samples in that mean, LOW_SAMPLES at most */
+  guint n_new_low; /* samples since the last dip began */
 } Class;
 
 struct _DpConcurrencyLimit
@@ -110,12 +119,23 @@
 static void
 observe_ (DpConcurrencyLimit *limit, DpTrafficClass class, gint64 time, double level);
 static void decay_ (DpConcurrencyLimit *limit, gint64 now);
-static double error_of_ (const DpConcurrencyLimit *limit, double power, guint knee);
-static double knee_error_ (const DpConcurrencyLimit *limit, guint knee);
+static void scale_ (Samples *samples, double factor);
+static double error_of_ (const DpConcurrencyLimit *limit,
+                         const Samples *levels,
+                         double power,
+                         guint knee);
+static double
+knee_error_ (const DpConcurrencyLimit *limit, const Samples *levels, guint knee);
 static double smooth_error_ (const DpConcurrencyLimit *limit);
 static guint best_limit_ (const DpConcurrencyLimit *limit);
+static gboolean is_lowered_ (const DpConcurrencyLimit *limit);
+static guint best_between_ (const DpConcurrencyLimit *limit,
+                            const Samples *levels,
+                            guint from,
+                            guint to);
+static void add_low_level_ (const DpConcurrencyLimit *limit, Samples *levels);
 static double mean_service_time_ (const DpConcurrencyLimit *limit);
-static void start_dip_ (DpConcurrencyLimit *limit, gint64 now);
+static void update_dip_ (DpConcurrencyLimit *limit, gint64 now);
 static gboolean needs_dip_ (const DpConcurrencyLimit *limit);
 static double mean_level_ (const DpConcurrencyLimit *limit);
 
@@ -234,9 +254,8 @@
   if (limit->refused_with != 0 && now - limit->refused_at > REFUSAL_US)
     limit->refused_with = 0;
   decay_ (limit, now);
-  start_dip_ (limit, now);
-  limit->probing = limit->limit * limit->step < limit->declared
-                   && now % PROBE_INTERVAL_US < PROBE_US;
+  update_dip_ (limit, now);
+  limit->probing = is_lowered_ (limit) && now % PROBE_INTERVAL_US < PROBE_US;
   wanted = best_limit_ (limit);
   step = MAX ((guint) (before * STEP_SHARE), 1);
   set_level_limit_ (limit,
@@ -359,6 +378,7 @@
   if (level <= limit->limit * LOW_SHARE)
     {
       c->n_low = MIN (c->n_low + 1, LOW_SAMPLES);
+      c->n_new_low++;
       c->low += (value - c->low) / c->n_low;
     }
   c->recent.sum += value - expected;
@@ -373,30 +393,44 @@
   const double time = (double) MAX (now - limit->updated_at, 0);
   const double recent = exp (-time / RECENT_US);
   const double usual = exp (-time / USUAL_US);
+  double weight = 0.0;
 
   limit->updated_at = now;
   for (guint i = 1; i <= LEVELS_MAX; i++)
     {
-      limit->levels[i].weight *= recent;
-      limit->levels[i].sum *= recent;
+      scale_ (&limit->levels[i], recent);
+      weight += limit->levels[i].weight;
     }
+  for (guint i = 1; weight > LEVEL_SAMPLES && i <= LEVELS_MAX; i++)
+    scale_ (&limit->levels[i], LEVEL_SAMPLES / weight);
   for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
     {
       Class *c = &limit->classes[i];
 
-      c->recent.weight *= recent;
-      c->recent.sum *= recent;
+      scale_ (&c->recent, recent);
+      if (c->recent.weight > RECENT_SAMPLES)
+        scale_ (&c->recent, RECENT_SAMPLES / c->recent.weight);
       /* A class without requests keeps its usual time. */
       c->usual_weight = MAX (c->usual_weight * usual,
                              MIN (c->usual_weight, USUAL_SAMPLES_MIN));
     }
 }
 
+static void
+scale_ (Samples *samples, double factor)
+{
+  samples->weight *= factor;
+  samples->sum *= factor;
+}
+
 /* Returns the squared error, in variances, of service times that are even up to the knee
  * and grow like the power of the requests in work beyond it. The server's speed is
  * fitted, so that a server that is slow at all levels has no knee. */
 static double
-error_of_ (const DpConcurrencyLimit *limit, double power, guint knee)
+error_of_ (const DpConcurrencyLimit *limit,
+           const Samples *levels,
+           double power,
+           guint knee)
 {
   double weight = 0.0;
   double sum = 0.0;
@@ -404,7 +438,7 @@
 
   for (guint i = 1; i <= LEVELS_MAX; i++)
     {
-      const Samples *s = &limit->levels[i];
+      const Samples *s = &levels[i];
       double difference;
 
       if (s->weight < 0.01)
@@ -420,12 +454,12 @@
 }
 
 static double
-knee_error_ (const DpConcurrencyLimit *limit, guint knee)
+knee_error_ (const DpConcurrencyLimit *limit, const Samples *levels, guint knee)
 {
   double error = G_MAXDOUBLE;
 
   for (guint i = 0; i < G_N_ELEMENTS (knee_powers_); i++)
-    error = MIN (error, error_of_ (limit, knee_powers_[i], knee));
+    error = MIN (error, error_of_ (limit, levels, knee_powers_[i], knee));
   return error;
 }
 
@@ -436,7 +470,7 @@
   double error = G_MAXDOUBLE;
 
   for (guint i = 0; i < G_N_ELEMENTS (smooth_powers_); i++)
-    error = MIN (error, error_of_ (limit, smooth_powers_[i], 1));
+    error = MIN (error, error_of_ (limit, limit->levels, smooth_powers_[i], 1));
   return error;
 }
 
@@ -445,29 +479,79 @@
 static guint
 best_limit_ (const DpConcurrencyLimit *limit)
 {
-  const double present = knee_error_ (limit, limit->limit);
-  const double smooth = smooth_error_ (limit);
-  const guint top = top_level_ (limit);
-  const gboolean lowered = limit->limit * limit->step < limit->declared;
-  double best_error = present;
-  double improvement;
+  const double evidence = is_lowered_ (limit) || needs_dip_ (limit)
+                              ? EVIDENCE_WHEN_EXPECTED
+                              : EVIDENCE;
+  const double present = knee_error_ (limit, limit->levels, limit->limit);
+  const guint lower = best_between_ (limit, limit->levels, 1, limit->limit);
+  Samples levels[LEVELS_MAX + 1];
+  guint higher;
+
+  if (MIN (present, smooth_error_ (limit)) - knee_error_ (limit, limit->levels, lower)
+      > evidence)
+    return lower;
+  memcpy (levels, limit->levels, sizeof levels);
+  add_low_level_ (limit, levels);
+  higher = best_between_ (limit, levels, limit->limit, top_level_ (limit));
+  if (knee_error_ (limit, levels, limit->limit) - knee_error_ (limit, levels, higher)
+      > evidence)
+    return higher;
+  return limit->limit;
+}
+
+static gboolean
+is_lowered_ (const DpConcurrencyLimit *limit)
+{
+  return limit->limit * limit->step < limit->declared;
+}
+
+/* Returns the limit within the bounds that fits best. */
+static guint
+best_between_ (const DpConcurrencyLimit *limit,
+               const Samples *levels,
+               guint from,
+               guint to)
+{
+  double best_error = G_MAXDOUBLE;
   guint best = limit->limit;
 
-  for (guint level = 1; level <= top; level++)
+  for (guint level = from; level <= to; level++)
     {
-      const double distance = level > limit->limit ? level - limit->limit
-                                                   : limit->limit - level;
-      const double error = knee_error_ (limit, level) + DISTANCE_COST * distance;
+      const guint distance = level > limit->limit ? level - limit->limit
+                                                  : limit->limit - level;
+      const double error = knee_error_ (limit, levels, level) + DISTANCE_COST * distance;
 
       if (error >= best_error)
         continue;
       best = level;
       best_error = error;
     }
-  improvement = present - best_error;
-  if (best < limit->limit)
-    improvement = MIN (present, smooth) - best_error;
-  return improvement < (lowered ? EVIDENCE_WHEN_LOWERED : EVIDENCE) ? limit->limit : best;
+  return best;
+}
+
+/* Adds the last times at a low number of requests. If requests beyond a lowered limit
+ * have become as fast as those, the server has recovered. A limit isn't lowered for that
+ * reason, since the whole server may have become slow meanwhile. */
+static void
+add_low_level_ (const DpConcurrencyLimit *limit, Samples *levels)
+{
+  const guint index = MAX ((guint) (limit->limit * LOW_SHARE), 1);
+  double weight = 0.0;
+  double sum = 0.0;
+
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    {
+      const Class *c = &limit->classes[i];
+
+      if (c->n_low < LOW_SAMPLES_MIN)
+        continue;
+      weight += c->recent.weight;
+      sum += c->recent.weight * (c->low - c->usual);
+    }
+  if (weight < 1.0 || levels[index].weight >= LOW_WEIGHT)
+    return;
+  levels[index].sum += (LOW_WEIGHT - levels[index].weight) * sum / weight;
+  levels[index].weight = LOW_WEIGHT;
 }
 
 /* Returns the mean service time of the recent requests, in us; 0 if there were none. */
@@ -484,19 +568,28 @@
   return all.weight > 0.1 ? exp (all.sum / all.weight) : 0.0;
 }
 
-/* Starts to offer fewer flows if the times at lower numbers of requests are to be seen.
+/* Starts or ends to offer fewer flows, as the times at lower numbers of requests are to
+ * be seen.
  */
 static void
-start_dip_ (DpConcurrencyLimit *limit, gint64 now)
+update_dip_ (DpConcurrencyLimit *limit, gint64 now)
 {
-  const gint64 length = (gint64) (mean_service_time_ (limit) * DIP_SERVICE_TIMES);
+  guint n_low = 0;
 
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    n_low += limit->classes[i].n_new_low;
+  if (now < limit->dip_ends_at && n_low >= DIP_SAMPLES
+      && now >= limit->dip_ends_at - DIP_MAX_US + DIP_MIN_US)
+    limit->dip_ends_at = now;
   if (limit->limit < 2 || now < limit->dip_ends_at + DIP_INTERVAL_US
       || !needs_dip_ (limit))
     return;
-  limit->dip_ends_at = now + CLAMP (length, DIP_MIN_US, DIP_MAX_US);
+  limit->dip_ends_at = now + DIP_MAX_US;
   for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
-    limit->classes[i].n_low = MIN (limit->classes[i].n_low, LOW_SAMPLES_MIN);
+    {
+      limit->classes[i].n_low = MIN (limit->classes[i].n_low, LOW_SAMPLES_MIN);
+      limit->classes[i].n_new_low = 0;
+    }
 }
 
 static gboolean
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -1,6 +1,8 @@
 /* Guards against servers that have a queue while others are idle, flows that cross
  * availability zones without need, and members that get flows although they have stopped
  * reporting. */
+#include <stdio.h>
+
 #include "protected/clock.h"
 #include "protected/placement.h"
 #include "runner.h"
@@ -390,6 +392,121 @@
   CU_ASSERT_TRUE (dp_placement_has_active (placement, service));
 }
 
+/* Reports a service time of each member, in ms, at now. */
+static void
+report_times (DpPlacement *placement,
+              const guint times_ms[3],
+              guint in_flight,
+              gint64 now)
+{
+  static const char *const names[] = { "a-1", "a-2", "b-1" };
+
+  for (guint i = 0; i < 3; i++)
+    {
+      DpReport report = make_report (names[i], i < 2 ? "riga-a" : "riga-b", i + 1,
+                                     in_flight);
+
+      report.limit = 2;
+      report.service_times[DP_TRAFFIC_INTERACTIVE] = times_ms[i] * MS;
+      dp_placement_apply_report (placement, &report, now);
+    }
+}
+
+static void
+place (DpPlacement *placement, guint n_flows, guint n[4], gint64 now)
+{
+  for (guint i = 0; i < n_flows; i++)
+    {
+      const DpHandle member = dp_placement_choose (placement, dp_service_id (SERVICE),
+                                                   DP_TRAFFIC_INTERACTIVE, i, now);
+      DpAddress address = { 0 };
+
+      dp_placement_address (placement, member, &address);
+      dp_placement_flow_opened (placement, member);
+      n[address.ip]++;
+    }
+}
+
+/* A member four times as slow as the others must not get as many flows, one that reports
+ * absurd times must still get some, and reports of older builds count as the median. */
+static void
+test_speeds (void)
+{
+  static const struct
+  {
+    guint times_ms[3];
+    guint min;
+    guint max; /* flows of a-2 among 40 */
+  } cases[] = {
+    { { 20, 80, 20 }, 3, 8 }, /* 40 * 0.25 / 2.25 by its speed */
+    { { 20, 4000000, 20 }, 1, 5 },
+    { { 20, 23, 20 }, 10, 20 },
+    { { 20, 0, 20 }, 10, 20 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (DpPlacement) placement = make_placement (0, 0, 0);
+      guint n[4] = { 0 };
+
+      dp_placement_set_learned (placement, TRUE);
+      report_times (placement, cases[i].times_ms, 1, 200 * MS);
+      report_times (placement, cases[i].times_ms, 1, 400 * MS);
+      place (placement, 40, n, 400 * MS);
+      if (n[2] < cases[i].min || n[2] > cases[i].max)
+        printf ("case %u: %u %u %u\n", i, n[1], n[2], n[3]);
+      CU_ASSERT (n[2] >= cases[i].min && n[2] <= cases[i].max);
+    }
+}
+
+/* A slow server that gets no flow can't show that it has recovered. */
+static void
+test_idle_slow_member (void)
+{
+  const guint times_ms[] = { 20, 2000, 20 };
+  g_autoptr (DpPlacement) placement = make_placement (0, 0, 0);
+  guint n[4] = { 0 };
+
+  dp_placement_set_learned (placement, TRUE);
+  report_times (placement, times_ms, 1, 200 * MS);
+  report_times (placement, times_ms, 1, 400 * MS);
+  report_times (placement, times_ms, 0, 500 * MS);
+  place (placement, 6, n, 500 * MS);
+  CU_ASSERT_EQUAL (n[2], 0);
+  report_times (placement, times_ms, 0, 1500 * MS);
+  place (placement, 1, n, 1500 * MS);
+  place (placement, 2, n, 1500 * MS);
+  CU_ASSERT_EQUAL (n[2], 1);
+}
+
+/* Without --concurrency learned, limits and times that others report change nothing. */
+static void
+test_fixed_ignores_learned_values (void)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+  g_autoptr (DpPlacement) plain = make_placement (0, 0, 0);
+  g_autoptr (DpPlacement) learned = make_placement (0, 0, 0);
+
+  for (guint i = 0; i < 300; i++)
+    {
+      const guint32 ip = (guint32) g_rand_int_range (rand, 1, 4);
+      DpReport report = make_report (ip == 1   ? "a-1"
+                                     : ip == 2 ? "a-2"
+                                               : "b-1",
+                                     ip < 3 ? "riga-a" : "riga-b", ip,
+                                     (guint32) g_rand_int_range (rand, 0, 9));
+      const gint64 now = (i + 1) * 10 * MS;
+
+      dp_placement_apply_report (plain, &report, now);
+      report.limit = (guint32) g_rand_int_range (rand, 1, 9);
+      report.service_times[0] = (guint32) g_rand_int (rand);
+      dp_placement_apply_report (learned, &report, now);
+      for (guint class = 0; class < DP_N_TRAFFIC_CLASSES; class ++)
+        CU_ASSERT_EQUAL (choose (plain, (DpTrafficClass) class, now),
+                         choose (learned, (DpTrafficClass) class, now));
+    }
+}
+
 static const DpTestCase cases_[] = {
   { "a failing server is chosen last", test_failing },
   { "a server that has deregistered is gone", test_deregistered },
@@ -409,6 +526,9 @@
   { "another service reuses an address", test_address_used_again },
   { "a cold member takes fewer flows", test_cold_member },
   { "a service without members", test_unknown_service },
+  { "speeds", test_speeds },
+  { "idle slow member", test_idle_slow_member },
+  { "fixed ignores learned values", test_fixed_ignores_learned_values },
 };
 
 DP_TEST_MAIN ("placement", cases_)
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -76,6 +76,38 @@
   dp_report_message_clear (&message);
 }
 
+/* Limit and times must arrive, and must not be sent by a companion that doesn't learn:
+ * test_other_versions () shows that its reports have 15 fields as before. */
+static void
+test_concurrency (void)
+{
+  guint8 buffer[DP_REPORT_MAX];
+  DpReport report = report_;
+  DpReportMessage message;
+  gsize length;
+
+  report.limit = 3;
+  report.service_times[DP_TRAFFIC_URGENT] = 33000;
+  report.service_times[DP_TRAFFIC_BULK] = G_MAXUINT32;
+  length = dp_report_encode (&report, buffer);
+  CU_ASSERT_TRUE (dp_report_decode (&message, buffer, length));
+  CU_ASSERT_EQUAL (message.report.limit, 3);
+  CU_ASSERT_EQUAL (message.report.service_times[DP_TRAFFIC_URGENT], 33000);
+  CU_ASSERT_EQUAL (message.report.service_times[DP_TRAFFIC_INTERACTIVE], 0);
+  CU_ASSERT_EQUAL (message.report.service_times[DP_TRAFFIC_BULK], G_MAXUINT32);
+  dp_report_message_clear (&message);
+  /* A negative limit: the last four values are a fixed array of four. */
+  for (gsize i = length; i-- > 0;)
+    if (buffer[i] == (0x90 | 4))
+      {
+        buffer[i + 5] = 0xff;
+        buffer[i + 1] = 0xd2;
+        break;
+      }
+  CU_ASSERT_FALSE (dp_report_decode (&message, buffer, length));
+  dp_report_message_clear (&message);
+}
+
 static void
 test_list (void)
 {
@@ -302,6 +334,7 @@
   { "a list in parts", test_parts },
   { "all members of a large service arrive", test_all_members_arrive },
   { "reports of other versions are understood", test_other_versions },
+  { "concurrency", test_concurrency },
   { "a report is encoded and decoded", test_report },
   { "a list is encoded and decoded", test_list },
   { "messages of the flow directory", test_flow_directory },
