--- a/src/libdogwoodpaddle/concurrencylimit.c
+++ b/src/libdogwoodpaddle/concurrencylimit.c
@@ -20,6 +20,7 @@
  * the many that ended before would hide it. */
 #define RECENT_SAMPLES 48.0
 #define LEVEL_SAMPLES 64.0
+#define WEIGHT_MIN 0.01 /* smaller weights are ignored */
 /* Samples of a class before its requests are compared with the usual time. */
 #define USUAL_SAMPLES_MIN 8
 /* Weight of the usual time, in samples, within the present service time, so that a single
@@ -100,7 +101,8 @@
   double level_logs[LEVELS_MAX + 1];
   guint declared;
   guint step;          /* requests per level */
-  guint limit;         /* in levels */
+  guint limit; /* in levels */
+  guint top_used; /* highest level that has samples */
   guint n_work;        /* requests in work */
   gint64 request_time; /* us, sum of the times of all requests in work until changed_at */
   gint64 changed_at;   /* us */
@@ -170,6 +172,7 @@
   limit->declared = slots;
   limit->step = MAX ((slots * LIMIT_FACTOR_MAX + LEVELS_MAX - 1) / LEVELS_MAX, 1);
   memset (limit->levels, 0, sizeof limit->levels);
+  limit->top_used = 0;
   set_level_limit_ (limit, (slots + limit->step - 1) / limit->step);
 }
 
@@ -374,6 +377,7 @@
     {
       samples->sum += CLAMP (value - c->usual, -LOG_RATIO_MAX, LOG_RATIO_MAX);
       samples->weight++;
+      limit->top_used = MAX (limit->top_used, index);
     }
   if (level <= limit->limit * LOW_SHARE)
     {
@@ -394,14 +398,17 @@
   const double recent = exp (-time / RECENT_US);
   const double usual = exp (-time / USUAL_US);
   double weight = 0.0;
+  const guint n = limit->top_used;
 
   limit->updated_at = now;
-  for (guint i = 1; i <= LEVELS_MAX; i++)
+  for (guint i = 1; i <= n; i++)
     {
       scale_ (&limit->levels[i], recent);
       weight += limit->levels[i].weight;
     }
-  for (guint i = 1; weight > LEVEL_SAMPLES && i <= LEVELS_MAX; i++)
+  while (limit->top_used > 0 && limit->levels[limit->top_used].weight < WEIGHT_MIN)
+    limit->levels[limit->top_used--] = (Samples){ 0 };
+  for (guint i = 1; weight > LEVEL_SAMPLES && i <= n; i++)
     scale_ (&limit->levels[i], LEVEL_SAMPLES / weight);
   for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
     {
@@ -435,13 +442,14 @@
   double weight = 0.0;
   double sum = 0.0;
   double squares = 0.0;
+  const guint n = MAX (limit->top_used, limit->limit);
 
-  for (guint i = 1; i <= LEVELS_MAX; i++)
+  for (guint i = 1; i <= n; i++)
     {
       const Samples *s = &levels[i];
       double difference;
 
-      if (s->weight < 0.01)
+      if (s->weight < WEIGHT_MIN)
         continue;
       difference = s->sum / s->weight;
       if (i > knee)
@@ -482,20 +490,27 @@
   const double evidence = is_lowered_ (limit) || needs_dip_ (limit)
                               ? EVIDENCE_WHEN_EXPECTED
                               : EVIDENCE;
-  const double present = knee_error_ (limit, limit->levels, limit->limit);
-  const guint lower = best_between_ (limit, limit->levels, 1, limit->limit);
+  double present = MIN (knee_error_ (limit, limit->levels, limit->limit),
+                        smooth_error_ (limit));
   Samples levels[LEVELS_MAX + 1];
-  guint higher;
+  guint best;
 
-  if (MIN (present, smooth_error_ (limit)) - knee_error_ (limit, limit->levels, lower)
-      > evidence)
-    return lower;
+  /* An error can't improve by more than itself. */
+  if (present > evidence)
+    {
+      best = best_between_ (limit, limit->levels, 1, limit->limit);
+      if (present - knee_error_ (limit, limit->levels, best) > evidence)
+        return best;
+    }
   memcpy (levels, limit->levels, sizeof levels);
   add_low_level_ (limit, levels);
-  higher = best_between_ (limit, levels, limit->limit, top_level_ (limit));
-  if (knee_error_ (limit, levels, limit->limit) - knee_error_ (limit, levels, higher)
-      > evidence)
-    return higher;
+  present = knee_error_ (limit, levels, limit->limit);
+  if (present > evidence)
+    {
+      best = best_between_ (limit, levels, limit->limit, top_level_ (limit));
+      if (present - knee_error_ (limit, levels, best) > evidence)
+        return best;
+    }
   return limit->limit;
 }
 
@@ -622,7 +637,7 @@
   double weight = 0.0;
   double sum = 0.0;
 
-  for (guint i = 1; i <= LEVELS_MAX; i++)
+  for (guint i = 1; i <= limit->top_used; i++)
     {
       weight += limit->levels[i].weight;
       sum += limit->levels[i].weight * i;
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -42,9 +42,9 @@
 /* Differences up to this logarithm, 20%, are noise of the service times, and larger ones
  * count less by it. */
 #define SPEED_NOISE_LOG 0.18
-/* Interval between two comparisons of a service's members. Sorting the times of 7,100
- * members takes about 1 ms for each class. */
-#define SPEED_INTERVAL_US (100 * DP_US_PER_MS)
+/* Interval between two comparisons of a service's members, in which each of the zone has
+ * reported twice. It grows with the members, so that the cost per time does not. */
+#define SPEED_INTERVAL_US (200 * DP_US_PER_MS)
 #define SPEED_INTERVAL_PER_MEMBER_US (DP_US_PER_MS / 10)
 /* A member that has had no flow for this time counts as no slower than the median, so
  * that a server that has recovered gets flows which show it. */
@@ -68,6 +68,7 @@
   gint64 used_at;         /* us; last time at which it had a flow in flight */
   guint32 limit;          /* learnt limit; 0: not reported */
   guint32 service_times[DP_N_TRAFFIC_CLASSES]; /* us; 0: not known */
+  float log_times[DP_N_TRAFFIC_CLASSES];       /* their logarithms */
   double speed;                                /* relative to the median of the service */
   guint own_flows;   /* flows in flight that this balancer placed */
   guint other_flows; /* flows in flight that other balancers placed */
@@ -112,12 +113,13 @@
 static void rebuild_view_ (DpPlacement *placement, Service *service);
 static gboolean has_reported_recently_ (const Member *member, gint64 now);
 static gint64 silence_limit_ (const Member *member);
+static void set_service_times_ (Member *member, const DpReport *report);
 static void compare_speeds_ (DpPlacement *placement, Service *service, gint64 now);
 static double median_log_time_ (DpPlacement *placement,
                                 const Service *service,
                                 guint class,
                                 GArray *logs);
-static int compare_doubles_ (gconstpointer a, gconstpointer b);
+static float select_middle_ (GArray *values);
 static double learned_cost_ (const Member *member, gint64 now);
 static double load_cost_ (const DpPlacement *placement,
                           const Member *member,
@@ -206,8 +208,8 @@
   member->warmed_up_at = now + report->warmup_remaining_ms * DP_US_PER_MS;
   member->failing = report->failing;
   member->limit = report->limit;
-  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
-    member->service_times[i] = report->service_times[i];
+  if (placement->learned)
+    set_service_times_ (member, report);
   if (report->in_flight > 0)
     member->used_at = now;
   if (placement->learned)
@@ -638,6 +640,18 @@
          + SILENT_MARGIN_US;
 }
 
+static void
+set_service_times_ (Member *member, const DpReport *report)
+{
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    {
+      if (member->service_times[i] == report->service_times[i])
+        continue;
+      member->service_times[i] = report->service_times[i];
+      member->log_times[i] = logf ((float) MAX (report->service_times[i], 1));
+    }
+}
+
 /* Sets the speed of each member of the service to the mean, over the classes, of the
  * median service time divided by its own. */
 static void
@@ -651,7 +665,7 @@
       < MAX (SPEED_INTERVAL_US, n * SPEED_INTERVAL_PER_MEMBER_US))
     return;
   service->compared_at = now;
-  logs = g_array_sized_new (FALSE, FALSE, sizeof (double), n);
+  logs = g_array_sized_new (FALSE, FALSE, sizeof (float), n);
   for (guint c = 0; c < DP_N_TRAFFIC_CLASSES; c++)
     medians[c] = median_log_time_ (placement, service, c, logs);
   for (guint i = 0; i < n; i++)
@@ -665,13 +679,15 @@
         {
           if (member->service_times[c] == 0 || medians[c] < 0.0)
             continue;
-          sum += medians[c] - log (member->service_times[c]);
+          sum += medians[c] - member->log_times[c];
           n_classes++;
         }
       sum = n_classes == 0 ? 0.0 : sum / n_classes;
-      sum = sum > 0.0 ? MAX (sum - SPEED_NOISE_LOG, 0.0)
-                      : MIN (sum + SPEED_NOISE_LOG, 0.0);
-      member->speed = CLAMP (exp (sum), SPEED_MIN, SPEED_MAX);
+      if (fabs (sum) <= SPEED_NOISE_LOG)
+        member->speed = 1.0;
+      else
+        member->speed = CLAMP (exp (sum - copysign (SPEED_NOISE_LOG, sum)), SPEED_MIN,
+                               SPEED_MAX);
     }
 }
 
@@ -688,28 +704,49 @@
     {
       const Member *member = dp_handle_table_get (
           placement->members, g_array_index (service->members, DpHandle, i));
-      double value;
 
-      if (member->service_times[class] == 0)
-        continue;
-      value = log (member->service_times[class]);
-      g_array_append_val (logs, value);
+      if (member->service_times[class] != 0)
+        g_array_append_val (logs, member->log_times[class]);
     }
-  if (logs->len < SPEED_MEMBERS_MIN)
-    return -1.0;
-  g_array_sort (logs, compare_doubles_);
-  return (g_array_index (logs, double, (logs->len - 1) / 2)
-          + g_array_index (logs, double, logs->len / 2))
-         / 2.0;
+  return logs->len < SPEED_MEMBERS_MIN ? -1.0 : select_middle_ (logs);
 }
 
-static int
-compare_doubles_ (gconstpointer a, gconstpointer b)
+/* Returns the middle value, the lower one of two, and reorders the array. Partitions only
+ * the part that has the middle, as sorting would take several times as long. */
+static float
+select_middle_ (GArray *values)
 {
-  const double x = *(const double *) a;
-  const double y = *(const double *) b;
+  float *v = (float *) (void *) values->data;
+  const guint middle = (values->len - 1) / 2;
+  guint from = 0;
+  guint to = values->len - 1;
+
+  while (from < to)
+    {
+      const float pivot = v[(from + to) / 2];
+      guint i = from;
+      guint j = to;
 
-  return x < y ? -1 : x > y ? 1 : 0;
+      for (;;)
+        {
+          float swap;
+
+          while (v[i] < pivot)
+            i++;
+          while (v[j] > pivot)
+            j--;
+          if (i >= j)
+            break;
+          swap = v[i];
+          v[i++] = v[j];
+          v[j--] = swap;
+        }
+      if (middle <= j)
+        to = j;
+      else
+        from = j + 1;
+    }
+  return v[middle];
 }
 
 /* Returns the flows in flight per slot and speed, the new one included. */
