Benchmark of what a learnt limit costs; smaller flows

Change: the state of a request in work is kept beside the flow, which grows by 8 instead of 24 bytes; a member's slots and speed are multiplied when they change and not in each choice.

--- a/microbench/bench_concurrency.c
+++ b/microbench/bench_concurrency.c
@@ -1,7 +1,8 @@
 /* Measures what --concurrency learned costs, against fixed in the same run. Prints one
- * JSON line for each of: the decisions about the packets of a flow at a companion, and the
- * choice of a member at a balancer. Times are the lowest of the rounds, which alternate;
- * the ratio is the median of the ratios of the rounds. Also prints the bytes of a flow. */
+ * JSON line for each of: the decisions about the packets of a flow at a companion, the
+ * choice of a member, and a report of a member at a balancer. Times are the lowest of the
+ * rounds, which alternate; the ratio is the median of the ratios of the rounds. Also
+ * prints the bytes of a flow. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
@@ -13,8 +14,9 @@
 
 #define SERVICE "dispatch"
 #define ROUNDS 41
-#define FLOWS 20000      /* in a round */
-#define CHOICES 20000    /* in a round */
+#define FLOWS 20000   /* in a round */
+#define CHOICES 20000 /* in a round */
+#define CHOICES_PER_REPORT 30
 #define N_MEMBERS 42
 #define FLOW_INTERVAL (10 * DP_US_PER_MS)
 #define TICK_INTERVAL (100 * DP_US_PER_MS)
@@ -108,30 +110,51 @@
     }
 }
 
-/* Returns the time per choice, in ns. Reports come every 100 ms, and 300 flows a second,
- * as at one of many balancers. */
+/* Returns the time per choice or, if reports, per report, in ns. Reports come every 100
+ * ms, and 300 flows a second, as at one of many balancers. */
 static double
-measure_choices (gboolean learned)
+measure_placement (gboolean learned, gboolean reports)
 {
   g_autoptr (DpPlacement) placement = dp_placement_new ("z-0");
   const guint64 service = dp_service_id (SERVICE);
   gint64 now = DP_US_PER_S;
   guint64 sum = 0;
-  double start;
+  double choices_ns = 0.0;
+  double reports_ns = 0.0;
 
   dp_placement_set_learned (placement, learned);
-  report_members (placement, learned, 0, now);
-  start = now_ns ();
-  for (guint i = 0; i < CHOICES; i++)
+  for (guint i = 0; i < CHOICES; i += CHOICES_PER_REPORT)
     {
-      sum += dp_placement_choose (placement, service, DP_TRAFFIC_INTERACTIVE,
-                                  i * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15), now);
-      now += 3333;
-      if (i % 30 == 0)
-        report_members (placement, learned, i, now);
+      double start = now_ns ();
+
+      report_members (placement, learned, i, now);
+      reports_ns += now_ns () - start;
+      start = now_ns ();
+      for (guint k = 0; k < CHOICES_PER_REPORT; k++)
+        {
+          sum += dp_placement_choose (placement, service, DP_TRAFFIC_INTERACTIVE,
+                                      (i + k) * G_GUINT64_CONSTANT (0x9e3779b97f4a7c15),
+                                      now);
+          now += 3333;
+        }
+      choices_ns += now_ns () - start;
     }
-  start = (now_ns () - start) / CHOICES;
-  return sum == 0 ? 0.0 : start;
+  if (sum == 0)
+    return 0.0;
+  return reports ? reports_ns * CHOICES_PER_REPORT / CHOICES / N_MEMBERS
+                 : choices_ns / CHOICES;
+}
+
+static double
+measure_choices (gboolean learned)
+{
+  return measure_placement (learned, FALSE);
+}
+
+static double
+measure_reports (gboolean learned)
+{
+  return measure_placement (learned, TRUE);
 }
 
 static int
@@ -162,8 +185,8 @@
       learned = MIN (learned, l);
     }
   qsort (ratios, ROUNDS, sizeof ratios[0], compare);
-  printf ("{\"cost\":\"%s\",\"fixed_ns\":%.0f,\"learned_ns\":%.0f,\"ratio\":%.3f}\n", name,
-          fixed, learned, ratios[ROUNDS / 2]);
+  printf ("{\"cost\":\"%s\",\"fixed_ns\":%.0f,\"learned_ns\":%.0f,\"ratio\":%.3f}\n",
+          name, fixed, learned, ratios[ROUNDS / 2]);
 }
 
 static GLogWriterOutput
@@ -178,7 +201,8 @@
   g_log_set_writer_func (ignore_log, NULL, NULL);
   compare_costs ("packets of a flow", measure_flows);
   compare_costs ("choice of a member", measure_choices);
+  compare_costs ("report of a member", measure_reports);
   printf ("{\"flow_bytes\":%zu,\"of_learning\":%zu}\n", sizeof (DpPassthroughFlow),
-          sizeof (DpRequestWork) + sizeof (guint32));
+          sizeof (DpHandle) + sizeof (guint32));
   return EXIT_SUCCESS;
 }
--- a/src/libdogwoodpaddle/concurrencylimit.c
+++ b/src/libdogwoodpaddle/concurrencylimit.c
@@ -101,8 +101,8 @@
   double level_logs[LEVELS_MAX + 1];
   guint declared;
   guint step;          /* requests per level */
-  guint limit; /* in levels */
-  guint top_used; /* highest level that has samples */
+  guint limit;         /* in levels */
+  guint top_used;      /* highest level that has samples */
   guint n_work;        /* requests in work */
   gint64 request_time; /* us, sum of the times of all requests in work until changed_at */
   gint64 changed_at;   /* us */
--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -51,8 +51,9 @@
   guint32 answer_start_seq; /* sequence number at which the answer begins */
   guint32 server_next_seq;  /* sequence number after the server's highest data */
   gint64 new_data_at;       /* us, when server_next_seq last advanced */
-  DpRequestWork work;       /* only if the limit is learnt */
-  guint32 work_answer_seq;  /* sequence number at which the answer to that work begins */
+  DpHandle
+      work; /* row of the request that the server works on; only if the limit is learnt */
+  guint32 work_answer_seq; /* sequence number at which the answer to that work begins */
   DpAddress forwarded_to;
   DpHop hop;                    /* of the SYN as it arrived */
   GBytes *packet;               /* the held SYN, owned; may be NULL */
@@ -69,6 +70,7 @@
   DpSlots *slots;
   DpServerHealth *health;
   DpConcurrencyLimit *concurrency; /* NULL: the declared slots are the limit */
+  DpHandleTable *works;            /* DpRequestWork; NULL: the limit is not learnt */
   DpPassthroughHistograms histograms;
   GHashTable *by_key;             /* set of DpPassthroughFlow, compared by key */
   DpHandleTable *waiting_flows;   /* DpPassthroughFlow pointers */
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -78,6 +78,7 @@
   dp_slots_free (flows->slots);
   dp_server_health_free (flows->health);
   dp_concurrency_limit_free (flows->concurrency);
+  dp_handle_table_free (flows->works);
   dp_handle_table_free (flows->waiting_flows);
   dp_handle_table_free (flows->in_flight_flows);
   g_hash_table_unref (flows->by_key);
@@ -102,6 +103,7 @@
   if (flows->concurrency != NULL)
     return;
   flows->concurrency = dp_concurrency_limit_new (now);
+  flows->works = dp_handle_table_new (sizeof (DpRequestWork), FLOWS_MAX);
   dp_concurrency_limit_set_declared (flows->concurrency, flows->declared_slots);
   apply_limit_ (flows);
 }
@@ -213,13 +215,16 @@
                                        gint64 now)
 {
   /* Where the answer begins isn't known on a flow that began before this process. */
-  if (flows->concurrency == NULL || flow->work.began_at != 0 || flow->server_finished
+  if (flows->concurrency == NULL || flow->work != DP_HANDLE_NONE || flow->server_finished
       || (!flow->syn_ack_seen && flow->new_data_at == 0)
       || (flow->request_seen && (gint32) (segment->ack - flow->work_answer_seq) <= 0))
     return;
   flow->work_answer_seq = flow->new_data_at != 0 ? flow->server_next_seq
                                                  : flow->syn_ack_seq + 1;
-  dp_concurrency_limit_begin (flows->concurrency, &flow->work, now);
+  flow->work = dp_handle_table_add (flows->works);
+  if (flow->work != DP_HANDLE_NONE)
+    dp_concurrency_limit_begin (flows->concurrency,
+                                dp_handle_table_get (flows->works, flow->work), now);
 }
 
 /* Records the end of the server's work with the first data of its answer. */
@@ -229,8 +234,13 @@
                                   guint32 end,
                                   gint64 now)
 {
-  if (flow->work.began_at != 0 && (gint32) (end - flow->work_answer_seq) > 0)
-    dp_concurrency_limit_end (flows->concurrency, &flow->work, flow->class, now);
+  if (flow->work == DP_HANDLE_NONE || (gint32) (end - flow->work_answer_seq) <= 0)
+    return;
+  dp_concurrency_limit_end (flows->concurrency,
+                            dp_handle_table_get (flows->works, flow->work), flow->class,
+                            now);
+  dp_handle_table_remove (flows->works, flow->work);
+  flow->work = DP_HANDLE_NONE;
 }
 
 /* Stops counting the flow as in flight, and records the time and the result of its
@@ -254,8 +264,13 @@
 void
 dp_passthrough_flows_abandon_work (DpPassthroughFlows *flows, DpPassthroughFlow *flow)
 {
-  if (flow->work.began_at != 0)
-    dp_concurrency_limit_abandon (flows->concurrency, &flow->work);
+  if (flow->work != DP_HANDLE_NONE)
+    {
+      dp_concurrency_limit_abandon (flows->concurrency,
+                                    dp_handle_table_get (flows->works, flow->work));
+      dp_handle_table_remove (flows->works, flow->work);
+      flow->work = DP_HANDLE_NONE;
+    }
   if (flow->in_flight)
     {
       flows->n_in_flight--;
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -70,6 +70,7 @@
   guint32 service_times[DP_N_TRAFFIC_CLASSES]; /* us; 0: not known */
   float log_times[DP_N_TRAFFIC_CLASSES];       /* their logarithms */
   double speed;                                /* relative to the median of the service */
+  double weighted_slots;                       /* see update_weighted_slots_ () */
   guint own_flows;   /* flows in flight that this balancer placed */
   guint other_flows; /* flows in flight that other balancers placed */
 } Member;
@@ -120,7 +121,7 @@
                                 guint class,
                                 GArray *logs);
 static float select_middle_ (GArray *values);
-static double learned_cost_ (const Member *member, gint64 now);
+static void update_weighted_slots_ (const DpPlacement *placement, Member *member);
 static double load_cost_ (const DpPlacement *placement,
                           const Member *member,
                           DpTrafficClass class,
@@ -212,6 +213,7 @@
     set_service_times_ (member, report);
   if (report->in_flight > 0)
     member->used_at = now;
+  update_weighted_slots_ (placement, member);
   if (placement->learned)
     compare_speeds_ (placement, find_service_ (placement, member->service_id), now);
   /* Stops counting flows whose end this balancer did not see. One flow more than reported
@@ -688,6 +690,7 @@
       else
         member->speed = CLAMP (exp (sum - copysign (SPEED_NOISE_LOG, sum)), SPEED_MIN,
                                SPEED_MAX);
+      update_weighted_slots_ (placement, member);
     }
 }
 
@@ -749,20 +752,16 @@
   return v[middle];
 }
 
-/* Returns the flows in flight per slot and speed, the new one included. */
-static double
-learned_cost_ (const Member *member, gint64 now)
+/* Sets the slots that count in the choice of a member: the declared ones, or the learnt
+ * limit times the speed. */
+static void
+update_weighted_slots_ (const DpPlacement *placement, Member *member)
 {
-  const guint flows = member->own_flows + member->other_flows;
-  const guint32 limit = member->limit > 0 ? member->limit : member->slots;
-  double slots = MAX (limit, 1);
-  double speed = member->speed;
-
-  if (now < member->warmed_up_at)
-    slots *= COLD_CAPACITY_SHARE;
-  if (flows == 0 && now - member->used_at >= SPEED_IDLE_US)
-    speed = MAX (speed, 1.0);
-  return (flows + 1) / slots / speed;
+  if (!placement->learned)
+    member->weighted_slots = MAX (member->slots, 1);
+  else
+    member->weighted_slots = MAX (member->limit > 0 ? member->limit : member->slots, 1)
+                             * member->speed;
 }
 
 /* Returns the flows in flight per slot, the new one included, plus penalties for a
@@ -773,15 +772,15 @@
             DpTrafficClass class,
             gint64 now)
 {
-  double slots = MAX (member->slots, 1);
+  const guint flows = member->own_flows + member->other_flows;
+  double slots = member->weighted_slots;
   double cost;
 
+  if (flows == 0 && member->speed < 1.0 && now - member->used_at >= SPEED_IDLE_US)
+    slots /= member->speed;
   if (now < member->warmed_up_at)
     slots *= COLD_CAPACITY_SHARE;
-  if (placement->learned)
-    cost = learned_cost_ (member, now);
-  else
-    cost = (member->own_flows + member->other_flows + 1) / slots;
+  cost = (flows + 1) / slots;
   cost += member->failing ? FAILING_PENALTY : 0.0;
   return member->same_zone ? cost : cost + other_zone_penalty_[class];
 }
