--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -261,7 +261,8 @@
   companion->heartbeat_at = now;
   companion->warmup_ends_at = now + announcement->warmup_remaining_ms * DP_US_PER_MS;
   dp_passthrough_set_limits (companion->passthrough, &limits);
-  if (companion->options.learned_concurrency)
+  /* Heartbeats of a warm server must not discard the requests in work. */
+  if (companion->options.learned_concurrency && announcement->warmup_remaining_ms > 0)
     dp_concurrency_limit_set_warm_at (dp_passthrough_concurrency (companion->passthrough),
                                       companion->warmup_ends_at);
   update_serving_ (companion);
