--- a/test/hosted/standins.py
+++ b/test/hosted/standins.py
@@ -821,8 +821,8 @@
 class Process:
     """One process of the system, with its settings file and its log."""
 
-    def __init__(self, program, role, folder, settings, faults_library=None):
-        self.program, self.role = program, role
+    def __init__(self, program, role, folder, settings, faults_library=None, arguments=()):
+        self.program, self.role, self.arguments = program, role, arguments
         self.settings = settings
         self.name = settings["node_name"]
         self.path = os.path.join(folder, self.name + ".json")
@@ -840,7 +840,7 @@
         self.started_at.append(time.monotonic())
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [self.program, self.role], stdout=log, stderr=log,
+                [self.program, self.role, *self.arguments], stdout=log, stderr=log,
                 env={"DOGWOODPADDLE_CONFIG": self.path, "PATH": os.environ["PATH"],
                      **(self.faults.environment if self.faults else {})})
 
@@ -901,6 +901,7 @@
         self.prefix, self.store = self._open_store()
         self.balancers, self.companions, self.servers = [], [], []
         self.clients = []
+        self.arguments = []  # of all processes, besides the role
         self.version = 1
         self.versions = []  # Version, in order
         self.declared = set()  # (ip, port, service) of all configurations
@@ -939,7 +940,7 @@
         settings = self.settings("balancer", f"balancer-{number}", ip, zone,
                                  {"platform": {"address": f"{store_ip}:{STORE_PORT}"}})
         balancer = Process(self.program, "balancer", self.folder, settings,
-                           self.faults_library)
+                           self.faults_library, self.arguments)
         balancer.store_ip = store_ip
         self.balancers.append(balancer)
         return balancer
@@ -952,7 +953,7 @@
         settings["listen"]["outbound"] = f"{ip}:{OUTBOUND_PORT}"
         settings["listen"]["control_plane"] = f"{ip}:{ANNOUNCE_PORT}"
         companion = Process(self.program, "companion", self.folder, settings,
-                             self.faults_library)
+                             self.faults_library, self.arguments)
         server = self.server_class(ip, service, zone, f"i-{service}-{number}",
                                    heartbeat_s=self.heartbeat_ms / 1000, **options)
         self.companions.append(companion)
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -237,6 +237,24 @@
     check(results == ["ok"] * len(flows), f"results {set(results)}")
 
 
+def test_learned_concurrency(site):
+    """Requests that outlast the interval of the heartbeats must count as well."""
+    site.arguments = ["--concurrency", "learned"]
+    start(site, n_servers=2, work_s=0.35)
+    client = site.client()
+    flows = ask(client, REPORTS, 16, "report", 0.2)
+    results = finish(client, flows)
+    check(results == ["ok"] * len(flows), f"results {set(results)}")
+    for companion in site.companions[:2]:
+        check(companion.metric("dogwoodpaddle_concurrency_limit") >= 1, "no limit")
+        times = [companion.metric(f'dogwoodpaddle_service_time_us{{class="{name}"}}')
+                 for name in ("urgent", "interactive", "bulk")]
+        check(max(times) > 300000, f"service times {times} us")
+    for balancer in site.balancers:
+        speed = balancer.metric('dogwoodpaddle_member_speed_percent{bound="min"}')
+        check(12 <= speed <= 100, f"lowest speed {speed}%")
+
+
 def test_crashed_server(site):
     """Its clients hear of it, and the address's next incarnation gets no old flow."""
     start(site, n_servers=1, work_s=1.0)
