--- a/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
@@ -34,6 +34,7 @@
    * deployment has no evacuations. */
   guint evacuate_ms;
   DpConfigTiming timing;
+  gboolean learned_concurrency; /* compare members by learnt limits and speeds */
   DpClock *clock;
   DpMetrics *metrics;
 } DpPassthroughBalancerOptions;
--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -11,6 +11,7 @@
 #include "protected/flowdirectory.h"
 #include "protected/packetport.h"
 #include "protected/memberview.h"
+#include "protected/slots.h"
 
 #define DP_REPORT_INTERVAL_MAX_MS 60000
 
@@ -36,6 +37,9 @@
   guint64 policy_digest; /* dp_policy_digest () of what the companion knows; 0: it has
                             heard too little to take new flows. Valid if
                             has_policy_digest is set */
+  guint32 limit; /* requests that the server handles well at once, learnt; 0: not sent, as
+                    slots are the limit */
+  guint32 service_times[DP_N_TRAFFIC_CLASSES]; /* us, of each class; 0: not known */
 } DpReport;
 
 #define DP_LIST_PARTS_MAX 256 /* a power of two */
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -130,7 +130,6 @@
 void
 dp_passthrough_set_limits (DpPassthrough *passthrough, const DpPassthroughLimits *limits)
 {
-  dp_passthrough_admission_set_slots (passthrough->admission, limits->slots);
   dp_passthrough_flows_set_limits (passthrough->flows, limits->slots, limits->flow_ttl);
 }
 
@@ -140,6 +139,20 @@
 {
 }
 
+/* Learns the server's limit, beginning with the declared slots, from now on. */
+void
+dp_passthrough_learn_limit (DpPassthrough *passthrough, gint64 now)
+{
+  dp_passthrough_flows_learn_limit (passthrough->flows, now);
+}
+
+/* Returns the learnt limit, owned by the passthrough; NULL if none is learnt. */
+DpConcurrencyLimit *
+dp_passthrough_concurrency (const DpPassthrough *passthrough)
+{
+  return passthrough->flows->concurrency;
+}
+
 /* Sets the histograms of the flows' times. */
 void
 dp_passthrough_set_histograms (DpPassthrough *passthrough,
@@ -186,6 +199,8 @@
   dp_passthrough_admission_note_server_packet (passthrough->admission);
   dp_passthrough_flows_abandon_all_work (passthrough->flows);
   dp_server_health_reset (passthrough->flows->health);
+  if (passthrough->flows->concurrency != NULL)
+    dp_concurrency_limit_reset (passthrough->flows->concurrency);
 }
 
 /* Decides about a client's packet from a balancer or another member. */
@@ -265,6 +280,9 @@
     flow->state = DP_PASSTHROUGH_FLOW_OPEN;
   if (segment->payload_length > 0 || (segment->flags & DP_TCP_FIN) != 0)
     repeated = record_answer_ (flow, segment, now);
+  if (segment->payload_length > 0)
+    dp_passthrough_flows_note_answer_begin (passthrough->flows, flow,
+                                            segment->seq + segment->payload_length, now);
   if ((segment->flags & (DP_TCP_FIN | DP_TCP_RST)) != 0)
     flow->server_finished = TRUE;
   if (flow->server_finished)
@@ -560,6 +578,9 @@
       if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_OFFERED)
         {
           dp_passthrough_flows_remove (passthrough->flows, flow);
+          if (passthrough->flows->concurrency != NULL)
+            dp_concurrency_limit_refused (passthrough->flows->concurrency,
+                                          passthrough->flows->n_in_flight, now);
           withdraw_flow_ (passthrough, &segment->key, now);
         }
       else if (flow != NULL && flow->state == DP_PASSTHROUGH_FLOW_WAITING)
@@ -860,7 +881,10 @@
   if (flow->state == DP_PASSTHROUGH_FLOW_ANSWERED)
     flow->state = DP_PASSTHROUGH_FLOW_OPEN;
   if (segment->payload_length > 0)
-    flow->answer_ended = FALSE;
+    {
+      flow->answer_ended = FALSE;
+      dp_passthrough_flows_note_client_data (passthrough->flows, flow, segment, now);
+    }
   /* The server's next byte is known from the client if the handshake was not seen, as on
    * a flow that was open before this process started. */
   if (segment->payload_length > 0 && !flow->request_seen)
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -1,5 +1,6 @@
 #include "protected/placement.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "protected/clock.h"
@@ -32,6 +33,22 @@
 #define FAILING_PENALTY 16.0
 /* Share of its slots that a server can use efficiently while it is still cold. */
 #define COLD_CAPACITY_SHARE 0.6
+/* Bounds of a member's speed relative to the median, so that a wrong report has a limited
+ * effect. */
+#define SPEED_MAX 8.0
+#define SPEED_MIN (1.0 / SPEED_MAX)
+/* Members that report service times of a class before their speeds are compared. */
+#define SPEED_MEMBERS_MIN 2
+/* Differences up to this logarithm, 20%, are noise of the service times, and larger ones
+ * count less by it. */
+#define SPEED_NOISE_LOG 0.18
+/* Interval between two comparisons of a service's members, in which each of the zone has
+ * reported twice. It grows with the members, so that the cost per time does not. */
+#define SPEED_INTERVAL_US (200 * DP_US_PER_MS)
+#define SPEED_INTERVAL_PER_MEMBER_US (DP_US_PER_MS / 10)
+/* A member that has had no flow for this time counts as no slower than the median, so
+ * that a server that has recovered gets flows which show it. */
+#define SPEED_IDLE_US DP_US_PER_S
 
 typedef struct
 {
@@ -49,8 +66,14 @@
   gint64 report_interval; /* us between its reports */
   gint64 reported_at;     /* us */
   gint64 warmed_up_at;    /* us; end of the server's warm-up */
-  guint own_flows;        /* flows in flight that this balancer placed */
-  guint other_flows;      /* flows in flight that other balancers placed */
+  gint64 used_at;         /* us; last time at which it had a flow in flight */
+  guint32 limit;          /* learnt limit; 0: not reported */
+  guint32 service_times[DP_N_TRAFFIC_CLASSES]; /* us; 0: not known */
+  float log_times[DP_N_TRAFFIC_CLASSES];       /* their logarithms */
+  double speed;                                /* relative to the median of the service */
+  double weighted_slots;                       /* see update_weighted_slots_ () */
+  guint own_flows;   /* flows in flight that this balancer placed */
+  guint other_flows; /* flows in flight that other balancers placed */
 } Member;
 
 /* A removed member that is still listed as gone. */
@@ -69,6 +92,7 @@
   guint64 list_hash;
   guint64 revision; /* of the view, counted by this balancer */
   gboolean view_outdated;
+  gint64 compared_at; /* us, last comparison of the members' speeds */
 } Service;
 
 struct _DpPlacement
@@ -78,6 +102,7 @@
   GHashTable *by_name;              /* name to DpHandle */
   GHashTable *services;             /* &id to Service */
   const DpEvacuations *evacuations; /* not owned; NULL: none */
+  gboolean learned;                 /* members are compared by learnt limits and speeds */
 };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (other_zone_penalty_) == DP_N_TRAFFIC_CLASSES);
@@ -95,6 +120,14 @@
                                        const Member *member);
 static gboolean has_reported_recently_ (const Member *member, gint64 now);
 static gint64 silence_limit_ (const Member *member);
+static void set_service_times_ (Member *member, const DpReport *report);
+static void compare_speeds_ (DpPlacement *placement, Service *service, gint64 now);
+static double median_log_time_ (DpPlacement *placement,
+                                const Service *service,
+                                guint class,
+                                GArray *logs);
+static float select_middle_ (GArray *values);
+static void update_weighted_slots_ (const DpPlacement *placement, Member *member);
 static double load_cost_ (const DpPlacement *placement,
                           const Member *member,
                           DpTrafficClass class,
@@ -131,6 +164,12 @@
   g_free (placement);
 }
 
+void
+dp_placement_set_learned (DpPlacement *placement, gboolean learned)
+{
+  placement->learned = learned;
+}
+
 /* Applies a member's report at now, in us. A member that reports another service or
  * address than before is removed from its former service. A member whose server has
  * deregistered has no flows. It is removed at once, since packets that are forwarded to
@@ -175,6 +214,14 @@
   member->reported_at = now;
   member->warmed_up_at = now + report->warmup_remaining_ms * DP_US_PER_MS;
   member->failing = report->failing;
+  member->limit = report->limit;
+  if (placement->learned)
+    set_service_times_ (member, report);
+  if (report->in_flight > 0)
+    member->used_at = now;
+  update_weighted_slots_ (placement, member);
+  if (placement->learned)
+    compare_speeds_ (placement, find_service_ (placement, member->service_id), now);
   /* Stops counting flows whose end this balancer did not see. One flow more than reported
    * is allowed, as one that was placed within the last millisecond may be missing in the
    * report. */
@@ -452,6 +499,32 @@
   return dp_handle_table_count (placement->members);
 }
 
+double
+dp_placement_speed (DpPlacement *placement, DpHandle handle)
+{
+  const Member *member = dp_handle_table_get (placement->members, handle);
+
+  return member == NULL ? 1.0 : member->speed;
+}
+
+/* Gives 1 for both if there are no members. */
+void
+dp_placement_speed_range (DpPlacement *placement, double *min, double *max)
+{
+  *min = G_MAXDOUBLE;
+  *max = 0.0;
+  for (DpHandle h = dp_handle_table_next (placement->members, DP_HANDLE_NONE);
+       h != DP_HANDLE_NONE; h = dp_handle_table_next (placement->members, h))
+    {
+      const Member *member = dp_handle_table_get (placement->members, h);
+
+      *min = MIN (*min, member->speed);
+      *max = MAX (*max, member->speed);
+    }
+  if (*max == 0.0)
+    *min = *max = 1.0;
+}
+
 static void
 service_free_ (gpointer data)
 {
@@ -502,6 +575,8 @@
   member->evacuated = is_in_evacuated_zone_ (placement, member);
   member->own_flows = 0;
   member->other_flows = 0;
+  member->used_at = 0;
+  member->speed = 1.0;
   remove_gone_ (service, dp_member_id (report->name));
   g_array_append_val (service->members, handle);
   g_hash_table_replace (placement->by_name, g_strdup (report->name),
@@ -639,6 +714,128 @@
          + SILENT_MARGIN_US;
 }
 
+static void
+set_service_times_ (Member *member, const DpReport *report)
+{
+  for (guint i = 0; i < DP_N_TRAFFIC_CLASSES; i++)
+    {
+      if (member->service_times[i] == report->service_times[i])
+        continue;
+      member->service_times[i] = report->service_times[i];
+      member->log_times[i] = logf ((float) MAX (report->service_times[i], 1));
+    }
+}
+
+/* Sets the speed of each member of the service to the mean, over the classes, of the
+ * median service time divided by its own. */
+static void
+compare_speeds_ (DpPlacement *placement, Service *service, gint64 now)
+{
+  const guint n = service->members->len;
+  g_autoptr (GArray) logs = NULL;
+  double medians[DP_N_TRAFFIC_CLASSES];
+
+  if (now - service->compared_at
+      < MAX (SPEED_INTERVAL_US, n * SPEED_INTERVAL_PER_MEMBER_US))
+    return;
+  service->compared_at = now;
+  logs = g_array_sized_new (FALSE, FALSE, sizeof (float), n);
+  for (guint c = 0; c < DP_N_TRAFFIC_CLASSES; c++)
+    medians[c] = median_log_time_ (placement, service, c, logs);
+  for (guint i = 0; i < n; i++)
+    {
+      Member *member = dp_handle_table_get (
+          placement->members, g_array_index (service->members, DpHandle, i));
+      double sum = 0.0;
+      guint n_classes = 0;
+
+      for (guint c = 0; c < DP_N_TRAFFIC_CLASSES; c++)
+        {
+          if (member->service_times[c] == 0 || medians[c] < 0.0)
+            continue;
+          sum += medians[c] - member->log_times[c];
+          n_classes++;
+        }
+      sum = n_classes == 0 ? 0.0 : sum / n_classes;
+      if (fabs (sum) <= SPEED_NOISE_LOG)
+        member->speed = 1.0;
+      else
+        member->speed = CLAMP (exp (sum - copysign (SPEED_NOISE_LOG, sum)), SPEED_MIN,
+                               SPEED_MAX);
+      update_weighted_slots_ (placement, member);
+    }
+}
+
+/* Returns the median logarithm of the members' service times of the class, in us; -1 if
+ * too few of them are known. */
+static double
+median_log_time_ (DpPlacement *placement,
+                  const Service *service,
+                  guint class,
+                  GArray *logs)
+{
+  g_array_set_size (logs, 0);
+  for (guint i = 0; i < service->members->len; i++)
+    {
+      const Member *member = dp_handle_table_get (
+          placement->members, g_array_index (service->members, DpHandle, i));
+
+      if (member->service_times[class] != 0)
+        g_array_append_val (logs, member->log_times[class]);
+    }
+  return logs->len < SPEED_MEMBERS_MIN ? -1.0 : select_middle_ (logs);
+}
+
+/* Returns the middle value, the lower one of two, and reorders the array. Partitions only
+ * the part that has the middle, as sorting would take several times as long. */
+static float
+select_middle_ (GArray *values)
+{
+  float *v = (float *) (void *) values->data;
+  const guint middle = (values->len - 1) / 2;
+  guint from = 0;
+  guint to = values->len - 1;
+
+  while (from < to)
+    {
+      const float pivot = v[(from + to) / 2];
+      guint i = from;
+      guint j = to;
+
+      for (;;)
+        {
+          float swap;
+
+          while (v[i] < pivot)
+            i++;
+          while (v[j] > pivot)
+            j--;
+          if (i >= j)
+            break;
+          swap = v[i];
+          v[i++] = v[j];
+          v[j--] = swap;
+        }
+      if (middle <= j)
+        to = j;
+      else
+        from = j + 1;
+    }
+  return v[middle];
+}
+
+/* Sets the slots that count in the choice of a member: the declared ones, or the learnt
+ * limit times the speed. */
+static void
+update_weighted_slots_ (const DpPlacement *placement, Member *member)
+{
+  if (!placement->learned)
+    member->weighted_slots = MAX (member->slots, 1);
+  else
+    member->weighted_slots = MAX (member->limit > 0 ? member->limit : member->slots, 1)
+                             * member->speed;
+}
+
 /* Returns the flows in flight per slot, the new one included, plus penalties for a
  * failing server and for another availability zone. */
 static double
@@ -647,12 +844,15 @@
             DpTrafficClass class,
             gint64 now)
 {
-  double slots = MAX (member->slots, 1);
+  const guint flows = member->own_flows + member->other_flows;
+  double slots = member->weighted_slots;
   double cost;
 
+  if (flows == 0 && member->speed < 1.0 && now - member->used_at >= SPEED_IDLE_US)
+    slots /= member->speed;
   if (now < member->warmed_up_at)
     slots *= COLD_CAPACITY_SHARE;
-  cost = (member->own_flows + member->other_flows + 1) / slots;
+  cost = (flows + 1) / slots;
   cost += member->failing ? FAILING_PENALTY : 0.0;
   return member->same_zone ? cost : cost + other_zone_penalty_[class];
 }
