--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -230,7 +230,18 @@
   CU_ASSERT_EQUAL (message.report.service_times[DP_TRAFFIC_URGENT], 33000);
   CU_ASSERT_EQUAL (message.report.service_times[DP_TRAFFIC_INTERACTIVE], 0);
   CU_ASSERT_EQUAL (message.report.service_times[DP_TRAFFIC_BULK], G_MAXUINT32);
+  CU_ASSERT_FALSE (message.report.has_policy_digest);
+  dp_report_message_clear (&message);
+  /* The digest of evacuations goes before the limit. */
+  report.has_policy_digest = TRUE;
+  report.policy_digest = 7;
+  CU_ASSERT_TRUE (
+      dp_report_decode (&message, buffer, dp_report_encode (&report, buffer)));
+  CU_ASSERT_EQUAL (message.report.policy_digest, 7);
+  CU_ASSERT_EQUAL (message.report.limit, 3);
   dp_report_message_clear (&message);
+  report.has_policy_digest = FALSE;
+  length = dp_report_encode (&report, buffer);
   /* A negative limit: the last four values are a fixed array of four. */
   for (gsize i = length; i-- > 0;)
     if (buffer[i] == (0x90 | 4))
