Router: a configuration with too many services ends no process

Cause: get_service_ () asserted that fewer than 65,535 services exist, but their number comes from the store.

Further services get no route, with one critical line; the others stay in force. The search for a free row is skipped while there is none.

test_router sets 65,540 services; it aborts on the code before.

--- a/src/libdogwoodpaddle/router.c
+++ b/src/libdogwoodpaddle/router.c
@@ -30,6 +30,7 @@
   guint trace_sample;
   gboolean needs_rebuild; /* the address table must be rebuilt */
   Service *services;      /* at most SERVICES_MAX; an unused one has no name */
+  gboolean is_full;       /* a service was refused, which was logged */
   guint n_services;
   GHashTable *indices; /* name to index + 1 */
 };
@@ -82,6 +83,8 @@
 {
   Service *s = get_service_ (router, service);
 
+  if (s == NULL)
+    return;
   g_array_set_size (s->addresses, 0);
   g_array_append_vals (s->addresses, addresses, n_addresses);
   router->needs_rebuild = TRUE;
@@ -94,6 +97,8 @@
 {
   Service *s = get_service_ (router, view->service);
 
+  if (s == NULL)
+    return;
   if (s->candidates != NULL && s->revision > view->revision)
     return;
   dp_candidates_free (s->candidates);
@@ -210,7 +215,8 @@
   return bytes;
 }
 
-/* Returns the service with the name, adding it if there is none. */
+/* Returns the service with the name, adding it if there is none. Returns NULL if there
+ * are too many: their number comes from the store. */
 static Service *
 get_service_ (DpRouter *router, const char *name)
 {
@@ -219,11 +225,20 @@
 
   if (index != 0)
     return &router->services[index - 1];
+  if (g_hash_table_size (router->indices) == router->n_services)
+    index = router->n_services;
   while (index < router->n_services && router->services[index].name != NULL)
     index++;
   if (index == router->n_services)
     {
-      g_assert (index < SERVICES_MAX);
+      if (index == SERVICES_MAX)
+        {
+          if (!router->is_full)
+            g_critical ("service %s and others get no route: there are %u services", name,
+                        SERVICES_MAX);
+          router->is_full = TRUE;
+          return NULL;
+        }
       router->n_services++;
       router->services = g_renew (Service, router->services, router->n_services);
     }
--- a/src/test_libdogwoodpaddle/test_router.c
+++ b/src/test_libdogwoodpaddle/test_router.c
@@ -190,7 +190,26 @@
   CU_ASSERT_TRUE (traced > 800 && traced < 1200);
 }
 
+/* Guards against an abort when the configuration names more services than fit. */
+static void
+test_number_of_services (void)
+{
+  g_autoptr (DpRouter) router = dp_router_new ();
+  const DpServiceAddress address = { .address = { 7, 80 } };
+  guint64 id;
+
+  for (guint i = 0; i < 65540; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("s%u", i);
+
+      dp_router_set_addresses (router, name, &address, i == 0 ? 1 : 0);
+    }
+  CU_ASSERT_PTR_NOT_NULL (dp_router_find (router, &address.address, &id));
+  CU_ASSERT_EQUAL (id, dp_service_id ("s0"));
+}
+
 static const DpTestCase cases_[] = {
+  { "the number of services is bounded", test_number_of_services },
   { "packets go to members of their own service", test_service },
   { "unknown addresses and empty services have no route", test_unknown },
   { "an older view is ignored", test_older_view },
