Members: two with the same 32-bit id end no process

Cause: dp_member_view_new () asserted that ids are distinct. Ids are hashes of names, which come in reports and member lists from outside, so that one odd name aborted every balancer and every companion that heard of it.

A view keeps the member that is given first and lists the others as left out; balancers give them in the order of joining, companions in the order in which lists named them. A left out member gets no new flow. It stays in the member lists and in their hash: balancers that started at different times may keep different ones of the two, and their companions have to agree with all of them, or they would get lists for good and drop each member in turn as absent. The gone members are kept by name, so that the one that takes over doesn't hide that the other one has gone.

Open flows of the member that is left out go on: balancers send their packets where they have placed them, and the flow directory names the owner's address.

A critical line names both, once a minute; dogwoodpaddle_members_left_out counts them. A companion also ignores members beyond 16,384, as balancers do: lists with ever new names tripped the assertion of dp_candidates_new ().

--- a/src/libdogwoodpaddle/include/protected/memberview.h
+++ b/src/libdogwoodpaddle/include/protected/memberview.h
@@ -40,12 +40,16 @@
   guint64 revision;
   guint n_members;
   DpMember *members; /* ascending by id */
+  guint n_left_out;
+  DpMember *left_out; /* members whose id is that of another one, which is in members */
 } DpMemberView;
 
 guint32 dp_member_id (const char *name);
 guint64 dp_service_id (const char *name);
 const char *dp_member_state_string (DpMemberState state);
 
+/* Members are given in the order in which they became known. Of several with the same id
+ * the first one is in members and the others are in left_out. */
 DpMemberView *dp_member_view_new (const char *service,
                                   guint64 revision,
                                   const DpMember *members,
@@ -60,5 +64,9 @@
 /* Returns what is wrong with a member in the value of members/SERVICE, or NULL. */
 const char *dp_member_entry_fault (JsonNode *node);
 const DpMember *dp_member_view_find (const DpMemberView *view, guint32 id);
+/* Logs which members are left out, if the last such lines are old enough. logged_at: us,
+ * time of these lines, 0: none yet; updated. */
+void
+dp_member_view_log_left_out (const DpMemberView *view, gint64 *logged_at, gint64 now);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpMemberView, dp_member_view_unref)
--- a/src/libdogwoodpaddle/include/protected/placement.h
+++ b/src/libdogwoodpaddle/include/protected/placement.h
@@ -53,6 +53,8 @@
 /* Returns the ids, guint32, of the members that are listed as gone. */
 GArray *dp_placement_gone_ids (DpPlacement *placement, guint64 service_id, gint64 now);
 guint64 dp_placement_list_hash (DpPlacement *placement, guint64 service_id);
+/* Returns the number of members that get no flows, as another one has the same id. */
+guint dp_placement_n_left_out (const DpPlacement *placement);
 guint dp_placement_n_members (const DpPlacement *placement);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpPlacement, dp_placement_free)
--- a/src/libdogwoodpaddle/memberview.c
+++ b/src/libdogwoodpaddle/memberview.c
@@ -5,17 +5,24 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "protected/clock.h"
 #include "protected/error.h"
 
 #define NAME_MAX_BYTES 63
 #define SLOTS_MAX 1024
 #define CONNECTIONS_MAX 100000
 #define PORT_MAX 65535
+/* Interval between log lines about members that are left out, and the most lines at a
+ * time. The condition lasts until an operator renames a member. */
+#define LEFT_OUT_LOG_INTERVAL_US (60 * DP_US_PER_S)
+#define LEFT_OUT_LINES_MAX 8
 
 static const char *const state_strings_[] = { "joining", "active", "leaving" };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (state_strings_) == DP_N_MEMBER_STATES);
 
+static void separate_left_out_ (DpMemberView *view, const DpMember *members, guint n);
+static const DpMember *find_first_ (const DpMember *members, guint n, guint32 id);
 static int compare_members_ (gconstpointer a, gconstpointer b);
 static int compare_id_ (gconstpointer key, gconstpointer member);
 static void clear_member_ (gpointer data);
@@ -47,8 +54,9 @@
   return state_strings_[state];
 }
 
-/* Creates a view with copies of the members, which may be in any order. Their ids are set
- * from their names and have to be distinct. */
+/* Creates a view with copies of the members. Their ids are set from their names. Two
+ * names with the same id are rare, but names come from outside: of members with the same
+ * id, the first one stays and the others are left out. */
 DpMemberView *
 dp_member_view_new (const char *service,
                     guint64 revision,
@@ -61,7 +69,6 @@
   view->service = g_strdup (service);
   view->service_id = dp_service_id (service);
   view->revision = revision;
-  view->n_members = n_members;
   view->members = g_new0 (DpMember, n_members + 1);
   for (guint i = 0; i < n_members; i++)
     {
@@ -73,8 +80,7 @@
       m->zone = g_strdup (members[i].zone != NULL ? members[i].zone : "");
     }
   qsort (view->members, n_members, sizeof (DpMember), compare_members_);
-  for (guint i = 1; i < n_members; i++)
-    g_assert (view->members[i - 1].id != view->members[i].id);
+  separate_left_out_ (view, members, n_members);
   return view;
 }
 
@@ -187,7 +193,7 @@
 {
   if (view == NULL || !g_ref_count_dec (&view->refs))
     return;
-  for (guint i = 0; i < view->n_members; i++)
+  for (guint i = 0; i < view->n_members + view->n_left_out; i++)
     clear_member_ (&view->members[i]);
   g_free (view->members);
   g_free (view->service);
@@ -201,6 +207,64 @@
   return bsearch (&id, view->members, view->n_members, sizeof (DpMember), compare_id_);
 }
 
+/* Logs the members that are left out, at most LEFT_OUT_LINES_MAX of them once in
+ * LEFT_OUT_LOG_INTERVAL_US. */
+void
+dp_member_view_log_left_out (const DpMemberView *view, gint64 *logged_at, gint64 now)
+{
+  if (view->n_left_out == 0
+      || (*logged_at != 0 && now - *logged_at < LEFT_OUT_LOG_INTERVAL_US))
+    return;
+  *logged_at = now;
+  for (guint i = 0; i < MIN (view->n_left_out, LEFT_OUT_LINES_MAX); i++)
+    {
+      const DpMember *m = &view->left_out[i];
+
+      g_critical ("member %s of service %s is left out: its id %08x is that of member "
+                  "%s; start one of them under another name or address (%u left out)",
+                  m->name, view->service, m->id, dp_member_view_find (view, m->id)->name,
+                  view->n_left_out);
+    }
+}
+
+/* Moves members with the id of another one behind those that stay. members: the n members
+ * as given by the caller. */
+static void
+separate_left_out_ (DpMemberView *view, const DpMember *members, guint n)
+{
+  g_autoptr (GArray) left_out = g_array_new (FALSE, FALSE, sizeof (DpMember));
+
+  for (guint i = 0; i < n; i++)
+    {
+      const DpMember m = view->members[i];
+      const gboolean taken = view->n_members > 0
+                             && view->members[view->n_members - 1].id == m.id;
+      const gboolean shared = i + 1 < n && view->members[i + 1].id == m.id;
+
+      if (!taken
+          && (!shared || g_str_equal (find_first_ (members, n, m.id)->name, m.name)))
+        {
+          view->members[view->n_members++] = m;
+          continue;
+        }
+      g_array_append_val (left_out, m);
+    }
+  view->left_out = &view->members[view->n_members];
+  view->n_left_out = left_out->len;
+  if (left_out->len > 0)
+    memcpy (view->left_out, left_out->data, left_out->len * sizeof (DpMember));
+}
+
+/* Returns the first of n members with the id. */
+static const DpMember *
+find_first_ (const DpMember *members, guint n, guint32 id)
+{
+  for (guint i = 0; i < n; i++)
+    if (dp_member_id (members[i].name) == id)
+      return &members[i];
+  return NULL;
+}
+
 static int
 compare_members_ (gconstpointer a, gconstpointer b)
 {
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -55,6 +55,7 @@
   DpMetric *rejected;
   DpMetric *drops[N_DROP_REASONS];
   DpMetric *members;
+  DpMetric *left_out;
 };
 
 static const char *const drop_reason_strings_[] = { "malformed", "not_a_client",
@@ -225,6 +226,9 @@
                                        "New flows answered with a reset");
   balancer->members = dp_metrics_add (metrics, DP_METRIC_GAUGE, "dogwoodpaddle_members",
                                       "", "Members that have reported");
+  balancer->left_out = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_members_left_out", "",
+      "Members that get no flows, as another one has the same id");
   for (guint i = 0; i < N_DROP_REASONS; i++)
     {
       g_autofree char *labels = g_strdup_printf ("reason=\"%s\"",
@@ -607,5 +611,6 @@
   if (dp_placement_expire (balancer->placement, now))
     g_hash_table_remove_all (balancer->list_schedules);
   balancer->members->value = dp_placement_n_members (balancer->placement);
+  balancer->left_out->value = dp_placement_n_left_out (balancer->placement);
   return G_SOURCE_CONTINUE;
 }
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -41,12 +41,13 @@
   DpAnnouncementTracker announcements;
   DpAnnouncement announcement; /* last announcement that was accepted; id is not set */
   DpBreakerState breaker;
-  gint64 heartbeat_at;   /* us, last heartbeat that was accepted */
-  gint64 warmup_ends_at; /* us, when the server's warm-up ends */
-  gint64 active_at;      /* us, last time at which this process did anything */
-  guint report_source;   /* source id */
-  guint tick_source;     /* source id */
-  guint retry_source;    /* source id; 0 while no packet is kept */
+  gint64 heartbeat_at;       /* us, last heartbeat that was accepted */
+  gint64 warmup_ends_at;     /* us, when the server's warm-up ends */
+  gint64 active_at;          /* us, last time at which this process did anything */
+  gint64 left_out_logged_at; /* us, last log lines about members left out, 0: none */
+  guint report_source;       /* source id */
+  guint tick_source;         /* source id */
+  guint retry_source;        /* source id; 0 while no packet is kept */
   gboolean stopping;
   gint64 stop_began_at; /* us, when the stop began */
   guint stop_source;    /* source id */
@@ -56,6 +57,7 @@
   DpMetric *in_flight;
   DpMetric *failing;
   DpMetric *lost_lines;
+  DpMetric *left_out;
   DpMetric *malformed;
   DpMetric *registrations;
   DpMetric *unanswered;
@@ -308,6 +310,9 @@
   companion->failing = dp_metrics_add (metrics, DP_METRIC_GAUGE,
                                        "dogwoodpaddle_server_failing", "",
                                        "Whether the server fails too many requests");
+  companion->left_out = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_members_left_out", "",
+      "Members that get no flows, as another one has the same id");
   companion->registrations = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                              "dogwoodpaddle_flow_registrations_total", "",
                                              "Owners of flows sent to other members");
@@ -657,6 +662,8 @@
 
   if (view == NULL)
     return;
+  companion->left_out->value = view->n_left_out;
+  dp_member_view_log_left_out (view, &companion->left_out_logged_at, now);
   dp_passthrough_set_view (companion->passthrough, view, now);
   ask_new_members_ (companion, view);
 }
--- a/src/libdogwoodpaddle/passthroughmembers.c
+++ b/src/libdogwoodpaddle/passthroughmembers.c
@@ -13,6 +13,8 @@
 /* After an interval this long without a list that leaves the member out, the time of its
  * absence starts again from 0. */
 #define ABSENCE_GAP_US (5 * DP_US_PER_S)
+/* Members beyond this number are ignored, as by balancers. */
+#define MEMBERS_MAX 16384
 
 /* A member that some balancer has listed. */
 typedef struct
@@ -21,6 +23,7 @@
   gint64 last_listed_at; /* us */
   gint64 absent_since;   /* us, first list without it since last_listed_at, 0: none */
   gint64 absent_at;      /* us, last list without it */
+  guint64 order;         /* in which the members became known */
 } KnownMember;
 
 struct _DpPassthroughMembers
@@ -28,6 +31,7 @@
   char *service;
   GHashTable *by_name; /* KnownMember; the key is the member's own name, not a copy */
   guint64 hash;
+  guint64 next_order;
 };
 
 static void
@@ -37,6 +41,7 @@
 static gboolean
 update_absence_ (KnownMember *known, const DpMemberList *list, gint64 now);
 static gboolean lists_as_removed_ (const DpMemberList *list, guint32 id);
+static int compare_order_ (gconstpointer a, gconstpointer b);
 static void known_member_free_ (gpointer data);
 
 /* Creates an empty set of members of the service. */
@@ -61,13 +66,15 @@
   g_free (members);
 }
 
-/* Merges one balancer's list with those of the others; the state listed last applies. */
+/* Merges one balancer's list with those of the others; the state listed last applies. Of
+ * members with the same id, the one that became known first stays. */
 DpMemberView *
 dp_passthrough_members_update (DpPassthroughMembers *members,
                                const DpMemberList *list,
                                gint64 now)
 {
   g_autoptr (GArray) all = g_array_new (FALSE, FALSE, sizeof (DpMember));
+  g_autoptr (GPtrArray) in_order = g_ptr_array_new ();
   const DpMember *data;
   GHashTableIter iter;
   gpointer value;
@@ -78,7 +85,10 @@
   remove_absent_ (members, list, now);
   g_hash_table_iter_init (&iter, members->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_array_append_val (all, ((KnownMember *) value)->member);
+    g_ptr_array_add (in_order, value);
+  g_ptr_array_sort (in_order, compare_order_);
+  for (guint i = 0; i < in_order->len; i++)
+    g_array_append_val (all, ((KnownMember *) g_ptr_array_index (in_order, i))->member);
   data = (const DpMember *) (void *) all->data;
   hash = dp_member_list_hash (data, all->len);
   if (hash == members->hash)
@@ -99,11 +109,14 @@
 {
   KnownMember *known = g_hash_table_lookup (members->by_name, listed->name);
 
+  if (known == NULL && g_hash_table_size (members->by_name) >= MEMBERS_MAX)
+    return;
   if (known == NULL)
     {
       known = g_new0 (KnownMember, 1);
       known->member.name = g_strdup (listed->name);
       known->member.id = listed->id;
+      known->order = members->next_order++;
       g_hash_table_insert (members->by_name, known->member.name, known);
     }
   g_free (known->member.zone);
@@ -167,6 +180,15 @@
   return FALSE;
 }
 
+static int
+compare_order_ (gconstpointer a, gconstpointer b)
+{
+  const guint64 x = (*(KnownMember *const *) a)->order;
+  const guint64 y = (*(KnownMember *const *) b)->order;
+
+  return (x > y) - (x < y);
+}
+
 static void
 known_member_free_ (gpointer data)
 {
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -44,6 +44,7 @@
   DpMemberState state;
   gboolean same_zone;
   gboolean silent;        /* stopped reporting; listed as leaving */
+  gboolean left_out;      /* has the id of another member; gets no flows */
   gboolean failing;       /* its server fails too many requests */
   gint64 report_interval; /* us between its reports */
   gint64 reported_at;     /* us */
@@ -55,7 +56,7 @@
 /* A removed member that is still listed as gone. */
 typedef struct
 {
-  guint32 id;
+  char *name;
   gint64 expires_at; /* us */
 } GoneMember;
 
@@ -66,7 +67,8 @@
   GArray *gone;    /* GoneMember */
   DpCandidates *candidates;
   guint64 list_hash;
-  guint64 revision; /* of the view, counted by this balancer */
+  guint64 revision;          /* of the view, counted by this balancer */
+  gint64 left_out_logged_at; /* us, last log lines about members left out, 0: none */
 } Service;
 
 struct _DpPlacement
@@ -82,11 +84,14 @@
 static void service_free_ (gpointer data);
 static Service *find_service_ (DpPlacement *placement, guint64 id);
 static DpHandle add_member_ (DpPlacement *placement, const DpReport *report);
-static void remove_member_ (DpPlacement *placement, DpHandle handle);
+static void remove_member_ (DpPlacement *placement, DpHandle handle, gint64 now);
 static void add_gone_ (DpPlacement *placement, const Member *member, gint64 now);
-static void remove_gone_ (Service *service, guint32 id);
+static void remove_gone_ (Service *service, const char *name);
+static void clear_gone_ (gpointer data);
 static void clear_member_ (Member *member);
-static void rebuild_view_ (DpPlacement *placement, Service *service);
+static void rebuild_view_ (DpPlacement *placement, Service *service, gint64 now);
+static guint n_left_out_ (const Service *service);
+static void log_left_out_ (DpPlacement *placement, gint64 now);
 static gboolean has_reported_recently_ (const Member *member, gint64 now);
 static gint64 silence_limit_ (const Member *member);
 static double load_cost_ (const DpPlacement *placement,
@@ -141,7 +146,7 @@
       && (!g_str_equal (member->service, report->service)
           || !dp_address_equal (&member->address, &report->address)))
     {
-      remove_member_ (placement, handle);
+      remove_member_ (placement, handle, now);
       member = NULL;
     }
   if (report->deregistered)
@@ -149,7 +154,7 @@
       if (member == NULL)
         return FALSE;
       add_gone_ (placement, member, now);
-      remove_member_ (placement, handle);
+      remove_member_ (placement, handle, now);
       return TRUE;
     }
   if (member == NULL)
@@ -175,7 +180,7 @@
   member->own_flows = MIN (member->own_flows, report->in_flight + 1);
   member->other_flows = report->in_flight - MIN (member->own_flows, report->in_flight);
   if (changed)
-    rebuild_view_ (placement, find_service_ (placement, member->service_id));
+    rebuild_view_ (placement, find_service_ (placement, member->service_id), now);
   return changed;
 }
 
@@ -197,14 +202,15 @@
           && !member->silent)
         {
           member->silent = TRUE;
-          rebuild_view_ (placement, find_service_ (placement, member->service_id));
+          rebuild_view_ (placement, find_service_ (placement, member->service_id), now);
         }
       if (now - member->reported_at <= MAX (REMOVE_US, 2 * silence_limit_ (member)))
         continue;
       add_gone_ (placement, member, now);
-      remove_member_ (placement, h);
+      remove_member_ (placement, h, now);
       removed = TRUE;
     }
+  log_left_out_ (placement, now);
   return removed;
 }
 
@@ -234,7 +240,8 @@
       gboolean is_recent = has_reported_recently_ (member, now);
       double cost;
 
-      if (member->state != DP_MEMBER_ACTIVE || (best_is_recent && !is_recent))
+      if (member->state != DP_MEMBER_ACTIVE || member->left_out
+          || (best_is_recent && !is_recent))
         continue;
       cost = load_cost_ (placement, member, class, now);
       if (best != DP_HANDLE_NONE && best_is_recent == is_recent && cost >= best_cost)
@@ -284,8 +291,9 @@
     {
       const DpHandle handle = g_array_index (service->members, DpHandle,
                                              (flow_hash + i) % service->members->len);
+      const Member *member = dp_handle_table_get (placement->members, handle);
 
-      if (has_reported_recently_ (dp_handle_table_get (placement->members, handle), now))
+      if (!member->left_out && has_reported_recently_ (member, now))
         return handle;
     }
   return first;
@@ -387,8 +395,10 @@
     {
       const GoneMember *gone = &g_array_index (service->gone, GoneMember, i);
 
+      const guint32 id = dp_member_id (gone->name);
+
       if (now < gone->expires_at)
-        g_array_append_val (ids, gone->id);
+        g_array_append_val (ids, id);
     }
   return ids;
 }
@@ -402,6 +412,21 @@
   return service == NULL ? 0 : service->list_hash;
 }
 
+/* Returns the number of members of all services that share the id of another one of their
+ * service and get no flows. */
+guint
+dp_placement_n_left_out (const DpPlacement *placement)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, placement->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += n_left_out_ (value);
+  return n;
+}
+
 /* Returns the number of members of all services. */
 guint
 dp_placement_n_members (const DpPlacement *placement)
@@ -447,6 +472,7 @@
       service->name = g_strdup (report->service);
       service->members = g_array_new (FALSE, FALSE, sizeof (DpHandle));
       service->gone = g_array_new (FALSE, FALSE, sizeof (GoneMember));
+      g_array_set_clear_func (service->gone, clear_gone_);
       g_hash_table_insert (placement->services, g_memdup2 (&id, sizeof id), service);
     }
   member->name = g_strdup (report->name);
@@ -455,10 +481,11 @@
   member->service_id = id;
   member->address = report->address;
   member->silent = FALSE;
+  member->left_out = FALSE;
   member->same_zone = g_str_equal (report->zone, placement->zone);
   member->own_flows = 0;
   member->other_flows = 0;
-  remove_gone_ (service, dp_member_id (report->name));
+  remove_gone_ (service, report->name);
   g_array_append_val (service->members, handle);
   g_hash_table_replace (placement->by_name, g_strdup (report->name),
                         GUINT_TO_POINTER (handle));
@@ -469,7 +496,7 @@
 }
 
 static void
-remove_member_ (DpPlacement *placement, DpHandle handle)
+remove_member_ (DpPlacement *placement, DpHandle handle, gint64 now)
 {
   Member *member = dp_handle_table_get (placement->members, handle);
   guint64 id = member->service_id;
@@ -489,7 +516,7 @@
   if (service->members->len == 0)
     g_hash_table_remove (placement->services, &id);
   else
-    rebuild_view_ (placement, service);
+    rebuild_view_ (placement, service, now);
 }
 
 /* Adds the member to the service's list of gone members and drops expired entries. */
@@ -497,7 +524,7 @@
 add_gone_ (DpPlacement *placement, const Member *member, gint64 now)
 {
   Service *service = find_service_ (placement, member->service_id);
-  const GoneMember gone = { dp_member_id (member->name), now + GONE_LISTED_US };
+  const GoneMember gone = { g_strdup (member->name), now + GONE_LISTED_US };
 
   for (guint i = service->gone->len; i-- > 0;)
     if (now >= g_array_index (service->gone, GoneMember, i).expires_at)
@@ -505,15 +532,22 @@
   g_array_append_val (service->gone, gone);
 }
 
-/* Removes a member that reports again from the list of gone members. */
+/* Removes a member that reports again from the list of gone members. Another one with the
+ * same id stays in it. */
 static void
-remove_gone_ (Service *service, guint32 id)
+remove_gone_ (Service *service, const char *name)
 {
   for (guint i = service->gone->len; i-- > 0;)
-    if (g_array_index (service->gone, GoneMember, i).id == id)
+    if (g_str_equal (g_array_index (service->gone, GoneMember, i).name, name))
       g_array_remove_index_fast (service->gone, i);
 }
 
+static void
+clear_gone_ (gpointer data)
+{
+  g_free (((GoneMember *) data)->name);
+}
+
 static void
 clear_member_ (Member *member)
 {
@@ -522,8 +556,10 @@
   g_free (member->service);
 }
 
+/* Rebuilds the service's view. Of members with the same id, the one that has joined first
+ * stays, and the others get no flows. */
 static void
-rebuild_view_ (DpPlacement *placement, Service *service)
+rebuild_view_ (DpPlacement *placement, Service *service, gint64 now)
 {
   g_autoptr (GArray) list = g_array_new (FALSE, TRUE, sizeof (DpMember));
   g_autoptr (DpMemberView) view = NULL;
@@ -550,6 +586,43 @@
                              (const DpMember *) (void *) list->data, list->len);
   dp_candidates_free (service->candidates);
   service->candidates = dp_candidates_new (view);
+  for (guint i = 0; i < service->members->len; i++)
+    {
+      Member *m = dp_handle_table_get (placement->members,
+                                       g_array_index (service->members, DpHandle, i));
+
+      m->left_out = view->n_left_out > 0
+                    && !g_str_equal (
+                        dp_member_view_find (view, dp_member_id (m->name))->name,
+                        m->name);
+    }
+  dp_member_view_log_left_out (view, &service->left_out_logged_at, now);
+}
+
+static guint
+n_left_out_ (const Service *service)
+{
+  return service->candidates == NULL
+             ? 0
+             : dp_candidates_view (service->candidates)->n_left_out;
+}
+
+/* Logs the members that are left out again as long as there are any. */
+static void
+log_left_out_ (DpPlacement *placement, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, placement->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Service *service = value;
+
+      if (n_left_out_ (service) > 0)
+        dp_member_view_log_left_out (dp_candidates_view (service->candidates),
+                                     &service->left_out_logged_at, now);
+    }
 }
 
 static gboolean
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -357,6 +357,11 @@
   for (guint i = 0; i < view->n_members; i++)
     if (view->members[i].id % n_parts == part)
       g_array_append_val (members, view->members[i]);
+  /* The receivers have to know the same members as the sender, or their hashes differ for
+   * good. They go last, so that a receiver that knows none leaves out the same ones. */
+  for (guint i = 0; i < view->n_left_out; i++)
+    if (view->left_out[i].id % n_parts == part)
+      g_array_append_val (members, view->left_out[i]);
   for (guint i = 0; removed != NULL && i < removed->len; i++)
     if (g_array_index (removed, guint32, i) % n_parts == part)
       g_array_append_val (part_removed, g_array_index (removed, guint32, i));
--- a/src/test_libdogwoodpaddle/test_memberview.c
+++ b/src/test_libdogwoodpaddle/test_memberview.c
@@ -2,8 +2,10 @@
  * range. */
 #include <string.h>
 
+#include "protected/clock.h"
 #include "protected/memberview.h"
 #include "runner.h"
+#include "sameid.h"
 
 #define MEMBER(name)                                                                     \
   "{\"name\":\"" name "\",\"zone\":\"riga-a\",\"ip\":\"127.1.1.11\",\"port\":7000,"      \
@@ -152,7 +154,80 @@
   CU_ASSERT_PTR_NOT_NULL (dp_member_view_find (view, dp_member_id ("b")));
 }
 
+/* Guards against the abort of every process that learned of two members with the same id,
+ * and against processes that leave out another one than the one that came later. */
+static void
+test_same_id (void)
+{
+  static const char *const orders[][4] = {
+    { SAME_ID_FIRST, SAME_ID_SECOND, "a", "b" },
+    { "a", SAME_ID_SECOND, "b", SAME_ID_FIRST },
+    { SAME_ID_SECOND, "a", SAME_ID_FIRST, SAME_ID_FIRST },
+  };
+
+  CU_ASSERT_EQUAL (dp_member_id (SAME_ID_FIRST), dp_member_id (SAME_ID_SECOND));
+  for (guint i = 0; i < G_N_ELEMENTS (orders); i++)
+    {
+      const char *stays = NULL;
+      DpMember members[4] = { 0 };
+      g_autoptr (DpMemberView) view = NULL;
+
+      for (guint j = 4; j-- > 0;)
+        {
+          members[j].name = (char *) orders[i][j];
+          if (strlen (orders[i][j]) > 1)
+            stays = orders[i][j];
+        }
+      view = dp_member_view_new ("darbnica", 1, members, 4);
+      CU_ASSERT_EQUAL (view->n_members, i < 2 ? 3 : 2);
+      CU_ASSERT_EQUAL (view->n_left_out, i < 2 ? 1 : 2);
+      CU_ASSERT_STRING_EQUAL (
+          dp_member_view_find (view, dp_member_id (SAME_ID_FIRST))->name, stays);
+      for (guint j = 0; j < view->n_left_out; j++)
+        CU_ASSERT_EQUAL (view->left_out[j].id, dp_member_id (SAME_ID_FIRST));
+      for (guint j = 1; j < view->n_members; j++)
+        CU_ASSERT_TRUE (view->members[j - 1].id < view->members[j].id);
+    }
+}
+
+/* Counts the critical lines that name both members. */
+static GLogWriterOutput
+count_line (GLogLevelFlags level,
+            const GLogField *fields,
+            gsize n_fields,
+            gpointer user_data)
+{
+  for (gsize i = 0; i < n_fields; i++)
+    {
+      const char *text = fields[i].value;
+
+      if (g_str_equal (fields[i].key, "MESSAGE") && (level & G_LOG_LEVEL_CRITICAL) != 0
+          && strstr (text, SAME_ID_FIRST) != NULL
+          && strstr (text, SAME_ID_SECOND) != NULL)
+        ++*(guint *) user_data;
+    }
+  return G_LOG_WRITER_HANDLED;
+}
+
+/* Guards against a log full of lines about members that are left out. */
+static void
+test_left_out_logged (void)
+{
+  static guint n_lines;
+  const DpMember members[] = { { .name = (char *) SAME_ID_FIRST },
+                               { .name = (char *) SAME_ID_SECOND } };
+  g_autoptr (DpMemberView) view = dp_member_view_new ("darbnica", 1, members, 2);
+  gint64 logged_at = 0;
+
+  g_log_set_writer_func (count_line, &n_lines, NULL);
+  for (gint64 now = DP_US_PER_S; now < 120 * DP_US_PER_S; now += DP_US_PER_S)
+    dp_member_view_log_left_out (view, &logged_at, now);
+  CU_ASSERT_EQUAL (n_lines, 2);
+}
+
 static const DpTestCase cases_[] = {
+  { "of members with the same id the first one stays", test_same_id },
+  { "members that are left out are logged once a minute", test_left_out_logged },
   { "a view survives a round trip through JSON", test_round_trip },
   { "members are found by id", test_find },
   { "malformed members are left out", test_malformed_member },
--- a/src/test_libdogwoodpaddle/test_passthroughmembers.c
+++ b/src/test_libdogwoodpaddle/test_passthroughmembers.c
@@ -3,6 +3,7 @@
 #include "protected/clock.h"
 #include "protected/passthroughmembers.h"
 #include "runner.h"
+#include "sameid.h"
 
 #define MS DP_US_PER_MS
 
@@ -159,7 +160,101 @@
   CU_ASSERT_EQUAL (merge_part (members, part[1] + 1, 1, 2, 12600 * MS), 6);
 }
 
+/* Merges a list of the named members; removed: an id, 0: none. Returns the name of the
+ * member with the id of SAME_ID_FIRST, NULL if the view doesn't change. */
+static char *
+merge_names (DpPassthroughMembers *members,
+             const char *const *names,
+             guint32 removed,
+             gint64 now)
+{
+  g_autoptr (GArray) listed = g_array_new (FALSE, TRUE, sizeof (DpMember));
+  g_autoptr (GArray) balancers = g_array_new (FALSE, FALSE, sizeof (DpAddress));
+  g_autoptr (GArray) ids = g_array_new (FALSE, FALSE, sizeof (guint32));
+  const DpMemberList list = { "darbnica", listed, balancers, 0, 1, ids };
+  g_autoptr (DpMemberView) view = NULL;
+
+  for (guint i = 0; names[i] != NULL; i++)
+    {
+      const DpMember member = { .id = dp_member_id (names[i]),
+                                .name = (char *) names[i],
+                                .zone = (char *) "riga-a",
+                                .slots = 2,
+                                .state = DP_MEMBER_ACTIVE };
+
+      g_array_append_val (listed, member);
+    }
+  if (removed != 0)
+    g_array_append_val (ids, removed);
+  view = dp_passthrough_members_update (members, &list, now);
+  if (view == NULL)
+    return NULL;
+  CU_ASSERT_EQUAL (
+      dp_passthrough_members_hash (members),
+      dp_member_list_hash (view->members, view->n_members + view->n_left_out));
+  return g_strdup (dp_member_view_find (view, dp_member_id (SAME_ID_FIRST))->name);
+}
+
+/* Guards against the abort of a companion that gets two members with the same id in
+ * lists, and against one that forwards flows to the first one once that is gone. Another
+ * balancer that started later keeps the other one: its list must change nothing. */
+static void
+test_same_id (void)
+{
+  static const char *const first[] = { SAME_ID_FIRST, NULL };
+  static const char *const both[] = { "a", SAME_ID_FIRST, SAME_ID_SECOND, NULL };
+  static const char *const reverse[] = { "a", SAME_ID_SECOND, SAME_ID_FIRST, NULL };
+  static const char *const second[] = { "a", SAME_ID_SECOND, NULL };
+  g_autoptr (DpPassthroughMembers) members = dp_passthrough_members_new ("darbnica");
+  const guint32 id = dp_member_id (SAME_ID_FIRST);
+  g_autofree char *alone = merge_names (members, first, 0, 0);
+  g_autofree char *with_second = merge_names (members, both, 0, 100 * MS);
+  g_autofree char *still = NULL;
+  g_autofree char *replaced = NULL;
+
+  CU_ASSERT_STRING_EQUAL (alone, SAME_ID_FIRST);
+  CU_ASSERT_STRING_EQUAL (with_second, SAME_ID_FIRST);
+  CU_ASSERT_PTR_NULL (merge_names (members, reverse, 0, 200 * MS));
+  CU_ASSERT_PTR_NULL (merge_names (members, second, id, 300 * MS));
+  still = merge_names (members, second, id, 1700 * MS);
+  CU_ASSERT_PTR_NULL (still);
+  replaced = merge_names (members, second, id, 1801 * MS);
+  CU_ASSERT_STRING_EQUAL (replaced, SAME_ID_SECOND);
+}
+
+/* Guards against an abort of the table of members, and against memory without bound, when
+ * lists with ever new names come from outside. */
+static void
+test_number_of_members (void)
+{
+  g_autoptr (DpPassthroughMembers) members = dp_passthrough_members_new ("darbnica");
+  g_autoptr (DpMemberView) last = NULL;
+
+  for (guint i = 0; i < 140; i++)
+    {
+      g_autoptr (GArray) listed = g_array_new (FALSE, TRUE, sizeof (DpMember));
+      g_autoptr (GArray) ids = g_array_new (FALSE, FALSE, sizeof (guint32));
+      const DpMemberList list = { "darbnica", listed, NULL, 0, 1, ids };
+      g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+
+      for (guint j = 0; j < 120; j++)
+        {
+          DpMember member = { .zone = (char *) "riga-a", .state = DP_MEMBER_ACTIVE };
+
+          member.name = g_strdup_printf ("m%u-%u", i, j);
+          member.id = dp_member_id (member.name);
+          g_ptr_array_add (names, member.name);
+          g_array_append_val (listed, member);
+        }
+      g_clear_pointer (&last, dp_member_view_unref);
+      last = dp_passthrough_members_update (members, &list, i);
+    }
+  CU_ASSERT_PTR_NULL (last);
+}
+
 static const DpTestCase cases_[] = {
+  { "of members with the same id the first one stays", test_same_id },
+  { "the number of members is bounded", test_number_of_members },
   { "a list in parts", test_parts },
   { "an incomplete list removes no members", test_partial_list },
   { "balancers restarted in turn", test_balancers_restarted_in_turn },
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -4,6 +4,7 @@
 #include "protected/clock.h"
 #include "protected/placement.h"
 #include "runner.h"
+#include "sameid.h"
 
 #define SERVICE "darbnica"
 #define MS DP_US_PER_MS
@@ -390,7 +391,71 @@
   CU_ASSERT_TRUE (dp_placement_has_active (placement, service));
 }
 
+/* Decodes the only part of the list of the service's members. */
+static guint
+n_listed (DpPlacement *placement, const char *name)
+{
+  g_autoptr (GPtrArray) parts = dp_member_list_encode_parts (
+      dp_placement_view (placement, dp_service_id (SERVICE)), NULL);
+  DpReportMessage message;
+  const guint8 *data;
+  guint n = 0;
+  gsize length;
+
+  CU_ASSERT_EQUAL_FATAL (parts->len, 1);
+  data = g_bytes_get_data (g_ptr_array_index (parts, 0), &length);
+  CU_ASSERT_TRUE (dp_report_decode (&message, data, length));
+  for (guint i = 0; i < message.list.members->len; i++)
+    n += g_str_equal (g_array_index (message.list.members, DpMember, i).name, name) ? 1
+                                                                                    : 0;
+  CU_ASSERT_EQUAL (
+      dp_member_list_hash ((const DpMember *) (void *) message.list.members->data,
+                           message.list.members->len),
+      dp_placement_list_hash (placement, dp_service_id (SERVICE)));
+  dp_report_message_clear (&message);
+  return n;
+}
+
+/* Guards against the abort of all balancers by a member whose id is that of another one,
+ * and against a member that stays left out once the other one is gone. */
+static void
+test_same_id (void)
+{
+  const guint64 service = dp_service_id (SERVICE);
+  const guint32 id = dp_member_id (SAME_ID_FIRST);
+
+  for (guint deregistered = 0; deregistered < 2; deregistered++)
+    {
+      g_autoptr (DpPlacement) placement = dp_placement_new ("riga-a");
+      DpReport first = make_report (SAME_ID_FIRST, "riga-a", 1, 3);
+      const DpReport second = make_report (SAME_ID_SECOND, "riga-a", 2, 0);
+      g_autoptr (GArray) gone = NULL;
+
+      CU_ASSERT_TRUE (dp_placement_apply_report (placement, &first, 0));
+      CU_ASSERT_TRUE (dp_placement_apply_report (placement, &second, MS));
+      CU_ASSERT_FALSE (dp_placement_apply_report (placement, &first, 2 * MS));
+      CU_ASSERT_EQUAL (choose (placement, DP_TRAFFIC_INTERACTIVE, 2 * MS), 1);
+      CU_ASSERT_EQUAL (dp_placement_view (placement, service)->n_members, 1);
+      CU_ASSERT_EQUAL (dp_placement_n_left_out (placement), 1);
+      CU_ASSERT_EQUAL (n_listed (placement, SAME_ID_SECOND), 1);
+      CU_ASSERT_EQUAL (n_listed (placement, SAME_ID_FIRST), 1);
+      /* The one that stays goes; packets may be sent to the other one from then on. */
+      first.deregistered = TRUE;
+      if (deregistered != 0)
+        dp_placement_apply_report (placement, &first, 16000 * MS);
+      dp_placement_apply_report (placement, &second, 16000 * MS);
+      dp_placement_expire (placement, 16000 * MS);
+      CU_ASSERT_EQUAL (choose (placement, DP_TRAFFIC_INTERACTIVE, 16000 * MS), 2);
+      CU_ASSERT_EQUAL (dp_placement_n_left_out (placement), 0);
+      CU_ASSERT_EQUAL (n_listed (placement, SAME_ID_FIRST), 0);
+      gone = dp_placement_gone_ids (placement, service, 16000 * MS);
+      CU_ASSERT_EQUAL_FATAL (gone->len, 1);
+      CU_ASSERT_EQUAL (g_array_index (gone, guint32, 0), id);
+    }
+}
+
 static const DpTestCase cases_[] = {
+  { "of members with the same id the first one stays", test_same_id },
   { "a failing server is chosen last", test_failing },
   { "a server that has deregistered is gone", test_deregistered },
   { "leaving members don't make a balancer ready", test_leaving_only },
