Companion: a cold server gets no more requests a second than declared

Cause: admission counts slots, and a cold server has free ones. When all servers of a service came back cold at once, clients' retries filled them with several times what they handle.

warmuplimit, without I/O, keeps the times of the last second's requests. A SYN that finds a slot but no room in the window is treated as if no slot were free; the expected wait counts the window, and a timer releases waiting SYNs. SYNs that are handed over and further requests on open flows count; room is kept for as many further requests as the flows usually make. A companion that has started beside a cold server begins with an allowance of 0, which grows.

New: dp_passthrough_set_warmup_limit () for the declared rate, dp_passthrough_set_warmup_end (), bounds.warmup_overrun and bounds.warmup_slack (without the first there is no limit), dogwoodpaddle_warmup_limit, dogwoodpaddle_syns_held_back_total, log lines at the begin and the end. The rate is not read from the configuration yet.

--- a/src/libdogwoodpaddle/include/private/passthroughadmission.h
+++ b/src/libdogwoodpaddle/include/private/passthroughadmission.h
@@ -28,6 +28,10 @@
 dp_passthrough_admission_server_is_silent (const DpPassthroughAdmission *admission,
                                            gint64 now);
 
+/* Returns the number of SYNs that found a slot but were held back by the limit of a cold
+ * server. */
+guint64 dp_passthrough_admission_n_held_back (const DpPassthroughAdmission *admission);
+
 /* Decides about the SYN of a new flow. came_back: this member has forwarded the SYN
  * before, and the SYN has come back. */
 DpPassthroughDecision dp_passthrough_admission_decide (DpPassthroughAdmission *admission,
--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -5,6 +5,7 @@
 #include "protected/flowdirectory.h"
 #include "protected/passthrough.h"
 #include "protected/serverhealth.h"
+#include "protected/warmuplimit.h"
 
 typedef enum
 {
@@ -42,13 +43,18 @@
   gboolean server_finished;
   gint64 offered_at; /* us, when the SYN or a further request was sent to the server */
   gint64 used_at;    /* us, last activity */
-  gint64 last_answer_at;   /* us, server's last data, 0: none since the last request */
-  gint64 requested_at;     /* us, first data of the current request */
-  gint64 first_byte_at;    /* us, first data of the answer to the current request, 0: none
-                              yet */
+  gint64 last_answer_at; /* us, server's last data, 0: none since the last request */
+  gint64 requested_at;   /* us, first data of the current request */
+  gint64 first_byte_at;  /* us, first data of the answer to the current request, 0: none
+                            yet */
+  gboolean
+      of_predecessor; /* of a server before; it has sent nothing since it was replaced */
+  gboolean answer_begun;   /* the server has sent data since the client's last new data */
   gboolean answer_overdue; /* an answer timed out, which was recorded as a failure */
   guint32 answer_start_seq; /* sequence number at which the answer begins */
   guint32 server_next_seq;  /* sequence number after the server's highest data */
+  guint32 client_next_seq;  /* sequence number after the client's highest data, if
+                             * request_seen */
   gint64 new_data_at;       /* us, when server_next_seq last advanced */
   DpAddress forwarded_to;
   DpHop hop;                    /* of the SYN as it arrived */
@@ -65,6 +71,7 @@
 {
   DpSlots *slots;
   DpServerHealth *health;
+  DpWarmupLimit *warmup;
   DpPassthroughHistograms histograms;
   GHashTable *by_key;             /* set of DpPassthroughFlow, compared by key */
   DpHandleTable *waiting_flows;   /* DpPassthroughFlow pointers */
@@ -116,6 +123,8 @@
 void dp_passthrough_flows_abandon_work (DpPassthroughFlows *flows,
                                         DpPassthroughFlow *flow);
 void dp_passthrough_flows_abandon_all_work (DpPassthroughFlows *flows);
+/* Records that another server runs, which may have none of the flows. */
+void dp_passthrough_flows_note_server_replaced (DpPassthroughFlows *flows);
 
 /* Queues the flow for a slot. late: behind those that can be served in time. Returns
  * FALSE if too many flows wait. */
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -121,8 +121,21 @@
 {
   guint slots;
   gint64 flow_ttl; /* us, after which an unused flow is forgotten */
+  /* In a second, a cold server gets at most floor (rate x warmup_overrun + warmup_slack)
+   * requests; warmup_overrun of 0: no limit. */
+  double warmup_overrun;
+  double warmup_slack;
 } DpPassthroughLimits;
 
+/* The limit of a cold server. */
+typedef struct
+{
+  gboolean active;     /* in force: the server is cold, and its rate is known */
+  guint max;           /* requests in a second at most */
+  guint n_recent;      /* requests of the last second */
+  guint64 n_held_back; /* SYNs that found a slot but were held back by the limit */
+} DpPassthroughWarmup;
+
 /* Histograms of the times of flows; each may be NULL. */
 typedef struct
 {
@@ -139,6 +152,16 @@
 void dp_passthrough_free (DpPassthrough *passthrough);
 void dp_passthrough_set_limits (DpPassthrough *passthrough,
                                 const DpPassthroughLimits *limits);
+/* Sets the requests a second that the server declares to handle while it is cold; 0: no
+ * limit. */
+void dp_passthrough_set_warmup_limit (DpPassthrough *passthrough, double per_second);
+/* Sets the time at which the server is no longer cold. */
+void dp_passthrough_set_warmup_end (DpPassthrough *passthrough, gint64 ends_at);
+DpPassthroughWarmup dp_passthrough_warmup (const DpPassthrough *passthrough, gint64 now);
+/* Returns the time in us until dp_passthrough_next_released () is to be called although
+ * no packet has come, as the limit of a cold server then lets a SYN through that waits;
+ * 0: the limit holds none back. */
+gint64 dp_passthrough_release_wait (const DpPassthrough *passthrough, gint64 now);
 /* Sets the packet port of this companion, under which it registers its server's flows. */
 void dp_passthrough_set_address (DpPassthrough *passthrough, const DpAddress *address);
 /* Sets the members of the service; takes a reference to the view. */
--- a/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
@@ -28,6 +28,9 @@
   guint n_seed_balancers;
   guint heartbeat_ms; /* interval of the server's heartbeats */
   gint64 flow_ttl;    /* us, after which an unused flow is forgotten */
+  /* Bounds of a cold server's requests, as in DpPassthroughLimits. */
+  double warmup_overrun;
+  double warmup_slack;
   const DpPacketFormat *format;
   DpPlatform *platform;
   guint balancers_collection; /* the platform's collection of balancers */
--- a/src/libdogwoodpaddle/include/protected/slots.h
+++ b/src/libdogwoodpaddle/include/protected/slots.h
@@ -50,6 +50,8 @@
 gboolean dp_slots_has_waiting (const DpSlots *slots, DpTrafficClass class);
 guint dp_slots_busy (const DpSlots *slots);
 guint dp_slots_waiting_in_time (const DpSlots *slots);
+/* Returns the number of waiting flows that go before a new in-time flow of the class. */
+guint dp_slots_ahead (const DpSlots *slots, DpTrafficClass class);
 guint dp_slots_waiting (const DpSlots *slots, DpTrafficClass class);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpSlots, dp_slots_free)
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -88,6 +88,7 @@
                                                     gint64 now);
 static gboolean acknowledges_server_ (const DpPassthroughFlow *flow,
                                       const DpSegment *segment);
+static gboolean is_further_request_ (const DpPassthroughFlow *flow);
 static void record_client_packet_ (DpPassthrough *passthrough,
                                    DpPassthroughFlow *flow,
                                    const DpSegment *segment,
@@ -132,6 +133,22 @@
 {
   dp_passthrough_admission_set_slots (passthrough->admission, limits->slots);
   dp_passthrough_flows_set_limits (passthrough->flows, limits->slots, limits->flow_ttl);
+  dp_warmup_limit_set_bounds (passthrough->flows->warmup, limits->warmup_overrun,
+                              limits->warmup_slack);
+}
+
+/* Sets the requests a second that the server declares to handle while it is cold. */
+void
+dp_passthrough_set_warmup_limit (DpPassthrough *passthrough, double per_second)
+{
+  dp_warmup_limit_set_rate (passthrough->flows->warmup, per_second);
+}
+
+/* Sets the time at which the server is no longer cold. */
+void
+dp_passthrough_set_warmup_end (DpPassthrough *passthrough, gint64 ends_at)
+{
+  dp_warmup_limit_set_end (passthrough->flows->warmup, ends_at);
 }
 
 /* Sets the histograms of the flows' times. */
@@ -177,8 +194,10 @@
 dp_passthrough_server_replaced (DpPassthrough *passthrough, gboolean without_flows)
 {
   passthrough->flows->complete = without_flows;
+  dp_warmup_limit_note_server_replaced (passthrough->flows->warmup, without_flows);
   dp_passthrough_admission_note_server_packet (passthrough->admission);
   dp_passthrough_flows_abandon_all_work (passthrough->flows);
+  dp_passthrough_flows_note_server_replaced (passthrough->flows);
   dp_server_health_reset (passthrough->flows->health);
 }
 
@@ -196,6 +215,9 @@
                                                       now);
 
   decision.basis = basis;
+  /* The server may have the flow of a request about which it is asked. */
+  if (decision.reason == DP_PASSTHROUGH_ASKED && segment->payload_length > 0)
+    dp_warmup_limit_note_further (passthrough->flows->warmup, now);
   if (dp_segment_opens_flow (segment)
       && (decision.action == DP_PASSTHROUGH_TO_SERVER
           || decision.action == DP_PASSTHROUGH_HOLD
@@ -241,6 +263,7 @@
     return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_CLIENT, DP_PASSTHROUGH_OWNED,
                                          &hop);
   flow->used_at = now;
+  flow->of_predecessor = FALSE;
   /* A server that was frozen can answer an earlier SYN of a flow whose retransmission
    * waits. */
   dp_passthrough_flows_dequeue (passthrough->flows, flow);
@@ -467,6 +490,30 @@
   return passthrough->flows->n_in_flight;
 }
 
+/* Returns what is known of the limit while the server is cold. */
+DpPassthroughWarmup
+dp_passthrough_warmup (const DpPassthrough *passthrough, gint64 now)
+{
+  DpWarmupLimit *warmup = passthrough->flows->warmup;
+  const gboolean active = dp_warmup_limit_is_active (warmup, now);
+
+  return (DpPassthroughWarmup){
+    .active = active,
+    .max = active ? dp_warmup_limit_max (warmup) : 0,
+    .n_recent = active ? dp_warmup_limit_recent (warmup, now) : 0,
+    .n_held_back = dp_passthrough_admission_n_held_back (passthrough->admission),
+  };
+}
+
+/* Returns how long the limit of a cold server holds back the SYN that waits in front. */
+gint64
+dp_passthrough_release_wait (const DpPassthrough *passthrough, gint64 now)
+{
+  return dp_passthrough_n_waiting (passthrough) == 0
+             ? 0
+             : dp_warmup_limit_wait (passthrough->flows->warmup, 0, now);
+}
+
 /* Returns the number of flows that wait for a slot. */
 guint
 dp_passthrough_n_waiting (const DpPassthrough *passthrough)
@@ -847,7 +894,19 @@
                        const DpSegment *segment,
                        gint64 now)
 {
+  const guint32 end = segment->seq + segment->payload_length;
+  const gboolean new_data = segment->payload_length > 0
+                            && (!flow->request_seen
+                                || (gint32) (end - flow->client_next_seq) > 0);
+
   flow->used_at = now;
+  if (new_data && is_further_request_ (flow))
+    dp_warmup_limit_note_further (passthrough->flows->warmup, now);
+  if (new_data)
+    {
+      flow->client_next_seq = end;
+      flow->answer_begun = FALSE;
+    }
   if (flow->state == DP_PASSTHROUGH_FLOW_ANSWERED)
     flow->state = DP_PASSTHROUGH_FLOW_OPEN;
   if (segment->payload_length > 0 && !flow->request_seen)
@@ -876,6 +935,15 @@
     flow->state = DP_PASSTHROUGH_FLOW_CLOSED;
 }
 
+/* Returns whether new data of the client begin a request that did not come with the
+ * flow's SYN: after an answer, or after the flow's slot was taken away. */
+static gboolean
+is_further_request_ (const DpPassthroughFlow *flow)
+{
+  return !flow->server_finished
+         && (!flow->in_flight || (flow->request_seen && flow->answer_begun));
+}
+
 /* Records the progress of the server's answer. The length of the answer is taken from the
  * sequence number of its last packet, which often overtakes the others of its burst.
  * Returns whether the server has sent the data before. */
@@ -896,6 +964,9 @@
   if (flow->first_byte_at == 0 && (gint32) (end - flow->answer_start_seq) > 0)
     flow->first_byte_at = now;
   if (segment->payload_length > 0)
-    flow->last_answer_at = now;
+    {
+      flow->last_answer_at = now;
+      flow->answer_begun = TRUE;
+    }
   return repeated;
 }
--- a/src/libdogwoodpaddle/passthroughadmission.c
+++ b/src/libdogwoodpaddle/passthroughadmission.c
@@ -48,6 +48,7 @@
   gint64
       waiting_checked_at; /* us, last search for flows that should no longer wait here */
   double late_served_share;   /* share of late flows that got a slot, moving mean */
+  guint64 n_held_back;        /* SYNs that the limit of a cold server has held back */
   guint n_unanswered_syns;    /* SYNs sent to the server since its last packet */
   gint64 first_unanswered_at; /* us, when the first of these SYNs was sent */
 };
@@ -88,6 +89,8 @@
                                      DpPassthroughFlowState state,
                                      gint64 now);
 static gboolean is_serving_ (const DpPassthroughAdmission *admission, gint64 now);
+static gboolean
+has_slot_ (DpPassthroughAdmission *admission, DpTrafficClass class, gint64 now);
 static DpPassthroughDecision forward_new_flow_ (DpPassthroughAdmission *admission,
                                                 const DpSegment *segment,
                                                 const DpHop *hop,
@@ -182,6 +185,13 @@
          && now - admission->first_unanswered_at > SYN_ANSWER_TIMEOUT_US;
 }
 
+/* Returns the number of SYNs that the limit of a cold server has held back. */
+guint64
+dp_passthrough_admission_n_held_back (const DpPassthroughAdmission *admission)
+{
+  return admission->n_held_back;
+}
+
 /* Offers a new flow to the server, queues, forwards or rejects it. The search for a free
  * slot covers the member's own availability zone first. After that, a short wait for a
  * slot here is preferred to a free slot in another zone, since traffic between zones is
@@ -202,18 +212,21 @@
   const DpPassthroughReason reason = !serving    ? DP_PASSTHROUGH_NOT_SERVING
                                      : !admitted ? DP_PASSTHROUGH_FAILING
                                                  : DP_PASSTHROUGH_BUSY;
+  const gboolean has_slot = has_slot_ (admission, (DpTrafficClass) hop->class, now);
   const DpMember *next = NULL;
   gboolean same_zone = FALSE;
 
-  if (admitted && admission->flows->n_in_flight < admission->slots
+  if (admitted && !has_slot
+      && dp_slots_can_acquire (admission->flows->slots, (DpTrafficClass) hop->class))
+    admission->n_held_back++;
+  if (admitted && has_slot && admission->flows->n_in_flight < admission->slots
       && !dp_slots_has_waiting (admission->flows->slots, (DpTrafficClass) hop->class))
     return offer_or_queue_ (admission, segment, hop, now);
   if (!came_back)
     next = next_member_ (admission, segment->hash, hop->n_visited, &same_zone);
   if (next != NULL && same_zone)
     return forward_new_flow_ (admission, segment, hop, next, reason, now);
-  if (admitted
-      && dp_slots_can_acquire (admission->flows->slots, (DpTrafficClass) hop->class))
+  if (admitted && has_slot)
     return offer_or_queue_ (admission, segment, hop, now);
   if (next != NULL)
     return forward_new_flow_ (admission, segment, hop, next, reason, now);
@@ -287,7 +300,7 @@
   DpPassthroughFlow *flow = NULL;
   DpHop hop;
 
-  if (serving)
+  if (serving && dp_warmup_limit_admits (admission->flows->warmup, now))
     {
       dp_passthrough_flows_reclaim_slots (admission->flows, now);
       flow = dp_passthrough_flows_assign_slot (admission->flows, now);
@@ -324,17 +337,21 @@
                  gint64 now)
 {
   const DpTrafficClass class = (DpTrafficClass) hop->class;
-  const gint64 wait = dp_slots_expected_wait (admission->flows->slots, class, now);
+  DpSlots *slots = admission->flows->slots;
+  DpWarmupLimit *warmup = admission->flows->warmup;
+  const gint64 wait = MAX (
+      dp_slots_expected_wait (slots, class, now),
+      dp_warmup_limit_wait (warmup, dp_slots_ahead (slots, class), now));
   const gint64 age = segment->syn_age_ms * DP_US_PER_MS;
   gint64 late_wait;
   DpPassthroughFlow *flow;
 
-  if (dp_slots_can_acquire (admission->flows->slots, class))
+  if (has_slot_ (admission, class, now))
     {
       flow = add_flow_ (admission, segment, hop, DP_PASSTHROUGH_FLOW_OFFERED, now);
       if (flow == NULL)
         return reject_ (admission, segment, hop, DP_PASSTHROUGH_OVERLOADED, now);
-      flow->has_slot = dp_slots_acquire (admission->flows->slots, class);
+      flow->has_slot = dp_slots_acquire (slots, class);
       record_offer_ (admission, flow, now);
       return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_OWNED,
                                            hop);
@@ -343,7 +360,9 @@
     return queue_flow_ (admission, segment, hop, FALSE, now);
   /* A client that is rejected tries again within milliseconds and soon has no attempts
    * left. A late answer serves it better than none. */
-  late_wait = dp_slots_expected_late_wait (admission->flows->slots, class, now);
+  late_wait = MAX (dp_slots_expected_late_wait (slots, class, now),
+                   dp_warmup_limit_wait (
+                       warmup, dp_passthrough_flows_n_waiting (admission->flows), now));
   if ((double) late_wait * LATE_WAIT_FACTOR
       <= admission->late_served_share * (double) longest_useful_wait_ (segment, hop))
     return queue_flow_ (admission, segment, hop, TRUE, now);
@@ -527,6 +546,7 @@
   flow->state = DP_PASSTHROUGH_FLOW_OFFERED;
   flow->used_at = now;
   dp_passthrough_flows_begin_work (admission->flows, flow, flow->has_slot, now);
+  dp_warmup_limit_note_syn (admission->flows->warmup, now);
   if (admission->n_unanswered_syns++ == 0)
     admission->first_unanswered_at = now;
 }
@@ -558,6 +578,14 @@
          && !dp_passthrough_admission_server_is_silent (admission, now);
 }
 
+/* Returns whether a new flow of the class may be offered to the server at once. */
+static gboolean
+has_slot_ (DpPassthroughAdmission *admission, DpTrafficClass class, gint64 now)
+{
+  return dp_slots_can_acquire (admission->flows->slots, class)
+         && dp_warmup_limit_admits (admission->flows->warmup, now);
+}
+
 /* Forwards a SYN to the member, and records that for its retransmissions. */
 static DpPassthroughDecision
 forward_new_flow_ (DpPassthroughAdmission *admission,
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -49,8 +49,11 @@
   guint tick_source;         /* source id */
   guint retry_source;        /* source id; 0 while no packet is kept */
   gboolean stopping;
-  gint64 stop_began_at; /* us, when the stop began */
-  guint stop_source;    /* source id */
+  guint release_source;     /* source id; 0 while no SYN waits for a cold server */
+  gboolean warmup_limited;  /* a limit of a cold server was in force at the last look */
+  guint64 held_back_before; /* SYNs held back before it began */
+  gint64 stop_began_at;     /* us, when the stop began */
+  guint stop_source;        /* source id */
   DpPassthroughStoppedFunc stopped_func;
   gpointer stopped_data;
   DpMetric *decisions[DP_N_PASSTHROUGH_REASONS];
@@ -58,6 +61,8 @@
   DpMetric *failing;
   DpMetric *lost_lines;
   DpMetric *left_out;
+  DpMetric *warmup_limit;
+  DpMetric *held_back;
   DpMetric *malformed;
   DpMetric *registrations;
   DpMetric *unanswered;
@@ -92,6 +97,8 @@
                           gint64 now);
 static gboolean retry_timeout_ (gpointer user_data);
 static void release_held_syns_ (DpPassthroughCompanion *companion, gint64 now);
+static void schedule_release_ (DpPassthroughCompanion *companion, gint64 now);
+static gboolean release_timeout_ (gpointer user_data);
 static DpFlowLogKind log_kind_ (const DpPassthroughDecision *decision,
                                 const DpSegment *segment);
 static void log_decision_ (DpPassthroughCompanion *companion,
@@ -122,6 +129,7 @@
 static void update_serving_ (DpPassthroughCompanion *companion);
 static gboolean report_timeout_ (gpointer user_data);
 static void log_breaker_change_ (DpPassthroughCompanion *companion);
+static void update_warmup_ (DpPassthroughCompanion *companion, gint64 now);
 static void send_report_ (DpPassthroughCompanion *companion, gint64 now);
 static gboolean tick_timeout_ (gpointer user_data);
 static gboolean stop_timeout_ (gpointer user_data);
@@ -202,6 +210,7 @@
   g_clear_handle_id (&companion->report_source, g_source_remove);
   g_clear_handle_id (&companion->tick_source, g_source_remove);
   g_clear_handle_id (&companion->retry_source, g_source_remove);
+  g_clear_handle_id (&companion->release_source, g_source_remove);
   g_clear_handle_id (&companion->stop_source, g_source_remove);
   dp_passthrough_reporter_free (companion->reporter);
   dp_packet_port_free (companion->data);
@@ -224,7 +233,12 @@
                                            const DpAnnouncement *announcement)
 {
   gint64 now = dp_clock_now (companion->options.clock);
-  const DpPassthroughLimits limits = { announcement->slots, companion->options.flow_ttl };
+  const DpPassthroughLimits limits = {
+    .slots = announcement->slots,
+    .flow_ttl = companion->options.flow_ttl,
+    .warmup_overrun = companion->options.warmup_overrun,
+    .warmup_slack = companion->options.warmup_slack,
+  };
   const gboolean first = !companion->announcements.known;
   gboolean changed;
   gboolean was_leaving = companion->announcement.leaving;
@@ -252,6 +266,8 @@
   companion->heartbeat_at = now;
   companion->warmup_ends_at = now + announcement->warmup_remaining_ms * DP_US_PER_MS;
   dp_passthrough_set_limits (companion->passthrough, &limits);
+  dp_passthrough_set_warmup_end (companion->passthrough, companion->warmup_ends_at);
+  update_warmup_ (companion, now);
   update_serving_ (companion);
   if (changed)
     send_report_ (companion, now);
@@ -310,6 +326,12 @@
   companion->failing = dp_metrics_add (metrics, DP_METRIC_GAUGE,
                                        "dogwoodpaddle_server_failing", "",
                                        "Whether the server fails too many requests");
+  companion->warmup_limit = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_warmup_limit", "",
+      "Requests that a cold server gets in a second at most, 0: no limit is in force");
+  companion->held_back = dp_metrics_add (
+      metrics, DP_METRIC_COUNTER, "dogwoodpaddle_syns_held_back_total", "",
+      "New flows that found a slot but were held back as the server is cold");
   companion->left_out = dp_metrics_add (
       metrics, DP_METRIC_GAUGE, "dogwoodpaddle_members_left_out", "",
       "Members that get no flows, as another one has the same id");
@@ -372,6 +394,7 @@
   decision = dp_passthrough_from_peer (companion->passthrough, &segment, &hop, now);
   execute_ (companion, &decision, &segment, data, length);
   keep_packet_ (companion, &decision, &segment, &hop, data, length, now);
+  schedule_release_ (companion, now);
   send_pending_messages_ (companion);
 }
 
@@ -533,6 +556,31 @@
       if (companion->options.format->parse (packet, length, &segment, &returned))
         execute_ (companion, &released.decision, &segment, packet, length);
     }
+  schedule_release_ (companion, now);
+}
+
+/* Looks at the waiting SYNs again as soon as the limit of a cold server lets one through.
+ */
+static void
+schedule_release_ (DpPassthroughCompanion *companion, gint64 now)
+{
+  const gint64 wait = dp_passthrough_release_wait (companion->passthrough, now);
+
+  if (wait > 0 && companion->release_source == 0)
+    companion->release_source = g_timeout_add ((guint) (wait / DP_US_PER_MS + 1),
+                                               release_timeout_, companion);
+}
+
+static gboolean
+release_timeout_ (gpointer user_data)
+{
+  DpPassthroughCompanion *companion = user_data;
+  const gint64 now = note_activity_ (companion);
+
+  companion->release_source = 0;
+  release_held_syns_ (companion, now);
+  send_pending_messages_ (companion);
+  return G_SOURCE_REMOVE;
 }
 
 /* Returns the kind of log line about the decision; DP_N_FLOW_LOG_KINDS if it gets none.
@@ -567,15 +615,18 @@
 {
   const DpFlowLogKind kind = log_kind_ (decision, segment);
   const DpPassthroughBasis *basis = &decision->basis;
+  DpPassthroughWarmup warmup;
   char member[DP_ADDRESS_STRLEN];
 
   if (kind == DP_N_FLOW_LOG_KINDS || !dp_flow_log_admits (companion->log, kind, segment))
     return;
+  warmup = dp_passthrough_warmup (companion->passthrough,
+                                  dp_clock_now (companion->options.clock));
   dp_flow_log_write (
       segment, dp_passthrough_action_string (decision->action),
       dp_passthrough_reason_string (decision->reason),
       "member=%s visited=%u steps=%u owners_tried=%u members=%u in_flight=%u slots=%u "
-      "flags=%u syn_age_ms=%u "
+      "warmup=%u/%u flags=%u syn_age_ms=%u "
       "state=%s state_ms=%" G_GINT64_FORMAT " view_ms=%" G_GINT64_FORMAT
       " all_flows_known=%d",
       decision->action == DP_PASSTHROUGH_TO_MEMBER
@@ -584,7 +635,7 @@
       decision->hop.n_visited, decision->hop.search_steps, decision->hop.n_owners_tried,
       dp_passthrough_n_members (companion->passthrough),
       dp_passthrough_in_flight (companion->passthrough), companion->announcement.slots,
-      segment->flags, segment->syn_age_ms,
+      warmup.n_recent, warmup.max, segment->flags, segment->syn_age_ms,
       basis->flow_state == NULL ? "released" : basis->flow_state,
       basis->flow_age / DP_US_PER_MS,
       basis->view_age < 0 ? -1 : basis->view_age / DP_US_PER_MS, basis->all_flows_known);
@@ -768,6 +819,7 @@
   send_pending_messages_ (companion);
   companion->in_flight->value = dp_passthrough_in_flight (companion->passthrough);
   log_breaker_change_ (companion);
+  update_warmup_ (companion, now);
   send_report_ (companion, now);
   return G_SOURCE_CONTINUE;
 }
@@ -787,6 +839,33 @@
              dp_passthrough_in_flight (companion->passthrough));
 }
 
+/* Updates the metrics of the limit of a cold server, and logs when it starts and ends. */
+static void
+update_warmup_ (DpPassthroughCompanion *companion, gint64 now)
+{
+  const DpPassthroughWarmup warmup = dp_passthrough_warmup (companion->passthrough, now);
+
+  companion->warmup_limit->value = warmup.max;
+  companion->held_back->value = warmup.n_held_back;
+  if (warmup.active == companion->warmup_limited)
+    return;
+  companion->warmup_limited = warmup.active;
+  if (warmup.active)
+    {
+      companion->held_back_before = warmup.n_held_back;
+      g_message ("server of companion %s is cold: it gets at most %u requests a second, "
+                 "%u in the last one; its warm-up ends in %" G_GINT64_FORMAT " ms",
+                 companion->name, warmup.max, warmup.n_recent,
+                 (companion->warmup_ends_at - now) / DP_US_PER_MS);
+    }
+  else
+    g_message ("server of companion %s has no limit for cold servers any more: %s, "
+               "%" G_GUINT64_FORMAT " new flows were held back",
+               companion->name,
+               now >= companion->warmup_ends_at ? "it is warm" : "no rate is declared",
+               warmup.n_held_back - companion->held_back_before);
+}
+
 /* Reports the server's state and load to the balancers. Nothing is reported before the
  * server's first heartbeat, as its number of slots is not known. */
 static void
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -62,6 +62,7 @@
   flows->by_key = g_hash_table_new_full (hash_, equal_, NULL, flow_free_);
   flows->slots = dp_slots_new (WAITING_FLOWS_MAX);
   flows->health = dp_server_health_new ();
+  flows->warmup = dp_warmup_limit_new (now);
   flows->waiting_flows = dp_handle_table_new (sizeof (DpPassthroughFlow *),
                                               WAITING_FLOWS_MAX);
   flows->in_flight_flows = dp_handle_table_new (sizeof (DpPassthroughFlow *), FLOWS_MAX);
@@ -76,6 +77,7 @@
 {
   dp_slots_free (flows->slots);
   dp_server_health_free (flows->health);
+  dp_warmup_limit_free (flows->warmup);
   dp_handle_table_free (flows->waiting_flows);
   dp_handle_table_free (flows->in_flight_flows);
   g_hash_table_unref (flows->by_key);
@@ -230,6 +232,19 @@
     }
 }
 
+/* Marks all flows as those of a predecessor. They stay in the table, as their clients may
+ * go on sending. */
+void
+dp_passthrough_flows_note_server_replaced (DpPassthroughFlows *flows)
+{
+  DpPassthroughFlow *flow;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, flows->by_key);
+  while ((flow = dp_passthrough_flows_next (&iter)) != NULL)
+    flow->of_predecessor = TRUE;
+}
+
 /* Queues the flow by its class; if it is late, behind those that can be in time. */
 gboolean
 dp_passthrough_flows_enqueue (DpPassthroughFlows *flows,
@@ -347,6 +362,7 @@
 {
   GHashTableIter iter;
   gpointer value;
+  guint n_open = 0;
 
   check_in_flight_ (flows, now);
   dp_server_health_tick (flows->health, now);
@@ -360,10 +376,15 @@
       DpPassthroughFlow *flow = value;
 
       if (!has_expired_ (flows, flow, now))
-        continue;
+        {
+          n_open += flow->state == DP_PASSTHROUGH_FLOW_OPEN && !flow->of_predecessor ? 1
+                                                                                     : 0;
+          continue;
+        }
       dp_passthrough_flows_abandon_work (flows, flow);
       g_hash_table_iter_remove (&iter);
     }
+  dp_warmup_limit_note_open_flows (flows->warmup, n_open, now);
 }
 
 /* Records a time in us, if there is a histogram for it. */
--- a/src/libdogwoodpaddle/slots.c
+++ b/src/libdogwoodpaddle/slots.c
@@ -360,12 +360,7 @@
 gboolean
 dp_slots_has_waiting (const DpSlots *slots, DpTrafficClass class)
 {
-  for (guint i = 0; i <= class; i++)
-    {
-      if (slots->queues[i].n_waiting > 0)
-        return TRUE;
-    }
-  return FALSE;
+  return dp_slots_ahead (slots, class) > 0;
 }
 
 /* Returns the number of slots in use. */
@@ -390,6 +385,17 @@
   return n;
 }
 
+/* Returns the number of in-time flows of the same or a higher class that are waiting. */
+guint
+dp_slots_ahead (const DpSlots *slots, DpTrafficClass class)
+{
+  guint n = 0;
+
+  for (guint i = 0; i <= class; i++)
+    n += slots->queues[i].n_waiting;
+  return n;
+}
+
 /* Returns the number of flows of the class that are waiting, late ones included. */
 guint
 dp_slots_waiting (const DpSlots *slots, DpTrafficClass class)
--- a/src/test_platform/test_hosted_settings.c
+++ b/src/test_platform/test_hosted_settings.c
@@ -57,6 +57,37 @@
   CU_ASSERT_EQUAL (g_array_index (settings->peers, DpAddress, 1).port, 7720);
 }
 
+/* Bounds of cold servers are optional. A malformed one must not keep a host from
+ * starting, nor pass as a bound. */
+static void
+test_warmup_bounds (void)
+{
+  static const struct
+  {
+    const char *bounds;
+    double overrun;
+    double slack;
+  } cases[] = {
+    { "", 0, 0 },
+    { "\"warmup_overrun\":1.5,\"warmup_slack\":5,", 1.5, 5 },
+    { "\"warmup_overrun\":2,\"warmup_slack\":0,", 2, 0 },
+    { "\"warmup_overrun\":\"1.5\",\"warmup_slack\":-5,", 0, 0 },
+    { "\"warmup_overrun\":null,\"warmup_slack\":[5],", 0, 0 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *bounds = g_strconcat ("\"bounds\":{", cases[i].bounds, NULL);
+      g_auto (GStrv) parts = g_strsplit (complete_, "\"bounds\":{", 2);
+      g_autofree char *text = g_strjoinv (bounds, parts);
+      g_autoptr (Settings) settings = load (text, ROLE_COMPANION, NULL);
+
+      g_assert_nonnull (settings);
+      CU_ASSERT_EQUAL (settings->warmup_overrun, cases[i].overrun);
+      CU_ASSERT_EQUAL (settings->warmup_slack, cases[i].slack);
+    }
+}
+
 /* Each of these keys is required, and the error names the one that is missing. */
 static void
 test_missing (void)
@@ -229,6 +260,7 @@
 }
 
 static const DpTestCase cases_[] = {
+  { "bounds of cold servers", test_warmup_bounds },
   { "complete settings", test_complete },
   { "a missing key is named", test_missing },
   { "malformed settings", test_malformed },
