--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -7,6 +7,7 @@
 #include "protected/flowdirectory.h"
 #include "protected/passthrough.h"
 #include "protected/serverhealth.h"
+#include "protected/warmuplimit.h"
 
 typedef enum
 {
@@ -49,10 +50,15 @@
   gint64 requested_at;     /* us, first data of the current request */
   gint64 first_byte_at;    /* us, first data of the answer to the current request, 0: none
                               yet */
+  gboolean of_predecessor; /* of a server before; it has sent nothing since it was
+                              replaced */
+  gboolean answer_begun;   /* the server has sent data since the client's last new data */
   gboolean answer_ended;   /* by a partial packet; cleared by the client's next data */
   gboolean answer_overdue; /* an answer timed out, which was recorded as a failure */
   guint32 answer_start_seq; /* sequence number at which the answer begins */
   guint32 server_next_seq;  /* sequence number after the server's highest data */
+  guint32 client_next_seq;  /* sequence number after the client's highest data, if
+                             * request_seen */
   gint64 new_data_at;       /* us, when server_next_seq last advanced */
   DpHandle
       work; /* row of the request that the server works on; only if the limit is learnt */
@@ -74,6 +80,7 @@
   DpServerHealth *health;
   DpConcurrencyLimit *concurrency; /* NULL: the declared slots are the limit */
   DpHandleTable *works;            /* DpRequestWork; NULL: the limit is not learnt */
+  DpWarmupLimit *warmup;
   DpPassthroughHistograms histograms;
   GHashTable *by_key;             /* set of DpPassthroughFlow, compared by key */
   DpHandleTable *waiting_flows;   /* DpPassthroughFlow pointers */
@@ -148,6 +155,8 @@
 void dp_passthrough_flows_abandon_work (DpPassthroughFlows *flows,
                                         DpPassthroughFlow *flow);
 void dp_passthrough_flows_abandon_all_work (DpPassthroughFlows *flows);
+/* Records that another server runs, which may have none of the flows. */
+void dp_passthrough_flows_note_server_replaced (DpPassthroughFlows *flows);
 
 /* Queues the flow for a slot. late: behind those that can be served in time. Returns
  * FALSE if too many flows wait. */
--- a/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
@@ -29,6 +29,9 @@
   guint heartbeat_ms;           /* interval of the server's heartbeats */
   gint64 flow_ttl;              /* us, after which an unused flow is forgotten */
   gboolean learned_concurrency; /* learn the server's limit instead of using the slots */
+  /* Bounds of a cold server's requests, as in DpPassthroughLimits. */
+  double warmup_overrun;
+  double warmup_slack;
   const DpPacketFormat *format;
   DpPlatform *platform;
   guint balancers_collection; /* the platform's collection of balancers */
--- a/src/libdogwoodpaddle/include/protected/placement.h
+++ b/src/libdogwoodpaddle/include/protected/placement.h
@@ -54,7 +54,8 @@
 /* Sets the evacuated zones, whose members get no new flows; NULL: none. The evacuations
  * have to outlive the placement. To be called after each change of them. */
 void dp_placement_set_evacuations (DpPlacement *placement,
-                                   const DpEvacuations *evacuations);
+                                   const DpEvacuations *evacuations,
+                                   gint64 now);
 /* Returns whether the service has members, all of them in evacuated zones. */
 gboolean dp_placement_is_evacuated (DpPlacement *placement, guint64 service_id);
 gboolean dp_placement_has_active (DpPlacement *placement, guint64 service_id);
@@ -63,6 +64,8 @@
 /* Returns the ids, guint32, of the members that are listed as gone. */
 GArray *dp_placement_gone_ids (DpPlacement *placement, guint64 service_id, gint64 now);
 guint64 dp_placement_list_hash (DpPlacement *placement, guint64 service_id);
+/* Returns the number of members that get no flows, as another one has the same id. */
+guint dp_placement_n_left_out (const DpPlacement *placement);
 guint dp_placement_n_members (const DpPlacement *placement);
 /* Returns the speed of the member relative to the median of its service; 1 if the speed
  * is not known. */
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -72,6 +72,7 @@
   DpMetric *zones_evacuated;
   DpMetric *speed_min;
   DpMetric *speed_max;
+  DpMetric *left_out;
 };
 
 static const char *const drop_reason_strings_[] = { "malformed", "not_a_client",
@@ -277,6 +278,9 @@
   balancer->speed_max = dp_metrics_add (
       metrics, DP_METRIC_GAUGE, "dogwoodpaddle_member_speed_percent", "bound=\"max\"",
       "Members' speeds relative to the median");
+  balancer->left_out = dp_metrics_add (
+      metrics, DP_METRIC_GAUGE, "dogwoodpaddle_members_left_out", "",
+      "Members that get no flows, as another one has the same id");
   for (guint i = 0; i < N_DROP_REASONS; i++)
     {
       g_autofree char *labels = g_strdup_printf ("reason=\"%s\"",
@@ -735,7 +739,8 @@
   DpPassthroughBalancer *balancer = user_data;
 
   balancer->zones_evacuated->value = dp_evacuations_n_evacuated (balancer->evacuations);
-  dp_placement_set_evacuations (balancer->placement, balancer->evacuations);
+  dp_placement_set_evacuations (balancer->placement, balancer->evacuations,
+                                dp_clock_now (balancer->options.clock));
 }
 
 static gboolean
@@ -759,5 +764,6 @@
   dp_placement_speed_range (balancer->placement, &min, &max);
   balancer->speed_min->value = (guint64) (min * 100.0);
   balancer->speed_max->value = (guint64) (max * 100.0);
+  balancer->left_out->value = dp_placement_n_left_out (balancer->placement);
   return G_SOURCE_CONTINUE;
 }
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -61,6 +61,7 @@
   DpMemberState state;
   gboolean same_zone;
   gboolean silent;        /* stopped reporting; listed as leaving */
+  gboolean left_out;      /* has the id of another member; gets no flows */
   gboolean failing;       /* its server fails too many requests */
   gboolean evacuated;     /* its zone is */
   gint64 report_interval; /* us between its reports */
@@ -79,7 +80,7 @@
 /* A removed member that is still listed as gone. */
 typedef struct
 {
-  guint32 id;
+  char *name;
   gint64 expires_at; /* us */
 } GoneMember;
 
@@ -92,7 +93,8 @@
   guint64 list_hash;
   guint64 revision; /* of the view, counted by this balancer */
   gboolean view_outdated;
-  gint64 compared_at; /* us, last comparison of the members' speeds */
+  gint64 compared_at;        /* us, last comparison of the members' speeds */
+  gint64 left_out_logged_at; /* us, last log lines about members left out, 0: none */
 } Service;
 
 struct _DpPlacement
@@ -110,14 +112,17 @@
 static void service_free_ (gpointer data);
 static Service *find_service_ (DpPlacement *placement, guint64 id);
 static DpHandle add_member_ (DpPlacement *placement, const DpReport *report);
-static void remove_member_ (DpPlacement *placement, DpHandle handle);
+static void remove_member_ (DpPlacement *placement, DpHandle handle, gint64 now);
 static void add_gone_ (DpPlacement *placement, const Member *member, gint64 now);
-static void remove_gone_ (Service *service, guint32 id);
+static void remove_gone_ (Service *service, const char *name);
+static void clear_gone_ (gpointer data);
 static void clear_member_ (Member *member);
-static void rebuild_outdated_views_ (DpPlacement *placement);
-static void rebuild_view_ (DpPlacement *placement, Service *service);
+static void rebuild_outdated_views_ (DpPlacement *placement, gint64 now);
 static gboolean is_in_evacuated_zone_ (const DpPlacement *placement,
                                        const Member *member);
+static void rebuild_view_ (DpPlacement *placement, Service *service, gint64 now);
+static guint n_left_out_ (const Service *service);
+static void log_left_out_ (DpPlacement *placement, gint64 now);
 static gboolean has_reported_recently_ (const Member *member, gint64 now);
 static gint64 silence_limit_ (const Member *member);
 static void set_service_times_ (Member *member, const DpReport *report);
@@ -186,7 +191,7 @@
       && (!g_str_equal (member->service, report->service)
           || !dp_address_equal (&member->address, &report->address)))
     {
-      remove_member_ (placement, handle);
+      remove_member_ (placement, handle, now);
       member = NULL;
     }
   if (report->deregistered)
@@ -194,7 +199,7 @@
       if (member == NULL)
         return FALSE;
       add_gone_ (placement, member, now);
-      remove_member_ (placement, handle);
+      remove_member_ (placement, handle, now);
       return TRUE;
     }
   if (member == NULL)
@@ -228,7 +233,7 @@
   member->own_flows = MIN (member->own_flows, report->in_flight + 1);
   member->other_flows = report->in_flight - MIN (member->own_flows, report->in_flight);
   if (changed)
-    rebuild_view_ (placement, find_service_ (placement, member->service_id));
+    rebuild_view_ (placement, find_service_ (placement, member->service_id), now);
   return changed;
 }
 
@@ -250,14 +255,15 @@
           && !member->silent)
         {
           member->silent = TRUE;
-          rebuild_view_ (placement, find_service_ (placement, member->service_id));
+          rebuild_view_ (placement, find_service_ (placement, member->service_id), now);
         }
       if (now - member->reported_at <= MAX (REMOVE_US, 2 * silence_limit_ (member)))
         continue;
       add_gone_ (placement, member, now);
-      remove_member_ (placement, h);
+      remove_member_ (placement, h, now);
       removed = TRUE;
     }
+  log_left_out_ (placement, now);
   return removed;
 }
 
@@ -288,7 +294,7 @@
       gboolean is_recent = has_reported_recently_ (member, now);
       double cost;
 
-      if (member->state != DP_MEMBER_ACTIVE || member->evacuated
+      if (member->state != DP_MEMBER_ACTIVE || member->evacuated || member->left_out
           || (best_is_recent && !is_recent))
         continue;
       cost = load_cost_ (placement, member, class, now);
@@ -339,8 +345,9 @@
     {
       const DpHandle handle = g_array_index (service->members, DpHandle,
                                              (flow_hash + i) % service->members->len);
+      const Member *member = dp_handle_table_get (placement->members, handle);
 
-      if (has_reported_recently_ (dp_handle_table_get (placement->members, handle), now))
+      if (!member->left_out && has_reported_recently_ (member, now))
         return handle;
     }
   return first;
@@ -420,7 +427,9 @@
 
 /* Applies changes of the evacuated zones to all members. */
 void
-dp_placement_set_evacuations (DpPlacement *placement, const DpEvacuations *evacuations)
+dp_placement_set_evacuations (DpPlacement *placement,
+                              const DpEvacuations *evacuations,
+                              gint64 now)
 {
   placement->evacuations = evacuations;
   for (DpHandle h = dp_handle_table_next (placement->members, DP_HANDLE_NONE);
@@ -433,7 +442,7 @@
       service->view_outdated = service->view_outdated || evacuated != member->evacuated;
       member->evacuated = evacuated;
     }
-  rebuild_outdated_views_ (placement);
+  rebuild_outdated_views_ (placement, now);
 }
 
 /* Returns whether new flows of the service are rejected because of evacuations alone. */
@@ -477,8 +486,10 @@
     {
       const GoneMember *gone = &g_array_index (service->gone, GoneMember, i);
 
+      const guint32 id = dp_member_id (gone->name);
+
       if (now < gone->expires_at)
-        g_array_append_val (ids, gone->id);
+        g_array_append_val (ids, id);
     }
   return ids;
 }
@@ -492,6 +503,21 @@
   return service == NULL ? 0 : service->list_hash;
 }
 
+/* Returns the number of members of all services that share the id of another one of their
+ * service and get no flows. */
+guint
+dp_placement_n_left_out (const DpPlacement *placement)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, placement->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += n_left_out_ (value);
+  return n;
+}
+
 /* Returns the number of members of all services. */
 guint
 dp_placement_n_members (const DpPlacement *placement)
@@ -563,6 +589,7 @@
       service->name = g_strdup (report->service);
       service->members = g_array_new (FALSE, FALSE, sizeof (DpHandle));
       service->gone = g_array_new (FALSE, FALSE, sizeof (GoneMember));
+      g_array_set_clear_func (service->gone, clear_gone_);
       g_hash_table_insert (placement->services, g_memdup2 (&id, sizeof id), service);
     }
   member->name = g_strdup (report->name);
@@ -571,13 +598,14 @@
   member->service_id = id;
   member->address = report->address;
   member->silent = FALSE;
+  member->left_out = FALSE;
   member->same_zone = g_str_equal (report->zone, placement->zone);
   member->evacuated = is_in_evacuated_zone_ (placement, member);
   member->own_flows = 0;
   member->other_flows = 0;
   member->used_at = 0;
   member->speed = 1.0;
-  remove_gone_ (service, dp_member_id (report->name));
+  remove_gone_ (service, report->name);
   g_array_append_val (service->members, handle);
   g_hash_table_replace (placement->by_name, g_strdup (report->name),
                         GUINT_TO_POINTER (handle));
@@ -588,7 +616,7 @@
 }
 
 static void
-remove_member_ (DpPlacement *placement, DpHandle handle)
+remove_member_ (DpPlacement *placement, DpHandle handle, gint64 now)
 {
   Member *member = dp_handle_table_get (placement->members, handle);
   guint64 id = member->service_id;
@@ -608,7 +636,7 @@
   if (service->members->len == 0)
     g_hash_table_remove (placement->services, &id);
   else
-    rebuild_view_ (placement, service);
+    rebuild_view_ (placement, service, now);
 }
 
 /* Adds the member to the service's list of gone members and drops expired entries. */
@@ -616,7 +644,7 @@
 add_gone_ (DpPlacement *placement, const Member *member, gint64 now)
 {
   Service *service = find_service_ (placement, member->service_id);
-  const GoneMember gone = { dp_member_id (member->name), now + GONE_LISTED_US };
+  const GoneMember gone = { g_strdup (member->name), now + GONE_LISTED_US };
 
   for (guint i = service->gone->len; i-- > 0;)
     if (now >= g_array_index (service->gone, GoneMember, i).expires_at)
@@ -624,15 +652,22 @@
   g_array_append_val (service->gone, gone);
 }
 
-/* Removes a member that reports again from the list of gone members. */
+/* Removes a member that reports again from the list of gone members. Another one with the
+ * same id stays in it. */
 static void
-remove_gone_ (Service *service, guint32 id)
+remove_gone_ (Service *service, const char *name)
 {
   for (guint i = service->gone->len; i-- > 0;)
-    if (g_array_index (service->gone, GoneMember, i).id == id)
+    if (g_str_equal (g_array_index (service->gone, GoneMember, i).name, name))
       g_array_remove_index_fast (service->gone, i);
 }
 
+static void
+clear_gone_ (gpointer data)
+{
+  g_free (((GoneMember *) data)->name);
+}
+
 static void
 clear_member_ (Member *member)
 {
@@ -642,7 +677,7 @@
 }
 
 static void
-rebuild_outdated_views_ (DpPlacement *placement)
+rebuild_outdated_views_ (DpPlacement *placement, gint64 now)
 {
   GHashTableIter iter;
   gpointer value;
@@ -653,14 +688,15 @@
       Service *service = value;
 
       if (service->view_outdated)
-        rebuild_view_ (placement, service);
+        rebuild_view_ (placement, service, now);
     }
 }
 
-/* Members of evacuated zones are listed as leaving, so that other members don't forward
- * new flows to them. */
+/* Rebuilds the service's view. Members of evacuated zones are listed as leaving, so that
+ * other members don't forward new flows to them. Of members with the same id, the one
+ * that has joined first stays, and the others get no flows. */
 static void
-rebuild_view_ (DpPlacement *placement, Service *service)
+rebuild_view_ (DpPlacement *placement, Service *service, gint64 now)
 {
   g_autoptr (GArray) list = g_array_new (FALSE, TRUE, sizeof (DpMember));
   g_autoptr (DpMemberView) view = NULL;
@@ -690,6 +726,43 @@
                              (const DpMember *) (void *) list->data, list->len);
   dp_candidates_free (service->candidates);
   service->candidates = dp_candidates_new (view);
+  for (guint i = 0; i < service->members->len; i++)
+    {
+      Member *m = dp_handle_table_get (placement->members,
+                                       g_array_index (service->members, DpHandle, i));
+
+      m->left_out = view->n_left_out > 0
+                    && !g_str_equal (
+                        dp_member_view_find (view, dp_member_id (m->name))->name,
+                        m->name);
+    }
+  dp_member_view_log_left_out (view, &service->left_out_logged_at, now);
+}
+
+static guint
+n_left_out_ (const Service *service)
+{
+  return service->candidates == NULL
+             ? 0
+             : dp_candidates_view (service->candidates)->n_left_out;
+}
+
+/* Logs the members that are left out again as long as there are any. */
+static void
+log_left_out_ (DpPlacement *placement, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, placement->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Service *service = value;
+
+      if (n_left_out_ (service) > 0)
+        dp_member_view_log_left_out (dp_candidates_view (service->candidates),
+                                     &service->left_out_logged_at, now);
+    }
 }
 
 static gboolean
