Slots: offer urgent flows in excess while the server has requests without a slot

An urgent flow that waits is overtaken by further requests on open flows, which can't be held back. Up to four of these requests no longer hold an urgent flow back.

The replay marks partial packets now, as the packet format does.

--- a/microbench/model_peak.c
+++ b/microbench/model_peak.c
@@ -590,6 +590,7 @@
     {
       answer.seq = conn->server_seq;
       answer.payload_length = (guint16) MIN (left, PACKET_BYTES);
+      answer.partial = answer.payload_length < PACKET_BYTES;
       left -= answer.payload_length;
       if (conn->class == DP_TRAFFIC_URGENT && left == 0)
         answer.flags |= DP_TCP_FIN;
--- a/src/libdogwoodpaddle/slots.c
+++ b/src/libdogwoodpaddle/slots.c
@@ -9,6 +9,9 @@
 /* Samples after which the newest service time has a fixed weight in the moving mean: 1/8.
  * Earlier ones are averaged evenly, so that a new process soon has a usable mean. */
 #define MEAN_SAMPLES 8
+/* Urgent flows in excess of the capacity, at most, while the server has as many requests
+ * without a slot. More would meet a full queue at the server. */
+#define URGENT_EXCESS_MAX 4
 /* Value of late_turn_at until a late flow of the class is considered. */
 #define LATE_TURN_UNKNOWN G_MININT64
 
@@ -71,6 +74,7 @@
                                     DpTrafficClass class,
                                     guint capacity);
 static guint n_at_server_ (const DpSlots *slots);
+static guint n_ahead_ (const DpSlots *slots, DpTrafficClass class);
 static gint64 queued_work_ (const DpSlots *slots, DpTrafficClass class);
 static guint class_limit_ (const DpSlots *slots, DpTrafficClass class);
 static gint64 time_until_free_ (const DpSlots *slots, DpTrafficClass class, gint64 now);
@@ -174,7 +178,7 @@
 gboolean
 dp_slots_can_acquire (const DpSlots *slots, DpTrafficClass class)
 {
-  return n_at_server_ (slots) < slots->capacity
+  return n_ahead_ (slots, class) < slots->capacity
          && slots->queues[class].n_busy < class_limit_ (slots, class)
          && !dp_slots_has_waiting (slots, class);
 }
@@ -527,7 +531,7 @@
   const Waiter *waiter = dp_handle_table_get (slots->waiters, queue->first);
   DpHandle flow;
 
-  if (waiter == NULL || n_at_server_ (slots) >= capacity
+  if (waiter == NULL || n_ahead_ (slots, class) >= capacity
       || slots->queues[class].n_busy >= class_limit_ (slots, class))
     return DP_HANDLE_NONE;
   flow = waiter->flow;
@@ -543,6 +547,19 @@
   return dp_slots_busy (slots) + slots->n_unscheduled;
 }
 
+/* Returns the number of requests that the server has ahead of a new flow of the class. An
+ * urgent flow that waited would be overtaken by further requests on open flows, so that
+ * only those beyond URGENT_EXCESS_MAX keep it waiting. */
+static guint
+n_ahead_ (const DpSlots *slots, DpTrafficClass class)
+{
+  const guint excess = class == DP_TRAFFIC_URGENT
+                           ? MIN (slots->n_unscheduled, URGENT_EXCESS_MAX)
+                           : 0;
+
+  return n_at_server_ (slots) - excess;
+}
+
 /* Returns the sum of the mean service times, in us, of the waiting in-time flows of the
  * class and of higher classes, and of the requests without a slot. */
 static gint64
