Command line: explain-placement, where a balancer would send a new flow now

Cause: in passthrough mode an operator could only learn from logs, after the fact, why a balancer had sent a flow to a member.

GET /explain on a balancer's ready address answers with the route, the members as they are weighed and the one that would be chosen, or why there is none. The decision about a SYN is split from its execution in passthroughbalancer, so that both use the same rule. Companions don't answer the call yet.

--- a/src/dogwoodpaddle/cli.h
+++ b/src/dogwoodpaddle/cli.h
@@ -26,6 +26,8 @@
   char *revision;      /* --revision, NULL: not given */
   DpPosition position; /* that of --revision, or at which a change was accepted */
   char *service;
+  char *at;     /* --at, "IP:PORT" */
+  char *client; /* --client, "IP:PORT" */
   char *config;
   char *platform_url; /* NULL: not known */
   char **balancers;   /* "IP:PORT" of HTTP servers, NULL: none */
@@ -76,3 +78,4 @@
 CliStatus command_drain (Cli *cli);
 CliStatus command_undrain (Cli *cli);
 CliStatus command_explain (Cli *cli);
+CliStatus command_explain_placement (Cli *cli);
--- a/src/dogwoodpaddle/main.c
+++ b/src/dogwoodpaddle/main.c
@@ -34,6 +34,9 @@
     "Let a drained member accept flows again" },
   { "explain", command_explain, 2, FALSE, "explain FLOW FILE...",
     "Explain from the processes' logs what happened to a flow", TRUE },
+  { "explain-placement", command_explain_placement, 0, TRUE,
+    "explain-placement --at IP:PORT --service IP:PORT --client IP:PORT",
+    "Explain where a balancer would send a new flow now, without sending it" },
 };
 
 static const Command *find_command_ (const char *name);
@@ -100,8 +103,12 @@
       "status, watch: HTTP address of a balancer to ask as well", "IP:PORT" },
     { "config", 0, 0, G_OPTION_ARG_FILENAME, &cli->config,
       "File with \"platform\" and \"balancers\"", "FILE" },
-    { "service", 0, 0, G_OPTION_ARG_STRING, &cli->service, "drain, undrain: the service",
-      "NAME" },
+    { "service", 0, 0, G_OPTION_ARG_STRING, &cli->service,
+      "drain, undrain: the service; explain-placement: its address", "NAME|IP:PORT" },
+    { "at", 0, 0, G_OPTION_ARG_STRING, &cli->at,
+      "explain-placement: ready address of the balancer", "IP:PORT" },
+    { "client", 0, 0, G_OPTION_ARG_STRING, &cli->client,
+      "explain-placement: address of the client", "IP:PORT" },
     { "wait", 0, 0, G_OPTION_ARG_NONE, &cli->wait,
       "drain, undrain: wait until it is complete", NULL },
     { "revision", 0, 0, G_OPTION_ARG_STRING, &cli->revision,
@@ -174,6 +181,8 @@
   g_strfreev (cli->arguments);
   g_strfreev (cli->balancers);
   g_free (cli->service);
+  g_free (cli->at);
+  g_free (cli->client);
   g_free (cli->config);
   g_free (cli->platform_url);
   json_object_unref (cli->report);
--- a/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughbalancer.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <glib.h>
+#include <json-glib/json-glib.h>
 
 #include "protected/clock.h"
 #include "protected/configtiming.h"
@@ -47,3 +48,7 @@
  * process ends. */
 void dp_passthrough_balancer_stop (DpPassthroughBalancer *balancer);
 gboolean dp_passthrough_balancer_is_ready (const DpPassthroughBalancer *balancer);
+/* Explains where a new flow would go now, and why. Changes nothing. The caller owns the
+ * object. */
+JsonObject *dp_passthrough_balancer_explain (const DpPassthroughBalancer *balancer,
+                                             const DpFlowKey *key);
--- a/src/libdogwoodpaddle/include/protected/placement.h
+++ b/src/libdogwoodpaddle/include/protected/placement.h
@@ -15,6 +15,29 @@
 
 typedef struct _DpPlacement DpPlacement;
 
+/* A member as dp_placement_choose () weighs it. The strings are owned by the placement
+ * and valid until its next change. */
+typedef struct
+{
+  DpHandle member;
+  const char *name;
+  const char *zone;
+  DpAddress address;
+  DpMemberState state;
+  gboolean eligible;  /* takes new flows */
+  gboolean silent;    /* has not reported recently; chosen only if no other is left */
+  gboolean failing;   /* its server fails too many requests */
+  gboolean evacuated; /* its zone is; not chosen */
+  gboolean left_out;  /* has the id of another member; not chosen */
+  guint32 slots;
+  guint own_flows;   /* flows in flight that this balancer placed */
+  guint other_flows; /* flows in flight that other balancers placed */
+  gint64 report_age; /* us, since its last report */
+  guint32 limit;     /* learnt limit; 0: not learnt */
+  double speed;      /* relative to the median of the service; 0: not compared */
+  double cost;       /* the lowest one is chosen */
+} DpWeighedMember;
+
 DpPlacement *dp_placement_new (const char *zone);
 void dp_placement_free (DpPlacement *placement);
 /* Sets whether members are compared by their learnt limits and their speeds instead of
@@ -33,6 +56,15 @@
                               DpTrafficClass class,
                               guint64 flow_hash,
                               gint64 now);
+/* Returns the service's members (DpWeighedMember) as dp_placement_choose () weighs them
+ * for such a flow, the best first. Changes nothing. The caller frees the array. */
+GArray *dp_placement_weigh (DpPlacement *placement,
+                            guint64 service_id,
+                            DpTrafficClass class,
+                            guint64 flow_hash,
+                            gint64 now);
+/* Returns the name of a service that has members, else NULL. */
+const char *dp_placement_service_name (DpPlacement *placement, guint64 service_id);
 /* Returns the member at which the search for the owner of an unknown flow starts. */
 DpHandle dp_placement_first_candidate (DpPlacement *placement,
                                        guint64 service_id,
--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -5,6 +5,7 @@
 #include "private/policyschedule.h"
 #include "protected/evacuations.h"
 #include "protected/flowcache.h"
+#include "protected/flowexplanation.h"
 #include "protected/flowlog.h"
 #include "protected/packetport.h"
 #include "protected/placement.h"
@@ -32,6 +33,8 @@
 /* Time after its start from which on a balancer is ready even if it knows no member of
  * some service. */
 #define READY_TIMEOUT_US (3 * DP_US_PER_S)
+/* Reason of a flow that is sent to a member, in logs and explanations. */
+#define REASON_PLACED "placed"
 
 typedef enum
 {
@@ -81,6 +84,16 @@
 
 G_STATIC_ASSERT (G_N_ELEMENTS (drop_reason_strings_) == N_DROP_REASONS);
 
+/* Where a new flow goes. */
+typedef struct
+{
+  const DpServiceAddress *address; /* NULL: no service has the flow's address */
+  guint64 service_id;
+  DpHandle member;   /* DP_HANDLE_NONE: the flow is not placed */
+  DropReason reason; /* of a flow that is not placed */
+  gboolean rejected; /* answered with a reset; FALSE: the SYN is dropped */
+} Placing;
+
 static gboolean has_active_member_ (guint64 service_id, gpointer user_data);
 static gboolean
 is_evacuated_ (const DpPassthroughBalancer *balancer, guint64 service_id, gint64 now);
@@ -99,6 +112,11 @@
                                   const DpSegment *segment,
                                   DpHop *hop,
                                   gint64 now);
+static Placing decide_placing_ (const DpPassthroughBalancer *balancer,
+                                const DpFlowKey *key,
+                                guint64 hash,
+                                guint syn_age_ms,
+                                gint64 now);
 static DpCachedFlow *start_search_ (DpPassthroughBalancer *balancer,
                                     const DpSegment *segment,
                                     DpHop *hop,
@@ -232,6 +250,41 @@
                                              (gpointer) balancer));
 }
 
+/* Explains the first SYN of a flow that comes now. The flow cache is not consulted: it
+ * keeps only copies of a SYN at the member of the first one. */
+JsonObject *
+dp_passthrough_balancer_explain (const DpPassthroughBalancer *balancer,
+                                 const DpFlowKey *key)
+{
+  const gint64 now = dp_clock_now (balancer->options.clock);
+  const guint64 hash = dp_flow_key_hash (key);
+  const Placing placing = decide_placing_ (balancer, key, hash, 0, now);
+  const gboolean placed = placing.member != DP_HANDLE_NONE;
+  JsonObject *object = json_object_new ();
+
+  json_object_set_string_member (object, "role", "balancer");
+  json_object_set_string_member (object, "name", balancer->name);
+  json_object_set_string_member (object, "zone", balancer->zone);
+  dp_explanation_add_flow (object, key);
+  json_object_set_int_member (
+      object, "configuration_version",
+      (gint64) dp_passthrough_services_version (balancer->services));
+  json_object_set_string_member (object, "action",
+                                 placed             ? "to_member"
+                                 : placing.rejected ? "reset"
+                                                    : "drop");
+  json_object_set_string_member (
+      object, "reason", placed ? REASON_PLACED : drop_reason_strings_[placing.reason]);
+  if (placing.address != NULL)
+    {
+      dp_explanation_add_route (object, balancer->placement, placing.service_id,
+                                placing.address);
+      dp_explanation_add_members (object, balancer->placement, placing.service_id,
+                                  placing.address->class, hash, placing.member, now);
+    }
+  return object;
+}
+
 static gboolean
 has_active_member_ (guint64 service_id, gpointer user_data)
 {
@@ -421,53 +474,62 @@
              DpHop *hop,
              gint64 now)
 {
-  const DpServiceAddress *address;
-  guint64 service_id;
+  const Placing placing = decide_placing_ (balancer, &segment->key, segment->hash,
+                                           segment->syn_age_ms, now);
   DpCachedFlow *flow;
-  DpHandle member;
-
-  address = dp_router_find (balancer->router, &segment->key.service, &service_id);
-  if (address == NULL)
-    {
-      gboolean certain = dp_passthrough_services_are_current (balancer->services)
-                         && segment->syn_age_ms == 0;
 
-      dp_metric_increment (balancer->drops[DROP_NO_ROUTE]);
-      log_failure_ (balancer, segment, certain, DROP_NO_ROUTE);
-      if (certain)
-        reject_ (balancer, segment);
-      return NULL;
-    }
-  member = dp_placement_choose (balancer->placement, service_id, address->class,
-                                segment->hash, now);
-  /* A member rejects the copy of a SYN once it knows that no other has taken the flow. */
-  if (member == DP_HANDLE_NONE && segment->syn_age_ms > 0
-      && is_evacuated_ (balancer, service_id, now))
-    member = dp_placement_first_candidate (balancer->placement, service_id, segment->hash,
-                                           now);
-  if (member == DP_HANDLE_NONE)
+  if (placing.member == DP_HANDLE_NONE)
     {
-      const gboolean evacuated = is_evacuated_ (balancer, service_id, now);
-      const DropReason reason = evacuated ? DROP_EVACUATED : DROP_NO_MEMBER;
-      gboolean certain = (evacuated || now - balancer->started_at > MEMBER_DISCOVERY_US)
-                         && segment->syn_age_ms == 0;
-
-      dp_metric_increment (balancer->drops[reason]);
-      log_failure_ (balancer, segment, certain, reason);
-      if (certain)
+      dp_metric_increment (balancer->drops[placing.reason]);
+      log_failure_ (balancer, segment, placing.rejected, placing.reason);
+      if (placing.rejected)
         reject_ (balancer, segment);
       return NULL;
     }
-  hop->service_tag = dp_service_tag (service_id);
-  hop->class = (guint8) address->class;
-  flow = add_to_cache_ (balancer, segment, hop, member, now);
+  hop->service_tag = dp_service_tag (placing.service_id);
+  hop->class = (guint8) placing.address->class;
+  flow = add_to_cache_ (balancer, segment, hop, placing.member, now);
   flow->in_flight = TRUE;
-  log_choice_ (balancer, segment, member, "placed", address->class, now);
-  dp_placement_flow_opened (balancer->placement, member);
+  log_choice_ (balancer, segment, placing.member, REASON_PLACED, placing.address->class,
+               now);
+  dp_placement_flow_opened (balancer->placement, placing.member);
   dp_metric_increment (balancer->placed);
   return flow;
 }
 
+/* Decides where the SYN of a new flow goes. Changes nothing. */
+static Placing
+decide_placing_ (const DpPassthroughBalancer *balancer,
+                 const DpFlowKey *key,
+                 guint64 hash,
+                 guint syn_age_ms,
+                 gint64 now)
+{
+  Placing placing = { .member = DP_HANDLE_NONE, .reason = DROP_NO_ROUTE };
+  gboolean evacuated;
+
+  placing.address = dp_router_find (balancer->router, &key->service, &placing.service_id);
+  if (placing.address == NULL)
+    {
+      placing.rejected = dp_passthrough_services_are_current (balancer->services)
+                         && syn_age_ms == 0;
+      return placing;
+    }
+  placing.member = dp_placement_choose (balancer->placement, placing.service_id,
+                                        placing.address->class, hash, now);
+  if (placing.member != DP_HANDLE_NONE)
+    return placing;
+  evacuated = is_evacuated_ (balancer, placing.service_id, now);
+  /* A member rejects the copy of a SYN once it knows that no other has taken the flow. */
+  if (evacuated && syn_age_ms > 0)
+    placing.member = dp_placement_first_candidate (balancer->placement,
+                                                   placing.service_id, hash, now);
+  placing.reason = evacuated ? DROP_EVACUATED : DROP_NO_MEMBER;
+  placing.rejected = (evacuated || now - balancer->started_at > MEMBER_DISCOVERY_US)
+                     && syn_age_ms == 0;
+  return placing;
+}
+
 /* Starts the search for the owner of an unknown flow at a member that keeps the flow's
  * directory entry. Returns NULL if the packet is dropped. */
 static DpCachedFlow *
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -133,6 +133,8 @@
                                 GArray *logs);
 static float select_middle_ (GArray *values);
 static void update_weighted_slots_ (const DpPlacement *placement, Member *member);
+static gboolean is_eligible_ (const Member *member);
+static gint compare_weighed_ (gconstpointer a, gconstpointer b);
 static double load_cost_ (const DpPlacement *placement,
                           const Member *member,
                           DpTrafficClass class,
@@ -294,8 +296,7 @@
       gboolean is_recent = has_reported_recently_ (member, now);
       double cost;
 
-      if (member->state != DP_MEMBER_ACTIVE || member->evacuated || member->left_out
-          || (best_is_recent && !is_recent))
+      if (!is_eligible_ (member) || (best_is_recent && !is_recent))
         continue;
       cost = load_cost_ (placement, member, class, now);
       if (best != DP_HANDLE_NONE && best_is_recent == is_recent && cost >= best_cost)
@@ -307,6 +308,59 @@
   return best;
 }
 
+/* Returns the members in the order in which dp_placement_choose () prefers them, followed
+ * by those that it never chooses. */
+GArray *
+dp_placement_weigh (DpPlacement *placement,
+                    guint64 service_id,
+                    DpTrafficClass class,
+                    guint64 flow_hash,
+                    gint64 now)
+{
+  const Service *service = find_service_ (placement, service_id);
+  const guint n = service == NULL ? 0 : service->members->len;
+  GArray *weighed = g_array_sized_new (FALSE, FALSE, sizeof (DpWeighedMember), n);
+
+  for (guint i = 0; i < n; i++)
+    {
+      const DpHandle handle = g_array_index (service->members, DpHandle,
+                                             (guint) ((flow_hash + i) % n));
+      const Member *member = dp_handle_table_get (placement->members, handle);
+      const DpWeighedMember entry = {
+        .member = handle,
+        .name = member->name,
+        .zone = member->zone,
+        .address = member->address,
+        .state = member->state,
+        .eligible = is_eligible_ (member),
+        .silent = !has_reported_recently_ (member, now),
+        .failing = member->failing,
+        .evacuated = member->evacuated,
+        .left_out = member->left_out,
+        .slots = member->slots,
+        .own_flows = member->own_flows,
+        .other_flows = member->other_flows,
+        .report_age = now - member->reported_at,
+        .limit = placement->learned ? member->limit : 0,
+        .speed = placement->learned ? member->speed : 0.0,
+        .cost = load_cost_ (placement, member, class, now),
+      };
+
+      g_array_append_val (weighed, entry);
+    }
+  /* The sort is stable, so that members of equal cost stay in the flow's order. */
+  g_array_sort (weighed, compare_weighed_);
+  return weighed;
+}
+
+const char *
+dp_placement_service_name (DpPlacement *placement, guint64 service_id)
+{
+  const Service *service = find_service_ (placement, service_id);
+
+  return service == NULL ? NULL : service->name;
+}
+
 /* Returns the first member in the flow's rendezvous order, whatever its state. If that
  * one has stopped reporting, returns the next one that also keeps the flow's directory
  * entry and still reports, or else the member that takes over the entry when these stop.
@@ -909,6 +963,26 @@
                              * member->speed;
 }
 
+/* Returns whether the member takes new flows. */
+static gboolean
+is_eligible_ (const Member *member)
+{
+  return member->state == DP_MEMBER_ACTIVE && !member->evacuated && !member->left_out;
+}
+
+static gint
+compare_weighed_ (gconstpointer a, gconstpointer b)
+{
+  const DpWeighedMember *x = a;
+  const DpWeighedMember *y = b;
+
+  if (x->eligible != y->eligible)
+    return x->eligible ? -1 : 1;
+  if (x->silent != y->silent)
+    return x->silent ? 1 : -1;
+  return x->cost == y->cost ? 0 : x->cost < y->cost ? -1 : 1;
+}
+
 /* Returns the flows in flight per slot, the new one included, plus penalties for a
  * failing server and for another availability zone. */
 static double
--- a/test/test_cli.sh
+++ b/test/test_cli.sh
@@ -150,7 +150,7 @@
 # The manual page has every command and option of --help.
 run 0 "no help" --help
 sed 's/\\-/-/g' "$source_dir/man/dogwoodpaddle.1" >"$work/manual"
-for word in $(grep -oE -- '--[a-z]+' "$work/out" | sort -u) check apply show status watch drain undrain; do
+for word in $(grep -oE -- '--[a-z]+' "$work/out" | sort -u) check apply show status watch drain undrain explain-placement; do
   grep -qF -- "$word" "$work/manual" || fail "$word is missing in the manual page"
 done
 
@@ -466,5 +466,36 @@
 run 4 "status without any source" status
 has err "$url"
 
+# explain-placement: malformed addresses, a process that is down or answers with an error,
+# and an address that no service has.
+unset DOGWOODPADDLE_PLATFORM
+flow=(--service 198.18.0.1:443 --client 100.64.0.6:1025)
+run 2 "no process" explain-placement "${flow[@]}"
+has err "--at is missing"
+run 2 "no client" explain-placement --at "$balancer" --service 198.18.0.1:443
+has err "--client is missing"
+run 2 "no service" explain-placement --at "$balancer" --client 100.64.0.6:1025
+has err "--service is missing"
+run 2 "service by name" explain-placement --at "$balancer" --service darbnica --client 100.64.0.6:1025
+has err "--service: "
+run 2 "client without a port" explain-placement --at "$balancer" --service 198.18.0.1:443 --client 100.64.0.6
+has err "--client: "
+run 2 "process by name" explain-placement --at localhost:80 "${flow[@]}"
+has err "--at: "
+run 1 "process that is down" explain-placement --at "127.0.0.1:$(free_port)" "${flow[@]}"
+has err "does not answer: "
+run 1 "process without the call" explain-placement --at "$balancer" "${flow[@]}" --json
+has err "$balancer answered with HTTP status 404"
+same "result in JSON" '"failed"' "$(jq .result "$work/out")"
+echo 'ready' >"$work/balancer/explain"
+run 1 "answer that is no JSON" explain-placement --at "$balancer" "${flow[@]}"
+has err "$balancer answered with something else than a JSON object"
+echo '{"reason":"no_route"}' >"$work/balancer/explain"
+run 1 "unknown service address" explain-placement --at "$balancer" "${flow[@]}"
+has err "no service has the address 198.18.0.1:443"
+echo '{"reason":"placed","chosen":"a-1","members":[7,{"name":"a-1","failing":true,"cost":0.5}]}' >"$work/balancer/explain"
+run 0 "explanation refused" explain-placement --at "$balancer" "${flow[@]}"
+grep -qE 'a-1 .* 0\.500 .*failing' "$work/out" || fail "a member is not shown"
+
 echo "$steps runs, $failures failures"
 [ "$failures" -eq 0 ]
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -598,6 +598,60 @@
     check("the server has answered" in account, account)
 
 
+def explain_placement(balancer, client, *options):
+    """Runs the command for the route REPORTS."""
+    at = f"{balancer.settings['ip']}:{standins.READY_PORT}"
+    return subprocess.run(
+        [os.path.join(BINARIES, "dogwoodpaddle"), "explain-placement", "--at", at,
+         "--service", "%s:%d" % REPORTS[:2], "--client", client, *options],
+        capture_output=True, text=True, timeout=20, check=False)
+
+
+def get(balancer, path, method="GET"):
+    connection = http.client.HTTPConnection(balancer.settings["ip"], standins.READY_PORT,
+                                            timeout=2)
+    try:
+        connection.request(method, path)
+        response = connection.getresponse()
+        return response.status, response.read().decode()
+    finally:
+        connection.close()
+
+
+def test_explain_placement(site):
+    """Guards against an explanation that names no member although there is one, that
+    counts as a flow, or that takes a malformed query for another one."""
+    start(site, n_balancers=1)
+    client = site.client()
+    balancer = site.balancers[0]
+    flow = client.start(REPORTS[:2], b"report")
+    finish(client, [flow])
+    placed = balancer.metric("dogwoodpaddle_flows_placed_total")
+    done = explain_placement(balancer, "100.64.0.6:1025", "--json")
+    check(done.returncode == 0, done.stderr)
+    answer = json.loads(done.stdout)["explanation"]
+    check(answer["action"] == "to_member" and answer["reason"] == "placed", answer)
+    check(answer["route"]["service"] == "darbnica" and answer["n_members"] == 3, answer)
+    check(answer["chosen"] == answer["members"][0]["name"], answer)
+    table = explain_placement(balancer, "100.64.0.6:1025").stdout
+    check(answer["chosen"] in table and "report_ms" in table, table)
+    for query in ("", "?service=198.18.0.1:443", "?client=100.64.0.6:1025",
+                  "?service=198.18.0.1&client=100.64.0.6:1025",
+                  "?service=198.18.0.1:443&client=100.64.0.6:99999",
+                  "?service=198.18.0.1:443&client=100.64.0.6:1&clas=bulk"):
+        status, text = get(balancer, "/explain" + query)
+        check(status == 400 and text.startswith("query"), f"{query}: {status} {text}")
+    valid = "?service=198.18.0.1:443&client=100.64.0.6:1025"
+    check(get(balancer, "/explain/x" + valid)[0] == 404, "another path is served")
+    check(get(balancer, "/explain" + valid, "POST")[0] == 405, "POST is served")
+    status, text = get(balancer, "/explain?service=198.18.0.9:443&client=100.64.0.6:1025")
+    check(status == 200 and json.loads(text)["reason"] == "no_route", text)
+    check(balancer.metric("dogwoodpaddle_flows_placed_total") == placed,
+          "explaining counts as placing")
+    check(balancer.metric('dogwoodpaddle_packets_dropped_total{reason="no_route"}') == 0,
+          "explaining counts as a packet")
+
+
 def test_unread_log(site):
     """A log that nobody reads holds up no packet."""
     start(site, n_balancers=1, n_servers=1, slots=1, work_s=0.05)
