Companion: explain-placement says what it would do with a new flow now

Cause: a balancer's answer says which member gets a SYN, but that companion may pass it on, hold or reject it.

The choice about a new flow is split from its execution in passthroughadmission, so that dp_passthrough_preview () uses the same rule. dp_slots_saturated_time () and dp_slots_expected_late_wait () no longer start the count of an overload; dp_slots_note_demand () does. test_slots calls it where it relied on the query before; its checks are the same. A companion needs the route as a parameter, since it learns class and times from the SYN only.

Tested: test_passthrough with two new cases (two companions with the same packets, one of them asked; a preview of a full server).

--- a/src/dogwoodpaddle/cli.h
+++ b/src/dogwoodpaddle/cli.h
@@ -28,6 +28,7 @@
   char *service;
   char *at;     /* --at, "IP:PORT" */
   char *client; /* --client, "IP:PORT" */
+  char *route;  /* --route, NULL: not given */
   char *config;
   char *platform_url; /* NULL: not known */
   char **balancers;   /* "IP:PORT" of HTTP servers, NULL: none */
--- a/src/dogwoodpaddle/explain_placement_command.c
+++ b/src/dogwoodpaddle/explain_placement_command.c
@@ -1,4 +1,4 @@
-/* The command explain-placement: asks a balancer in passthrough mode where a new flow
+/* The command explain-placement: asks a process in passthrough mode where a new flow
  * would go now, and why. */
 #include <libsoup/soup.h>
 
@@ -62,8 +62,12 @@
 static JsonNode *
 ask_ (Cli *cli)
 {
-  g_autofree char *url = g_strdup_printf ("http://%s/explain?service=%s&client=%s",
-                                          cli->at, cli->service, cli->client);
+  g_autofree char *route = cli->route == NULL
+                               ? NULL
+                               : g_uri_escape_string (cli->route, ",", FALSE);
+  g_autofree char *url = g_strdup_printf (
+      "http://%s/explain?service=%s&client=%s%s%s", cli->at, cli->service, cli->client,
+      route == NULL ? "" : "&route=", route == NULL ? "" : route);
   g_autoptr (SoupSession)
       session = soup_session_new_with_options ("timeout", HTTP_TIMEOUT_S, NULL);
   g_autoptr (SoupMessage) message = soup_message_new (SOUP_METHOD_GET, url);
--- a/src/dogwoodpaddle/main.c
+++ b/src/dogwoodpaddle/main.c
@@ -36,7 +36,7 @@
     "Explain from the processes' logs what happened to a flow", TRUE },
   { "explain-placement", command_explain_placement, 0, TRUE,
     "explain-placement --at IP:PORT --service IP:PORT --client IP:PORT",
-    "Explain where a balancer would send a new flow now, without sending it" },
+    "Explain where a process would send a new flow now, without sending it" },
 };
 
 static const Command *find_command_ (const char *name);
@@ -106,9 +106,12 @@
     { "service", 0, 0, G_OPTION_ARG_STRING, &cli->service,
       "drain, undrain: the service; explain-placement: its address", "NAME|IP:PORT" },
     { "at", 0, 0, G_OPTION_ARG_STRING, &cli->at,
-      "explain-placement: ready address of the balancer", "IP:PORT" },
+      "explain-placement: ready address of the balancer or companion", "IP:PORT" },
     { "client", 0, 0, G_OPTION_ARG_STRING, &cli->client,
       "explain-placement: address of the client", "IP:PORT" },
+    { "route", 0, 0, G_OPTION_ARG_STRING, &cli->route,
+      "explain-placement at a companion: the route, as a balancer's answer names it",
+      "CLASS,WAIT_LIMIT_MS,DEADLINE_MS" },
     { "wait", 0, 0, G_OPTION_ARG_NONE, &cli->wait,
       "drain, undrain: wait until it is complete", NULL },
     { "revision", 0, 0, G_OPTION_ARG_STRING, &cli->revision,
@@ -183,6 +186,7 @@
   g_free (cli->service);
   g_free (cli->at);
   g_free (cli->client);
+  g_free (cli->route);
   g_free (cli->config);
   g_free (cli->platform_url);
   json_object_unref (cli->report);
--- a/src/libdogwoodpaddle/flowexplanation.c
+++ b/src/libdogwoodpaddle/flowexplanation.c
@@ -61,6 +61,24 @@
   json_object_set_array_member (object, "members", members);
 }
 
+void
+dp_explanation_add_preview (JsonObject *object, const DpPassthroughPreview *preview)
+{
+  json_object_set_string_member (object, "action",
+                                 dp_passthrough_action_string (preview->action));
+  json_object_set_string_member (object, "reason",
+                                 dp_passthrough_reason_string (preview->reason));
+  if (preview->action == DP_PASSTHROUGH_TO_MEMBER)
+    set_address_ (object, "member", &preview->member);
+  json_object_set_int_member (object, "slots", preview->slots);
+  json_object_set_int_member (object, "in_flight", preview->in_flight);
+  json_object_set_int_member (object, "waiting", preview->n_waiting);
+  json_object_set_int_member (object, "expected_wait_ms",
+                              preview->expected_wait / DP_US_PER_MS);
+  json_object_set_boolean_member (object, "serving", preview->serving);
+  json_object_set_boolean_member (object, "silent", preview->silent);
+}
+
 static JsonObject *
 describe_member_ (const DpWeighedMember *member)
 {
--- a/src/libdogwoodpaddle/include/private/passthroughadmission.h
+++ b/src/libdogwoodpaddle/include/private/passthroughadmission.h
@@ -38,6 +38,13 @@
                                                        const DpHop *hop,
                                                        gboolean came_back,
                                                        gint64 now);
+/* Returns what would be decided about the first SYN of a new flow. Changes nothing that a
+ * later decision depends on. */
+DpPassthroughPreview
+dp_passthrough_admission_preview (const DpPassthroughAdmission *admission,
+                                  const DpSegment *segment,
+                                  const DpHop *hop,
+                                  gint64 now);
 /* Decides about a SYN that the server can't take: forwards it with forward_reason, or
  * rejects it with reject_reason. */
 DpPassthroughDecision
--- a/src/libdogwoodpaddle/include/protected/flowexplanation.h
+++ b/src/libdogwoodpaddle/include/protected/flowexplanation.h
@@ -4,6 +4,7 @@
 #include <json-glib/json-glib.h>
 
 #include "protected/flowengine.h"
+#include "protected/passthrough.h"
 #include "protected/placement.h"
 #include "protected/segment.h"
 
@@ -26,3 +27,5 @@
                                  guint64 flow_hash,
                                  DpHandle chosen,
                                  gint64 now);
+/* Adds what a companion would decide about the first SYN of a new flow, and why. */
+void dp_explanation_add_preview (JsonObject *object, const DpPassthroughPreview *preview);
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -128,6 +128,22 @@
   double warmup_slack;
 } DpPassthroughLimits;
 
+/* What would be decided about the first SYN of a new flow, and on what basis. */
+typedef struct
+{
+  /* DP_PASSTHROUGH_RESET: the SYN is rejected. Before the client is reset, the members
+   * with the flow's directory entry have to confirm that. */
+  DpPassthroughAction action;
+  DpPassthroughReason reason;
+  DpAddress member; /* with DP_PASSTHROUGH_TO_MEMBER */
+  guint slots;      /* the learnt limit if there is one, else the declared slots */
+  guint in_flight;
+  guint n_waiting;
+  gint64 expected_wait; /* us, until a slot is free for the flow here */
+  gboolean serving;     /* the server takes new flows */
+  gboolean silent;      /* the server leaves SYNs unanswered */
+} DpPassthroughPreview;
+
 /* The limit of a cold server. */
 typedef struct
 {
@@ -183,6 +199,12 @@
                                                 const DpSegment *segment,
                                                 const DpHop *hop,
                                                 gint64 now);
+/* Returns what would be decided about the first SYN of a new flow. Changes nothing that a
+ * later decision depends on. */
+DpPassthroughPreview dp_passthrough_preview (const DpPassthrough *passthrough,
+                                             const DpSegment *segment,
+                                             const DpHop *hop,
+                                             gint64 now);
 /* Decides about a client's packet that the server returned. */
 DpPassthroughDecision dp_passthrough_returned (DpPassthrough *passthrough,
                                                const DpSegment *segment,
--- a/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <glib.h>
+#include <json-glib/json-glib.h>
 
 #include "protected/announcement.h"
 #include "protected/clock.h"
@@ -60,3 +61,9 @@
 /* Handles the deregistration of the server with this id, which has ended. */
 void dp_passthrough_companion_handle_deregistration (DpPassthroughCompanion *companion,
                                                      const char *id);
+/* Explains what would be decided now about the first SYN of a new flow that a balancer
+ * sends here with the class and the times in hop, and why. Changes nothing that a later
+ * decision depends on. The caller owns the object. */
+JsonObject *dp_passthrough_companion_explain (const DpPassthroughCompanion *companion,
+                                              const DpFlowKey *key,
+                                              const DpHop *hop);
--- a/src/libdogwoodpaddle/include/protected/slots.h
+++ b/src/libdogwoodpaddle/include/protected/slots.h
@@ -46,8 +46,10 @@
 DpHandle dp_slots_acquire_next (DpSlots *slots, gint64 now);
 
 gint64 dp_slots_expected_wait (const DpSlots *slots, DpTrafficClass class, gint64 now);
-gint64 dp_slots_expected_late_wait (DpSlots *slots, DpTrafficClass class, gint64 now);
-gint64 dp_slots_saturated_time (DpSlots *slots, DpTrafficClass class, gint64 now);
+gint64
+dp_slots_expected_late_wait (const DpSlots *slots, DpTrafficClass class, gint64 now);
+void dp_slots_note_demand (DpSlots *slots, DpTrafficClass class, gint64 now);
+gint64 dp_slots_saturated_time (const DpSlots *slots, DpTrafficClass class, gint64 now);
 gboolean dp_slots_has_waiting (const DpSlots *slots, DpTrafficClass class);
 guint dp_slots_busy (const DpSlots *slots);
 guint dp_slots_waiting_in_time (const DpSlots *slots);
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -242,6 +242,16 @@
   return decision;
 }
 
+/* A full table of flows, in which case a flow is rejected, is not considered. */
+DpPassthroughPreview
+dp_passthrough_preview (const DpPassthrough *passthrough,
+                        const DpSegment *segment,
+                        const DpHop *hop,
+                        gint64 now)
+{
+  return dp_passthrough_admission_preview (passthrough->admission, segment, hop, now);
+}
+
 /* Decides about a client's packet that the server returned. */
 DpPassthroughDecision
 dp_passthrough_returned (DpPassthrough *passthrough,
--- a/src/libdogwoodpaddle/passthroughadmission.c
+++ b/src/libdogwoodpaddle/passthroughadmission.c
@@ -36,6 +36,24 @@
 /* Unanswered SYNs after which the server counts as silent; a single one may be lost. */
 #define SILENT_SYNS_MIN 2
 
+typedef enum
+{
+  NEW_FLOW_OFFER,   /* to the server */
+  NEW_FLOW_WAIT,    /* for a slot */
+  NEW_FLOW_FORWARD, /* to another member */
+  NEW_FLOW_REJECT
+} NewFlowAction;
+
+/* What is to be done with the SYN of a new flow. */
+typedef struct
+{
+  NewFlowAction action;
+  DpPassthroughReason reason;
+  const DpMember *next; /* with NEW_FLOW_FORWARD */
+  gboolean held_back; /* there is a slot, but the limit of a cold server holds it back */
+  gboolean no_slot;   /* there is none for it here, and no other member gets it */
+} NewFlowChoice;
+
 struct _DpPassthroughAdmission
 {
   guint32 member_id;
@@ -52,17 +70,30 @@
   gint64 first_unanswered_at; /* us, when the first of these SYNs was sent */
 };
 
-static DpPassthroughDecision offer_or_queue_ (DpPassthroughAdmission *admission,
-                                              const DpSegment *segment,
-                                              const DpHop *hop,
-                                              gint64 now);
+static NewFlowChoice choose_ (const DpPassthroughAdmission *admission,
+                              const DpSegment *segment,
+                              const DpHop *hop,
+                              gboolean came_back,
+                              gint64 now);
+static void choose_here_ (const DpPassthroughAdmission *admission,
+                          const DpSegment *segment,
+                          const DpHop *hop,
+                          NewFlowChoice *choice,
+                          gint64 now);
+static gint64 expected_wait_ (const DpPassthroughAdmission *admission,
+                              DpTrafficClass class,
+                              gint64 now);
+static DpPassthroughDecision offer_ (DpPassthroughAdmission *admission,
+                                     const DpSegment *segment,
+                                     const DpHop *hop,
+                                     gint64 now);
 static DpPassthroughDecision queue_flow_ (DpPassthroughAdmission *admission,
                                           const DpSegment *segment,
                                           const DpHop *hop,
                                           gboolean late,
                                           gint64 now);
 static gint64
-wait_limit_ (DpPassthroughAdmission *admission, const DpHop *hop, gint64 now);
+wait_limit_ (const DpPassthroughAdmission *admission, const DpHop *hop, gint64 now);
 static gint64 longest_useful_wait_ (const DpSegment *segment, const DpHop *hop);
 static void
 expect_retransmission_ (DpPassthroughFlow *flow, const DpSegment *syn, gint64 now);
@@ -89,14 +120,14 @@
                                      gint64 now);
 static gboolean is_serving_ (const DpPassthroughAdmission *admission, gint64 now);
 static gboolean
-has_slot_ (DpPassthroughAdmission *admission, DpTrafficClass class, gint64 now);
+has_slot_ (const DpPassthroughAdmission *admission, DpTrafficClass class, gint64 now);
 static DpPassthroughDecision forward_new_flow_ (DpPassthroughAdmission *admission,
                                                 const DpSegment *segment,
                                                 const DpHop *hop,
                                                 const DpMember *next,
                                                 DpPassthroughReason reason,
                                                 gint64 now);
-static const DpMember *next_member_ (DpPassthroughAdmission *admission,
+static const DpMember *next_member_ (const DpPassthroughAdmission *admission,
                                      guint64 hash,
                                      guint visited,
                                      gboolean *same_zone);
@@ -196,35 +227,147 @@
                                  gboolean came_back,
                                  gint64 now)
 {
+  const NewFlowChoice choice = choose_ (admission, segment, hop, came_back, now);
+
+  if (choice.held_back)
+    admission->n_held_back++;
+  if (choice.no_slot)
+    dp_slots_note_demand (admission->flows->slots, (DpTrafficClass) hop->class, now);
+  switch (choice.action)
+    {
+    case NEW_FLOW_OFFER:
+      return offer_ (admission, segment, hop, now);
+    case NEW_FLOW_WAIT:
+      return queue_flow_ (admission, segment, hop, choice.reason == DP_PASSTHROUGH_LATE,
+                          now);
+    case NEW_FLOW_FORWARD:
+      return forward_new_flow_ (admission, segment, hop, choice.next, choice.reason, now);
+    case NEW_FLOW_REJECT:
+    default:
+      return reject_ (admission, segment, hop, choice.reason, now);
+    }
+}
+
+DpPassthroughPreview
+dp_passthrough_admission_preview (const DpPassthroughAdmission *admission,
+                                  const DpSegment *segment,
+                                  const DpHop *hop,
+                                  gint64 now)
+{
+  static const DpPassthroughAction actions[] = { DP_PASSTHROUGH_TO_SERVER,
+                                                 DP_PASSTHROUGH_HOLD,
+                                                 DP_PASSTHROUGH_TO_MEMBER,
+                                                 DP_PASSTHROUGH_RESET };
+  const NewFlowChoice choice = choose_ (admission, segment, hop, FALSE, now);
+  DpPassthroughPreview preview = {
+    .action = actions[choice.action],
+    .reason = choice.reason,
+    .slots = dp_passthrough_flows_n_slots (admission->flows),
+    .in_flight = admission->flows->n_in_flight,
+    .n_waiting = dp_passthrough_flows_n_waiting (admission->flows),
+    .expected_wait = expected_wait_ (admission, (DpTrafficClass) hop->class, now),
+    .serving = is_serving_ (admission, now),
+    .silent = dp_passthrough_admission_server_is_silent (admission, now),
+  };
+
+  if (choice.action == NEW_FLOW_FORWARD)
+    preview.member = choice.next->address;
+  return preview;
+}
+
+/* Decides about a new flow as dp_passthrough_admission_decide () describes. Changes
+ * nothing that a later decision depends on. */
+static NewFlowChoice
+choose_ (const DpPassthroughAdmission *admission,
+         const DpSegment *segment,
+         const DpHop *hop,
+         gboolean came_back,
+         gint64 now)
+{
+  const DpTrafficClass class = (DpTrafficClass) hop->class;
   const gboolean serving = is_serving_ (admission, now);
   const gboolean admitted = serving
                             && dp_server_health_admits (admission->flows->health,
                                                         admission->flows->n_in_flight);
-  const DpPassthroughReason reason = !serving    ? DP_PASSTHROUGH_NOT_SERVING
-                                     : !admitted ? DP_PASSTHROUGH_FAILING
-                                                 : DP_PASSTHROUGH_BUSY;
-  const gboolean has_slot = has_slot_ (admission, (DpTrafficClass) hop->class, now);
-  const DpMember *next = NULL;
+  const gboolean has_slot = has_slot_ (admission, class, now);
+  NewFlowChoice choice = {
+    .action = NEW_FLOW_FORWARD,
+    .reason = !serving    ? DP_PASSTHROUGH_NOT_SERVING
+              : !admitted ? DP_PASSTHROUGH_FAILING
+                          : DP_PASSTHROUGH_BUSY,
+    .held_back = admitted && !has_slot
+                 && dp_slots_can_acquire (admission->flows->slots, class),
+  };
   gboolean same_zone = FALSE;
 
-  if (admitted && !has_slot
-      && dp_slots_can_acquire (admission->flows->slots, (DpTrafficClass) hop->class))
-    admission->n_held_back++;
   if (admitted && has_slot
       && admission->flows->n_in_flight < dp_passthrough_flows_n_slots (admission->flows)
-      && !dp_slots_has_waiting (admission->flows->slots, (DpTrafficClass) hop->class))
-    return offer_or_queue_ (admission, segment, hop, now);
+      && !dp_slots_has_waiting (admission->flows->slots, class))
+    return (NewFlowChoice){ .action = NEW_FLOW_OFFER, .reason = DP_PASSTHROUGH_OWNED };
   if (!came_back)
-    next = next_member_ (admission, segment->hash, hop->n_visited, &same_zone);
-  if (next != NULL && same_zone)
-    return forward_new_flow_ (admission, segment, hop, next, reason, now);
+    choice.next = next_member_ (admission, segment->hash, hop->n_visited, &same_zone);
+  if (choice.next != NULL && same_zone)
+    return choice;
   if (admitted && has_slot)
-    return offer_or_queue_ (admission, segment, hop, now);
-  if (next != NULL)
-    return forward_new_flow_ (admission, segment, hop, next, reason, now);
+    return (NewFlowChoice){ .action = NEW_FLOW_OFFER, .reason = DP_PASSTHROUGH_OWNED };
+  if (choice.next != NULL)
+    return choice;
   if (serving)
-    return offer_or_queue_ (admission, segment, hop, now);
-  return reject_ (admission, segment, hop, DP_PASSTHROUGH_NOT_SERVING, now);
+    {
+      choose_here_ (admission, segment, hop, &choice, now);
+      return choice;
+    }
+  choice.action = NEW_FLOW_REJECT;
+  return choice;
+}
+
+/* Chooses for a new flow that no other member gets: it is offered to the server, waits if
+ * its turn is expected in time, or is rejected. */
+static void
+choose_here_ (const DpPassthroughAdmission *admission,
+              const DpSegment *segment,
+              const DpHop *hop,
+              NewFlowChoice *choice,
+              gint64 now)
+{
+  const DpTrafficClass class = (DpTrafficClass) hop->class;
+  const gint64 age = segment->syn_age_ms * DP_US_PER_MS;
+  gint64 late_wait;
+
+  if (has_slot_ (admission, class, now))
+    {
+      choice->action = NEW_FLOW_OFFER;
+      choice->reason = DP_PASSTHROUGH_OWNED;
+      return;
+    }
+  choice->action = NEW_FLOW_WAIT;
+  choice->reason = DP_PASSTHROUGH_WAITING;
+  choice->no_slot = TRUE;
+  if (expected_wait_ (admission, class, now) + age <= wait_limit_ (admission, hop, now))
+    return;
+  /* A client that is rejected tries again within milliseconds and soon has no attempts
+   * left. A late answer serves it better than none. */
+  late_wait = MAX (
+      dp_slots_expected_late_wait (admission->flows->slots, class, now),
+      dp_warmup_limit_wait (admission->flows->warmup,
+                            dp_passthrough_flows_n_waiting (admission->flows), now));
+  choice->reason = DP_PASSTHROUGH_LATE;
+  if ((double) late_wait * LATE_WAIT_FACTOR
+      <= admission->late_served_share * (double) longest_useful_wait_ (segment, hop))
+    return;
+  choice->action = NEW_FLOW_REJECT;
+  choice->reason = DP_PASSTHROUGH_OVERLOADED;
+}
+
+/* Returns how long a new flow of the class is expected to wait for a slot here, in us. */
+static gint64
+expected_wait_ (const DpPassthroughAdmission *admission, DpTrafficClass class, gint64 now)
+{
+  const DpSlots *slots = admission->flows->slots;
+
+  return MAX (dp_slots_expected_wait (slots, class, now),
+              dp_warmup_limit_wait (admission->flows->warmup,
+                                    dp_slots_ahead (slots, class), now));
 }
 
 /* Forwards a SYN that this member can't take, or rejects it if it has visited as many
@@ -320,52 +463,29 @@
   return TRUE;
 }
 
-/* Offers a new flow to the server, queues it if its turn is expected in time, or rejects
- * it. */
+/* Offers a new flow to the server, for which there is a slot. */
 static DpPassthroughDecision
-offer_or_queue_ (DpPassthroughAdmission *admission,
-                 const DpSegment *segment,
-                 const DpHop *hop,
-                 gint64 now)
+offer_ (DpPassthroughAdmission *admission,
+        const DpSegment *segment,
+        const DpHop *hop,
+        gint64 now)
 {
-  const DpTrafficClass class = (DpTrafficClass) hop->class;
-  DpSlots *slots = admission->flows->slots;
-  DpWarmupLimit *warmup = admission->flows->warmup;
-  const gint64 wait = MAX (
-      dp_slots_expected_wait (slots, class, now),
-      dp_warmup_limit_wait (warmup, dp_slots_ahead (slots, class), now));
-  const gint64 age = segment->syn_age_ms * DP_US_PER_MS;
-  gint64 late_wait;
-  DpPassthroughFlow *flow;
+  DpPassthroughFlow *flow = add_flow_ (admission, segment, hop,
+                                       DP_PASSTHROUGH_FLOW_OFFERED, now);
 
-  if (has_slot_ (admission, class, now))
-    {
-      flow = add_flow_ (admission, segment, hop, DP_PASSTHROUGH_FLOW_OFFERED, now);
-      if (flow == NULL)
-        return reject_ (admission, segment, hop, DP_PASSTHROUGH_OVERLOADED, now);
-      flow->has_slot = dp_slots_acquire (slots, class);
-      record_offer_ (admission, flow, now);
-      return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_OWNED,
-                                           hop);
-    }
-  if (wait + age <= wait_limit_ (admission, hop, now))
-    return queue_flow_ (admission, segment, hop, FALSE, now);
-  /* A client that is rejected tries again within milliseconds and soon has no attempts
-   * left. A late answer serves it better than none. */
-  late_wait = MAX (dp_slots_expected_late_wait (slots, class, now),
-                   dp_warmup_limit_wait (
-                       warmup, dp_passthrough_flows_n_waiting (admission->flows), now));
-  if ((double) late_wait * LATE_WAIT_FACTOR
-      <= admission->late_served_share * (double) longest_useful_wait_ (segment, hop))
-    return queue_flow_ (admission, segment, hop, TRUE, now);
-  return reject_ (admission, segment, hop, DP_PASSTHROUGH_OVERLOADED, now);
+  if (flow == NULL)
+    return reject_ (admission, segment, hop, DP_PASSTHROUGH_OVERLOADED, now);
+  flow->has_slot = dp_slots_acquire (admission->flows->slots, flow->class);
+  record_offer_ (admission, flow, now);
+  return dp_passthrough_decision_make (DP_PASSTHROUGH_TO_SERVER, DP_PASSTHROUGH_OWNED,
+                                       hop);
 }
 
 /* Returns the longest wait, in us, after which a new flow is still expected to be in
  * time. A queue that never runs empty no longer absorbs a burst. It only makes every flow
  * in it wait, and a shorter one keeps the slots as busy. */
 static gint64
-wait_limit_ (DpPassthroughAdmission *admission, const DpHop *hop, gint64 now)
+wait_limit_ (const DpPassthroughAdmission *admission, const DpHop *hop, gint64 now)
 {
   const gint64 limit = hop->wait_limit_ms * DP_US_PER_MS;
   const gint64 saturated = dp_slots_saturated_time (admission->flows->slots,
@@ -572,7 +692,7 @@
 
 /* Returns whether a new flow of the class may be offered to the server at once. */
 static gboolean
-has_slot_ (DpPassthroughAdmission *admission, DpTrafficClass class, gint64 now)
+has_slot_ (const DpPassthroughAdmission *admission, DpTrafficClass class, gint64 now)
 {
   return dp_slots_can_acquire (admission->flows->slots, class)
          && dp_warmup_limit_admits (admission->flows->warmup, now);
@@ -601,7 +721,7 @@
  * visited: number of members visited before this one. same_zone: set to whether members
  * of the own zone are left to visit. */
 static const DpMember *
-next_member_ (DpPassthroughAdmission *admission,
+next_member_ (const DpPassthroughAdmission *admission,
               guint64 hash,
               guint visited,
               gboolean *same_zone)
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -6,6 +6,7 @@
 #include "private/passthroughreporter.h"
 #include "private/policyschedule.h"
 #include "protected/evacuations.h"
+#include "protected/flowexplanation.h"
 #include "protected/flowlog.h"
 #include "protected/packetport.h"
 #include "protected/passthroughmembers.h"
@@ -322,6 +323,43 @@
   return TRUE;
 }
 
+JsonObject *
+dp_passthrough_companion_explain (const DpPassthroughCompanion *companion,
+                                  const DpFlowKey *key,
+                                  const DpHop *hop)
+{
+  const gint64 now = dp_clock_now (companion->options.clock);
+  const DpSegment syn = {
+    .key = *key,
+    .hash = dp_flow_key_hash (key),
+    .flags = DP_TCP_SYN,
+  };
+  const DpPassthroughPreview preview = dp_passthrough_preview (companion->passthrough,
+                                                               &syn, hop, now);
+  const DpPassthroughWarmup warmup = dp_passthrough_warmup (companion->passthrough, now);
+  JsonObject *object = json_object_new ();
+
+  json_object_set_string_member (object, "role", "companion");
+  json_object_set_string_member (object, "name", companion->name);
+  json_object_set_string_member (object, "zone", companion->zone);
+  json_object_set_string_member (object, "service", companion->service);
+  dp_explanation_add_flow (object, key);
+  dp_explanation_add_preview (object, &preview);
+  json_object_set_boolean_member (object, "failing",
+                                  companion->breaker == DP_BREAKER_OPEN);
+  json_object_set_boolean_member (
+      object, "evacuated",
+      companion->evacuations != NULL
+          && dp_evacuations_contains (companion->evacuations, companion->zone));
+  json_object_set_int_member (object, "declared_slots", companion->announcement.slots);
+  if (warmup.active)
+    {
+      json_object_set_int_member (object, "warmup_limit", warmup.max);
+      json_object_set_int_member (object, "warmup_requests", warmup.n_recent);
+    }
+  return object;
+}
+
 /* Records that the server has ended, unless another one has announced itself since. */
 void
 dp_passthrough_companion_handle_deregistration (DpPassthroughCompanion *companion,
--- a/src/libdogwoodpaddle/slots.c
+++ b/src/libdogwoodpaddle/slots.c
@@ -9,7 +9,7 @@
 /* Samples after which the newest service time has a fixed weight in the moving mean: 1/8.
  * Earlier ones are averaged evenly, so that a new process soon has a usable mean. */
 #define MEAN_SAMPLES 8
-/* Value of late_turn_at until a late flow of the class is considered. */
+/* Value of late_turn_at until a flow of the class has found no slot. */
 #define LATE_TURN_UNKNOWN G_MININT64
 
 typedef struct
@@ -339,7 +339,7 @@
  * flow of the class has got a slot, or could have got one. It keeps growing while the
  * queue is empty because all late flows have given up or been rejected. */
 gint64
-dp_slots_expected_late_wait (DpSlots *slots, DpTrafficClass class, gint64 now)
+dp_slots_expected_late_wait (const DpSlots *slots, DpTrafficClass class, gint64 now)
 {
   /* In-time flows of all classes go before late ones, except that only those of the
    * urgent class go before late urgent ones. */
@@ -356,15 +356,24 @@
   return MAX (wait, dp_slots_saturated_time (slots, class, now));
 }
 
-/* Returns for how long, in us, no late flow of the class has got a slot or could have got
- * one: since then, flows that go before it have kept all slots busy. The first call for a
- * class starts the count. */
-gint64
-dp_slots_saturated_time (DpSlots *slots, DpTrafficClass class, gint64 now)
+/* Records that a new flow of the class has found no slot at now. The first one of a class
+ * starts the count of dp_slots_saturated_time (). */
+void
+dp_slots_note_demand (DpSlots *slots, DpTrafficClass class, gint64 now)
 {
   if (slots->late_turn_at[class] == LATE_TURN_UNKNOWN)
     slots->late_turn_at[class] = now;
-  return now - slots->late_turn_at[class];
+}
+
+/* Returns for how long, in us, no late flow of the class has got a slot or could have got
+ * one: since then, flows that go before it have kept all slots busy. 0 before the first
+ * dp_slots_note_demand () for the class. */
+gint64
+dp_slots_saturated_time (const DpSlots *slots, DpTrafficClass class, gint64 now)
+{
+  return slots->late_turn_at[class] == LATE_TURN_UNKNOWN
+             ? 0
+             : now - slots->late_turn_at[class];
 }
 
 /* Returns whether an in-time flow of the same or a higher class is waiting. */
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -1704,7 +1704,116 @@
     }
 }
 
+/* Guards against a preview that differs from the decision, and against one that changes
+ * later decisions: two companions see the same packets, and one of them is also asked. */
+static void
+test_preview (void)
+{
+  guint n_actions[DP_N_PASSTHROUGH_ACTIONS] = { 0 };
+
+  for (guint seed = 0; seed < 40; seed++)
+    {
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+      g_autoptr (DpPassthrough) plain = make_passthrough (1 + seed % 3);
+      g_autoptr (DpPassthrough) asked = make_passthrough (1 + seed % 3);
+      const gboolean cold = seed % 4 == 3;
+      gint64 now = 2 * S;
+
+      for (guint i = 0; i < 2 && cold; i++)
+        {
+          const DpPassthroughLimits limits = { 2, 60 * S, 1.2, 2 };
+          DpPassthrough *p = i == 0 ? plain : asked;
+
+          dp_passthrough_set_limits (p, &limits);
+          dp_passthrough_set_warmup_limit (p, 5);
+          dp_passthrough_set_warmup_end (p, 60 * S);
+        }
+      for (guint flow = 1; flow < 200; flow++)
+        {
+          const DpSegment syn = make_segment (flow, DP_TCP_SYN, 100, 0, 0);
+          DpHop hop = make_hop ((DpTrafficClass) (flow % DP_N_TRAFFIC_CLASSES),
+                                (guint8) g_rand_int_range (rand, 0, 4));
+          const DpSegment unsent = make_segment (1000 + flow, DP_TCP_SYN, 100, 0, 0);
+          const DpHop unsent_hop = make_hop (
+              (DpTrafficClass) ((flow + 1) % DP_N_TRAFFIC_CLASSES),
+              DP_PASSTHROUGH_VISITS_MAX - 1);
+          const gboolean serving = g_rand_int_range (rand, 0, 20) > 0;
+          const guint answered = (guint) g_rand_int_range (rand, 0, (gint32) flow);
+          DpPassthroughDecision decisions[2];
+          DpPassthroughPreview preview;
+          DpReleasedSyn released[2];
+
+          hop.wait_limit_ms = (guint16) g_rand_int_range (rand, 0, 300);
+          now += g_rand_int_range (rand, 1, 40) * MS;
+          dp_passthrough_set_serving (plain, serving);
+          dp_passthrough_set_serving (asked, serving);
+          dp_passthrough_preview (asked, &unsent, &unsent_hop, now);
+          preview = dp_passthrough_preview (asked, &syn, &hop, now);
+          decisions[0] = dp_passthrough_from_peer (plain, &syn, &hop, now);
+          decisions[1] = dp_passthrough_from_peer (asked, &syn, &hop, now);
+          n_actions[preview.action]++;
+          CU_ASSERT_EQUAL_FATAL (decisions[0].action, decisions[1].action);
+          CU_ASSERT_EQUAL (decisions[0].reason, decisions[1].reason);
+          CU_ASSERT_TRUE (dp_address_equal (&decisions[0].member, &decisions[1].member));
+          CU_ASSERT_EQUAL (preview.reason, decisions[1].reason);
+          /* A rejected SYN visits the members with the directory entry first. */
+          if (preview.action != DP_PASSTHROUGH_RESET)
+            {
+              CU_ASSERT_EQUAL (preview.action, decisions[1].action);
+              CU_ASSERT_TRUE (dp_address_equal (&preview.member, &decisions[1].member));
+            }
+          if (answered > 0)
+            {
+              send_server (plain, answered, DP_TCP_FIN | DP_TCP_ACK, 100, now);
+              send_server (asked, answered, DP_TCP_FIN | DP_TCP_ACK, 100, now);
+            }
+          dp_passthrough_tick (plain, now);
+          dp_passthrough_tick (asked, now);
+          while (dp_passthrough_next_released (plain, &released[0], now))
+            {
+              CU_ASSERT_TRUE_FATAL (
+                  dp_passthrough_next_released (asked, &released[1], now));
+              CU_ASSERT_TRUE (dp_flow_key_equal (&released[0].key, &released[1].key));
+              CU_ASSERT_EQUAL (released[0].decision.action, released[1].decision.action);
+            }
+          CU_ASSERT_FALSE (dp_passthrough_next_released (asked, &released[1], now));
+        }
+      CU_ASSERT_EQUAL (dp_passthrough_warmup (plain, now).n_held_back,
+                       dp_passthrough_warmup (asked, now).n_held_back);
+    }
+  CU_ASSERT_TRUE (n_actions[DP_PASSTHROUGH_TO_SERVER] > 0);
+  CU_ASSERT_TRUE (n_actions[DP_PASSTHROUGH_HOLD] > 0);
+  CU_ASSERT_TRUE (n_actions[DP_PASSTHROUGH_TO_MEMBER] > 0);
+  CU_ASSERT_TRUE (n_actions[DP_PASSTHROUGH_RESET] > 0);
+}
+
+/* The time for which an overload lasts must not be counted from a preview on. */
+static void
+test_preview_of_full_server (void)
+{
+  const DpSegment syn = make_segment (90, DP_TCP_SYN, 100, 0, 0);
+  const DpHop hop = make_hop (DP_TRAFFIC_URGENT, DP_PASSTHROUGH_VISITS_MAX - 1);
+
+  for (guint asked = 0; asked < 2; asked++)
+    {
+      g_autoptr (DpPassthrough) p = make_passthrough (1);
+      DpPassthroughDecision decision;
+
+      for (guint flow = 1; flow <= 4; flow++)
+        open_flow (p, flow, 2 * S);
+      if (asked != 0)
+        CU_ASSERT_EQUAL (dp_passthrough_preview (p, &syn, &hop, 2 * S).action,
+                         DP_PASSTHROUGH_HOLD);
+      decision = send_syn (p, 90, DP_TRAFFIC_URGENT, DP_PASSTHROUGH_VISITS_MAX - 1,
+                           2800 * MS);
+      CU_ASSERT_EQUAL (decision.action, DP_PASSTHROUGH_HOLD);
+      CU_ASSERT_EQUAL (decision.reason, DP_PASSTHROUGH_LATE);
+    }
+}
+
 static const DpTestCase cases_[] = {
+  { "a preview of a full server starts no count", test_preview_of_full_server },
+  { "a preview is the decision and changes none", test_preview },
   { "a flow from its SYN to its end", test_whole_flow },
   { "packets of another service or sender are dropped", test_unacceptable_packets },
   { "a packet of an unknown flow visits every member once", test_search },
--- a/src/test_libdogwoodpaddle/test_slots.c
+++ b/src/test_libdogwoodpaddle/test_slots.c
@@ -174,6 +174,7 @@
   dp_slots_acquire (slots, DP_TRAFFIC_INTERACTIVE);
   dp_slots_acquire (slots, DP_TRAFFIC_INTERACTIVE);
   dp_slots_enqueue_late (slots, 1, DP_TRAFFIC_INTERACTIVE);
+  dp_slots_note_demand (slots, DP_TRAFFIC_INTERACTIVE, 0);
   wait = dp_slots_expected_late_wait (slots, DP_TRAFFIC_INTERACTIVE, 0);
   CU_ASSERT_TRUE (wait > 0 && wait <= 150 * DP_US_PER_MS);
   CU_ASSERT_TRUE (dp_slots_expected_late_wait (slots, DP_TRAFFIC_URGENT, 0) < wait);
@@ -201,7 +202,7 @@
   dp_slots_set_capacity (slots, 1, FALSE);
   dp_slots_acquire (slots, DP_TRAFFIC_INTERACTIVE);
   ticket = dp_slots_enqueue_late (slots, 1, DP_TRAFFIC_INTERACTIVE);
-  dp_slots_expected_late_wait (slots, DP_TRAFFIC_INTERACTIVE, second);
+  dp_slots_note_demand (slots, DP_TRAFFIC_INTERACTIVE, second);
   for (guint i = 2; i <= 9; i++)
     {
       dp_slots_enqueue (slots, i, DP_TRAFFIC_INTERACTIVE);
--- a/test/test_hosted.py
+++ b/test/test_hosted.py
@@ -646,6 +646,22 @@
     check(get(balancer, "/explain" + valid, "POST")[0] == 405, "POST is served")
     status, text = get(balancer, "/explain?service=198.18.0.9:443&client=100.64.0.6:1025")
     check(status == 200 and json.loads(text)["reason"] == "no_route", text)
+    companion = site.companions[0]
+    service = "%s:%d" % REPORTS[:2]
+    for route in (None, "", "interactive", "x,75,2500", "bulk,-1,0", "bulk,1,99999"):
+        done = explain_placement(companion, "100.64.0.6:1025",
+                                 *([] if route is None else ["--route", route]))
+        check(done.returncode == 1 and "HTTP status 400: query: route: " in done.stderr,
+              f"{route}: {done.stderr}")
+    done = explain_placement(companion, "100.64.0.6:1025", "--json",
+                             "--route", "interactive,75,2500")
+    answer = json.loads(done.stdout)["explanation"]
+    check(answer["role"] == "companion" and answer["service_address"] == service, answer)
+    check(answer["action"] == "to_server" and answer["reason"] == "owned", answer)
+    check(answer["serving"] and not answer["failing"], answer)
+    check(answer["slots"] == 2 and answer["waiting"] == 0, answer)
+    check(get(balancer, "/explain" + valid + "&route=bulk,1,1")[0] == 400,
+          "a balancer takes a route")
     check(balancer.metric("dogwoodpaddle_flows_placed_total") == placed,
           "explaining counts as placing")
     check(balancer.metric('dogwoodpaddle_packets_dropped_total{reason="no_route"}') == 0,
