--- a/src/test_platform/test_hosted_store.c
+++ b/src/test_platform/test_hosted_store.c
@@ -424,6 +424,7 @@
 static void
 test_evacuations_list (void)
 {
+  static const char *const names[] = { "riga-a", "riga-b", "riga-d", "riga-c" };
   guint64 revision = 0;
   char *after = NULL;
   g_autoptr (GPtrArray) records = read_list (
@@ -454,7 +455,10 @@
   g_autofree char *watch = store_dialect.watch_path (STORE_EVACUATIONS, 533, 100);
   const DpRecord *first;
 
-  CU_ASSERT_EQUAL_FATAL (records->len, 2);
+  CU_ASSERT_EQUAL_FATAL (records->len, 4);
+  for (guint i = 0; i < records->len; i++)
+    CU_ASSERT_STRING_EQUAL (((const DpRecord *) g_ptr_array_index (records, i))->name,
+                            names[i]);
   CU_ASSERT_EQUAL (revision, 533);
   first = g_ptr_array_index (records, 0);
   CU_ASSERT_EQUAL (first->kind, DP_KIND_EVACUATION);
@@ -467,6 +471,52 @@
   CU_ASSERT_FALSE (store_dialect.collections[STORE_EVACUATIONS].snapshot);
 }
 
+/* An evacuation whose object was left out of a list, for lack of a spec or a revision,
+ * had ended for all processes. */
+static void
+test_incomplete_evacuations (void)
+{
+  static const struct
+  {
+    const char *object;
+    guint64 position;
+  } cases[] = {
+    { ZONE ("\"name\":\"riga-a\",\"revision\":530", ""), 530 },
+    { ZONE ("\"name\":\"riga-a\",\"revision\":530", ",\"status\":null"), 530 },
+    { ZONE ("\"name\":\"riga-a\"", SPEC), 533 },
+    { ZONE ("\"name\":\"riga-a\",\"revision\":-1", SPEC), 533 },
+    { ZONE ("\"name\":\"riga-a\",\"revision\":0", SPEC), 533 },
+    { ZONE ("\"name\":\"riga-a\",\"revision\":\"x\"", ""), 533 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *list = g_strdup_printf (
+          "{\"items\":[%s],\"has_more\":false,\"as_of\":533}", cases[i].object);
+      g_autofree char *events = g_strdup_printf (
+          "{\"events\":[{\"deleted\":true,\"object\":%s}],\"as_of\":533}",
+          cases[i].object);
+      g_autoptr (GBytes) body = bytes (events);
+      guint64 revision = 0;
+      char *after = NULL;
+      g_autoptr (GPtrArray)
+          records = read_list (STORE_EVACUATIONS, list, &revision, &after, NULL);
+
+      CU_ASSERT_EQUAL_FATAL (records->len, 1);
+      CU_ASSERT_TRUE (
+          store_dialect.read_events (body, STORE_EVACUATIONS, records, &revision, NULL));
+      CU_ASSERT_EQUAL_FATAL (records->len, 2);
+      for (guint j = 0; j < records->len; j++)
+        {
+          const DpRecord *record = g_ptr_array_index (records, j);
+
+          CU_ASSERT_STRING_EQUAL (record->name, "riga-a");
+          CU_ASSERT_EQUAL (record->position, cases[i].position);
+          CU_ASSERT_EQUAL (record->deleted, j == 1);
+        }
+    }
+}
+
 static void
 test_evacuations_events (void)
 {
@@ -538,6 +588,7 @@
 static const DpTestCase cases_[] = {
   { "a list of evacuations", test_evacuations_list },
   { "events of evacuations", test_evacuations_events },
+  { "incomplete objects of evacuations", test_incomplete_evacuations },
   { "warm-up rates", test_warmup_rates },
   { "a configuration becomes services", test_configuration },
   { "a service missing from a new configuration is removed", test_service_removed },
