Balancer registration: no endless writes at the highest incarnation

An object under the balancer's name with an incarnation of DP_INCARNATION_MAX or more made the balancer write one above the maximum. That is read back as the maximum, so that the registration never matched what had been written, and was written again at once, without a delay and without end. The next incarnation now stays at the maximum.

The new case of test_registration fails on the code before (more than 3 writes in 0.5 s, in 4 of 10 combinations).

--- a/src/libdogwoodpaddle/balancerregistration.c
+++ b/src/libdogwoodpaddle/balancerregistration.c
@@ -55,6 +55,7 @@
                          gpointer user_data);
 static void settle_ (DpBalancerRegistration *registration, gboolean present);
 static guint64 incarnation_of_ (const DpRecord *record);
+static guint64 next_incarnation_ (guint64 incarnation);
 static gboolean matches_ (const DpTopologyBalancer *self, const DpRecord *record);
 static JsonNode *make_value_ (const DpTopologyBalancer *self);
 
@@ -305,7 +306,7 @@
     registration->position = dp_position_max (registration->position, record->position);
   if (record == NULL && registration->present && registration->wanted)
     {
-      self->incarnation++;
+      self->incarnation = next_incarnation_ (self->incarnation);
       g_warning ("registration: balancer %s is not on the platform any more, registering "
                  "again with incarnation %" G_GUINT64_FORMAT,
                  self->name, self->incarnation);
@@ -314,7 +315,7 @@
     return TRUE;
   if (!registration->attempted || of_host || incarnation == self->incarnation)
     {
-      self->incarnation = incarnation + 1;
+      self->incarnation = next_incarnation_ (incarnation);
       return TRUE;
     }
   registration->superseded = TRUE;
@@ -370,6 +371,14 @@
   return MIN (incarnation, DP_INCARNATION_MAX);
 }
 
+/* Returns the incarnation that replaces this one. A registration above the maximum would
+ * never match the one that was written, and would be written again without end. */
+static guint64
+next_incarnation_ (guint64 incarnation)
+{
+  return MIN (incarnation + 1, DP_INCARNATION_MAX);
+}
+
 /* Returns whether the record has the balancer's present values, apart from the
  * incarnation. A change of the incarnation alone is not written, since it would wake
  * every process that watches the balancers at each restart. */
--- a/src/test_libdogwoodpaddle/test_registration.c
+++ b/src/test_libdogwoodpaddle/test_registration.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "private/balancerregistration.h"
 #include "protected/json.h"
 #include "protected/membership.h"
 #include "runner.h"
@@ -449,7 +450,54 @@
   g_log_set_writer_func (discard_log, NULL, NULL);
 }
 
+static void
+settled (gpointer user_data)
+{
+}
+
+/* A registration with a very high incarnation, which anybody may have written, made the
+ * balancer write its own without end. */
+static void
+test_highest_incarnation (void)
+{
+  static const char *const incarnations[] = { "9223372036854775807",
+                                              "4611686018427387903",
+                                              "4611686018427387902", "\"x\"", "-1" };
+  const DpTopologyBalancer self = {
+    .name = "b",
+    .zone = "z",
+    .region = "r",
+    .control_address = { LOCALHOST, 1 },
+    .incarnation = 5,
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (incarnations); i++)
+    for (guint owner = DP_BALANCER_REGISTRATION_OF_PROCESS;
+         owner <= DP_BALANCER_REGISTRATION_OF_HOST; owner++)
+      {
+        g_autofree char *text = g_strdup_printf (
+            "{\"zone\":\"other\",\"incarnation\":%s}", incarnations[i]);
+        g_autoptr (JsonNode) value = dp_json_parse (text, strlen (text), NULL);
+        DpBalancerRegistration *registration;
+        Fixture f;
+
+        set_up (&f);
+        dp_platform_write (f.platform, DP_KIND_BALANCER, "b", 0, value, write_done, &f);
+        wait_done (&f);
+        registration = dp_balancer_registration_new (&self,
+                                                     (DpBalancerRegistrationOwner) owner,
+                                                     f.replica, f.platform, settled, &f);
+        dp_balancer_registration_set_wanted (registration, TRUE);
+        run_for (500);
+        CU_ASSERT_TRUE (dp_balancer_registration_present (registration));
+        CU_ASSERT (standin_platform_calls (f.standin).writes <= 3);
+        dp_balancer_registration_free (registration);
+        tear_down (&f);
+      }
+}
+
 static const DpTestCase cases_[] = {
+  { "the highest incarnation of a balancer", test_highest_incarnation },
   { "expected log lines are not printed", test_quiet_start },
   { "states are written and others' entries kept", test_states },
   { "members join at the same time", test_concurrent },
