Platform client: a list whose pages don't proceed is an error

A store or proxy that answers each page with the same last name and has_more made the client request the page again at once, without end, and keep the records of each answer. Such a list now ends with an error, and the watch waits with its backoff. A cycle of several pages is not detected.

The new case of test_platform fails on the code before: no end within 3 s.

--- a/src/libdogwoodpaddle/platform.c
+++ b/src/libdogwoodpaddle/platform.c
@@ -64,6 +64,7 @@
   char *url;
   GPtrArray *records;        /* of the list's earlier pages */
   gboolean has_first_page;   /* the list's first page has been read */
+  char *after;               /* name that the list's next page follows, or NULL */
   DpPosition first_position; /* of the list's first page */
   DpPosition position;       /* write: of the object before the write; watch: since */
   JsonNode *value;           /* write: NULL to delete */
@@ -449,6 +450,7 @@
   g_clear_pointer (&request->value, json_node_unref);
   g_clear_pointer (&request->records, g_ptr_array_unref);
   g_free (request->name);
+  g_free (request->after);
   g_free (request->url);
   g_free (request);
 }
@@ -850,7 +852,8 @@
 }
 
 /* Reads one page of a list or the events of a watch. Returns TRUE if it has requested a
- * further page. */
+ * further page. A list that doesn't proceed ends with an error: its pages would be
+ * requested without a pause and fill the memory. */
 static gboolean
 read_page_ (Request *request,
             GBytes *body,
@@ -884,11 +887,19 @@
     request->first_position = *position;
   request->has_first_page = TRUE;
   *position = request->first_position;
+  if (after != NULL && g_strcmp0 (after, request->after) == 0)
+    {
+      dp_error_set (error, DP_ERROR_INVALID, READ_STEP, request->platform->base_url,
+                    "the page after %s ends with it as well", after);
+      return FALSE;
+    }
   if (after != NULL)
     {
       g_free (request->url);
       request->url = make_url_ (request->platform,
                                 dialect->list_path (request->collection, after));
+      g_free (request->after);
+      request->after = g_steal_pointer (&after);
       request->attempts = 0;
       send_ (request);
       return TRUE;
@@ -905,6 +916,7 @@
 
   g_ptr_array_set_size (request->records, 0);
   request->has_first_page = FALSE;
+  g_clear_pointer (&request->after, g_free);
   g_free (request->url);
   request->url = make_url_ (request->platform,
                             dialect->list_path (request->collection, NULL));
--- a/src/test_libdogwoodpaddle/test_platform.c
+++ b/src/test_libdogwoodpaddle/test_platform.c
@@ -568,6 +568,54 @@
   tear_down (&f);
 }
 
+/* Reads the native list as if a further page always followed. */
+static gboolean
+read_endless_page (GBytes *body,
+                   guint collection,
+                   GPtrArray *records,
+                   guint64 *revision,
+                   char **after,
+                   GError **error)
+{
+  *after = g_strdup ("a");
+  return dp_platform_native_dialect.read_list (body, collection, records, revision, after,
+                                               error);
+}
+
+static gboolean
+set_flag (gpointer user_data)
+{
+  *(gboolean *) user_data = TRUE;
+  return G_SOURCE_REMOVE;
+}
+
+/* A faulty store whose pages have no end made the client request them without a pause and
+ * keep all of them. */
+static void
+test_endless_list (void)
+{
+  DpPlatformDialect dialect = dp_platform_native_dialect;
+  gboolean late = FALSE;
+  Fixture f;
+
+  dialect.read_list = read_endless_page;
+  set_up (&f);
+  write_text (&f, "a", 0, "{}");
+  dp_platform_free (f.platform);
+  f.platform = dp_platform_new_with_dialect (standin_platform_url (f.standin), &dialect);
+  dp_platform_list (f.platform, 0, read_done, &f);
+  g_timeout_add (3000, set_flag, &late);
+  while (!f.done && !late)
+    g_main_context_iteration (NULL, TRUE);
+  CU_ASSERT_TRUE (f.done);
+  CU_ASSERT_TRUE (f.failed);
+  CU_ASSERT_EQUAL (f.code, DP_ERROR_INVALID);
+  CU_ASSERT (dp_platform_calls (f.platform) <= 3);
+  while (!late)
+    g_main_context_iteration (NULL, TRUE);
+  tear_down (&f);
+}
+
 static void
 late_answers_end (gpointer user_data)
 {
@@ -641,6 +689,7 @@
   { "any response shows a new era", test_first_response_of_an_era },
   { "a watch does not go on in another era", test_watch_across_eras },
   { "pages of a list come from two eras", test_pages_of_two_eras },
+  { "pages of a list that have no end", test_endless_list },
   { "headers with the era", test_headers },
   { "answers of an earlier era are none", test_header_stays_lower },
   { "a client is freed in mid-call", test_free },
