Watch: a store that answers each watch with 410 is listed with a backoff

A watch whose history is gone lists at once, and the list counted as a success, so that a store or proxy that answers every watch with 410 was listed by each process up to ten times a second, with a log line each time. From the second one in a row on, without an answered watch between, the list is delayed by a backoff up to the watch's longest retry delay, which follows from the bounds.

The new case of test_watch fails on the code before (more than 12 lists while 20 watches end).

--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -32,7 +32,8 @@
   gboolean behind;    /* the platform offers an older state than the replica has */
   DpPosition since;   /* the platform's position in its last response */
   DpBackoff backoff;
-  guint timer; /* source id */
+  DpBackoff gone_backoff; /* of watches that can't continue, without one that could */
+  guint timer;            /* source id */
   DpMetric *failures;
   DpMetric *behind_gauge;
   DpMetric *era_gauge;
@@ -76,6 +77,7 @@
   watch->listener = *listener;
   watch->user_data = user_data;
   dp_backoff_init (&watch->backoff, DP_WATCH_RETRY_FIRST_MS, RETRY_MAX_MS);
+  dp_backoff_init (&watch->gone_backoff, DP_WATCH_RETRY_FIRST_MS, RETRY_MAX_MS);
   watch->failures = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                     "dogwoodpaddle_platform_failures_total", "",
                                     "Watches of the platform that failed");
@@ -112,6 +114,8 @@
   watch->answer_ms = answer_ms;
   dp_backoff_init (&watch->backoff, DP_WATCH_RETRY_FIRST_MS,
                    MAX (retry_max_ms, DP_WATCH_RETRY_FIRST_MS));
+  dp_backoff_init (&watch->gone_backoff, DP_WATCH_RETRY_FIRST_MS,
+                   MAX (retry_max_ms, DP_WATCH_RETRY_FIRST_MS));
 }
 
 /* Sets how long, in ms, the platform may hold later calls open. */
@@ -152,6 +156,7 @@
   dp_platform_cancel (watch->platform, watch);
   g_clear_handle_id (&watch->timer, g_source_remove);
   dp_backoff_reset (&watch->backoff);
+  dp_backoff_reset (&watch->gone_backoff);
   watch->reachable = FALSE;
   watch->n_failures = 0;
   if (watch->behind)
@@ -228,11 +233,19 @@
   const gboolean snapshot =
       dp_platform_collection (watch->platform, watch->collection)->snapshot;
   guint delay = watch->spacing_ms;
+  gboolean again;
+  guint pause;
 
   if (error != NULL && g_error_matches (error, DP_ERROR, DP_ERROR_LIMIT))
     {
       g_message ("%s", error->message);
       watch->listed = FALSE;
+      /* The first list follows at once, so that nothing is missed for long. A store that
+       * answers each watch like this must not be listed ten times a second. */
+      again = watch->gone_backoff.attempts > 0;
+      pause = dp_backoff_next (&watch->gone_backoff);
+      if (again)
+        delay = MAX (delay, pause);
     }
   else if (error != NULL)
     {
@@ -247,6 +260,8 @@
   else
     {
       dp_backoff_reset (&watch->backoff);
+      if (!watch->listing)
+        dp_backoff_reset (&watch->gone_backoff);
       handle_response_ (watch, records, position);
     }
   if (watch->active)
--- a/src/test_libdogwoodpaddle/test_watch.c
+++ b/src/test_libdogwoodpaddle/test_watch.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "protected/clock.h"
+#include "protected/error.h"
 #include "protected/json.h"
 #include "runner.h"
 #include "standin_platform.h"
@@ -294,11 +295,47 @@
   tear_down (&f);
 }
 
+static gboolean
+read_gone (GBytes *body,
+           guint collection,
+           GPtrArray *records,
+           guint64 *revision,
+           GError **error)
+{
+  dp_error_set (error, DP_ERROR_LIMIT, "test", "store", "the history is gone");
+  return FALSE;
+}
+
+/* A store that has lost its history for each watch was listed without a pause. */
+static void
+test_gone_without_end (void)
+{
+  Fixture f;
+
+  set_up (&f, FALSE);
+  f.dialect.read_events = read_gone;
+  put (&f, "a", 0, "{}");
+  dp_watch_set_active (f.watch, TRUE);
+  CU_ASSERT_TRUE (wait_json (&f, "a", "{}", 1));
+  put (&f, "b", 0, "{}");
+  CU_ASSERT_TRUE (wait_json (&f, "b", "{}", 1));
+  for (guint i = 0; i < 20; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("c%u", i);
+
+      put (&f, name, 0, "{}"); /* ends a watch that waits */
+      wait_json (&f, "none", "", 0.1);
+    }
+  CU_ASSERT (standin_platform_calls (f.standin).reads <= 12);
+  tear_down (&f);
+}
+
 static const DpTestCase cases_[] = {
   { "a restored store is listed again", test_restore },
   { "an older version stays out of force", test_snapshot },
   { "a restored store without the configuration", test_empty_store },
   { "lists after a restore are spread", test_spread },
+  { "a store without a history", test_gone_without_end },
 };
 
 DP_TEST_MAIN ("watch", cases_)
