Evacuations: log an ignored evacuation also after a dropped tombstone

The flag that limits the line to one was set as well when a tombstone made room, so that an evacuation that found the table full later was ignored without any line. The new case of test_evacuations fails on the code before.

--- a/src/libdogwoodpaddle/evacuations.c
+++ b/src/libdogwoodpaddle/evacuations.c
@@ -31,7 +31,7 @@
 {
   GPtrArray *entries;  /* Entry */
   DpPosition complete; /* all changes of the store up to here are known; 0: none */
-  gboolean full;       /* an entry was refused */
+  gboolean full;       /* an evacuation was ignored, and that was logged */
   DpEvacuationsFunc changed;
   gpointer user_data;
 };
@@ -311,9 +311,11 @@
             oldest = old;
         }
       if (oldest == NULL && change->evacuated && !evacuations->full)
-        g_warning ("evacuation of zone %s ignored: there are %u others", change->zone,
-                   DP_EVACUATIONS_MAX);
-      evacuations->full = TRUE;
+        {
+          g_warning ("evacuation of zone %s ignored: there are %u others", change->zone,
+                     DP_EVACUATIONS_MAX);
+          evacuations->full = TRUE;
+        }
       if (oldest == NULL)
         return NULL;
       g_ptr_array_remove_fast (evacuations->entries, oldest);
--- a/src/test_libdogwoodpaddle/test_evacuations.c
+++ b/src/test_libdogwoodpaddle/test_evacuations.c
@@ -242,6 +242,38 @@
   CU_ASSERT_EQUAL (entries->len, DP_EVACUATIONS_MAX);
 }
 
+static guint n_warnings_;
+
+static GLogWriterOutput
+count_warnings (GLogLevelFlags level,
+                const GLogField *fields,
+                gsize n_fields,
+                gpointer user_data)
+{
+  n_warnings_ += level == G_LOG_LEVEL_WARNING ? 1 : 0;
+  return g_log_writer_default (level, fields, n_fields, NULL);
+}
+
+/* After an entry had been dropped for another, evacuations were ignored without a line.
+ */
+static void
+test_full_table_is_logged (void)
+{
+  g_autoptr (DpEvacuations) evacuations = dp_evacuations_new ();
+
+  g_log_set_writer_func (count_warnings, NULL, NULL);
+  n_warnings_ = 0;
+  for (guint i = 0; i < DP_EVACUATIONS_MAX + 3; i++)
+    {
+      g_autofree char *zone = g_strdup_printf ("zone-%u", i);
+      const DpEvacuationEntry change = { zone, i + 1, i != 0, 0 };
+
+      dp_evacuations_apply (evacuations, &change, DP_EVACUATION_FROM_PEER, 0);
+      CU_ASSERT_EQUAL (n_warnings_, i > DP_EVACUATIONS_MAX ? 1 : 0);
+    }
+  CU_ASSERT_EQUAL (dp_evacuations_n_evacuated (evacuations), DP_EVACUATIONS_MAX);
+}
+
 /* Operators see since when an evacuation has been known to the system, not only to the
  * process that they ask. */
 static void
@@ -341,6 +373,7 @@
   { "sequences of changes", test_sequences },
   { "processes agree after an exchange", test_convergence },
   { "a full table", test_full_table },
+  { "a full table is logged", test_full_table_is_logged },
   { "the age of an evacuation", test_age },
   { "what a companion has to hear before it takes new flows", test_trust },
   { "a difference that stays costs little", test_schedule },
