Evacuations: list again within 0.25 s after a restore, like the configuration

The evacuations were listed after the random delay of the registrations, up to 1 s. The waits of the evacuations' watch fill the bound less the time to tell the companions, so that an evacuation written right after a restore could be in force up to about 1 s too late. As few processes watch them as watch the configuration, so the shorter delay costs no more calls at once.

--- a/src/libdogwoodpaddle/evacuationwatch.c
+++ b/src/libdogwoodpaddle/evacuationwatch.c
@@ -48,6 +48,7 @@
                                watch->timing.watch_wait_ms, watch->replica,
                                options->metrics, &listener, watch);
   dp_watch_set_limits (watch->watch, watch->timing.answer_ms, watch->timing.retry_max_ms);
+  dp_watch_set_relist_delay (watch->watch, DP_WATCH_RELIST_FEW_MS);
   return watch;
 }
 
--- a/src/libdogwoodpaddle/include/private/watch.h
+++ b/src/libdogwoodpaddle/include/private/watch.h
@@ -13,6 +13,10 @@
  * one. */
 #define DP_WATCH_RETRY_FIRST_MS 100
 
+/* Maximum delay before a short collection that only a few processes watch is listed after
+ * the store was restored. The bounds for its changes leave no time for a longer one. */
+#define DP_WATCH_RELIST_FEW_MS 250
+
 typedef struct _DpWatch DpWatch;
 
 typedef struct
@@ -32,6 +36,7 @@
 void dp_watch_set_limits (DpWatch *watch, guint answer_ms, guint retry_max_ms);
 void dp_watch_set_wait (DpWatch *watch, guint wait_ms);
 void dp_watch_set_spacing (DpWatch *watch, guint spacing_ms);
+void dp_watch_set_relist_delay (DpWatch *watch, guint relist_ms);
 void dp_watch_relist (DpWatch *watch);
 void dp_watch_set_active (DpWatch *watch, gboolean active);
 gboolean dp_watch_active (const DpWatch *watch);
--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -8,10 +8,8 @@
  * again. */
 #define PROBE_WAIT_MS 10
 #define RETRY_MAX_MS 5000
-/* Maximum delay before everything is listed after the store was restored. It is random,
- * as all processes learn of the restore at about the same time. The configuration is
- * short, and only a few processes list it. */
-#define RELIST_SNAPSHOT_MS 250
+/* Maximum delay before a collection that all processes watch is listed after the store
+ * was restored. It is random, as all learn of the restore at about the same time. */
 #define RELIST_MS 1000
 
 struct _DpWatch
@@ -21,6 +19,7 @@
   guint wait_ms;
   guint answer_ms; /* time for the answer besides the wait */
   guint spacing_ms;
+  guint relist_ms; /* maximum delay before a list after the store was restored */
   DpReplica *replica;
   DpWatchListener listener;
   gpointer user_data;
@@ -73,6 +72,9 @@
   watch->wait_ms = wait_ms;
   watch->answer_ms = G_MAXUINT;
   watch->spacing_ms = SPACING_MS;
+  watch->relist_ms = dp_platform_collection (platform, collection)->snapshot
+                         ? DP_WATCH_RELIST_FEW_MS
+                         : RELIST_MS;
   watch->replica = replica;
   watch->listener = *listener;
   watch->user_data = user_data;
@@ -133,6 +135,14 @@
   watch->spacing_ms = spacing_ms;
 }
 
+/* Sets the maximum delay, in ms, before everything is listed after the store was
+ * restored. */
+void
+dp_watch_set_relist_delay (DpWatch *watch, guint relist_ms)
+{
+  watch->relist_ms = relist_ms;
+}
+
 /* Makes the next call list all objects instead of watching for changes. */
 void
 dp_watch_relist (DpWatch *watch)
@@ -384,10 +394,6 @@
 era_changed_ (gpointer user_data)
 {
   DpWatch *watch = user_data;
-  const gint32 spread_ms =
-      dp_platform_collection (watch->platform, watch->collection)->snapshot
-          ? RELIST_SNAPSHOT_MS
-          : RELIST_MS;
 
   if (!watch->active || continues_ (watch))
     return;
@@ -395,6 +401,6 @@
   watch->listed = FALSE;
   dp_platform_cancel (watch->platform, watch);
   g_clear_handle_id (&watch->timer, g_source_remove);
-  watch->timer = g_timeout_add ((guint) g_random_int_range (0, spread_ms + 1), call_now_,
-                                watch);
+  watch->timer = g_timeout_add (
+      (guint) g_random_int_range (0, (gint32) watch->relist_ms + 1), call_now_, watch);
 }
--- a/src/test_libdogwoodpaddle/test_watch.c
+++ b/src/test_libdogwoodpaddle/test_watch.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "private/evacuationwatch.h"
 #include "protected/clock.h"
 #include "protected/error.h"
 #include "protected/json.h"
@@ -17,6 +18,10 @@
 #define RELIST_S 2.5        /* the wait, the delay of 1 s at most, and the calls */
 #define RELIST_CONFIG_S 1.5 /* the same with a delay of 0.25 s */
 #define N_WATCHES 40
+#define EVACUATE_MS 5000
+#define RELIST_EVACUATIONS_S 0.5 /* the delay of 0.25 s, and as long for the calls */
+/* Few enough for the backlog of the store's listener. */
+#define N_EVACUATION_WATCHES 8
 
 typedef struct
 {
@@ -135,17 +140,27 @@
 }
 
 static void
-put (Fixture *f, const char *name, DpPosition position, const char *text)
+put_object (Fixture *f,
+            DpKind kind,
+            const char *name,
+            DpPosition position,
+            const char *text)
 {
   g_autoptr (JsonNode) value = dp_json_parse (text, strlen (text), NULL);
 
   f->written = FALSE;
-  dp_platform_write (f->writer, DP_KIND_SERVICE, name, position, value, written, f);
+  dp_platform_write (f->writer, kind, name, position, value, written, f);
   while (!f->written)
     g_main_context_iteration (NULL, TRUE);
   CU_ASSERT_EQUAL (f->result, DP_WRITE_DONE);
 }
 
+static void
+put (Fixture *f, const char *name, DpPosition position, const char *text)
+{
+  put_object (f, DP_KIND_SERVICE, name, position, text);
+}
+
 static gboolean
 wake (gpointer user_data)
 {
@@ -295,6 +310,78 @@
   tear_down (&f);
 }
 
+/* Runs the main loop until all processes have the zone's evacuation; FALSE after the
+ * time. */
+static gboolean
+wait_evacuated (DpEvacuations *const evacuations[N_EVACUATION_WATCHES],
+                const char *zone,
+                double seconds)
+{
+  const gint64 end = g_get_monotonic_time () + (gint64) (seconds * (double) DP_US_PER_S);
+  const guint timer = g_timeout_add (10, wake, NULL);
+  guint n = 0;
+
+  while (n < N_EVACUATION_WATCHES && g_get_monotonic_time () < end)
+    {
+      g_main_context_iteration (NULL, TRUE);
+      n = 0;
+      for (guint i = 0; i < N_EVACUATION_WATCHES; i++)
+        n += dp_evacuations_contains (evacuations[i], zone) ? 1 : 0;
+    }
+  g_source_remove (timer);
+  return n == N_EVACUATION_WATCHES;
+}
+
+static void
+ignore_read (GPtrArray *records,
+             DpPosition position,
+             const GError *error,
+             gpointer user_data)
+{
+}
+
+/* The delay of the registrations, 1 s, is not part of the time in which an evacuation has
+ * to be in force. */
+static void
+test_evacuation_after_restore (void)
+{
+  DpPassthroughBalancerOptions options = { .evacuate_ms = EVACUATE_MS };
+  DpPlatform *platforms[N_EVACUATION_WATCHES];
+  DpEvacuations *evacuations[N_EVACUATION_WATCHES];
+  DpEvacuationWatch *watches[N_EVACUATION_WATCHES];
+  Fixture f;
+
+  set_up (&f, FALSE);
+  put_object (&f, DP_KIND_EVACUATION, "a", 0, "{}");
+  standin_platform_back_up (f.standin);
+  options.clock = dp_clock_system ();
+  options.metrics = f.metrics;
+  dp_config_timing_init (&options.timing, EVACUATE_MS, EVACUATE_MS);
+  for (guint i = 0; i < N_EVACUATION_WATCHES; i++)
+    {
+      options.platform = platforms[i] = dp_platform_new (
+          standin_platform_url (f.standin));
+      evacuations[i] = dp_evacuations_new ();
+      watches[i] = dp_evacuation_watch_new (&options, evacuations[i]);
+      dp_evacuation_watch_set_active (watches[i], TRUE);
+    }
+  CU_ASSERT_TRUE (wait_evacuated (evacuations, "a", 5));
+  wait_json (&f, "none", "", 0.3); /* until the watches wait */
+  standin_platform_restore_backup (f.standin);
+  put_object (&f, DP_KIND_EVACUATION, "b", 0, "{}");
+  /* The answer to another call shows the era while the store holds the watch open. */
+  for (guint i = 0; i < N_EVACUATION_WATCHES; i++)
+    dp_platform_get (platforms[i], DP_KIND_EVACUATION, "a", ignore_read, &f);
+  CU_ASSERT_TRUE (wait_evacuated (evacuations, "b", RELIST_EVACUATIONS_S));
+  for (guint i = 0; i < N_EVACUATION_WATCHES; i++)
+    {
+      dp_evacuation_watch_free (watches[i]);
+      dp_evacuations_free (evacuations[i]);
+      dp_platform_free (platforms[i]);
+    }
+  tear_down (&f);
+}
+
 static gboolean
 read_gone (GBytes *body,
            guint collection,
@@ -335,6 +422,7 @@
   { "an older version stays out of force", test_snapshot },
   { "a restored store without the configuration", test_empty_store },
   { "lists after a restore are spread", test_spread },
+  { "an evacuation right after a restore", test_evacuation_after_restore },
   { "a store without a history", test_gone_without_end },
 };
 
