--- a/src/libdogwoodpaddle/passthroughbalancer.c
+++ b/src/libdogwoodpaddle/passthroughbalancer.c
@@ -211,9 +211,9 @@
  * at least one member are known. In addition, until READY_TIMEOUT_US after the start, the
  * members must have had time to learn of this balancer, unless it could not register
  * within MEMBER_DISCOVERY_US, and an active member must be known of each service, unless
- * all of its members are in evacuated zones. With no
- * member all flows would be rejected, and a few members would be overloaded, while other
- * balancers can serve the flows better. */
+ * all of its members are in evacuated zones. With no member all flows would be rejected,
+ * and a few members would be overloaded, while other balancers can serve the flows
+ * better. */
 gboolean
 dp_passthrough_balancer_is_ready (const DpPassthroughBalancer *balancer)
 {
--- a/src/libdogwoodpaddle/passthroughservices.c
+++ b/src/libdogwoodpaddle/passthroughservices.c
@@ -28,13 +28,6 @@
 #define PARENT_TIMEOUT_FACTOR 4
 /* Warm-up rates are passed on in these parts of a request per second. */
 #define RATE_UNITS 1000.0
-
-/* What an applied record says of a service's cold servers. */
-typedef struct
-{
-  guint64 version; /* of the configuration */
-  guint64 rate;    /* thousandths of a request per second, 0: no limit */
-} Warmup;
 /* Maximum number of other balancers that a root asks for a newer configuration than the
  * platform's: with three availability zones, there are five other roots. */
 #define MAX_CONSULTED 5
@@ -45,6 +38,13 @@
  * take 0.5 s if the store is slow. */
 #define CATCH_UP_US (2 * DP_US_PER_S)
 
+/* What an applied record says of a service's cold servers. */
+typedef struct
+{
+  guint64 version; /* of the configuration */
+  guint64 rate;    /* thousandths of a request per second, 0: no limit */
+} Warmup;
+
 /* Another balancer that is asked for a newer configuration. */
 typedef struct
 {
@@ -287,7 +287,8 @@
                                                 dp_clock_now (services->clock)));
 }
 
-/* Returns whether a new evacuation would be known here soon. */
+/* Returns whether this balancer watches the evacuations and the platform answered its
+ * last call, or relies on a parent whose confirmations are recent enough. */
 gboolean
 dp_passthrough_services_evacuations_are_current (const DpPassthroughServices *services)
 {
@@ -421,9 +422,8 @@
 /* Watches the platform unless the parent in the relay tree can be relied on. A root has
  * no parent: what it gets from another balancer while the platform doesn't answer is no
  * reason to stop asking the platform, the less so as that balancer may have it from this
- * one. A watch that
- * is resumed starts with a full list: the platform may no longer have the changes since
- * the last watch, and doesn't report that to a waiting watch. */
+ * one. A watch that is resumed starts with a full list: the platform may no longer have
+ * the changes since the last watch, and doesn't report that to a waiting watch. */
 static void
 choose_source_ (DpPassthroughServices *services, gint64 now)
 {
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -269,9 +269,8 @@
 
 /* Chooses the active member with the fewest flows in flight per slot and prefers the
  * balancer's own availability zone at about the same load. Members of evacuated zones are
- * never chosen. Members that have stopped
- * reporting are chosen only if no other is left, since it may be only their reports that
- * are lost. */
+ * never chosen. Members that have stopped reporting are chosen only if no other is left,
+ * since it may be only their reports that are lost. */
 DpHandle
 dp_placement_choose (DpPlacement *placement,
                      guint64 service_id,
