--- a/src/libdogwoodpaddle/watch.c
+++ b/src/libdogwoodpaddle/watch.c
@@ -8,10 +8,8 @@
  * again. */
 #define PROBE_WAIT_MS 10
 #define RETRY_MAX_MS 5000
-/* Maximum delay before everything is listed after the store was restored. It is random,
- * as all processes learn of the restore at about the same time. The configuration is
- * short, and only a few processes list it. */
-#define RELIST_SNAPSHOT_MS 250
+/* Maximum delay before a collection that all processes watch is listed after the store
+ * was restored. It is random, as all learn of the restore at about the same time. */
 #define RELIST_MS 1000
 
 struct _DpWatch
@@ -21,6 +19,7 @@
   guint wait_ms;
   guint answer_ms; /* time for the answer besides the wait */
   guint spacing_ms;
+  guint relist_ms; /* maximum delay before a list after the store was restored */
   DpReplica *replica;
   DpWatchListener listener;
   gpointer user_data;
@@ -32,7 +31,8 @@
   gboolean behind;    /* the platform offers an older state than the replica has */
   DpPosition since;   /* the platform's position in its last response */
   DpBackoff backoff;
-  guint timer; /* source id */
+  DpBackoff gone_backoff; /* of watches that can't continue, without one that could */
+  guint timer;            /* source id */
   DpMetric *failures;
   DpMetric *behind_gauge;
   DpMetric *era_gauge;
@@ -72,10 +72,14 @@
   watch->wait_ms = wait_ms;
   watch->answer_ms = G_MAXUINT;
   watch->spacing_ms = SPACING_MS;
+  watch->relist_ms = dp_platform_collection (platform, collection)->snapshot
+                         ? DP_WATCH_RELIST_FEW_MS
+                         : RELIST_MS;
   watch->replica = replica;
   watch->listener = *listener;
   watch->user_data = user_data;
   dp_backoff_init (&watch->backoff, DP_WATCH_RETRY_FIRST_MS, RETRY_MAX_MS);
+  dp_backoff_init (&watch->gone_backoff, DP_WATCH_RETRY_FIRST_MS, RETRY_MAX_MS);
   watch->failures = dp_metrics_add (metrics, DP_METRIC_COUNTER,
                                     "dogwoodpaddle_platform_failures_total", "",
                                     "Watches of the platform that failed");
@@ -112,6 +116,8 @@
   watch->answer_ms = answer_ms;
   dp_backoff_init (&watch->backoff, DP_WATCH_RETRY_FIRST_MS,
                    MAX (retry_max_ms, DP_WATCH_RETRY_FIRST_MS));
+  dp_backoff_init (&watch->gone_backoff, DP_WATCH_RETRY_FIRST_MS,
+                   MAX (retry_max_ms, DP_WATCH_RETRY_FIRST_MS));
 }
 
 /* Sets how long, in ms, the platform may hold later calls open. */
@@ -129,6 +135,14 @@
   watch->spacing_ms = spacing_ms;
 }
 
+/* Sets the maximum delay, in ms, before everything is listed after the store was
+ * restored. */
+void
+dp_watch_set_relist_delay (DpWatch *watch, guint relist_ms)
+{
+  watch->relist_ms = relist_ms;
+}
+
 /* Makes the next call list all objects instead of watching for changes. */
 void
 dp_watch_relist (DpWatch *watch)
@@ -152,6 +166,7 @@
   dp_platform_cancel (watch->platform, watch);
   g_clear_handle_id (&watch->timer, g_source_remove);
   dp_backoff_reset (&watch->backoff);
+  dp_backoff_reset (&watch->gone_backoff);
   watch->reachable = FALSE;
   watch->n_failures = 0;
   if (watch->behind)
@@ -228,11 +243,19 @@
   const gboolean snapshot =
       dp_platform_collection (watch->platform, watch->collection)->snapshot;
   guint delay = watch->spacing_ms;
+  gboolean again;
+  guint pause;
 
   if (error != NULL && g_error_matches (error, DP_ERROR, DP_ERROR_LIMIT))
     {
       g_message ("%s", error->message);
       watch->listed = FALSE;
+      /* The first list follows at once, so that nothing is missed for long. A store that
+       * answers each watch like this must not be listed ten times a second. */
+      again = watch->gone_backoff.attempts > 0;
+      pause = dp_backoff_next (&watch->gone_backoff);
+      if (again)
+        delay = MAX (delay, pause);
     }
   else if (error != NULL)
     {
@@ -247,6 +270,8 @@
   else
     {
       dp_backoff_reset (&watch->backoff);
+      if (!watch->listing)
+        dp_backoff_reset (&watch->gone_backoff);
       handle_response_ (watch, records, position);
     }
   if (watch->active)
@@ -369,10 +394,6 @@
 era_changed_ (gpointer user_data)
 {
   DpWatch *watch = user_data;
-  const gint32 spread_ms =
-      dp_platform_collection (watch->platform, watch->collection)->snapshot
-          ? RELIST_SNAPSHOT_MS
-          : RELIST_MS;
 
   if (!watch->active || continues_ (watch))
     return;
@@ -380,6 +401,6 @@
   watch->listed = FALSE;
   dp_platform_cancel (watch->platform, watch);
   g_clear_handle_id (&watch->timer, g_source_remove);
-  watch->timer = g_timeout_add ((guint) g_random_int_range (0, spread_ms + 1), call_now_,
-                                watch);
+  watch->timer = g_timeout_add (
+      (guint) g_random_int_range (0, (gint32) watch->relist_ms + 1), call_now_, watch);
 }
