Tests: the counts of the flow table over random sequences

Flows in flight, slots, requests without a slot and requests in work are counted in several modules, with and without a learnt limit and a limit of cold servers. The test plays random packets of clients and servers, ticks, restarts of either and changes of the limits, and compares the counts with the flows after each step and after all flows have ended.

--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -187,5 +187,8 @@
 const char *dp_passthrough_flow_state_string (const DpPassthroughFlow *flow);
 
 void dp_passthrough_flows_tick (DpPassthroughFlows *flows, gint64 now);
+/* Returns the table of a companion's flows, owned by the passthrough, so that its counts
+ * can be checked. */
+DpPassthroughFlows *dp_passthrough_flows (DpPassthrough *passthrough);
 /* Records a time in us; histogram may be NULL. */
 void dp_passthrough_flows_observe_time (DpHistogram *histogram, gint64 time);
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -551,6 +551,13 @@
   return candidates == NULL ? 0 : dp_candidates_view (candidates)->n_members;
 }
 
+/* Returns the flow table. */
+DpPassthroughFlows *
+dp_passthrough_flows (DpPassthrough *passthrough)
+{
+  return passthrough->flows;
+}
+
 /* Returns the number of flows in the table. */
 guint
 dp_passthrough_n_flows (const DpPassthrough *passthrough)
--- /dev/null
+++ b/src/test_libdogwoodpaddle/test_passthroughflows.c
@@ -0,0 +1,281 @@
+/* Guards against counts of a companion's flow table that drift from its flows: slots that
+ * stay busy, requests without a slot that keep new flows out of an idle server, and
+ * requests in work that no flow has. */
+#include "private/passthroughflows.h"
+#include "protected/clock.h"
+#include "runner.h"
+
+#define SERVICE "darbnica"
+#define MS DP_US_PER_MS
+#define S DP_US_PER_S
+#define N_CLIENTS 10
+#define N_SEEDS 60
+#define N_STEPS 2000
+/* Longer than any time for which a flow is remembered. */
+#define FLOW_TTL_US (60 * S)
+
+/* A connection as its two ends see it. */
+typedef struct
+{
+  guint32 syn_seq;
+  guint32 client_seq;  /* of the client's next data */
+  guint32 server_seq;  /* of the server's next data */
+  guint16 client_last; /* bytes of the client's last data */
+  guint16 server_last; /* bytes of the server's last data */
+  guint8 class;
+} Client;
+
+typedef struct
+{
+  DpPassthrough *passthrough;
+  GRand *random;
+  Client clients[N_CLIENTS];
+  gint64 now;
+  gboolean learned;
+} Model;
+
+static void
+check_counts (DpPassthrough *passthrough)
+{
+  DpPassthroughFlows *flows = dp_passthrough_flows (passthrough);
+  guint n_in_flight = 0;
+  guint n_unscheduled = 0;
+  guint n_slots = 0;
+  guint n_works = 0;
+  guint n_waiting = 0;
+  DpPassthroughFlow *flow;
+  GHashTableIter iter;
+
+  g_hash_table_iter_init (&iter, flows->by_key);
+  while ((flow = dp_passthrough_flows_next (&iter)) != NULL)
+    {
+      n_in_flight += flow->in_flight ? 1 : 0;
+      n_unscheduled += flow->unscheduled ? 1 : 0;
+      n_slots += flow->has_slot ? 1 : 0;
+      n_works += flow->work != DP_HANDLE_NONE ? 1 : 0;
+      n_waiting += flow->waiting_row != DP_HANDLE_NONE ? 1 : 0;
+      CU_ASSERT_TRUE (!flow->has_slot || flow->in_flight);
+      CU_ASSERT_TRUE (!flow->unscheduled || (flow->in_flight && !flow->has_slot));
+      CU_ASSERT_TRUE (!flow->answer_ended || !flow->in_flight);
+      CU_ASSERT_TRUE (flow->work == DP_HANDLE_NONE || flow->in_flight);
+      CU_ASSERT_EQUAL (flow->waiting_row != DP_HANDLE_NONE,
+                       flow->state == DP_PASSTHROUGH_FLOW_WAITING);
+    }
+  CU_ASSERT_EQUAL (flows->n_in_flight, n_in_flight);
+  CU_ASSERT_EQUAL (dp_handle_table_count (flows->in_flight_flows), n_in_flight);
+  CU_ASSERT_EQUAL (flows->n_unscheduled, n_unscheduled);
+  CU_ASSERT_EQUAL (dp_slots_busy (flows->slots), n_slots);
+  CU_ASSERT_EQUAL (dp_passthrough_flows_n_waiting (flows), n_waiting);
+  if (flows->concurrency == NULL)
+    return;
+  CU_ASSERT_EQUAL (dp_handle_table_count (flows->works), n_works);
+  CU_ASSERT_EQUAL (dp_concurrency_limit_in_work (flows->concurrency), n_works);
+}
+
+static DpPassthrough *
+make_passthrough (gboolean learned, gint64 now)
+{
+  DpPassthrough *p = dp_passthrough_new (SERVICE, "a-1", now);
+  const DpPassthroughLimits limits = { 2, FLOW_TTL_US, 1.5, 5 };
+
+  dp_passthrough_set_limits (p, &limits);
+  if (learned)
+    dp_passthrough_learn_limit (p, now);
+  dp_passthrough_set_serving (p, TRUE);
+  return p;
+}
+
+static DpHop
+make_hop (guint8 class)
+{
+  return (DpHop){ .service_tag = dp_service_tag (dp_service_id (SERVICE)),
+                  .class = class,
+                  .wait_limit_ms = 75,
+                  .deadline_ms = 2500 };
+}
+
+static DpSegment
+make_segment (guint client, guint8 flags, guint32 seq, guint32 ack, guint16 payload)
+{
+  DpSegment segment = { .key = { { 0x64400000 + client, 40001 }, { 0xc6120001, 443 } },
+                        .flags = flags,
+                        .seq = seq,
+                        .ack = ack,
+                        .payload_length = payload };
+
+  segment.hash = dp_flow_key_hash (&segment.key);
+  return segment;
+}
+
+/* Sends a packet of a random client. */
+static void
+step_client (Model *model)
+{
+  const guint i = (guint) g_rand_int_range (model->random, 0, N_CLIENTS);
+  Client *c = &model->clients[i];
+  DpSegment segment = make_segment (i, DP_TCP_ACK, c->client_seq, c->server_seq, 0);
+  const DpHop hop = make_hop (c->class);
+
+  switch (g_rand_int_range (model->random, 0, 12))
+    {
+    case 0: /* a new flow from the same port */
+      c->syn_seq = g_rand_int (model->random);
+      c->client_seq = c->syn_seq + 1;
+      c->server_seq = g_rand_int (model->random);
+      c->class = (guint8) g_rand_int_range (model->random, 0, DP_N_TRAFFIC_CLASSES);
+      segment = make_segment (i, DP_TCP_SYN, c->syn_seq, 0, 0);
+      break;
+    case 1: /* a retransmission of the SYN */
+      segment = make_segment (i, DP_TCP_SYN, c->syn_seq, 0, 0);
+      segment.syn_age_ms = g_rand_boolean (model->random) ? 200 : 600;
+      break;
+    case 2:
+      segment.flags |= g_rand_boolean (model->random) ? DP_TCP_FIN : DP_TCP_RST;
+      break;
+    case 3: /* the acknowledgement of the SYN-ACK, or of data */
+      break;
+    case 4: /* a retransmission */
+      segment.seq -= c->client_last;
+      segment.payload_length = c->client_last;
+      break;
+    case 5: /* the server returns a packet that it has no flow for */
+      segment.payload_length = 100;
+      if (g_rand_boolean (model->random))
+        segment = make_segment (i, DP_TCP_SYN, c->syn_seq, 0, 0);
+      dp_passthrough_returned (model->passthrough, &segment, &hop, model->now);
+      return;
+    default: /* a request, or more of it */
+      c->client_last = (guint16) g_rand_int_range (model->random, 1, 1200);
+      segment.payload_length = c->client_last;
+      c->client_seq += c->client_last;
+    }
+  dp_passthrough_from_peer (model->passthrough, &segment, &hop, model->now);
+}
+
+/* Sends a packet of the server on a random flow. */
+static void
+step_server (Model *model)
+{
+  const guint i = (guint) g_rand_int_range (model->random, 0, N_CLIENTS);
+  Client *c = &model->clients[i];
+  DpSegment segment = make_segment (i, DP_TCP_ACK, c->server_seq, c->client_seq, 0);
+
+  switch (g_rand_int_range (model->random, 0, 10))
+    {
+    case 0:
+    case 1:
+    case 2:
+      segment.flags |= DP_TCP_SYN;
+      segment.seq--;
+      segment.ack = c->syn_seq + 1;
+      break;
+    case 3:
+      segment.flags |= g_rand_boolean (model->random) ? DP_TCP_FIN : DP_TCP_RST;
+      break;
+    case 4: /* an acknowledgement only */
+      break;
+    case 5: /* a retransmission */
+      segment.seq -= c->server_last;
+      segment.payload_length = c->server_last;
+      break;
+    default:
+      segment.partial = g_rand_boolean (model->random);
+      c->server_last = segment.partial ? 300 : 1200;
+      segment.payload_length = c->server_last;
+      c->server_seq += c->server_last;
+    }
+  dp_passthrough_from_server (model->passthrough, &segment, model->now);
+}
+
+static void
+step_settings (Model *model)
+{
+  const DpPassthroughLimits limits = { (guint) g_rand_int_range (model->random, 1, 6),
+                                       FLOW_TTL_US, 1.5, 5 };
+
+  switch (g_rand_int_range (model->random, 0, 5))
+    {
+    case 0:
+      dp_passthrough_server_replaced (model->passthrough, g_rand_boolean (model->random));
+      break;
+    case 1: /* the companion restarts beside its server */
+      dp_passthrough_free (model->passthrough);
+      model->passthrough = make_passthrough (model->learned, model->now);
+      break;
+    case 2:
+      dp_passthrough_set_limits (model->passthrough, &limits);
+      break;
+    case 3:
+      dp_passthrough_set_warmup_limit (model->passthrough, 10);
+      dp_passthrough_set_warmup_end (model->passthrough, model->now + S);
+      break;
+    default:
+      dp_passthrough_set_serving (model->passthrough,
+                                  g_rand_int_range (model->random, 0, 4) > 0);
+    }
+}
+
+static void
+release (Model *model)
+{
+  DpReleasedSyn released;
+
+  while (dp_passthrough_next_released (model->passthrough, &released, model->now))
+    g_clear_pointer (&released.packet, g_bytes_unref);
+}
+
+static void
+play (guint32 seed, gboolean learned)
+{
+  Model model = { .random = g_rand_new_with_seed (seed), .now = S, .learned = learned };
+  DpPassthroughFlows *flows;
+
+  model.passthrough = make_passthrough (learned, model.now);
+  for (guint i = 0; i < N_STEPS; i++)
+    {
+      const gint32 kind = g_rand_int_range (model.random, 0, 100);
+
+      model.now += g_rand_int_range (model.random, 0, 20 * MS);
+      if (kind < 45)
+        step_client (&model);
+      else if (kind < 85)
+        step_server (&model);
+      else if (kind < 97)
+        dp_passthrough_tick (model.passthrough, model.now);
+      else if (kind < 98)
+        model.now += g_rand_int_range (model.random, 0, 3 * S);
+      else
+        step_settings (&model);
+      release (&model);
+      check_counts (model.passthrough);
+    }
+  /* Without packets, all flows end. */
+  dp_passthrough_set_serving (model.passthrough, FALSE);
+  for (guint i = 0; i < 10; i++)
+    {
+      model.now += FLOW_TTL_US / 2;
+      dp_passthrough_tick (model.passthrough, model.now);
+      release (&model);
+    }
+  check_counts (model.passthrough);
+  flows = dp_passthrough_flows (model.passthrough);
+  CU_ASSERT_EQUAL (dp_passthrough_flows_count (flows), 0);
+  CU_ASSERT_EQUAL (flows->n_in_flight, 0);
+  CU_ASSERT_EQUAL (flows->n_unscheduled, 0);
+  CU_ASSERT_EQUAL (dp_slots_busy (flows->slots), 0);
+  dp_passthrough_free (model.passthrough);
+  g_rand_free (model.random);
+}
+
+static void
+test_random (void)
+{
+  for (guint32 seed = 1; seed <= N_SEEDS; seed++)
+    play (seed, seed % 2 == 0);
+}
+
+static const DpTestCase cases_[] = {
+  { "the counts agree with the flows in random sequences", test_random },
+};
+
+DP_TEST_MAIN ("passthroughflows", cases_)
