Passthrough: a retransmitted request that was answered is no request

After a partial packet had ended an answer, any data of the client began a request. If the answer was lost on its way, the client retransmits its request after 200 ms; the flow was then in flight for 2 s without work, and the server seemed to leave the request unanswered. A few of them opened the breaker of a healthy server.

Data that the client has sent before no longer begin a request if the answer has ended and the client acknowledges nothing of it. test_passthroughflows fails on the code before: the flows stay in flight, and the breaker opens. Flows whose answer is ended by silence are treated as before.

--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -53,7 +53,7 @@
   gboolean of_predecessor; /* of a server before; it has sent nothing since it was
                               replaced */
   gboolean answer_begun;   /* the server has sent data since the client's last new data */
-  gboolean answer_ended;   /* by a partial packet; cleared by the client's next data */
+  gboolean answer_ended;   /* by a partial packet; cleared by the client's next request */
   gboolean answer_overdue; /* an answer timed out, which was recorded as a failure */
   guint32 answer_start_seq; /* sequence number at which the answer begins */
   guint32 server_next_seq;  /* sequence number after the server's highest data */
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -929,6 +929,11 @@
   const gboolean new_data = segment->payload_length > 0
                             && (!flow->request_seen
                                 || (gint32) (end - flow->client_next_seq) > 0);
+  /* A client that has received nothing of a complete answer retransmits its request. The
+   * server doesn't work on it again. */
+  const gboolean answered = flow->answer_ended && !new_data
+                            && (gint32) (segment->ack - flow->answer_start_seq) <= 0;
+  const gboolean has_request = segment->payload_length > 0 && !answered;
 
   flow->used_at = now;
   if (new_data && is_further_request_ (flow))
@@ -940,23 +945,23 @@
     }
   if (flow->state == DP_PASSTHROUGH_FLOW_ANSWERED)
     flow->state = DP_PASSTHROUGH_FLOW_OPEN;
-  if (segment->payload_length > 0)
+  if (has_request)
     {
       flow->answer_ended = FALSE;
       dp_passthrough_flows_note_client_data (passthrough->flows, flow, segment, now);
     }
   /* The server's next byte is known from the client if the handshake was not seen, as on
    * a flow that was open before this process started. */
-  if (segment->payload_length > 0 && !flow->request_seen)
+  if (has_request && !flow->request_seen)
     dp_passthrough_flows_begin_request (
         passthrough->flows, flow,
         flow->syn_ack_seen ? flow->syn_ack_seq + 1 : segment->ack, now);
-  else if (segment->payload_length > 0 && !flow->in_flight && flow->first_byte_at != 0)
+  else if (has_request && !flow->in_flight && flow->first_byte_at != 0)
     dp_passthrough_flows_begin_request (passthrough->flows, flow, flow->server_next_seq,
                                         now);
-  if (segment->payload_length > 0 && !flow->server_finished && flow->in_flight)
+  if (has_request && !flow->server_finished && flow->in_flight)
     flow->last_answer_at = 0;
-  else if (segment->payload_length > 0 && !flow->server_finished)
+  else if (has_request && !flow->server_finished)
     {
       flow->last_answer_at = 0;
       dp_passthrough_flows_begin_work (
--- a/src/test_libdogwoodpaddle/test_passthroughflows.c
+++ b/src/test_libdogwoodpaddle/test_passthroughflows.c
@@ -107,6 +107,14 @@
   return segment;
 }
 
+static DpPassthroughDecision
+send_client (DpPassthrough *p, const DpSegment *segment, guint8 class, gint64 now)
+{
+  const DpHop hop = make_hop (class);
+
+  return dp_passthrough_from_peer (p, segment, &hop, now);
+}
+
 /* Sends a packet of a random client. */
 static void
 step_client (Model *model)
@@ -274,8 +282,51 @@
     play (seed, seed % 2 == 0);
 }
 
+/* Opens a flow whose client has sent 200 bytes of a request. */
+static void
+open_flow (DpPassthrough *p, guint client, gint64 now)
+{
+  const DpSegment syn = make_segment (client, DP_TCP_SYN, 100, 0, 0);
+  const DpSegment syn_ack = make_segment (client, DP_TCP_SYN | DP_TCP_ACK, 500, 101, 0);
+  const DpSegment request = make_segment (client, DP_TCP_ACK, 101, 501, 200);
+
+  send_client (p, &syn, DP_TRAFFIC_INTERACTIVE, now);
+  dp_passthrough_from_server (p, &syn_ack, now);
+  send_client (p, &request, DP_TRAFFIC_INTERACTIVE, now);
+}
+
+/* A client whose answer is lost retransmits its request. The server has answered it, and
+ * sends no more than it has: the flow must not take a slot for a request that doesn't
+ * exist, nor must the server fail it. */
+static void
+test_retransmission_after_the_answer (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (FALSE, 0);
+  gint64 now = S;
+
+  for (guint i = 0; i < 40; i++, now += 2500 * MS)
+    {
+      DpSegment answer = make_segment (i, DP_TCP_ACK, 501, 301, 800);
+      const DpSegment again = make_segment (i, DP_TCP_ACK, 101, 501, 200);
+
+      open_flow (p, i, now);
+      answer.partial = TRUE;
+      dp_passthrough_from_server (p, &answer, now + 10 * MS);
+      CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
+      send_client (p, &again, DP_TRAFFIC_INTERACTIVE, now + 200 * MS);
+      CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
+      dp_passthrough_from_server (p, &answer, now + 210 * MS);
+      for (guint j = 3; j < 25; j++)
+        dp_passthrough_tick (p, now + j * 100 * MS);
+      CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
+      CU_ASSERT_EQUAL (dp_passthrough_server_health (p), DP_BREAKER_CLOSED);
+    }
+}
+
 static const DpTestCase cases_[] = {
   { "the counts agree with the flows in random sequences", test_random },
+  { "a retransmission after the answer is no request",
+    test_retransmission_after_the_answer },
 };
 
 DP_TEST_MAIN ("passthroughflows", cases_)
