Learnt limits: count the work on all flows that were open before a restart

If a server acknowledged a client's data before it sent any, on a flow that was open before the companion started, the begin of the answer to the first request stayed unset. It was then compared as sequence number 0: on the flows of half of the sequence numbers no request counted as work any more, and the learnt limit had no samples from them.

The begin is now taken from the client's acknowledgement, as for the flow's answer itself. test_passthroughflows fails on the code before.

--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -221,13 +221,15 @@
                                        const DpSegment *segment,
                                        gint64 now)
 {
-  /* Where the answer begins isn't known on a flow that began before this process. */
   if (flows->concurrency == NULL || flow->work != DP_HANDLE_NONE || flow->server_finished
-      || (!flow->syn_ack_seen && flow->new_data_at == 0)
       || (flow->request_seen && (gint32) (segment->ack - flow->work_answer_seq) <= 0))
     return;
-  flow->work_answer_seq = flow->new_data_at != 0 ? flow->server_next_seq
-                                                 : flow->syn_ack_seq + 1;
+  /* On a flow that began before this process, the client tells where the answer begins.
+   */
+  if (flow->new_data_at != 0)
+    flow->work_answer_seq = flow->server_next_seq;
+  else
+    flow->work_answer_seq = flow->syn_ack_seen ? flow->syn_ack_seq + 1 : segment->ack;
   flow->work = dp_handle_table_add (flows->works);
   if (flow->work != DP_HANDLE_NONE)
     dp_concurrency_limit_begin (flows->concurrency,
--- a/src/test_libdogwoodpaddle/test_passthroughflows.c
+++ b/src/test_libdogwoodpaddle/test_passthroughflows.c
@@ -323,10 +323,45 @@
     }
 }
 
+/* On a flow that was open before a restart and whose client sent before the server did,
+ * every request after the first has to count as work. For half of the sequence numbers
+ * none did, so that a learnt limit had no samples from the flow. */
+static void
+test_work_on_flows_that_were_open_before_a_restart (void)
+{
+  static const guint32 seqs[] = { 501, 0x70000001, 0x80000001, 0xf0000001 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (seqs); i++)
+    {
+      g_autoptr (DpPassthrough) p = make_passthrough (TRUE, 0);
+      const DpSegment ack = make_segment (1, DP_TCP_ACK, seqs[i], 301, 0);
+
+      /* The server acknowledges a request that came before the restart. */
+      dp_passthrough_from_server (p, &ack, 0);
+      for (guint j = 0; j < 4; j++)
+        {
+          const DpSegment request = make_segment (1, DP_TCP_ACK, 301 + 200 * j,
+                                                  seqs[i] + 800 * j, 200);
+          DpSegment answer = make_segment (1, DP_TCP_ACK, seqs[i] + 800 * j,
+                                           501 + 200 * j, 800);
+
+          answer.partial = TRUE;
+          send_client (p, &request, DP_TRAFFIC_INTERACTIVE, (10 + 50 * j) * MS);
+          CU_ASSERT_EQUAL (dp_concurrency_limit_in_work (dp_passthrough_concurrency (p)),
+                           1);
+          dp_passthrough_from_server (p, &answer, (30 + 50 * j) * MS);
+          CU_ASSERT_EQUAL (dp_concurrency_limit_in_work (dp_passthrough_concurrency (p)),
+                           0);
+        }
+    }
+}
+
 static const DpTestCase cases_[] = {
   { "the counts agree with the flows in random sequences", test_random },
   { "a retransmission after the answer is no request",
     test_retransmission_after_the_answer },
+  { "requests count as work on flows that were open before a restart",
+    test_work_on_flows_that_were_open_before_a_restart },
 };
 
 DP_TEST_MAIN ("passthroughflows", cases_)
