Slots: count a further request without a slot while its flow is in flight

A flow without a slot stops taking room from new flows when its answer begins, and stays in flight until 100 ms after an answer whose last packet is full. A further request meanwhile was not counted: a new flow was offered to a server that still had that request ahead.

The request now takes room until its answer begins. test_passthroughflows fails on the code before. With one request a flow, only a client that goes on sending its request after the server's first data, on a flow that has lost its slot, counts in addition.

--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -120,6 +120,9 @@
                                       DpPassthroughFlow *flow,
                                       gboolean has_slot,
                                       gint64 now);
+/* Records a further request on a flow that still counts as in flight. */
+void dp_passthrough_flows_continue_work (DpPassthroughFlows *flows,
+                                         DpPassthroughFlow *flow);
 /* Records that the client's data begin a new request, whose answer starts at the sequence
  * number answer_start_seq. */
 void dp_passthrough_flows_begin_request (DpPassthroughFlows *flows,
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -934,9 +934,10 @@
   const gboolean answered = flow->answer_ended && !new_data
                             && (gint32) (segment->ack - flow->answer_start_seq) <= 0;
   const gboolean has_request = segment->payload_length > 0 && !answered;
+  const gboolean further = new_data && is_further_request_ (flow);
 
   flow->used_at = now;
-  if (new_data && is_further_request_ (flow))
+  if (further)
     dp_warmup_limit_note_further (passthrough->flows->warmup, now);
   if (new_data)
     {
@@ -960,7 +961,11 @@
     dp_passthrough_flows_begin_request (passthrough->flows, flow, flow->server_next_seq,
                                         now);
   if (has_request && !flow->server_finished && flow->in_flight)
-    flow->last_answer_at = 0;
+    {
+      flow->last_answer_at = 0;
+      if (further)
+        dp_passthrough_flows_continue_work (passthrough->flows, flow);
+    }
   else if (has_request && !flow->server_finished)
     {
       flow->last_answer_at = 0;
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -195,6 +195,14 @@
     set_unscheduled_ (flows, flow, TRUE);
 }
 
+/* Without a slot, the flow takes room from new flows again, until the answer begins. */
+void
+dp_passthrough_flows_continue_work (DpPassthroughFlows *flows, DpPassthroughFlow *flow)
+{
+  if (flow->in_flight && !flow->has_slot)
+    set_unscheduled_ (flows, flow, TRUE);
+}
+
 /* Records when the request came and where its answer begins; of a flow's first request
  * also the time of the handshake. */
 void
--- a/src/test_libdogwoodpaddle/test_passthroughflows.c
+++ b/src/test_libdogwoodpaddle/test_passthroughflows.c
@@ -356,12 +356,48 @@
     }
 }
 
+/* A flow without a slot stays in flight for 100 ms after an answer that ends with a full
+ * packet. A further request meanwhile takes room from new flows like the one before. */
+static void
+test_further_request_without_a_slot (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (FALSE, 0);
+  const DpPassthroughFlows *flows = dp_passthrough_flows (p);
+  const DpSegment ack = make_segment (9, DP_TCP_ACK, 501, 101, 0);
+  const DpSegment answer = make_segment (9, DP_TCP_ACK, 501, 301, 1200);
+
+  dp_passthrough_from_server (p, &ack, 0);
+  for (guint i = 0; i < 4; i++)
+    open_flow (p, i, MS);
+  CU_ASSERT_EQUAL (dp_slots_busy (flows->slots), 4);
+  for (guint j = 0; j < 2; j++)
+    {
+      const DpSegment request = make_segment (9, DP_TCP_ACK, 101 + 200 * j,
+                                              501 + 1200 * j, 200);
+
+      send_client (p, &request, DP_TRAFFIC_INTERACTIVE, (10 + 40 * j) * MS);
+      CU_ASSERT_EQUAL (flows->n_unscheduled, 1);
+      if (j > 0)
+        break;
+      dp_passthrough_from_server (p, &answer, 30 * MS);
+      CU_ASSERT_EQUAL (flows->n_unscheduled, 0);
+      /* The client's retransmission is no further request. */
+      send_client (p, &request, DP_TRAFFIC_INTERACTIVE, 35 * MS);
+      CU_ASSERT_EQUAL (flows->n_unscheduled, 0);
+    }
+  dp_passthrough_tick (p, 3 * S);
+  CU_ASSERT_EQUAL (flows->n_unscheduled, 0);
+  check_counts (p);
+}
+
 static const DpTestCase cases_[] = {
   { "the counts agree with the flows in random sequences", test_random },
   { "a retransmission after the answer is no request",
     test_retransmission_after_the_answer },
   { "requests count as work on flows that were open before a restart",
     test_work_on_flows_that_were_open_before_a_restart },
+  { "a further request without a slot takes room again",
+    test_further_request_without_a_slot },
 };
 
 DP_TEST_MAIN ("passthroughflows", cases_)
