Passthrough: take the class of flows that were open before a restart from their clients

Flows whose SYN a companion had not seen counted as urgent for as long as they were open. With a learnt limit, the service times of their bulk requests became those of the class urgent, by which balancers compare the speeds of servers; with and without one, their further requests took slots as urgent ones do.

Each packet of a client names the class; it now applies unless the SYN has. The new case of test_passthroughflows fails on the code before.

--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -898,6 +898,9 @@
         return dp_passthrough_decision_forward_to_owner (&owner->member, hop);
       return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING, now);
     }
+  /* The class of a flow that began before this process is known from its client only. */
+  if (flow->syn_seq == 0 && !flow->in_flight)
+    flow->class = (DpTrafficClass) hop->class;
   record_client_packet_ (passthrough, flow, segment, now);
   if ((opens && (flow->syn_age_ms > 0 || now - flow->syn_at > UNCONTESTED_OPEN_US))
       || (hop->n_visited > 0 && now - flow->registered_at > REGISTRATION_INTERVAL_US))
--- a/src/test_libdogwoodpaddle/test_passthroughflows.c
+++ b/src/test_libdogwoodpaddle/test_passthroughflows.c
@@ -390,6 +390,31 @@
   check_counts (p);
 }
 
+/* The class of a flow whose SYN came before a restart is known from its client's packets
+ * only. Service times of bulk requests must not appear as those of urgent ones, which
+ * would make the server look slow beside others. */
+static void
+test_class_of_flows_that_were_open_before_a_restart (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (TRUE, 0);
+  const DpConcurrencyLimit *limit = dp_passthrough_concurrency (p);
+  const DpSegment ack = make_segment (1, DP_TCP_ACK, 501, 101, 0);
+
+  dp_passthrough_from_server (p, &ack, 0);
+  for (guint j = 0; j < 20; j++)
+    {
+      const DpSegment request = make_segment (1, DP_TCP_ACK, 101 + 200 * j, 501 + 800 * j,
+                                              200);
+      DpSegment answer = make_segment (1, DP_TCP_ACK, 501 + 800 * j, 301 + 200 * j, 800);
+
+      answer.partial = TRUE;
+      send_client (p, &request, DP_TRAFFIC_BULK, (10 + 50 * j) * MS);
+      dp_passthrough_from_server (p, &answer, (30 + 50 * j) * MS);
+    }
+  CU_ASSERT_EQUAL (dp_concurrency_limit_service_time (limit, DP_TRAFFIC_URGENT), 0);
+  CU_ASSERT_NOT_EQUAL (dp_concurrency_limit_service_time (limit, DP_TRAFFIC_BULK), 0);
+}
+
 static const DpTestCase cases_[] = {
   { "the counts agree with the flows in random sequences", test_random },
   { "a retransmission after the answer is no request",
@@ -398,6 +423,8 @@
     test_work_on_flows_that_were_open_before_a_restart },
   { "a further request without a slot takes room again",
     test_further_request_without_a_slot },
+  { "requests have their class on flows that were open before a restart",
+    test_class_of_flows_that_were_open_before_a_restart },
 };
 
 DP_TEST_MAIN ("passthroughflows", cases_)
