Slots: a first request after a slow handshake takes no room from new flows

Since requests without a slot are counted, a flow that loses its slot during a slow handshake kept new flows out with its first request, although it had been admitted.

Only requests after the server's first data, and those of flows whose handshake was not seen, count now. test_passthroughflows fails on the code before.

--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -88,7 +88,8 @@
   guint declared_slots;
   guint n_in_flight;   /* flows with a pending request; a flow's first request counts from
                           its SYN on */
-  guint n_unscheduled; /* flows in flight without a slot whose answer has not begun */
+  guint n_unscheduled; /* flows in flight without a slot whose answer has not begun; no
+                          first requests after a handshake that was seen here */
   DpAnswerEnd answer_end;
   gint64 flow_ttl;       /* us */
   gboolean complete;     /* the table holds every flow of the server */
@@ -120,9 +121,10 @@
                                       DpPassthroughFlow *flow,
                                       gboolean has_slot,
                                       gint64 now);
-/* Records a further request on a flow that still counts as in flight. */
-void dp_passthrough_flows_continue_work (DpPassthroughFlows *flows,
-                                         DpPassthroughFlow *flow);
+/* Records that the server has a request on this flow in flight that could not be held
+ * back. */
+void dp_passthrough_flows_note_unscheduled (DpPassthroughFlows *flows,
+                                            DpPassthroughFlow *flow);
 /* Records that the client's data begin a new request, whose answer starts at the sequence
  * number answer_start_seq. */
 void dp_passthrough_flows_begin_request (DpPassthroughFlows *flows,
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -938,6 +938,9 @@
                             && (gint32) (segment->ack - flow->answer_start_seq) <= 0;
   const gboolean has_request = segment->payload_length > 0 && !answered;
   const gboolean further = new_data && is_further_request_ (flow);
+  /* A slow handshake doesn't make the flow's first request one that was not admitted. */
+  const gboolean unscheduled = (further || !flow->in_flight)
+                               && (flow->new_data_at != 0 || !flow->syn_ack_seen);
 
   flow->used_at = now;
   if (further)
@@ -963,18 +966,15 @@
   else if (has_request && !flow->in_flight && flow->first_byte_at != 0)
     dp_passthrough_flows_begin_request (passthrough->flows, flow, flow->server_next_seq,
                                         now);
-  if (has_request && !flow->server_finished && flow->in_flight)
+  if (has_request && !flow->server_finished)
     {
       flow->last_answer_at = 0;
-      if (further)
-        dp_passthrough_flows_continue_work (passthrough->flows, flow);
-    }
-  else if (has_request && !flow->server_finished)
-    {
-      flow->last_answer_at = 0;
-      dp_passthrough_flows_begin_work (
-          passthrough->flows, flow,
-          dp_slots_acquire (passthrough->flows->slots, flow->class), now);
+      if (!flow->in_flight)
+        dp_passthrough_flows_begin_work (
+            passthrough->flows, flow,
+            dp_slots_acquire (passthrough->flows->slots, flow->class), now);
+      if (unscheduled)
+        dp_passthrough_flows_note_unscheduled (passthrough->flows, flow);
     }
   if ((segment->flags & DP_TCP_FIN) != 0)
     flow->client_finished = TRUE;
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -191,13 +191,11 @@
   flows->n_in_flight++;
   if (has_slot)
     dp_slots_request_started (flows->slots, flow->class, now);
-  else
-    set_unscheduled_ (flows, flow, TRUE);
 }
 
-/* Without a slot, the flow takes room from new flows again, until the answer begins. */
+/* Without a slot, the flow takes room from new flows until the answer begins. */
 void
-dp_passthrough_flows_continue_work (DpPassthroughFlows *flows, DpPassthroughFlow *flow)
+dp_passthrough_flows_note_unscheduled (DpPassthroughFlows *flows, DpPassthroughFlow *flow)
 {
   if (flow->in_flight && !flow->has_slot)
     set_unscheduled_ (flows, flow, TRUE);
--- a/src/test_libdogwoodpaddle/test_passthroughflows.c
+++ b/src/test_libdogwoodpaddle/test_passthroughflows.c
@@ -415,6 +415,29 @@
   CU_ASSERT_NOT_EQUAL (dp_concurrency_limit_service_time (limit, DP_TRAFFIC_BULK), 0);
 }
 
+/* A flow that loses its slot during a slow handshake has been admitted. Its first request
+ * must not keep new flows out, or decisions about flows of one request each change. */
+static void
+test_first_request_after_a_slow_handshake (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (FALSE, 0);
+  const DpPassthroughFlows *flows = dp_passthrough_flows (p);
+  const DpSegment syn = make_segment (9, DP_TCP_SYN, 100, 0, 0);
+  const DpSegment syn_ack = make_segment (9, DP_TCP_SYN | DP_TCP_ACK, 500, 101, 0);
+  const DpSegment request = make_segment (9, DP_TCP_ACK, 101, 501, 200);
+
+  send_client (p, &syn, DP_TRAFFIC_INTERACTIVE, 0);
+  dp_passthrough_from_server (p, &syn_ack, MS);
+  dp_passthrough_tick (p, 400 * MS);
+  CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 0);
+  for (guint i = 0; i < 4; i++)
+    open_flow (p, i, 410 * MS);
+  CU_ASSERT_EQUAL (dp_slots_busy (flows->slots), 4);
+  send_client (p, &request, DP_TRAFFIC_INTERACTIVE, 420 * MS);
+  CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 5);
+  CU_ASSERT_EQUAL (flows->n_unscheduled, 0);
+}
+
 static const DpTestCase cases_[] = {
   { "the counts agree with the flows in random sequences", test_random },
   { "a retransmission after the answer is no request",
@@ -425,6 +448,8 @@
     test_further_request_without_a_slot },
   { "requests have their class on flows that were open before a restart",
     test_class_of_flows_that_were_open_before_a_restart },
+  { "a first request after a slow handshake takes no room",
+    test_first_request_after_a_slow_handshake },
 };
 
 DP_TEST_MAIN ("passthroughflows", cases_)
