Placement: a reported limit counts as at most twice the slots

Speeds are bounded against wrong reports, limits were not: a member that reported a limit of 65,535 beside two slots got all new flows. A companion learns at most twice the declared slots, and no more counts now. test_placement fails on the code before.

Also reflows a comment.

--- a/src/libdogwoodpaddle/concurrencylimit.c
+++ b/src/libdogwoodpaddle/concurrencylimit.c
@@ -8,8 +8,6 @@
 /* Levels of requests in work that are told apart; with more than LEVELS_MAX / 2 declared
  * slots, several numbers of requests share a level. */
 #define LEVELS_MAX 32
-/* The limit is at most this many times the declared slots. */
-#define LIMIT_FACTOR_MAX 2
 /* Observations lose 63% of their weight in these times. The first is for the comparison
  * of levels and the present service time: at 75 requests/s it leaves some 75 samples, and
  * a change shows within a second. The other is for the usual time of a class, which has
@@ -170,7 +168,8 @@
   if (slots == limit->declared)
     return;
   limit->declared = slots;
-  limit->step = MAX ((slots * LIMIT_FACTOR_MAX + LEVELS_MAX - 1) / LEVELS_MAX, 1);
+  limit->step = MAX (
+      (slots * DP_CONCURRENCY_LIMIT_FACTOR_MAX + LEVELS_MAX - 1) / LEVELS_MAX, 1);
   memset (limit->levels, 0, sizeof limit->levels);
   limit->top_used = 0;
   set_level_limit_ (limit, (slots + limit->step - 1) / limit->step);
@@ -357,7 +356,7 @@
 static guint
 top_level_ (const DpConcurrencyLimit *limit)
 {
-  guint top = limit->declared * LIMIT_FACTOR_MAX / limit->step;
+  guint top = limit->declared * DP_CONCURRENCY_LIMIT_FACTOR_MAX / limit->step;
 
   if (limit->refused_with != 0)
     top = MIN (top, limit->refused_with / limit->step);
--- a/src/libdogwoodpaddle/include/protected/concurrencylimit.h
+++ b/src/libdogwoodpaddle/include/protected/concurrencylimit.h
@@ -11,6 +11,9 @@
 
 #include "protected/slots.h"
 
+/* The limit is at most this many times the declared slots. */
+#define DP_CONCURRENCY_LIMIT_FACTOR_MAX 2
+
 typedef struct _DpConcurrencyLimit DpConcurrencyLimit;
 
 /* Work on one request, as it was when the request began. */
--- a/src/libdogwoodpaddle/placement.c
+++ b/src/libdogwoodpaddle/placement.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "protected/clock.h"
+#include "protected/concurrencylimit.h"
 #include "protected/flowdirectory.h"
 
 /* After this many report intervals without a report, plus the margin, a member gets no
@@ -269,9 +270,8 @@
 
 /* Chooses the active member with the fewest flows in flight per slot and prefers the
  * balancer's own availability zone at about the same load. Members of evacuated zones are
- * never chosen. Members that have stopped
- * reporting are chosen only if no other is left, since it may be only their reports that
- * are lost. */
+ * never chosen. Members that have stopped reporting are chosen only if no other is left,
+ * since it may be only their reports that are lost. */
 DpHandle
 dp_placement_choose (DpPlacement *placement,
                      guint64 service_id,
@@ -898,14 +898,17 @@
 }
 
 /* Sets the slots that count in the choice of a member: the declared ones, or the learnt
- * limit times the speed. */
+ * limit times the speed. A limit beyond what a companion can learn is a wrong report and
+ * must not attract all flows. */
 static void
 update_weighted_slots_ (const DpPlacement *placement, Member *member)
 {
-  if (!placement->learned)
-    member->weighted_slots = MAX (member->slots, 1);
-  else
-    member->weighted_slots = MAX (member->limit > 0 ? member->limit : member->slots, 1)
+  const guint slots = MAX (member->slots, 1);
+  const guint limit = member->limit > 0 ? member->limit : slots;
+
+  member->weighted_slots = slots;
+  if (placement->learned)
+    member->weighted_slots = MIN (limit, slots * DP_CONCURRENCY_LIMIT_FACTOR_MAX)
                              * member->speed;
 }
 
--- a/src/test_libdogwoodpaddle/test_placement.c
+++ b/src/test_libdogwoodpaddle/test_placement.c
@@ -505,6 +505,22 @@
     }
 }
 
+/* A member that reports a limit far beyond its slots must not get all flows. Its share is
+ * that of twice its slots, the most that a companion learns. */
+static void
+test_wrong_limit (void)
+{
+  g_autoptr (DpPlacement) placement = make_placement (0, 0, 0);
+  DpReport report = make_report ("a-2", "riga-a", 2, 0);
+  guint n[4] = { 0 };
+
+  dp_placement_set_learned (placement, TRUE);
+  report.limit = G_MAXUINT16;
+  dp_placement_apply_report (placement, &report, 200 * MS);
+  place (placement, 40, n, 200 * MS);
+  CU_ASSERT_TRUE (n[2] >= 18 && n[2] <= 26);
+}
+
 /* A slow server that gets no flow can't show that it has recovered. */
 static void
 test_idle_slow_member (void)
@@ -638,6 +654,7 @@
   { "a cold member takes fewer flows", test_cold_member },
   { "a service without members", test_unknown_service },
   { "speeds", test_speeds },
+  { "a limit beyond twice the slots", test_wrong_limit },
   { "idle slow member", test_idle_slow_member },
   { "fixed ignores learned values", test_fixed_ignores_learned_values },
 };
