Passthrough: requests in close succession don't time out as one

A flow whose next request comes within 100 ms of an answer that ended with a full packet stays in flight, with the time of its first request. After 2 s, its next request counted as timed out at the next tick: it lost its slot and its sample for a learnt limit while the server worked on it, and the mean service time got up to 2 s for all of them together.

Each further request now starts the time anew and keeps the slot. test_passthroughflows fails on the code before.

--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -121,6 +121,10 @@
                                       DpPassthroughFlow *flow,
                                       gboolean has_slot,
                                       gint64 now);
+/* Records that the flow, which is in flight, has a further request. */
+void dp_passthrough_flows_restart_work (DpPassthroughFlows *flows,
+                                        DpPassthroughFlow *flow,
+                                        gint64 now);
 /* Records that the server has a request on this flow in flight that could not be held
  * back. */
 void dp_passthrough_flows_note_unscheduled (DpPassthroughFlows *flows,
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -969,6 +969,8 @@
   if (has_request && !flow->server_finished)
     {
       flow->last_answer_at = 0;
+      if (further && flow->in_flight)
+        dp_passthrough_flows_restart_work (passthrough->flows, flow, now);
       if (!flow->in_flight)
         dp_passthrough_flows_begin_work (
             passthrough->flows, flow,
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -193,6 +193,21 @@
     dp_slots_request_started (flows->slots, flow->class, now);
 }
 
+/* Keeps the slot, and counts the time of the work from now on. Otherwise a flow whose
+ * requests follow each other closely would time out as a whole. */
+void
+dp_passthrough_flows_restart_work (DpPassthroughFlows *flows,
+                                   DpPassthroughFlow *flow,
+                                   gint64 now)
+{
+  if (flow->has_slot)
+    {
+      dp_slots_request_abandoned (flows->slots, flow->class, flow->offered_at);
+      dp_slots_request_started (flows->slots, flow->class, now);
+    }
+  flow->offered_at = now;
+}
+
 /* Without a slot, the flow takes room from new flows until the answer begins. */
 void
 dp_passthrough_flows_note_unscheduled (DpPassthroughFlows *flows, DpPassthroughFlow *flow)
--- a/src/test_libdogwoodpaddle/test_passthroughflows.c
+++ b/src/test_libdogwoodpaddle/test_passthroughflows.c
@@ -438,6 +438,32 @@
   CU_ASSERT_EQUAL (flows->n_unscheduled, 0);
 }
 
+/* Requests that follow each other within 100 ms keep their flow in flight. Every 2 s, one
+ * of them was taken for one that had timed out while the server worked on it. */
+static void
+test_requests_in_close_succession (void)
+{
+  g_autoptr (DpPassthrough) p = make_passthrough (TRUE, 0);
+  const DpConcurrencyLimit *limit = dp_passthrough_concurrency (p);
+
+  open_flow (p, 1, S);
+  for (guint j = 0; j < 40; j++)
+    {
+      const gint64 now = S + (10 + 100 * j) * MS;
+      const DpSegment answer = make_segment (1, DP_TCP_ACK, 501 + 1200 * j, 301 + 200 * j,
+                                             1200);
+      const DpSegment request = make_segment (1, DP_TCP_ACK, 301 + 200 * j,
+                                              1701 + 1200 * j, 200);
+
+      dp_passthrough_from_server (p, &answer, now);
+      send_client (p, &request, DP_TRAFFIC_INTERACTIVE, now + 50 * MS);
+      dp_passthrough_tick (p, now + 60 * MS);
+      CU_ASSERT_EQUAL (dp_passthrough_in_flight (p), 1);
+      CU_ASSERT_EQUAL (dp_concurrency_limit_in_work (limit), 1);
+    }
+  check_counts (p);
+}
+
 static const DpTestCase cases_[] = {
   { "the counts agree with the flows in random sequences", test_random },
   { "a retransmission after the answer is no request",
@@ -450,6 +476,8 @@
     test_class_of_flows_that_were_open_before_a_restart },
   { "a first request after a slow handshake takes no room",
     test_first_request_after_a_slow_handshake },
+  { "requests in close succession don't time out as one",
+    test_requests_in_close_succession },
 };
 
 DP_TEST_MAIN ("passthroughflows", cases_)
