--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -53,7 +53,7 @@
   gboolean of_predecessor; /* of a server before; it has sent nothing since it was
                               replaced */
   gboolean answer_begun;   /* the server has sent data since the client's last new data */
-  gboolean answer_ended;   /* by a partial packet; cleared by the client's next data */
+  gboolean answer_ended;   /* by a partial packet; cleared by the client's next request */
   gboolean answer_overdue; /* an answer timed out, which was recorded as a failure */
   guint32 answer_start_seq; /* sequence number at which the answer begins */
   guint32 server_next_seq;  /* sequence number after the server's highest data */
@@ -88,7 +88,8 @@
   guint declared_slots;
   guint n_in_flight;   /* flows with a pending request; a flow's first request counts from
                           its SYN on */
-  guint n_unscheduled; /* flows in flight without a slot whose answer has not begun */
+  guint n_unscheduled; /* flows in flight without a slot whose answer has not begun; no
+                          first requests after a handshake that was seen here */
   DpAnswerEnd answer_end;
   gint64 flow_ttl;       /* us */
   gboolean complete;     /* the table holds every flow of the server */
@@ -120,6 +121,14 @@
                                       DpPassthroughFlow *flow,
                                       gboolean has_slot,
                                       gint64 now);
+/* Records that the flow, which is in flight, has a further request. */
+void dp_passthrough_flows_restart_work (DpPassthroughFlows *flows,
+                                        DpPassthroughFlow *flow,
+                                        gint64 now);
+/* Records that the server has a request on this flow in flight that could not be held
+ * back. */
+void dp_passthrough_flows_note_unscheduled (DpPassthroughFlows *flows,
+                                            DpPassthroughFlow *flow);
 /* Records that the client's data begin a new request, whose answer starts at the sequence
  * number answer_start_seq. */
 void dp_passthrough_flows_begin_request (DpPassthroughFlows *flows,
@@ -187,5 +196,8 @@
 const char *dp_passthrough_flow_state_string (const DpPassthroughFlow *flow);
 
 void dp_passthrough_flows_tick (DpPassthroughFlows *flows, gint64 now);
+/* Returns the table of a companion's flows, owned by the passthrough, so that its counts
+ * can be checked. */
+DpPassthroughFlows *dp_passthrough_flows (DpPassthrough *passthrough);
 /* Records a time in us; histogram may be NULL. */
 void dp_passthrough_flows_observe_time (DpHistogram *histogram, gint64 time);
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -561,6 +561,13 @@
   return candidates == NULL ? 0 : dp_candidates_view (candidates)->n_members;
 }
 
+/* Returns the flow table. */
+DpPassthroughFlows *
+dp_passthrough_flows (DpPassthrough *passthrough)
+{
+  return passthrough->flows;
+}
+
 /* Returns the number of flows in the table. */
 guint
 dp_passthrough_n_flows (const DpPassthrough *passthrough)
@@ -901,6 +908,9 @@
         return dp_passthrough_decision_forward_to_owner (&owner->member, hop);
       return search_owner_ (passthrough, segment, hop, DP_PASSTHROUGH_SEARCHING, now);
     }
+  /* The class of a flow that began before this process is known from its client only. */
+  if (flow->syn_seq == 0 && !flow->in_flight)
+    flow->class = (DpTrafficClass) hop->class;
   record_client_packet_ (passthrough, flow, segment, now);
   if ((opens && (flow->syn_age_ms > 0 || now - flow->syn_at > UNCONTESTED_OPEN_US))
       || (hop->n_visited > 0 && now - flow->registered_at > REGISTRATION_INTERVAL_US))
@@ -932,9 +942,18 @@
   const gboolean new_data = segment->payload_length > 0
                             && (!flow->request_seen
                                 || (gint32) (end - flow->client_next_seq) > 0);
+  /* A client that has received nothing of a complete answer retransmits its request. The
+   * server doesn't work on it again. */
+  const gboolean answered = flow->answer_ended && !new_data
+                            && (gint32) (segment->ack - flow->answer_start_seq) <= 0;
+  const gboolean has_request = segment->payload_length > 0 && !answered;
+  const gboolean further = new_data && is_further_request_ (flow);
+  /* A slow handshake doesn't make the flow's first request one that was not admitted. */
+  const gboolean unscheduled = (further || !flow->in_flight)
+                               && (flow->new_data_at != 0 || !flow->syn_ack_seen);
 
   flow->used_at = now;
-  if (new_data && is_further_request_ (flow))
+  if (further)
     dp_warmup_limit_note_further (passthrough->flows->warmup, now);
   if (new_data)
     {
@@ -943,28 +962,31 @@
     }
   if (flow->state == DP_PASSTHROUGH_FLOW_ANSWERED)
     flow->state = DP_PASSTHROUGH_FLOW_OPEN;
-  if (segment->payload_length > 0)
+  if (has_request)
     {
       flow->answer_ended = FALSE;
       dp_passthrough_flows_note_client_data (passthrough->flows, flow, segment, now);
     }
   /* The server's next byte is known from the client if the handshake was not seen, as on
    * a flow that was open before this process started. */
-  if (segment->payload_length > 0 && !flow->request_seen)
+  if (has_request && !flow->request_seen)
     dp_passthrough_flows_begin_request (
         passthrough->flows, flow,
         flow->syn_ack_seen ? flow->syn_ack_seq + 1 : segment->ack, now);
-  else if (segment->payload_length > 0 && !flow->in_flight && flow->first_byte_at != 0)
+  else if (has_request && !flow->in_flight && flow->first_byte_at != 0)
     dp_passthrough_flows_begin_request (passthrough->flows, flow, flow->server_next_seq,
                                         now);
-  if (segment->payload_length > 0 && !flow->server_finished && flow->in_flight)
-    flow->last_answer_at = 0;
-  else if (segment->payload_length > 0 && !flow->server_finished)
+  if (has_request && !flow->server_finished)
     {
       flow->last_answer_at = 0;
-      dp_passthrough_flows_begin_work (
-          passthrough->flows, flow,
-          dp_slots_acquire (passthrough->flows->slots, flow->class), now);
+      if (further && flow->in_flight)
+        dp_passthrough_flows_restart_work (passthrough->flows, flow, now);
+      if (!flow->in_flight)
+        dp_passthrough_flows_begin_work (
+            passthrough->flows, flow,
+            dp_slots_acquire (passthrough->flows->slots, flow->class), now);
+      if (unscheduled)
+        dp_passthrough_flows_note_unscheduled (passthrough->flows, flow);
     }
   if ((segment->flags & DP_TCP_FIN) != 0)
     flow->client_finished = TRUE;
--- a/src/libdogwoodpaddle/passthroughflows.c
+++ b/src/libdogwoodpaddle/passthroughflows.c
@@ -191,7 +191,28 @@
   flows->n_in_flight++;
   if (has_slot)
     dp_slots_request_started (flows->slots, flow->class, now);
-  else
+}
+
+/* Keeps the slot, and counts the time of the work from now on. Otherwise a flow whose
+ * requests follow each other closely would time out as a whole. */
+void
+dp_passthrough_flows_restart_work (DpPassthroughFlows *flows,
+                                   DpPassthroughFlow *flow,
+                                   gint64 now)
+{
+  if (flow->has_slot)
+    {
+      dp_slots_request_abandoned (flows->slots, flow->class, flow->offered_at);
+      dp_slots_request_started (flows->slots, flow->class, now);
+    }
+  flow->offered_at = now;
+}
+
+/* Without a slot, the flow takes room from new flows until the answer begins. */
+void
+dp_passthrough_flows_note_unscheduled (DpPassthroughFlows *flows, DpPassthroughFlow *flow)
+{
+  if (flow->in_flight && !flow->has_slot)
     set_unscheduled_ (flows, flow, TRUE);
 }
 
@@ -221,13 +242,15 @@
                                        const DpSegment *segment,
                                        gint64 now)
 {
-  /* Where the answer begins isn't known on a flow that began before this process. */
   if (flows->concurrency == NULL || flow->work != DP_HANDLE_NONE || flow->server_finished
-      || (!flow->syn_ack_seen && flow->new_data_at == 0)
       || (flow->request_seen && (gint32) (segment->ack - flow->work_answer_seq) <= 0))
     return;
-  flow->work_answer_seq = flow->new_data_at != 0 ? flow->server_next_seq
-                                                 : flow->syn_ack_seq + 1;
+  /* On a flow that began before this process, the client tells where the answer begins.
+   */
+  if (flow->new_data_at != 0)
+    flow->work_answer_seq = flow->server_next_seq;
+  else
+    flow->work_answer_seq = flow->syn_ack_seen ? flow->syn_ack_seq + 1 : segment->ack;
   flow->work = dp_handle_table_add (flows->works);
   if (flow->work != DP_HANDLE_NONE)
     dp_concurrency_limit_begin (flows->concurrency,
