--- a/review/common_2.py
+++ b/review/common_2.py
@@ -10,7 +10,6 @@
 import random
 import shutil
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -229,6 +228,7 @@
     Exits with 0 if there are none, 1 otherwise, and 2 if the case could not run.
     """
     random.seed(6)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended as well
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"TROUBLE={int(trouble)}")
@@ -245,7 +245,7 @@
             record.line(f"RULE BROKEN: {text}")
         record.line(f"processes that ended by themselves: {ended or 'none'}")
         status = 1 if broken else 0
-    except (OSError, RuntimeError, KeyError, subprocess.SubprocessError) as error:
+    except Exception as error:  # pylint: disable=broad-except
         record.line(f"could not run: {error!r}")
     finally:
         if site is not None:
