--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
-"""A third of the machines of a large service is lost at once; flows at the others go on after a pause."""
+"""After a rolling restart, a third of a large service's machines is lost at once; flows at the
+others go on after a pause."""
 
 import os
 import random
@@ -17,6 +18,8 @@
 
 N_SERVERS = 163  # of darbnica at the site lgkaa-serviss-large
 N_LOST = 54
+ROLL_SHARE, ROLL_AT_ONCE, ROLL_GAP_S = 0.45, 15, 1.3  # roll_term of that site
+RESTART_S = 0.3
 N_BALANCERS = 7
 N_BALANCERS_LOST = 2
 LAG_MAX_S = 1.0  # of the stand-ins after the loss, in all; a later run shows nothing
@@ -95,6 +98,44 @@
         return settings
 
 
+    def add_servers(self, services):
+        """Starts a node for each (service, zone), then the servers, whose starts the nodes see."""
+        for number, (service, zone) in enumerate(services, 1):
+            ip = f"{self.prefix}.2.{number}"
+            settings = self.settings("companion", f"side-{service}-{number}", ip, zone,
+                                     {"service": service, "app": f"{ip}:{standins.SERVER_PORT}"})
+            settings["listen"]["outbound"] = f"{ip}:{standins.OUTBOUND_PORT}"
+            settings["listen"]["control_plane"] = f"{ip}:{standins.ANNOUNCE_PORT}"
+            self.companions.append(standins.Process(self.program, "companion", self.folder,
+                                                    settings))
+        time.sleep(1.0)
+        for number, (service, zone) in enumerate(services, 1):
+            self.servers.append(self.server_class(
+                f"{self.prefix}.2.{number}", service, zone, f"i-{service}-{number}", slots=2,
+                heartbeat_s=self.heartbeat_ms / 1000))
+
+
+def roll(site, client, record):
+    """Planned work: nodes beside servers get SIGTERM, some at a time, and start again."""
+    def restart(process):
+        process.stop(common.BOUNDS["grace_s"])
+        time.sleep(RESTART_S)
+        process.start()
+
+    numbers = random.Random(5).sample(range(N_SERVERS), round(N_SERVERS * ROLL_SHARE))
+    threads = []
+    at = time.monotonic()
+    for i in range(0, len(numbers), ROLL_AT_ONCE):
+        for number in numbers[i:i + ROLL_AT_ONCE]:
+            threads.append(threading.Thread(target=restart, args=(site.companions[number],)))
+            threads[-1].start()
+        client.run(at + (i // ROLL_AT_ONCE + 1) * ROLL_GAP_S)
+    for thread in threads:
+        thread.join(10)
+    record.line(f"{len(numbers)} of {N_SERVERS} nodes beside servers of darbnica were restarted, "
+                f"{ROLL_AT_ONCE} at a time, in {time.monotonic() - at:.1f} s", at)
+
+
 def lose(site, numbers):
     """Machines with their servers lose power for good, all at once."""
     for i in numbers:
@@ -119,14 +160,17 @@
     site.configure(first_review.ROUTES)
     for i in range(N_BALANCERS):
         site.add_balancer(ZONES[i % 5])
-    for i in range(N_SERVERS):
-        site.add_server("darbnica", ZONES[i % 5], slots=2)
-    site.add_server("rokasgramata", "riga-a", slots=2)
+    site.add_servers([("darbnica", ZONES[i % 5]) for i in range(N_SERVERS)]
+                     + [("rokasgramata", "riga-a")])
     site.wait_ready(15)
+    seen = sum("just started" in companion.log() for companion in site.companions)
+    record.line(f"{seen} of {len(site.companions)} nodes have seen their server's start")
     client = first_review.Clients(site, standins.Router(site.balancers, True, random.Random(1)),
                                   random.Random(2))
     site.clients.append(client)
     client.run(time.monotonic() + STABLE_S)
+    roll(site, client, record)
+    client.run(time.monotonic() + STABLE_S)
     began = time.monotonic()
     for group in range(N_GROUPS):
         client.run(began + group * GROUP_S)
