Read texts with a number out of range in a field that nobody reads

Heartbeats and versions of the configuration with such a field were refused.

Cause: dp_json_parse () refused the whole text, to keep JSON-GLib from reading large integers modulo 2^64. Log line: "json: the text holds a number that is out of range".

A number out of range now reaches the parser as the nearest double, or as null if that would be infinite, so that the reader of the field refuses it and nothing else is lost. internal_port_range and the numbers of the settings are checked for type and range, which the refusal of the whole text had done. Malformed numbers are refused.

--- a/src/libdogwoodpaddle/include/protected/json.h
+++ b/src/libdogwoodpaddle/include/protected/json.h
@@ -5,6 +5,9 @@
 
 #define DP_JSON_DEPTH_MAX 32
 
+/* A number that fits neither into 64 bits with a sign nor into a double is read as null,
+ * and an integer beyond 64 bits as a double, so that it spoils no other value of the
+ * text, and is no integer to the functions below. */
 JsonNode *dp_json_parse (const char *text, gsize length, GError **error);
 char *dp_json_format (JsonNode *node);
 /* Moves the text of each element of an array member to elements, so that the elements can
@@ -23,6 +26,7 @@
  * FALSE or the fallback. */
 const char *dp_json_get_string (JsonObject *object, const char *key);
 gboolean dp_json_get_uint (JsonObject *object, const char *key, guint64 *value);
+gboolean dp_json_get_uint_element (JsonArray *array, guint index, guint64 *value);
 gboolean dp_json_get_boolean (JsonObject *object, const char *key, gboolean fallback);
 JsonArray *dp_json_get_array (JsonObject *object, const char *key);
 JsonObject *dp_json_get_object (JsonNode *node);
--- a/src/libdogwoodpaddle/json.c
+++ b/src/libdogwoodpaddle/json.c
@@ -6,10 +6,24 @@
 
 #include "protected/error.h"
 
-#define NUMBER_MAX_BYTES 64
+/* Integers of at most so many digits fit into 64 bits with a sign. */
+#define SHORT_INTEGER_DIGITS 18
 
-static const char *check_text_ (const char *text, gsize length);
+/* Position of a number in a text. */
+typedef struct
+{
+  gsize offset;
+  gsize length;
+} Number;
+
+static const char *check_text_ (const char *text, gsize length, GArray *wide_numbers);
+static gsize number_length_ (const char *text, gsize length);
+static gboolean is_number_ (const char *text, gsize length);
+static gsize n_digits_ (const char *text, gsize length);
 static gboolean number_fits_ (const char *text, gsize length);
+static GString *
+replace_wide_numbers_ (const char *text, gsize length, const GArray *wide_numbers);
+static gboolean read_uint_ (JsonNode *node, guint64 *value);
 static JsonNode *get_member_ (JsonObject *object, const char *key);
 static const char *find_member_ (const char *text, const char *key);
 static const char *skip_space_ (const char *at);
@@ -17,13 +31,14 @@
 static const char *skip_value_ (const char *at);
 
 /* Parses one JSON value. Fails with DP_ERROR_INVALID if the text is malformed, nested
- * deeper than DP_JSON_DEPTH_MAX, or holds a number out of range or a comment. The depth
- * is limited because JSON-GLib's parser recurses once per level. The parser reads large
- * integers modulo 2^64, some negative ones as positive, and prints 1e999 as a word. */
+ * deeper than DP_JSON_DEPTH_MAX, or holds a comment. The depth is limited because
+ * JSON-GLib's parser recurses once per level. */
 JsonNode *
 dp_json_parse (const char *text, gsize length, GError **error)
 {
   g_autoptr (JsonParser) parser = NULL;
+  g_autoptr (GArray) wide_numbers = g_array_new (FALSE, FALSE, sizeof (Number));
+  g_autoptr (GString) replaced = NULL;
   g_autoptr (GError) cause = NULL;
   const char *fault = NULL;
   JsonNode *root;
@@ -33,12 +48,18 @@
       dp_error_set (error, DP_ERROR_INVALID, "json", NULL, "the text is not UTF-8");
       return NULL;
     }
-  fault = check_text_ (text, length);
+  fault = check_text_ (text, length, wide_numbers);
   if (fault != NULL)
     {
       dp_error_set (error, DP_ERROR_INVALID, "json", NULL, "%s", fault);
       return NULL;
     }
+  if (wide_numbers->len > 0)
+    {
+      replaced = replace_wide_numbers_ (text, length, wide_numbers);
+      text = replaced->str;
+      length = replaced->len;
+    }
   parser = json_parser_new_immutable ();
   if (!json_parser_load_from_data (parser, text, (gssize) length, &cause))
     {
@@ -194,13 +215,15 @@
 gboolean
 dp_json_get_uint (JsonObject *object, const char *key, guint64 *value)
 {
-  JsonNode *node = get_member_ (object, key);
+  return read_uint_ (get_member_ (object, key), value);
+}
 
-  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
-      || json_node_get_value_type (node) != G_TYPE_INT64 || json_node_get_int (node) < 0)
-    return FALSE;
-  *value = (guint64) json_node_get_int (node);
-  return TRUE;
+/* Sets value to the element of the array if that is a non-negative integer. */
+gboolean
+dp_json_get_uint_element (JsonArray *array, guint index, guint64 *value)
+{
+  return index < json_array_get_length (array)
+         && read_uint_ (json_array_get_element (array, index), value);
 }
 
 /* Returns the boolean member named key, or fallback. */
@@ -232,11 +255,12 @@
                                                        : NULL;
 }
 
-/* Returns what is wrong with the text's nesting or numbers, or NULL. Everything else is
- * left to the parser, but for what it accepts beyond JSON: comments and strings in single
- * quotes could hide brackets from the count. */
+/* Returns what is wrong with the text's nesting or numbers, or NULL, and appends the
+ * numbers that don't fit to wide_numbers. Everything else is left to the parser, but for
+ * what it accepts beyond JSON: comments and strings in single quotes could hide brackets
+ * from the count. */
 static const char *
-check_text_ (const char *text, gsize length)
+check_text_ (const char *text, gsize length, GArray *wide_numbers)
 {
   gboolean in_string = FALSE;
   guint depth = 0;
@@ -259,14 +283,13 @@
         return "the text holds a comment or another character that is not JSON";
       else if (g_ascii_isdigit (c) || c == '-')
         {
-          gsize end = i + 1;
-
-          while (end < length
-                 && (g_ascii_isalnum (text[end]) || strchr ("+-.", text[end])))
-            end++;
-          if (!number_fits_ (text + i, end - i))
-            return "the text holds a number that is out of range";
-          i = end - 1;
+          const Number number = { i, number_length_ (text + i, length - i) };
+
+          if (!is_number_ (text + i, number.length))
+            return "the text holds a malformed number";
+          if (!number_fits_ (text + i, number.length))
+            g_array_append_val (wide_numbers, number);
+          i += number.length - 1;
         }
       if (depth > DP_JSON_DEPTH_MAX)
         return "the text nests deeper than " G_STRINGIFY (DP_JSON_DEPTH_MAX) " levels";
@@ -274,27 +297,118 @@
   return NULL;
 }
 
+/* Returns the length of the number at the beginning of the text, with all that follows
+ * it up to a character that can't belong to a number. */
+static gsize
+number_length_ (const char *text, gsize length)
+{
+  gsize end = 1;
+
+  while (end < length && (g_ascii_isalnum (text[end]) || strchr ("+-.", text[end])))
+    end++;
+  return end;
+}
+
+/* Returns whether the text is a number by RFC 8259, section 6. */
+static gboolean
+is_number_ (const char *text, gsize length)
+{
+  const char *at = text;
+  const char *end = text + length;
+  gsize n;
+
+  if (at < end && *at == '-')
+    at++;
+  n = n_digits_ (at, (gsize) (end - at));
+  if (n == 0 || (n > 1 && *at == '0'))
+    return FALSE;
+  at += n;
+  if (at < end && *at == '.')
+    {
+      n = n_digits_ (at + 1, (gsize) (end - at - 1));
+      if (n == 0)
+        return FALSE;
+      at += 1 + n;
+    }
+  if (at < end && (*at == 'e' || *at == 'E'))
+    {
+      at++;
+      if (at < end && (*at == '+' || *at == '-'))
+        at++;
+      n = n_digits_ (at, (gsize) (end - at));
+      if (n == 0)
+        return FALSE;
+      at += n;
+    }
+  return at == end;
+}
+
+/* Returns the number of digits at the beginning of the text. */
+static gsize
+n_digits_ (const char *text, gsize length)
+{
+  gsize n = 0;
+
+  while (n < length && g_ascii_isdigit (text[n]))
+    n++;
+  return n;
+}
+
 /* Returns whether an integer fits into 64 bits with a sign, or another number into a
- * double. Text that is no number is left to the parser. */
+ * double. */
 static gboolean
 number_fits_ (const char *text, gsize length)
 {
-  char number[NUMBER_MAX_BYTES];
-  gboolean is_integer = TRUE;
+  const gsize sign = *text == '-' ? 1 : 0;
+  const gboolean is_integer = n_digits_ (text + sign, length - sign) == length - sign;
+  g_autofree char *number = NULL;
 
-  if (length >= sizeof number)
-    return FALSE;
-  memcpy (number, text, length);
-  number[length] = '\0';
-  for (gsize i = 1; i < length; i++)
-    is_integer = is_integer && g_ascii_isdigit (number[i]);
-  errno = 0;
+  if (is_integer && length - sign <= SHORT_INTEGER_DIGITS)
+    return TRUE;
+  number = g_strndup (text, length);
   if (!is_integer)
     return isfinite (g_ascii_strtod (number, NULL));
+  errno = 0;
   g_ascii_strtoll (number, NULL, 10);
   return errno != ERANGE;
 }
 
+/* Returns the text with each of the numbers, which are in the order of the text, as a
+ * double, or as null if it is no finite one. JSON-GLib reads large integers modulo 2^64,
+ * some negative ones as positive, and prints an infinite double as a word. */
+static GString *
+replace_wide_numbers_ (const char *text, gsize length, const GArray *wide_numbers)
+{
+  GString *replaced = g_string_sized_new (length);
+  gsize copied = 0;
+
+  for (guint i = 0; i < wide_numbers->len; i++)
+    {
+      const Number *wide = &g_array_index (wide_numbers, Number, i);
+      g_autofree char *number = g_strndup (text + wide->offset, wide->length);
+      const double value = g_ascii_strtod (number, NULL);
+      char printed[G_ASCII_DTOSTR_BUF_SIZE];
+
+      g_string_append_len (replaced, text + copied, (gssize) (wide->offset - copied));
+      g_string_append (replaced, isfinite (value)
+                                     ? g_ascii_dtostr (printed, sizeof printed, value)
+                                     : "null");
+      copied = wide->offset + wide->length;
+    }
+  return g_string_append_len (replaced, text + copied, (gssize) (length - copied));
+}
+
+/* Sets value to that of the node, which may be NULL, if it is a non-negative integer. */
+static gboolean
+read_uint_ (JsonNode *node, guint64 *value)
+{
+  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
+      || json_node_get_value_type (node) != G_TYPE_INT64 || json_node_get_int (node) < 0)
+    return FALSE;
+  *value = (guint64) json_node_get_int (node);
+  return TRUE;
+}
+
 static JsonNode *
 get_member_ (JsonObject *object, const char *key)
 {
--- a/src/test_platform/test_hosted_settings.c
+++ b/src/test_platform/test_hosted_settings.c
@@ -20,6 +20,19 @@
     "\"app\":\"10.1.0.12:8165\",\"service\":\"huvo11a\","
     "\"platform\":{\"address\":\"10.200.1.7:8169\"}}";
 
+/* Values of fields that nobody reads. */
+static const char *const unread_values_[] = {
+  "18446744073709551615",
+  "-9223372036854775809",
+  "1234567890123456789012345678901234567890",
+  "1e999",
+  "-1E+999",
+  "0.00000000000000000000000000000000000000000000000000000000000000001",
+  "{\"a\":[1e999,{\"b\":[-1e999]}]}",
+  "\"\\/\\u012b\\ud83d\\ude00\"",
+  "null",
+};
+
 static Settings *
 load (const char *text, Role role, GError **error)
 {
@@ -73,6 +86,7 @@
     { "\"warmup_overrun\":2,\"warmup_slack\":0,", 2, 0 },
     { "\"warmup_overrun\":\"1.5\",\"warmup_slack\":-5,", 0, 0 },
     { "\"warmup_overrun\":null,\"warmup_slack\":[5],", 0, 0 },
+    { "\"warmup_overrun\":1e999,\"warmup_slack\":18446744073709551615,", 0, 0 },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -88,6 +102,70 @@
     }
 }
 
+/* A new field with the figure for "unlimited" kept every process from starting. */
+static void
+test_new_fields (void)
+{
+  static const char *const places[] = { "\"listen\":{", "\"bounds\":{", "\"platform\":{",
+                                        "{" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (unread_values_) * G_N_ELEMENTS (places); i++)
+    {
+      const char *place = places[i % G_N_ELEMENTS (places)];
+      g_autofree char *with_field = g_strdup_printf (
+          "%s\"newer\":%s,", place, unread_values_[i / G_N_ELEMENTS (places)]);
+      g_auto (GStrv) parts = g_strsplit (complete_, place, 2);
+      g_autofree char *text = g_strjoinv (with_field, parts);
+      g_autoptr (GError) error = NULL;
+      g_autoptr (Settings) settings = load (text, ROLE_COMPANION, &error);
+
+      if (settings == NULL)
+        CU_FAIL (with_field);
+      if (settings == NULL)
+        continue;
+      CU_ASSERT_EQUAL (settings->flow_ttl_s, 60.5);
+      CU_ASSERT_EQUAL (settings->report_address.port, 7720);
+      CU_ASSERT_EQUAL (settings->peers->len, 2);
+    }
+}
+
+/* A value out of range in a key that is read must not pass as another value. */
+static void
+test_numbers_out_of_range (void)
+{
+  static const struct
+  {
+    const char *key;
+    const char *valid;
+    const char *value;
+  } cases[] = {
+    { "internal_port_range", "[7720,7735]", "[18446744073709559336,7735]" },
+    { "internal_port_range", "[7720,7735]", "[7720.5,7735]" },
+    { "internal_port_range", "[7720,7735]", "[\"7720\",7735]" },
+    { "internal_port_range", "[7720,7735]", "[]" },
+    { "heartbeat_ms", "1200", "1e999" },
+    { "heartbeat_ms", "1200", "-18446744073709551615" },
+    { "heartbeat_ms", "1200", "18446744073709551615" },
+    { "stable_window_ms", "3000", "1e308" },
+    { "flow_ttl_s", "60.5", "1e18" },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *valid = g_strdup_printf ("\"%s\":%s", cases[i].key,
+                                                cases[i].valid);
+      g_autofree char *wrong = g_strdup_printf ("\"%s\":%s", cases[i].key,
+                                                cases[i].value);
+      g_auto (GStrv) parts = g_strsplit (complete_, valid, 2);
+      g_autofree char *text = g_strjoinv (wrong, parts);
+      g_autoptr (GError) error = NULL;
+
+      CU_ASSERT_PTR_NULL (load (text, ROLE_COMPANION, &error));
+      CU_ASSERT_PTR_NOT_NULL (error == NULL ? NULL
+                                            : strstr (error->message, cases[i].key));
+    }
+}
+
 /* Each of these keys is required, and the error names the one that is missing. */
 static void
 test_missing (void)
@@ -275,6 +353,22 @@
     }
 }
 
+/* A heartbeat with a new field of 64 bits was answered with 400, so that its server was
+ * not used. */
+static void
+test_heartbeat_with_a_new_field (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (unread_values_); i++)
+    {
+      g_autofree char *state = g_strdup_printf ("\"draining\",\"newer\":%s",
+                                                unread_values_[i]);
+      g_autoptr (GError) error = NULL;
+
+      if (!parse_heartbeat ("state", state, &error))
+        CU_FAIL (unread_values_[i]);
+    }
+}
+
 /* A body need not be an object. */
 static void
 test_heartbeat_without_fields (void)
@@ -294,11 +388,14 @@
 static const DpTestCase cases_[] = {
   { "bounds of cold servers", test_warmup_bounds },
   { "complete settings", test_complete },
+  { "new fields, whatever they hold", test_new_fields },
+  { "numbers out of range in known fields", test_numbers_out_of_range },
   { "a missing key is named", test_missing },
   { "malformed settings", test_malformed },
   { "the bound for evacuations", test_evacuate_ms },
   { "valid and invalid heartbeats", test_heartbeats },
   { "a heartbeat without one of its fields", test_heartbeat_without_a_field },
+  { "a heartbeat with a new field", test_heartbeat_with_a_new_field },
   { "a heartbeat that is no object or an empty one", test_heartbeat_without_fields },
 };
 
--- a/src/test_platform/test_hosted_store.c
+++ b/src/test_platform/test_hosted_store.c
@@ -261,6 +261,50 @@
     }
 }
 
+/* A number out of range in a field that nobody reads made the operator's version, the
+ * object's name or the whole answer unreadable. */
+static void
+test_new_fields (void)
+{
+  static const char *const values[] = {
+    "18446744073709551615",
+    "-9223372036854775809",
+    "1234567890123456789012345678901234567890",
+    "1e999",
+    "{\"a\":[-1e999]}",
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      const char *value = values[i];
+      g_autofree char *object = g_strdup_printf (
+          "{\"newer\":%s,\"meta\":{\"newer\":%s,\"name\":\"main\",\"revision\":54},"
+          "\"spec\":{\"newer\":%s,\"version\":9,\"limits\":{\"newer\":%s},\"routes\":["
+          "{\"newer\":%s,\"host\":\"198.18.0.1\",\"path_prefix\":\"/8443/\","
+          "\"service\":\"dispatch\"}]}}",
+          value, value, value, value, value);
+      g_autofree char *list = g_strdup_printf (
+          "{\"newer\":%s,\"items\":[%s],\"has_more\":false,\"as_of\":56}", value, object);
+      g_autofree char *events = g_strdup_printf (
+          "{\"newer\":%s,\"events\":[{\"newer\":%s,\"deleted\":false,\"object\":%s}],"
+          "\"as_of\":56}",
+          value, value, object);
+      g_autoptr (GBytes) body = bytes (events);
+      g_autoptr (GError) error = NULL;
+      guint64 revision = 0;
+      char *after = NULL;
+      g_autoptr (GPtrArray)
+          records = read_list (STORE_SERVICES, list, &revision, &after, &error);
+
+      if (error != NULL || records->len != 2)
+        CU_FAIL (list);
+      g_ptr_array_set_size (records, 0);
+      if (!store_dialect.read_events (body, STORE_SERVICES, records, &revision, &error)
+          || records->len != 2)
+        CU_FAIL (events);
+    }
+}
+
 static void
 test_balancers (void)
 {
@@ -596,6 +640,7 @@
   { "events beside the configuration hide no change of it",
     test_events_beside_the_configuration },
   { "a lower version after a higher one", test_event_with_a_lower_version },
+  { "new fields, whatever they hold", test_new_fields },
   { "a change that can't be read is an error", test_unreadable_configurations },
   { "balancers' registrations", test_balancers },
   { "malformed objects are skipped, valid ones are used", test_malformed_spec },
