--- a/fuzzing/fuzz_report.c
+++ b/fuzzing/fuzz_report.c
@@ -27,6 +27,16 @@
       if (dp_report_encode (&message.report, buffer) == 0)
         g_error ("a decoded report can't be encoded");
     }
+  else if (message.type == DP_REPORT_OWNER_QUERY)
+    {
+      if (dp_owner_query_encode (&message.query, message.service, buffer) == 0)
+        g_error ("a decoded query can't be encoded");
+    }
+  else if (message.type == DP_REPORT_OWNER_ANSWER)
+    {
+      if (dp_owner_answer_encode (&message.answer, message.service, buffer) == 0)
+        g_error ("a decoded answer can't be encoded");
+    }
   else if (message.type == DP_REPORT_POLICY)
     {
       g_autoptr (DpEvacuations) evacuations = dp_evacuations_new ();
--- a/src/libdogwoodpaddle/candidates.c
+++ b/src/libdogwoodpaddle/candidates.c
@@ -194,17 +194,6 @@
                      guint64 flow_hash,
                      DpCandidateSet set,
                      guint32 id)
-{
-  return dp_candidates_after_accepted (candidates, flow_hash, set, id, NULL, NULL);
-}
-
-const DpMember *
-dp_candidates_after_accepted (const DpCandidates *candidates,
-                              guint64 flow_hash,
-                              DpCandidateSet set,
-                              guint32 id,
-                              DpMemberAcceptFunc accept,
-                              gconstpointer user_data)
 {
   const Ring *ring = &candidates->ring;
   const DpMemberView *view = candidates->view;
@@ -228,8 +217,7 @@
       seen[member / 64] |= G_GUINT64_CONSTANT (1) << (member % 64);
       if (m == self)
         self_reached = TRUE;
-      else if (eligible_ (candidates, member, set)
-               && (accept == NULL || accept (m, user_data)))
+      else if (eligible_ (candidates, member, set))
         {
           if (self_reached)
             return m;
--- a/src/libdogwoodpaddle/include/private/ownerregistrar.h
+++ b/src/libdogwoodpaddle/include/private/ownerregistrar.h
@@ -14,6 +14,9 @@
 void dp_owner_registrar_set_address (DpOwnerRegistrar *registrar,
                                      const DpAddress *address);
 const DpAddress *dp_owner_registrar_address (const DpOwnerRegistrar *registrar);
+/* Returns what is registered for a flow of this member. */
+DpFlowOwner dp_owner_registrar_make_owner (const DpOwnerRegistrar *registrar,
+                                           const DpPassthroughFlow *flow);
 /* Registers the flow with its directory members. */
 void dp_owner_registrar_register (DpOwnerRegistrar *registrar,
                                   const DpCandidates *candidates,
--- a/src/libdogwoodpaddle/include/private/ownersearch.h
+++ b/src/libdogwoodpaddle/include/private/ownersearch.h
@@ -1,5 +1,5 @@
-/* The search of a flow's owner from member to member: decides which member a packet
- * visits next, and keeps the packet until it is known whether that member answers.
+/* The way of a packet to a member that keeps its flow's directory entry: decides which
+ * member it visits next, and keeps it until it is known whether that member answers.
  * Performs no I/O. */
 #pragma once
 
--- a/src/libdogwoodpaddle/include/private/passthroughflows.h
+++ b/src/libdogwoodpaddle/include/private/passthroughflows.h
@@ -32,6 +32,8 @@
   gint64 registered_at; /* us, last registration in the flow directory, 0: none yet */
   guint32 registered_with[DP_FLOW_DIRECTORY_MEMBERS]; /* member ids, 0: none */
   gboolean server_asked; /* the server has returned a packet of the flow */
+  DpAddress copy_sender; /* member that waits to hear whether the server has the flow;
+                            port 0: none */
   gboolean syn_ack_seen; /* the server's SYN-ACK was seen */
   guint32 syn_ack_seq;   /* sequence number of the SYN-ACK */
   gboolean in_flight;    /* counted in n_in_flight */
--- a/src/libdogwoodpaddle/include/private/peerprobes.h
+++ b/src/libdogwoodpaddle/include/private/peerprobes.h
@@ -35,6 +35,5 @@
 gboolean dp_peer_probes_is_responsive (const DpPeerProbes *probes,
                                        const DpAddress *member,
                                        gint64 now);
-guint dp_peer_probes_n_unresponsive (const DpPeerProbes *probes, gint64 now);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpPeerProbes, dp_peer_probes_free)
--- a/src/libdogwoodpaddle/include/private/searchqueue.h
+++ b/src/libdogwoodpaddle/include/private/searchqueue.h
@@ -13,9 +13,8 @@
   DpHop hop;        /* as the packet came here */
   DpAddress member; /* that the packet was forwarded to */
   GBytes *packet;
-  gint64 sent_at;          /* us, to this member */
-  gint64 first_sent_at;    /* us, to the first one */
-  gboolean was_responsive; /* whether the member counted as responsive then */
+  gint64 sent_at;       /* us, to this member */
+  gint64 first_sent_at; /* us, to the first one */
 } DpSearchedPacket;
 
 DpSearchQueue *dp_search_queue_new (void);
--- a/src/libdogwoodpaddle/include/protected/candidates.h
+++ b/src/libdogwoodpaddle/include/protected/candidates.h
@@ -24,8 +24,6 @@
   guint16 state; /* DpMemberState */
 } DpTarget;
 
-typedef gboolean (*DpMemberAcceptFunc) (const DpMember *member, gconstpointer user_data);
-
 DpCandidates *dp_candidates_new (DpMemberView *view);
 void dp_candidates_free (DpCandidates *candidates);
 DpMemberView *dp_candidates_view (const DpCandidates *candidates);
@@ -44,14 +42,6 @@
                                      guint64 flow_hash,
                                      DpCandidateSet set,
                                      guint32 id);
-/* As dp_candidates_after (), but considers only members that accept () returns TRUE for;
- * NULL: all members of the set. */
-const DpMember *dp_candidates_after_accepted (const DpCandidates *candidates,
-                                              guint64 flow_hash,
-                                              DpCandidateSet set,
-                                              guint32 id,
-                                              DpMemberAcceptFunc accept,
-                                              gconstpointer user_data);
 gsize dp_candidates_bytes (const DpCandidates *candidates);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpCandidates, dp_candidates_free)
--- a/src/libdogwoodpaddle/include/protected/flowdirectory.h
+++ b/src/libdogwoodpaddle/include/protected/flowdirectory.h
@@ -23,6 +23,23 @@
   DpAddress member;   /* the owner's packet port */
 } DpFlowOwner;
 
+/* A member's question to the others for a flow's owner that it doesn't know. */
+typedef struct
+{
+  DpFlowKey key;
+  guint32 ack;      /* of the client's packet: ports are used again, and the owner knows
+                       what the client may acknowledge */
+  DpAddress sender; /* packet port of the member that asks */
+} DpOwnerQuery;
+
+/* The answer of a member that names no owner. */
+typedef struct
+{
+  DpFlowKey key;
+  gboolean may_have_flow; /* only the member's server can know */
+  DpAddress sender;       /* packet port of the member that answers */
+} DpOwnerAnswer;
+
 typedef struct _DpFlowDirectory DpFlowDirectory;
 
 typedef void (*DpFlowOwnerFunc) (const DpFlowOwner *owner, gpointer user_data);
--- a/src/libdogwoodpaddle/include/protected/packetformat.h
+++ b/src/libdogwoodpaddle/include/protected/packetformat.h
@@ -11,13 +11,17 @@
 #define DP_SERVICE_TAG_BITS 24
 #define DP_OWNERS_TRIED_MAX 2
 #define DP_SEARCH_STEPS_MAX 3
+/* Number of visits of a packet that is not to be forwarded any more: a copy that was sent
+ * to every member that may have its flow. */
+#define DP_VISITS_ENDED G_MAXUINT8
 
 /* Hop-by-hop metadata: what one process of the system tells the next about a packet. */
 typedef struct
 {
   guint32 service_tag;   /* dp_service_tag () of the service that the packet belongs to */
   guint8 class;          /* DpTrafficClass */
-  guint8 n_visited;      /* number of members that the packet has visited before */
+  guint8 n_visited;      /* number of members that the packet has visited before, or
+                            DP_VISITS_ENDED */
   guint8 search_steps;   /* visits since the search for the flow's owner began, at most
                             DP_SEARCH_STEPS_MAX; 0: the packet goes where its flow was
                             placed */
--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -3,11 +3,14 @@
  * no I/O: the caller passes in a packet and the time, and carries out the decision.
  *
  * Only the companions know which member owns a flow. A packet that reaches a member
- * without its flow is forwarded to the owner that the flow directory names or, if that
- * has no entry, along the flow's order of members until it reaches the owner. A member on
- * the way may be down without anybody knowing it yet. It is probed along with the packet,
- * which is kept: if the probe is not answered, the packet goes on to the next member.
- * Members that have left a probe unanswered are visited last.
+ * without its flow is forwarded to a member that keeps the flow's directory entry, and
+ * from there to the owner that the entry names. The member that it is forwarded to may be
+ * down without anybody knowing it yet. It is probed along with the packet, which is kept:
+ * if the probe is not answered, the packet goes to the other member with the entry. If
+ * there is no entry, or no member to ask for it, all members are asked for the owner at
+ * once, and the packet waits for their answers. If none names an owner, the members whose
+ * servers may have the flow get the packet one after the other. The time to the owner
+ * doesn't depend on how many members are down.
  *
  * Load pattern: more work than slots for some seconds, as at a peak of demand, or after a
  * power failure, when all clients come back at once to cold servers. The SYN of a new
@@ -42,6 +45,7 @@
   DP_PASSTHROUGH_RESET,     /* answer the client with a reset */
   DP_PASSTHROUGH_HOLD, /* hold the SYN until dp_passthrough_next_released () releases it
                         */
+  DP_PASSTHROUGH_ASK_MEMBERS, /* keep the packet with dp_passthrough_ask_members () */
   DP_PASSTHROUGH_DROP,
   DP_N_PASSTHROUGH_ACTIONS
 } DpPassthroughAction;
@@ -241,6 +245,57 @@
 gboolean dp_passthrough_next_unanswered (DpPassthrough *passthrough,
                                          DpRedecidedPacket *unanswered,
                                          gint64 now);
+/* Keeps a packet after a DP_PASSTHROUGH_ASK_MEMBERS, and has all members asked for the
+ * owner of its flow; takes a reference to the packet. hop: that of the decision. */
+void dp_passthrough_ask_members (DpPassthrough *passthrough,
+                                 const DpSegment *segment,
+                                 const DpHop *hop,
+                                 GBytes *packet,
+                                 gint64 now);
+/* Sets query to the next one to be sent to all members besides this one, of which view,
+ * owned by the passthrough, is set to the list; returns FALSE if there is none. To be
+ * called along with dp_passthrough_next_registration (). */
+gboolean dp_passthrough_next_query (DpPassthrough *passthrough,
+                                    DpOwnerQuery *query,
+                                    const DpMemberView **view);
+/* Answers the query of another member. Returns TRUE and sets owner if an owner of the
+ * flow is known here, otherwise sets answer. */
+gboolean dp_passthrough_answer_query (DpPassthrough *passthrough,
+                                      const DpOwnerQuery *query,
+                                      DpFlowOwner *owner,
+                                      DpOwnerAnswer *answer,
+                                      gint64 now);
+/* Records a member's answer to a query, or that its server has returned the copy of a
+ * packet. Returns whether dp_passthrough_next_unfound () is to be called. */
+gboolean dp_passthrough_note_owner_answer (DpPassthrough *passthrough,
+                                           const DpOwnerAnswer *answer);
+/* Sets found to the next kept packet of the flow if its owner is registered here, with a
+ * new decision; returns FALSE if there is none. To be called after
+ * dp_passthrough_register_owner () and dp_passthrough_register_copy () until it returns
+ * FALSE. */
+gboolean dp_passthrough_next_found (DpPassthrough *passthrough,
+                                    const DpFlowKey *key,
+                                    DpRedecidedPacket *found,
+                                    gint64 now);
+/* Sets unfound to the next packet whose flow's owner no member has named, with a new
+ * decision, which sends a copy to a member that may have the flow or, once there is none
+ * left, is the last one; returns FALSE if there is none. To be called after
+ * dp_passthrough_note_owner_answer () and every DP_PASSTHROUGH_RETRY_INTERVAL_MS until it
+ * returns FALSE, as long as packets are kept. */
+gboolean dp_passthrough_next_unfound (DpPassthrough *passthrough,
+                                      DpRedecidedPacket *unfound,
+                                      gint64 now);
+/* Records who has sent the copy of a packet that the server is asked about. */
+void dp_passthrough_note_copy (DpPassthrough *passthrough,
+                               const DpSegment *segment,
+                               const DpAddress *sender,
+                               gint64 now);
+/* Gives the member that has sent the copy of a packet that the server has returned;
+ * returns FALSE if that is not known. */
+gboolean dp_passthrough_copy_sender (DpPassthrough *passthrough,
+                                     const DpSegment *segment,
+                                     DpAddress *sender);
+/* Returns the number of kept packets and of searches among the members. */
 guint dp_passthrough_n_kept (const DpPassthrough *passthrough);
 /* Sets member to the next one to be probed; returns FALSE if there is none. To be called
  * along with dp_passthrough_next_registration (). */
--- a/src/libdogwoodpaddle/include/protected/report.h
+++ b/src/libdogwoodpaddle/include/protected/report.h
@@ -81,8 +81,11 @@
                               keep */
   DP_REPORT_PROBE,         /* asks whether the receiver runs */
   DP_REPORT_PROBE_ANSWER,
-  DP_REPORT_POLICY, /* evacuations, and what a companion needs of its service's
-                       configuration */
+  DP_REPORT_POLICY,       /* evacuations, and what a companion needs of its service's
+                             configuration */
+  DP_REPORT_OWNER_QUERY,  /* asks for the owner of a flow; answered by DP_REPORT_OWNER or
+                             DP_REPORT_OWNER_ANSWER, not known to earlier versions */
+  DP_REPORT_OWNER_ANSWER, /* the sender does not, or may, have the flow */
   DP_N_REPORT_TYPES
 } DpReportType;
 
@@ -92,10 +95,12 @@
   DpReportType type;
   DpReport report;
   DpMemberList list;
-  DpFlowOwner owner;   /* with DP_REPORT_OWNER */
-  DpAddress sender;    /* with the types after that: the sender's packet port */
-  DpPolicy policy;     /* with DP_REPORT_POLICY */
-  const char *service; /* of the flow, or of the sender */
+  DpFlowOwner owner;    /* with DP_REPORT_OWNER */
+  DpAddress sender;     /* with the types up to the policy: the sender's packet port */
+  DpPolicy policy;      /* with DP_REPORT_POLICY */
+  DpOwnerQuery query;   /* with DP_REPORT_OWNER_QUERY */
+  DpOwnerAnswer answer; /* with DP_REPORT_OWNER_ANSWER */
+  const char *service;  /* of the flow, or of the sender */
   GStringChunk *strings;
 } DpReportMessage;
 
@@ -108,6 +113,12 @@
 gsize dp_flow_owner_encode (const DpFlowOwner *owner,
                             const char *service,
                             guint8 buffer[DP_REPORT_MAX]);
+gsize dp_owner_query_encode (const DpOwnerQuery *query,
+                             const char *service,
+                             guint8 buffer[DP_REPORT_MAX]);
+gsize dp_owner_answer_encode (const DpOwnerAnswer *answer,
+                              const char *service,
+                              guint8 buffer[DP_REPORT_MAX]);
 /* Encodes a message of a type that says nothing but who sends it. sender: its packet
  * port. */
 gsize dp_peer_message_encode (DpReportType type,
--- a/src/libdogwoodpaddle/ownerregistrar.c
+++ b/src/libdogwoodpaddle/ownerregistrar.c
@@ -32,8 +32,6 @@
                             const DpMember *member,
                             gint64 now);
 static gboolean has_member_ (const DpPassthroughFlow *flow, guint32 member_id);
-static DpFlowOwner make_owner_ (const DpOwnerRegistrar *registrar,
-                                const DpPassthroughFlow *flow);
 static void
 append_ (DpOwnerRegistrar *registrar, const DpFlowOwner *owner, const DpMember *member);
 static void transfer_entry_ (const DpFlowOwner *owner, gpointer user_data);
@@ -74,6 +72,20 @@
   return &registrar->address;
 }
 
+DpFlowOwner
+dp_owner_registrar_make_owner (const DpOwnerRegistrar *registrar,
+                               const DpPassthroughFlow *flow)
+{
+  return (DpFlowOwner){
+    .key = flow->key,
+    .syn_seq = flow->syn_seq,
+    .syn_age_ms = flow->syn_age_ms,
+    .open = flow->state == DP_PASSTHROUGH_FLOW_OPEN
+            || flow->state == DP_PASSTHROUGH_FLOW_CLOSED,
+    .member = registrar->address,
+  };
+}
+
 void
 dp_owner_registrar_register (DpOwnerRegistrar *registrar,
                              const DpCandidates *candidates,
@@ -117,7 +129,7 @@
                            const DpPassthroughFlow *flow,
                            const DpMember *member)
 {
-  const DpFlowOwner owner = make_owner_ (registrar, flow);
+  const DpFlowOwner owner = dp_owner_registrar_make_owner (registrar, flow);
 
   if (has_member_ (flow, member->id))
     append_ (registrar, &owner, member);
@@ -138,7 +150,7 @@
                               const DpCandidates *candidates,
                               const DpPassthroughFlow *flow)
 {
-  const DpFlowOwner owner = make_owner_ (registrar, flow);
+  const DpFlowOwner owner = dp_owner_registrar_make_owner (registrar, flow);
   const DpMember *successor = dp_flow_directory_successor (candidates, flow->hash,
                                                            registrar->member_id);
 
@@ -178,7 +190,7 @@
            gint64 now)
 {
   const DpMember *members[DP_FLOW_DIRECTORY_MEMBERS];
-  const DpFlowOwner owner = make_owner_ (registrar, flow);
+  const DpFlowOwner owner = dp_owner_registrar_make_owner (registrar, flow);
   guint32 ids[DP_FLOW_DIRECTORY_MEMBERS] = { 0 };
   guint n;
 
@@ -217,19 +229,6 @@
   return FALSE;
 }
 
-static DpFlowOwner
-make_owner_ (const DpOwnerRegistrar *registrar, const DpPassthroughFlow *flow)
-{
-  return (DpFlowOwner){
-    .key = flow->key,
-    .syn_seq = flow->syn_seq,
-    .syn_age_ms = flow->syn_age_ms,
-    .open = flow->state == DP_PASSTHROUGH_FLOW_OPEN
-            || flow->state == DP_PASSTHROUGH_FLOW_CLOSED,
-    .member = registrar->address,
-  };
-}
-
 static void
 append_ (DpOwnerRegistrar *registrar, const DpFlowOwner *owner, const DpMember *member)
 {
--- a/src/libdogwoodpaddle/ownersearch.c
+++ b/src/libdogwoodpaddle/ownersearch.c
@@ -2,9 +2,8 @@
 
 #include "private/passthroughdecision.h"
 
-/* Members that a searched packet may visit in excess of the service's members: those that
- * have passed its SYN on, and those that were visited before they asked their servers. */
-#define EXTRA_VISITS_MAX (DP_PASSTHROUGH_VISITS_MAX + DP_SEARCH_STEPS_MAX)
+/* This member and another one. */
+#define MEMBERS_MIN 2
 
 struct _DpOwnerSearch
 {
@@ -13,19 +12,6 @@
   DpSearchQueue *kept; /* packets whose member may not answer */
 };
 
-/* For dp_candidates_after_accepted (). */
-typedef struct
-{
-  const DpPeerProbes *probes;
-  gint64 now;
-  gboolean responsive; /* the wanted value */
-} MemberFilter;
-
-static const DpMember *next_member_ (const DpOwnerSearch *search,
-                                     const DpCandidates *candidates,
-                                     const DpSegment *segment,
-                                     const DpHop *hop,
-                                     gint64 now);
 static gboolean is_directory_member_ (const DpOwnerSearch *search,
                                       const DpCandidates *candidates,
                                       guint64 flow_hash);
@@ -34,12 +20,6 @@
                                                      const DpSegment *segment,
                                                      const DpHop *hop,
                                                      gint64 now);
-static const DpMember *unresponsive_member_ (const DpOwnerSearch *search,
-                                             const DpCandidates *candidates,
-                                             guint64 flow_hash,
-                                             guint index,
-                                             gint64 now);
-static gboolean filter_member_ (const DpMember *member, gconstpointer user_data);
 
 /* Creates a search in which every member counts as responsive. */
 DpOwnerSearch *
@@ -69,9 +49,9 @@
   dp_peer_probes_set_view (search->probes, view);
 }
 
-/* Forwards the packet first to a member that keeps the flow's directory entry, then from
- * one member to the next. Drops it if all have been visited. It is never answered with a
- * reset, since a member that is cut off may still have the flow. */
+/* Forwards the packet to a member that keeps the flow's directory entry. That member, or
+ * this one if none of them answers, asks all members for the owner. The packet is never
+ * answered with a reset, since a member that is cut off may still have the flow. */
 DpPassthroughDecision
 dp_owner_search_forward (DpOwnerSearch *search,
                          const DpCandidates *candidates,
@@ -80,12 +60,20 @@
                          DpPassthroughReason reason,
                          gint64 now)
 {
-  const DpMember *next = next_member_ (search, candidates, segment, hop, now);
+  const DpMember *next = NULL;
   DpHop searched = *hop;
 
-  if (next == NULL)
+  if (hop->n_visited == DP_VISITS_ENDED)
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_SEARCHING,
+                                         hop);
+  if (candidates == NULL || dp_candidates_view (candidates)->n_members < MEMBERS_MIN)
     return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_NOT_FOUND,
                                          hop);
+  if (hop->search_steps < DP_SEARCH_STEPS_MAX
+      && !is_directory_member_ (search, candidates, segment->hash))
+    next = responsive_directory_member_ (search, candidates, segment, hop, now);
+  if (next == NULL)
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_ASK_MEMBERS, reason, hop);
   searched.search_steps = MIN (hop->search_steps + 1, DP_SEARCH_STEPS_MAX);
   return dp_owner_search_forward_to (search, &next->address, reason, &searched, now);
 }
@@ -116,7 +104,6 @@
 
   kept.member = *member;
   kept.sent_at = now;
-  kept.was_responsive = dp_peer_probes_is_responsive (search->probes, member, now);
   dp_search_queue_push (search->kept, &kept);
 }
 
@@ -125,12 +112,7 @@
                                  DpSearchedPacket *searched,
                                  gint64 now)
 {
-  if (!dp_search_queue_next_unanswered (search->kept, search->probes, searched, now))
-    return FALSE;
-  /* Members that don't answer are tried by the number of visits. */
-  if (!searched->was_responsive && searched->hop.n_visited < G_MAXUINT8)
-    searched->hop.n_visited++;
-  return TRUE;
+  return dp_search_queue_next_unanswered (search->kept, search->probes, searched, now);
 }
 
 /* Returns the number of packets that are kept. */
@@ -171,44 +153,6 @@
   dp_search_queue_clear (search->kept);
 }
 
-/* Returns the member that a searched packet visits next; NULL if it has visited all.
- * Those that have left a probe unanswered come last, one after the other: they may be
- * down, and a packet that is sent to them may not go on. */
-static const DpMember *
-next_member_ (const DpOwnerSearch *search,
-              const DpCandidates *candidates,
-              const DpSegment *segment,
-              const DpHop *hop,
-              gint64 now)
-{
-  const MemberFilter filter = { search->probes, now, TRUE };
-  const DpMember *next = NULL;
-  guint n_unresponsive;
-  guint n_members;
-  guint last_visits; /* number of visits from which on the unresponsive ones come */
-
-  if (candidates == NULL)
-    return NULL;
-  n_members = dp_candidates_view (candidates)->n_members;
-  n_unresponsive = MIN (dp_peer_probes_n_unresponsive (search->probes, now), n_members);
-  last_visits = n_members - n_unresponsive + EXTRA_VISITS_MAX;
-  if (hop->n_visited >= n_members + EXTRA_VISITS_MAX)
-    return NULL;
-  if (hop->n_visited >= last_visits)
-    return unresponsive_member_ (search, candidates, segment->hash,
-                                 hop->n_visited - last_visits, now);
-  if (hop->search_steps < DP_SEARCH_STEPS_MAX
-      && !is_directory_member_ (search, candidates, segment->hash))
-    next = responsive_directory_member_ (search, candidates, segment, hop, now);
-  if (next == NULL)
-    next = dp_candidates_after_accepted (candidates, segment->hash, DP_CANDIDATES_ALL,
-                                         search->member_id, filter_member_, &filter);
-  if (next == NULL)
-    next = dp_candidates_after (candidates, segment->hash, DP_CANDIDATES_ALL,
-                                search->member_id);
-  return next;
-}
-
 /* Returns whether this member keeps the flow's directory entry. */
 static gboolean
 is_directory_member_ (const DpOwnerSearch *search,
@@ -247,36 +191,3 @@
       return members[i];
   return NULL;
 }
-
-/* Returns one of the members that have left a probe unanswered, by their order from this
- * member on. NULL if there are not as many. */
-static const DpMember *
-unresponsive_member_ (const DpOwnerSearch *search,
-                      const DpCandidates *candidates,
-                      guint64 flow_hash,
-                      guint index,
-                      gint64 now)
-{
-  const MemberFilter filter = { search->probes, now, FALSE };
-  guint32 id = search->member_id;
-  const DpMember *member = NULL;
-
-  for (guint i = 0; i <= index; i++)
-    {
-      member = dp_candidates_after_accepted (candidates, flow_hash, DP_CANDIDATES_ALL, id,
-                                             filter_member_, &filter);
-      if (member == NULL)
-        return NULL;
-      id = member->id;
-    }
-  return member;
-}
-
-static gboolean
-filter_member_ (const DpMember *member, gconstpointer user_data)
-{
-  const MemberFilter *filter = user_data;
-
-  return dp_peer_probes_is_responsive (filter->probes, &member->address, filter->now)
-         == filter->responsive;
-}
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -1,6 +1,7 @@
 #include "protected/passthrough.h"
 
 #include "private/passthroughadmission.h"
+#include "private/ownerqueries.h"
 #include "private/ownerregistrar.h"
 #include "private/ownersearch.h"
 #include "private/passthroughdecision.h"
@@ -40,6 +41,7 @@
   DpOwnerRegistrar *registrar;
   DpPassthroughAdmission *admission;
   DpOwnerSearch *search;
+  DpOwnerQueries *queries;
 };
 
 static DpPassthroughBasis
@@ -69,6 +71,9 @@
                                              const DpSegment *segment,
                                              const DpHop *hop,
                                              gint64 now);
+static gboolean may_ask_server_ (const DpPassthrough *passthrough,
+                                 const DpPassthroughFlow *flow,
+                                 gint64 now);
 static gboolean may_have_flow_ (const DpHop *hop);
 static gboolean is_active_ (const DpPassthrough *passthrough, const DpAddress *member);
 static DpPassthroughDecision search_owner_ (DpPassthrough *passthrough,
@@ -86,6 +91,11 @@
                                                     const DpSegment *segment,
                                                     const DpHop *hop,
                                                     gint64 now);
+static gboolean may_belong_ (const DpPassthroughFlow *flow, const DpSegment *segment);
+static gboolean is_of_later_flow_ (const DpPassthroughFlow *flow,
+                                   const DpSegment *segment);
+static gboolean is_of_other_server_ (const DpPassthroughFlow *flow,
+                                     const DpSegment *segment);
 static gboolean acknowledges_server_ (const DpPassthroughFlow *flow,
                                       const DpSegment *segment);
 static gboolean is_further_request_ (const DpPassthroughFlow *flow);
@@ -111,6 +121,7 @@
   passthrough->admission = dp_passthrough_admission_new (
       passthrough->flows, passthrough->directory, member, now);
   passthrough->search = dp_owner_search_new (passthrough->member_id);
+  passthrough->queries = dp_owner_queries_new ();
   return passthrough;
 }
 
@@ -119,6 +130,7 @@
 {
   if (passthrough == NULL)
     return;
+  dp_owner_queries_free (passthrough->queries);
   dp_owner_search_free (passthrough->search);
   dp_passthrough_admission_free (passthrough->admission);
   dp_owner_registrar_free (passthrough->registrar);
@@ -397,11 +409,165 @@
   return TRUE;
 }
 
-/* Returns the number of packets that are kept. */
+void
+dp_passthrough_ask_members (DpPassthrough *passthrough,
+                            const DpSegment *segment,
+                            const DpHop *hop,
+                            GBytes *packet,
+                            gint64 now)
+{
+  const DpQueriedPacket queried = { *segment, *hop, packet };
+  DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
+
+  if (candidates != NULL)
+    dp_owner_queries_add (passthrough->queries, dp_candidates_view (candidates),
+                          passthrough->member_id, &queried, now);
+}
+
+gboolean
+dp_passthrough_next_query (DpPassthrough *passthrough,
+                           DpOwnerQuery *query,
+                           const DpMemberView **view)
+{
+  DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
+
+  if (candidates == NULL || !dp_owner_queries_next (passthrough->queries, query))
+    return FALSE;
+  query->sender = *dp_owner_registrar_address (passthrough->registrar);
+  *view = dp_candidates_view (candidates);
+  return TRUE;
+}
+
+/* Names this member as the owner, or the one that its part of the directory names. */
+gboolean
+dp_passthrough_answer_query (DpPassthrough *passthrough,
+                             const DpOwnerQuery *query,
+                             DpFlowOwner *owner,
+                             DpOwnerAnswer *answer,
+                             gint64 now)
+{
+  const DpSegment segment = { .key = query->key,
+                              .hash = dp_flow_key_hash (&query->key),
+                              .flags = DP_TCP_ACK,
+                              .ack = query->ack };
+  const DpHop hop = { 0 };
+  DpPassthroughFlow *flow = dp_passthrough_flows_find (passthrough->flows, &segment);
+  const DpFlowOwner *registered;
+
+  if (flow != NULL && dp_passthrough_flow_is_owned (flow) && may_belong_ (flow, &segment))
+    {
+      *owner = dp_owner_registrar_make_owner (passthrough->registrar, flow);
+      return TRUE;
+    }
+  registered = registered_owner_ (passthrough, &segment, &hop, now);
+  if (registered != NULL && !dp_address_equal (&registered->member, &query->sender))
+    {
+      *owner = *registered;
+      return TRUE;
+    }
+  *answer = (DpOwnerAnswer){
+    .key = query->key,
+    .may_have_flow = may_ask_server_ (passthrough, flow, now),
+    .sender = *dp_owner_registrar_address (passthrough->registrar),
+  };
+  return FALSE;
+}
+
+gboolean
+dp_passthrough_note_owner_answer (DpPassthrough *passthrough, const DpOwnerAnswer *answer)
+{
+  return dp_owner_queries_note_answer (passthrough->queries, answer);
+}
+
+gboolean
+dp_passthrough_next_found (DpPassthrough *passthrough,
+                           const DpFlowKey *key,
+                           DpRedecidedPacket *found,
+                           gint64 now)
+{
+  const DpSegment any = { .key = *key, .hash = dp_flow_key_hash (key) };
+  const DpHop hop = { 0 };
+  DpQueriedPacket queried;
+
+  if (registered_owner_ (passthrough, &any, &hop, now) == NULL
+      || !dp_owner_queries_take (passthrough->queries, key, &queried))
+    return FALSE;
+  *found = (DpRedecidedPacket){
+    .segment = queried.segment,
+    .packet = queried.packet,
+    .decision = dp_passthrough_from_peer (passthrough, &queried.segment, &queried.hop,
+                                          now),
+  };
+  return TRUE;
+}
+
+/* This member's own server is asked once all others are known not to have the flow. */
+gboolean
+dp_passthrough_next_unfound (DpPassthrough *passthrough,
+                             DpRedecidedPacket *unfound,
+                             gint64 now)
+{
+  DpPassthroughDecision *decision = &unfound->decision;
+  DpOwnerSearchStep step;
+  DpHop hop;
+
+  if (!dp_owner_queries_next_step (passthrough->queries, &step, now))
+    return FALSE;
+  hop = step.queried.hop;
+  hop.n_visited = DP_VISITS_ENDED;
+  hop.search_steps = DP_SEARCH_STEPS_MAX;
+  hop.n_owners_tried = 0;
+  unfound->segment = step.queried.segment;
+  unfound->packet = step.queried.packet;
+  if (step.has_candidate)
+    {
+      *decision = dp_passthrough_decision_make (DP_PASSTHROUGH_TO_MEMBER,
+                                                DP_PASSTHROUGH_SEARCHING, &hop);
+      decision->member = step.candidate;
+      return TRUE;
+    }
+  *decision = dp_passthrough_from_peer (passthrough, &step.queried.segment, &hop, now);
+  if (decision->action == DP_PASSTHROUGH_DROP)
+    decision->reason = DP_PASSTHROUGH_NOT_FOUND;
+  return TRUE;
+}
+
+void
+dp_passthrough_note_copy (DpPassthrough *passthrough,
+                          const DpSegment *segment,
+                          const DpAddress *sender,
+                          gint64 now)
+{
+  DpPassthroughFlow *flow = dp_passthrough_flows_find (passthrough->flows, segment);
+
+  if (flow == NULL)
+    {
+      flow = dp_passthrough_flows_add (passthrough->flows, segment, now);
+      if (flow == NULL)
+        return;
+      flow->state = DP_PASSTHROUGH_FLOW_NOT_OWNED;
+    }
+  flow->copy_sender = *sender;
+}
+
+gboolean
+dp_passthrough_copy_sender (DpPassthrough *passthrough,
+                            const DpSegment *segment,
+                            DpAddress *sender)
+{
+  const DpPassthroughFlow *flow = dp_passthrough_flows_find (passthrough->flows, segment);
+
+  if (flow == NULL || flow->copy_sender.port == 0)
+    return FALSE;
+  *sender = flow->copy_sender;
+  return TRUE;
+}
+
 guint
 dp_passthrough_n_kept (const DpPassthrough *passthrough)
 {
-  return dp_owner_search_n_kept (passthrough->search);
+  return dp_owner_search_n_kept (passthrough->search)
+         + dp_owner_queries_n_searches (passthrough->queries);
 }
 
 /* Returns the next member to be probed. */
@@ -432,6 +598,7 @@
   dp_flow_directory_note_gap (passthrough->directory, now);
   passthrough->backlog_read_at = now + PAUSE_BACKLOG_US;
   dp_owner_search_note_pause (passthrough->search);
+  dp_owner_queries_clear (passthrough->queries);
 }
 
 /* Enters the owner of a flow in this member's part of the flow directory. */
@@ -672,6 +839,9 @@
     }
   if (flow != NULL)
     flow->server_asked = TRUE;
+  if (hop.n_visited == DP_VISITS_ENDED)
+    return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_RETURNED,
+                                         &hop);
   return decide_unowned_ (passthrough, flow, segment, &hop, DP_PASSTHROUGH_RETURNED, now);
 }
 
@@ -746,8 +916,7 @@
                  gint64 now)
 {
   const DpFlowOwner *owner = registered_owner_ (passthrough, segment, hop, now);
-  const gboolean may_ask = (flow == NULL || !flow->server_asked)
-                           && !dp_passthrough_flows_is_complete (passthrough->flows, now);
+  const gboolean may_ask = may_ask_server_ (passthrough, flow, now);
   DpPassthroughDecision decision;
 
   if (flow != NULL)
@@ -776,15 +945,26 @@
   return decision;
 }
 
+/* Returns whether only the server can know that it doesn't have the flow, which is NULL
+ * if nothing is known of it here. */
+static gboolean
+may_ask_server_ (const DpPassthrough *passthrough,
+                 const DpPassthroughFlow *flow,
+                 gint64 now)
+{
+  return (flow == NULL || !flow->server_asked)
+         && !dp_passthrough_flows_is_complete (passthrough->flows, now);
+}
+
 /* Returns whether the packet's flow is likely to be this server's, or can only be found
- * by asking one server after the other: a balancer has placed it here, the directory
- * names this member, or no member with the directory entry knows the owner. Other packets
+ * by asking the servers: a balancer has placed it here, the directory names this member,
+ * or no member knows the owner, and all that may have the flow get a copy. Other packets
  * are not handed to the server, as it may not have the flow. */
 static gboolean
 may_have_flow_ (const DpHop *hop)
 {
   return hop->search_steps == 0 || hop->n_owners_tried > 0
-         || hop->search_steps >= DP_SEARCH_STEPS_MAX;
+         || hop->n_visited == DP_VISITS_ENDED;
 }
 
 /* Returns whether the member at this packet port is known to be active. */
@@ -800,9 +980,9 @@
   return FALSE;
 }
 
-/* Returns the other member that is registered as the flow's owner, NULL if there is none.
- * A packet that has been sent to an owner has not found its flow at the more likely one.
- */
+/* Returns the other member that is registered as the flow's owner, NULL if there is none
+ * or the packet is not to be forwarded. A packet that has been sent to an owner has not
+ * found its flow at the more likely one. */
 static const DpFlowOwner *
 registered_owner_ (DpPassthrough *passthrough,
                    const DpSegment *segment,
@@ -816,7 +996,7 @@
   };
   const guint n = G_N_ELEMENTS (owners);
 
-  if (hop->n_owners_tried >= DP_OWNERS_TRIED_MAX)
+  if (hop->n_owners_tried >= DP_OWNERS_TRIED_MAX || hop->n_visited == DP_VISITS_ENDED)
     return NULL;
   for (guint i = 0; i < n; i++)
     {
@@ -828,7 +1008,7 @@
   return NULL;
 }
 
-/* Forwards a packet whose flow is not here; drops it if it has visited all members. */
+/* Forwards a packet whose flow is not here, or has the other members asked for it. */
 static DpPassthroughDecision
 search_owner_ (DpPassthrough *passthrough,
                const DpSegment *segment,
@@ -892,15 +1072,10 @@
 {
   const gboolean opens = flow->state == DP_PASSTHROUGH_FLOW_ANSWERED;
 
-  /* Ports are used again: the packet may be of a later flow that another member has. */
-  if (!opens && flow->syn_ack_seen && !acknowledges_server_ (flow, segment))
+  if (is_of_later_flow_ (flow, segment))
     return decide_unowned_ (passthrough, flow, segment, hop, DP_PASSTHROUGH_SEARCHING,
                             now);
-  /* Two servers may have answered the SYN and its retransmission; the client acknowledges
-   * one of them. */
-  if (flow->state == DP_PASSTHROUGH_FLOW_WAITING
-      || flow->state == DP_PASSTHROUGH_FLOW_OFFERED
-      || (opens && segment->ack != flow->syn_ack_seq + 1))
+  if (is_of_other_server_ (flow, segment))
     {
       const DpFlowOwner *owner = registered_owner_ (passthrough, segment, hop, now);
 
@@ -919,6 +1094,33 @@
                                        hop);
 }
 
+/* Returns whether the client's packet after the SYN may be of this flow, which this
+ * server has or was offered. */
+static gboolean
+may_belong_ (const DpPassthroughFlow *flow, const DpSegment *segment)
+{
+  return !is_of_later_flow_ (flow, segment) && !is_of_other_server_ (flow, segment);
+}
+
+/* Ports are used again: the packet may be of a later flow that another member has. */
+static gboolean
+is_of_later_flow_ (const DpPassthroughFlow *flow, const DpSegment *segment)
+{
+  return flow->state != DP_PASSTHROUGH_FLOW_ANSWERED && flow->syn_ack_seen
+         && !acknowledges_server_ (flow, segment);
+}
+
+/* Two servers may have answered the SYN and its retransmission; the client acknowledges
+ * one of them. */
+static gboolean
+is_of_other_server_ (const DpPassthroughFlow *flow, const DpSegment *segment)
+{
+  return flow->state == DP_PASSTHROUGH_FLOW_WAITING
+         || flow->state == DP_PASSTHROUGH_FLOW_OFFERED
+         || (flow->state == DP_PASSTHROUGH_FLOW_ANSWERED
+             && segment->ack != flow->syn_ack_seq + 1);
+}
+
 /* Returns whether the packet acknowledges data that this server may have sent on the
  * flow. FALSE as well if nothing is known of that. */
 static gboolean
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -84,6 +84,8 @@
   DpMetric *malformed;
   DpMetric *registrations;
   DpMetric *unanswered;
+  DpMetric *owner_queries;
+  DpMetric *packet_copies;
   DpMetric *zones_evacuated;
   DpMetric *own_zone_evacuated;
   DpMetric *evacuated_flows;
@@ -115,6 +117,12 @@
                        const DpSegment *segment,
                        const guint8 *data,
                        gsize length);
+static void ask_members_ (DpPassthroughCompanion *companion,
+                          const DpPassthroughDecision *decision,
+                          const DpSegment *segment,
+                          const guint8 *data,
+                          gsize length);
+static void schedule_retry_ (DpPassthroughCompanion *companion);
 static void keep_packet_ (DpPassthroughCompanion *companion,
                           const DpPassthroughDecision *decision,
                           const DpSegment *segment,
@@ -123,6 +131,11 @@
                           gsize length,
                           gint64 now);
 static gboolean retry_timeout_ (gpointer user_data);
+static void execute_redecided_ (DpPassthroughCompanion *companion,
+                                DpRedecidedPacket *redecided);
+static void
+release_found_ (DpPassthroughCompanion *companion, const DpFlowKey *key, gint64 now);
+static void search_servers_ (DpPassthroughCompanion *companion, gint64 now);
 static void release_held_syns_ (DpPassthroughCompanion *companion, gint64 now);
 static void schedule_release_ (DpPassthroughCompanion *companion, gint64 now);
 static gboolean release_timeout_ (gpointer user_data);
@@ -142,6 +155,24 @@
                              const DpAddress *source,
                              const DpFlowOwner *owner,
                              gint64 now);
+static void answer_query_ (DpPassthroughCompanion *companion,
+                           const DpAddress *source,
+                           const DpOwnerQuery *query,
+                           gint64 now);
+static void answer_copy_ (DpPassthroughCompanion *companion,
+                          const DpAddress *sender,
+                          const DpPassthroughDecision *decision,
+                          const DpSegment *segment,
+                          gint64 now);
+static void answer_returned_copy_ (DpPassthroughCompanion *companion,
+                                   const DpSegment *segment);
+static void send_not_here_ (DpPassthroughCompanion *companion,
+                            const DpSegment *segment,
+                            const DpAddress *receiver);
+static void note_owner_answer_ (DpPassthroughCompanion *companion,
+                                const DpAddress *source,
+                                const DpOwnerAnswer *answer,
+                                gint64 now);
 static void
 apply_list_ (DpPassthroughCompanion *companion, const DpMemberList *list, gint64 now);
 static void ask_new_members_ (DpPassthroughCompanion *companion,
@@ -434,6 +465,13 @@
   companion->unanswered = dp_metrics_add (
       metrics, DP_METRIC_COUNTER, "dogwoodpaddle_searches_unanswered_total", "",
       "Packets that were forwarded again, as a member has not answered");
+  companion->owner_queries = dp_metrics_add (
+      metrics, DP_METRIC_COUNTER, "dogwoodpaddle_owner_queries_total", "",
+      "Flows whose owner all members were asked for");
+  companion->packet_copies = dp_metrics_add (metrics, DP_METRIC_COUNTER,
+                                             "dogwoodpaddle_packet_copies_total", "",
+                                             "Copies of packets sent to members that may "
+                                             "have the flow, as none named its owner");
   companion->zones_evacuated = dp_metrics_add (
       metrics, DP_METRIC_GAUGE, "dogwoodpaddle_zones_evacuated", "",
       "Availability zones whose evacuation is in force in this process");
@@ -507,6 +545,8 @@
   decision = dp_passthrough_from_peer (companion->passthrough, &segment, &hop, now);
   note_evacuated_flow_ (companion, &decision, &segment);
   execute_ (companion, &decision, &segment, data, length);
+  if (hop.n_visited == DP_VISITS_ENDED)
+    answer_copy_ (companion, source, &decision, &segment, now);
   keep_packet_ (companion, &decision, &segment, &hop, data, length, now);
   schedule_release_ (companion, now);
   send_pending_messages_ (companion);
@@ -538,6 +578,8 @@
     {
       format->read_hop (data, &hop);
       decision = dp_passthrough_returned (companion->passthrough, &segment, &hop, now);
+      if (hop.n_visited == DP_VISITS_ENDED)
+        answer_returned_copy_ (companion, &segment);
     }
   else
     {
@@ -585,6 +627,9 @@
     case DP_PASSTHROUGH_HOLD:
       hold_syn_ (companion, segment, data, length);
       break;
+    case DP_PASSTHROUGH_ASK_MEMBERS:
+      ask_members_ (companion, decision, segment, data, length);
+      break;
     case DP_PASSTHROUGH_DROP:
     case DP_N_PASSTHROUGH_ACTIONS:
     default:
@@ -603,6 +648,20 @@
   dp_passthrough_hold_packet (companion->passthrough, segment, packet);
 }
 
+static void
+ask_members_ (DpPassthroughCompanion *companion,
+              const DpPassthroughDecision *decision,
+              const DpSegment *segment,
+              const guint8 *data,
+              gsize length)
+{
+  g_autoptr (GBytes) packet = g_bytes_new (data, length);
+
+  dp_passthrough_ask_members (companion->passthrough, segment, &decision->hop, packet,
+                              dp_clock_now (companion->options.clock));
+  schedule_retry_ (companion);
+}
+
 /* Keeps a packet that was sent to a member that may be down. */
 static void
 keep_packet_ (DpPassthroughCompanion *companion,
@@ -620,12 +679,20 @@
   packet = g_bytes_new (data, length);
   dp_passthrough_keep_packet (companion->passthrough, segment, hop, decision, packet,
                               now);
+  schedule_retry_ (companion);
+}
+
+/* Looks at the kept packets from now on. */
+static void
+schedule_retry_ (DpPassthroughCompanion *companion)
+{
   if (companion->retry_source == 0)
     companion->retry_source = g_timeout_add (DP_PASSTHROUGH_RETRY_INTERVAL_MS,
                                              retry_timeout_, companion);
 }
 
-/* Carries out the decisions about kept packets whose member has not answered. */
+/* Carries out the decisions about kept packets whose member, or all members that could
+ * name the owner, have not answered. */
 static gboolean
 retry_timeout_ (gpointer user_data)
 {
@@ -635,14 +702,10 @@
 
   while (dp_passthrough_next_unanswered (companion->passthrough, &unanswered, now))
     {
-      g_autoptr (GBytes) kept = unanswered.packet;
-      guint8 packet[DP_PACKET_MAX];
-      const gsize length = g_bytes_get_size (kept);
-
-      memcpy (packet, g_bytes_get_data (kept, NULL), length);
-      execute_ (companion, &unanswered.decision, &unanswered.segment, packet, length);
+      execute_redecided_ (companion, &unanswered);
       dp_metric_increment (companion->unanswered);
     }
+  search_servers_ (companion, now);
   send_pending_messages_ (companion);
   if (dp_passthrough_n_kept (companion->passthrough) > 0)
     return G_SOURCE_CONTINUE;
@@ -650,6 +713,43 @@
   return G_SOURCE_REMOVE;
 }
 
+/* Carries out a decision about a packet that was kept, and drops the packet. */
+static void
+execute_redecided_ (DpPassthroughCompanion *companion, DpRedecidedPacket *redecided)
+{
+  g_autoptr (GBytes) kept = g_steal_pointer (&redecided->packet);
+  guint8 packet[DP_PACKET_MAX];
+  const gsize length = g_bytes_get_size (kept);
+
+  memcpy (packet, g_bytes_get_data (kept, NULL), length);
+  execute_ (companion, &redecided->decision, &redecided->segment, packet, length);
+}
+
+/* Forwards the kept packets of a flow to the owner that was registered. */
+static void
+release_found_ (DpPassthroughCompanion *companion, const DpFlowKey *key, gint64 now)
+{
+  DpRedecidedPacket found;
+
+  while (dp_passthrough_next_found (companion->passthrough, key, &found, now))
+    execute_redecided_ (companion, &found);
+}
+
+/* Handles the packets of flows whose owner no member has named: copies of them go to the
+ * members whose servers may have the flow. */
+static void
+search_servers_ (DpPassthroughCompanion *companion, gint64 now)
+{
+  DpRedecidedPacket unfound;
+
+  while (dp_passthrough_next_unfound (companion->passthrough, &unfound, now))
+    {
+      if (unfound.decision.action == DP_PASSTHROUGH_TO_MEMBER)
+        dp_metric_increment (companion->packet_copies);
+      execute_redecided_ (companion, &unfound);
+    }
+}
+
 /* Carries out the decisions about held SYNs that no longer wait. */
 static void
 release_held_syns_ (DpPassthroughCompanion *companion, gint64 now)
@@ -706,7 +806,8 @@
 {
   if (decision->action == DP_PASSTHROUGH_RESET
       || (decision->action == DP_PASSTHROUGH_DROP
-          && decision->reason != DP_PASSTHROUGH_WAITING)
+          && decision->reason != DP_PASSTHROUGH_WAITING
+          && decision->reason != DP_PASSTHROUGH_SEARCHING)
       || decision->reason == DP_PASSTHROUGH_LATE
       || decision->reason == DP_PASSTHROUGH_REPEATED)
     return DP_FLOW_LOG_FAILURE;
@@ -778,6 +879,10 @@
     apply_policy_ (companion, source, &message.policy, now);
   else if (message.type == DP_REPORT_OWNER)
     register_owner_ (companion, source, &message.owner, now);
+  else if (message.type == DP_REPORT_OWNER_QUERY)
+    answer_query_ (companion, source, &message.query, now);
+  else if (message.type == DP_REPORT_OWNER_ANSWER)
+    note_owner_answer_ (companion, source, &message.answer, now);
   else
     handle_peer_message_ (companion, source, &message);
   dp_report_message_clear (&message);
@@ -819,6 +924,86 @@
     dp_passthrough_register_owner (companion->passthrough, owner, now);
   else
     dp_passthrough_register_copy (companion->passthrough, owner, now);
+  release_found_ (companion, &owner->key, now);
+}
+
+/* Names the owner of a flow to the member that asks for it, if it is known here. */
+static void
+answer_query_ (DpPassthroughCompanion *companion,
+               const DpAddress *source,
+               const DpOwnerQuery *query,
+               gint64 now)
+{
+  guint8 buffer[DP_REPORT_MAX];
+  DpOwnerAnswer answer;
+  DpFlowOwner owner;
+  gsize length;
+
+  if (source->ip != query->sender.ip)
+    {
+      dp_metric_increment (companion->malformed);
+      return;
+    }
+  if (dp_passthrough_answer_query (companion->passthrough, query, &owner, &answer, now))
+    length = dp_flow_owner_encode (&owner, companion->service, buffer);
+  else
+    length = dp_owner_answer_encode (&answer, companion->service, buffer);
+  send_to_member_ (companion, &query->sender, buffer, length);
+}
+
+/* Tells the sender of a copy whether the flow is here, unless only the server knows. */
+static void
+answer_copy_ (DpPassthroughCompanion *companion,
+              const DpAddress *sender,
+              const DpPassthroughDecision *decision,
+              const DpSegment *segment,
+              gint64 now)
+{
+  const DpOwnerQuery query = { segment->key, segment->ack, *sender };
+
+  if (decision->reason == DP_PASSTHROUGH_ASKED)
+    dp_passthrough_note_copy (companion->passthrough, segment, sender, now);
+  else if (decision->action == DP_PASSTHROUGH_TO_SERVER)
+    answer_query_ (companion, sender, &query, now);
+  else
+    send_not_here_ (companion, segment, sender);
+}
+
+/* Tells the sender of a copy that the server has returned it. */
+static void
+answer_returned_copy_ (DpPassthroughCompanion *companion, const DpSegment *segment)
+{
+  DpAddress sender;
+
+  if (dp_passthrough_copy_sender (companion->passthrough, segment, &sender))
+    send_not_here_ (companion, segment, &sender);
+}
+
+static void
+send_not_here_ (DpPassthroughCompanion *companion,
+                const DpSegment *segment,
+                const DpAddress *receiver)
+{
+  const DpOwnerAnswer answer = { segment->key, FALSE, companion->options.data_address };
+  guint8 buffer[DP_REPORT_MAX];
+
+  send_to_member_ (companion, receiver, buffer,
+                   dp_owner_answer_encode (&answer, companion->service, buffer));
+}
+
+static void
+note_owner_answer_ (DpPassthroughCompanion *companion,
+                    const DpAddress *source,
+                    const DpOwnerAnswer *answer,
+                    gint64 now)
+{
+  if (source->ip != answer->sender.ip)
+    {
+      dp_metric_increment (companion->malformed);
+      return;
+    }
+  if (dp_passthrough_note_owner_answer (companion->passthrough, answer))
+    search_servers_ (companion, now);
 }
 
 /* Applies what a balancer knows of evacuations and of the warm-up rate, and answers with
@@ -934,13 +1119,15 @@
     }
 }
 
-/* Sends other members what is to be entered in their part of the flow directory, and
- * probes. */
+/* Sends other members what is to be entered in their part of the flow directory, queries
+ * for owners, and probes. */
 static void
 send_pending_messages_ (DpPassthroughCompanion *companion)
 {
   DpOwnerRegistration registration;
+  const DpMemberView *view;
   guint8 buffer[DP_REPORT_MAX];
+  DpOwnerQuery query;
   DpAddress probed;
 
   while (dp_passthrough_next_registration (companion->passthrough, &registration))
@@ -951,6 +1138,14 @@
       send_to_member_ (companion, &registration.member, buffer, length);
       dp_metric_increment (companion->registrations);
     }
+  while (dp_passthrough_next_query (companion->passthrough, &query, &view))
+    {
+      gsize length = dp_owner_query_encode (&query, companion->service, buffer);
+
+      for (guint i = 0; i < view->n_members; i++)
+        send_to_member_ (companion, &view->members[i].address, buffer, length);
+      dp_metric_increment (companion->owner_queries);
+    }
   while (dp_passthrough_next_probe (companion->passthrough, &probed))
     {
       gsize length = dp_peer_message_encode (
--- a/src/libdogwoodpaddle/passthroughdecision.c
+++ b/src/libdogwoodpaddle/passthroughdecision.c
@@ -1,7 +1,8 @@
 #include "private/passthroughdecision.h"
 
 static const char *const action_strings_[] = { "to_server", "to_client", "to_member",
-                                               "reset",     "hold",      "drop" };
+                                               "reset",     "hold",      "ask_members",
+                                               "drop" };
 
 static const char *const reason_strings_[] = {
   "owned",   "asked",     "searching",     "busy",          "not_serving",
@@ -49,7 +50,7 @@
                                                                  reason, hop);
 
   decision.member = *member;
-  if (decision.hop.n_visited == G_MAXUINT8)
+  if (decision.hop.n_visited == DP_VISITS_ENDED)
     return dp_passthrough_decision_make (DP_PASSTHROUGH_DROP, DP_PASSTHROUGH_NOT_FOUND,
                                          hop);
   decision.hop.n_visited++;
--- a/src/libdogwoodpaddle/peerprobes.c
+++ b/src/libdogwoodpaddle/peerprobes.c
@@ -126,20 +126,6 @@
   return peer == NULL || !is_unresponsive_ (peer, now);
 }
 
-/* Returns the number of members that have left a probe unanswered. */
-guint
-dp_peer_probes_n_unresponsive (const DpPeerProbes *probes, gint64 now)
-{
-  GHashTableIter iter;
-  gpointer peer;
-  guint n = 0;
-
-  g_hash_table_iter_init (&iter, probes->unanswered);
-  while (g_hash_table_iter_next (&iter, &peer, NULL))
-    n += is_unresponsive_ (peer, now) ? 1 : 0;
-  return n;
-}
-
 static guint
 hash_ (gconstpointer peer)
 {
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -83,6 +83,23 @@
   N_OWNER_FIELDS
 };
 
+/* Fields of a query for a flow's owner and of its answer. */
+enum
+{
+  QUERY_TYPE,
+  QUERY_VERSION,
+  QUERY_SERVICE,
+  QUERY_CLIENT_IP,
+  QUERY_CLIENT_PORT,
+  QUERY_SERVICE_IP,
+  QUERY_SERVICE_PORT,
+  QUERY_SENDER_IP,
+  QUERY_SENDER_PORT,
+  QUERY_VALUE, /* of a query: the packet's acknowledgement; of an answer: whether the
+                  sender may have the flow */
+  N_QUERY_FIELDS
+};
+
 /* Of messages that say nothing but who sends them. */
 enum
 {
@@ -138,6 +155,14 @@
 static gboolean
 decode_list_ (DpReportMessage *message, const msgpack_object *fields, guint n_fields);
 static gboolean decode_owner_ (DpReportMessage *message, const msgpack_object *fields);
+static gsize encode_query_ (DpReportType type,
+                            const DpFlowKey *key,
+                            const DpAddress *sender,
+                            guint32 value,
+                            const char *service,
+                            guint8 buffer[DP_REPORT_MAX]);
+static gboolean
+decode_query_ (DpReportMessage *message, DpReportType type, const msgpack_object *fields);
 static gboolean is_peer_message_ (guint64 type);
 static gboolean decode_peer_message_ (DpReportMessage *message,
                                       const msgpack_object *fields);
@@ -302,6 +327,26 @@
   return finish_ (&out, buffer);
 }
 
+/* Encodes a query for a flow's owner. Returns its length in bytes. */
+gsize
+dp_owner_query_encode (const DpOwnerQuery *query,
+                       const char *service,
+                       guint8 buffer[DP_REPORT_MAX])
+{
+  return encode_query_ (DP_REPORT_OWNER_QUERY, &query->key, &query->sender, query->ack,
+                        service, buffer);
+}
+
+/* Encodes the answer to a query. Returns its length in bytes. */
+gsize
+dp_owner_answer_encode (const DpOwnerAnswer *answer,
+                        const char *service,
+                        guint8 buffer[DP_REPORT_MAX])
+{
+  return encode_query_ (DP_REPORT_OWNER_ANSWER, &answer->key, &answer->sender,
+                        answer->may_have_flow ? 1 : 0, service, buffer);
+}
+
 /* Encodes a message that says nothing but who sends it. Returns its length in bytes. */
 gsize
 dp_peer_message_encode (DpReportType type,
@@ -385,6 +430,9 @@
         valid = decode_peer_message_ (message, fields);
       else if (valid && type == DP_REPORT_POLICY && n >= N_POLICY_FIELDS)
         valid = decode_policy_ (message, fields);
+      else if (valid && (type == DP_REPORT_OWNER_QUERY || type == DP_REPORT_OWNER_ANSWER)
+               && n >= N_QUERY_FIELDS)
+        valid = decode_query_ (message, (DpReportType) type, fields);
       else
         valid = FALSE;
     }
@@ -617,6 +665,54 @@
   return TRUE;
 }
 
+static gsize
+encode_query_ (DpReportType type,
+               const DpFlowKey *key,
+               const DpAddress *sender,
+               guint32 value,
+               const char *service,
+               guint8 buffer[DP_REPORT_MAX])
+{
+  msgpack_sbuffer out;
+  msgpack_packer packer;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_packer_init (&packer, &out, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, N_QUERY_FIELDS);
+  msgpack_pack_uint8 (&packer, (guint8) type);
+  msgpack_pack_uint8 (&packer, VERSION);
+  pack_string_ (&packer, service);
+  msgpack_pack_uint32 (&packer, key->client.ip);
+  msgpack_pack_uint16 (&packer, key->client.port);
+  msgpack_pack_uint32 (&packer, key->service.ip);
+  msgpack_pack_uint16 (&packer, key->service.port);
+  msgpack_pack_uint32 (&packer, sender->ip);
+  msgpack_pack_uint16 (&packer, sender->port);
+  msgpack_pack_uint32 (&packer, value);
+  return finish_ (&out, buffer);
+}
+
+/* Decodes a query or an answer. */
+static gboolean
+decode_query_ (DpReportMessage *message, DpReportType type, const msgpack_object *fields)
+{
+  const gboolean is_answer = type == DP_REPORT_OWNER_ANSWER;
+  DpAddress sender;
+  DpFlowKey key;
+  guint64 value;
+
+  if (!get_string_ (message, &fields[QUERY_SERVICE], &message->service)
+      || !get_address_ (&fields[QUERY_CLIENT_IP], &fields[QUERY_CLIENT_PORT], &key.client)
+      || !get_address_ (&fields[QUERY_SERVICE_IP], &fields[QUERY_SERVICE_PORT],
+                        &key.service)
+      || !get_address_ (&fields[QUERY_SENDER_IP], &fields[QUERY_SENDER_PORT], &sender)
+      || !get_uint_ (&fields[QUERY_VALUE], is_answer ? 1 : G_MAXUINT32, &value))
+    return FALSE;
+  message->query = (DpOwnerQuery){ key, (guint32) value, sender };
+  message->answer = (DpOwnerAnswer){ key, value == 1, sender };
+  return TRUE;
+}
+
 static gboolean
 is_peer_message_ (guint64 type)
 {
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -458,6 +458,47 @@
   dp_report_message_clear (&message);
 }
 
+/* An answer for another flow, or of another member, would end the search of an owner. */
+static void
+test_owner_queries (void)
+{
+  const DpOwnerQuery query = { { { 0x64400007, 40001 }, { 0xc6120001, 443 } },
+                               0xfffffff0,
+                               { 0x7f010101, 7000 } };
+  const DpOwnerAnswer answers[] = { { query.key, FALSE, { 0x7f010102, 7000 } },
+                                    { query.key, TRUE, { 0x7f010102, 7001 } } };
+  guint8 buffer[DP_REPORT_MAX];
+  DpReportMessage message;
+  gsize length = dp_owner_query_encode (&query, "darbnica", buffer);
+
+  CU_ASSERT_TRUE_FATAL (dp_report_decode (&message, buffer, length));
+  CU_ASSERT_EQUAL (message.type, DP_REPORT_OWNER_QUERY);
+  CU_ASSERT_STRING_EQUAL (message.service, "darbnica");
+  CU_ASSERT_TRUE (dp_flow_key_equal (&message.query.key, &query.key));
+  CU_ASSERT_EQUAL (message.query.ack, query.ack);
+  CU_ASSERT_TRUE (dp_address_equal (&message.query.sender, &query.sender));
+  dp_report_message_clear (&message);
+  for (gsize i = 0; i < length; i++)
+    {
+      CU_ASSERT_FALSE (dp_report_decode (&message, buffer, i));
+      dp_report_message_clear (&message);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      length = dp_owner_answer_encode (&answers[i], "darbnica", buffer);
+      CU_ASSERT_TRUE_FATAL (dp_report_decode (&message, buffer, length));
+      CU_ASSERT_EQUAL (message.type, DP_REPORT_OWNER_ANSWER);
+      CU_ASSERT_TRUE (dp_flow_key_equal (&message.answer.key, &query.key));
+      CU_ASSERT_EQUAL (message.answer.may_have_flow, answers[i].may_have_flow);
+      CU_ASSERT_TRUE (dp_address_equal (&message.answer.sender, &answers[i].sender));
+      dp_report_message_clear (&message);
+    }
+  /* Neither yes nor no. */
+  buffer[length - 1] = 2;
+  CU_ASSERT_FALSE (dp_report_decode (&message, buffer, length));
+  dp_report_message_clear (&message);
+}
+
 /* Found by fuzz_report: a few bytes that declare an array of four billion elements. */
 static void
 test_huge_count (void)
@@ -489,6 +530,7 @@
   { "a report is encoded and decoded", test_report },
   { "a list is encoded and decoded", test_list },
   { "messages of the flow directory", test_flow_directory },
+  { "queries for a flow's owner", test_owner_queries },
   { "a list that does not fit", test_too_long },
   { "malformed datagrams", test_malformed },
   { "an array count that exceeds the data", test_huge_count },
