Write large doubles as JSON numbers

An operator's object with a value such as 1e22, written through the command line, could not be read by any process afterwards.

Cause: json_to_string () appends ".0" to a number in which it finds no fraction, also after an exponent: 1e+22.0. dp_json_format () removes that.

Found by reading back what the test of wide numbers had parsed; no report of it.

--- a/src/libdogwoodpaddle/json.c
+++ b/src/libdogwoodpaddle/json.c
@@ -23,6 +23,7 @@
 static gboolean number_fits_ (const char *text, gsize length);
 static GString *
 replace_wide_numbers_ (const char *text, gsize length, const GArray *wide_numbers);
+static void remove_misplaced_fractions_ (char *text);
 static gboolean read_uint_ (JsonNode *node, guint64 *value);
 static JsonNode *get_member_ (JsonObject *object, const char *key);
 static const char *find_member_ (const char *text, const char *key);
@@ -76,7 +77,10 @@
 char *
 dp_json_format (JsonNode *node)
 {
-  return json_to_string (node, FALSE);
+  char *text = json_to_string (node, FALSE);
+
+  remove_misplaced_fractions_ (text);
+  return text;
 }
 
 /* Splits an array member off the outermost object: appends the text of each element to
@@ -304,7 +308,8 @@
 {
   gsize end = 1;
 
-  while (end < length && (g_ascii_isalnum (text[end]) || strchr ("+-.", text[end])))
+  while (end < length && text[end] != '\0'
+         && (g_ascii_isalnum (text[end]) || strchr ("+-.", text[end]) != NULL))
     end++;
   return end;
 }
@@ -398,6 +403,34 @@
   return g_string_append_len (replaced, text + copied, (gssize) (length - copied));
 }
 
+/* JSON-GLib writes the double 1e22 as 1e+22.0, which is no number: it appends a fraction
+ * where it finds none. */
+static void
+remove_misplaced_fractions_ (char *text)
+{
+  const char *from = text;
+  char *to = text;
+
+  while (*from != '\0')
+    {
+      gsize length = 1;
+      gsize kept;
+
+      if (*from == '"')
+        length = (gsize) (skip_string_ (from) - from);
+      else if (g_ascii_isdigit (*from) || *from == '-')
+        length = number_length_ (from, G_MAXSIZE);
+      kept = length;
+      if (*from != '"' && length > 2 && !is_number_ (from, length)
+          && strncmp (from + length - 2, ".0", 2) == 0)
+        kept -= 2;
+      memmove (to, from, kept);
+      to += kept;
+      from += length;
+    }
+  *to = '\0';
+}
+
 /* Sets value to that of the node, which may be NULL, if it is a non-negative integer. */
 static gboolean
 read_uint_ (JsonNode *node, guint64 *value)
--- a/src/test_libdogwoodpaddle/test_json.c
+++ b/src/test_libdogwoodpaddle/test_json.c
@@ -270,6 +270,46 @@
     }
 }
 
+/* A large double was written as 1e+22.0, which no parser accepts, so that an object with
+ * it could not be read any more. */
+static void
+test_format (void)
+{
+  static const struct
+  {
+    const char *text;
+    const char *formatted; /* NULL: as the text */
+  } cases[] = {
+    { "1e22", "1e+22" },
+    { "[-1e30,{\"a\":1e22}]", "[-1e+30,{\"a\":1e+22}]" },
+    { "100000000000000000000", "1e+20" },
+    { "18446744073709551615", "1.8446744073709552e+19" },
+    { "1.5e22", "1.5e+22" },
+    { "2.0", NULL },
+    { "[0.5,-0.0,17,-1]", NULL },
+    { "1e999", "null" },
+    { "{\"1e+22.0\":\"1e+22.0 \\\"1e+22.0\"}", NULL },
+    { "[]", NULL },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const char *expected = cases[i].formatted == NULL ? cases[i].text
+                                                        : cases[i].formatted;
+      g_autoptr (JsonNode)
+          node = dp_json_parse (cases[i].text, strlen (cases[i].text), NULL);
+      g_autofree char *formatted = NULL;
+      g_autoptr (JsonNode) again = NULL;
+
+      g_assert_nonnull (node);
+      formatted = dp_json_format (node);
+      if (!g_str_equal (formatted, expected))
+        CU_FAIL (formatted);
+      again = dp_json_parse (formatted, strlen (formatted), NULL);
+      CU_ASSERT_PTR_NOT_NULL (again);
+    }
+}
+
 static const DpTestCase cases_[] = {
   { "elements are extracted", test_extract_elements },
   { "malformed arrays are rejected", test_malformed },
@@ -278,6 +318,7 @@
   { "deep nesting is rejected however it is hidden", test_deep_nesting },
   { "a number out of range spoils only its own value", test_numbers_out_of_range },
   { "integers beyond 64 bits are doubles", test_wide_numbers },
+  { "what is written can be read", test_format },
 };
 
 DP_TEST_MAIN ("json", cases_)
