--- a/src/libdogwoodpaddle/include/protected/passthrough.h
+++ b/src/libdogwoodpaddle/include/protected/passthrough.h
@@ -246,12 +246,13 @@
                                          DpRedecidedPacket *unanswered,
                                          gint64 now);
 /* Keeps a packet after a DP_PASSTHROUGH_ASK_MEMBERS, and has all members asked for the
- * owner of its flow; takes a reference to the packet. hop: that of the decision. */
-void dp_passthrough_ask_members (DpPassthrough *passthrough,
-                                 const DpSegment *segment,
-                                 const DpHop *hop,
-                                 GBytes *packet,
-                                 gint64 now);
+ * owner of its flow; takes a reference to the packet. Returns FALSE if it is not kept, as
+ * too many flows are searched. hop: that of the decision. */
+gboolean dp_passthrough_ask_members (DpPassthrough *passthrough,
+                                     const DpSegment *segment,
+                                     const DpHop *hop,
+                                     GBytes *packet,
+                                     gint64 now);
 /* Sets query to the next one to be sent to all members besides this one, of which view,
  * owned by the passthrough, is set to the list; returns FALSE if there is none. To be
  * called along with dp_passthrough_next_registration (). */
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -409,7 +409,7 @@
   return TRUE;
 }
 
-void
+gboolean
 dp_passthrough_ask_members (DpPassthrough *passthrough,
                             const DpSegment *segment,
                             const DpHop *hop,
@@ -419,9 +419,9 @@
   const DpQueriedPacket queried = { *segment, *hop, packet };
   DpCandidates *candidates = dp_passthrough_admission_candidates (passthrough->admission);
 
-  if (candidates != NULL)
-    dp_owner_queries_add (passthrough->queries, dp_candidates_view (candidates),
-                          passthrough->member_id, &queried, now);
+  return candidates != NULL
+         && dp_owner_queries_add (passthrough->queries, dp_candidates_view (candidates),
+                                  passthrough->member_id, &queried, now);
 }
 
 gboolean
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -86,6 +86,7 @@
   DpMetric *unanswered;
   DpMetric *owner_queries;
   DpMetric *packet_copies;
+  DpMetric *searches_refused;
   DpMetric *zones_evacuated;
   DpMetric *own_zone_evacuated;
   DpMetric *evacuated_flows;
@@ -472,6 +473,9 @@
                                              "dogwoodpaddle_packet_copies_total", "",
                                              "Copies of packets sent to members that may "
                                              "have the flow, as none named its owner");
+  companion->searches_refused = dp_metrics_add (
+      metrics, DP_METRIC_COUNTER, "dogwoodpaddle_searches_refused_total", "",
+      "Packets dropped as the owners of too many flows were being searched");
   companion->zones_evacuated = dp_metrics_add (
       metrics, DP_METRIC_GAUGE, "dogwoodpaddle_zones_evacuated", "",
       "Availability zones whose evacuation is in force in this process");
@@ -657,8 +661,9 @@
 {
   g_autoptr (GBytes) packet = g_bytes_new (data, length);
 
-  dp_passthrough_ask_members (companion->passthrough, segment, &decision->hop, packet,
-                              dp_clock_now (companion->options.clock));
+  if (!dp_passthrough_ask_members (companion->passthrough, segment, &decision->hop,
+                                   packet, dp_clock_now (companion->options.clock)))
+    dp_metric_increment (companion->searches_refused);
   schedule_retry_ (companion);
 }
 
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -252,7 +252,7 @@
   g_autoptr (GBytes) packet = g_bytes_new_static ("packet", 6);
 
   CU_ASSERT_EQUAL (decision.action, DP_PASSTHROUGH_ASK_MEMBERS);
-  dp_passthrough_ask_members (p, segment, &decision.hop, packet, now);
+  CU_ASSERT_TRUE (dp_passthrough_ask_members (p, segment, &decision.hop, packet, now));
 }
 
 /* Records that a member does not, or may, have the flow. */
--- a/test/hosted/fleet.py
+++ b/test/hosted/fleet.py
@@ -2,13 +2,14 @@
 """The fault soak at the size of a deployment, by hand: rules FLOW and CONFIG, hundreds of processes.
 
     fleet.py [--balancers N] [--companions N] [--rate R] [--kept N] [--seconds S] [--seed SEED]
-             [--planned] [--logs FOLDER]
+             [--planned] [--mass-loss SHARE] [--logs FOLDER]
 
 Soak's site, disturbances and checks, with servers and clients in processes of their own, since one
 Python process can't play them all. Most flows stay open for many requests. With --planned all
 disturbances are planned work, under which rule FLOW always counts: restarts by SIGTERM, reloads,
 configurations, servers and their companions that are added, drained and removed, in series that
-overlap. Without it there are soak's faults as well.
+overlap. Without it there are soak's faults as well. With --mass-loss that share of the hosts is lost
+at once, after half of the companions were restarted.
 
 The report states how late the stand-ins were themselves, and how often processes got no processor:
 delays near a time of the rule (2 s) make the result one of the machine. The logs of all
@@ -243,6 +244,7 @@
             if companion.process.poll() is None:
                 self.note(f"SIGTERM {companion.name}, which is removed")
                 self.disturbances.happened(companion.name, "removed", True)
+                self.lost.append(server.ip)  # the companion isn't started again
                 companion.process.terminate()
 
         self.later(soak.DRAIN_S + 1.0, lambda: threading.Thread(target=end).start())
@@ -290,13 +292,15 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--planned", action="store_true")
+    parser.add_argument("--mass-loss", type=float, default=0.0,
+                        help="share of the hosts that are lost at once")
     parser.add_argument("--logs", help="folder for the processes' logs")
     options = parser.parse_args()
     options.rate = options.rate or 0.4 * options.companions
     options.kept = options.kept or 10 * options.companions
     # Links, clocks and hosts are left alone, and nobody else writes.
     options.links = options.losses = options.writes = options.silences = 0.0
-    options.evacuations = 0.0
+    options.evacuations = options.restores = options.new_fields = 0.0
     folder = options.logs or tempfile.mkdtemp(prefix="fleet-")
     os.makedirs(folder, exist_ok=True)
     # Before any thread of this process begins: the workers are forked.
