Read strings and keys of the configuration in every spelling

Cause: dp_json_scan_string (), which reads routes without a parse of the whole text, gave up at a backslash, so that each route was skipped ("its service, address or port is missing or invalid"). Keys were compared byte by byte.

Strings and keys with a backslash are decoded by the parser.

--- a/src/libdogwoodpaddle/include/protected/json.h
+++ b/src/libdogwoodpaddle/include/protected/json.h
@@ -17,7 +17,7 @@
 /* Moves the text of a member's value out of an object's text. */
 char *dp_json_extract_member (const char *text, const char *key, char **value);
 /* Read a member of an object's text without parsing the whole text. They return NULL or
- * FALSE if the member is missing, has another type or, for a string, has an escape. */
+ * FALSE if the member is missing, has another type or is malformed. */
 char *dp_json_scan_string (const char *text, const char *key);
 gboolean dp_json_scan_uint (const char *text, const char *key, guint64 *value);
 gboolean dp_json_scan_double (const char *text, const char *key, double *value);
--- a/src/libdogwoodpaddle/json.c
+++ b/src/libdogwoodpaddle/json.c
@@ -27,6 +27,8 @@
 static gboolean read_uint_ (JsonNode *node, guint64 *value);
 static JsonNode *get_member_ (JsonObject *object, const char *key);
 static const char *find_member_ (const char *text, const char *key);
+static char *read_string_ (const char *begin);
+static gboolean is_key_ (const char *name, gsize length, const char *key);
 static const char *skip_space_ (const char *at);
 static const char *skip_string_ (const char *at);
 static const char *skip_value_ (const char *at);
@@ -162,14 +164,8 @@
 dp_json_scan_string (const char *text, const char *key)
 {
   const char *begin = find_member_ (text, key);
-  gsize length;
 
-  if (begin == NULL || *begin != '"')
-    return NULL;
-  length = strcspn (begin + 1, "\"\\");
-  if (begin[1 + length] != '"' || !g_utf8_validate_len (begin + 1, length, NULL))
-    return NULL;
-  return g_strndup (begin + 1, length);
+  return begin == NULL || *begin != '"' ? NULL : read_string_ (begin);
 }
 
 /* Reads a member that is an integer without a sign, fraction or exponent. */
@@ -464,8 +460,7 @@
       if (*name != '"')
         return NULL;
       at = skip_string_ (name);
-      matches = (gsize) (at - name) == strlen (key) + 2
-                && strncmp (name + 1, key, strlen (key)) == 0;
+      matches = is_key_ (name, (gsize) (at - name), key);
       at = skip_space_ (at);
       if (*at != ':')
         return NULL;
@@ -478,6 +473,36 @@
   return NULL;
 }
 
+/* Returns a copy of the string that begins at the quote; NULL if it is malformed. The
+ * parser is called for strings with an escape only. */
+static char *
+read_string_ (const char *begin)
+{
+  const gsize length = strcspn (begin + 1, "\"\\");
+  g_autofree char *text = NULL;
+  g_autoptr (JsonNode) node = NULL;
+
+  if (begin[1 + length] == '"')
+    return g_utf8_validate_len (begin + 1, length, NULL) ? g_strndup (begin + 1, length)
+                                                         : NULL;
+  text = g_strndup (begin, (gsize) (skip_string_ (begin) - begin));
+  node = dp_json_parse_element (text, NULL);
+  return node != NULL && JSON_NODE_HOLDS_VALUE (node) ? json_node_dup_string (node)
+                                                      : NULL;
+}
+
+/* Returns whether the name, with its quotes, is the key in one of its spellings. */
+static gboolean
+is_key_ (const char *name, gsize length, const char *key)
+{
+  g_autofree char *decoded = NULL;
+
+  if (memchr (name, '\\', length) == NULL)
+    return length == strlen (key) + 2 && strncmp (name + 1, key, length - 2) == 0;
+  decoded = read_string_ (name);
+  return g_strcmp0 (decoded, key) == 0;
+}
+
 static const char *
 skip_space_ (const char *at)
 {
--- a/src/test_platform/test_hosted_store.c
+++ b/src/test_platform/test_hosted_store.c
@@ -261,6 +261,50 @@
     }
 }
 
+/* A version in which another writer of JSON had escaped the slashes had no route, and all
+ * routes of before were dropped. */
+static void
+test_escapes (void)
+{
+  static const char *const routes[] = {
+    "{\"host\":\"198.18.0.1\",\"path_prefix\":\"\\/8443\\/\",\"service\":\"dispatch\","
+    "\"kind\":\"non_idempotent\"}",
+    "{\"host\":\"198.18.0.1\",\"path_prefix\":\"/8443/\",\"service\":\"d\\u0069spatch\","
+    "\"kind\":\"non\\u005fidempotent\"}",
+    "{\"ho\\u0073t\":\"198\\u002e18.0.1\",\"path\\u005fprefix\":\"\\u002f8443/\","
+    "\"\\u0073ervice\":\"dispatch\",\"\\u006bind\":\"non_idempotent\"}",
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (routes); i++)
+    {
+      g_autofree char *list = g_strdup_printf (
+          "{\"items\":[{\"meta\":{\"name\":\"ma\\u0069n\",\"revision\":54},"
+          "\"\\u0073pec\":{\"version\":9,\"r\\u006futes\":[%s]}}],"
+          "\"has_more\":false,\"as_of\":56}",
+          routes[i]);
+      g_autoptr (GError) error = NULL;
+      g_autoptr (DpReplica) replica = dp_replica_new ();
+      g_autoptr (GArray) dispatch = NULL;
+      guint64 revision = 0;
+      char *after = NULL;
+      g_autoptr (GPtrArray)
+          records = read_list (STORE_SERVICES, list, &revision, &after, &error);
+
+      CU_ASSERT_PTR_NULL (error);
+      dp_replica_apply_list (replica, KINDS, records, 9);
+      dispatch = dp_fleet_addresses (replica, "dispatch", NULL);
+      if (dispatch->len != 1)
+        CU_FAIL (routes[i]);
+      if (dispatch->len != 1)
+        continue;
+      CU_ASSERT_EQUAL (g_array_index (dispatch, DpServiceAddress, 0).address.ip,
+                       0xc6120001);
+      CU_ASSERT_EQUAL (g_array_index (dispatch, DpServiceAddress, 0).address.port, 8443);
+      CU_ASSERT_EQUAL (g_array_index (dispatch, DpServiceAddress, 0).class,
+                       DP_TRAFFIC_URGENT);
+    }
+}
+
 /* A number out of range in a field that nobody reads made the operator's version, the
  * object's name or the whole answer unreadable. */
 static void
@@ -640,6 +684,7 @@
   { "events beside the configuration hide no change of it",
     test_events_beside_the_configuration },
   { "a lower version after a higher one", test_event_with_a_lower_version },
+  { "a configuration with escapes", test_escapes },
   { "new fields, whatever they hold", test_new_fields },
   { "a change that can't be read is an error", test_unreadable_configurations },
   { "balancers' registrations", test_balancers },
