--- a/src/libdogwoodpaddle/include/protected/json.h
+++ b/src/libdogwoodpaddle/include/protected/json.h
@@ -5,9 +5,9 @@
 
 #define DP_JSON_DEPTH_MAX 32
 
-/* A number that fits neither into 64 bits with a sign nor into a double is read as null,
- * and an integer beyond 64 bits as a double, so that it spoils no other value of the
- * text, and is no integer to the functions below. An escape that names no character, or
+/* An integer beyond 64 bits with a sign, and a number beyond a double, are read as the
+ * finite double next to them, so that they spoil no other value of the text, and are no
+ * integers to the functions below. An escape that names no character, or
  * the character 0, is read as U+FFFD. */
 JsonNode *dp_json_parse (const char *text, gsize length, GError **error);
 char *dp_json_format (JsonNode *node);
--- a/src/libdogwoodpaddle/json.c
+++ b/src/libdogwoodpaddle/json.c
@@ -424,8 +424,8 @@
 }
 
 /* Returns the text with each of the parts, which are in the order of the text, replaced:
- * an escape by the replacement character, and a number by the double next to it, or by
- * null if that is not finite. JSON-GLib refuses a text with half of a surrogate pair,
+ * an escape by the replacement character, and a number by the finite double next to it.
+ * JSON-GLib refuses a text with half of a surrogate pair,
  * ends a string at a zero, reads large integers modulo 2^64, some negative ones as
  * positive, and prints an infinite double as a word. */
 static GString *
@@ -445,9 +445,9 @@
       if (*part == '\\')
         g_string_append (replaced, REPLACEMENT_CHARACTER);
       else
-        g_string_append (replaced, isfinite (value)
-                                       ? g_ascii_dtostr (printed, sizeof printed, value)
-                                       : "null");
+        g_string_append (replaced,
+                         g_ascii_dtostr (printed, sizeof printed,
+                                         CLAMP (value, -G_MAXDOUBLE, G_MAXDOUBLE)));
       copied = span->offset + span->length;
     }
   return g_string_append_len (replaced, text + copied, (gssize) (length - copied));
