Take a server for newly started only if it is younger than its companion

Cause: a heartbeat with a number of at most 1 passed for the first one, and the table of flows for complete. The server counted from 0, so that the restarted companion heard number 1 first ("just started" in its log).

A server has just started only if its start, too, is not before the companion's own. The number stays a condition beside it.

--- a/src/libdogwoodpaddle/announcement.c
+++ b/src/libdogwoodpaddle/announcement.c
@@ -1,12 +1,14 @@
 #include "protected/announcement.h"
 
-/* Sequence number of the first heartbeat after a server's start. */
+/* Sequence number of the first heartbeat after a server's start, at most. */
 #define FIRST_HEARTBEAT_SEQUENCE 1
 
 /* Decides whether to accept a heartbeat. A heartbeat can arrive after its sender has
  * crashed and a new incarnation, with the same id or another one, has announced itself.
- * Only the first heartbeat of an incarnation shows that it holds no flows yet: what was
- * heard before it may have been such a late one. */
+ * Only the first heartbeat of an incarnation that is younger than the companion shows
+ * that it holds no flows yet: what was heard before it may have been such a late one, and
+ * a server that is older has got flows through the companion's predecessor. Servers may
+ * count their heartbeats from 0 or 1, so that the second one may pass for the first. */
 DpAnnouncementResult
 dp_announcement_tracker_update (DpAnnouncementTracker *tracker,
                                 const DpAnnouncement *announcement)
@@ -21,10 +23,13 @@
   if (same_server
       && (tracker->deregistered || announcement->sequence <= tracker->sequence))
     return DP_ANNOUNCEMENT_STALE;
-  result = same_server                                          ? DP_ANNOUNCEMENT_ACCEPTED
-           : announcement->sequence <= FIRST_HEARTBEAT_SEQUENCE ? DP_ANNOUNCEMENT_STARTED
-           : tracker->known                                     ? DP_ANNOUNCEMENT_REPLACED
-                            : DP_ANNOUNCEMENT_ACCEPTED;
+  if (same_server)
+    result = DP_ANNOUNCEMENT_ACCEPTED;
+  else if (announcement->sequence <= FIRST_HEARTBEAT_SEQUENCE
+           && announcement->incarnation >= tracker->since)
+    result = DP_ANNOUNCEMENT_STARTED;
+  else
+    result = tracker->known ? DP_ANNOUNCEMENT_REPLACED : DP_ANNOUNCEMENT_ACCEPTED;
   if (!same_id)
     {
       g_free (tracker->id);
--- a/src/libdogwoodpaddle/include/protected/announcement.h
+++ b/src/libdogwoodpaddle/include/protected/announcement.h
@@ -24,9 +24,10 @@
   DP_N_ANNOUNCEMENT_RESULTS
 } DpAnnouncementResult;
 
-/* Tracks the last announcement that was accepted. Starts as all zero. */
+/* Tracks the last announcement that was accepted. Starts as all zero but for since. */
 typedef struct
 {
+  guint64 since;         /* when the companion started, in the units of incarnations */
   gboolean known;        /* an announcement was accepted */
   gboolean deregistered; /* the server has deregistered */
   char *id;
--- a/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
+++ b/src/libdogwoodpaddle/include/protected/passthroughcompanion.h
@@ -27,6 +27,7 @@
   guint16 client_port;             /* UDP port of all clients */
   const DpAddress *seed_balancers; /* report ports of the balancers in the settings */
   guint n_seed_balancers;
+  guint64 started_at;           /* Unix ms, when the process started */
   guint heartbeat_ms;           /* interval of the server's heartbeats */
   gint64 flow_ttl;              /* us, after which an unused flow is forgotten */
   gboolean learned_concurrency; /* learn the server's limit instead of using the slots */
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -219,6 +219,7 @@
   companion->zone = g_strdup (options->zone);
   companion->members = dp_passthrough_members_new (companion->service);
   companion->asked_members = g_hash_table_new (NULL, NULL);
+  companion->announcements.since = options->started_at;
   add_metrics_ (companion);
   if (options->learned_concurrency)
     add_concurrency_metrics_ (companion);
