--- a/src/libdogwoodpaddle/include/protected/packetformat.h
+++ b/src/libdogwoodpaddle/include/protected/packetformat.h
@@ -11,8 +11,8 @@
 #define DP_SERVICE_TAG_BITS 24
 #define DP_OWNERS_TRIED_MAX 2
 #define DP_SEARCH_STEPS_MAX 3
-/* Number of visits of a packet that is not to be forwarded any more: a copy that was sent
- * to every member that may have its flow. */
+/* Number of visits of a packet that is not to be forwarded any more: a copy for a member
+ * whose server may have its flow. */
 #define DP_VISITS_ENDED G_MAXUINT8
 
 /* Hop-by-hop metadata: what one process of the system tells the next about a packet. */
--- a/src/libdogwoodpaddle/passthrough.c
+++ b/src/libdogwoodpaddle/passthrough.c
@@ -958,7 +958,7 @@
 
 /* Returns whether the packet's flow is likely to be this server's, or can only be found
  * by asking the servers: a balancer has placed it here, the directory names this member,
- * or no member knows the owner, and all that may have the flow get a copy. Other packets
+ * or no member knows the owner and this one got a copy. Other packets
  * are not handed to the server, as it may not have the flow. */
 static gboolean
 may_have_flow_ (const DpHop *hop)
