Go on with the search for a flow's owner past servers that are gone

Cause: a server that has the flow doesn't return a copy of its packet, and neither does one that is gone. A search without an answer ended, and the client's retransmission began a new one with the same members.

A member now says whether its server sends heartbeats; one whose server is silent gets its copy after the others and isn't waited for. A member that left a copy unanswered is remembered for 2 s, and the next packet goes to the others first. It still gets a copy then, as it may have the flow.

The code of an answer that was refused as unknown is one more now (2, so far neither yes nor no, is a silent server); test_report asks for 3 to be refused.

--- a/src/libdogwoodpaddle/include/private/ownerqueries.h
+++ b/src/libdogwoodpaddle/include/private/ownerqueries.h
@@ -3,7 +3,9 @@
  * cost one timeout in all, however many there are. If no member names the owner, those
  * whose servers may have the flow get a copy of its packet one after the other, so that
  * it reaches no other server once its own has it. Keeps the flow's packets meanwhile.
- * Performs no I/O. */
+ * A member that doesn't answer after a copy ends the search of that packet; when the
+ * client sends it again, this member is passed over until all others are asked. Performs
+ * no I/O. */
 #pragma once
 
 #include "private/peerprobes.h"
@@ -55,12 +57,12 @@
                                 DpQueriedPacket *queried);
 /* Sets step to the next step of any search; returns FALSE if there is none now. Drops the
  * packets of searches in which a member has not answered after a copy: its server has
- * taken it, or the client sends the packet again. */
+ * taken it, or the client sends the packet again, which goes on with the search. */
 gboolean
 dp_owner_queries_next_step (DpOwnerQueries *queries, DpOwnerSearchStep *step, gint64 now);
 /* Drops all packets and ends all searches. */
 void dp_owner_queries_clear (DpOwnerQueries *queries);
-/* Returns the number of searches. */
+/* Returns the number of searches for which packets are kept. */
 guint dp_owner_queries_n_searches (const DpOwnerQueries *queries);
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (DpOwnerQueries, dp_owner_queries_free)
--- a/src/libdogwoodpaddle/include/protected/flowdirectory.h
+++ b/src/libdogwoodpaddle/include/protected/flowdirectory.h
@@ -37,6 +37,8 @@
 {
   DpFlowKey key;
   gboolean may_have_flow; /* only the member's server can know */
+  gboolean server_silent; /* that server has sent no heartbeats for some time, or has
+                             signed off; FALSE unless may_have_flow */
   DpAddress sender;       /* packet port of the member that answers */
 } DpOwnerAnswer;
 
--- a/src/libdogwoodpaddle/passthroughcompanion.c
+++ b/src/libdogwoodpaddle/passthroughcompanion.c
@@ -59,7 +59,7 @@
   guint64 warmup_rate;    /* thousandths of a request per second while the server is cold,
                              0: no limit */
   gboolean serving;       /* new flows are offered to the server */
-  gint64 heartbeat_at;    /* us, last heartbeat that was accepted */
+  gint64 heartbeat_at;    /* us, last heartbeat that was accepted, or creation */
   gint64 warmup_ends_at;  /* us, when the server's warm-up ends */
   gint64 active_at;       /* us, last time at which this process did anything */
   gint64 left_out_logged_at; /* us, last log lines about members left out, 0: none */
@@ -183,6 +183,7 @@
                              const DpAddress *member,
                              const guint8 *data,
                              gsize length);
+static gboolean hears_server_ (const DpPassthroughCompanion *companion, gint64 now);
 static gboolean is_serving_ (const DpPassthroughCompanion *companion, gint64 now);
 static DpMemberState member_state_ (const DpPassthroughCompanion *companion, gint64 now);
 static gboolean takes_flows_in_zone_ (const DpPassthroughCompanion *companion,
@@ -220,6 +221,7 @@
   companion->members = dp_passthrough_members_new (companion->service);
   companion->asked_members = g_hash_table_new (NULL, NULL);
   companion->announcements.since = options->started_at;
+  companion->heartbeat_at = dp_clock_now (options->clock);
   add_metrics_ (companion);
   if (options->learned_concurrency)
     add_concurrency_metrics_ (companion);
@@ -953,7 +955,10 @@
   if (dp_passthrough_answer_query (companion->passthrough, query, &owner, &answer, now))
     length = dp_flow_owner_encode (&owner, companion->service, buffer);
   else
-    length = dp_owner_answer_encode (&answer, companion->service, buffer);
+    {
+      answer.server_silent = answer.may_have_flow && !hears_server_ (companion, now);
+      length = dp_owner_answer_encode (&answer, companion->service, buffer);
+    }
   send_to_member_ (companion, &query->sender, buffer, length);
 }
 
@@ -990,7 +995,8 @@
                 const DpSegment *segment,
                 const DpAddress *receiver)
 {
-  const DpOwnerAnswer answer = { segment->key, FALSE, companion->options.data_address };
+  const DpOwnerAnswer answer = { segment->key, FALSE, FALSE,
+                                 companion->options.data_address };
   guint8 buffer[DP_REPORT_MAX];
 
   send_to_member_ (companion, receiver, buffer,
@@ -1175,15 +1181,22 @@
     dp_packet_port_send (companion->report, &address, data, length);
 }
 
-/* Returns whether the server is known, takes new flows and sends its heartbeats. */
+/* Returns whether the server sends its heartbeats; also if it has had no time to do so
+ * since this process started. */
 static gboolean
-is_serving_ (const DpPassthroughCompanion *companion, gint64 now)
+hears_server_ (const DpPassthroughCompanion *companion, gint64 now)
 {
   gint64 bound = companion->options.heartbeat_ms * HEARTBEATS_MISSED_MAX * DP_US_PER_MS;
 
-  return companion->announcements.known && !companion->announcements.deregistered
-         && !companion->announcement.leaving && !companion->stopping
-         && now - companion->heartbeat_at <= bound
+  return !companion->announcements.deregistered && now - companion->heartbeat_at <= bound;
+}
+
+/* Returns whether the server is known, takes new flows and sends its heartbeats. */
+static gboolean
+is_serving_ (const DpPassthroughCompanion *companion, gint64 now)
+{
+  return companion->announcements.known && !companion->announcement.leaving
+         && !companion->stopping && hears_server_ (companion, now)
          && takes_flows_in_zone_ (companion, now);
 }
 
--- a/src/libdogwoodpaddle/report.c
+++ b/src/libdogwoodpaddle/report.c
@@ -344,7 +344,7 @@
                         guint8 buffer[DP_REPORT_MAX])
 {
   return encode_query_ (DP_REPORT_OWNER_ANSWER, &answer->key, &answer->sender,
-                        answer->may_have_flow ? 1 : 0, service, buffer);
+                        answer->may_have_flow + answer->server_silent, service, buffer);
 }
 
 /* Encodes a message that says nothing but who sends it. Returns its length in bytes. */
@@ -706,10 +706,10 @@
       || !get_address_ (&fields[QUERY_SERVICE_IP], &fields[QUERY_SERVICE_PORT],
                         &key.service)
       || !get_address_ (&fields[QUERY_SENDER_IP], &fields[QUERY_SENDER_PORT], &sender)
-      || !get_uint_ (&fields[QUERY_VALUE], is_answer ? 1 : G_MAXUINT32, &value))
+      || !get_uint_ (&fields[QUERY_VALUE], is_answer ? 2 : G_MAXUINT32, &value))
     return FALSE;
   message->query = (DpOwnerQuery){ key, (guint32) value, sender };
-  message->answer = (DpOwnerAnswer){ key, value == 1, sender };
+  message->answer = (DpOwnerAnswer){ key, value > 0, value > 1, sender };
   return TRUE;
 }
 
--- a/src/test_libdogwoodpaddle/test_ownerqueries.c
+++ b/src/test_libdogwoodpaddle/test_ownerqueries.c
@@ -1,5 +1,7 @@
 /* Guards against a search of a flow's owner that takes longer the more members are down,
  * that hands the flow's packets to several servers at once, or that never ends. */
+#include <string.h>
+
 #include "private/ownerqueries.h"
 #include "runner.h"
 
@@ -43,15 +45,26 @@
 }
 
 static gboolean
-answer (DpOwnerQueries *queries, guint flow, guint member, gboolean may_have_flow)
+answer_with (DpOwnerQueries *queries,
+             guint flow,
+             guint member,
+             gboolean may_have_flow,
+             gboolean server_silent)
 {
   const DpOwnerAnswer message = { { { 0x64400000 + flow, 40001 }, { 0, 0 } },
                                   may_have_flow,
+                                  server_silent,
                                   { 0x0a000000 + member, 7000 } };
 
   return dp_owner_queries_note_answer (queries, &message);
 }
 
+static gboolean
+answer (DpOwnerQueries *queries, guint flow, guint member, gboolean may_have_flow)
+{
+  return answer_with (queries, flow, member, may_have_flow, FALSE);
+}
+
 /* Takes the next step; returns the member that gets a copy, 0 if the packet was not
  * found, -1 if there is no step. */
 static gint
@@ -123,6 +136,133 @@
   CU_ASSERT_EQUAL (dp_owner_queries_n_searches (queries), 0);
 }
 
+/* Returns the members that get a copy of a packet, one digit each, with 0 for a packet
+ * that was not found. Members answer that they may have the flow until they return it;
+ * those of another kind than 'r' never do. */
+static char *
+copy_packet (DpOwnerQueries *queries,
+             DpMemberView *view,
+             const char *kinds,
+             char *returned)
+{
+  g_autoptr (GString) copies = g_string_new (NULL);
+  static gint64 now = 0;
+  gint m;
+
+  now += 200 * MS;
+  CU_ASSERT_TRUE (add_packet (queries, view, 1, 20, now));
+  for (guint i = 0; kinds[i] != '\0'; i++)
+    answer_with (queries, 1, i + 1, returned[i] == '-', kinds[i] == 'q');
+  for (guint i = 0; i < 2; i++, now += 100 * MS)
+    while ((m = next_step (queries, 20, now)) >= 0)
+      {
+        g_string_append_c (copies, (char) ('0' + m));
+        if (m == 0 || kinds[m - 1] != 'r')
+          continue;
+        returned[m - 1] = 'r';
+        answer (queries, 1, (guint) m, FALSE);
+      }
+  return g_string_free (g_steal_pointer (&copies), FALSE);
+}
+
+/* A packet that came again went to the same members first, whose servers were gone, and
+ * reached its own server after 3 s. */
+static void
+test_silent_members (void)
+{
+  /* Members by the order of their answers: 'r' returns its copy, 's' doesn't answer, as
+   * its server is gone, 'q' has noticed that, and 'o' has the flow; the copies of each
+   * packet. */
+  static const struct
+  {
+    const char *members;
+    const char *copies[4];
+  } cases[] = {
+    { "o", { "1" } },
+    { "ro", { "12" } },
+    { "so", { "1", "21" } },
+    { "rsro", { "12", "342" } },
+    { "ssro", { "1", "21", "3412" } },
+    { "ssrr", { "1", "21", "34120", "120" } },
+    { "rs", { "12", "20", "20" } },
+    { "rr", { "120", "0" } },
+    { "qqqo", { "4123" } },
+    { "qro", { "231" } },
+    { "qsro", { "21", "3412" } },
+    { "qrr", { "2310", "10" } },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const guint n = (guint) strlen (cases[i].members);
+      g_autofree char *returned = g_strnfill (n, '-');
+      g_autoptr (DpOwnerQueries) queries = dp_owner_queries_new ();
+      g_autoptr (DpMemberView) view = make_view (n + 1);
+
+      for (guint p = 0; p < G_N_ELEMENTS (cases[i].copies) && cases[i].copies[p] != NULL;
+           p++)
+        {
+          g_autofree char *copies = copy_packet (queries, view, cases[i].members,
+                                                 returned);
+
+          CU_ASSERT_STRING_EQUAL (copies, cases[i].copies[p]);
+        }
+    }
+}
+
+/* The servers of members that were silent may be back after a while. */
+static void
+test_silent_members_are_forgotten (void)
+{
+  static const struct
+  {
+    gint64 again_at;
+    gint first;
+  } cases[] = { { 300 * MS, 2 }, { 2099 * MS, 2 }, { 2100 * MS, 1 }, { 3 * S, 1 } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (DpOwnerQueries) queries = dp_owner_queries_new ();
+      g_autoptr (DpMemberView) view = make_view (3);
+      const gint64 again_at = cases[i].again_at;
+
+      for (guint p = 0; p < 2; p++)
+        {
+          CU_ASSERT_TRUE (add_packet (queries, view, 1, 20, p * again_at));
+          for (guint m = 1; m <= 2; m++)
+            CU_ASSERT_EQUAL (answer (queries, 1, m, TRUE), m == 2);
+          CU_ASSERT_EQUAL (next_step (queries, 20, p * again_at),
+                           p == 0 ? 1 : cases[i].first);
+          CU_ASSERT_EQUAL (next_step (queries, 20, p * again_at + 99 * MS), -1);
+          if (p == 0)
+            CU_ASSERT_EQUAL (next_step (queries, 20, 100 * MS), -1);
+        }
+    }
+}
+
+/* Searches that are only remembered must not keep others out. */
+static void
+test_suspended_searches_make_room (void)
+{
+  g_autoptr (DpOwnerQueries) queries = dp_owner_queries_new ();
+  g_autoptr (DpMemberView) view = make_view (2);
+
+  for (guint i = 0; i < 256; i++)
+    {
+      CU_ASSERT_TRUE (add_packet (queries, view, i, 0, 0));
+      CU_ASSERT_TRUE (answer (queries, i, 1, TRUE));
+    }
+  for (guint i = 0; i < 256; i++)
+    CU_ASSERT_EQUAL (next_step (queries, 0, 0), 1);
+  CU_ASSERT_FALSE (add_packet (queries, view, 256, 0, 0));
+  CU_ASSERT_EQUAL (next_step (queries, 0, 100 * MS), -1);
+  CU_ASSERT_EQUAL (dp_owner_queries_n_searches (queries), 0);
+  for (guint i = 256; i < 512; i++)
+    CU_ASSERT_TRUE (add_packet (queries, view, i, 0, 100 * MS));
+  CU_ASSERT_FALSE (add_packet (queries, view, 512, 0, 100 * MS));
+  CU_ASSERT_EQUAL (dp_owner_queries_n_searches (queries), 256);
+}
+
 /* All packets of a flow wait for the same answers. */
 static void
 test_one_query_for_a_flow (void)
@@ -171,6 +311,9 @@
 static const DpTestCase cases_[] = {
   { "members that are down take no time of their own", test_members_that_are_down },
   { "a packet with data is copied", test_packet_with_data_is_copied },
+  { "silent members are passed over", test_silent_members },
+  { "silent members are forgotten after a while", test_silent_members_are_forgotten },
+  { "suspended searches make room", test_suspended_searches_make_room },
   { "one query for a flow", test_one_query_for_a_flow },
   { "searches and packets are bounded", test_bounds },
 };
--- a/src/test_libdogwoodpaddle/test_passthrough.c
+++ b/src/test_libdogwoodpaddle/test_passthrough.c
@@ -259,7 +259,9 @@
 static gboolean
 answer_query (DpPassthrough *p, const DpSegment *segment, guint host, gboolean may_have)
 {
-  const DpOwnerAnswer answer = { segment->key, may_have, { hosts_[host].ip, 7000 } };
+  const DpOwnerAnswer answer = {
+    segment->key, may_have, FALSE, { hosts_[host].ip, 7000 }
+  };
 
   return dp_passthrough_note_owner_answer (p, &answer);
 }
--- a/src/test_libdogwoodpaddle/test_report.c
+++ b/src/test_libdogwoodpaddle/test_report.c
@@ -465,8 +465,9 @@
   const DpOwnerQuery query = { { { 0x64400007, 40001 }, { 0xc6120001, 443 } },
                                0xfffffff0,
                                { 0x7f010101, 7000 } };
-  const DpOwnerAnswer answers[] = { { query.key, FALSE, { 0x7f010102, 7000 } },
-                                    { query.key, TRUE, { 0x7f010102, 7001 } } };
+  const DpOwnerAnswer answers[] = { { query.key, FALSE, FALSE, { 0x7f010102, 7000 } },
+                                    { query.key, TRUE, FALSE, { 0x7f010102, 7001 } },
+                                    { query.key, TRUE, TRUE, { 0x7f010102, 7001 } } };
   guint8 buffer[DP_REPORT_MAX];
   DpReportMessage message;
   gsize length = dp_owner_query_encode (&query, "darbnica", buffer);
@@ -490,11 +491,12 @@
       CU_ASSERT_EQUAL (message.type, DP_REPORT_OWNER_ANSWER);
       CU_ASSERT_TRUE (dp_flow_key_equal (&message.answer.key, &query.key));
       CU_ASSERT_EQUAL (message.answer.may_have_flow, answers[i].may_have_flow);
+      CU_ASSERT_EQUAL (message.answer.server_silent, answers[i].server_silent);
       CU_ASSERT_TRUE (dp_address_equal (&message.answer.sender, &answers[i].sender));
       dp_report_message_clear (&message);
     }
-  /* Neither yes nor no. */
-  buffer[length - 1] = 2;
+  /* None of the three answers. */
+  buffer[length - 1] = 3;
   CU_ASSERT_FALSE (dp_report_decode (&message, buffer, length));
   dp_report_message_clear (&message);
 }
--- a/test/test_flow_search.py
+++ b/test/test_flow_search.py
@@ -13,6 +13,7 @@
 N_FLOWS = 60
 N_HOSTS, N_LEFT = 36, 8  # where most hosts are lost
 FOUND_S = 1.0  # bound for a packet's way to its server; half of REORDER_S
+RETRANSMISSIONS_S = (0.0, 0.2, 0.6, 1.4, 2.0)  # until REORDER_S is over
 STABLE_S = 4.0  # stable_window_ms: a process is in touch again so long after a fault
 
 
@@ -131,5 +132,26 @@
     check_found_in_time(site, client, flows, lost)
 
 
+def test_search_passes_over_companions_without_servers(site):
+    """Four of ten servers are gone, whose companions don't return packets any more. A packet
+    that came again went to the same companions first, and to its own server after 3 s."""
+    client, flows = open_and_forget(site, n_balancers=2)
+    gone = [site.servers[i] for i in (1, 3, 5, 7)]
+    for server in gone:
+        server.stop()
+    arrivals = open_flows.Arrivals(site.servers)
+    sound = [f for f in flows if open_flows.owner(site, f) not in (None, *gone)]
+    sent_at = time.monotonic()
+    for at in RETRANSMISSIONS_S:
+        client.run(sent_at + at)
+        for flow in sound:
+            if flow["key"] not in arrivals.own:
+                client._send(flow, standins.ACK, flow["seq"] + 1 + len(flow["request"]),
+                             flow["peer"] + 1, b"x")
+    unreached = [f["key"][0][1] for f in sound if f["key"] not in arrivals.own]
+    check(sound and not unreached,
+          f"packets of {len(unreached)} of {len(sound)} flows did not reach their servers")
+
+
 if __name__ == "__main__":
     sys.exit(hosted.main(globals()))
